Lay out the package, its domain, its ports and the HTTP adapters

The HTTP server refuses slow, oversized and malformed requests with a numbered code; a streamed answer that fails never ends as whole. The first test run showed that h11 bounds a header section only while it is incomplete after a read, so the server now checks the size itself.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; run by hand, never by CI."""
--- /dev/null
+++ b/comfreyhatch/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports over real protocols."""
--- /dev/null
+++ b/comfreyhatch/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of the daemon and the path of a request."""
--- /dev/null
+++ b/comfreyhatch/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no input or output, no clock, no tasks."""
--- /dev/null
+++ b/comfreyhatch/domain/__init__.py
@@ -0,0 +1,1 @@
+"""Plain data of the domain: contracts, versions, changes, requests."""
--- /dev/null
+++ b/comfreyhatch/errors.py
@@ -0,0 +1,136 @@
+"""Exceptions of comfreyhatch; each carries a numbered result code."""
+
+from comfreyhatch.codes import Ran, ResultCode
+
+
+class ComfreyhatchError(Exception):
+    """Base of all exceptions raised on purpose.
+
+    Attributes:
+        code: Numbered result code.
+        ran: Whether the request is known not to have run.
+        retry_after_s: When a caller may come back, in seconds; None when unknown.
+    """
+
+    code = ResultCode.INTERNAL
+    ran = Ran.NO
+
+    def __init__(
+        self,
+        message: str,
+        code: ResultCode | None = None,
+        ran: Ran | None = None,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(message)
+        if code is not None:
+            self.code = code
+        if ran is not None:
+            self.ran = ran
+        self.retry_after_s = retry_after_s
+
+
+class RequestError(ComfreyhatchError):
+    """The caller's request is refused for what it says."""
+
+    code = ResultCode.BAD_REQUEST
+
+
+class RefusedError(ComfreyhatchError):
+    """The request is refused for the state of the fleet; it has not run."""
+
+    code = ResultCode.OVERLOADED
+
+
+class BackendError(ComfreyhatchError):
+    """An endpoint failed; `ran` tells whether the request may have run."""
+
+    code = ResultCode.ENDPOINT_FAILED
+    ran = Ran.UNKNOWN
+
+
+class BackendRefusedError(BackendError):
+    """The endpoint said that it did not run the request."""
+
+    code = ResultCode.ENDPOINT_REFUSED
+    ran = Ran.NO
+
+
+class AnswerBrokenError(BackendError):
+    """The answer ended before its end or belongs to another request."""
+
+    code = ResultCode.ANSWER_BROKEN
+
+
+class HttpError(ComfreyhatchError):
+    """An HTTP exchange failed.
+
+    `ran` is NO only when no byte of the request was written.
+    """
+
+    code = ResultCode.ENDPOINT_FAILED
+    ran = Ran.UNKNOWN
+
+
+class ConnectError(HttpError):
+    """No connection could be opened; nothing was sent."""
+
+    ran = Ran.NO
+
+
+class ExchangeTimeoutError(HttpError):
+    """The peer did not answer in time."""
+
+
+class PlatformError(ComfreyhatchError):
+    """The platform's service does not answer or answers with an error."""
+
+    code = ResultCode.PLATFORM_UNAVAILABLE
+
+
+class ConflictError(ComfreyhatchError):
+    """Another change came first."""
+
+    code = ResultCode.CONFLICT
+
+
+class ChangeError(ComfreyhatchError):
+    """A change does not fit the configuration."""
+
+    code = ResultCode.CHANGE_INVALID
+
+
+class ContractError(ComfreyhatchError):
+    """A contract has errors."""
+
+    code = ResultCode.CONTRACT_INVALID
+
+
+class SettingsError(ComfreyhatchError):
+    """The settings file has errors; the message lists them all."""
+
+    code = ResultCode.SETTINGS_INVALID
+
+
+class PeerError(ComfreyhatchError):
+    """A peer refused or could not be reached."""
+
+    code = ResultCode.PEER_REFUSED
+
+
+class PeerTimeoutError(PeerError):
+    """A peer did not answer in time."""
+
+    code = ResultCode.PEER_TIMEOUT
+
+
+class StaleFenceError(ComfreyhatchError):
+    """An order or write carried an old fencing number."""
+
+    code = ResultCode.STALE_FENCE
+
+
+class NotReadyError(ComfreyhatchError):
+    """The instance may not serve yet."""
+
+    code = ResultCode.NOT_READY
--- /dev/null
+++ b/comfreyhatch/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces towards everything outside the process."""
--- /dev/null
+++ b/comfreyhatch/ports/peers.py
@@ -0,0 +1,128 @@
+"""Messages between daemons: members, the bus, and an in-memory bus."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol, TypeVar
+
+from msgspec import Struct
+
+from comfreyhatch.domain.instance import Address
+from comfreyhatch.errors import PeerTimeoutError
+
+M = TypeVar("M", bound=Struct)
+R = TypeVar("R", bound=Struct)
+Handler = Callable[[str, Any], Awaitable[Struct | None]]
+
+
+class Member(Struct, frozen=True):
+    """A daemon as its peers see it.
+
+    Attributes:
+        instance_id: Name of the instance.
+        incarnation: Identifier of this start of the process; a restart or pause makes a new one.
+        zone: Availability zone.
+        control: Where it takes peer messages.
+        http: Where it takes forwarded requests.
+        leaving: Whether it is shutting down.
+        revision: Configuration revision that it said to have in force.
+    """
+
+    instance_id: str
+    incarnation: str
+    zone: str
+    control: Address
+    http: Address
+    leaving: bool = False
+    revision: int = 0
+
+
+class View(Struct, frozen=True):
+    """The live daemons that this daemon knows of, itself included, by instance id."""
+
+    member_by_id: dict[str, Member] = {}
+
+    def in_zone(self, zone: str) -> list[Member]:
+        """Return the members of a zone in order of their ids."""
+        members = (m for m in self.member_by_id.values() if m.zone == zone)
+        return sorted(members, key=lambda member: member.instance_id)
+
+
+class PeerBus(Protocol):
+    """Sends typed messages to other daemons, best effort.
+
+    A message type is a tagged Struct; its tag names it on the wire.
+    """
+
+    def on_message(self, message_type: type[M], handler: Handler) -> None:
+        """Register the handler of a message type.
+
+        The handler gets the sender's instance id and the message; what it returns is
+        the reply to a request and is dropped for a plain send.
+        """
+        ...
+
+    async def send(self, instance_id: str, message: Struct) -> None:
+        """Send a message without an answer; it may be lost, doubled or late."""
+        ...
+
+    async def request(
+        self, instance_id: str, message: Struct, reply_type: type[R], timeout_s: float
+    ) -> R:
+        """Send a message and return its reply.
+
+        Raises:
+            PeerTimeoutError: If no reply came in time.
+        """
+        ...
+
+
+class MemoryNetwork:
+    """Connects in-memory buses; links can be cut."""
+
+    def __init__(self) -> None:
+        self.bus_by_id: dict[str, MemoryBus] = {}
+        self.cut: set[tuple[str, str]] = set()
+
+    def join(self, instance_id: str) -> "MemoryBus":
+        """Return a new bus for an instance."""
+        bus = MemoryBus(self, instance_id)
+        self.bus_by_id[instance_id] = bus
+        return bus
+
+    def reachable(self, sender: str, recipient: str) -> bool:
+        """Return whether a message gets from one instance to another."""
+        return recipient in self.bus_by_id and (sender, recipient) not in self.cut
+
+
+class MemoryBus:
+    """A bus in memory with the semantics of the port."""
+
+    def __init__(self, network: MemoryNetwork, instance_id: str) -> None:
+        self.instance_id = instance_id
+        self._network = network
+        self._handler_by_type: dict[type[Struct], Handler] = {}
+
+    def on_message(self, message_type: type[M], handler: Handler) -> None:
+        """Register the handler of a message type."""
+        self._handler_by_type[message_type] = handler
+
+    async def send(self, instance_id: str, message: Struct) -> None:
+        """Deliver a message if the link is up."""
+        if self._network.reachable(self.instance_id, instance_id):
+            await self._network.bus_by_id[instance_id].deliver(self.instance_id, message)
+
+    async def request(
+        self, instance_id: str, message: Struct, reply_type: type[R], timeout_s: float
+    ) -> R:
+        """Deliver a message and return its reply."""
+        both = (instance_id, self.instance_id), (self.instance_id, instance_id)
+        if not all(self._network.reachable(*pair) for pair in both):
+            raise PeerTimeoutError(f"peer {instance_id} is not reachable")
+        reply = await self._network.bus_by_id[instance_id].deliver(self.instance_id, message)
+        if not isinstance(reply, reply_type):
+            raise PeerTimeoutError(f"peer {instance_id} gave no reply")
+        return reply
+
+    async def deliver(self, sender: str, message: Struct) -> Struct | None:
+        """Hand a message to its handler."""
+        handler = self._handler_by_type.get(type(message))
+        return await handler(sender, message) if handler else None
--- /dev/null
+++ b/comfreyhatch/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Controllable stand-ins of the engines, the plain services and the platform."""
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,122 @@
+"""The HTTP server and client against each other and against raw bytes."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_server import (
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    json_response,
+)
+from comfreyhatch.codes import Ran
+from comfreyhatch.domain.instance import Address
+from comfreyhatch.errors import ConnectError, ExchangeTimeoutError, HttpError, RefusedError
+
+LIMITS = HttpLimits(header_bytes=2048, body_bytes=1000, header_timeout_s=0.2, write_timeout_s=0.3)
+
+
+async def handle(request: HttpRequest) -> HttpResponse:
+    match request.path:
+        case "/echo":
+            return json_response({"body": request.body.decode(), **request.query})
+        case "/stream":
+            return HttpResponse(200, stream=pieces(3))
+        case "/cut":
+            return HttpResponse(200, stream=pieces(2, fail=True))
+        case "/slow":
+            await asyncio.sleep(5)
+        case "/refuse":
+            raise RefusedError("busy", retry_after_s=2)
+        case "/crash":
+            raise ValueError("a bug")
+    return HttpResponse(204)
+
+
+async def pieces(count: int, fail: bool = False) -> AsyncIterator[bytes]:
+    for index in range(count):
+        yield b"piece %d\n" % index
+    if fail:
+        raise RefusedError("cut")
+
+
+@pytest.fixture
+async def address() -> AsyncIterator[Address]:
+    server = HttpServer(handle, LIMITS)
+    yield await server.start("127.0.0.1", 0)
+    await server.stop(0.1)
+
+
+async def raw(address: Address, data: bytes) -> bytes:
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(data)
+    answer = await asyncio.wait_for(reader.read(), 3)
+    writer.close()
+    return answer
+
+
+async def test_answers_follow_on_one_connection(address: Address) -> None:
+    client = HttpClient()
+    for number in range(3):
+        reply = await client.request(address, "POST", f"/echo?n={number}", b"hi")
+        assert reply.body == b'{"body":"hi","n":"%d"}' % number
+    assert len(client._idle_by_address[address]) == 1
+    client.close()
+
+
+async def test_stream_arrives_whole(address: Address) -> None:
+    reply = await HttpClient().request(address, "GET", "/stream")
+    assert reply.body == b"piece 0\npiece 1\npiece 2\n"
+
+
+async def test_cut_stream_is_not_taken_as_whole(address: Address) -> None:
+    with pytest.raises(HttpError) as caught:
+        await HttpClient().request(address, "GET", "/cut")
+    assert caught.value.ran is Ran.UNKNOWN
+
+
+async def test_refusal_carries_code_and_retry_after(address: Address) -> None:
+    reply = await HttpClient().request(address, "GET", "/refuse")
+    assert (reply.status, reply.header_by_name["retry-after"]) == (503, "2")
+    assert b'"code":2003' in reply.body and b'"ran":"no"' in reply.body
+
+
+async def test_bug_in_handler_is_an_internal_error(address: Address) -> None:
+    assert (await HttpClient().request(address, "GET", "/crash")).status == 500
+
+
+async def test_timeout_says_unknown_and_connect_failure_says_not_run(address: Address) -> None:
+    with pytest.raises(ExchangeTimeoutError) as caught:
+        await HttpClient().request(address, "GET", "/slow", timeout_s=0.1)
+    assert caught.value.ran is Ran.UNKNOWN
+    with pytest.raises(ConnectError) as refused:
+        await HttpClient().request(Address("127.0.0.1", 1), "GET", "/")
+    assert refused.value.ran is Ran.NO
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 4000 + b"\r\n\r\n", b"431"),
+        (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 70000, b"431"),
+        (b"GET / HTTP/1.1\r\nhost: a", b"408"),
+        (b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1001\r\n\r\n" + b"z" * 1001, b"413"),
+        (b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nslow", b"408"),
+    ],
+)
+async def test_bad_requests_are_refused(address: Address, data: bytes, status: bytes) -> None:
+    answer = await raw(address, data)
+    assert answer.split()[1] == status
+
+
+async def test_half_closed_caller_gets_its_answer(address: Address) -> None:
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(b"GET /stream HTTP/1.1\r\nhost: a\r\n\r\n")
+    writer.write_eof()
+    assert (await reader.read()).endswith(b"0\r\n\r\n")
+    writer.close()
