--- a/comfreyhatch/domain/record.py
+++ b/comfreyhatch/domain/record.py
@@ -69,7 +69,7 @@
         clause: Contract clause that decided.
         session: Session id; empty without one.
         pin: How the session's version was found: token, pin, split or none.
-        plan: Plan chosen, such as "direct coach-small@2" or "cascade coach-small@2 > coach-large@3".
+        plan: Plan chosen, such as "direct small@2" or "cascade small@2 > large@3".
         grounds: Why the plan was chosen.
         versions: Versions weighed.
         endpoints: Endpoints weighed.
