Add stand-ins and the HTTP adapters of the ports

Each stand-in has typed fault switches and a witness of what it saw, both in the process and on an operator port.

The adapters hold all assumptions on the wire format. An answer is taken only if each chunk echoes the request's id, offsets follow, and the stream ends after a chunk with a finish. A refusal counts as not run only if the endpoint says so with 429 or 503. A call with an idempotency key uses a fresh connection: a pooled one that the service has closed would make its outcome unknown.

--- /dev/null
+++ b/comfreyhatch/adapters/engine_http.py
@@ -0,0 +1,280 @@
+"""Model engines and plain services over HTTP; all assumptions on their wire format are here."""
+
+from collections.abc import AsyncGenerator, AsyncIterator
+from typing import NoReturn
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.json import Decoder
+from msgspec.json import encode as encode_json
+
+from comfreyhatch.adapters.http_client import HttpClient, HttpReply, StreamedReply
+from comfreyhatch.adapters.http_server import JSON_TYPE
+from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.domain.instance import Instance
+from comfreyhatch.errors import (
+    AnswerBrokenError,
+    BackendError,
+    BackendRefusedError,
+    ConnectError,
+    HttpError,
+    StaleFenceError,
+)
+from comfreyhatch.ports.engine import (
+    Chunk,
+    GenerateRequest,
+    LoadReport,
+    Order,
+    ServiceAnswer,
+    ServiceRequest,
+)
+
+LOAD_TIMEOUT_S = 0.5
+CANCEL_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 120.0
+END_TIMEOUT_S = 1.0
+EVENT_END = b"\n\n"
+EVENT_PREFIX = b"data: "
+REFUSING_STATUSES = (429, 503)
+STALE_FENCE_STATUS = 409
+REQUEST_ID_HEADER = "x-request-id"
+KEY_HEADER = "idempotency-key"
+
+
+class CancelRequest(Struct, frozen=True):
+    """Body of a request to cancel an answer."""
+
+    request_id: str
+
+
+class RefusalDetail(Struct, frozen=True):
+    """What an endpoint says of a request that it refused."""
+
+    ran: str = "unknown"
+    message: str = ""
+
+
+class RefusalBody(Struct, frozen=True):
+    """JSON body of a refusal by an endpoint."""
+
+    error: RefusalDetail
+
+
+_chunk_decoder = Decoder(Chunk)
+_load_decoder = Decoder(LoadReport)
+_refusal_decoder = Decoder(RefusalBody)
+
+
+class HttpEngine:
+    """Client of model engines over HTTP and server-sent events."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def generate(
+        self, endpoint: Instance, request: GenerateRequest
+    ) -> AsyncGenerator[Chunk, None]:
+        """Stream an answer and check that it is whole and belongs to the request.
+
+        The connection is closed unless the answer was read to its end, so a caller that stops
+        early has to close the iterator.
+
+        Raises:
+            BackendRefusedError: If the engine did not run it.
+            AnswerBrokenError: If the answer was cut or belongs to another request.
+            BackendError: If the engine failed otherwise.
+        """
+        body = encode_json(request)
+        try:
+            async with self._client.stream(
+                endpoint.address,
+                "POST",
+                "/generate",
+                body,
+                {"content-type": JSON_TYPE},
+                request.deadline_s,
+            ) as reply:
+                if reply.status != 200:
+                    await _raise_for_stream(endpoint, reply, request.deadline_s)
+                async for chunk in _checked_chunks(reply, request):
+                    yield chunk
+        except ConnectError as error:
+            raise _unreachable(endpoint, error) from error
+        except HttpError as error:
+            raise AnswerBrokenError(f"endpoint {endpoint.instance_id}: {error}") from error
+
+    async def cancel(self, endpoint: Instance, request_id: str) -> None:
+        """Cancel a running request; a failure is ignored, for the engine may have ended it."""
+        body = encode_json(CancelRequest(request_id))
+        try:
+            await self._client.request(
+                endpoint.address, "POST", "/cancel", body, timeout_s=CANCEL_TIMEOUT_S
+            )
+        except HttpError:
+            return
+
+    async def load(self, endpoint: Instance) -> LoadReport:
+        """Return the endpoint's load report.
+
+        Raises:
+            BackendError: If it does not answer.
+        """
+        return await _load(self._client, endpoint)
+
+    async def order(self, endpoint: Instance, order: Order) -> None:
+        """Give an order and wait until it is carried out.
+
+        Raises:
+            StaleFenceError: If the engine saw a newer fencing number.
+            BackendError: If the outcome is unknown.
+        """
+        try:
+            reply = await self._client.request(
+                endpoint.address, "POST", "/order", encode_json(order), timeout_s=ORDER_TIMEOUT_S
+            )
+        except ConnectError as error:
+            raise _unreachable(endpoint, error) from error
+        except HttpError as error:
+            raise BackendError(f"endpoint {endpoint.instance_id}: {error}") from error
+        if reply.status == STALE_FENCE_STATUS:
+            raise StaleFenceError(f"endpoint {endpoint.instance_id} saw a newer fencing number")
+        if reply.status >= 300:
+            _raise_for_status(endpoint, reply)
+
+
+class HttpPlainService:
+    """Client of plain services over HTTP."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def call(
+        self, endpoint: Instance, request: ServiceRequest, timeout_s: float
+    ) -> ServiceAnswer:
+        """Call the service once.
+
+        Raises:
+            BackendRefusedError: If the service did not run it.
+            BackendError: If the outcome is unknown.
+        """
+        headers = {"content-type": request.content_type, REQUEST_ID_HEADER: request.request_id}
+        if request.idempotency_key:
+            headers[KEY_HEADER] = request.idempotency_key
+        try:
+            # A pooled connection may have been closed by the service without our knowing, which
+            # would make the outcome of a call that cannot be repeated unknown.
+            reply = await self._client.request(
+                endpoint.address,
+                request.method,
+                request.path,
+                request.body,
+                headers,
+                timeout_s,
+                fresh_connection=bool(request.idempotency_key),
+            )
+        except ConnectError as error:
+            raise _unreachable(endpoint, error) from error
+        except HttpError as error:
+            raise BackendError(f"endpoint {endpoint.instance_id}: {error}") from error
+        if reply.status in REFUSING_STATUSES:
+            _raise_for_status(endpoint, reply)
+        _check_echo(endpoint, request, reply)
+        content_type = reply.header_by_name.get("content-type", JSON_TYPE)
+        return ServiceAnswer(reply.status, content_type, reply.body)
+
+    async def load(self, endpoint: Instance) -> LoadReport:
+        """Return the endpoint's load report.
+
+        Raises:
+            BackendError: If it does not answer.
+        """
+        return await _load(self._client, endpoint)
+
+
+def _check_echo(endpoint: Instance, request: ServiceRequest, reply: HttpReply) -> None:
+    echo = reply.header_by_name.get(REQUEST_ID_HEADER, "")
+    if echo != request.request_id:
+        raise AnswerBrokenError(
+            f"endpoint {endpoint.instance_id} answered request {echo!r}"
+            f" instead of {request.request_id!r}"
+        )
+
+
+async def _checked_chunks(
+    reply: StreamedReply, request: GenerateRequest
+) -> AsyncGenerator[Chunk, None]:
+    offset = request.resume_offset
+    last: Chunk | None = None
+    async for event in _events(reply, request.deadline_s):
+        chunk = _decode_chunk(event)
+        if last is not None:
+            raise AnswerBrokenError("the answer goes on after its end")
+        if chunk.request_id != request.request_id:
+            raise AnswerBrokenError(
+                f"the answer belongs to request {chunk.request_id!r},"
+                f" not to {request.request_id!r}"
+            )
+        if chunk.offset != offset:
+            raise AnswerBrokenError(f"the answer has offset {chunk.offset} instead of {offset}")
+        offset += len(chunk.tokens)
+        if chunk.finish:
+            # Held back until the body has ended, which frees the connection for another request.
+            last = chunk
+        else:
+            yield chunk
+    if last is None:
+        raise AnswerBrokenError("the answer ended before its end")
+    yield last
+
+
+async def _events(reply: StreamedReply, timeout_s: float) -> AsyncIterator[bytes]:
+    rest = b""
+    async for piece in reply.pieces(timeout_s):
+        *events, rest = (rest + piece).split(EVENT_END)
+        for event in events:
+            yield event
+    if rest:
+        raise AnswerBrokenError("the answer ended within an event")
+
+
+def _decode_chunk(event: bytes) -> Chunk:
+    try:
+        return _chunk_decoder.decode(event[len(EVENT_PREFIX) :])
+    except (DecodeError, ValidationError) as error:
+        raise AnswerBrokenError(f"the answer holds a malformed event: {error}") from error
+
+
+async def _raise_for_stream(endpoint: Instance, reply: StreamedReply, timeout_s: float) -> NoReturn:
+    body = b"".join([piece async for piece in reply.pieces(timeout_s)])
+    _raise_for_status(endpoint, HttpReply(reply.status, reply.header_by_name, body))
+
+
+def _raise_for_status(endpoint: Instance, reply: HttpReply) -> NoReturn:
+    try:
+        detail = _refusal_decoder.decode(reply.body).error
+    except (DecodeError, ValidationError):
+        detail = RefusalDetail()
+    message = f"endpoint {endpoint.instance_id} answered {reply.status}: {detail.message}"
+    if detail.ran == Ran.NO.value and reply.status in REFUSING_STATUSES:
+        raise BackendRefusedError(message, retry_after_s=_retry_after(reply))
+    raise BackendError(message)
+
+
+def _retry_after(reply: HttpReply) -> float | None:
+    text = reply.header_by_name.get("retry-after", "")
+    return float(text) if text.isdecimal() else None
+
+
+def _unreachable(endpoint: Instance, error: ConnectError) -> BackendRefusedError:
+    return BackendRefusedError(
+        f"endpoint {endpoint.instance_id}: {error}", code=ResultCode.ENDPOINT_FAILED
+    )
+
+
+async def _load(client: HttpClient, endpoint: Instance) -> LoadReport:
+    try:
+        reply = await client.request(endpoint.address, "GET", "/load", timeout_s=LOAD_TIMEOUT_S)
+        if reply.status != 200:
+            _raise_for_status(endpoint, reply)
+        return _load_decoder.decode(reply.body)
+    except (HttpError, DecodeError, ValidationError) as error:
+        raise BackendError(f"endpoint {endpoint.instance_id}: {error}") from error
--- a/comfreyhatch/ports/engine.py
+++ b/comfreyhatch/ports/engine.py
@@ -1,6 +1,6 @@
 """Model engines and plain services as the router uses them."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from enum import Enum
 from typing import Protocol
 
@@ -96,7 +96,7 @@
 class Engine(Protocol):
     """Client of model engines."""
 
-    def generate(self, endpoint: Instance, request: GenerateRequest) -> AsyncIterator[Chunk]:
+    def generate(self, endpoint: Instance, request: GenerateRequest) -> AsyncGenerator[Chunk, None]:
         """Stream an answer; ends after a chunk with `finish`.
 
         Raises:
--- /dev/null
+++ b/comfreyhatch/standins/switches.py
@@ -0,0 +1,75 @@
+"""The operator port of a stand-in: its fault switches and its witness over HTTP."""
+
+from collections.abc import AsyncIterator, Callable
+from typing import Generic, TypeVar
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.json import decode as decode_json
+
+from comfreyhatch.adapters.http_server import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    json_response,
+)
+from comfreyhatch.codes import ResultCode
+from comfreyhatch.domain.instance import Address
+from comfreyhatch.errors import BackendError, RequestError
+
+F = TypeVar("F", bound=Struct)
+
+
+class SwitchPort(Generic[F]):
+    """Serves GET and POST /faults and GET /witness."""
+
+    def __init__(
+        self, read: Callable[[], F], write: Callable[[F], None], witness: Callable[[], Struct]
+    ) -> None:
+        self._read = read
+        self._write = write
+        self._witness = witness
+        self._server = HttpServer(self._handle)
+
+    async def start(self, host: str, port: int = 0) -> Address:
+        """Listen and return the address."""
+        return await self._server.start(host, port)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._server.stop(0)
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        match (request.method, request.path):
+            case ("GET", "/faults"):
+                return json_response(self._read())
+            case ("POST", "/faults"):
+                self._write(decode_body(request, type(self._read())))
+                return json_response(self._read())
+            case ("GET", "/witness"):
+                return json_response(self._witness())
+        raise RequestError(f"no resource {request.path}", ResultCode.NOT_FOUND)
+
+
+M = TypeVar("M")
+
+
+def decode_body(request: HttpRequest, kind: type[M]) -> M:
+    """Return the JSON body of a request.
+
+    Raises:
+        RequestError: If the body is malformed.
+    """
+    try:
+        return decode_json(request.body, type=kind)
+    except (DecodeError, ValidationError) as error:
+        raise RequestError(f"the body is malformed: {error}") from error
+
+
+def cut_response() -> HttpResponse:
+    """Return an answer that breaks off, as from a process that crashed or a lost connection."""
+    return HttpResponse(200, stream=_cut())
+
+
+async def _cut() -> AsyncIterator[bytes]:
+    raise BackendError("the stand-in cuts the connection")
+    yield b""
