--- a/comfreyhatch/ports/peers.py
+++ b/comfreyhatch/ports/peers.py
@@ -52,6 +52,14 @@
     A message type is a tagged Struct; its tag names it on the wire.
     """
 
+    def learn(self, instance_id: str, address: Address) -> None:
+        """Set where a peer listens; an id "@host:port" stands for a peer of unknown name."""
+        ...
+
+    def forget(self, instance_id: str) -> None:
+        """Forget a peer's address."""
+        ...
+
     def on_message(self, message_type: type[M], handler: Handler) -> None:
         """Register the handler of a message type.
 
@@ -101,6 +109,12 @@
         self._network = network
         self._handler_by_type: dict[type[Struct], Handler] = {}
 
+    def learn(self, instance_id: str, address: Address) -> None:
+        """Do nothing: the network knows every bus by its id."""
+
+    def forget(self, instance_id: str) -> None:
+        """Do nothing."""
+
     def on_message(self, message_type: type[M], handler: Handler) -> None:
         """Register the handler of a message type."""
         self._handler_by_type[message_type] = handler
