--- /dev/null
+++ b/comfreyhatch/decisions/burn.py
@@ -0,0 +1,307 @@
+"""Burn of error budgets: how fast each customer's objectives are missed, and by what."""
+
+from collections.abc import Iterable
+from enum import Enum
+
+from msgspec import Struct
+
+from comfreyhatch.codes import ResultCode
+from comfreyhatch.domain.contract import Contract, Objectives
+from comfreyhatch.domain.record import RequestRecord
+
+BUCKET_S = 60
+HOUR_S = 3600
+FIRST_TOKEN_SHARE = 0.95
+BUDGET_PERIOD_S = 30 * 24 * HOUR_S
+CALLER_FAULTS = frozenset(
+    {
+        ResultCode.BAD_REQUEST,
+        ResultCode.UNAUTHENTICATED,
+        ResultCode.NOT_ALLOWED,
+        ResultCode.NOT_FOUND,
+        ResultCode.BODY_TOO_LARGE,
+        ResultCode.HEADERS_TOO_LARGE,
+        ResultCode.REQUEST_TIMEOUT,
+        ResultCode.METHOD_NOT_ALLOWED,
+        ResultCode.KEY_REUSED,
+        ResultCode.BUDGET_EXHAUSTED,
+    }
+)
+
+
+class Objective(Enum):
+    """What a contract promises."""
+
+    AVAILABILITY = "availability"
+    FIRST_TOKEN = "first-token"
+    QUALITY = "quality"
+    EXPOSURE = "exposure"
+
+
+class AlertWindow(Struct, frozen=True):
+    """A pair of windows that both have to burn faster than a rate.
+
+    Attributes:
+        name: "fast" or "slow".
+        long_s: Length of the long window, in seconds.
+        short_s: Length of the short window, in seconds.
+        rate: Burn rate from which it alerts; 1 spends the budget exactly in its period.
+    """
+
+    name: str
+    long_s: int
+    short_s: int
+    rate: float
+
+
+ALERT_WINDOWS = (
+    AlertWindow("fast", HOUR_S, 300, 14.4),
+    AlertWindow("slow", 6 * HOUR_S, 1800, 6.0),
+)
+
+
+class Cause(Struct, frozen=True, order=True):
+    """Where a request ended and how; the axes that burn is broken down by."""
+
+    code: int
+    version: str
+    zone: str
+    endpoint: str
+
+
+class BurnKey(Struct, frozen=True):
+    """What the counts of a bucket belong to."""
+
+    start_s: int
+    customer: str
+    objective: Objective
+    cause: Cause
+
+
+class BurnCount(Struct, frozen=True):
+    """Requests that an objective applies to, and those that missed it."""
+
+    key: BurnKey
+    total: int
+    bad: int
+
+
+class Contribution(Struct, frozen=True):
+    """How many misses one value of an axis accounts for."""
+
+    axis: str
+    value: str
+    bad: int
+    total: int
+
+
+class ObjectiveBurn(Struct, frozen=True):
+    """State of one objective of one customer.
+
+    Attributes:
+        customer: Name of the customer.
+        objective: Which objective.
+        allowed: Share of requests that may miss it.
+        total: Requests in the period that it applies to.
+        bad: Requests that missed it.
+        budget_left: Share of the error budget left; below 0 when overspent.
+        rate_by_window: Burn rates of the short and long windows by name, such as "fast-long".
+        alerts: Names of the window pairs that alert.
+        contributions: What missed it, largest first.
+    """
+
+    customer: str
+    objective: Objective
+    allowed: float
+    total: int
+    bad: int
+    budget_left: float
+    rate_by_window: dict[str, float]
+    alerts: tuple[str, ...]
+    contributions: tuple[Contribution, ...]
+
+
+class BurnReport(Struct, frozen=True):
+    """Burn of all customers in a period."""
+
+    from_unix_s: float
+    to_unix_s: float
+    objectives: tuple[ObjectiveBurn, ...]
+
+
+class BurnCounts:
+    """Counts by minute, customer, objective and cause."""
+
+    def __init__(self) -> None:
+        self._count_by_key: dict[BurnKey, list[int]] = {}
+
+    def add_record(
+        self, record: RequestRecord, contract: Contract, bad_versions: frozenset[str]
+    ) -> None:
+        """Count a request for the objectives that apply to it.
+
+        Args:
+            record: The request.
+            contract: Contract of its customer.
+            bad_versions: Versions known to have been bad when it ran.
+        """
+        if record.code in CALLER_FAULTS:
+            return
+        cause = _cause(record)
+        start_s = int(record.at_unix_s) // BUCKET_S * BUCKET_S
+        for objective, missed in _verdicts(record, contract, bad_versions).items():
+            self._add(BurnKey(start_s, record.customer, objective, cause), 1, missed)
+
+    def add_count(self, count: BurnCount) -> None:
+        """Add a count from another instance."""
+        self._add(count.key, count.total, count.bad)
+
+    def counts(self) -> list[BurnCount]:
+        """Return all counts."""
+        return [BurnCount(key, total, bad) for key, (total, bad) in self._count_by_key.items()]
+
+    def forget_before(self, unix_s: float) -> None:
+        """Drop buckets that ended before a time."""
+        self._count_by_key = {
+            key: value
+            for key, value in self._count_by_key.items()
+            if key.start_s + BUCKET_S > unix_s
+        }
+
+    def _add(self, key: BurnKey, total: int, bad: int) -> None:
+        entry = self._count_by_key.setdefault(key, [0, 0])
+        entry[0] += total
+        entry[1] += bad
+
+
+def allowed_share(objectives: Objectives, objective: Objective) -> float:
+    """Return the share of requests that may miss an objective."""
+    return {
+        Objective.AVAILABILITY: 1 - objectives.availability,
+        Objective.FIRST_TOKEN: 1 - FIRST_TOKEN_SHARE,
+        Objective.QUALITY: 1 - objectives.quality,
+        Objective.EXPOSURE: objectives.exposure,
+    }[objective]
+
+
+def burn_report(
+    counts: Iterable[BurnCount],
+    contract_by_customer: dict[str, Contract],
+    from_unix_s: float,
+    now_unix_s: float,
+) -> BurnReport:
+    """Return the burn of each objective.
+
+    Args:
+        counts: Counts of all instances.
+        contract_by_customer: Contracts in force.
+        from_unix_s: Start of the period, in seconds since the epoch.
+        now_unix_s: Its end.
+
+    Returns:
+        One entry for each customer and objective with requests, worst first.
+    """
+    counts_by_pair: dict[tuple[str, Objective], list[BurnCount]] = {}
+    for count in counts:
+        if count.key.start_s + BUCKET_S > from_unix_s and count.key.start_s <= now_unix_s:
+            pair = (count.key.customer, count.key.objective)
+            counts_by_pair.setdefault(pair, []).append(count)
+    burns = [
+        _objective_burn(pair, found, contract_by_customer[pair[0]], now_unix_s)
+        for pair, found in counts_by_pair.items()
+        if pair[0] in contract_by_customer
+    ]
+    burns.sort(key=lambda burn: (burn.budget_left, burn.customer, burn.objective.value))
+    return BurnReport(from_unix_s, now_unix_s, tuple(burns))
+
+
+def _objective_burn(
+    pair: tuple[str, Objective], counts: list[BurnCount], contract: Contract, now_unix_s: float
+) -> ObjectiveBurn:
+    customer, objective = pair
+    allowed = allowed_share(contract.objectives, objective)
+    total = sum(count.total for count in counts)
+    bad = sum(count.bad for count in counts)
+    rates = {
+        f"{window.name}-{length}": burn_rate(counts, allowed, now_unix_s - seconds)
+        for window in ALERT_WINDOWS
+        for length, seconds in (("long", window.long_s), ("short", window.short_s))
+    }
+    alerts = tuple(
+        window.name
+        for window in ALERT_WINDOWS
+        if min(rates[f"{window.name}-long"], rates[f"{window.name}-short"]) >= window.rate
+    )
+    return ObjectiveBurn(
+        customer=customer,
+        objective=objective,
+        allowed=allowed,
+        total=total,
+        bad=bad,
+        budget_left=1 - _ratio(bad, total * allowed),
+        rate_by_window=rates,
+        alerts=alerts,
+        contributions=_contributions(counts),
+    )
+
+
+def burn_rate(counts: Iterable[BurnCount], allowed: float, since_unix_s: float) -> float:
+    """Return how many times faster than allowed an objective was missed since a time."""
+    recent = [count for count in counts if count.key.start_s + BUCKET_S > since_unix_s]
+    total = sum(count.total for count in recent)
+    return _ratio(sum(count.bad for count in recent), total * allowed)
+
+
+def _ratio(bad: int, allowed: float) -> float:
+    if allowed > 0:
+        return bad / allowed
+    return float(bad > 0) * BUDGET_PERIOD_S
+
+
+def _contributions(counts: list[BurnCount]) -> tuple[Contribution, ...]:
+    sums: dict[tuple[str, str], list[int]] = {}
+    for count in counts:
+        cause = count.key.cause
+        axes = (
+            ("code", str(cause.code)),
+            ("version", cause.version),
+            ("zone", cause.zone),
+            ("endpoint", cause.endpoint),
+        )
+        for pair in axes:
+            entry = sums.setdefault(pair, [0, 0])
+            entry[0] += count.bad
+            entry[1] += count.total
+    found = [
+        Contribution(axis, value or "none", bad, total)
+        for (axis, value), (bad, total) in sums.items()
+        if bad
+    ]
+    return tuple(sorted(found, key=lambda item: (-item.bad, item.axis, item.value)))
+
+
+def _cause(record: RequestRecord) -> Cause:
+    if not record.attempts:
+        return Cause(int(record.code), "", "", "")
+    last = record.attempts[-1]
+    return Cause(int(record.code), last.version_id, last.zone, last.endpoint_id)
+
+
+def _verdicts(
+    record: RequestRecord, contract: Contract, bad_versions: frozenset[str]
+) -> dict[Objective, bool]:
+    """Return whether the request missed each objective that applies to it."""
+    answered = record.code is ResultCode.OK
+    late = record.deadline_s > 0 and record.duration_s > record.deadline_s
+    verdicts = {Objective.AVAILABILITY: not answered or late}
+    if not answered:
+        return verdicts
+    if record.first_token_s is not None:
+        limit_s = contract.objectives.first_token_s
+        verdicts[Objective.FIRST_TOKEN] = record.first_token_s > limit_s
+    if record.rating is not None:
+        verdicts[Objective.QUALITY] = record.rating < contract.quality_target
+    if record.kind == "chat":
+        ran = {attempt.version_id for attempt in record.attempts}
+        verdicts[Objective.EXPOSURE] = bool(ran & bad_versions)
+    return verdicts
--- a/comfreyhatch/domain/contract.py
+++ b/comfreyhatch/domain/contract.py
@@ -1,10 +1,19 @@
 """The contract: what a customer may use, spend and expect."""
 
-from typing import Literal
+from typing import Annotated, Literal
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 
-Micros = int
+Micros = Annotated[int, Meta(ge=0)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+Seconds = Annotated[float, Meta(gt=0, le=86400)]
+PriorityNumber = Annotated[int, Meta(ge=0, le=9)]
+CustomerName = Annotated[
+    str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$", description="lower-case letters, digits, -")
+]
+KeyDigest = Annotated[
+    str, Meta(pattern=r"^[0-9a-f]{64}$", description="64 hexadecimal digits each")
+]
 
 
 class Objectives(Struct, frozen=True, forbid_unknown_fields=True):
@@ -17,10 +26,10 @@
         exposure: Largest share of requests that a bad version may answer, 0 to 1.
     """
 
-    availability: float = 0.999
-    first_token_s: float = 0.46
-    quality: float = 0.95
-    exposure: float = 0.01
+    availability: Share = 0.999
+    first_token_s: Seconds = 0.46
+    quality: Share = 0.95
+    exposure: Share = 0.01
 
 
 class Contract(Struct, frozen=True, forbid_unknown_fields=True):
@@ -45,23 +54,38 @@
         objectives: Service-level objectives.
     """
 
-    customer: str
-    key_digests: tuple[str, ...] = ()
+    customer: CustomerName
+    key_digests: tuple[KeyDigest, ...] = ()
     allowed: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
-    quality_target: float = 0.8
+    quality_target: Share = 0.8
     default_model: str = ""
     budget_micros: Micros = 1_000_000_000
     on_budget_unknown: Literal["refuse", "cheapest", "cap"] = "refuse"
     outage_cap_micros: Micros = 0
     on_withdrawn: Literal["refuse", "move"] = "refuse"
     may_be_critical: bool = False
-    max_priority: int = 5
+    max_priority: PriorityNumber = 5
     auto_withdraw: bool = False
-    default_deadline_s: float = 30.0
-    max_output_tokens: int = 1024
+    default_deadline_s: Seconds = 30.0
+    max_output_tokens: Annotated[int, Meta(ge=1)] = 1024
     objectives: Objectives = Objectives()
 
     def allows(self, model: str, version_id: str) -> bool:
         """Return whether the contract allows a version of a model."""
         return model in self.allowed or version_id in self.allowed
+
+
+def contract_problems(contract: Contract) -> list[str]:
+    """Return the contradictions between the clauses of a contract, each in one line."""
+    problems = []
+    if not contract.allowed and not contract.services:
+        problems.append("allowed and services are both empty: the customer may use nothing")
+    model = contract.default_model
+    if model and model not in {name.partition("@")[0] for name in contract.allowed}:
+        problems.append(f"default_model {model} is no model that allowed names")
+    if contract.on_budget_unknown == "cap" and not contract.outage_cap_micros:
+        problems.append("on_budget_unknown is cap, but outage_cap_micros is 0")
+    if contract.outage_cap_micros > contract.budget_micros:
+        problems.append("outage_cap_micros is above budget_micros")
+    return problems
--- /dev/null
+++ b/tests/test_burn.py
@@ -0,0 +1,150 @@
+"""Error budgets: what counts, how fast they burn, and what burned them."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec.structs import replace
+
+from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.decisions.burn import (
+    BurnCounts,
+    BurnReport,
+    Objective,
+    ObjectiveBurn,
+    burn_report,
+)
+from comfreyhatch.domain.contract import Contract, Objectives
+from comfreyhatch.domain.record import Attempt, RequestRecord
+
+NOW = 1_800_000_000.0
+CONTRACT = Contract("trackline", quality_target=0.8, objectives=Objectives(0.99, 0.46, 0.9, 0.01))
+BAD_VERSIONS = frozenset({"m@2"})
+
+
+def record_of(
+    age_s: float = 10,
+    code: ResultCode = ResultCode.OK,
+    version: str = "m@1",
+    first_token_s: float | None = 0.1,
+    rating: float | None = None,
+    duration_s: float = 1,
+) -> RequestRecord:
+    attempt = Attempt("e-1", version, "d-1", "z1", code, Ran.UNKNOWN, NOW - age_s, 1.0)
+    return RequestRecord(
+        "r",
+        "trackline",
+        NOW - age_s,
+        "d-1",
+        "i",
+        1,
+        "chat",
+        attempts=(attempt,),
+        code=code,
+        rating=rating,
+        first_token_s=first_token_s,
+        duration_s=duration_s,
+        deadline_s=30,
+    )
+
+
+def report(records: list[RequestRecord], since_s: float = 30 * 86400) -> BurnReport:
+    counts = BurnCounts()
+    for record in records:
+        counts.add_record(record, CONTRACT, BAD_VERSIONS)
+    return burn_report(counts.counts(), {"trackline": CONTRACT}, NOW - since_s, NOW)
+
+
+def burn_of(objective: Objective, records: list[RequestRecord]) -> ObjectiveBurn:
+    (burn,) = [burn for burn in report(records).objectives if burn.objective is objective]
+    return burn
+
+
+def test_each_objective_counts_its_own_misses() -> None:
+    records = [
+        record_of(),
+        record_of(code=ResultCode.ENDPOINT_FAILED, first_token_s=None),
+        record_of(duration_s=31),
+        record_of(first_token_s=0.5),
+        record_of(rating=0.7),
+        record_of(rating=0.8),
+        record_of(version="m@2"),
+        record_of(code=ResultCode.NOT_ALLOWED),
+        record_of(code=ResultCode.BUDGET_EXHAUSTED),
+    ]
+    counted = {b.objective: (b.bad, b.total) for b in report(records).objectives}
+    assert counted == {
+        Objective.AVAILABILITY: (2, 7),
+        Objective.FIRST_TOKEN: (1, 6),
+        Objective.QUALITY: (1, 2),
+        Objective.EXPOSURE: (1, 6),
+    }
+
+
+def test_budget_left_and_rate_follow_the_allowed_share() -> None:
+    records = [record_of() for _ in range(199)] + [record_of(code=ResultCode.OVERLOADED)]
+    burn = burn_of(Objective.AVAILABILITY, records)
+    assert round(burn.budget_left, 6) == 0.5
+    assert {name: round(rate, 6) for name, rate in burn.rate_by_window.items()} == {
+        "fast-long": 0.5,
+        "fast-short": 0.5,
+        "slow-long": 0.5,
+        "slow-short": 0.5,
+    }
+
+
+def failures(age_s: float, count: int) -> list[RequestRecord]:
+    return [record_of(age_s, ResultCode.ENDPOINT_FAILED, first_token_s=None) for _ in range(count)]
+
+
+def test_alert_needs_both_windows_to_burn() -> None:
+    good = [record_of(age_s) for age_s in (5, 1000, 20000) for _ in range(50)]
+    assert burn_of(Objective.AVAILABILITY, good).alerts == ()
+    assert burn_of(Objective.AVAILABILITY, good + failures(2000, 60)).alerts == ()
+    assert burn_of(Objective.AVAILABILITY, good + failures(60, 60)).alerts == ("fast", "slow")
+    assert burn_of(Objective.AVAILABILITY, good + failures(1000, 13)).alerts == ("slow",)
+
+
+def test_what_burned_is_broken_down() -> None:
+    other = Attempt("e-2", "m@3", "d-1", "z2", ResultCode.OK, Ran.NO, NOW, 1.0)
+    records = [*failures(10, 3), replace(failures(10, 1)[0], attempts=(other,))]
+    parts = burn_of(Objective.AVAILABILITY, records).contributions
+    assert [(p.axis, p.value, p.bad) for p in parts] == [
+        ("code", "3005", 4),
+        ("endpoint", "e-1", 3),
+        ("version", "m@1", 3),
+        ("zone", "z1", 3),
+        ("endpoint", "e-2", 1),
+        ("version", "m@3", 1),
+        ("zone", "z2", 1),
+    ]
+
+
+def test_objective_without_any_allowance_is_overspent_by_one_miss() -> None:
+    strict = replace(CONTRACT, objectives=replace(CONTRACT.objectives, availability=1.0))
+    counts = BurnCounts()
+    counts.add_record(failures(10, 1)[0], strict, frozenset())
+    (burn,) = burn_report(counts.counts(), {"trackline": strict}, 0, NOW).objectives
+    assert burn.budget_left < 0 and burn.alerts == ("fast", "slow")
+
+
+@given(
+    ages=st.lists(st.tuples(st.floats(0, 40000), st.booleans(), st.integers(0, 2)), max_size=30),
+    since_s=st.floats(60, 40000),
+)
+def test_counts_of_instances_add_up(ages: list[tuple[float, bool, int]], since_s: float) -> None:
+    """Counts folded at several instances give the report of one that saw everything."""
+    records = [
+        (record_of(age, ResultCode.OVERLOADED if bad else ResultCode.OK), instance)
+        for age, bad, instance in ages
+    ]
+    split = [BurnCounts() for _ in range(3)]
+    merged = BurnCounts()
+    for record, instance in records:
+        split[instance].add_record(record, CONTRACT, BAD_VERSIONS)
+    for counts in split:
+        for count in counts.counts():
+            merged.add_count(count)
+    contracts = {"trackline": CONTRACT}
+    whole = report([record for record, _ in records], since_s)
+    assert burn_report(merged.counts(), contracts, NOW - since_s, NOW) == whole
+    merged.forget_before(NOW - since_s)
+    assert burn_report(merged.counts(), contracts, NOW - since_s, NOW) == whole
