Check settings against typed definitions, with all errors at once

The first error used to end the check, ranges were not checked and a short fleet key was taken. Each error names file, section, key, value and what is allowed. The limits of the callers' listener become settings.

--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -3,10 +3,11 @@
 import asyncio
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Annotated
 from urllib.parse import parse_qsl, urlsplit
 
 import h11
-from msgspec import Struct, field
+from msgspec import Meta, Struct, field
 from msgspec.json import encode as encode_json
 
 from comfreyhatch.codes import ResultCode, http_status
@@ -17,6 +18,9 @@
 JSON_TYPE = "application/json"
 EVENT_STREAM_TYPE = "text/event-stream"
 
+Size = Annotated[int, Meta(ge=1)]
+Wait = Annotated[float, Meta(gt=0)]
+
 log = logging.getLogger("comfreyhatch.http")
 
 
@@ -33,13 +37,13 @@
         buffer_bytes: Bytes buffered for a slow caller before the answer is held back.
     """
 
-    header_bytes: int = 32768
-    body_bytes: int = 4_194_304
-    connections: int = 4096
-    header_timeout_s: float = 10.0
-    idle_timeout_s: float = 75.0
-    write_timeout_s: float = 30.0
-    buffer_bytes: int = 65536
+    header_bytes: Size = 32768
+    body_bytes: Size = 4_194_304
+    connections: Size = 4096
+    header_timeout_s: Wait = 10.0
+    idle_timeout_s: Wait = 75.0
+    write_timeout_s: Wait = 30.0
+    buffer_bytes: Size = 65536
 
 
 class HttpRequest(Struct):
--- a/comfreyhatch/adapters/settings.py
+++ b/comfreyhatch/adapters/settings.py
@@ -1,45 +1,90 @@
 """Settings of the daemon, read from an INI file."""
 
 import os
-from configparser import ConfigParser
 from pathlib import Path
+from typing import Annotated, Any, Literal
 
-from msgspec import Struct, ValidationError, convert, field
+from msgspec import Meta, Struct, field
+from msgspec.structs import fields
 
+from comfreyhatch.adapters.http_server import HttpLimits
+from comfreyhatch.adapters.ini import example, read_section, read_sections, reference
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import SettingsError
 
+FLEET_KEY_LENGTH_BYTES = 16
+
+Name = Annotated[
+    str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$", description="letters, digits, - and _")
+]
+Host = Annotated[str, Meta(pattern=r"^[^\s\[\]]+$", description="an IP number or a host name")]
+Port = Annotated[int, Meta(ge=0, le=65535)]
+HostPort = Annotated[
+    str, Meta(pattern=r"^[^\s:]+:[0-9]{1,5}$", description="each of the form host:port")
+]
+Timeout = Annotated[float, Meta(gt=0, le=60)]
+
 
 class InstanceSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """The instance itself: its name (without dots), availability zone and region."""
+    """The instance itself.
 
-    id: str
-    zone: str
-    region: str = "default"
+    Attributes:
+        id: Name of the instance, unique in the fleet.
+        zone: Its availability zone.
+        region: Its region.
+    """
+
+    id: Name
+    zone: Name
+    region: Name = "default"
 
 
 class ListenerSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """Where a listener is bound; port 0 takes a free one."""
+    """Where a listener is bound.
+
+    Attributes:
+        host: Address to listen on.
+        port: Port to listen on; 0 takes a free one.
+    """
 
-    host: str = "127.0.0.1"
-    port: int = 0
+    host: Host = "127.0.0.1"
+    port: Port = 0
 
 
 class PeerSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """Listeners for other daemons and addresses to find them, as "host:port host:port"."""
+    """Listeners for other daemons, and where to find these.
+
+    Attributes:
+        host: Address that other daemons reach this one at.
+        control_port: Port for control messages; 0 takes a free one.
+        http_port: Port for forwarded requests; 0 takes a free one.
+        seeds: Control addresses of daemons to join through.
+    """
 
-    host: str = "127.0.0.1"
-    control_port: int = 0
-    http_port: int = 0
-    seeds: str = ""
+    host: Host = "127.0.0.1"
+    control_port: Port = 0
+    http_port: Port = 0
+    seeds: tuple[HostPort, ...] = ()
+
+    @property
+    def seed_addresses(self) -> list[Address]:
+        """Addresses of the seeds."""
+        pairs = (seed.rpartition(":") for seed in self.seeds)
+        return [Address(host, int(port)) for host, _, port in pairs]
 
 
 class PlatformSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """Where the platform's service listens."""
+    """Where the platform's service listens.
 
-    host: str = "127.0.0.1"
-    port: int = 0
-    timeout_s: float = 1.0
+    Attributes:
+        host: Address of the platform's service.
+        port: Port of the platform's service.
+        timeout_s: Time that the platform has for an answer, in seconds.
+    """
+
+    host: Host = "127.0.0.1"
+    port: Port = 0
+    timeout_s: Timeout = 1.0
 
     @property
     def address(self) -> Address:
@@ -48,17 +93,27 @@
 
 
 class FleetSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """The fleet's key: the environment variable or the file that holds it."""
+    """Where the key that the daemons of the fleet share is found.
+
+    Attributes:
+        key_env: Environment variable that holds the key, if there is no key_file.
+        key_file: File that holds the key.
+    """
 
     key_env: str = "COMFREYHATCH_FLEET_KEY"
     key_file: str = ""
 
 
 class LogSettings(Struct, frozen=True, forbid_unknown_fields=True):
-    """Format (keyvalue or json) and level of the log."""
+    """The log on standard error.
+
+    Attributes:
+        format: One line of key=value pairs for each event, or one JSON object.
+        level: Least level that is logged.
+    """
 
-    format: str = "keyvalue"
-    level: str = "info"
+    format: Literal["keyvalue", "json"] = "keyvalue"
+    level: Literal["debug", "info", "warning", "error"] = "info"
 
 
 class Settings(Struct, frozen=True, forbid_unknown_fields=True):
@@ -71,33 +126,68 @@
     peers: PeerSettings = field(default_factory=PeerSettings)
     fleet: FleetSettings = field(default_factory=FleetSettings)
     logs: LogSettings = field(default_factory=LogSettings)
+    limits: HttpLimits = field(default_factory=HttpLimits)
 
 
 def load_settings(path: Path) -> Settings:
     """Read and check a settings file.
 
     Raises:
-        SettingsError: If the file cannot be read or has errors.
+        SettingsError: If the file has errors; the message lists them all.
     """
-    parser = ConfigParser(interpolation=None)
-    if not parser.read(path):
-        raise SettingsError(f"{path}: cannot be read")
-    sections = {name: dict(parser[name]) for name in parser.sections()}
-    try:
-        return convert(sections, Settings, strict=False)
-    except ValidationError as error:
-        raise SettingsError(f"{path}: {error}") from error
+    sections, errors = read_sections(path)
+    if errors:
+        raise SettingsError("\n".join(errors))
+    kind_by_section = _kinds()
+    allowed = ", ".join(kind_by_section)
+    lines = [
+        f"[{name}]: unknown section; allowed are {allowed}"
+        for name in sections
+        if name not in kind_by_section
+    ]
+    found: dict[str, Any] = {}
+    for name, kind in kind_by_section.items():
+        found[name], problems = read_section(name, sections.get(name, {}), kind)
+        lines += [str(problem) for problem in problems]
+    if lines:
+        raise SettingsError("\n".join(f"{path}: {line}" for line in lines))
+    return Settings(**found)
+
+
+def settings_example() -> str:
+    """Return a commented settings file."""
+    return "\n".join(example(kind, name) for name, kind in _kinds().items())
+
+
+def settings_reference() -> str:
+    """Return the Markdown tables of the settings."""
+    return "\n".join(reference(kind, name) for name, kind in _kinds().items())
 
 
 def fleet_key(settings: FleetSettings) -> bytes:
     """Return the fleet's key.
 
     Raises:
-        SettingsError: If neither the file nor the environment has one.
+        SettingsError: If neither the file nor the environment has a key of enough length.
     """
+    source = settings.key_file or f"environment variable {settings.key_env}"
+    try:
+        key = _read_key(settings)
+    except OSError as error:
+        raise SettingsError(f"[fleet] key_file = {source}: {error.strerror}") from error
+    if len(key) < FLEET_KEY_LENGTH_BYTES:
+        raise SettingsError(
+            f"[fleet] {source}: must hold a key of at least {FLEET_KEY_LENGTH_BYTES} bytes,"
+            f" has {len(key)}"
+        )
+    return key
+
+
+def _read_key(settings: FleetSettings) -> bytes:
     if settings.key_file:
         return Path(settings.key_file).read_bytes().strip()
-    key = os.environ.get(settings.key_env, "")
-    if not key:
-        raise SettingsError(f"the environment variable {settings.key_env} holds no fleet key")
-    return key.encode()
+    return os.environ.get(settings.key_env, "").encode()
+
+
+def _kinds() -> dict[str, type[Struct]]:
+    return {info.name: info.type for info in fields(Settings)}
--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -74,7 +74,7 @@
         operators = OperatorHandler(
             own.id, own.zone, self.changes, self.directory, self.records, self.registry, self.ready
         )
-        self._caller_server = HttpServer(callers.handle, HttpLimits())
+        self._caller_server = HttpServer(callers.handle, settings.limits)
         self._operator_server = HttpServer(operators.handle, HttpLimits())
         self._peer_server = HttpServer(ForwardedWork(dispatcher, key).handle, HttpLimits())
 
--- a/comfreyhatch/daemon/main.py
+++ b/comfreyhatch/daemon/main.py
@@ -1,7 +1,6 @@
 """Entry of the daemon's process."""
 
 import asyncio
-import logging
 import signal
 import sys
 from pathlib import Path
@@ -9,6 +8,7 @@
 
 from typer import Option, run
 
+from comfreyhatch.adapters.logs import set_up_logs
 from comfreyhatch.adapters.settings import Settings, fleet_key, load_settings
 from comfreyhatch.daemon.daemon import Daemon
 from comfreyhatch.errors import SettingsError
@@ -24,9 +24,9 @@
         loaded = load_settings(settings)
         key = fleet_key(loaded.fleet)
     except SettingsError as error:
-        print(f"comfreyhatchd: {error}", file=sys.stderr)
+        print(f"comfreyhatchd: {int(error.code)} {error.code.name}\n{error}", file=sys.stderr)
         raise SystemExit(EXIT_SETTINGS) from error
-    logging.basicConfig(level=loaded.logs.level.upper(), format="%(asctime)s %(message)s")
+    set_up_logs(loaded.logs.format, loaded.logs.level)
     asyncio.run(_serve(loaded, key))
 
 
