--- /dev/null
+++ b/tests/test_plan.py
@@ -0,0 +1,149 @@
+"""The choice of a plan."""
+
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from comfreyhatch.decisions.plan import (
+    MIN_SAMPLES,
+    Option,
+    PlanQuery,
+    Timing,
+    choose_plan,
+    usable_versions,
+)
+from comfreyhatch.decisions.quality import Estimate
+from comfreyhatch.domain.contract import Contract, Objectives
+from comfreyhatch.domain.version import Version, VersionState
+
+CONTRACT = Contract(
+    "trackline",
+    allowed=("small", "large"),
+    default_model="large",
+    objectives=Objectives(quality=0.9),
+)
+KNOWN = 200.0
+
+
+def option(model: str, price: int, lower: float, samples: float = KNOWN) -> Option:
+    estimate = Estimate(samples, min(1.0, lower + 0.02), lower, 0.8) if samples else Estimate()
+    return Option(Version(model, "1", price, price), estimate, Timing(0.3, 2.0))
+
+
+def query(stream: bool = False, time_left_s: float = 30.0, **more: object) -> PlanQuery:
+    fields: dict[str, object] = {"contract": CONTRACT, "rating_s": 0.1, **more}
+    return PlanQuery(
+        input_tokens=100, output_tokens=100, stream=stream, time_left_s=time_left_s, **fields
+    )  # type: ignore[arg-type]
+
+
+def steps(q: PlanQuery, *options: Option, seed: int = 0) -> tuple[str, ...]:
+    plan = choose_plan(q, list(options), Random(seed))
+    assert plan
+    return plan.steps
+
+
+def test_cheapest_version_that_meets_the_target_runs_alone() -> None:
+    assert steps(query(), option("large", 100, 0.97), option("small", 10, 0.92)) == ("small@1",)
+
+
+def test_cascade_is_taken_when_cheaper_than_direct() -> None:
+    options = option("large", 100, 0.97), option("small", 10, 0.7)
+    assert steps(query(), *options) == ("small@1", "large@1")
+    assert steps(query(rating_s=None), *options) == ("large@1",)
+    assert steps(query(time_left_s=3.0), *options) == ("large@1",)
+
+
+def test_direct_is_taken_when_the_cheap_version_mostly_fails() -> None:
+    assert steps(query(), option("large", 100, 0.97), option("small", 60, 0.1)) == ("large@1",)
+
+
+def test_streams_are_not_held_back_by_a_cascade() -> None:
+    options = option("large", 100, 0.97), option("small", 10, 0.7)
+    assert steps(query(stream=True), *options) == ("large@1",)
+
+
+def test_without_estimates_or_rater_the_default_model_runs() -> None:
+    options = option("large", 100, 0, 0), option("small", 10, 0, 0)
+    for seed in range(50):
+        assert steps(query(rating_s=None), *options, seed=seed) == ("large@1",)
+
+
+def test_best_bound_runs_when_none_meets_the_target() -> None:
+    options = option("large", 100, 0.8), option("small", 10, 0.6)
+    assert steps(query(stream=True), *options) == ("large@1",)
+
+
+def test_exploration_is_bounded_and_never_uses_critical_work() -> None:
+    options = option("large", 100, 0.97), option("small", 10, 0, 0)
+    taken = sum(steps(query(stream=True), *options, seed=s) == ("small@1",) for s in range(2000))
+    assert 10 < taken < 80
+    for seed in range(100):
+        assert steps(query(critical=True), *options, seed=seed) == ("large@1",)
+    enough = option("small", 10, 0.5, MIN_SAMPLES)
+    for seed in range(100):
+        assert steps(query(stream=True), options[0], enough, seed=seed) == ("large@1",)
+
+
+def test_baselines() -> None:
+    options = option("large", 100, 0.97), option("small", 10, 0.2)
+    assert steps(query(policy="cheapest"), *options) == ("small@1",)
+    assert steps(query(policy="dearest"), *options) == ("large@1",)
+
+
+VERSIONS = st.builds(
+    Version,
+    model=st.sampled_from(["small", "large", "other"]),
+    name=st.sampled_from("123"),
+    input_price=st.integers(1, 99),
+    output_price=st.integers(1, 99),
+    state=st.sampled_from(VersionState),
+)
+
+
+@given(
+    st.lists(VERSIONS, max_size=8, unique_by=lambda v: v.version_id),
+    st.lists(st.sampled_from(["small", "large", "small@2", "other@1"]), max_size=3),
+    st.sampled_from(["", "small", "large@2"]),
+    st.frozensets(st.sampled_from(["small@1", "large@2", "other@1"])),
+    st.lists(st.tuples(st.floats(0, 1), st.integers(0, 40)), min_size=8, max_size=8),
+    st.sampled_from(["learned", "cheapest", "dearest"]),
+    st.booleans(),
+    st.integers(0, 99),
+)
+def test_plan_holds_only_versions_that_may_run(
+    versions: list[Version],
+    allowed: list[str],
+    wanted: str,
+    quarantined: frozenset[str],
+    known: list[tuple[float, int]],
+    policy: str,
+    stream: bool,
+    seed: int,
+) -> None:
+    contract = Contract("c", allowed=tuple(allowed), default_model="other")
+    usable, refused = usable_versions(versions, contract, wanted, quarantined)
+    assert {v.version_id for v in usable} | {c.name for c in refused} == {
+        v.version_id for v in versions
+    }
+    options = [
+        Option(version, Estimate(samples, lower, lower, lower))
+        for version, (lower, samples) in zip(usable, known, strict=False)
+    ]
+    plan = choose_plan(query(stream, contract=contract, policy=policy), options, Random(seed))
+    assert (plan is None) == (not options)
+    by_id = {version.version_id: version for version in versions}
+    for step in plan.steps if plan else ():
+        assert step not in quarantined
+        assert by_id[step].state is VersionState.ACTIVE
+        assert by_id[step].model in allowed or step in allowed
+        assert wanted in ("", by_id[step].model, step)
+
+
+def test_running_session_stays_on_a_draining_version() -> None:
+    draining = Version("small", "1", 1, 1, VersionState.DRAINING)
+    usable, refused = usable_versions([draining], CONTRACT, "", frozenset())
+    assert not usable and refused[0].passed_over == "draining"
+    usable, _ = usable_versions([draining], CONTRACT, "", frozenset(), new_session=False)
+    assert usable == [draining]
