--- a/comfreyhatch/adapters/engine_http.py
+++ b/comfreyhatch/adapters/engine_http.py
@@ -209,9 +209,11 @@
         *events, rest = (rest + piece).split(EVENT_END)
         if len(rest) > MAX_EVENT_BYTES:
             raise AnswerBrokenError("the answer holds an event that is too large")
-        chunks = [chunk for event in events if (chunk := order.accept(_decode_chunk(event)))]
+        chunks, broken = _accepted(events, order)
         if chunks:
             yield _merged(chunks)
+        if broken is not None:
+            raise broken
     if rest:
         raise AnswerBrokenError("the answer ended within an event")
     if order.last is None:
@@ -219,6 +221,21 @@
     yield order.last
 
 
+def _accepted(
+    events: list[bytes], order: "_ChunkOrder"
+) -> tuple[list[Chunk], AnswerBrokenError | None]:
+    """Return the good chunks of one read, and the error that ended them."""
+    chunks: list[Chunk] = []
+    for event in events:
+        try:
+            chunk = order.accept(_decode_chunk(event))
+        except AnswerBrokenError as error:
+            return chunks, error
+        if chunk is not None:
+            chunks.append(chunk)
+    return chunks, None
+
+
 class _ChunkOrder:
     """Checks that chunks follow each other and belong to the request."""
 
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,138 @@
+"""Answers that are cut, crossed, doubled, late or abandoned, seen by the caller and the engine."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+from msgspec.json import decode
+
+from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.standins.engine import EngineStandin
+from comfreyhatch.standins.fleet import API_KEY, LARGE, SMALL, FleetPlan, LocalFleet
+from comfreyhatch.standins.text import token
+from tests.calls import book, chat, content, error_of
+
+TOKENS = 12
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[LocalFleet]:
+    plan = FleetPlan(zones=("a",), engine_zones=("a",), service_zones=("a",))
+    async with LocalFleet(plan) as running:
+        yield running
+
+
+@pytest.fixture
+def engine(fleet: LocalFleet) -> EngineStandin:
+    return fleet.engine_by_id["engine-a0"]
+
+
+@pytest.fixture
+async def client() -> AsyncIterator[HttpClient]:
+    client = HttpClient()
+    yield client
+    client.close()
+
+
+def whole_answer(reply: HttpReply) -> str:
+    """Return what an engine generates for the request of a reply."""
+    request_id, version_id = (reply.header_by_name[n] for n in ("x-request-id", "x-version"))
+    quality = next(v.prior_quality for v in (SMALL, LARGE) if v.version_id == version_id)
+    return "".join(token(request_id, index, quality) for index in range(TOKENS))
+
+
+def words(body: bytes) -> list[str]:
+    events = [event.removeprefix(b"data: ") for event in body.split(b"\n\n") if event]
+    assert events[-1] == b"[DONE]"
+    pieces = (decode(event)["choices"][0]["delta"] for event in events[:-1])
+    return "".join(piece.get("content", "") for piece in pieces).split()
+
+
+@pytest.mark.parametrize("cut_after", [1, 5, TOKENS - 1])
+@pytest.mark.parametrize("fault", ["cut_next", "double_next"])
+async def test_broken_stream_is_resumed_without_a_missing_or_doubled_token(
+    fleet: LocalFleet, engine: EngineStandin, client: HttpClient, fault: str, cut_after: int
+) -> None:
+    setattr(engine.faults, fault, 1)
+    engine.faults.cut_after_tokens = cut_after
+    reply = await chat(client, fleet.callers("entry-a0"), stream=True, max_tokens=TOKENS)
+    request_id = reply.header_by_name["x-request-id"]
+    assert getattr(engine.faults, fault) == 0
+    assert words(reply.body) == whole_answer(reply).split()
+    operators = fleet.addresses_by_id["entry-a0"].operators
+    record = decode((await client.request(operators, "GET", f"/explain/{request_id}")).body)
+    assert record["attempts"][-1]["usage"]["output_tokens"] == TOKENS
+
+
+async def test_stream_that_cannot_be_resumed_ends_visibly_broken(
+    fleet: LocalFleet, engine: EngineStandin, client: HttpClient
+) -> None:
+    engine.faults.cut_next = 10
+    engine.faults.cut_after_tokens = 3
+    callers = fleet.callers("entry-a0")
+    reader, writer = await asyncio.open_connection(callers.host, callers.port)
+    body = b'{"messages":[{"role":"user","content":"q"}],"max_tokens":12,"stream":true}'
+    writer.write(
+        f"POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {API_KEY}\r\n"
+        f"content-length: {len(body)}\r\n\r\n".encode() + body
+    )
+    data = b""
+    with pytest.raises(ConnectionError):
+        while piece := await asyncio.wait_for(reader.read(65536), 20):
+            data += piece
+        raise ConnectionResetError
+    assert b"[DONE]" not in data
+    assert not data.endswith(b"0\r\n\r\n")
+    writer.close()
+
+
+async def test_crossed_answer_never_reaches_the_caller(
+    fleet: LocalFleet, engine: EngineStandin, client: HttpClient
+) -> None:
+    engine.faults.cross_next = 1
+    replies = await asyncio.gather(
+        *(chat(client, fleet.callers("entry-a0"), max_tokens=TOKENS) for _ in range(4))
+    )
+    assert engine.faults.cross_next == 0
+    answered = [reply for reply in replies if reply.status == 200]
+    for reply in answered:
+        assert content(reply) == whole_answer(reply)
+    for reply in replies:
+        assert reply.status == 200 or error_of(reply)["ran"] == "unknown"
+    assert len(answered) >= 3
+
+
+async def test_late_answers_reach_their_own_callers(
+    fleet: LocalFleet, engine: EngineStandin, client: HttpClient
+) -> None:
+    engine.faults.late_s = 0.3
+    slow = asyncio.create_task(chat(client, fleet.callers("entry-a0"), max_tokens=TOKENS))
+    await fleet.until(lambda: engine.witness.in_flight == 1)
+    engine.faults.late_s = 0.0
+    fast = await chat(client, fleet.callers("entry-a0"), max_tokens=TOKENS)
+    for reply in (fast, await slow):
+        assert content(reply) == whole_answer(reply)
+
+
+async def test_abandoned_answer_is_cancelled_at_the_engine(
+    fleet: LocalFleet, engine: EngineStandin, client: HttpClient
+) -> None:
+    async def abandon() -> None:
+        await chat(client, fleet.callers("entry-a0"), stream=True, max_tokens=1000)
+
+    caller = asyncio.create_task(abandon())
+    await fleet.until(lambda: engine.witness.in_flight == 1)
+    caller.cancel()
+    await fleet.until(lambda: engine.witness.in_flight == 0)
+    started = engine.witness.run_count_by_id
+    assert len(started) == 1
+
+
+async def test_service_answer_of_another_request_is_not_given(
+    fleet: LocalFleet, client: HttpClient
+) -> None:
+    service = fleet.service_by_id["service-a0"]
+    service.faults.cross_next = 1
+    reply = await book(client, fleet.callers("entry-a0"), "deposit-crossed")
+    assert error_of(reply)["ran"] == "unknown"
+    assert service.witness.run_count_by_key["deposit-crossed"] == 1
