Add the operators' command line

Commands are thin; what they do stands in functions that take a client of the operators' port, so that it can be used and tested without a terminal. A change is compared with the configuration in force first: the diff is shown, dangerous changes ask, and the daemon refuses the change if another came between the comparison and the commit.

The daemon's operators' port gains the history, the configuration at a revision, where a revision is in force, the records and the burn counts. docs/CONFIGURATION.md and docs/RESULT-CODES.md are made from the definitions and held equal to them by a test.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 RUN = $(VENV)/bin/python -m
 
-.PHONY: demo test format check bench clean
+.PHONY: demo test format check docs bench clean
 
 $(VENV)/.installed: pyproject.toml requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -25,5 +25,8 @@
 	$(RUN) ruff check --quiet comfreyhatch bench tests
 	$(RUN) mypy
 
+docs: $(VENV)/.installed
+	$(RUN) comfreyhatch.cli.documents docs
+
 clean:
 	rm -rf $(VENV) build dist *.egg-info
--- /dev/null
+++ b/comfreyhatch/adapters/operator_http.py
@@ -0,0 +1,163 @@
+"""Client of the operators' port of daemons."""
+
+from collections.abc import Sequence
+from typing import TypeVar
+from urllib.parse import quote, urlencode
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.json import decode as decode_json
+from msgspec.json import encode as encode_json
+
+from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.decisions.burn import BurnCount
+from comfreyhatch.domain.change import ChangeRecord
+from comfreyhatch.domain.fleet import FleetConfig
+from comfreyhatch.domain.instance import Address
+from comfreyhatch.domain.record import RequestRecord
+from comfreyhatch.errors import ComfreyhatchError, HttpError, PeerError
+from comfreyhatch.ports.operators import Accepted, Bill, Edit, FleetState, InForce
+
+OPERATOR_TIMEOUT_S = 10.0
+
+T = TypeVar("T")
+
+
+class ErrorDetail(Struct, frozen=True):
+    """The error that a daemon answered with."""
+
+    code: int = int(ResultCode.INTERNAL)
+    message: str = ""
+
+
+class ErrorReply(Struct, frozen=True):
+    """Body of a daemon's error."""
+
+    error: ErrorDetail = ErrorDetail()
+
+
+class OperatorClient:
+    """Asks the first of several daemons that can be reached."""
+
+    def __init__(self, client: HttpClient, addresses: Sequence[Address]) -> None:
+        self._client = client
+        self._addresses = addresses
+
+    async def state(self) -> FleetState:
+        """Return the state of the fleet as a daemon sees it."""
+        return await self._get("/status", FleetState)
+
+    async def config(self, revision: int = 0) -> FleetConfig:
+        """Return the configuration in force, or the one at a revision."""
+        return await self._get("/config", FleetConfig, revision=revision)
+
+    async def history(self, after: int | None, limit: int) -> list[ChangeRecord]:
+        """Return changes after a revision, or the newest."""
+        if after is None:
+            return await self._get("/config/history", list[ChangeRecord], limit=limit)
+        return await self._get("/config/history", list[ChangeRecord], after=after, limit=limit)
+
+    async def in_force(self, revision: int) -> InForce:
+        """Return where a revision is in force."""
+        return await self._get("/config/in-force", InForce, revision=revision)
+
+    async def apply(self, edit: Edit) -> int:
+        """Submit an edit and return its revision.
+
+        The edit's id makes a repetition at the next daemon harmless.
+        """
+        reply = await self._ask("POST", "/changes", encode_json(edit))
+        return _decoded(reply, Accepted).revision
+
+    async def explain(self, request_id: str) -> RequestRecord:
+        """Return the record of a request; asks every daemon before it gives up."""
+        missing: ComfreyhatchError | None = None
+        for address in self._addresses:
+            client = OperatorClient(self._client, [address])
+            try:
+                return await client._get(f"/explain/{quote(request_id, safe='')}", RequestRecord)
+            except ComfreyhatchError as error:
+                if error.code is ResultCode.NOT_FOUND or missing is None:
+                    missing = error
+        raise missing or _no_address()
+
+    async def records(self, customer: str, since_unix_s: float) -> list[RequestRecord]:
+        """Return the records since a time of all daemons that answer."""
+        found = await self._get_all(
+            "/records", list[RequestRecord], customer=customer, since=since_unix_s
+        )
+        by_id = {record.request_id: record for records in found for record in records}
+        return sorted(by_id.values(), key=lambda record: record.at_unix_s)
+
+    async def bills(self, customer: str, since_unix_s: float) -> list[Bill]:
+        """Return what customers owe, summed over all daemons that answer."""
+        found = await self._get_all("/bills", list[Bill], customer=customer, since=since_unix_s)
+        bill_by_customer: dict[str, Bill] = {}
+        for bill in (bill for bills in found for bill in bills):
+            old = bill_by_customer.get(bill.customer, Bill(bill.customer, 0, 0))
+            requests = old.requests + bill.requests
+            cost = old.cost_micros + bill.cost_micros
+            bill_by_customer[bill.customer] = Bill(bill.customer, requests, cost)
+        return sorted(bill_by_customer.values(), key=lambda bill: bill.customer)
+
+    async def burn_counts(self, since_unix_s: float) -> list[BurnCount]:
+        """Return the burn counts of all daemons that answer."""
+        found = await self._get_all("/burn", list[BurnCount], since=since_unix_s)
+        return [count for counts in found for count in counts]
+
+    async def _get(self, path: str, kind: type[T], **parameters: object) -> T:
+        return _decoded(await self._ask("GET", _target(path, parameters)), kind)
+
+    async def _get_all(self, path: str, kind: type[T], **parameters: object) -> list[T]:
+        found: list[T] = []
+        failure: ComfreyhatchError | None = None
+        for address in self._addresses:
+            try:
+                client = OperatorClient(self._client, [address])
+                found.append(await client._get(path, kind, **parameters))
+            except ComfreyhatchError as error:
+                failure = error
+        if not found:
+            raise failure or _no_address()
+        return found
+
+    async def _ask(self, method: str, target: str, body: bytes = b"") -> HttpReply:
+        failure: ComfreyhatchError = _no_address()
+        for address in self._addresses:
+            try:
+                reply = await self._client.request(
+                    address, method, target, body, timeout_s=OPERATOR_TIMEOUT_S
+                )
+            except HttpError as error:
+                failure = PeerError(f"daemon {address}: {error}", ResultCode.PEER_TIMEOUT)
+                continue
+            if reply.status >= 300:
+                raise _error_of(reply, address)
+            return reply
+        raise failure
+
+
+def _target(path: str, parameters: dict[str, object]) -> str:
+    given = {name: value for name, value in parameters.items() if value != ""}
+    return f"{path}?{urlencode(given)}" if given else path
+
+
+def _no_address() -> PeerError:
+    return PeerError("no daemon is named; use --daemon host:port", ResultCode.BAD_REQUEST)
+
+
+def _error_of(reply: HttpReply, address: Address) -> ComfreyhatchError:
+    try:
+        detail = decode_json(reply.body, type=ErrorReply).error
+        code = ResultCode(detail.code)
+    except (DecodeError, ValidationError, ValueError):
+        message = f"daemon {address} answered {reply.status}"
+        return ComfreyhatchError(message, ResultCode.INTERNAL, Ran.UNKNOWN)
+    return ComfreyhatchError(detail.message, code)
+
+
+def _decoded(reply: HttpReply, kind: type[T]) -> T:
+    try:
+        return decode_json(reply.body, type=kind)
+    except (DecodeError, ValidationError) as error:
+        raise PeerError(f"the daemon's answer is malformed: {error}") from error
--- a/comfreyhatch/daemon/changes.py
+++ b/comfreyhatch/daemon/changes.py
@@ -48,6 +48,15 @@
             self.records.append(record)
             log.info("event=change_adopted revision=%d", record.revision)
 
+    async def history(self, after: int, limit: int) -> list[ChangeRecord]:
+        """Return the changes that follow a revision, in order.
+
+        Raises:
+            PlatformError: If the table does not answer.
+        """
+        rows = await self._table.scan("change/", change_key(after), limit)
+        return [decode(row.value, type=ChangeRecord) for row in rows]
+
     async def apply(self, change: Change, edit_id: str, author: str) -> int:
         """Commit a change and return its revision.
 
--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -20,6 +20,7 @@
 from comfreyhatch.daemon.changes import ChangeLog
 from comfreyhatch.daemon.directory import Directory
 from comfreyhatch.daemon.dispatcher import Dispatcher
+from comfreyhatch.daemon.fleet_state import FleetReporter
 from comfreyhatch.daemon.forwarding import ForwardedWork, Forwarder
 from comfreyhatch.daemon.operators import OperatorHandler
 from comfreyhatch.daemon.pool import EndpointPool
@@ -71,8 +72,11 @@
         callers = CallerHandler(
             own.id, self.incarnation, router, services, lambda: self.changes.config, self.ready
         )
+        self.reporter = FleetReporter(
+            own.id, own.zone, self.changes, self.directory, self.pool, self.ready
+        )
         operators = OperatorHandler(
-            own.id, own.zone, self.changes, self.directory, self.records, self.registry, self.ready
+            self.changes, self.records, self.reporter, self.registry, self.ready
         )
         self._caller_server = HttpServer(callers.handle, settings.limits)
         self._operator_server = HttpServer(operators.handle, HttpLimits())
--- /dev/null
+++ b/comfreyhatch/daemon/fleet_state.py
@@ -0,0 +1,134 @@
+"""The state of the fleet as this daemon sees it, for operators."""
+
+from collections.abc import Callable
+
+from comfreyhatch.daemon.changes import ChangeLog
+from comfreyhatch.daemon.directory import Directory
+from comfreyhatch.daemon.pool import EndpointPool
+from comfreyhatch.domain.fleet import FleetConfig
+from comfreyhatch.domain.instance import Instance, Role
+from comfreyhatch.ports.operators import (
+    BudgetState,
+    EndpointState,
+    FleetState,
+    InForce,
+    InstanceState,
+    VersionState,
+)
+
+
+class FleetReporter:
+    """Gathers the state from the daemon's parts.
+
+    Attributes:
+        quarantined: Returns the versions in quarantine.
+        spent_by_customer: Returns what customers have spent today, in micros.
+        journal_lag: Returns the number of records that nobody else has acknowledged.
+        cut_off: Returns whether this daemon is cut off.
+        zones_cut_off: Returns the availability zones that cannot be reached.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        zone: str,
+        changes: ChangeLog,
+        directory: Directory,
+        pool: EndpointPool,
+        ready: Callable[[], bool],
+    ) -> None:
+        self._instance_id = instance_id
+        self._zone = zone
+        self._changes = changes
+        self._directory = directory
+        self._pool = pool
+        self._ready = ready
+        self.quarantined: Callable[[], frozenset[str]] = frozenset
+        self.spent_by_customer: Callable[[], dict[str, int]] = dict
+        self.journal_lag: Callable[[], int] = int
+        self.cut_off: Callable[[], bool] = bool
+        self.zones_cut_off: Callable[[], tuple[str, ...]] = tuple
+
+    def state(self) -> FleetState:
+        """Return the state now."""
+        config = self._changes.config
+        return FleetState(
+            instance_id=self._instance_id,
+            zone=self._zone,
+            revision=config.revision,
+            ready=self._ready(),
+            cut_off=self.cut_off(),
+            journal_lag=self.journal_lag(),
+            zones_out=tuple(sorted(config.out_zones)),
+            zones_cut_off=self.zones_cut_off(),
+            instances=tuple(self._instances()),
+            endpoints=tuple(self._endpoints(config)),
+            versions=tuple(self._versions(config)),
+            budgets=tuple(self._budgets(config)),
+        )
+
+    def in_force(self, revision: int) -> InForce:
+        """Return which live instances have confirmed a revision."""
+        instances = [instance for instance in self._instances() if not instance.leaving]
+        confirmed = [i.instance_id for i in instances if i.revision >= revision]
+        unconfirmed = [i.instance_id for i in instances if i.revision < revision]
+        return InForce(revision, tuple(confirmed), tuple(unconfirmed))
+
+    def _instances(self) -> list[InstanceState]:
+        found = {
+            member.instance_id: InstanceState(
+                member.instance_id, member.zone, member.revision, member.leaving
+            )
+            for member in self._directory.view.member_by_id.values()
+        }
+        found[self._instance_id] = InstanceState(
+            self._instance_id, self._zone, self._changes.config.revision, False
+        )
+        return sorted(found.values(), key=lambda instance: (instance.zone, instance.instance_id))
+
+    def _endpoints(self, config: FleetConfig) -> list[EndpointState]:
+        endpoints = self._directory.endpoint_by_id.values()
+        states = [self._endpoint(endpoint, config) for endpoint in endpoints]
+        return sorted(states, key=lambda state: (state.zone, state.endpoint_id))
+
+    def _endpoint(self, endpoint: Instance, config: FleetConfig) -> EndpointState:
+        load = self._pool.load_of(endpoint.instance_id)
+        if endpoint.instance_id in config.out_endpoints:
+            state = "out"
+        elif endpoint.zone in config.out_zones:
+            state = "zone out"
+        elif load is None:
+            state = "not polled"
+        else:
+            state = "cold" if load.report.cold else "in service"
+        served = load.report.versions if load else ()
+        return EndpointState(
+            endpoint_id=endpoint.instance_id,
+            role=endpoint.role.value,
+            zone=endpoint.zone,
+            state=state,
+            in_flight=load.own_in_flight if load else 0,
+            share=load.share if load else 0,
+            bears=load.report.bears if load else 0,
+            versions=(endpoint.service,) if endpoint.role is Role.SERVICE else served,
+        )
+
+    def _versions(self, config: FleetConfig) -> list[VersionState]:
+        quarantined = self.quarantined()
+        return [
+            VersionState(
+                version_id,
+                version.state.value,
+                version.share,
+                version.replaces,
+                version_id in quarantined,
+            )
+            for version_id, version in sorted(config.version_by_id.items())
+        ]
+
+    def _budgets(self, config: FleetConfig) -> list[BudgetState]:
+        spent = self.spent_by_customer()
+        return [
+            BudgetState(customer, contract.budget_micros, spent.get(customer, 0))
+            for customer, contract in sorted(config.contract_by_customer.items())
+        ]
--- a/comfreyhatch/daemon/operators.py
+++ b/comfreyhatch/daemon/operators.py
@@ -1,71 +1,30 @@
-"""The operators' listener: health, readiness, metrics, state and changes."""
+"""The operators' listener: health, readiness, metrics, state, changes and explanations."""
 
 from collections.abc import Awaitable, Callable
+from time import time
 
-from msgspec import Struct, ValidationError
+from msgspec import ValidationError
 from msgspec.json import decode
 from prometheus_client import CollectorRegistry, generate_latest
 
 from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse, json_response
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.daemon.changes import ChangeLog
-from comfreyhatch.daemon.directory import Directory
+from comfreyhatch.daemon.fleet_state import FleetReporter
 from comfreyhatch.daemon.records import RecordBook
-from comfreyhatch.domain.change import Change
+from comfreyhatch.decisions.burn import BurnCount, BurnCounts
+from comfreyhatch.domain.change import ChangeRecord, SetContract, apply_change
+from comfreyhatch.domain.contract import contract_problems
+from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.record import RequestRecord
-from comfreyhatch.errors import NotReadyError, RequestError
+from comfreyhatch.errors import ConflictError, ContractError, NotReadyError, RequestError
+from comfreyhatch.ports.operators import Accepted, Bill, Edit, Health
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 EXPLAIN_PREFIX = "/explain/"
-
-
-class Edit(Struct, frozen=True):
-    """A change that an operator asks for."""
-
-    change: Change
-    edit_id: str
-    author: str = ""
-
-
-class Accepted(Struct, frozen=True):
-    """An accepted change."""
-
-    revision: int
-
-
-class Health(Struct, frozen=True):
-    """Answer of the health and readiness checks."""
-
-    status: str
-
-
-class InstanceStatus(Struct, frozen=True):
-    """State of one daemon.
-
-    Attributes:
-        instance_id: Name of the instance.
-        zone: Its availability zone.
-        revision: Configuration revision in force.
-        ready: Whether it takes requests.
-        endpoints: Endpoints that it knows of.
-        members: Daemons that it knows of.
-    """
-
-    instance_id: str
-    zone: str
-    revision: int
-    ready: bool
-    endpoints: tuple[str, ...]
-    members: tuple[str, ...]
-
-
-class Bill(Struct, frozen=True):
-    """What a customer owes for the requests that this daemon accepted."""
-
-    customer: str
-    requests: int
-    cost_micros: int
-
+HISTORY_LIMIT = 1000
+RECORDS_LIMIT = 1000
+CUSTOMER_PARAMETER = "customer"
 
 Route = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -75,19 +34,15 @@
 
     def __init__(
         self,
-        instance_id: str,
-        zone: str,
         changes: ChangeLog,
-        directory: Directory,
         records: RecordBook,
+        reporter: FleetReporter,
         registry: CollectorRegistry,
         ready: Callable[[], bool],
     ) -> None:
-        self._instance_id = instance_id
-        self._zone = zone
         self._changes = changes
-        self._directory = directory
         self._records = records
+        self._reporter = reporter
         self._registry = registry
         self._ready = ready
         self._route_by_key: dict[tuple[str, str], Route] = {
@@ -97,6 +52,10 @@
             ("GET", "/status"): self._status,
             ("GET", "/bills"): self._bills,
             ("GET", "/config"): self._config,
+            ("GET", "/config/history"): self._history,
+            ("GET", "/config/in-force"): self._in_force,
+            ("GET", "/records"): self._recent,
+            ("GET", "/burn"): self._burn,
             ("POST", "/changes"): self._change,
         }
 
@@ -121,38 +80,104 @@
         return HttpResponse(200, generate_latest(self._registry), METRICS_TYPE)
 
     async def _status(self, request: HttpRequest) -> HttpResponse:
-        status = InstanceStatus(
-            instance_id=self._instance_id,
-            zone=self._zone,
-            revision=self._changes.config.revision,
-            ready=self._ready(),
-            endpoints=tuple(sorted(self._directory.endpoint_by_id)),
-            members=tuple(sorted(self._directory.view.member_by_id)),
-        )
-        return json_response(status)
+        return json_response(self._reporter.state())
 
-    async def _config(self, request: HttpRequest) -> HttpResponse:
-        return json_response(self._changes.config)
+    async def _in_force(self, request: HttpRequest) -> HttpResponse:
+        return json_response(self._reporter.in_force(_integer(request, "revision", 0)))
 
-    async def _bills(self, request: HttpRequest) -> HttpResponse:
-        bill_by_customer: dict[str, Bill] = {}
-        for record in self._records.record_by_id.values():
-            old = bill_by_customer.get(record.customer, Bill(record.customer, 0, 0))
-            bill_by_customer[record.customer] = Bill(
-                record.customer, old.requests + 1, old.cost_micros + record.cost_micros
-            )
-        return json_response(list(bill_by_customer.values()))
+    async def _config(self, request: HttpRequest) -> HttpResponse:
+        revision = _integer(request, "revision", 0)
+        if not revision:
+            return json_response(self._changes.config)
+        return json_response(await self._config_at(revision))
+
+    async def _config_at(self, revision: int) -> FleetConfig:
+        config = FleetConfig()
+        while config.revision < revision:
+            limit = min(HISTORY_LIMIT, revision - config.revision)
+            records = await self._changes.history(config.revision, limit)
+            if not records:
+                raise RequestError(f"there is no revision {revision}", ResultCode.NOT_FOUND)
+            for record in records:
+                config = apply_change(config, record)
+        return config
+
+    async def _history(self, request: HttpRequest) -> HttpResponse:
+        limit = min(HISTORY_LIMIT, _integer(request, "limit", 20))
+        newest = self._changes.config.revision
+        after = _integer(request, "after", max(0, newest - limit))
+        records: list[ChangeRecord] = await self._changes.history(after, limit)
+        return json_response(records)
 
     async def _change(self, request: HttpRequest) -> HttpResponse:
         try:
             edit = decode(request.body, type=Edit)
         except (ValidationError, ValueError) as error:
             raise RequestError(f"the change does not fit: {error}") from error
+        if isinstance(edit.change, SetContract):
+            problems = contract_problems(edit.change.contract)
+            if problems:
+                raise ContractError("; ".join(problems))
+        await self._check_expected(edit)
         revision = await self._changes.apply(edit.change, edit.edit_id, edit.author)
         return json_response(Accepted(revision))
 
+    async def _check_expected(self, edit: Edit) -> None:
+        if not edit.expected_revision:
+            return
+        since = await self._changes.history(edit.expected_revision, HISTORY_LIMIT)
+        others = [record for record in since if record.edit_id != edit.edit_id]
+        if others and len(others) == len(since):
+            last = others[-1]
+            raise ConflictError(
+                f"the configuration is at revision {last.revision}, changed by {last.author!r}"
+                f" since revision {edit.expected_revision}; nothing was changed"
+            )
+
+    async def _bills(self, request: HttpRequest) -> HttpResponse:
+        since = _number(request, "since", 0.0)
+        bill_by_customer: dict[str, Bill] = {}
+        for record in await self._records.since(since, request.query.get(CUSTOMER_PARAMETER, "")):
+            old = bill_by_customer.get(record.customer, Bill(record.customer, 0, 0))
+            bill_by_customer[record.customer] = Bill(
+                record.customer, old.requests + 1, old.cost_micros + record.cost_micros
+            )
+        return json_response(list(bill_by_customer.values()))
+
     async def _explain(self, request_id: str) -> RequestRecord:
         record = await self._records.find(request_id)
         if record is None:
             raise RequestError(f"no record of request {request_id}", ResultCode.NOT_FOUND)
         return record
+
+    async def _recent(self, request: HttpRequest) -> HttpResponse:
+        since = _number(request, "since", time() - 3600)
+        records = await self._records.since(since, request.query.get(CUSTOMER_PARAMETER, ""))
+        limit = min(RECORDS_LIMIT, _integer(request, "limit", RECORDS_LIMIT))
+        return json_response(records[-limit:])
+
+    async def _burn(self, request: HttpRequest) -> HttpResponse:
+        since = _number(request, "since", time() - 6 * 3600)
+        contracts = self._changes.config.contract_by_customer
+        bad_versions = self._reporter.quarantined()
+        counts = BurnCounts()
+        for record in await self._records.since(since):
+            contract = contracts.get(record.customer)
+            if contract:
+                counts.add_record(record, contract, bad_versions)
+        found: list[BurnCount] = counts.counts()
+        return json_response(found)
+
+
+def _integer(request: HttpRequest, name: str, default: int) -> int:
+    text = request.query.get(name, "")
+    if text and not text.isdecimal():
+        raise RequestError(f"parameter {name} = {text!r}: must be an integer from 0")
+    return int(text) if text else default
+
+
+def _number(request: HttpRequest, name: str, default: float) -> float:
+    try:
+        return float(request.query.get(name, default))
+    except ValueError:
+        raise RequestError(f"parameter {name}: must be a number") from None
--- a/comfreyhatch/daemon/pool.py
+++ b/comfreyhatch/daemon/pool.py
@@ -79,6 +79,13 @@
         """Return the version ids that some endpoint of the zone has loaded."""
         return {v for report in self._report_by_id.values() for v in report.versions}
 
+    def load_of(self, endpoint_id: str) -> EndpointLoad | None:
+        """Return what is known of an endpoint's load; None if it is not polled."""
+        endpoint = self._directory.endpoint_by_id.get(endpoint_id)
+        if endpoint is None or endpoint_id not in self._report_by_id:
+            return None
+        return self._load(endpoint)
+
     def candidates(self, wanted: str, config: FleetConfig, now: float) -> list[EndpointLoad]:
         """Return the zone's endpoints that serve a version or a plain service.
 
@@ -99,14 +106,11 @@
 
     def acquire(self, endpoint_id: str, now: float) -> Slot | None:
         """Take a slot of an endpoint; None when the share is used up."""
-        endpoint = self._directory.endpoint_by_id.get(endpoint_id)
-        if endpoint is None or endpoint_id not in self._report_by_id:
-            return None
-        load = self._load(endpoint)
-        if load.own_in_flight >= load.share:
+        load = self.load_of(endpoint_id)
+        if load is None or load.own_in_flight >= load.share:
             return None
         self._in_flight_by_id[endpoint_id] = load.own_in_flight + 1
-        return Slot(endpoint, load.own_in_flight + 1, load.report.bears)
+        return Slot(load.endpoint, load.own_in_flight + 1, load.report.bears)
 
     def release(self, slot: Slot, now: float) -> None:
         """Give a slot back."""
--- a/comfreyhatch/daemon/records.py
+++ b/comfreyhatch/daemon/records.py
@@ -20,3 +20,11 @@
     async def find(self, request_id: str) -> RequestRecord | None:
         """Return a record by its request id."""
         return self.record_by_id.get(request_id)
+
+    async def since(self, unix_s: float, customer: str = "") -> list[RequestRecord]:
+        """Return the records accepted since a time, of one customer or of all."""
+        return [
+            record
+            for record in self.record_by_id.values()
+            if record.at_unix_s >= unix_s and customer in ("", record.customer)
+        ]
--- /dev/null
+++ b/comfreyhatch/porcelain/changes.py
@@ -0,0 +1,116 @@
+"""Changes of the configuration: their diff, their commit, and their being in force."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+from uuid import uuid4
+
+from msgspec import Struct, to_builtins
+
+from comfreyhatch.adapters.operator_http import OperatorClient
+from comfreyhatch.domain.change import Change, change_config
+from comfreyhatch.domain.fleet import FleetConfig
+from comfreyhatch.errors import ComfreyhatchError
+from comfreyhatch.ports.operators import Edit, InForce
+
+CONFIRM_INTERVAL_S = 0.1
+CONFIRM_TIMEOUT_S = 4.0
+
+
+class PlannedChange(Struct, frozen=True):
+    """A change and what it does to the configuration in force.
+
+    Attributes:
+        change: The change.
+        base_revision: Revision that it was compared with.
+        diff: Lines that it removes ("- ") and adds ("+ ").
+    """
+
+    change: Change
+    base_revision: int
+    diff: tuple[str, ...]
+
+
+class ChangeOutcome(Struct, frozen=True):
+    """What came of a change.
+
+    Attributes:
+        applied: Whether it was committed.
+        revision: Its revision; that of the comparison when it was not committed.
+        diff: What it changes.
+        confirmed: Instances that have it in force.
+        unconfirmed: Live instances that have not confirmed it.
+    """
+
+    applied: bool
+    revision: int
+    diff: tuple[str, ...]
+    confirmed: tuple[str, ...] = ()
+    unconfirmed: tuple[str, ...] = ()
+
+
+async def plan_change(client: OperatorClient, change: Change) -> PlannedChange:
+    """Return what a change would do.
+
+    Raises:
+        ChangeError: If it does not fit the configuration.
+    """
+    config = await client.config()
+    diff = diff_configs(config, change_config(config, change))
+    return PlannedChange(change, config.revision, diff)
+
+
+async def commit_change(client: OperatorClient, planned: PlannedChange, author: str) -> int:
+    """Commit a planned change and return its revision.
+
+    Raises:
+        ConflictError: If another change came first.
+    """
+    edit = Edit(planned.change, uuid4().hex, author, planned.base_revision)
+    return await client.apply(edit)
+
+
+async def await_in_force(
+    client: OperatorClient,
+    revision: int,
+    timeout_s: float = CONFIRM_TIMEOUT_S,
+    sleep: Callable[[float], Any] = asyncio.sleep,
+) -> InForce:
+    """Poll until every live instance has confirmed a revision, or the time is up."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + timeout_s
+    state = InForce(revision, (), ())
+    while True:
+        try:
+            state = await client.in_force(revision)
+        except ComfreyhatchError:
+            if loop.time() >= end:
+                raise
+        if (state.confirmed and not state.unconfirmed) or loop.time() >= end:
+            return state
+        await sleep(CONFIRM_INTERVAL_S)
+
+
+def diff_configs(old: FleetConfig, new: FleetConfig) -> tuple[str, ...]:
+    """Return the lines that differ between two configurations, their revisions aside."""
+    before, after = _flat(to_builtins(old)), _flat(to_builtins(new))
+    lines: list[str] = []
+    for key in sorted(before.keys() | after.keys()):
+        if key == "revision" or before.get(key) == after.get(key):
+            continue
+        if key in before:
+            lines.append(f"- {key} = {before[key]}")
+        if key in after:
+            lines.append(f"+ {key} = {after[key]}")
+    return tuple(lines)
+
+
+def _flat(value: Any, path: str = "") -> dict[str, str]:
+    if isinstance(value, dict):
+        flat: dict[str, str] = {}
+        for key, inner in value.items():
+            flat |= _flat(inner, f"{path}.{key}" if path else str(key))
+        return flat
+    if isinstance(value, list | tuple):
+        return {path: " ".join(sorted(map(str, value)))}
+    return {path: str(value)}
