Test what callers may send, with arbitrary input

Properties: any request to the callers' listener is answered or refused with a numbered code and ran=no; arbitrary bytes leave the listener working. A caller that does not read its answer stops the source of it.

--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,195 @@
+"""What callers may send: parsing, refusals, and arbitrary input."""
+
+import asyncio
+from collections.abc import AsyncGenerator, AsyncIterator
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec.json import decode, encode
+
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_server import HttpLimits, HttpRequest, HttpServer
+from comfreyhatch.codes import ResultCode
+from comfreyhatch.daemon.callers import CHAT_PATH, CallerHandler, authenticate, parse_chat
+from comfreyhatch.domain.fleet import FleetConfig
+from comfreyhatch.domain.request import Priority, Usage
+from comfreyhatch.errors import RequestError
+from comfreyhatch.ports.engine import Chunk, ServiceAnswer
+from comfreyhatch.standins.fleet import API_KEY, CONTRACT, CUSTOMER, SMALL
+from tests.calls import AUTHORIZATION
+
+CONFIG = FleetConfig(1, {CUSTOMER: CONTRACT}, {SMALL.version_id: SMALL})
+GOOD_BODY = encode({"messages": [{"role": "user", "content": "q"}]})
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=8,
+)
+bodies = st.binary(max_size=40) | st.builds(
+    encode,
+    st.fixed_dictionaries(
+        {},
+        optional={
+            "messages": json_values
+            | st.just([{"role": "user", "content": "q"}])
+            | st.lists(st.fixed_dictionaries({"role": json_values, "content": json_values})),
+            "model": json_values | st.sampled_from(["", SMALL.model, SMALL.version_id]),
+            "max_tokens": json_values | st.integers(-1, 2000),
+            "stream": json_values,
+        },
+    ),
+)
+header_names = st.sampled_from(
+    ["x-session", "x-deadline-s", "x-priority", "x-critical", "x-task", "idempotency-key"]
+)
+headers = st.dictionaries(header_names, st.text(max_size=12) | st.integers().map(str))
+paths = st.sampled_from([CHAT_PATH, "/v1/models", "/services/booking/x", "/services/", "/"])
+
+
+class OneTokenRouter:
+    """Answers every request with one token, in place of both routers."""
+
+    async def answer(self, *arguments: Any) -> AsyncGenerator[Chunk, None]:
+        yield Chunk("r", 0, ("word ",), finish="length", usage=Usage(1, 1))
+
+
+class EchoServices:
+    async def answer(self, *arguments: Any) -> ServiceAnswer:
+        return ServiceAnswer(200, "application/json", b"{}")
+
+
+def request(
+    path: str = CHAT_PATH, body: bytes = GOOD_BODY, method: str = "POST", **header: str
+) -> HttpRequest:
+    names = {name.replace("_", "-"): value for name, value in header.items()}
+    return HttpRequest(method, path, {}, {**AUTHORIZATION, **names}, body)
+
+
+@pytest.fixture
+def handler() -> CallerHandler:
+    router: Any = OneTokenRouter()
+    services: Any = EchoServices()
+    return CallerHandler("entry-a", "entry-a-1", router, services, lambda: CONFIG, lambda: True)
+
+
+@given(
+    path=paths,
+    method=st.sampled_from(["GET", "POST", "PUT"]),
+    body=bodies,
+    extra=headers,
+    key=st.sampled_from([f"Bearer {API_KEY}", "Bearer x", "", "Basic \x00"]),
+)
+async def test_any_request_is_answered_or_refused_with_a_code(
+    handler: CallerHandler, path: str, method: str, body: bytes, extra: dict[str, str], key: str
+) -> None:
+    sent = HttpRequest(method, path, {}, {**extra, "authorization": key}, body)
+    response = await handler.handle(sent)
+    assert response.header_by_name["x-request-id"].startswith("entry-a-1.")
+    if response.status == 200:
+        assert key == f"Bearer {API_KEY}"
+        if response.stream:
+            assert [piece async for piece in response.stream][-1] == b"data: [DONE]\n\n"
+        return
+    error = decode(response.body)["error"]
+    assert 1000 < error["code"] < 2000
+    assert error["ran"] == "no"
+    assert error["message"]
+
+
+@given(junk=st.lists(st.binary(max_size=60), max_size=3))
+async def test_arbitrary_bytes_leave_the_listener_working(
+    handler: CallerHandler, junk: list[bytes]
+) -> None:
+    server = HttpServer(handler.handle, HttpLimits(header_timeout_s=0.5))
+    address = await server.start("127.0.0.1", 0)
+    for data in junk:
+        _, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(data)
+        writer.write_eof()
+        writer.close()
+    client = HttpClient()
+    reply = await client.request(address, "POST", CHAT_PATH, GOOD_BODY, AUTHORIZATION)
+    assert reply.status == 200
+    client.close()
+    await server.stop(0)
+
+
+@pytest.mark.parametrize(
+    ("header", "priority", "critical"),
+    [
+        ({}, Priority.NORMAL, False),
+        ({"x_priority": "9"}, CONTRACT.max_priority, False),
+        ({"x_priority": "0"}, 0, False),
+        ({"x_critical": "true"}, Priority.CRITICAL, True),
+    ],
+)
+def test_priority_is_bounded_by_the_contract(
+    header: dict[str, str], priority: int, critical: bool
+) -> None:
+    call = parse_chat(request(**header), "r", CONTRACT, now=100.0)
+    assert (call.priority, call.critical) == (priority, critical)
+    assert call.deadline == 100.0 + CONTRACT.default_deadline_s
+
+
+@pytest.mark.parametrize(
+    ("body", "header"),
+    [
+        (b"{", {}),
+        (b'{"messages": []}', {}),
+        (b'{"messages": [{"role": "user"}]}', {}),
+        (b'{"messages": [{"role": "user", "content": "q"}], "max_tokens": 0}', {}),
+        (b'{"messages": [{"role": "user", "content": "q"}], "max_tokens": 4096}', {}),
+        (GOOD_BODY, {"x_deadline_s": "soon"}),
+        (GOOD_BODY, {"x_deadline_s": "-1"}),
+        (GOOD_BODY, {"x_deadline_s": "nan"}),
+        (GOOD_BODY, {"x_priority": "10"}),
+        (GOOD_BODY, {"x_priority": "\u00b2"}),
+    ],
+)
+def test_malformed_requests_are_refused(body: bytes, header: dict[str, str]) -> None:
+    with pytest.raises(RequestError) as caught:
+        parse_chat(request(body=body, **header), "r", CONTRACT, now=0.0)
+    assert caught.value.code is ResultCode.BAD_REQUEST
+
+
+@pytest.mark.parametrize("key", ["", "Bearer", "Bearer ", "Bearer wrong", f"Basic {API_KEY}"])
+def test_only_a_known_key_opens_a_contract(key: str) -> None:
+    with pytest.raises(RequestError) as caught:
+        authenticate(HttpRequest("GET", "/", {}, {"authorization": key}), CONFIG)
+    assert caught.value.code is ResultCode.UNAUTHENTICATED
+    known = HttpRequest("GET", "/", {}, {"authorization": f"bearer {API_KEY}"})
+    assert authenticate(known, CONFIG) is CONTRACT
+
+
+async def test_slow_caller_holds_the_answer_back(handler: CallerHandler) -> None:
+    """A caller that does not read stops the source of its answer instead of filling memory."""
+    produced = 0
+
+    async def endless() -> AsyncIterator[bytes]:
+        nonlocal produced
+        while True:
+            produced += 1
+            yield b"x" * 65536
+            await asyncio.sleep(0)
+
+    async def handle(sent: HttpRequest) -> Any:
+        response = await handler.handle(sent)
+        response.stream = endless()
+        return response
+
+    server = HttpServer(handle, HttpLimits(write_timeout_s=0.5))
+    address = await server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection(address.host, address.port, limit=1024)
+    authorization = AUTHORIZATION["authorization"]
+    head = f"POST {CHAT_PATH} HTTP/1.1\r\nhost: a\r\nauthorization: {authorization}\r\n"
+    writer.write(f"{head}content-length: {len(GOOD_BODY)}\r\n\r\n".encode() + GOOD_BODY)
+    await reader.read(1)
+    async with asyncio.timeout(20):
+        while server.busy:
+            await asyncio.sleep(0.05)
+    assert produced < 1000
+    writer.close()
+    await server.stop(0)
