--- /dev/null
+++ b/tests/test_cold_start.py
@@ -0,0 +1,97 @@
+"""Limits of endpoints: what they say, slow start without it, and falls that count at once."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from comfreyhatch.decisions.cold_start import (
+    REPORT_LIFE_S,
+    LimitState,
+    SlotOutcome,
+    after_report,
+    after_request,
+    limit_of,
+)
+from comfreyhatch.ports.engine import LoadReport
+
+
+def report(bears: int, age_s: float = 0.0) -> LoadReport:
+    return LoadReport("engine-1", 0, 0, bears, cold=False, age_s=age_s)
+
+
+def served(state: LimitState, count: int, now: float, first_token_s: float = 0.1) -> LimitState:
+    for _ in range(count):
+        state = after_request(state, SlotOutcome.OK, first_token_s, now)
+    return state
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.floats(0, 2),
+        st.one_of(st.builds(report, st.integers(0, 20), st.floats(0, 8))),
+        st.sampled_from(SlotOutcome),
+        st.none() | st.floats(0.01, 9),
+    ),
+    max_size=30,
+)
+
+
+@given(EVENTS)
+def test_limit_is_never_above_the_word_of_a_current_report(
+    events: list[tuple[float, LoadReport, SlotOutcome, float | None]],
+) -> None:
+    state, now = LimitState(), 0.0
+    newest: tuple[float, int] = (float("-inf"), 1)
+    for step, load, outcome, latency in events:
+        now += step
+        state = after_report(state, load, now)
+        newest = max(newest, (now - load.age_s, load.bears), key=lambda pair: pair[0])
+        before = limit_of(state, now)
+        state = after_request(state, outcome, latency, now)
+        if now - newest[0] <= REPORT_LIFE_S:
+            assert limit_of(state, now) <= newest[1]
+        if outcome is SlotOutcome.COLD:
+            assert limit_of(state, now) <= 1
+        elif outcome in (SlotOutcome.REFUSED, SlotOutcome.FAILED):
+            assert limit_of(state, now) <= max(1, before / 2)
+
+
+def test_slow_start_from_one_adds_one_slot_for_each_window_of_successes() -> None:
+    state = LimitState()
+    limits = [limit_of(state, 0.0)]
+    for _ in range(30):
+        state = served(state, 1, 0.0)
+        limits.append(limit_of(state, 0.0))
+    assert limits[0] == 1 and limits == sorted(limits)
+    assert limits[-1] == 7
+
+
+def test_outdated_report_begins_slow_start_again() -> None:
+    state = after_report(LimitState(), report(16), 0.0)
+    assert limit_of(state, REPORT_LIFE_S) == 16
+    assert limit_of(state, REPORT_LIFE_S + 0.1) == 1
+
+
+@pytest.mark.parametrize("outcome", [SlotOutcome.REFUSED, SlotOutcome.COLD, SlotOutcome.FAILED])
+def test_lagging_report_does_not_undo_a_fall(outcome: SlotOutcome) -> None:
+    state = after_report(LimitState(), report(16), 0.0)
+    fallen = after_request(state, outcome, None, 1.0)
+    limit = limit_of(fallen, 1.0)
+    assert limit == (1 if outcome is SlotOutcome.COLD else 8)
+    assert limit_of(after_report(fallen, report(16), 2.0), 2.0) == limit
+    trusted = after_report(fallen, report(16), 1.1 + REPORT_LIFE_S)
+    assert limit_of(trusted, 1.1 + REPORT_LIFE_S) == 16
+
+
+def test_latency_jump_halves_the_limit_and_usual_latency_does_not() -> None:
+    state = served(after_report(LimitState(), report(16), 0.0), 20, 0.0)
+    assert limit_of(state, 0.0) == 16
+    jumped = after_request(state, SlotOutcome.OK, 1.0, 0.0)
+    assert limit_of(jumped, 0.0) == 8
+
+
+def test_older_report_lowers_but_never_raises() -> None:
+    state = after_report(LimitState(), report(8), 10.0)
+    assert limit_of(after_report(state, report(16, age_s=1.0), 10.0), 10.0) == 8
+    assert limit_of(after_report(state, report(2, age_s=1.0), 10.0), 10.0) == 2
+    assert limit_of(after_report(state, report(2, age_s=9.0), 10.0), 10.0) == 8
