--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -53,6 +53,7 @@
         service = HttpPlainService(client)
         platform = settings.platform.address
         self._settings = settings
+        self.zone = own.zone
         self._client = client
         self._tasks: list[asyncio.Task[None]] = []
         self.incarnation = f"{own.id}-{int(time() * 1000):x}"
--- a/comfreyhatch/standins/fleet.py
+++ b/comfreyhatch/standins/fleet.py
@@ -153,6 +153,29 @@
             while not condition():
                 await asyncio.sleep(WAIT_INTERVAL_S)
 
+    async def apply_at(self, instance_id: str, change: Change, edit_id: str) -> int:
+        """Make a change through a daemon and return its revision."""
+        return await self.daemon_by_id[instance_id].changes.apply(change, edit_id, "local")
+
+    def revision_of(self, daemon: Daemon) -> int:
+        """Return the configuration revision that a daemon has in force."""
+        return daemon.changes.config.revision
+
+    async def stop_daemon(self, instance_id: str) -> None:
+        """Stop a daemon gracefully."""
+        await self.daemon_by_id[instance_id].stop()
+        del self.daemon_by_id[instance_id], self.addresses_by_id[instance_id]
+
+    async def replace_daemons(self) -> None:
+        """Start a new daemon for each, then stop the old ones."""
+        old = list(self.daemon_by_id)
+        for instance_id in old:
+            zone = self.daemon_by_id[instance_id].zone
+            await self.start_daemon(f"{instance_id}-new", zone)
+        await self.until(self._settled)
+        for instance_id in old:
+            await self.stop_daemon(instance_id)
+
     def callers(self, instance_id: str) -> Address:
         """Return the callers' address of a daemon."""
         return self.addresses_by_id[instance_id].callers
