Run non-repeatable calls at most once, under claims

A call that may not be repeated needs one runner over all daemons, retries and lost answers. A claim row is inserted if absent before the first byte and is permanent, so no pause can break it. A claim given up is released by an update that keeps the row: deleting it would reset its revision, and a late duplicate of the release could hit the claim of another daemon. A daemon that cannot read the claim says that the outcome is unknown unless the caller asserts a first attempt: a repeat of a call that ran elsewhere would otherwise be told that it did not run.

--- a/comfreyhatch/codes.py
+++ b/comfreyhatch/codes.py
@@ -40,6 +40,7 @@
     ALREADY_RUNNING = 3008
     CLAIM_UNAVAILABLE = 3009
     CUT_OFF = 3010
+    ANSWER_NOT_KEPT = 3011
     PLATFORM_UNAVAILABLE = 4001
     WRITE_UNKNOWN = 4002
     CONFLICT = 4003
@@ -72,7 +73,9 @@
     ResultCode.HEADERS_TOO_LARGE: CodeEntry(431, "The header section exceeds the limit."),
     ResultCode.REQUEST_TIMEOUT: CodeEntry(408, "The caller sent its request too slowly."),
     ResultCode.METHOD_NOT_ALLOWED: CodeEntry(405, "The resource does not take this method."),
-    ResultCode.KEY_REUSED: CodeEntry(422, "The idempotency key belongs to another request."),
+    ResultCode.KEY_REUSED: CodeEntry(
+        422, "The idempotency key belongs to another request; this one has not run."
+    ),
     ResultCode.BUDGET_EXHAUSTED: CodeEntry(402, "The customer's budget is spent."),
     ResultCode.BUDGET_UNKNOWN: CodeEntry(503, "The budget cannot be read and no slice is left."),
     ResultCode.OVERLOADED: CodeEntry(503, "No capacity is free in time; retry later."),
@@ -90,6 +93,9 @@
         503, "The claim could not be recorded; not dispatched."
     ),
     ResultCode.CUT_OFF: CodeEntry(503, "This zone is cut off and may not serve the request."),
+    ResultCode.ANSWER_NOT_KEPT: CodeEntry(
+        409, "The call ran once before; its answer was too large to keep."
+    ),
     ResultCode.PLATFORM_UNAVAILABLE: CodeEntry(503, "The platform's store does not answer."),
     ResultCode.WRITE_UNKNOWN: CodeEntry(503, "The write's answer was lost; it may have happened."),
     ResultCode.CONFLICT: CodeEntry(409, "Another change came first; nothing was changed."),
--- /dev/null
+++ b/comfreyhatch/daemon/claims.py
@@ -0,0 +1,313 @@
+"""Runs non-repeatable calls at most once, under claims in the table."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from msgspec import Struct
+from msgspec.structs import replace
+from prometheus_client import CollectorRegistry, Counter, Gauge
+
+from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.decisions.claims import (
+    NO_ANSWER,
+    AskHolder,
+    ClaimQuery,
+    Decision,
+    Denied,
+    Dialogue,
+    Effect,
+    Event,
+    Granted,
+    HolderReply,
+    HolderState,
+    Join,
+    ReadRow,
+    Replay,
+    RowRead,
+    acquire,
+    release,
+    settle,
+)
+from comfreyhatch.domain.claim import Claim, ClaimState, KeptAnswer, claim_key
+from comfreyhatch.errors import ComfreyhatchError, PeerError, PlatformError, RefusedError
+from comfreyhatch.ports.peers import PeerBus
+from comfreyhatch.ports.table import Operation, Table, WriteOutcome
+
+CLAIM_TIMEOUT_S = 2.0
+HOLDER_TIMEOUT_S = 0.5
+RECORD_WAIT_S = 0.25
+RETRY_FIRST_S = 0.05
+RETRY_MOST_S = 5.0
+ALREADY_RUNNING_RETRY_S = 1.0
+
+log = logging.getLogger("comfreyhatch.claims")
+
+Execute = Callable[[], Awaitable[KeptAnswer]]
+
+
+class ClaimedCall(Struct, frozen=True):
+    """A non-repeatable call.
+
+    Attributes:
+        customer: Customer that calls.
+        key: Idempotency key that the caller chose.
+        digest: SHA-256 of the call.
+        first_attempt: Whether the caller asserts that it sent the call nowhere before.
+    """
+
+    customer: str
+    key: str
+    digest: str
+    first_attempt: bool = False
+
+
+class ClaimedAnswer(Struct, frozen=True):
+    """The answer of a non-repeatable call, and whether it is that of an earlier execution."""
+
+    answer: KeptAnswer
+    replayed: bool
+
+
+class _Attempt:
+    """One attempt of this incarnation, from before its claim is written until it is recorded."""
+
+    def __init__(self, key: str, claim: Claim) -> None:
+        self.key = key
+        self.claim = claim
+        self.revision = 0
+        self.maybe_written = False
+        self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.error: ComfreyhatchError | None = None
+
+
+class Claims:
+    """The claims of one incarnation; owns its attempts and their recording."""
+
+    def __init__(
+        self,
+        table: Table,
+        bus: PeerBus,
+        instance_id: str,
+        incarnation: str,
+        registry: CollectorRegistry | None = None,
+    ) -> None:
+        self._table = table
+        self._bus = bus
+        self._instance_id = instance_id
+        self._incarnation = incarnation
+        self._count = 0
+        self._attempt_by_token: dict[str, _Attempt] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        registry = registry or CollectorRegistry()
+        self._decisions = Counter(
+            "comfreyhatch_claim_decisions", "Claims by decision.", ["decision"], registry=registry
+        )
+        self._unrecorded = Gauge(
+            "comfreyhatch_claims_unrecorded",
+            "Ended or abandoned attempts whose claim is not yet brought up to date.",
+            registry=registry,
+        )
+        self._unrecorded.set_function(lambda: len(self._tasks))
+        bus.on_message(ClaimQuery, self._on_query)
+
+    async def run(self, call: ClaimedCall, execute: Execute) -> ClaimedAnswer:
+        """Run a call at most once over all daemons and repeats, and return its answer.
+
+        Args:
+            call: The call.
+            execute: Dispatches the call. An error with `ran` NO that it raises must be true;
+                the claim is then released.
+
+        Raises:
+            ComfreyhatchError: If the call is refused or its outcome is unknown.
+        """
+        attempt = self._new_attempt(call)
+        decision = await self._acquire(attempt, call.first_attempt)
+        self._decisions.labels(_name_of(decision)).inc()
+        if isinstance(decision, Granted):
+            attempt.revision = decision.revision
+            return await self._execute(attempt, execute)
+        self._abandon(attempt)
+        if isinstance(decision, Replay):
+            return ClaimedAnswer(decision.answer, replayed=True)
+        if isinstance(decision, Join):
+            running = self._attempt_by_token[decision.token]
+            await asyncio.shield(running.ended)
+            return _answer_of(running, replayed=True)
+        log.info("event=claim_denied key=%s code=%d", attempt.key, decision.code)
+        raise _refusal(decision)
+
+    async def drain(self, timeout_s: float) -> int:
+        """Wait until all ended attempts are recorded; return how many are not."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=timeout_s)
+        return len(self._tasks)
+
+    async def close(self) -> None:
+        """Stop recording."""
+        while self._tasks:
+            tasks = list(self._tasks)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _new_attempt(self, call: ClaimedCall) -> _Attempt:
+        self._count += 1
+        token = f"{self._incarnation}.{self._count:x}"
+        claim = Claim(self._instance_id, self._incarnation, token, call.digest)
+        attempt = _Attempt(claim_key(call.customer, call.key), claim)
+        self._attempt_by_token[token] = attempt
+        return attempt
+
+    async def _acquire(self, attempt: _Attempt, first_attempt: bool) -> Decision:
+        dialogue = acquire(
+            attempt.key, attempt.claim, self._attempt_by_token.__contains__, first_attempt
+        )
+        try:
+            async with asyncio.timeout(CLAIM_TIMEOUT_S):
+                return await self._converse(attempt, dialogue)
+        except TimeoutError:
+            ran = Ran.NO if first_attempt else Ran.UNKNOWN
+            return Denied(ResultCode.CLAIM_UNAVAILABLE, ran)
+        except BaseException:
+            self._abandon(attempt)
+            raise
+
+    async def _converse(self, attempt: _Attempt, dialogue: Dialogue) -> Decision:
+        effect = next(dialogue)
+        while True:
+            event = await self._perform(attempt, effect)
+            try:
+                effect = dialogue.send(event)
+            except StopIteration as end:
+                decision: Decision = end.value
+                return decision
+
+    async def _perform(self, attempt: _Attempt, effect: Effect) -> Event:
+        if isinstance(effect, ReadRow):
+            try:
+                return RowRead(await self._table.read(effect.key))
+            except PlatformError:
+                return NO_ANSWER
+        if isinstance(effect, AskHolder):
+            return await self._ask(effect.claim)
+        # An unanswered write may take effect at any later time.
+        maybe_written = attempt.maybe_written
+        attempt.maybe_written = True
+        outcome = await self._write(effect.operation)
+        attempt.maybe_written = maybe_written or outcome is not WriteOutcome.REFUSED
+        return outcome
+
+    async def _write(self, operation: Operation) -> WriteOutcome:
+        try:
+            return await self._table.commit([operation])
+        except PlatformError:
+            return WriteOutcome.UNKNOWN
+
+    async def _ask(self, claim: Claim) -> Event:
+        if claim.holder == self._instance_id:
+            return HolderReply(HolderState.GONE)
+        query = ClaimQuery(claim.token, claim.incarnation)
+        try:
+            return await self._bus.request(claim.holder, query, HolderReply, HOLDER_TIMEOUT_S)
+        except PeerError:
+            log.info("event=claim_holder_silent holder=%s token=%s", claim.holder, claim.token)
+            return NO_ANSWER
+
+    async def _on_query(self, _sender: str, query: ClaimQuery) -> HolderReply:
+        if query.incarnation != self._incarnation:
+            return HolderReply(HolderState.GONE)
+        attempt = self._attempt_by_token.get(query.token)
+        if attempt is None:
+            return HolderReply(HolderState.ABANDONED)
+        if not attempt.ended.done():
+            return HolderReply(HolderState.ACTIVE)
+        if attempt.claim.state is ClaimState.DONE:
+            return HolderReply(HolderState.DONE, attempt.claim.answer)
+        return HolderReply(HolderState.UNKNOWN)
+
+    async def _execute(self, attempt: _Attempt, execute: Execute) -> ClaimedAnswer:
+        # The caller may go away; the execution and its record must come to their end.
+        task = asyncio.create_task(self._execute_to_end(attempt, execute))
+        self._keep(task)
+        await asyncio.shield(task)
+        return _answer_of(attempt, replayed=False)
+
+    async def _execute_to_end(self, attempt: _Attempt, execute: Execute) -> None:
+        try:
+            answer = await execute()
+            attempt.claim = replace(attempt.claim, state=ClaimState.DONE, answer=answer)
+        except ComfreyhatchError as error:
+            attempt.error = error
+            not_run = error.ran is Ran.NO
+            state = ClaimState.RELEASED if not_run else ClaimState.UNKNOWN
+            attempt.claim = replace(attempt.claim, state=state)
+        except BaseException as error:
+            attempt.error = RefusedError(
+                "the call ended by a fault", ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN
+            )
+            attempt.claim = replace(attempt.claim, state=ClaimState.UNKNOWN)
+            log.error("event=claimed_call_failed key=%s reason=%r", attempt.key, error)
+            if not isinstance(error, Exception):
+                raise
+        finally:
+            if attempt.claim.state is ClaimState.RELEASED:
+                del self._attempt_by_token[attempt.claim.token]
+            attempt.ended.set_result(None)
+        record = asyncio.create_task(self._record(attempt))
+        self._keep(record)
+        await asyncio.wait([record], timeout=RECORD_WAIT_S)
+
+    async def _record(self, attempt: _Attempt) -> None:
+        """Write the end of an attempt, retrying until it is in the table."""
+        write = settle(attempt.key, attempt.claim, attempt.revision)
+        delay_s = RETRY_FIRST_S
+        while await self._write(write) is WriteOutcome.UNKNOWN:
+            await asyncio.sleep(delay_s)
+            delay_s = min(2 * delay_s, RETRY_MOST_S)
+        # REFUSED means that an earlier try took effect: no other daemon writes this row.
+        self._attempt_by_token.pop(attempt.claim.token, None)
+
+    def _abandon(self, attempt: _Attempt) -> None:
+        """Give up a token for good; its claim may have been written and is released later."""
+        del self._attempt_by_token[attempt.claim.token]
+        if attempt.maybe_written:
+            self._keep(asyncio.create_task(self._release(attempt)))
+
+    async def _release(self, attempt: _Attempt) -> None:
+        delay_s = RETRY_FIRST_S
+        while True:
+            try:
+                write = release(
+                    attempt.key, attempt.claim.token, await self._table.read(attempt.key)
+                )
+                if write is None or await self._write(write) is not WriteOutcome.UNKNOWN:
+                    return
+            except PlatformError:
+                pass
+            await asyncio.sleep(delay_s)
+            delay_s = min(2 * delay_s, RETRY_MOST_S)
+
+    def _keep(self, task: asyncio.Task[None]) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _name_of(decision: Decision) -> str:
+    return decision.code.name if isinstance(decision, Denied) else type(decision).__name__
+
+
+def _refusal(denied: Denied) -> RefusedError:
+    running = denied.code is ResultCode.ALREADY_RUNNING
+    retry_after_s = ALREADY_RUNNING_RETRY_S if running else None
+    message = "this attempt was not dispatched"
+    return RefusedError(message, denied.code, denied.ran, retry_after_s)
+
+
+def _answer_of(attempt: _Attempt, replayed: bool) -> ClaimedAnswer:
+    if attempt.error is not None:
+        raise attempt.error
+    answer = attempt.claim.answer
+    assert answer is not None
+    return ClaimedAnswer(answer, replayed)
--- /dev/null
+++ b/comfreyhatch/domain/request_id.py
@@ -0,0 +1,42 @@
+"""Request ids: the incarnation that accepted a request, the time and a counter."""
+
+from msgspec import Struct
+
+from comfreyhatch.errors import RequestError
+
+MILLISECONDS_PER_S = 1000
+
+
+class RequestId(Struct, frozen=True):
+    """A request id in its parts.
+
+    Attributes:
+        incarnation: Incarnation of the daemon that accepted the request.
+        at_ms: When it was accepted, in milliseconds since the epoch.
+        number: Counter within the incarnation.
+    """
+
+    incarnation: str
+    at_ms: int
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.incarnation}.{self.at_ms:x}.{self.number:x}"
+
+
+def new_request_id(incarnation: str, now_unix_s: float, number: int) -> str:
+    """Return the id of a request accepted now."""
+    return str(RequestId(incarnation, int(now_unix_s * MILLISECONDS_PER_S), number))
+
+
+def parse_request_id(text: str) -> RequestId:
+    """Return the parts of a request id.
+
+    Raises:
+        RequestError: If the text is not a request id.
+    """
+    try:
+        incarnation, at_ms, number = text.rsplit(".", 2)
+        return RequestId(incarnation, int(at_ms, 16), int(number, 16))
+    except ValueError:
+        raise RequestError(f"{text!r} is not a request id") from None
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,397 @@
+"""Claims under every interleaving of lost writes, silent peers, pauses, kills and retries."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.daemon import claims as claims_module
+from comfreyhatch.daemon.claims import ClaimedAnswer, ClaimedCall, Claims
+from comfreyhatch.domain.claim import KeptAnswer, claim_key, decode_claim, kept_answer
+from comfreyhatch.errors import (
+    BackendError,
+    BackendRefusedError,
+    ComfreyhatchError,
+    PeerTimeoutError,
+    PlatformError,
+)
+from comfreyhatch.ports.peers import MemoryNetwork
+from comfreyhatch.ports.table import MemoryTable, Operation, Row, WriteOutcome
+
+DAEMONS = 3
+STEPS = 45
+KEYS = ("order-1", "order-1", "order-2")
+
+
+class Gate:
+    """One pending operation of a daemon, with the ways in which it can end."""
+
+    def __init__(self, daemon: int, fates: dict[str, Callable[[], Any]]) -> None:
+        self.daemon = daemon
+        self.fates = fates
+        self.future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+
+    def end(self, fate: str) -> None:
+        outcome = self.fates[fate]()
+        if self.future.done():
+            return
+        if isinstance(outcome, Exception):
+            self.future.set_exception(outcome)
+        else:
+            self.future.set_result(outcome)
+
+
+class World:
+    """A table, daemons and a witness, whose every step waits for the test's choice."""
+
+    def __init__(self) -> None:
+        self.table = MemoryTable()
+        self.gates: list[Gate] = []
+        self.late: list[Operation] = []
+        self.executions: Counter[tuple[str, str]] = Counter()
+        self.executed_keys: Counter[str] = Counter()
+        self.first_answer: dict[str, bytes] = {}
+        self.dead: set[int] = set()
+        self.calls: list[asyncio.Task[None]] = []
+        network = MemoryNetwork()
+        self.claims = []
+        for index in range(DAEMONS):
+            bus = network.join(f"d{index}")
+            link = GatedLink(self, index)
+            link.forward = bus.request
+            bus.request = link.request  # type: ignore[method-assign, assignment]
+            self.claims.append(Claims(link, bus, f"d{index}", f"d{index}~1"))
+
+    async def gate(self, daemon: int, fates: dict[str, Callable[[], Any]]) -> Any:
+        gate = Gate(daemon, fates)
+        self.gates.append(gate)
+        return await gate.future
+
+    def apply_late(self, operation: Operation) -> WriteOutcome:
+        self.late.append(operation)
+        return WriteOutcome.UNKNOWN
+
+    def apply_lost(self, operation: Operation) -> WriteOutcome:
+        self.table.commit_now([operation])
+        return WriteOutcome.UNKNOWN
+
+    def execute(self, key: str, digest: str) -> KeptAnswer:
+        self.executions[key, digest] += 1
+        self.executed_keys[key] += 1
+        assert self.executed_keys[key] == 1, f"{key} ran twice"
+        body = f"{key} {digest}".encode()
+        self.first_answer[key] = body
+        return KeptAnswer(200, "text/plain", body)
+
+    def execute_and_break(self, key: str, digest: str) -> BackendError:
+        self.execute(key, digest)
+        return BackendError("the answer was cut")
+
+    async def call(self, daemon: int, key: str, digest: str, first: bool) -> None:
+        ran_before = self.executions[key, digest]
+        own: list[str] = []
+
+        async def execute() -> KeptAnswer:
+            fates: dict[str, Callable[[], Any]] = {
+                "ok": lambda: self.execute(key, digest),
+                "refused": lambda: BackendRefusedError("busy"),
+                "broken": lambda: self.execute_and_break(key, digest),
+            }
+            own.append(key)
+            answer: KeptAnswer = await self.gate(daemon, fates)
+            return answer
+
+        try:
+            call = ClaimedCall("trackline", key, digest, first)
+            result = await self.claims[daemon].run(call, execute)
+            assert result.answer.body == self.first_answer[key]
+        except ComfreyhatchError as error:
+            if error.ran is Ran.NO:
+                assert ran_before == 0, f"{error.code!r} says not run, but it ran before"
+            if error.ran is Ran.NO and own:
+                assert isinstance(error, BackendRefusedError)
+
+    async def kill(self, daemon: int) -> None:
+        self.dead.add(daemon)
+        self.gates = [gate for gate in self.gates if gate.daemon != daemon]
+        await self.claims[daemon].close()
+
+    async def close(self) -> None:
+        for task in self.calls:
+            task.cancel()
+        await asyncio.gather(*self.calls, return_exceptions=True)
+        for daemon in range(DAEMONS):
+            await self.kill(daemon)
+
+
+class GatedLink:
+    """The table and the bus as one daemon sees them."""
+
+    forward: Callable[..., Awaitable[Any]]
+
+    def __init__(self, world: World, daemon: int) -> None:
+        self._world = world
+        self._daemon = daemon
+
+    async def read(self, key: str) -> Row | None:
+        fates: dict[str, Callable[[], Any]] = {
+            "ok": lambda: self._world.table.row_by_key.get(key),
+            "down": lambda: PlatformError("down"),
+        }
+        row: Row | None = await self._world.gate(self._daemon, fates)
+        return row
+
+    async def commit(self, operations: list[Operation]) -> WriteOutcome:
+        operation = operations[0]
+        fates: dict[str, Callable[[], Any]] = {
+            "ok": lambda: self._world.table.commit_now(operations),
+            "lost": lambda: self._world.apply_lost(operation),
+            "late": lambda: self._world.apply_late(operation),
+            "down": lambda: PlatformError("down"),
+        }
+        outcome: WriteOutcome = await self._world.gate(self._daemon, fates)
+        return outcome
+
+    async def request(self, instance: str, message: Any, reply: type, timeout_s: float) -> Any:
+        fates: dict[str, Callable[[], Any]] = {"go": lambda: None, "lost": lambda: silence}
+        silence = PeerTimeoutError("no reply")
+        await self._world.gate(self._daemon, fates)
+        if int(instance[1:]) in self._world.dead:
+            raise silence
+        return await self.forward(instance, message, reply, timeout_s)
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
+        raise NotImplementedError
+
+
+async def quiesce() -> None:
+    for _ in range(10):
+        await asyncio.sleep(0)
+
+
+async def drive(data: st.DataObject) -> None:
+    world = World()
+    try:
+        await choose_steps(world, data)
+    finally:
+        await world.close()
+
+
+async def choose_steps(world: World, data: st.DataObject) -> None:
+    called: set[str] = set()
+    for _ in range(data.draw(st.integers(5, STEPS))):
+        actions = ["call"] * 2 + ["gate"] * 6 * bool(world.gates) + ["late"] * bool(world.late)
+        actions += ["kill"] * (len(world.dead) < DAEMONS - 1)
+        match data.draw(st.sampled_from(actions)):
+            case "call":
+                live = [d for d in range(DAEMONS) if d not in world.dead]
+                daemon, key = data.draw(st.sampled_from(live)), data.draw(st.sampled_from(KEYS))
+                digest = data.draw(st.sampled_from(["a", "a", "a", "b"]))
+                first = key not in called and data.draw(st.booleans())
+                called.add(key)
+                world.calls.append(asyncio.create_task(world.call(daemon, key, digest, first)))
+            case "gate":
+                gate = world.gates.pop(data.draw(st.integers(0, len(world.gates) - 1)))
+                usual = next(iter(gate.fates))
+                gate.end(data.draw(st.sampled_from([usual] * 3 + sorted(gate.fates))))
+            case "late":
+                late = world.late.pop(data.draw(st.integers(0, len(world.late) - 1)))
+                world.table.commit_now([late])
+            case "kill":
+                live = [d for d in range(DAEMONS) if d not in world.dead]
+                await world.kill(data.draw(st.sampled_from(live)))
+        await quiesce()
+        for task in world.calls:
+            if task.done() and not task.cancelled():
+                task.result()
+
+
+@settings(max_examples=200)
+@given(st.data())
+def test_a_key_runs_at_most_once_and_not_run_is_true(data: st.DataObject) -> None:
+    first, most = claims_module.RETRY_FIRST_S, claims_module.RETRY_MOST_S
+    claims_module.RETRY_FIRST_S = claims_module.RETRY_MOST_S = 0.0
+    try:
+        asyncio.run(drive(data))
+    finally:
+        claims_module.RETRY_FIRST_S, claims_module.RETRY_MOST_S = first, most
+
+
+# Each step starts a call at a daemon or ends a daemon's oldest pending operation.
+SCHEDULES = {
+    "a holder that reads back a lost answer is not abandoned": (
+        "0 call, 0 lost, 1 call, 1 ok, 1 ok, 1 ok, 0 ok, 0 ok, 1 ok, 1 ok"
+    ),
+    "a release spares the claim of another daemon": (
+        "0 call, 0 late, 0 down, 1 call, 1 ok, 0 ok, 0 ok, 2 call, 2 ok, 2 ok, 2 ok, 2 ok, 1 ok"
+    ),
+    "two daemons that hear of an abandoned claim do not both take it over": (
+        "0 call, 0 lost, 0 down, 1 call, 2 call, 1 ok, 2 ok, 1 ok, 2 ok, 1 ok, 2 ok, "
+        "1 ok, 2 ok, 1 ok, 2 ok, 1 ok, 2 ok"
+    ),
+    "an abandoned claim that was written is taken over on its holder's word": (
+        "0 call, 0 lost, 0 down, 1 call, 1 ok, 1 ok, 1 ok, 1 ok, 1 ok, 0 ok, 0 ok"
+    ),
+}
+
+
+@pytest.mark.parametrize("schedule", SCHEDULES.values(), ids=SCHEDULES)
+async def test_schedule_runs_the_key_once(schedule: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(claims_module, "RETRY_FIRST_S", 0.0)
+    world = World()
+    for step in schedule.split(", "):
+        daemon, what = int(step.split()[0]), step.split()[1]
+        pending = [gate for gate in world.gates if gate.daemon == daemon]
+        if what == "call":
+            world.calls.append(asyncio.create_task(world.call(daemon, "order-1", "a", False)))
+        elif pending:
+            world.gates.remove(pending[0])
+            pending[0].end(next(iter(pending[0].fates)) if what == "ok" else what)
+        await quiesce()
+    assert world.executed_keys["order-1"] == 1
+    await world.close()
+
+
+class FlakyTable(MemoryTable):
+    """A table with an outage and lost answers."""
+
+    down = False
+    lose_answers = False
+
+    async def read(self, key: str) -> Row | None:
+        if self.down:
+            raise PlatformError("down")
+        return await super().read(key)
+
+    async def commit(self, operations: list[Operation]) -> WriteOutcome:
+        if self.down:
+            raise PlatformError("down")
+        outcome = await super().commit(operations)
+        return WriteOutcome.UNKNOWN if self.lose_answers else outcome
+
+
+@pytest.fixture
+def table() -> FlakyTable:
+    return FlakyTable()
+
+
+@pytest.fixture
+def network() -> MemoryNetwork:
+    return MemoryNetwork()
+
+
+async def paid() -> KeptAnswer:
+    return kept_answer(200, "application/json", b"paid")
+
+
+async def busy() -> KeptAnswer:
+    raise BackendRefusedError("busy")
+
+
+def make(table: FlakyTable, network: MemoryNetwork, name: str, start: int = 1) -> Claims:
+    return Claims(table, network.join(name), name, f"{name}~{start}")
+
+
+CALL = ClaimedCall("trackline", "deposit-7", "digest")
+
+
+async def denied(awaitable: Awaitable[ClaimedAnswer]) -> ComfreyhatchError:
+    with pytest.raises(ComfreyhatchError) as caught:
+        await awaitable
+    return caught.value
+
+
+async def test_a_repeated_call_gets_its_first_answer_at_another_daemon(
+    table: FlakyTable, network: MemoryNetwork
+) -> None:
+    one, two = make(table, network, "d1"), make(table, network, "d2")
+    table.lose_answers = True
+    assert (await one.run(CALL, paid)).replayed is False
+    again = await two.run(CALL, busy)
+    assert (again.answer.body, again.replayed) == (b"paid", True)
+    other = ClaimedCall("trackline", "deposit-7", "another")
+    assert (await denied(two.run(other, paid))).code is ResultCode.KEY_REUSED
+
+
+async def test_outage_refuses_and_the_claim_is_not_dispatched(
+    table: FlakyTable, network: MemoryNetwork
+) -> None:
+    claims = make(table, network, "d1")
+    table.down = True
+    repeated = await denied(claims.run(CALL, paid))
+    assert (repeated.code, repeated.ran) == (ResultCode.CLAIM_UNAVAILABLE, Ran.UNKNOWN)
+    first = ClaimedCall("trackline", "deposit-8", "digest", first_attempt=True)
+    assert (await denied(claims.run(first, paid))).ran is Ran.NO
+    await claims.close()
+
+
+async def test_a_refusal_releases_the_claim_for_another_daemon(
+    table: FlakyTable, network: MemoryNetwork
+) -> None:
+    one, two = make(table, network, "d1"), make(table, network, "d2")
+    assert (await denied(one.run(CALL, busy))).ran is Ran.NO
+    assert (await two.run(CALL, paid)).answer.body == b"paid"
+
+
+async def test_a_dead_or_restarted_holder_leaves_the_outcome_unknown(
+    table: FlakyTable, network: MemoryNetwork
+) -> None:
+    one, two = make(table, network, "d1"), make(table, network, "d2")
+    held = asyncio.Event()
+
+    async def hang() -> KeptAnswer:
+        held.set()
+        await asyncio.Event().wait()
+        raise AssertionError
+
+    running = asyncio.create_task(one.run(CALL, hang))
+    await held.wait()
+    active = await denied(two.run(CALL, paid))
+    assert (active.code, active.ran) == (ResultCode.ALREADY_RUNNING, Ran.UNKNOWN)
+    network.cut.add(("d2", "d1"))
+    assert (await denied(two.run(CALL, paid))).code is ResultCode.OUTCOME_UNKNOWN
+    network.cut.clear()
+    restarted = make(table, network, "d1", start=2)
+    for claims in (two, restarted):
+        gone = await denied(claims.run(CALL, paid))
+        assert (gone.code, gone.ran) == (ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+    await one.close()
+    await asyncio.gather(running, return_exceptions=True)
+
+
+async def test_the_end_is_recorded_after_an_outage_and_a_lost_caller(
+    table: FlakyTable, network: MemoryNetwork
+) -> None:
+    claims = make(table, network, "d1")
+
+    async def pay_in_outage() -> KeptAnswer:
+        table.down = True
+        caller.cancel()
+        await asyncio.sleep(0)
+        return await paid()
+
+    caller = asyncio.create_task(claims.run(CALL, pay_in_outage))
+    await asyncio.gather(caller, return_exceptions=True)
+    assert await claims.drain(0.01) > 0
+    table.down = False
+    assert await claims.drain(10) == 0
+    row = table.row_by_key[claim_key("trackline", "deposit-7")]
+    answer = decode_claim(row.value).answer
+    assert answer is not None and answer.body == b"paid"
+
+
+async def test_an_answer_too_large_to_keep_is_not_run_again(
+    table: FlakyTable, network: MemoryNetwork
+) -> None:
+    claims = make(table, network, "d1")
+
+    async def large() -> KeptAnswer:
+        return kept_answer(200, "text/plain", b"x" * 70_000)
+
+    await claims.run(CALL, large)
+    assert (await denied(claims.run(CALL, paid))).code is ResultCode.ANSWER_NOT_KEPT
