Count requests, attempts, tokens and cost as metrics

Label sets are bounded: result codes, kinds, directions and the first 50 versions; further versions share one label.

--- /dev/null
+++ b/comfreyhatch/adapters/metrics.py
@@ -0,0 +1,103 @@
+"""Metrics of the daemon in the format of prometheus_client, with bounded label sets."""
+
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.gc_collector import GCCollector
+from prometheus_client.process_collector import ProcessCollector
+
+from comfreyhatch.domain.record import Attempt, RequestRecord
+
+FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.46, 0.6, 1.0, 2.0, 5.0, 15.0)
+DURATION_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0)
+NO_VERSION = "none"
+OTHER_VERSIONS = "other"
+VERSIONS_NAMED = 50
+
+
+class RequestMetrics:
+    """Counts finished requests and their attempts.
+
+    Labels are result codes, kinds and versions; versions beyond a bound share one label, so that
+    no caller or operator can grow the number of series.
+    """
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self._named_versions: set[str] = set()
+        self._requests = Counter(
+            "comfreyhatch_requests", "Requests that ended.", ("kind", "code"), registry=registry
+        )
+        self._attempts = Counter(
+            "comfreyhatch_attempts",
+            "Dispatches to endpoints that ended.",
+            ("version", "code"),
+            registry=registry,
+        )
+        self._tokens = Counter(
+            "comfreyhatch_tokens",
+            "Tokens of answers and prompts.",
+            ("version", "direction"),
+            registry=registry,
+        )
+        self._cost = Counter(
+            "comfreyhatch_cost_micros", "Billed micros.", ("version",), registry=registry
+        )
+        self._first_token = Histogram(
+            "comfreyhatch_first_token_seconds",
+            "Time from acceptance to the first token.",
+            buckets=FIRST_TOKEN_BUCKETS_S,
+            registry=registry,
+        )
+        self._duration = Histogram(
+            "comfreyhatch_request_seconds",
+            "Time from acceptance to the end.",
+            ("kind",),
+            buckets=DURATION_BUCKETS_S,
+            registry=registry,
+        )
+
+    def observe(self, record: RequestRecord) -> None:
+        """Count a finished request."""
+        self._requests.labels(record.kind, str(int(record.code))).inc()
+        self._duration.labels(record.kind).observe(record.duration_s)
+        if record.first_token_s is not None:
+            self._first_token.observe(record.first_token_s)
+        for attempt in record.attempts:
+            self._observe_attempt(attempt)
+
+    def _observe_attempt(self, attempt: Attempt) -> None:
+        version = self._version_label(attempt.version_id)
+        self._attempts.labels(version, str(int(attempt.code))).inc()
+        self._tokens.labels(version, "input").inc(attempt.usage.input_tokens)
+        self._tokens.labels(version, "output").inc(attempt.usage.output_tokens)
+        self._cost.labels(version).inc(attempt.cost_micros)
+
+    def _version_label(self, version_id: str) -> str:
+        if not version_id:
+            return NO_VERSION
+        if version_id in self._named_versions:
+            return version_id
+        if len(self._named_versions) >= VERSIONS_NAMED:
+            return OTHER_VERSIONS
+        self._named_versions.add(version_id)
+        return version_id
+
+
+def add_gauge(
+    registry: CollectorRegistry, name: str, meaning: str, value: Callable[[], float]
+) -> None:
+    """Add a gauge that is read when the metrics are asked for.
+
+    Args:
+        registry: Where to add it.
+        name: Name without the common prefix.
+        meaning: What it shows.
+        value: Gives the present value.
+    """
+    Gauge(f"comfreyhatch_{name}", meaning, registry=registry).set_function(value)
+
+
+def add_process_metrics(registry: CollectorRegistry) -> None:
+    """Add processor time, memory, open files and garbage collection of the process."""
+    ProcessCollector(registry=registry)
+    GCCollector(registry=registry)
--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -13,6 +13,7 @@
 from comfreyhatch.adapters.engine_http import HttpEngine, HttpPlainService
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_server import HttpLimits, HttpServer
+from comfreyhatch.adapters.metrics import RequestMetrics, add_process_metrics
 from comfreyhatch.adapters.platform_http import HttpInstanceList
 from comfreyhatch.adapters.settings import Settings
 from comfreyhatch.adapters.table_http import HttpTable
@@ -58,6 +59,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.incarnation = f"{own.id}-{int(time() * 1000):x}"
         self.registry = CollectorRegistry()
+        self.metrics = RequestMetrics(self.registry)
+        add_process_metrics(self.registry)
         self.changes = ChangeLog(HttpTable(client, platform, settings.platform.timeout_s))
         instances = HttpInstanceList(client, platform)
         self._own = Instance(own.id, Role.DAEMON, own.zone, Address("", 0))
