Keep the configuration newest by relays, and the view by heartbeats

Daemons followed the change log by polling it each and saw each other only through the lagging instance list. Now a roster of the zone lives on heartbeats of constant cost, delegates exchange zone reports, a paused process comes back as a new incarnation, and two relays a zone (one polling, one in reserve) pass the head on through a tree. A confirmation carries the origin's clock and is mapped by a measured lower bound of the clocks' difference, so a notice that waited in a buffer extends no lease. Work is refused at the last moment before the first byte goes out when the configuration has to be confirmed. Edits are one transaction of change row, edit row and head; a lost answer is resolved by the same transaction again. SIGTERM fails readiness, tells peers and list, serves on, and then leaves.

Ruled out: every daemon polling (420 reads/s where 28 do), heartbeats between all zones, taking the time of arrival of a notice as the time of reading. Confirming reports of other zones between two delegates of one zone was tried and kept a lost zone alive for ever; only zones heard directly count.

--- a/comfreyhatch/adapters/engine_http.py
+++ b/comfreyhatch/adapters/engine_http.py
@@ -67,8 +67,15 @@
 class HttpEngine:
     """Client of model engines over HTTP and server-sent events."""
 
-    def __init__(self, client: HttpClient) -> None:
+    def __init__(self, client: HttpClient, work_client: HttpClient | None = None) -> None:
+        """Create a client of endpoints.
+
+        Args:
+            client: For load reports, orders and cancellation.
+            work_client: For requests that the endpoint runs; the same client if None.
+        """
         self._client = client
+        self._work_client = work_client or client
 
     async def generate(
         self, endpoint: Instance, request: GenerateRequest
@@ -85,7 +92,7 @@
         """
         body = encode_json(request)
         try:
-            async with self._client.stream(
+            async with self._work_client.stream(
                 endpoint.address,
                 "POST",
                 "/generate",
@@ -144,8 +151,15 @@
 class HttpPlainService:
     """Client of plain services over HTTP."""
 
-    def __init__(self, client: HttpClient) -> None:
+    def __init__(self, client: HttpClient, work_client: HttpClient | None = None) -> None:
+        """Create a client of endpoints.
+
+        Args:
+            client: For load reports, orders and cancellation.
+            work_client: For requests that the endpoint runs; the same client if None.
+        """
         self._client = client
+        self._work_client = work_client or client
 
     async def call(
         self, endpoint: Instance, request: ServiceRequest, timeout_s: float
@@ -162,7 +176,7 @@
         try:
             # A pooled connection may have been closed by the service without our knowing, which
             # would make the outcome of a call that cannot be repeated unknown.
-            reply = await self._client.request(
+            reply = await self._work_client.request(
                 endpoint.address,
                 request.method,
                 request.path,
--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -1,7 +1,7 @@
 """An HTTP/1.1 client on h11 with a pool of connections, one request on each at a time."""
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 
 import h11
@@ -149,7 +149,14 @@
 class HttpClient:
     """Sends requests; owns its connections."""
 
-    def __init__(self) -> None:
+    def __init__(self, before_send: Callable[[], None] | None = None) -> None:
+        """Create a client.
+
+        Args:
+            before_send: Called when a connection is open, just before the first byte is
+                written; what it raises ends the request with nothing sent.
+        """
+        self._before_send = before_send
         self._idle_by_address: dict[Address, list[_Link]] = {}
 
     async def request(
@@ -214,6 +221,8 @@
         kept = False
         try:
             headers = {"host": str(address), **(header_by_name or {})}
+            if self._before_send:
+                self._before_send()
             _write_request(link, method, target, body, headers)
             head = await link.next_event(timeout_s)
             while isinstance(head, h11.InformationalResponse):
--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -116,6 +116,7 @@
         self._server: asyncio.Server | None = None
         self._task_by_connection: dict[_Connection, asyncio.Task[None]] = {}
         self._closing = False
+        self._draining = False
 
     async def start(self, host: str, port: int) -> Address:
         """Listen on an address; port 0 takes a free one.
@@ -127,6 +128,10 @@
         bound_host, bound_port = self._server.sockets[0].getsockname()[:2]
         return Address(bound_host, bound_port)
 
+    def drain(self) -> None:
+        """Go on serving, but close each connection after its next answer."""
+        self._draining = True
+
     async def stop(self, grace_s: float) -> None:
         """Close the listener, let running requests end, then close what is left."""
         self._closing = True
@@ -155,7 +160,7 @@
         assert task is not None
         self._task_by_connection[connection] = task
         try:
-            await connection.serve(lambda: self._closing)
+            await connection.serve(lambda: self._closing or self._draining)
         except (ConnectionError, TimeoutError, h11.ProtocolError) as error:
             log.debug("event=connection_closed reason=%r", error)
         except asyncio.CancelledError:
--- a/comfreyhatch/adapters/settings.py
+++ b/comfreyhatch/adapters/settings.py
@@ -116,6 +116,18 @@
     level: Literal["debug", "info", "warning", "error"] = "info"
 
 
+class ShutdownSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """The planned stop on SIGTERM.
+
+    Attributes:
+        balancer_s: Time for the balancer to let go after the readiness check fails, in seconds.
+        grace_s: Time for running requests to end after that, in seconds.
+    """
+
+    balancer_s: Annotated[float, Meta(ge=0, le=600)] = 5.0
+    grace_s: Annotated[float, Meta(ge=0, le=3600)] = 60.0
+
+
 class Settings(Struct, frozen=True, forbid_unknown_fields=True):
     """All settings, by section."""
 
@@ -127,6 +139,7 @@
     fleet: FleetSettings = field(default_factory=FleetSettings)
     logs: LogSettings = field(default_factory=LogSettings)
     limits: HttpLimits = field(default_factory=HttpLimits)
+    shutdown: ShutdownSettings = field(default_factory=ShutdownSettings)
 
 
 def load_settings(path: Path) -> Settings:
--- a/comfreyhatch/daemon/callers.py
+++ b/comfreyhatch/daemon/callers.py
@@ -1,6 +1,6 @@
 """The callers' listener: parses requests, finds the contract, writes answers."""
 
-from collections.abc import AsyncGenerator, AsyncIterator, Callable
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 from contextlib import aclosing
 from hashlib import sha256
 from itertools import count
@@ -130,6 +130,7 @@
         router: Router,
         services: ServiceRouter,
         config: Callable[[], FleetConfig],
+        latest: Callable[[], Awaitable[FleetConfig]],
         ready: Callable[[], bool],
     ) -> None:
         self._instance_id = instance_id
@@ -137,6 +138,7 @@
         self._router = router
         self._services = services
         self._config = config
+        self._latest = latest
         self._ready = ready
         self._sequence = count(1)
 
@@ -153,7 +155,7 @@
     async def _route(self, request: HttpRequest, request_id: str) -> HttpResponse:
         if not self._ready():
             raise NotReadyError("the instance has no configuration yet", retry_after_s=1)
-        config = self._config()
+        config = await self._latest()
         contract = authenticate(request, config)
         if request.path == CHAT_PATH:
             _require_method(request, ("POST",))
--- a/comfreyhatch/daemon/changes.py
+++ b/comfreyhatch/daemon/changes.py
@@ -1,86 +1,138 @@
-"""The change log in the platform's table, followed by polling."""
+"""The change log: rows in the platform's table, snapshots in its object store."""
 
-import asyncio
 import logging
 from time import time
 
 from msgspec.json import decode, encode
 
-from comfreyhatch.domain.change import Change, ChangeRecord, apply_change, change_config
+from comfreyhatch.decisions.configuration import adopt
+from comfreyhatch.domain.change import Change, ChangeRecord
 from comfreyhatch.domain.fleet import FleetConfig
-from comfreyhatch.errors import ComfreyhatchError, ConflictError
-from comfreyhatch.ports.table import Insert, Operation, Require, Table, Update, WriteOutcome
+from comfreyhatch.ports.objects import ObjectStore
+from comfreyhatch.ports.table import Insert, Operation, Row, Table, Update, WriteOutcome
 
-POLL_INTERVAL_S = 0.5
 HEAD_KEY = "head"
+SNAPSHOT_KEY = "snapshot"
+CHANGE_PREFIX = "change/"
+PAGE_ROWS = 500
+SNAPSHOT_INTERVAL = 100
 
 log = logging.getLogger("comfreyhatch.configuration")
 
 
 def change_key(revision: int) -> str:
     """Return the table key of a change."""
-    return f"change/{revision:012d}"
+    return f"{CHANGE_PREFIX}{revision:012d}"
+
+
+def edit_key(edit_id: str) -> str:
+    """Return the table key that tells which revision an edit made."""
+    return f"edit/{edit_id}"
+
+
+def snapshot_key(revision: int) -> str:
+    """Return the object key of a snapshot."""
+    return f"config/{revision:012d}"
 
 
 class ChangeLog:
-    """Holds the configuration in force and commits changes."""
+    """Reads and writes the change log; keeps nothing."""
 
-    def __init__(self, table: Table) -> None:
+    def __init__(self, table: Table, objects: ObjectStore) -> None:
         self._table = table
-        self.config = FleetConfig()
-        self.records: list[ChangeRecord] = []
+        self._objects = objects
+
+    async def head(self) -> int:
+        """Return the newest accepted revision.
+
+        Raises:
+            PlatformError: If the table does not answer.
+        """
+        return _revision_of(await self._table.read(HEAD_KEY))
 
-    async def run(self) -> None:
-        """Follow the log until cancelled."""
+    async def records_after(self, revision: int) -> list[ChangeRecord]:
+        """Return all changes after a revision, in order.
+
+        Raises:
+            PlatformError: If the table does not answer.
+        """
+        records: list[ChangeRecord] = []
         while True:
-            try:
-                await self.refresh()
-            except ComfreyhatchError as error:
-                log.warning("event=change_log_unavailable reason=%r", str(error))
-            await asyncio.sleep(POLL_INTERVAL_S)
-
-    async def refresh(self) -> None:
-        """Adopt all changes that follow the configuration in force."""
-        rows = await self._table.scan("change/", after=change_key(self.config.revision))
-        for row in rows:
-            record = decode(row.value, type=ChangeRecord)
-            self.config = apply_change(self.config, record)
-            self.records.append(record)
-            log.info("event=change_adopted revision=%d", record.revision)
-
-    async def history(self, after: int, limit: int) -> list[ChangeRecord]:
-        """Return the changes that follow a revision, in order.
+            page = await self.page(records[-1].revision if records else revision, PAGE_ROWS)
+            records += page
+            if len(page) < PAGE_ROWS:
+                return records
+
+    async def page(self, after: int, limit: int) -> list[ChangeRecord]:
+        """Return changes after a revision, in order, up to a number.
 
         Raises:
             PlatformError: If the table does not answer.
         """
-        rows = await self._table.scan("change/", change_key(after), limit)
+        rows = await self._table.scan(CHANGE_PREFIX, after=change_key(after), limit=limit)
         return [decode(row.value, type=ChangeRecord) for row in rows]
 
-    async def apply(self, change: Change, edit_id: str, author: str) -> int:
-        """Commit a change and return its revision.
+    async def load(self) -> FleetConfig:
+        """Return the newest configuration, from the last snapshot and the changes after it.
+
+        Raises:
+            PlatformError: If the platform does not answer.
+        """
+        config = FleetConfig()
+        revision = _revision_of(await self._table.read(SNAPSHOT_KEY))
+        if revision:
+            value = await self._objects.get(snapshot_key(revision))
+            config = decode(value, type=FleetConfig) if value else config
+        return adopt(config, await self.records_after(config.revision))
+
+    async def find_edit(self, edit_id: str) -> int:
+        """Return the revision that an edit made, or 0.
 
         Raises:
-            ChangeError: If the change does not fit.
-            ConflictError: If another change came first.
             PlatformError: If the table does not answer.
         """
-        await self.refresh()
-        change_config(self.config, change)
-        revision = self.config.revision + 1
-        record = ChangeRecord(revision, edit_id, author, time(), change)
+        return _revision_of(await self._table.read(edit_key(edit_id)))
+
+    async def commit(
+        self, change: Change, edit_id: str, author: str, revision: int
+    ) -> WriteOutcome:
+        """Try to make a change the given revision, in one transaction with the head.
+
+        Raises:
+            PlatformError: If it is certain that nothing was written.
+        """
         head = await self._table.read(HEAD_KEY)
-        value = b"%d" % revision
+        if _revision_of(head) != revision - 1:
+            return WriteOutcome.REFUSED
+        record = ChangeRecord(revision, edit_id, author, time(), change)
+        number = b"%d" % revision
         operations: list[Operation] = [
-            Update(HEAD_KEY, value, head.revision) if head else Insert(HEAD_KEY, value),
-            Require(change_key(revision + 1), 0),
+            Update(HEAD_KEY, number, head.revision) if head else Insert(HEAD_KEY, number),
             Insert(change_key(revision), encode(record)),
+            Insert(edit_key(edit_id), number),
         ]
-        outcome = await self._table.commit(operations)
-        await self.refresh()
-        if outcome is not WriteOutcome.DONE and not self._holds(revision, edit_id):
-            raise ConflictError(f"revision {revision} was taken by another change")
-        return revision
-
-    def _holds(self, revision: int, edit_id: str) -> bool:
-        return any(r.revision == revision and r.edit_id == edit_id for r in self.records)
+        return await self._table.commit(operations)
+
+    async def store_snapshot(self, config: FleetConfig) -> None:
+        """Store a snapshot if one is due; harmless when several daemons do.
+
+        Raises:
+            PlatformError: If the platform does not answer.
+        """
+        row = await self._table.read(SNAPSHOT_KEY)
+        if config.revision < _revision_of(row) + SNAPSHOT_INTERVAL:
+            return
+        if (
+            await self._objects.put_if_absent(snapshot_key(config.revision), encode(config))
+            is WriteOutcome.UNKNOWN
+        ):
+            return
+        number = b"%d" % config.revision
+        await self._table.commit(
+            [Update(SNAPSHOT_KEY, number, row.revision) if row else Insert(SNAPSHOT_KEY, number)]
+        )
+        log.info("event=snapshot_stored revision=%d", config.revision)
+
+
+def _revision_of(row: Row | None) -> int:
+    return int(row.value) if row else 0
--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Coroutine
 from random import Random
-from time import time
+from time import monotonic, time
 from typing import Any
 
 from msgspec import Struct
@@ -14,23 +14,28 @@
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_server import HttpLimits, HttpServer
 from comfreyhatch.adapters.metrics import RequestMetrics, add_process_metrics
+from comfreyhatch.adapters.objects_http import HttpObjectStore
+from comfreyhatch.adapters.peer_bus import NngBus
 from comfreyhatch.adapters.platform_http import HttpInstanceList
 from comfreyhatch.adapters.settings import Settings
 from comfreyhatch.adapters.table_http import HttpTable
 from comfreyhatch.daemon.callers import CallerHandler
 from comfreyhatch.daemon.changes import ChangeLog
+from comfreyhatch.daemon.configuration import ConfigurationKeeper
 from comfreyhatch.daemon.directory import Directory
 from comfreyhatch.daemon.dispatcher import Dispatcher
+from comfreyhatch.daemon.editor import Editor
 from comfreyhatch.daemon.fleet_state import FleetReporter
 from comfreyhatch.daemon.forwarding import ForwardedWork, Forwarder
+from comfreyhatch.daemon.membership import Membership
 from comfreyhatch.daemon.operators import OperatorHandler
 from comfreyhatch.daemon.pool import EndpointPool
 from comfreyhatch.daemon.records import RecordBook
 from comfreyhatch.daemon.router import Router
 from comfreyhatch.daemon.services import ServiceRouter
+from comfreyhatch.daemon.shutdown import Shutdown
 from comfreyhatch.domain.instance import Address, Instance, Role
-
-STOP_GRACE_S = 30.0
+from comfreyhatch.ports.peers import Member
 
 log = logging.getLogger("comfreyhatch.daemon")
 
@@ -50,34 +55,51 @@
         own = settings.instance
         rng = Random(seed)
         client = HttpClient()
-        engine = HttpEngine(client)
-        service = HttpPlainService(client)
+        work_client = HttpClient(self._require_fresh)
+        engine = HttpEngine(client, work_client)
+        service = HttpPlainService(client, work_client)
         platform = settings.platform.address
         self._settings = settings
         self.zone = own.zone
-        self._client = client
+        self._clients = (client, work_client)
         self._tasks: list[asyncio.Task[None]] = []
         self.incarnation = f"{own.id}-{int(time() * 1000):x}"
         self.registry = CollectorRegistry()
         self.metrics = RequestMetrics(self.registry)
         add_process_metrics(self.registry)
-        self.changes = ChangeLog(HttpTable(client, platform, settings.platform.timeout_s))
         instances = HttpInstanceList(client, platform)
         self._own = Instance(own.id, Role.DAEMON, own.zone, Address("", 0))
         self.directory = Directory(instances, self._own)
-        self.pool = EndpointPool(self.directory, own.zone, engine, service)
+        self.bus = NngBus(own.id, (key,))
+        table = HttpTable(client, platform, settings.platform.timeout_s)
+        changes = ChangeLog(table, HttpObjectStore(client, platform))
+        nowhere = Address("", 0)
+        member = Member(own.id, self.incarnation, own.zone, nowhere, nowhere)
+        seeds = tuple(settings.peers.seed_addresses)
+        self.membership = Membership(self.bus, member, seeds, lambda: self.directory.members)
+        self.keeper = ConfigurationKeeper(changes, self.bus, self.membership, rng=rng)
+        self.changes = Editor(changes, self.keeper, self.membership)
+        self.pool = EndpointPool(
+            self.directory, lambda: self.membership.view, own.zone, engine, service
+        )
         self.records = RecordBook()
-        dispatcher = Dispatcher(
-            own.id, self.pool, engine, service, lambda: self.changes.config, rng
+        dispatcher = Dispatcher(own.id, self.pool, engine, service, self.keeper.admit, rng)
+        forwarder = Forwarder(
+            own.id, own.zone, key, lambda: self.membership.view, rng, self._require_fresh
         )
-        forwarder = Forwarder(own.id, own.zone, key, lambda: self.directory.view, rng)
         router = Router(dispatcher, forwarder, self.records, lambda: self.changes.config)
         services = ServiceRouter(dispatcher, forwarder, self.records, lambda: self.changes.config)
         callers = CallerHandler(
-            own.id, self.incarnation, router, services, lambda: self.changes.config, self.ready
+            own.id,
+            self.incarnation,
+            router,
+            services,
+            lambda: self.keeper.config,
+            self.keeper.latest,
+            lambda: self.keeper.ready,
         )
         self.reporter = FleetReporter(
-            own.id, own.zone, self.changes, self.directory, self.pool, self.ready
+            own.id, own.zone, self.changes, self.membership, self.directory, self.pool, self.ready
         )
         operators = OperatorHandler(
             self.changes, self.records, self.reporter, self.registry, self.ready
@@ -85,18 +107,29 @@
         self._caller_server = HttpServer(callers.handle, settings.limits)
         self._operator_server = HttpServer(operators.handle, HttpLimits())
         self._peer_server = HttpServer(ForwardedWork(dispatcher, key).handle, HttpLimits())
+        self.shutdown = Shutdown(
+            settings.shutdown,
+            self.membership,
+            self.directory,
+            (self._caller_server, self._peer_server),
+        )
 
     def ready(self) -> bool:
         """Return whether the daemon may take requests."""
-        return self.changes.config.revision > 0
+        return self.keeper.ready and not self.shutdown.leaving
+
+    def _require_fresh(self) -> None:
+        self.keeper.require_fresh(monotonic())
 
     async def start(self) -> Addresses:
         """Start the listeners and the tasks; returns when they run."""
         settings = self._settings
         peers_http = await self._peer_server.start(settings.peers.host, settings.peers.http_port)
-        self.directory.announce_as(peers_http, Address(settings.peers.host, 0))
-        for task in (self.directory.run(), self.changes.run(), self.pool.run()):
-            self._start_task(task)
+        control = await self.bus.start(settings.peers.host, settings.peers.control_port)
+        self.membership.set_addresses(control, peers_http)
+        self.directory.announce_as(peers_http, control)
+        for part in (self.directory, self.membership, self.keeper, self.pool):
+            self._start_task(part.run())
         operators = await self._operator_server.start(
             settings.operators.host, settings.operators.port
         )
@@ -112,15 +145,25 @@
         )
         return addresses
 
+    async def shut_down(self) -> None:
+        """Carry out the planned stop: leave the balancer and the peers first."""
+        await self.shutdown.run()
+        await self._close()
+
     async def stop(self) -> None:
-        """Finish running requests, then stop everything."""
-        await self._caller_server.stop(STOP_GRACE_S)
-        await self._peer_server.stop(STOP_GRACE_S)
+        """Stop without waiting for a balancer; running requests end first."""
+        await self.shutdown.leave()
+        await self.shutdown.finish()
+        await self._close()
+
+    async def _close(self) -> None:
         await self._operator_server.stop(0)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._client.close()
+        await self.bus.stop()
+        for client in self._clients:
+            client.close()
         log.info("event=daemon_stopped instance=%s", self._settings.instance.id)
 
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
--- a/comfreyhatch/daemon/directory.py
+++ b/comfreyhatch/daemon/directory.py
@@ -7,7 +7,7 @@
 
 from comfreyhatch.domain.instance import Address, Instance, Role
 from comfreyhatch.errors import ComfreyhatchError
-from comfreyhatch.ports.peers import Member, View
+from comfreyhatch.ports.peers import Member
 from comfreyhatch.ports.platform import InstanceList
 
 POLL_INTERVAL_S = 0.5
@@ -21,13 +21,18 @@
     def __init__(self, instances: InstanceList, own: Instance) -> None:
         self._instances = instances
         self._own = own
-        self.view = View()
+        self.members: list[Member] = []
         self.endpoint_by_id: dict[str, Instance] = {}
 
     def announce_as(self, address: Address, control: Address) -> None:
         """Set the addresses that this daemon is announced with."""
         self._own = replace(self._own, address=address, control=control)
 
+    async def announce_leaving(self) -> None:
+        """Announce that this daemon is about to go; the list may be unreachable."""
+        self._own = replace(self._own, leaving=True)
+        await self.refresh()
+
     async def run(self) -> None:
         """Refresh until cancelled."""
         while True:
@@ -45,7 +50,7 @@
         self.endpoint_by_id = {
             row.instance_id: row for row in rows if row.role is not Role.DAEMON and not row.leaving
         }
-        self.view = View({row.instance_id: _member(row) for row in rows if _is_live_daemon(row)})
+        self.members = [_member(row) for row in rows if _is_live_daemon(row)]
 
 
 def _is_live_daemon(row: Instance) -> bool:
--- a/comfreyhatch/daemon/dispatcher.py
+++ b/comfreyhatch/daemon/dispatcher.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncGenerator, Callable, Iterator
+from collections.abc import AsyncGenerator, Awaitable, Callable, Iterator
 from contextlib import aclosing, contextmanager
 from random import Random
 from time import monotonic
@@ -11,6 +11,7 @@
 
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.daemon.pool import EndpointLoad, EndpointPool, Slot
+from comfreyhatch.decisions.configuration import Use
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.instance import Instance
 from comfreyhatch.domain.version import VersionState
@@ -27,6 +28,7 @@
 
 RESUMES_PER_ANSWER = 2
 RETRY_AFTER_S = 1.0
+REPEATABLE_METHODS = frozenset({"GET", "HEAD"})
 
 log = logging.getLogger("comfreyhatch.dispatch")
 
@@ -40,14 +42,14 @@
         pool: EndpointPool,
         engine: Engine,
         service: PlainService,
-        config: Callable[[], FleetConfig],
+        admit: Callable[[Use], Awaitable[FleetConfig]],
         rng: Random,
     ) -> None:
         self._instance_id = instance_id
         self._pool = pool
         self._engine = engine
         self._service = service
-        self._config = config
+        self._admit = admit
         self._rng = rng
         self._cancels: set[asyncio.Task[None]] = set()
 
@@ -58,7 +60,7 @@
             RefusedError: If no slot is free or the version is withdrawn; it has not run.
             BackendError: If the endpoint failed.
         """
-        config = self._config()
+        config = await self._admit(Use(request.version_id, request.pinned))
         check_version(config, request.version_id)
         with self._slot(request.version_id, config) as slot:
             served = self._served(slot)
@@ -81,13 +83,15 @@
             RefusedError: If no slot is free; it has not run.
             BackendError: If the endpoint failed.
         """
-        with self._slot(name, self._config()) as slot:
+        repeatable = request.method in REPEATABLE_METHODS
+        use = Use("", repeatable=repeatable, claimed=request.claimed)
+        with self._slot(name, await self._admit(use)) as slot:
             answer = await self._service.call(slot.endpoint, request, timeout_s)
             return answer, self._served(slot)
 
-    def serves(self, wanted: str) -> bool:
+    def serves(self, wanted: str, config: FleetConfig) -> bool:
         """Return whether the zone has an endpoint for a version or a plain service."""
-        return bool(self._pool.candidates(wanted, self._config(), monotonic()))
+        return bool(self._pool.candidates(wanted, config, monotonic()))
 
     @contextmanager
     def _slot(self, wanted: str, config: FleetConfig) -> Iterator[Slot]:
@@ -126,6 +130,10 @@
                         yield chunk
                         offset = chunk.offset + len(chunk.tokens)
                 return
+            except RefusedError as error:
+                if offset == request.resume_offset:
+                    raise
+                raise AnswerBrokenError(f"the answer cannot be resumed: {error}") from error
             except AnswerBrokenError as error:
                 if offset == request.resume_offset or resume == RESUMES_PER_ANSWER:
                     raise
--- a/comfreyhatch/daemon/fleet_state.py
+++ b/comfreyhatch/daemon/fleet_state.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Callable
 
-from comfreyhatch.daemon.changes import ChangeLog
 from comfreyhatch.daemon.directory import Directory
+from comfreyhatch.daemon.editor import Editor
+from comfreyhatch.daemon.membership import Membership
 from comfreyhatch.daemon.pool import EndpointPool
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.instance import Instance, Role
@@ -32,7 +33,8 @@
         self,
         instance_id: str,
         zone: str,
-        changes: ChangeLog,
+        changes: Editor,
+        membership: Membership,
         directory: Directory,
         pool: EndpointPool,
         ready: Callable[[], bool],
@@ -40,6 +42,7 @@
         self._instance_id = instance_id
         self._zone = zone
         self._changes = changes
+        self._membership = membership
         self._directory = directory
         self._pool = pool
         self._ready = ready
@@ -67,19 +70,16 @@
             budgets=tuple(self._budgets(config)),
         )
 
-    def in_force(self, revision: int) -> InForce:
+    async def in_force(self, revision: int) -> InForce:
         """Return which live instances have confirmed a revision."""
-        instances = [instance for instance in self._instances() if not instance.leaving]
-        confirmed = [i.instance_id for i in instances if i.revision >= revision]
-        unconfirmed = [i.instance_id for i in instances if i.revision < revision]
-        return InForce(revision, tuple(confirmed), tuple(unconfirmed))
+        return await self._changes.in_force(revision)
 
     def _instances(self) -> list[InstanceState]:
         found = {
             member.instance_id: InstanceState(
                 member.instance_id, member.zone, member.revision, member.leaving
             )
-            for member in self._directory.view.member_by_id.values()
+            for member in self._membership.view.member_by_id.values()
         }
         found[self._instance_id] = InstanceState(
             self._instance_id, self._zone, self._changes.config.revision, False
--- a/comfreyhatch/daemon/forwarding.py
+++ b/comfreyhatch/daemon/forwarding.py
@@ -57,8 +57,8 @@
 class SigningClient(HttpClient):
     """Signs each request's body with the fleet's key."""
 
-    def __init__(self, key: bytes) -> None:
-        super().__init__()
+    def __init__(self, key: bytes, before_send: Callable[[], None] | None = None) -> None:
+        super().__init__(before_send)
         self._key = key
 
     def stream(
@@ -80,13 +80,19 @@
     """Sends requests to daemons of other zones."""
 
     def __init__(
-        self, own_id: str, zone: str, key: bytes, view: Callable[[], View], rng: Random
+        self,
+        own_id: str,
+        zone: str,
+        key: bytes,
+        view: Callable[[], View],
+        rng: Random,
+        before_send: Callable[[], None] | None = None,
     ) -> None:
         self._own_id = own_id
         self._zone = zone
         self._view = view
         self._rng = rng
-        self._client = SigningClient(key)
+        self._client = SigningClient(key, before_send)
         self._engine = HttpEngine(self._client)
 
     def members(self, config: FleetConfig) -> list[Member]:
--- a/comfreyhatch/daemon/main.py
+++ b/comfreyhatch/daemon/main.py
@@ -38,7 +38,7 @@
         loop.add_signal_handler(number, stopping.set)
     await daemon.start()
     await stopping.wait()
-    await daemon.stop()
+    await daemon.shut_down()
 
 
 def main() -> None:
--- a/comfreyhatch/daemon/operators.py
+++ b/comfreyhatch/daemon/operators.py
@@ -9,7 +9,7 @@
 
 from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse, json_response
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.daemon.changes import ChangeLog
+from comfreyhatch.daemon.editor import Editor
 from comfreyhatch.daemon.fleet_state import FleetReporter
 from comfreyhatch.daemon.records import RecordBook
 from comfreyhatch.decisions.burn import BurnCount, BurnCounts
@@ -17,7 +17,7 @@
 from comfreyhatch.domain.contract import contract_problems
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.record import RequestRecord
-from comfreyhatch.errors import ConflictError, ContractError, NotReadyError, RequestError
+from comfreyhatch.errors import ContractError, NotReadyError, RequestError
 from comfreyhatch.ports.operators import Accepted, Bill, Edit, Health
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -34,7 +34,7 @@
 
     def __init__(
         self,
-        changes: ChangeLog,
+        changes: Editor,
         records: RecordBook,
         reporter: FleetReporter,
         registry: CollectorRegistry,
@@ -83,7 +83,7 @@
         return json_response(self._reporter.state())
 
     async def _in_force(self, request: HttpRequest) -> HttpResponse:
-        return json_response(self._reporter.in_force(_integer(request, "revision", 0)))
+        return json_response(await self._reporter.in_force(_integer(request, "revision", 0)))
 
     async def _config(self, request: HttpRequest) -> HttpResponse:
         revision = _integer(request, "revision", 0)
@@ -118,22 +118,11 @@
             problems = contract_problems(edit.change.contract)
             if problems:
                 raise ContractError("; ".join(problems))
-        await self._check_expected(edit)
-        revision = await self._changes.apply(edit.change, edit.edit_id, edit.author)
+        revision = await self._changes.apply(
+            edit.change, edit.edit_id, edit.author, edit.expected_revision
+        )
         return json_response(Accepted(revision))
 
-    async def _check_expected(self, edit: Edit) -> None:
-        if not edit.expected_revision:
-            return
-        since = await self._changes.history(edit.expected_revision, HISTORY_LIMIT)
-        others = [record for record in since if record.edit_id != edit.edit_id]
-        if others and len(others) == len(since):
-            last = others[-1]
-            raise ConflictError(
-                f"the configuration is at revision {last.revision}, changed by {last.author!r}"
-                f" since revision {edit.expected_revision}; nothing was changed"
-            )
-
     async def _bills(self, request: HttpRequest) -> HttpResponse:
         since = _number(request, "since", 0.0)
         bill_by_customer: dict[str, Bill] = {}
--- a/comfreyhatch/daemon/pool.py
+++ b/comfreyhatch/daemon/pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from msgspec import Struct
 
@@ -10,6 +11,7 @@
 from comfreyhatch.domain.instance import Instance, Role
 from comfreyhatch.errors import ComfreyhatchError
 from comfreyhatch.ports.engine import Engine, LoadReport, PlainService
+from comfreyhatch.ports.peers import View
 
 POLL_INTERVAL_S = 0.25
 
@@ -49,9 +51,15 @@
     """Polls the load of the zone's endpoints and hands out slots."""
 
     def __init__(
-        self, directory: Directory, zone: str, engine: Engine, service: PlainService
+        self,
+        directory: Directory,
+        view: Callable[[], View],
+        zone: str,
+        engine: Engine,
+        service: PlainService,
     ) -> None:
         self._directory = directory
+        self._view = view
         self._zone = zone
         self._engine = engine
         self._service = service
@@ -118,7 +126,7 @@
 
     def _load(self, endpoint: Instance) -> EndpointLoad:
         report = self._report_by_id[endpoint.instance_id]
-        peers = max(1, len(self._directory.view.in_zone(self._zone)))
+        peers = max(1, len(self._view().in_zone(self._zone)))
         in_flight = self._in_flight_by_id.get(endpoint.instance_id, 0)
         return EndpointLoad(endpoint, in_flight, report.bears // peers, report)
 
--- a/comfreyhatch/daemon/router.py
+++ b/comfreyhatch/daemon/router.py
@@ -153,7 +153,7 @@
 
     def _sources(self, version_id: str) -> list[Source]:
         sources = []
-        if self._dispatcher.serves(version_id):
+        if self._dispatcher.serves(version_id, self._config()):
             sources.append(Source("local", self._dispatcher.generate))
         for member in self._forwarder.members(self._config()):
             sources.append(Source(member.instance_id, self._forwarder.opener(member)))
--- a/comfreyhatch/daemon/services.py
+++ b/comfreyhatch/daemon/services.py
@@ -4,7 +4,7 @@
 from time import monotonic
 
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon.dispatcher import Dispatcher
+from comfreyhatch.daemon.dispatcher import REPEATABLE_METHODS, Dispatcher
 from comfreyhatch.daemon.draft import RecordDraft
 from comfreyhatch.daemon.forwarding import Forwarder
 from comfreyhatch.daemon.records import RecordBook
@@ -13,7 +13,6 @@
 from comfreyhatch.ports.engine import Served, ServiceAnswer, ServiceRequest
 from comfreyhatch.ports.peers import Member
 
-REPEATABLE_METHODS = frozenset({"GET", "HEAD"})
 RETRY_AFTER_S = 1.0
 
 
@@ -76,7 +75,7 @@
 
     def _sources(self, name: str) -> list["ServiceSource"]:
         sources: list[ServiceSource] = []
-        if self._dispatcher.serves(name):
+        if self._dispatcher.serves(name, self._config()):
             sources.append(self._local(name))
         return sources + [self._remote(name, m) for m in self._forwarder.members(self._config())]
 
--- a/comfreyhatch/ports/engine.py
+++ b/comfreyhatch/ports/engine.py
@@ -44,6 +44,7 @@
         session: Session, for prefix caching; may be empty.
         resume_offset: First token wanted, when an answer is resumed.
         deadline_s: Time left, in seconds.
+        pinned: Whether the session is on the version already.
     """
 
     request_id: str
@@ -54,6 +55,7 @@
     session: str = ""
     resume_offset: int = 0
     deadline_s: float = 30.0
+    pinned: bool = False
 
 
 class Served(Struct, frozen=True):
@@ -156,6 +158,7 @@
         body: Body.
         content_type: Media type of the body.
         idempotency_key: Key that the service counts executions by; empty for none.
+        claimed: Whether the claim of the key is recorded.
     """
 
     request_id: str
@@ -164,6 +167,7 @@
     body: bytes
     content_type: str = "application/json"
     idempotency_key: str = ""
+    claimed: bool = False
 
 
 class ServiceAnswer(Struct, frozen=True):
--- a/comfreyhatch/ports/peers.py
+++ b/comfreyhatch/ports/peers.py
@@ -13,7 +13,7 @@
 Handler = Callable[[str, Any], Awaitable[Struct | None]]
 
 
-class Member(Struct, frozen=True):
+class Member(Struct, frozen=True, array_like=True):
     """A daemon as its peers see it.
 
     Attributes:
--- a/comfreyhatch/standins/fleet.py
+++ b/comfreyhatch/standins/fleet.py
@@ -138,10 +138,10 @@
 
     async def apply(self, *changes: Change) -> None:
         """Make changes through the first daemon."""
-        changelog = next(iter(self.daemon_by_id.values())).changes
+        editor = next(iter(self.daemon_by_id.values())).changes
         for number, change in enumerate(changes):
-            edit_id = f"local-{changelog.config.revision}-{number}"
-            await changelog.apply(change, edit_id, "local")
+            edit_id = f"local-{editor.config.revision}-{number}"
+            await editor.apply(change, edit_id, "local")
 
     async def until(self, condition: Callable[[], bool], timeout_s: float = 20.0) -> None:
         """Wait until a condition holds.
@@ -185,7 +185,7 @@
         return all(
             daemon.changes.config.revision >= revision
             and len(daemon.directory.endpoint_by_id) >= len(self.engine_by_id)
-            and len(daemon.directory.view.member_by_id) >= len(self.daemon_by_id)
+            and len(daemon.membership.view.member_by_id) >= len(self.daemon_by_id)
             and daemon.pool.polled()
             for daemon in self.daemon_by_id.values()
         )
--- /dev/null
+++ b/tests/keepers.py
@@ -0,0 +1,140 @@
+"""Keepers on an in-memory network, for tests: own clocks, and a table that fails on demand."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from comfreyhatch.daemon.changes import ChangeLog
+from comfreyhatch.daemon.configuration import ConfigurationKeeper
+from comfreyhatch.daemon.editor import Editor
+from comfreyhatch.daemon.membership import Membership
+from comfreyhatch.decisions.configuration import KeeperTiming
+from comfreyhatch.domain.change import Change
+from comfreyhatch.domain.contract import Contract
+from comfreyhatch.domain.instance import Address
+from comfreyhatch.domain.version import Version
+from comfreyhatch.errors import PlatformError
+from comfreyhatch.ports.objects import MemoryObjectStore
+from comfreyhatch.ports.peers import Member, MemoryNetwork
+from comfreyhatch.ports.table import MemoryTable, Operation, Row, WriteOutcome
+
+TIMING = KeeperTiming(ask_timeout_s=0.05)
+STEP_S = 0.1
+
+
+class FaultyTable(MemoryTable):
+    """One daemon's way to a shared table.
+
+    Attributes:
+        down: Whether nothing is answered.
+        faults: For the next commits: "lost" takes effect unanswered, "dropped" is unanswered
+            without effect, "failed" is an error without effect, "ok" works.
+        before_commit: Awaited once, before the next commit.
+    """
+
+    def __init__(self, shared: MemoryTable) -> None:
+        super().__init__()
+        self.row_by_key = shared.row_by_key
+        self.down = False
+        self.faults: list[str] = []
+        self.before_commit: Callable[[], Awaitable[object]] | None = None
+
+    def _check(self) -> None:
+        if self.down:
+            raise PlatformError("the table does not answer")
+
+    async def read(self, key: str) -> Row | None:
+        self._check()
+        return await super().read(key)
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 1000) -> list[Row]:
+        self._check()
+        return await super().scan(prefix, after, limit)
+
+    async def commit(self, operations: list[Operation]) -> WriteOutcome:
+        self._check()
+        hook, self.before_commit = self.before_commit, None
+        if hook:
+            await hook()
+        fault = self.faults.pop(0) if self.faults else "ok"
+        if fault == "failed":
+            raise PlatformError("the table refused the write")
+        outcome = WriteOutcome.UNKNOWN if fault == "dropped" else self.commit_now(operations)
+        return outcome if fault == "ok" else WriteOutcome.UNKNOWN
+
+
+class Node:
+    """One daemon's membership, keeper and editor; its clock is ahead by an offset."""
+
+    def __init__(self, fleet: "Keepers", own: Member, offset_s: float) -> None:
+        bus = fleet.network.join(own.instance_id)
+        self.table = FaultyTable(fleet.table)
+        log = ChangeLog(self.table, fleet.objects)
+
+        def clock() -> float:
+            return fleet.now + offset_s
+
+        self.clock = clock
+        self.membership = Membership(bus, own, (), lambda: fleet.listed, clock=clock)
+        self.keeper = ConfigurationKeeper(log, bus, self.membership, TIMING, clock)
+        self.editor = Editor(log, self.keeper, self.membership, 1.0, clock)
+        self.revisions: list[int] = []
+
+    async def tick(self) -> None:
+        await self.membership.tick()
+        await self.keeper.tick()
+        self.revisions.append(self.keeper.config.revision)
+
+
+class Keepers:
+    """A fleet of nodes; ids are the zone and a number."""
+
+    def __init__(self, *ids: str) -> None:
+        self.now = 1000.0
+        self.network = MemoryNetwork()
+        self.table = MemoryTable()
+        self.objects = MemoryObjectStore()
+        self.listed: list[Member] = []
+        self.node_by_id: dict[str, Node] = {}
+        for instance_id in ids:
+            self.add(instance_id)
+
+    def add(self, instance_id: str) -> Node:
+        number = len(self.node_by_id)
+        address = Address("127.0.0.1", 5000 + number)
+        own = Member(instance_id, f"{instance_id}-1", instance_id[0], address, address)
+        self.listed.append(own)
+        node = self.node_by_id[instance_id] = Node(self, own, 500.0 * number)
+        return node
+
+    async def run(self, seconds: float, *stopped: str) -> None:
+        for _ in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            await asyncio.gather(
+                *(node.tick() for name, node in self.node_by_id.items() if name not in stopped)
+            )
+            for _ in range(6):
+                await asyncio.sleep(0)
+
+    def cut(self, *names: str) -> None:
+        """Cut the links between the named nodes and all others, in both directions."""
+        others = set(self.node_by_id) - set(names)
+        pairs = {(a, b) for a in names for b in others}
+        self.network.cut = pairs | {(b, a) for a, b in pairs}
+
+    def revisions(self) -> dict[str, int]:
+        return {name: node.keeper.config.revision for name, node in self.node_by_id.items()}
+
+
+def version(name: str, share: int = 100, model: str = "coach") -> Version:
+    return Version(model, name, input_price=1, output_price=1, share=share)
+
+
+def contract(customer: str) -> Contract:
+    return Contract(customer=customer)
+
+
+async def make(node: Node, *changes: Change) -> None:
+    """Make changes through a node, one after another."""
+    for change in changes:
+        edit_id = f"{node.membership.own.instance_id}-{node.keeper.config.revision}"
+        await node.editor.apply(change, edit_id, "ann")
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -12,6 +12,7 @@
 KEY_ENV = "COMFREYHATCH_FLEET_KEY"
 START_TIMEOUT_S = 30.0
 EXIT_TIMEOUT_S = 60.0
+NO_BALANCER = "[shutdown]\nbalancer_s = 0\n"
 
 
 class DaemonProcess:
@@ -49,7 +50,8 @@
     settings = folder / f"{instance_id}.ini"
     settings.write_text(
         f"[instance]\nid = {instance_id}\nzone = {zone}\n"
-        f"[platform]\nhost = {platform.host}\nport = {platform.port}\n{extra}"
+        f"[platform]\nhost = {platform.host}\nport = {platform.port}\n"
+        f"{extra or NO_BALANCER}"
     )
     log_path = folder / f"{instance_id}.log"
     with log_path.open("wb") as log:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -72,7 +72,13 @@
 def handler() -> CallerHandler:
     router: Any = OneTokenRouter()
     services: Any = EchoServices()
-    return CallerHandler("entry-a", "entry-a-1", router, services, lambda: CONFIG, lambda: True)
+
+    async def latest() -> FleetConfig:
+        return CONFIG
+
+    return CallerHandler(
+        "entry-a", "entry-a-1", router, services, lambda: CONFIG, latest, lambda: True
+    )
 
 
 @given(
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,251 @@
+"""Membership: the roster's decisions, and tasks that greet, beat, leave and rejoin."""
+
+import asyncio
+from collections.abc import Callable
+
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec.structs import replace
+
+from comfreyhatch.daemon.membership import Membership
+from comfreyhatch.daemon.peer_messages import Beat, Bye
+from comfreyhatch.decisions.membership import (
+    Roster,
+    Timing,
+    ZoneReport,
+    delegates,
+    heartbeat_interval_s,
+    incarnation_digest_of,
+    members_digest,
+)
+from comfreyhatch.decisions.rendezvous import rendezvous_order, tree_children
+from comfreyhatch.domain.instance import Address
+from comfreyhatch.ports.peers import Member, MemoryNetwork
+
+TIMING = Timing()
+ZONE_SIZES = st.integers(1, 40)
+
+
+class Clock:
+    """Monotonic time that tests move."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def member(number: int, zone: str = "a", incarnation: str = "1") -> Member:
+    address = Address("127.0.0.1", 5000 + number)
+    return Member(f"{zone}{number}", incarnation, zone, address, address)
+
+
+operations = st.lists(
+    st.one_of(
+        st.tuples(st.just("hello"), st.integers(1, 5), st.sampled_from("12")),
+        st.tuples(st.just("beat"), st.integers(1, 5), st.sampled_from("12")),
+        st.tuples(st.just("bye"), st.integers(1, 5), st.just("")),
+        st.tuples(st.just("wait"), st.integers(1, 70), st.just("")),
+    ),
+    max_size=60,
+)
+
+
+@given(operations)
+def test_the_view_holds_just_the_peers_heard_within_the_timeout(
+    steps: list[tuple[str, int, str]],
+) -> None:
+    roster, now = Roster(member(0), TIMING), 0.0
+    heard_by_id: dict[str, tuple[float, str]] = {}
+    for kind, number, incarnation in steps:
+        peer = member(number, incarnation=incarnation)
+        name = peer.instance_id
+        if kind == "wait":
+            now += number / 10
+        elif kind == "hello":
+            roster.add(peer, now)
+            heard_by_id[name] = now, incarnation
+        elif kind == "bye":
+            assert roster.remove(name) == (heard_by_id.pop(name, None) is not None)
+        else:
+            known = roster.beat(name, incarnation_digest_of(peer), 1, 7, now)
+            assert known == (heard_by_id.get(name, (0, ""))[1] == incarnation)
+            if known:
+                heard_by_id[name] = now, incarnation
+        roster.expire(now)
+        heard_by_id = {
+            i: (at, inc) for i, (at, inc) in heard_by_id.items() if now - at <= TIMING.timeout_s
+        }
+        seen = {m.instance_id: m.incarnation for m in roster.view(()).in_zone("a")}
+        assert seen == {"a0": "1", **{i: inc for i, (_, inc) in heard_by_id.items()}}
+        assert roster.acknowledged(7) <= set(heard_by_id)
+
+
+@given(ZONE_SIZES)
+def test_heartbeats_cost_the_same_in_any_zone_and_outpace_the_timeout(peers: int) -> None:
+    interval_s = heartbeat_interval_s(peers, TIMING)
+    assert 2 * interval_s < TIMING.timeout_s
+    if peers <= 29:
+        assert peers / interval_s <= TIMING.beats_per_s + 0.01
+
+
+@given(st.sets(st.integers(0, 40), min_size=3), st.data())
+def test_delegates_change_only_when_one_of_them_goes(
+    numbers: set[int], data: st.DataObject
+) -> None:
+    members = [member(number) for number in numbers]
+    chosen = delegates(members, "a")
+    assert len(chosen) == 2
+    gone = data.draw(st.sampled_from(members))
+    left = delegates([m for m in members if m is not gone], "a")
+    assert gone.instance_id not in left
+    assert (left == chosen) == (gone.instance_id not in chosen)
+    leaving = [replace(m, leaving=m is gone) for m in members]
+    assert delegates(leaving, "a") == left
+
+
+@given(st.lists(st.text(max_size=4), min_size=1, max_size=40, unique=True), st.integers(1, 5))
+def test_a_notice_reaches_every_daemon_once_through_the_tree(names: list[str], fan: int) -> None:
+    order = rendezvous_order("key", names)
+    assert sorted(order) == sorted(names) and order == rendezvous_order("key", reversed(names))
+    reached = [order[0]]
+    for name in reached:
+        children = tree_children(order, name, fan)
+        assert len(children) <= fan
+        reached += children
+    assert reached == order
+
+
+def test_an_older_report_never_replaces_a_newer_one_until_the_zone_is_silent() -> None:
+    roster = Roster(member(0), TIMING)
+    new, old = ZoneReport("b", 20, (member(1, "b"),)), ZoneReport("b", 10, (member(2, "b"),))
+    assert roster.take_report(new, 0.0)
+    assert not roster.take_report(old, 1.0)
+    assert [m.instance_id for m in roster.view(()).in_zone("b")] == ["b1"]
+    assert roster.confirm_zone("b", members_digest(new.members), 5.0)
+    assert roster.expire(5.0 + TIMING.zone_timeout_s) == []
+    assert roster.expire(5.1 + TIMING.zone_timeout_s) == ["b"]
+    assert roster.view([member(3, "b")]).in_zone("b") == []
+    assert roster.take_report(old, 20.0)
+
+
+class Zones:
+    """Memberships on one in-memory network; the first of each zone knows a0 as a seed."""
+
+    def __init__(self, sizes: dict[str, int]) -> None:
+        self.clock = Clock()
+        self.network = MemoryNetwork()
+        self.node_by_id: dict[str, Membership] = {}
+        self.listed: list[Member] = []
+        members = [member(n, zone) for zone, size in sizes.items() for n in range(size)]
+        self.listed = members
+        for own in members:
+            self.add(own)
+
+    def add(self, own: Member) -> Membership:
+        bus = self.network.join(own.instance_id)
+        node = Membership(bus, own, (), lambda: self.listed, TIMING, self.clock)
+        self.node_by_id[own.instance_id] = node
+        return node
+
+    async def run(self, seconds: float, without: str = "") -> None:
+        for _ in range(round(seconds / TIMING.tick_s)):
+            self.clock.now += TIMING.tick_s
+            for name, node in self.node_by_id.items():
+                if name != without:
+                    await node.tick()
+            for _ in range(8):
+                await asyncio.sleep(0)
+
+    def cut(self, separated: Callable[[str, str], bool]) -> None:
+        names = self.node_by_id
+        self.network.cut = {(a, b) for a in names for b in names if separated(a, b)}
+
+    def seen_by(self, name: str) -> set[str]:
+        return set(self.node_by_id[name].view.member_by_id)
+
+
+async def test_all_daemons_see_each_other_and_agree_on_the_digest() -> None:
+    zones = Zones({"a": 4, "b": 3})
+    await zones.run(8)
+    everyone = set(zones.node_by_id)
+    assert all(zones.seen_by(name) == everyone for name in everyone)
+    digests = {node.view_digest for name, node in zones.node_by_id.items() if name[0] == "a"}
+    assert len(digests) == 1
+    assert zones.node_by_id["a0"].acknowledged(digests.pop()) == {"a1", "a2", "a3"}
+
+
+async def test_a_silent_daemon_leaves_the_view_and_one_that_says_bye_at_once() -> None:
+    zones = Zones({"a": 4})
+    await zones.run(3)
+    zones.listed = [m for m in zones.listed if m.instance_id not in ("a3", "a2")]
+    await zones.node_by_id.pop("a2").depart()
+    assert zones.seen_by("a0") == {"a0", "a1", "a3"}
+    await zones.run(TIMING.timeout_s - 1, without="a3")
+    assert "a3" in zones.seen_by("a0")
+    await zones.run(2, without="a3")
+    assert zones.seen_by("a0") == {"a0", "a1"}
+
+
+async def test_leaving_reaches_other_zones_though_only_the_own_zone_is_told() -> None:
+    zones = Zones({"a": 3, "b": 3})
+    await zones.run(8)
+    await zones.node_by_id["a1"].leave()
+    await zones.run(3.5)
+    for name in zones.node_by_id:
+        assert zones.node_by_id[name].view.member_by_id["a1"].leaving, name
+
+
+async def test_zones_that_are_cut_off_lose_each_other_and_meet_again() -> None:
+    zones = Zones({"a": 3, "b": 3})
+    await zones.run(8)
+    zones.cut(lambda a, b: a[0] != b[0])
+    await zones.run(1.5 * TIMING.zone_timeout_s + 4)
+    assert zones.seen_by("a0") == {"a0", "a1", "a2"}
+    assert zones.seen_by("b0") == {"b0", "b1", "b2"}
+    zones.cut(lambda a, b: False)
+    await zones.run(8)
+    assert zones.seen_by("a2") == set(zones.node_by_id)
+
+
+async def test_a_paused_daemon_comes_back_as_a_new_incarnation() -> None:
+    zones = Zones({"a": 3})
+    await zones.run(3)
+    paused = zones.node_by_id["a2"]
+    pauses: list[str] = []
+    paused.on_pause(lambda: pauses.append(paused.own.incarnation))
+    zones.cut(lambda a, b: b == "a2")
+    await zones.run(3, without="a2")
+    zones.cut(lambda a, b: False)
+    # A heartbeat that waited for the process comes before the tick of its own loop.
+    await zones.run(0.5, without="a2")
+    assert pauses == ["1.1"]
+    await zones.run(1)
+    assert zones.node_by_id["a0"].view.member_by_id["a2"].incarnation == "1.1"
+    assert len(pauses) == 1 and zones.seen_by("a2") == {"a0", "a1", "a2"}
+
+
+async def test_attachments_ride_on_heartbeats_and_stay_bounded() -> None:
+    zones = Zones({"a": 2})
+    taken: list[tuple[str, bytes]] = []
+    size = 3
+    for node in zones.node_by_id.values():
+        node.attach("load", lambda: b"x" * size, lambda peer, data: taken.append((peer, data)))
+    await zones.run(2)
+    assert ("a0", b"xxx") in taken and ("a1", b"xxx") in taken
+    taken.clear()
+    size = 10_000
+    await zones.run(2)
+    assert taken == []
+
+
+async def test_messages_of_strangers_change_nothing() -> None:
+    zones = Zones({"a": 2})
+    await zones.run(2)
+    node, view = zones.node_by_id["a0"], zones.node_by_id["a0"].view
+    stranger = zones.network.join("x9")
+    await stranger.send("a0", Beat(1, 99, 5))
+    await stranger.send("a0", Bye())
+    await zones.run(1)
+    assert node.view == view and node.acknowledged(5) == frozenset()
