Plan, test and admit chat requests by what was learned

Cause: the thin path took the cheapest allowed version and refused when slots were full. Requests now run a plan (direct or cascade, escalated before the caller sees a byte), outcomes and ratings feed the version test, quarantine is checked again at the dispatch, and work waits at a gate by priority and deadline. Work that is given up on is answered at once with a jittered Retry-After; work past its deadline is cancelled at the engine.

Ruled out: a cap of 0.5 on the reference share (a version no worse than a replaced one that fails itself was put in quarantine; a test found it); a reserve rounded up at a single slot (nothing but critical work could run on an engine in cold start; the scenario of the cold engine found it).

The baselines are settings: [policy] plans, endpoints, quarantine.

--- a/comfreyhatch/adapters/settings.py
+++ b/comfreyhatch/adapters/settings.py
@@ -10,6 +10,7 @@
 from comfreyhatch.adapters.http_server import HttpLimits
 from comfreyhatch.adapters.ini import example, read_section, read_sections, reference
 from comfreyhatch.domain.instance import Address
+from comfreyhatch.domain.policy import PolicySettings
 from comfreyhatch.errors import SettingsError
 
 FLEET_KEY_LENGTH_BYTES = 16
@@ -140,6 +141,7 @@
     logs: LogSettings = field(default_factory=LogSettings)
     limits: HttpLimits = field(default_factory=HttpLimits)
     shutdown: ShutdownSettings = field(default_factory=ShutdownSettings)
+    policy: PolicySettings = field(default_factory=PolicySettings)
 
 
 def load_settings(path: Path) -> Settings:
--- /dev/null
+++ b/comfreyhatch/daemon/admission.py
@@ -0,0 +1,137 @@
+"""The gate before the zone's slots: requests wait here in order of priority and deadline."""
+
+import asyncio
+from collections.abc import Callable
+from itertools import count
+from math import ceil
+from random import Random
+from time import monotonic
+
+from msgspec import Struct
+
+from comfreyhatch.codes import ResultCode
+from comfreyhatch.decisions.admission import AdmissionQueue, Ticket
+from comfreyhatch.errors import RefusedError
+
+TICK_S = 0.1
+
+
+class Pass(Struct, frozen=True):
+    """Leave to run one request."""
+
+    critical: bool
+    started: float
+
+
+class Gate:
+    """Admits work of one kind; owns its queue.
+
+    Work that is given up on is answered at once, with the time to come back.
+    """
+
+    def __init__(
+        self, slots: Callable[[], int], bound: int, reserved_percent: int, rng: Random
+    ) -> None:
+        """Create a gate.
+
+        Args:
+            slots: Number of slots that this daemon has now.
+            bound: Requests that may wait.
+            reserved_percent: Part of the slots kept for critical work.
+            rng: Seeded source of the jitter.
+        """
+        self._slots = slots
+        self._reserved_percent = reserved_percent
+        self._queue = AdmissionQueue(0, 0, bound)
+        self._rng = rng
+        self._numbers = count(1)
+        self._future_by_number: dict[int, asyncio.Future[None]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait."""
+        return self._queue.waiting
+
+    def free(self, critical: bool) -> bool:
+        """Return whether a request would get a slot at once."""
+        self._resize()
+        return self._queue.waiting == 0 and self._queue.has_slot(critical)
+
+    async def enter(self, critical: bool, priority: int, deadline: float) -> Pass:
+        """Wait for a slot.
+
+        Args:
+            critical: Whether reserved slots may be used.
+            priority: 0 to 9.
+            deadline: Monotonic time by which the answer is wanted, in seconds.
+
+        Raises:
+            RefusedError: If it cannot run in time or makes way for more urgent work.
+        """
+        now = monotonic()
+        self._resize()
+        ticket = Ticket(next(self._numbers), critical, priority, deadline)
+        offer = self._queue.offer(ticket, now)
+        if offer.displaced:
+            self._refuse(offer.displaced, "more urgent work came")
+        if not offer.admitted:
+            raise self._refusal(offer.reason)
+        future = asyncio.get_running_loop().create_future()
+        self._future_by_number[ticket.number] = future
+        self._start_waiting()
+        try:
+            await future
+        except asyncio.CancelledError:
+            self._abandon(ticket, future)
+            raise
+        finally:
+            self._future_by_number.pop(ticket.number, None)
+        return Pass(critical, monotonic())
+
+    def leave(self, admitted: Pass) -> None:
+        """Give the slot back."""
+        self._queue.finish(admitted.critical, monotonic() - admitted.started)
+        self._start_waiting()
+
+    def _abandon(self, ticket: Ticket, future: asyncio.Future[None]) -> None:
+        """Give up the place, or the slot if it was given already."""
+        waited = self._queue.withdraw(ticket.number)
+        if not waited and not future.cancelled() and future.exception() is None:
+            self._queue.finish(ticket.critical, self._queue.service_s)
+        self._start_waiting()
+
+    def _resize(self) -> None:
+        slots = self._slots()
+        self._queue.slots = slots
+        # At least one slot stays open to all work, however few there are.
+        self._queue.reserved = max(0, min(slots - 1, ceil(slots * self._reserved_percent / 100)))
+
+    def _start_waiting(self) -> None:
+        """Start what has a slot, refuse what is late, and come back while work waits."""
+        self._resize()
+        for late in self._queue.expire(monotonic()):
+            self._refuse(late, "the deadline cannot be met")
+        while ticket := self._queue.next():
+            future = self._future_by_number.get(ticket.number)
+            if future is None or future.done():
+                self._queue.finish(ticket.critical, self._queue.service_s)
+                continue
+            future.set_result(None)
+        if self._queue.waiting and self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._start_waiting()
+
+    def _refuse(self, ticket: Ticket, reason: str) -> None:
+        future = self._future_by_number.get(ticket.number)
+        if future and not future.done():
+            future.set_exception(self._refusal(reason))
+
+    def _refusal(self, reason: str) -> RefusedError:
+        retry_after_s = self._queue.retry_after_s(self._rng)
+        return RefusedError(
+            f"no capacity in time: {reason}", ResultCode.OVERLOADED, retry_after_s=retry_after_s
+        )
--- a/comfreyhatch/daemon/callers.py
+++ b/comfreyhatch/daemon/callers.py
@@ -176,7 +176,7 @@
         draft = self._draft(call, contract, "chat", call.task, now)
         chunks = self._router.answer(call, contract, draft)
         first = await anext(chunks)
-        version_id = draft.plan.rsplit(" ", 1)[-1]
+        version_id = draft.served_version
         headers = {REQUEST_ID_HEADER: request_id, "x-version": version_id}
         if call.stream:
             stream = _stream_pieces(request_id, version_id, first, chunks)
--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -16,7 +16,7 @@
 from comfreyhatch.adapters.metrics import RequestMetrics, add_process_metrics
 from comfreyhatch.adapters.objects_http import HttpObjectStore
 from comfreyhatch.adapters.peer_bus import NngBus
-from comfreyhatch.adapters.platform_http import HttpInstanceList
+from comfreyhatch.adapters.platform_http import HttpInstanceList, HttpRatingService
 from comfreyhatch.adapters.settings import Settings
 from comfreyhatch.adapters.table_http import HttpTable
 from comfreyhatch.daemon.callers import CallerHandler
@@ -27,13 +27,18 @@
 from comfreyhatch.daemon.editor import Editor
 from comfreyhatch.daemon.fleet_state import FleetReporter
 from comfreyhatch.daemon.forwarding import ForwardedWork, Forwarder
+from comfreyhatch.daemon.learning import Learner
 from comfreyhatch.daemon.membership import Membership
 from comfreyhatch.daemon.operators import OperatorHandler
+from comfreyhatch.daemon.planner import Planner
 from comfreyhatch.daemon.pool import EndpointPool
+from comfreyhatch.daemon.quarantine import Quarantine
+from comfreyhatch.daemon.ratings import Ratings
 from comfreyhatch.daemon.records import RecordBook
 from comfreyhatch.daemon.router import Router
 from comfreyhatch.daemon.services import ServiceRouter
 from comfreyhatch.daemon.shutdown import Shutdown
+from comfreyhatch.domain.change import WithdrawVersion
 from comfreyhatch.domain.instance import Address, Instance, Role
 from comfreyhatch.ports.peers import Member
 
@@ -53,7 +58,7 @@
 
     def __init__(self, settings: Settings, key: bytes, seed: int | None = None) -> None:
         own = settings.instance
-        rng = Random(seed)
+        rng = Random(seed if seed is not None else settings.policy.seed or None)
         client = HttpClient()
         work_client = HttpClient(self._require_fresh)
         engine = HttpEngine(client, work_client)
@@ -83,12 +88,54 @@
             self.directory, lambda: self.membership.view, own.zone, engine, service
         )
         self.records = RecordBook()
-        dispatcher = Dispatcher(own.id, self.pool, engine, service, self.keeper.admit, rng)
+        self.quarantine = Quarantine(
+            self.incarnation,
+            own.id,
+            lambda: self.changes.config,
+            lambda: self.membership.view,
+            self.bus,
+            enabled=settings.policy.quarantine,
+            withdraw=self._withdraw,
+        )
+        self.ratings = Ratings(
+            HttpRatingService(client, platform),
+            self.incarnation,
+            settings.policy.ratings_per_s,
+            rng,
+            own.id,
+            lambda: self.membership.view,
+            self.bus,
+        )
+        dispatcher = Dispatcher(
+            own.id,
+            self.pool,
+            engine,
+            service,
+            self.keeper.admit,
+            rng,
+            lambda: self.changes.config,
+            settings.policy,
+            self.quarantine.quarantined,
+        )
+        planner = Planner(
+            lambda: self.changes.config, self.ratings, self.quarantine, rng, settings.policy.plans
+        )
+        learner = Learner(planner, self.ratings, self.quarantine, rng)
         forwarder = Forwarder(
             own.id, own.zone, key, lambda: self.membership.view, rng, self._require_fresh
         )
-        router = Router(dispatcher, forwarder, self.records, lambda: self.changes.config)
-        services = ServiceRouter(dispatcher, forwarder, self.records, lambda: self.changes.config)
+        router = Router(
+            dispatcher,
+            forwarder,
+            self.records,
+            lambda: self.changes.config,
+            planner,
+            learner,
+            rng,
+        )
+        services = ServiceRouter(
+            dispatcher, forwarder, self.records, lambda: self.changes.config, rng
+        )
         callers = CallerHandler(
             own.id,
             self.incarnation,
@@ -128,7 +175,14 @@
         control = await self.bus.start(settings.peers.host, settings.peers.control_port)
         self.membership.set_addresses(control, peers_http)
         self.directory.announce_as(peers_http, control)
-        for part in (self.directory, self.membership, self.keeper, self.pool):
+        for part in (
+            self.directory,
+            self.membership,
+            self.keeper,
+            self.pool,
+            self.ratings,
+            self.quarantine,
+        ):
             self._start_task(part.run())
         operators = await self._operator_server.start(
             settings.operators.host, settings.operators.port
@@ -145,6 +199,10 @@
         )
         return addresses
 
+    async def _withdraw(self, version_id: str, edit_id: str) -> None:
+        """Withdraw a version that failed its test."""
+        await self.changes.apply(WithdrawVersion(version_id), edit_id, self._settings.instance.id)
+
     async def shut_down(self) -> None:
         """Carry out the planned stop: leave the balancer and the peers first."""
         await self.shutdown.run()
--- a/comfreyhatch/daemon/dispatcher.py
+++ b/comfreyhatch/daemon/dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import OrderedDict
 from collections.abc import AsyncGenerator, Awaitable, Callable, Iterator
 from contextlib import aclosing, contextmanager
 from random import Random
@@ -10,16 +11,21 @@
 from msgspec.structs import replace
 
 from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.daemon.admission import Gate
 from comfreyhatch.daemon.pool import EndpointLoad, EndpointPool, Slot
 from comfreyhatch.decisions.configuration import Use
+from comfreyhatch.decisions.endpoints import Circuits, EndpointFigures, choose_endpoint
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.instance import Instance
+from comfreyhatch.domain.policy import PolicySettings
+from comfreyhatch.domain.request import Priority
 from comfreyhatch.domain.version import VersionState
-from comfreyhatch.errors import AnswerBrokenError, ComfreyhatchError, RefusedError
+from comfreyhatch.errors import AnswerBrokenError, BackendError, ComfreyhatchError, RefusedError
 from comfreyhatch.ports.engine import (
     Chunk,
     Engine,
     GenerateRequest,
+    LoadReport,
     PlainService,
     Served,
     ServiceAnswer,
@@ -29,6 +35,8 @@
 RESUMES_PER_ANSWER = 2
 RETRY_AFTER_S = 1.0
 REPEATABLE_METHODS = frozenset({"GET", "HEAD"})
+SLOTS_CACHED_S = 0.05
+MAX_SESSIONS = 8192
 
 log = logging.getLogger("comfreyhatch.dispatch")
 
@@ -44,6 +52,9 @@
         service: PlainService,
         admit: Callable[[Use], Awaitable[FleetConfig]],
         rng: Random,
+        config: Callable[[], FleetConfig],
+        policy: PolicySettings = PolicySettings(),
+        quarantined: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self._instance_id = instance_id
         self._pool = pool
@@ -51,28 +62,66 @@
         self._service = service
         self._admit = admit
         self._rng = rng
+        self._config = config
+        self._policy = policy
+        self._quarantined = quarantined
+        self._circuits = Circuits()
+        self._gate = Gate(self._chat_slots, policy.queue, policy.reserved_percent, rng)
+        self._gate_by_service: dict[str, Gate] = {}
+        self._slots = 0
+        self._slots_until = 0.0
+        self._endpoint_by_session: OrderedDict[str, str] = OrderedDict()
+        self._own_at_report_by_id: dict[str, tuple[LoadReport, int]] = {}
         self._cancels: set[asyncio.Task[None]] = set()
 
     async def generate(self, request: GenerateRequest) -> AsyncGenerator[Chunk, None]:
         """Run a request on an endpoint of the zone that serves its version.
 
         Raises:
-            RefusedError: If no slot is free or the version is withdrawn; it has not run.
-            BackendError: If the endpoint failed.
+            RefusedError: If no slot gets free in time or the version takes no new work; it has
+                not run.
+            BackendError: If the endpoint failed or the deadline passed.
         """
-        config = await self._admit(Use(request.version_id, request.pinned))
-        check_version(config, request.version_id)
-        with self._slot(request.version_id, config) as slot:
-            served = self._served(slot)
-            finished = False
-            try:
-                async with aclosing(self._resumed(slot.endpoint, request)) as chunks:
+        deadline = monotonic() + request.deadline_s
+        self._check(self._config(), request.version_id)
+        critical = request.priority >= Priority.CRITICAL
+        admitted = await self._gate.enter(critical, request.priority, deadline)
+        try:
+            config = await self._admit(Use(request.version_id, request.pinned))
+            self._check(config, request.version_id)
+            with self._slot(request.version_id, config, request.session) as slot:
+                async with aclosing(self._run(slot, request, deadline)) as chunks:
                     async for chunk in chunks:
-                        finished = bool(chunk.finish)
-                        yield replace(chunk, served=served) if finished else chunk
-            finally:
-                if not finished:
-                    self._cancel(slot.endpoint, request.request_id)
+                        yield chunk
+        finally:
+            self._gate.leave(admitted)
+
+    def free(self, critical: bool = False) -> bool:
+        """Return whether a chat request would get a slot at once."""
+        return self._gate.free(critical)
+
+    async def _run(
+        self, slot: Slot, request: GenerateRequest, deadline: float
+    ) -> AsyncGenerator[Chunk, None]:
+        """Stream an answer from the endpoint of a slot; what is not finished is cancelled there."""
+        served = self._served(slot)
+        endpoint_id, version_id = slot.endpoint.instance_id, request.version_id
+        finished = False
+        self._circuits.dispatched(endpoint_id, version_id, monotonic())
+        try:
+            request = replace(request, deadline_s=max(0.001, deadline - monotonic()))
+            async with aclosing(self._resumed(slot.endpoint, request)) as chunks:
+                async for chunk in _until(chunks, deadline):
+                    finished = bool(chunk.finish)
+                    yield replace(chunk, served=served) if finished else chunk
+            self._circuits.succeeded(endpoint_id, version_id)
+        except ComfreyhatchError as error:
+            if speaks_against_endpoint(error):
+                self._circuits.failed(endpoint_id, version_id, monotonic())
+            raise
+        finally:
+            if not finished:
+                self._cancel(slot.endpoint, request.request_id)
 
     async def call(
         self, name: str, request: ServiceRequest, timeout_s: float
@@ -80,43 +129,139 @@
         """Call a plain service of the zone once.
 
         Raises:
-            RefusedError: If no slot is free; it has not run.
+            RefusedError: If no slot gets free in time; it has not run.
             BackendError: If the endpoint failed.
         """
         repeatable = request.method in REPEATABLE_METHODS
         use = Use("", repeatable=repeatable, claimed=request.claimed)
-        with self._slot(name, await self._admit(use)) as slot:
+        deadline = monotonic() + timeout_s
+        gate = self._service_gate(name)
+        admitted = await gate.enter(False, Priority.NORMAL, deadline)
+        try:
+            with self._slot(name, await self._admit(use)) as slot:
+                left_s = max(0.001, deadline - monotonic())
+                answer = await self._call_endpoint(slot, name, request, left_s)
+                return answer, self._served(slot)
+        finally:
+            gate.leave(admitted)
+
+    async def _call_endpoint(
+        self, slot: Slot, name: str, request: ServiceRequest, timeout_s: float
+    ) -> ServiceAnswer:
+        endpoint_id = slot.endpoint.instance_id
+        self._circuits.dispatched(endpoint_id, name, monotonic())
+        try:
             answer = await self._service.call(slot.endpoint, request, timeout_s)
-            return answer, self._served(slot)
+        except ComfreyhatchError as error:
+            if speaks_against_endpoint(error):
+                self._circuits.failed(endpoint_id, name, monotonic())
+            raise
+        self._circuits.succeeded(endpoint_id, name)
+        return answer
 
     def serves(self, wanted: str, config: FleetConfig) -> bool:
         """Return whether the zone has an endpoint for a version or a plain service."""
         return bool(self._pool.candidates(wanted, config, monotonic()))
 
     @contextmanager
-    def _slot(self, wanted: str, config: FleetConfig) -> Iterator[Slot]:
+    def _slot(self, wanted: str, config: FleetConfig, session: str = "") -> Iterator[Slot]:
         now = monotonic()
         loads = self._pool.candidates(wanted, config, now)
         if not loads:
             raise RefusedError(f"no endpoint of this zone serves {wanted}", ResultCode.NO_ENDPOINT)
-        slot = self._acquire(loads, now)
+        slot = self._acquire(loads, wanted, session, now)
         if slot is None:
             raise RefusedError(
-                f"all endpoints for {wanted} are at their limits", retry_after_s=RETRY_AFTER_S
+                f"all endpoints for {wanted} are at their limits",
+                retry_after_s=RETRY_AFTER_S * (1 + self._rng.random()),
             )
         try:
             yield slot
         finally:
             self._pool.release(slot, monotonic())
 
-    def _acquire(self, loads: list[EndpointLoad], now: float) -> Slot | None:
-        self._rng.shuffle(loads)
-        for load in sorted(loads, key=relative_load):
-            slot = self._pool.acquire(load.endpoint.instance_id, now)
+    def _acquire(
+        self, loads: list[EndpointLoad], wanted: str, session: str, now: float
+    ) -> Slot | None:
+        """Take a slot of the endpoint chosen, or of another when that one has none left."""
+        figures = [self._figures(load) for load in loads]
+        ids = [f.endpoint_id for f in figures]
+        unhealthy = self._circuits.unhealthy(ids, wanted, now)
+        affine = self._endpoint_by_session.get(session, "") if session else ""
+        uniform = self._policy.endpoints == "uniform"
+        while figures:
+            choice = choose_endpoint(figures, unhealthy, affine, self._rng, uniform)
+            if not choice.endpoint_id:
+                return None
+            slot = self._pool.acquire(choice.endpoint_id, now)
             if slot:
+                self._remember(session, choice.endpoint_id)
                 return slot
+            figures = [f for f in figures if f.endpoint_id != choice.endpoint_id]
         return None
 
+    def _figures(self, load: EndpointLoad) -> EndpointFigures:
+        endpoint_id, report = load.endpoint.instance_id, load.report
+        held = self._own_at_report_by_id.get(endpoint_id)
+        if held is None or held[0] is not report:
+            held = self._own_at_report_by_id[endpoint_id] = (report, load.own_in_flight)
+        return EndpointFigures(
+            endpoint_id,
+            load.own_in_flight,
+            load.share,
+            report.in_flight + report.queued,
+            held[1],
+            report.bears,
+            report.cold,
+        )
+
+    def _remember(self, session: str, endpoint_id: str) -> None:
+        """Note which endpoint caches a session's prefix."""
+        if not session:
+            return
+        self._endpoint_by_session[session] = endpoint_id
+        self._endpoint_by_session.move_to_end(session)
+        while len(self._endpoint_by_session) > MAX_SESSIONS:
+            self._endpoint_by_session.popitem(last=False)
+
+    def _check(self, config: FleetConfig, version_id: str) -> None:
+        """Refuse a version that takes no new work.
+
+        Raises:
+            RefusedError: If it is withdrawn or in quarantine.
+        """
+        check_version(config, version_id)
+        if version_id in self._quarantined():
+            raise RefusedError(
+                f"version {version_id} is in quarantine", ResultCode.NO_HEALTHY_VERSION
+            )
+
+    def _chat_slots(self) -> int:
+        """Return the slots of all engines of the zone, at most a little out of date."""
+        now = monotonic()
+        if now >= self._slots_until:
+            self._slots_until = now + SLOTS_CACHED_S
+            config = self._config()
+            share_by_id = {
+                load.endpoint.instance_id: load.share
+                for version_id in config.version_by_id
+                for load in self._pool.candidates(version_id, config, now)
+            }
+            self._slots = sum(share_by_id.values())
+        return self._slots
+
+    def _service_gate(self, name: str) -> Gate:
+        gate = self._gate_by_service.get(name)
+        if gate is None:
+            gate = self._gate_by_service[name] = Gate(
+                lambda: self._service_slots(name), self._policy.queue, 0, self._rng
+            )
+        return gate
+
+    def _service_slots(self, name: str) -> int:
+        loads = self._pool.candidates(name, self._config(), monotonic())
+        return sum(load.share for load in loads)
+
     async def _resumed(
         self, endpoint: Instance, request: GenerateRequest
     ) -> AsyncGenerator[Chunk, None]:
@@ -172,9 +317,30 @@
         raise RefusedError(f"version {version_id} is withdrawn", ResultCode.VERSION_WITHDRAWN)
 
 
-def relative_load(load: EndpointLoad) -> float:
-    """Return an endpoint's load as a share of what it bears."""
-    return (load.own_in_flight + load.report.queued) / max(1, load.report.bears)
+def speaks_against_endpoint(error: ComfreyhatchError) -> bool:
+    """Return whether an error opens the endpoint's circuit; being full does not."""
+    return error.code is not ResultCode.ENDPOINT_REFUSED
+
+
+async def _until(
+    chunks: AsyncGenerator[Chunk, None], deadline: float
+) -> AsyncGenerator[Chunk, None]:
+    """Give the pieces of an answer until the deadline.
+
+    Raises:
+        BackendError: If the deadline passes first.
+    """
+    try:
+        while True:
+            async with asyncio.timeout_at(deadline):
+                chunk = await anext(chunks)
+            yield chunk
+    except StopAsyncIteration:
+        return
+    except TimeoutError:
+        raise BackendError(
+            "the deadline passed before the end", ResultCode.DEADLINE_EXCEEDED
+        ) from None
 
 
 def refused(error: ComfreyhatchError) -> bool:
--- a/comfreyhatch/daemon/draft.py
+++ b/comfreyhatch/daemon/draft.py
@@ -50,6 +50,7 @@
     first_token_s: float | None = None
     rating: float | None = None
     code: ResultCode = ResultCode.OK
+    served_version: str = ""
 
     def add_attempt(
         self,
--- a/comfreyhatch/daemon/router.py
+++ b/comfreyhatch/daemon/router.py
@@ -3,24 +3,38 @@
 import logging
 from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
+from random import Random
 from time import monotonic
 
 from msgspec import Struct
 
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon.dispatcher import Dispatcher
+from comfreyhatch.daemon.dispatcher import Dispatcher, check_version
 from comfreyhatch.daemon.draft import RecordDraft
 from comfreyhatch.daemon.forwarding import Forwarder
+from comfreyhatch.daemon.learning import AnswerTrace, Learner
+from comfreyhatch.daemon.member_notes import MemberNotes, more_telling
+from comfreyhatch.daemon.planner import Planner
 from comfreyhatch.daemon.records import RecordBook
+from comfreyhatch.decisions.plan import Plan
+from comfreyhatch.decisions.retries import RetryBudget
 from comfreyhatch.domain.contract import Contract
 from comfreyhatch.domain.fleet import FleetConfig
-from comfreyhatch.domain.record import Candidate
 from comfreyhatch.domain.request import ChatRequest, Usage
-from comfreyhatch.domain.version import Version, VersionState, cost_micros
-from comfreyhatch.errors import ComfreyhatchError, RefusedError, RequestError
+from comfreyhatch.domain.version import Version
+from comfreyhatch.errors import ComfreyhatchError, RefusedError
 from comfreyhatch.ports.engine import Chunk, GenerateRequest
 
 RETRY_AFTER_S = 1.0
+MAX_TRIES = 3
+MAX_REPLANS = 2
+UNUSABLE_CODES = (
+    ResultCode.NO_ENDPOINT,
+    ResultCode.NO_HEALTHY_VERSION,
+    ResultCode.VERSION_WITHDRAWN,
+)
+LOCAL = "local"
+ESCALATION_SUFFIX = "-e"
 
 log = logging.getLogger("comfreyhatch.router")
 
@@ -41,7 +55,15 @@
         forwarder: Forwarder,
         records: RecordBook,
         config: Callable[[], FleetConfig],
+        planner: Planner,
+        learner: Learner,
+        rng: Random,
     ) -> None:
+        self._planner = planner
+        self._learner = learner
+        self._rng = rng
+        self._retries = RetryBudget()
+        self._notes = MemberNotes()
         self._dispatcher = dispatcher
         self._forwarder = forwarder
         self._records = records
@@ -60,8 +82,7 @@
         code = ResultCode.INTERNAL
         stored = False
         try:
-            version = self._choose_version(call, contract, draft)
-            async with aclosing(self._attempts(call, version, draft)) as chunks:
+            async with aclosing(self._run_plans(call, contract, draft)) as chunks:
                 async for chunk in chunks:
                     if draft.first_token_s is None:
                         draft.first_token_s = monotonic() - draft.started
@@ -89,54 +110,108 @@
             record.cost_micros,
         )
 
-    def _choose_version(self, call: ChatRequest, contract: Contract, draft: RecordDraft) -> Version:
-        allowed = self._config().allowed_versions(contract)
-        wanted = [v for v in allowed if call.model in ("", v.model, v.version_id)]
-        if not wanted:
-            raise RequestError(
-                f"the contract allows no version of {call.model or 'any model'}",
-                ResultCode.NOT_ALLOWED,
-            )
-        open_versions = [v for v in wanted if v.state is VersionState.ACTIVE] or wanted
-        chosen = min(open_versions, key=lambda v: (v.output_price, v.version_id))
-        draft.clause = f"allowed={','.join(contract.allowed)}"
-        draft.plan = f"direct {chosen.version_id}"
-        draft.grounds = "cheapest allowed version"
-        draft.versions = tuple(
-            Candidate(
-                v.version_id,
-                passed_over="" if v is chosen else "dearer or draining",
-                cost_micros=cost_micros(v, 0, call.max_tokens),
-            )
-            for v in wanted
-        )
-        return chosen
+    async def _run_plans(
+        self, call: ChatRequest, contract: Contract, draft: RecordDraft
+    ) -> AsyncGenerator[Chunk, None]:
+        """Run a plan; when a version turns out not to take work, make another plan."""
+        excluded: set[str] = set()
+        while True:
+            plan = self._planner.plan(call, contract, draft, monotonic(), frozenset(excluded))
+            begun = False
+            try:
+                async with aclosing(self._run_plan(call, contract, plan, draft)) as chunks:
+                    async for chunk in chunks:
+                        begun = True
+                        yield chunk
+                return
+            except ComfreyhatchError as error:
+                unusable = error.code in UNUSABLE_CODES and error.ran is Ran.NO
+                if begun or not unusable or len(excluded) >= MAX_REPLANS:
+                    raise
+                excluded.add(draft.served_version)
 
-    async def _attempts(
-        self, call: ChatRequest, version: Version, draft: RecordDraft
+    async def _run_plan(
+        self, call: ChatRequest, contract: Contract, plan: Plan, draft: RecordDraft
+    ) -> AsyncGenerator[Chunk, None]:
+        """Run the steps of a plan; an answer that rates too low is never seen by the caller."""
+        *cheaper, last = plan.steps
+        for step in cheaper:
+            held = await self._run_held(call, contract, step, draft)
+            if held:
+                draft.served_version = step
+                for chunk in held:
+                    yield chunk
+                return
+        draft.served_version = last
+        run_id = f"{call.request_id}{ESCALATION_SUFFIX}" if cheaper else call.request_id
+        async with aclosing(self._run_version(call, contract, last, run_id, draft)) as chunks:
+            async for chunk in chunks:
+                yield chunk
+
+    async def _run_held(
+        self, call: ChatRequest, contract: Contract, version_id: str, draft: RecordDraft
+    ) -> list[Chunk]:
+        """Return a whole answer that rates high enough, else nothing."""
+        held: list[Chunk] = []
+        try:
+            async with aclosing(
+                self._run_version(call, contract, version_id, call.request_id, draft, rated=False)
+            ) as chunks:
+                held = [chunk async for chunk in chunks]
+        except ComfreyhatchError as error:
+            draft.grounds += f"; {version_id} failed: {error.code.name}"
+            return []
+        text = "".join(token for chunk in held for token in chunk.tokens)
+        version = self._version(version_id)
+        draft.rating = await self._learner.rate_now(call, contract, version, text)
+        if draft.rating is None or draft.rating < contract.quality_target:
+            shown = "no rating" if draft.rating is None else f"rated {draft.rating:.2f}"
+            draft.grounds += f"; escalated: {shown}"
+            return []
+        return held
+
+    async def _run_version(
+        self,
+        call: ChatRequest,
+        contract: Contract,
+        version_id: str,
+        run_id: str,
+        draft: RecordDraft,
+        rated: bool = True,
     ) -> AsyncGenerator[Chunk, None]:
         """Try one source after another until one gives its first chunk."""
+        version = self._version(version_id)
+        self._retries.request_started()
         last: ComfreyhatchError | None = None
-        for source in self._sources(version.version_id):
+        tries = 0
+        for source in self._sources(version_id):
             started = monotonic()
             if started >= call.deadline:
                 raise RefusedError("the deadline has passed", ResultCode.DEADLINE_EXCEEDED)
-            request = _generate_request(call, version, started)
-            begun = False
+            if last and last.ran is not Ran.NO and not self._retries.take():
+                raise last
+            if last and tries >= MAX_TRIES:
+                raise last
+            request = _generate_request(call, version, run_id, started)
+            trace = self._learner.trace(call, version, started)
             try:
                 async with aclosing(source.open(request)) as chunks:
                     async for chunk in chunks:
-                        begun = True
+                        trace.add(chunk, monotonic())
                         if chunk.finish:
-                            usage = chunk.usage or Usage()
-                            draft.add_attempt(version, chunk.served, started, monotonic(), usage)
+                            self._note_end(contract, version, trace, chunk, draft)
+                            if rated:
+                                self._learner.rate_later(call, contract, version, trace)
                         yield chunk
                 return
             except ComfreyhatchError as error:
                 draft.add_attempt(version, None, started, monotonic(), error=error)
-                if begun:
+                self._learner.failed(version, error)
+                if trace.first_at is not None:
                     raise
-                last = error
+                self._notes.refused(source.name, version_id, error, monotonic())
+                last = more_telling(last, error)
+                tries += error.code is not ResultCode.NO_ENDPOINT
                 log.info(
                     "event=attempt_failed request=%s source=%s code=%d reason=%r; trying the next",
                     call.request_id,
@@ -145,24 +220,57 @@
                     str(error),
                 )
         raise last or RefusedError(
-            f"no endpoint serves {version.version_id}",
+            f"no endpoint serves {version_id}",
             ResultCode.NO_ENDPOINT,
             ran=Ran.NO,
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=RETRY_AFTER_S * (1 + self._rng.random()),
         )
 
+    def _note_end(
+        self,
+        contract: Contract,
+        version: Version,
+        trace: AnswerTrace,
+        chunk: Chunk,
+        draft: RecordDraft,
+    ) -> None:
+        now = monotonic()
+        usage = chunk.usage or Usage()
+        draft.add_attempt(version, chunk.served, trace.started, now, usage)
+        self._learner.succeeded(contract, version, trace, now)
+
+    def _version(self, version_id: str) -> Version:
+        """Return a version that takes work now.
+
+        Raises:
+            RefusedError: If it was withdrawn since the plan was made.
+        """
+        config = self._config()
+        check_version(config, version_id)
+        return config.version_by_id[version_id]
+
     def _sources(self, version_id: str) -> list[Source]:
-        sources = []
-        if self._dispatcher.serves(version_id, self._config()):
-            sources.append(Source("local", self._dispatcher.generate))
-        for member in self._forwarder.members(self._config()):
-            sources.append(Source(member.instance_id, self._forwarder.opener(member)))
-        return sources
+        """Return the local slots if any is free, else some peers first and then the local queue."""
+        local = Source(LOCAL, self._dispatcher.generate)
+        serves = self._dispatcher.serves(version_id, self._config())
+        if serves and self._dispatcher.free():
+            return [local, *self._peer_sources(version_id)]
+        return [*self._peer_sources(version_id), *([local] if serves else [])]
+
+    def _peer_sources(self, version_id: str) -> list[Source]:
+        now = monotonic()
+        return [
+            Source(member.instance_id, self._forwarder.opener(member))
+            for member in self._forwarder.members(self._config())
+            if self._notes.worth_asking(member.instance_id, version_id, now)
+        ]
 
 
-def _generate_request(call: ChatRequest, version: Version, now: float) -> GenerateRequest:
+def _generate_request(
+    call: ChatRequest, version: Version, run_id: str, now: float
+) -> GenerateRequest:
     return GenerateRequest(
-        request_id=call.request_id,
+        request_id=run_id,
         version_id=version.version_id,
         messages=call.messages,
         max_tokens=call.max_tokens,
--- a/comfreyhatch/daemon/services.py
+++ b/comfreyhatch/daemon/services.py
@@ -1,19 +1,30 @@
 """The path of a call to a plain service."""
 
+from asyncio import sleep
 from collections.abc import Awaitable, Callable
+from random import Random
 from time import monotonic
 
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.daemon.dispatcher import REPEATABLE_METHODS, Dispatcher
 from comfreyhatch.daemon.draft import RecordDraft
 from comfreyhatch.daemon.forwarding import Forwarder
+from comfreyhatch.daemon.hedging import hedged
+from comfreyhatch.daemon.member_notes import more_telling
 from comfreyhatch.daemon.records import RecordBook
+from comfreyhatch.decisions.retries import (
+    LatencyWindow,
+    RetryBudget,
+    backoff_s,
+    hedge_delay_s,
+)
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.errors import ComfreyhatchError, RefusedError
 from comfreyhatch.ports.engine import Served, ServiceAnswer, ServiceRequest
 from comfreyhatch.ports.peers import Member
 
 RETRY_AFTER_S = 1.0
+MAX_TRIES = 3
 
 
 class ServiceRouter:
@@ -25,7 +36,11 @@
         forwarder: Forwarder,
         records: RecordBook,
         config: Callable[[], FleetConfig],
+        rng: Random,
     ) -> None:
+        self._rng = rng
+        self._retries = RetryBudget()
+        self._times_by_service: dict[str, LatencyWindow] = {}
         self._dispatcher = dispatcher
         self._forwarder = forwarder
         self._records = records
@@ -54,8 +69,40 @@
     async def _attempts(
         self, name: str, request: ServiceRequest, deadline: float, draft: RecordDraft
     ) -> ServiceAnswer:
+        sources = self._sources(name)
+        self._retries.request_started()
+        delay_s = hedge_delay_s(_idempotent(request), self._times(name))
+        if delay_s is not None and sources:
+            attempts = [self._attempt(s, request, deadline, draft) for s in sources[:2]]
+            return await hedged(attempts[0], attempts[-1], delay_s, self._retries.take)
         last: ComfreyhatchError | None = None
-        for source in self._sources(name):
+        tries = 0
+        for source in sources:
+            if last and last.ran is not Ran.NO:
+                if not self._retries.take():
+                    raise last
+                await sleep(backoff_s(tries, self._rng))
+            if last and tries >= MAX_TRIES:
+                raise last
+            try:
+                return await self._attempt(source, request, deadline, draft)()
+            except ComfreyhatchError as error:
+                if not _may_try_again(request, error):
+                    raise
+                last = more_telling(last, error)
+                tries += error.code is not ResultCode.NO_ENDPOINT
+        raise last or RefusedError(
+            f"no endpoint serves {name}",
+            ResultCode.NO_ENDPOINT,
+            retry_after_s=RETRY_AFTER_S * (1 + self._rng.random()),
+        )
+
+    def _attempt(
+        self, source: "ServiceSource", request: ServiceRequest, deadline: float, draft: RecordDraft
+    ) -> Callable[[], Awaitable[ServiceAnswer]]:
+        """Return a function that calls one source and notes the attempt."""
+
+        async def run() -> ServiceAnswer:
             started = monotonic()
             if started >= deadline:
                 raise RefusedError("the deadline has passed", ResultCode.DEADLINE_EXCEEDED)
@@ -63,15 +110,15 @@
                 answer, served = await source(request, deadline - started)
             except ComfreyhatchError as error:
                 draft.add_attempt(None, None, started, monotonic(), error=error)
-                if not _may_try_again(request, error):
-                    raise
-                last = error
-                continue
+                raise
+            self._times(draft.task).add(monotonic() - started)
             draft.add_attempt(None, served, started, monotonic())
             return answer
-        raise last or RefusedError(
-            f"no endpoint serves {name}", ResultCode.NO_ENDPOINT, retry_after_s=RETRY_AFTER_S
-        )
+
+        return run
+
+    def _times(self, name: str) -> LatencyWindow:
+        return self._times_by_service.setdefault(name, LatencyWindow())
 
     def _sources(self, name: str) -> list["ServiceSource"]:
         sources: list[ServiceSource] = []
@@ -89,5 +136,9 @@
 ServiceSource = Callable[[ServiceRequest, float], Awaitable[tuple[ServiceAnswer, Served | None]]]
 
 
+def _idempotent(request: ServiceRequest) -> bool:
+    return request.method in REPEATABLE_METHODS
+
+
 def _may_try_again(request: ServiceRequest, error: ComfreyhatchError) -> bool:
-    return request.method in REPEATABLE_METHODS or error.ran is Ran.NO
+    return _idempotent(request) or error.ran is Ran.NO
--- a/comfreyhatch/decisions/admission.py
+++ b/comfreyhatch/decisions/admission.py
@@ -87,7 +87,7 @@
     def next(self) -> Ticket | None:
         """Start the first ticket that may have a slot."""
         ticket = min(self._waiting.values(), key=Ticket.rank, default=None)
-        if ticket is None or not self._has_slot(ticket.critical):
+        if ticket is None or not self.has_slot(ticket.critical):
             return None
         del self._waiting[ticket.number]
         self._count(ticket.critical, 1)
@@ -109,6 +109,12 @@
         self._count(critical, -1)
         self.service_s += SERVICE_TIME_WEIGHT * (took_s - self.service_s)
 
+    def has_slot(self, critical: bool) -> bool:
+        """Return whether a slot is free for a kind of work."""
+        if self.running >= self.slots:
+            return False
+        return critical or self.running_other < self.slots - self.reserved
+
     def retry_after_s(self, rng: Random) -> float:
         """Return when a refused caller should come back, with jitter."""
         expected = self.service_s * (len(self._waiting) + 1) / max(1, self.slots)
@@ -120,7 +126,7 @@
 
         An estimate is no reason to refuse critical work.
         """
-        if ticket.critical or self._has_slot(False):
+        if ticket.critical or self.has_slot(False):
             return 0.0
         usable = self.slots - self.reserved
         if usable <= 0:
@@ -128,11 +134,6 @@
         ahead = sum(1 for t in self._waiting.values() if t.rank() < ticket.rank())
         return self.service_s * (ahead + 0.5) / usable
 
-    def _has_slot(self, critical: bool) -> bool:
-        if self.running >= self.slots:
-            return False
-        return critical or self.running_other < self.slots - self.reserved
-
     def _count(self, critical: bool, change: int) -> None:
         if critical:
             self.running_critical += change
--- a/comfreyhatch/decisions/plan.py
+++ b/comfreyhatch/decisions/plan.py
@@ -133,6 +133,25 @@
     return ""
 
 
+def choose_by_share(versions: list[Version], point: int) -> list[Version]:
+    """Return one version of each model, by the roll-out shares.
+
+    A share that grows only moves points to the new version, never between old ones.
+
+    Args:
+        versions: Usable versions.
+        point: Place of the session or request, 0 to 99.
+    """
+    chosen: dict[str, Version] = {}
+    newest_first = sorted(versions, key=lambda v: (not v.replaces, v.share, v.version_id))
+    for version in newest_first:
+        if version.model not in chosen and point < version.share:
+            chosen[version.model] = version
+    for version in reversed(newest_first):
+        chosen.setdefault(version.model, version)
+    return sorted(chosen.values(), key=lambda v: v.version_id)
+
+
 def choose_plan(query: PlanQuery, options: list[Option], rng: Random) -> Plan | None:
     """Return the cheapest plan whose lower confidence bound meets the target in time.
 
--- a/comfreyhatch/decisions/quality.py
+++ b/comfreyhatch/decisions/quality.py
@@ -182,6 +182,10 @@
         self._tokens = burst
         self._updated = 0.0
 
+    def set_rate(self, rate_hz: float) -> None:
+        """Change the rate; the burst stays."""
+        self._rate_hz = rate_hz
+
     def take(self, now: float, urgent: bool) -> bool:
         """Return whether a rating may be asked for now, and count it."""
         if not self.available(now, urgent):
--- a/comfreyhatch/domain/version.py
+++ b/comfreyhatch/domain/version.py
@@ -28,6 +28,7 @@
         share: Share of the model's new sessions, in hundredths; below 100 while rolling out.
         replaces: Version id that it takes over from; empty for the first.
         prior_quality: Expected rating before any is known, 0 to 1.
+        trial: Raised by operators to end a quarantine and test the version anew.
     """
 
     model: str
@@ -38,6 +39,7 @@
     share: int = FULL_SHARE
     replaces: str = ""
     prior_quality: float = 0.5
+    trial: int = 0
 
     @property
     def version_id(self) -> str:
