--- /dev/null
+++ b/comfreyhatch/daemon/buddies.py
@@ -0,0 +1,155 @@
+"""Keeps copies of other daemons' journals and stores them when their writer is gone."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from time import time
+
+from msgspec import Struct
+from prometheus_client import CollectorRegistry, Counter, Gauge
+
+from comfreyhatch.daemon.segments import SegmentStore
+from comfreyhatch.decisions.journal import Tail
+from comfreyhatch.domain.journal import Entry, Outcome, decode_body
+from comfreyhatch.domain.record import RequestRecord
+from comfreyhatch.errors import PlatformError
+from comfreyhatch.ports.peers import PeerBus, View
+
+WATCH_INTERVAL_S = 2.0
+WRITER_GRACE_S = 20.0
+IDLE_TAIL_S = 120.0
+COPIES_MAX_BYTES = 12_000_000
+
+log = logging.getLogger("comfreyhatch.journal")
+
+
+class JournalBatch(Struct, frozen=True, tag="journal-batch"):
+    """Entries of a journal for a buddy, and how far the journal is stored."""
+
+    journal: str
+    next_sequence: int
+    stored_through: int
+    entries: tuple[Entry, ...] = ()
+
+
+class JournalAck(Struct, frozen=True, tag="journal-ack"):
+    """Says whether a buddy keeps the entries of a batch."""
+
+    accepted: bool
+
+
+class _Copy:
+    """A copy of a journal, its writer, and when that was last heard of."""
+
+    def __init__(self, tail: Tail, writer: str) -> None:
+        self.tail = tail
+        self.writer = writer
+        self.heard = 0.0
+
+
+class Buddies:
+    """The copies of other daemons' journals that this daemon keeps."""
+
+    def __init__(
+        self,
+        bus: PeerBus,
+        view: Callable[[], View],
+        store: SegmentStore,
+        instance_id: str,
+        registry: CollectorRegistry | None = None,
+        max_bytes: int = COPIES_MAX_BYTES,
+        grace_s: float = WRITER_GRACE_S,
+    ) -> None:
+        self._view = view
+        self._store = store
+        self._instance_id = instance_id
+        self._max_bytes = max_bytes
+        self._grace_s = grace_s
+        self._copy_by_journal: dict[str, _Copy] = {}
+        registry = registry or CollectorRegistry()
+        size = Gauge(
+            "comfreyhatch_journal_copies_bytes", "Size of other journals kept.", registry=registry
+        )
+        size.set_function(lambda: self.size_bytes)
+        self._refused = Counter(
+            "comfreyhatch_journal_copies_refused",
+            "Batches of other journals that did not fit.",
+            registry=registry,
+        )
+        self._taken_over = Counter(
+            "comfreyhatch_journal_take_overs",
+            "Segments stored for writers that are gone.",
+            registry=registry,
+        )
+        bus.on_message(JournalBatch, self._on_batch)
+
+    @property
+    def size_bytes(self) -> int:
+        """Size of all copies."""
+        return sum(copy.tail.size_bytes for copy in self._copy_by_journal.values())
+
+    async def run(self) -> None:
+        """Watch the writers and store what those that are gone left behind."""
+        while True:
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            await self.store_orphans()
+
+    async def store_orphans(self) -> None:
+        """Store the copies whose writers are gone, as far as the stores answer."""
+        now = asyncio.get_running_loop().time()
+        for journal, copy in list(self._copy_by_journal.items()):
+            silent_s = now - copy.heard
+            if not copy.tail.entry_by_number:
+                if silent_s > IDLE_TAIL_S:
+                    del self._copy_by_journal[journal]
+            elif silent_s > self._grace_s and self._gone(journal, copy):
+                await self._store_orphan(copy)
+
+    def find(self, request_id: str) -> RequestRecord | None:
+        """Return a record by its request id, if a copy holds it."""
+        journal = request_id.rsplit(".", 2)[0]
+        copy = self._copy_by_journal.get(journal)
+        return find_record(copy.tail, request_id) if copy else None
+
+    def _gone(self, journal: str, copy: _Copy) -> bool:
+        member = self._view().member_by_id.get(copy.writer)
+        return member is None or member.incarnation != journal
+
+    async def _store_orphan(self, copy: _Copy) -> None:
+        try:
+            while await self._store.store_next(copy.tail, time()):
+                self._taken_over.inc()
+                log.info(
+                    "event=journal_taken_over journal=%s writer=%s through=%d",
+                    copy.tail.journal,
+                    copy.writer,
+                    copy.tail.stored_through,
+                )
+        except PlatformError as error:
+            log.info("event=take_over_delayed journal=%s reason=%r", copy.tail.journal, str(error))
+
+    async def _on_batch(self, sender: str, batch: JournalBatch) -> JournalAck:
+        copy = self._copy_by_journal.get(batch.journal)
+        if copy is None:
+            copy = _Copy(Tail(batch.journal, self._instance_id), sender)
+            self._copy_by_journal[batch.journal] = copy
+        copy.heard = asyncio.get_running_loop().time()
+        copy.tail.trim(batch.next_sequence, batch.stored_through)
+        if batch.entries and self.size_bytes >= self._max_bytes:
+            self._refused.inc()
+            return JournalAck(False)
+        for entry in batch.entries:
+            copy.tail.add(entry)
+        return JournalAck(True)
+
+
+def find_record(tail: Tail, request_id: str) -> RequestRecord | None:
+    """Return a record by its request id, if a tail holds it."""
+    wanted = request_id.encode()
+    for entry in reversed(tail.entry_by_number.values()):
+        if wanted not in entry.body:
+            continue
+        body = decode_body(entry.body)
+        if isinstance(body, Outcome) and body.record.request_id == request_id:
+            return body.record
+    return None
--- /dev/null
+++ b/comfreyhatch/decisions/journal.py
@@ -0,0 +1,207 @@
+"""Decides what of a journal is stored next, and where its copies are kept."""
+
+from msgspec.structs import replace
+from xxhash import xxh64_intdigest
+
+from comfreyhatch.codes import Ran
+from comfreyhatch.domain.journal import (
+    BillLine,
+    Body,
+    Entry,
+    Intent,
+    Outcome,
+    Segment,
+    SegmentBill,
+    billed_version,
+    day_of,
+    decode_body,
+)
+from comfreyhatch.domain.record import RequestRecord
+from comfreyhatch.ports.peers import Member, View
+
+SEGMENT_ENTRIES = 4000
+BUDDIES = 2
+
+
+class Tail:
+    """Entries of one journal that are not known to be stored.
+
+    The writer and each buddy has one. All store segments under consecutive sequence numbers
+    by writes that fail if the number is taken; who finds it taken reads what is there, drops
+    what it covers, and stores the rest under the next number. So each entry is covered once.
+    """
+
+    def __init__(self, journal: str, holder: str) -> None:
+        self.journal = journal
+        self.next_sequence = 1
+        self.entry_by_number: dict[int, Entry] = {}
+        self._holder = holder
+        self.size_bytes = 0
+        self._open_by_id: dict[str, Intent] = {}
+        self._ended_elsewhere: set[str] = set()
+        self._previous_sequence = 0
+        self._stored_through = 0
+        self._stored_beyond: set[int] = set()
+
+    @property
+    def stored_through(self) -> int:
+        """Number up to which all entries are stored."""
+        return self._stored_through
+
+    @property
+    def needs_previous(self) -> bool:
+        """Whether the open requests of the segment before the next one are not known."""
+        return self.next_sequence > 1 and self._previous_sequence != self.next_sequence - 1
+
+    def add(self, entry: Entry) -> bool:
+        """Add an entry; return whether it is new."""
+        if entry.number <= self._stored_through or entry.number in self._stored_beyond:
+            return False
+        if entry.number in self.entry_by_number:
+            return False
+        self.entry_by_number[entry.number] = entry
+        self.size_bytes += len(entry.body)
+        return True
+
+    def segment(self, now_unix_s: float) -> Segment | None:
+        """Return the segment to store next, or None if nothing is left.
+
+        Args:
+            now_unix_s: Present time, in seconds since the epoch.
+        """
+        numbers = sorted(self.entry_by_number)[:SEGMENT_ENTRIES]
+        if not numbers:
+            return None
+        bodies = [decode_body(self.entry_by_number[number].body) for number in numbers]
+        records = tuple(body.record for body in bodies if isinstance(body, Outcome))
+        return Segment(
+            journal=self.journal,
+            sequence=self.next_sequence,
+            writer=self._holder,
+            closed_unix_s=now_unix_s,
+            numbers=ranges(numbers),
+            records=records,
+            open=open_after(self._open_by_id, bodies, self._ended_elsewhere),
+        )
+
+    def stored(self, segment: Segment) -> None:
+        """Take note of a stored segment, whoever stored it."""
+        if segment.sequence < self.next_sequence - 1:
+            return
+        self.next_sequence = segment.sequence + 1
+        self._previous_sequence = segment.sequence
+        self._open_by_id = {intent.request_id: intent for intent in segment.open}
+        if segment.writer != self._holder:
+            self._ended_elsewhere.update(record.request_id for record in segment.records)
+        for first, last in segment.numbers:
+            self._mark_stored(range(first, last + 1))
+
+    def trim(self, next_sequence: int, stored_through: int) -> None:
+        """Drop what the writer says to be stored."""
+        self.next_sequence = max(self.next_sequence, next_sequence)
+        if stored_through <= self._stored_through:
+            return
+        for number in [n for n in self.entry_by_number if n <= stored_through]:
+            self._drop(number)
+        self._stored_beyond = {n for n in self._stored_beyond if n > stored_through}
+        self._stored_through = stored_through
+
+    def _mark_stored(self, numbers: range) -> None:
+        for number in numbers:
+            self._drop(number)
+            if number > self._stored_through:
+                self._stored_beyond.add(number)
+        while self._stored_through + 1 in self._stored_beyond:
+            self._stored_through += 1
+            self._stored_beyond.remove(self._stored_through)
+
+    def _drop(self, number: int) -> None:
+        entry = self.entry_by_number.pop(number, None)
+        if entry is not None:
+            self.size_bytes -= len(entry.body)
+
+
+def open_after(
+    open_by_id: dict[str, Intent], bodies: list[Body], ended_before: set[str]
+) -> tuple[Intent, ...]:
+    """Return the requests that are dispatched and not ended after some entries.
+
+    Args:
+        open_by_id: Requests open before the entries.
+        bodies: Bodies of the entries.
+        ended_before: Requests whose end is stored already.
+    """
+    ended = {body.record.request_id for body in bodies if isinstance(body, Outcome)}
+    ended |= ended_before
+    found = dict(open_by_id)
+    found.update((body.request_id, body) for body in bodies if isinstance(body, Intent))
+    return tuple(intent for request_id, intent in found.items() if request_id not in ended)
+
+
+def ranges(numbers: list[int]) -> tuple[tuple[int, int], ...]:
+    """Return ascending numbers as ranges with both ends included."""
+    found: list[tuple[int, int]] = []
+    for number in numbers:
+        if found and found[-1][1] == number - 1:
+            found[-1] = (found[-1][0], number)
+        else:
+            found.append((number, number))
+    return tuple(found)
+
+
+def bill_segment(segment: Segment) -> SegmentBill:
+    """Return the bills of a segment.
+
+    A request is billed if it ran or may have run.
+    """
+    line_by_key: dict[tuple[str, str, str], BillLine] = {}
+    for record in segment.records:
+        if record.ran is Ran.NO:
+            continue
+        key = record.customer, day_of(record.at_unix_s), billed_version(record)
+        line = line_by_key.get(key) or BillLine(*key, 0, 0, 0)
+        line_by_key[key] = replace(
+            line,
+            requests=line.requests + 1,
+            unknown=line.unknown + (record.ran is Ran.UNKNOWN),
+            cost_micros=line.cost_micros + record.cost_micros,
+        )
+    times = [record.at_unix_s for record in segment.records]
+    return SegmentBill(
+        journal=segment.journal,
+        sequence=segment.sequence,
+        numbers=segment.numbers,
+        first_unix_s=min(times, default=segment.closed_unix_s),
+        last_unix_s=max(times, default=segment.closed_unix_s),
+        lines=tuple(line_by_key.values()),
+        open=segment.open,
+    )
+
+
+def shortened(record: RequestRecord) -> RequestRecord:
+    """Return a record without its grounds; all that its bill needs is kept."""
+    return replace(record, clause="", grounds="", versions=(), endpoints=())
+
+
+def choose_buddies(
+    journal: str, own: str, zone: str, view: View, avoided: frozenset[str] = frozenset()
+) -> list[Member]:
+    """Return the members that keep copies of a journal, the one in another zone first.
+
+    Args:
+        journal: Incarnation whose journal it is.
+        own: Instance id of the writer.
+        zone: Availability zone of the writer.
+        view: The live daemons.
+        avoided: Members that did not answer lately.
+    """
+    members = [
+        member
+        for member in view.member_by_id.values()
+        if member.instance_id != own and not member.leaving and member.instance_id not in avoided
+    ]
+    members.sort(key=lambda m: xxh64_intdigest(f"{journal}/{m.instance_id}".encode()))
+    members.sort(key=lambda member: member.zone == zone)
+    first = members[:1]
+    others = [member for member in members[1:] if member.zone != first[0].zone] if first else []
+    return (first + others + members[1:])[:BUDDIES]
