--- a/tests/processes.py
+++ b/tests/processes.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from comfreyhatch.domain.instance import Address
+from comfreyhatch.standins.fleet import FLEET_KEY
 
 KEY_ENV = "COMFREYHATCH_FLEET_KEY"
 START_TIMEOUT_S = 30.0
@@ -63,7 +64,7 @@
             str(settings),
             stdout=log,
             stderr=log,
-            env={**os.environ, KEY_ENV: "key of a test fleet"},
+            env={**os.environ, KEY_ENV: FLEET_KEY.decode()},
         )
     daemon = DaemonProcess(process, log_path)
     async with asyncio.timeout(START_TIMEOUT_S):
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -120,3 +120,35 @@
     writer.write_eof()
     assert (await reader.read()).endswith(b"0\r\n\r\n")
     writer.close()
+
+
+async def test_a_check_before_sending_keeps_every_byte_back_on_new_and_kept_connections() -> None:
+    received: list[bytes] = []
+
+    async def record(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(65536):
+            received.append(data)
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+        writer.close()
+
+    allowed = False
+
+    def check() -> None:
+        if not allowed:
+            raise RefusedError("not now")
+
+    server = await asyncio.start_server(record, "127.0.0.1", 0)
+    address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+    client = HttpClient(check)
+    for step in (False, True, False):
+        allowed = step
+        if allowed:
+            assert (await client.request(address, "GET", "/")).status == 200
+            continue
+        with pytest.raises(RefusedError) as refusal:
+            await client.request(address, "GET", "/")
+        assert refusal.value.ran is Ran.NO
+    await asyncio.sleep(0)
+    assert len(received) == 1
+    client.close()
+    server.close()
