Record and bill an answer whose caller went away

Cause: an answer that was closed early had no attempt, so its record said ran=no and cost nothing though the engine had run it. It now has an attempt with the code ABANDONED and the tokens that came; the abandoned-answer test asks for the record and fails without the change (no cost, ran=no).

--- a/comfreyhatch/codes.py
+++ b/comfreyhatch/codes.py
@@ -25,6 +25,7 @@
     REQUEST_TIMEOUT = 1007
     METHOD_NOT_ALLOWED = 1008
     KEY_REUSED = 1009
+    ABANDONED = 1010
     BUDGET_EXHAUSTED = 2001
     BUDGET_UNKNOWN = 2002
     OVERLOADED = 2003
@@ -76,6 +77,7 @@
     ResultCode.KEY_REUSED: CodeEntry(
         422, "The idempotency key belongs to another request; this one has not run."
     ),
+    ResultCode.ABANDONED: CodeEntry(499, "The caller went away before the end of its answer."),
     ResultCode.BUDGET_EXHAUSTED: CodeEntry(402, "The customer's budget is spent."),
     ResultCode.BUDGET_UNKNOWN: CodeEntry(503, "The budget cannot be read and no slice is left."),
     ResultCode.OVERLOADED: CodeEntry(503, "No capacity is free in time; retry later."),
--- a/comfreyhatch/daemon/router.py
+++ b/comfreyhatch/daemon/router.py
@@ -1,6 +1,7 @@
 """The path of a chat request: plan, dispatch or forward, record."""
 
 import logging
+from asyncio import CancelledError
 from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 from random import Random
@@ -22,7 +23,7 @@
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.request import ChatRequest, Usage
 from comfreyhatch.domain.version import Version
-from comfreyhatch.errors import ComfreyhatchError, RefusedError
+from comfreyhatch.errors import AbandonedError, ComfreyhatchError, RefusedError
 from comfreyhatch.ports.engine import Chunk, GenerateRequest
 
 RETRY_AFTER_S = 1.0
@@ -93,6 +94,9 @@
         except ComfreyhatchError as error:
             code = error.code
             raise
+        except (GeneratorExit, CancelledError):
+            code = ResultCode.ABANDONED
+            raise
         finally:
             if not stored:
                 await self._store(draft, code)
@@ -204,6 +208,9 @@
                                 self._learner.rate_later(call, contract, version, trace)
                         yield chunk
                 return
+            except (GeneratorExit, CancelledError):
+                self._note_abandoned(version, trace, draft)
+                raise
             except ComfreyhatchError as error:
                 draft.add_attempt(version, None, started, monotonic(), error=error)
                 self._learner.failed(version, error)
@@ -239,6 +246,12 @@
         draft.add_attempt(version, chunk.served, trace.started, now, usage)
         self._learner.succeeded(contract, version, trace, now)
 
+    def _note_abandoned(self, version: Version, trace: AnswerTrace, draft: RecordDraft) -> None:
+        """Bill the tokens that came before the caller went away."""
+        usage = Usage(0, trace.tokens)
+        error = AbandonedError("the caller went away")
+        draft.add_attempt(version, None, trace.started, monotonic(), usage, error)
+
     def _version(self, version_id: str) -> Version:
         """Return a version that takes work now.
 
--- a/comfreyhatch/errors.py
+++ b/comfreyhatch/errors.py
@@ -56,6 +56,13 @@
     ran = Ran.NO
 
 
+class AbandonedError(BackendError):
+    """The caller went away while its answer was coming."""
+
+    code = ResultCode.ABANDONED
+    ran = Ran.YES
+
+
 class AnswerBrokenError(BackendError):
     """The answer ended before its end or belongs to another request."""
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -7,6 +7,7 @@
 from msgspec.json import decode
 
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.codes import ResultCode
 from comfreyhatch.standins.engine import EngineStandin
 from comfreyhatch.standins.fleet import API_KEY, LARGE, SMALL, FleetPlan, LocalFleet
 from comfreyhatch.standins.text import token
@@ -124,8 +125,12 @@
     await fleet.until(lambda: engine.witness.in_flight == 1)
     caller.cancel()
     await fleet.until(lambda: engine.witness.in_flight == 0)
-    started = engine.witness.run_count_by_id
-    assert len(started) == 1
+    (request_id,) = engine.witness.run_count_by_id
+    operators = fleet.addresses_by_id["entry-a0"].operators
+    reply = await client.request(operators, "GET", f"/explain/{request_id}")
+    record = decode(reply.body)
+    assert (record["code"], record["ran"]) == (ResultCode.ABANDONED, "yes")
+    assert record["cost_micros"] > 0
 
 
 async def test_service_answer_of_another_request_is_not_given(
