Keep the endpoints of a zone with shares, limits and load digests

The pool hands out slots within this daemon's shares. Each endpoint is polled by one daemon of its zone, the first in rendezvous order of those heard of; the others get its limit, versions and cold start by a digest that carries only changes, with a hash that renews the rest. A fall of a limit goes to the zone's peers at once and holds there against lagging reports.

An ended member is dropped when its control port refuses connections, when the instance list has it no longer, or when its instance answers as another incarnation; silence alone never frees its share.

Sending every load figure each second was ruled out: 12 endpoints a daemon and 29 peers would pass 2 KB/s by themselves.

--- a/comfreyhatch/daemon/directory.py
+++ b/comfreyhatch/daemon/directory.py
@@ -16,12 +16,19 @@
 
 
 class Directory:
-    """Polls the instance list and keeps the last answer through outages."""
+    """Polls the instance list and keeps the last answer through outages.
+
+    Attributes:
+        members: Daemons that the list has as live.
+        daemon_ids: All daemons of the list, leaving ones included; None before it was read.
+        endpoint_by_id: Endpoints that are not about to go.
+    """
 
     def __init__(self, instances: InstanceList, own: Instance) -> None:
         self._instances = instances
         self._own = own
         self.members: list[Member] = []
+        self.daemon_ids: frozenset[str] | None = None
         self.endpoint_by_id: dict[str, Instance] = {}
 
     def announce_as(self, address: Address, control: Address) -> None:
@@ -50,6 +57,7 @@
         self.endpoint_by_id = {
             row.instance_id: row for row in rows if row.role is not Role.DAEMON and not row.leaving
         }
+        self.daemon_ids = frozenset(r.instance_id for r in rows if r.role is Role.DAEMON)
         self.members = [_member(row) for row in rows if _is_live_daemon(row)]
 
 
--- /dev/null
+++ b/comfreyhatch/daemon/endpoints.py
@@ -0,0 +1,283 @@
+"""The endpoints of the own zone: who may be called, and the slots in use."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from time import monotonic
+
+from msgspec import Struct
+
+from comfreyhatch.daemon.directory import Directory
+from comfreyhatch.daemon.loads import LoadBook
+from comfreyhatch.daemon.shares import ShareTask, ZoneRoll
+from comfreyhatch.decisions.cold_start import SlotOutcome
+from comfreyhatch.decisions.endpoints import EndpointFigures
+from comfreyhatch.decisions.shares import ORPHAN_HOLD_S, Peer
+from comfreyhatch.domain.fleet import FleetConfig
+from comfreyhatch.domain.instance import Instance, Role
+from comfreyhatch.ports.engine import Engine, LoadReport, PlainService
+from comfreyhatch.ports.peers import PeerBus, View
+
+POLL_INTERVAL_S = 0.25
+
+log = logging.getLogger("comfreyhatch.endpoints")
+
+
+class EndpointLoad(Struct, frozen=True):
+    """An endpoint that may take work, with what is known of its load.
+
+    Attributes:
+        endpoint: The endpoint.
+        own_in_flight: Requests that this daemon has running on it.
+        share: Requests that this daemon may have running on it.
+        report: Last load report.
+        limit: Requests that all daemons may have running on it.
+        own_at_report: This daemon's requests when the report was made.
+    """
+
+    endpoint: Instance
+    own_in_flight: int
+    share: int
+    report: LoadReport
+    limit: int = 0
+    own_at_report: int = 0
+
+    def figures(self) -> EndpointFigures:
+        """Return the figures that the choice of an endpoint weighs."""
+        return EndpointFigures(
+            self.endpoint.instance_id,
+            own=self.own_in_flight,
+            slots=self.share,
+            reported=self.report.in_flight + self.report.queued,
+            own_at_report=self.own_at_report,
+            bears=self.limit,
+            cold=self.report.cold,
+        )
+
+
+class Slot(Struct):
+    """A slot of an endpoint's limit, held for one request."""
+
+    endpoint: Instance
+    number: int
+    limit: int
+
+    @property
+    def label(self) -> str:
+        """Slot and limit for the record of the request."""
+        return f"{self.number}/{self.limit}"
+
+
+class EndpointPool:
+    """Hands out slots of the zone's endpoints within this daemon's shares."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        view: Callable[[], View],
+        me: Peer,
+        zone: str,
+        engine: Engine,
+        service: PlainService,
+        bus: PeerBus,
+        orphan_hold_s: float = ORPHAN_HOLD_S,
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
+        """Create the pool.
+
+        Args:
+            directory: The instance list.
+            view: Live daemons.
+            me: This start of this daemon.
+            zone: Zone of this daemon.
+            engine: Client of model engines.
+            service: Client of plain services.
+            bus: Peer bus.
+            orphan_hold_s: How long an ended daemon's requests may go on.
+            clock: Monotonic seconds.
+        """
+        self._directory = directory
+        self._view = view
+        self._me = me
+        self._zone = zone
+        self._clock = clock
+        self._running_by_id: dict[str, int] = {}
+        self._at_report_by_id: dict[str, int] = {}
+        self._digest: asyncio.Task[None] | None = None
+        self.loads = LoadBook(engine, service, bus, self._peers, clock)
+        self.shares = ShareTask(
+            me,
+            bus,
+            self._roll,
+            lambda: self.loads.limits(clock()),
+            lambda: dict(self._running_by_id),
+            orphan_hold_s=orphan_hold_s,
+            clock=clock,
+        )
+
+    async def run(self) -> None:
+        """Poll loads and keep the shares until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.shares.run())
+            tasks.create_task(self._run_polls())
+
+    async def refresh(self) -> None:
+        """Poll this daemon's part of the zone's endpoints once."""
+        endpoints = self._endpoints()
+        self.loads.keep_only({endpoint.instance_id for endpoint in endpoints})
+        mine: list[Instance] = []
+        others: list[Instance] = []
+        for endpoint in endpoints:
+            (mine if self._polls(endpoint.instance_id) else others).append(endpoint)
+        await self.loads.refresh(mine, others)
+        for endpoint in endpoints:
+            running = self._running_by_id.get(endpoint.instance_id, 0)
+            self._at_report_by_id[endpoint.instance_id] = running
+
+    async def leave(self) -> None:
+        """Give the shares up; call it when nothing runs."""
+        await self.shares.leave()
+
+    @property
+    def active(self) -> bool:
+        """Whether this daemon holds its shares."""
+        return self.shares.group.active
+
+    def polled(self) -> bool:
+        """Return whether the load of each endpoint of the zone is known."""
+        own = {endpoint.instance_id for endpoint in self._endpoints()}
+        return own <= self.loads.report_by_id.keys()
+
+    def versions_loaded(self) -> set[str]:
+        """Return the version ids that some endpoint of the zone has loaded."""
+        return {v for report in self.loads.report_by_id.values() for v in report.versions}
+
+    def load_of(self, endpoint_id: str) -> EndpointLoad | None:
+        """Return what is known of an endpoint's load; None if it is not known."""
+        endpoint = self._directory.endpoint_by_id.get(endpoint_id)
+        if endpoint is None or endpoint_id not in self.loads.report_by_id:
+            return None
+        return self._load(endpoint, self._clock())
+
+    def candidates(self, wanted: str, config: FleetConfig, now: float) -> list[EndpointLoad]:
+        """Return the zone's endpoints that serve a version or a plain service.
+
+        Args:
+            wanted: Version id, or name of a plain service.
+            config: Configuration in force.
+            now: Monotonic time, in seconds.
+        """
+        if self._zone in config.out_zones:
+            return []
+        return [
+            self._load(endpoint, now)
+            for endpoint in self._endpoints()
+            if endpoint.instance_id not in config.out_endpoints and self._serves(endpoint, wanted)
+        ]
+
+    def holders(self, wanted: str, config: FleetConfig, now: float) -> set[str]:
+        """Return the other daemons of the zone that hold a slot for a version or a service."""
+        group = self.shares.group
+        return {
+            peer.instance_id
+            for load in self.candidates(wanted, config, now)
+            for peer in group.holders(load.endpoint.instance_id, load.limit)
+            if peer != group.me
+        }
+
+    def acquire(self, endpoint_id: str, now: float) -> Slot | None:
+        """Take a slot of an endpoint; None when the share is used up."""
+        load = self.load_of(endpoint_id)
+        if load is None or load.own_in_flight >= load.share:
+            return None
+        self._running_by_id[endpoint_id] = load.own_in_flight + 1
+        return Slot(load.endpoint, load.own_in_flight + 1, load.limit)
+
+    def release(
+        self,
+        slot: Slot,
+        now: float,
+        outcome: SlotOutcome = SlotOutcome.NEUTRAL,
+        first_token_s: float | None = None,
+        report: LoadReport | None = None,
+    ) -> None:
+        """Give a slot back.
+
+        Args:
+            slot: The slot.
+            now: Monotonic time, in seconds.
+            outcome: How the request ended, as far as it tells of the endpoint's load.
+            first_token_s: Time to the first token, if there was one.
+            report: Load report that came with the answer.
+        """
+        endpoint_id = slot.endpoint.instance_id
+        left = self._running_by_id[endpoint_id] - 1
+        self._running_by_id[endpoint_id] = left
+        if not left:
+            del self._running_by_id[endpoint_id]
+        if report is not None and report.endpoint_id == endpoint_id:
+            self.loads.take_report(report, now)
+            self._at_report_by_id[endpoint_id] = left
+        self.loads.take_outcome(endpoint_id, outcome, first_token_s, now)
+        if self.loads.has_urgent and self._digest is None:
+            self._digest = asyncio.get_running_loop().create_task(self._send_urgent())
+
+    async def _send_urgent(self) -> None:
+        self._digest = None
+        await self.loads.send_urgent()
+
+    async def _run_polls(self) -> None:
+        while True:
+            await self.refresh()
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    def _load(self, endpoint: Instance, now: float) -> EndpointLoad:
+        endpoint_id = endpoint.instance_id
+        limit = self.loads.limit(endpoint_id, now)
+        return EndpointLoad(
+            endpoint,
+            self._running_by_id.get(endpoint_id, 0),
+            self.shares.group.slots(endpoint_id, limit),
+            self.loads.report_by_id[endpoint_id],
+            limit,
+            self._at_report_by_id.get(endpoint_id, 0),
+        )
+
+    def _serves(self, endpoint: Instance, wanted: str) -> bool:
+        report = self.loads.report_by_id.get(endpoint.instance_id)
+        if report is None:
+            return False
+        if endpoint.role is Role.SERVICE:
+            return endpoint.service == wanted
+        return wanted in report.versions
+
+    def _endpoints(self) -> list[Instance]:
+        return [e for e in self._directory.endpoint_by_id.values() if e.zone == self._zone]
+
+    def _polls(self, endpoint_id: str) -> bool:
+        """Return whether this daemon is the first in order of those that are heard of."""
+        seen = set(self._peers())
+        first = next(
+            (
+                peer
+                for peer in self.shares.group.ranked(endpoint_id)
+                if peer == self.shares.group.me or peer.instance_id in seen
+            ),
+            None,
+        )
+        return first is None or first == self.shares.group.me
+
+    def _peers(self) -> list[str]:
+        members = self._view().in_zone(self._zone)
+        return [m.instance_id for m in members if m.instance_id != self._me.instance_id]
+
+    def _roll(self) -> ZoneRoll:
+        heard = self._view().in_zone(self._zone)
+        listed = [m for m in self._directory.members if m.zone == self._zone]
+        member_by_id = {m.instance_id: m for m in (*listed, *heard)}
+        member_by_id.pop(self._me.instance_id, None)
+        return ZoneRoll(
+            list(member_by_id.values()),
+            frozenset(m.instance_id for m in heard),
+            self._directory.daemon_ids,
+        )
--- a/comfreyhatch/decisions/cold_start.py
+++ b/comfreyhatch/decisions/cold_start.py
@@ -15,13 +15,13 @@
 
 
 class SlotOutcome(Enum):
-    """How a request at an endpoint ended."""
+    """What the end of a request tells of its endpoint's load; neutral ends tell nothing."""
 
     OK = "ok"
     REFUSED = "refused"
     COLD = "cold"
     FAILED = "failed"
-    CANCELLED = "cancelled"
+    NEUTRAL = "neutral"
 
 
 class LimitState(Struct, frozen=True):
@@ -87,7 +87,7 @@
         first_token_s: Time to its first token, if it had one.
         now: Present time.
     """
-    if outcome is SlotOutcome.CANCELLED:
+    if outcome is SlotOutcome.NEUTRAL:
         return state
     if outcome is SlotOutcome.COLD:
         return replace(state, window=1.0, trouble_at=now, cold=True)
@@ -102,6 +102,13 @@
     return _halved(measured, now) if jumped else _grown(measured, now)
 
 
+def after_peer_fall(state: LimitState, limit: int, now: float) -> LimitState:
+    """Return the state after a peer told that the endpoint bears less."""
+    if limit >= limit_of(state, now):
+        return state
+    return replace(state, window=float(max(1, limit)), trouble_at=now)
+
+
 def after_stale(state: LimitState, now: float) -> LimitState:
     """Return the state with slow start from 1 begun, if what the endpoint said is outdated."""
     if state.window is None and not _is_current(state, now):
--- a/comfreyhatch/decisions/shares.py
+++ b/comfreyhatch/decisions/shares.py
@@ -1,5 +1,6 @@
 """Shares of an endpoint's limit among the daemons of its zone, without a coordinator."""
 
+from collections import Counter
 from math import ceil
 
 from msgspec import Struct, field
@@ -112,6 +113,7 @@
         self.must_restart = False
         self._answers = 0
         self._rank_by_endpoint: dict[str, int] = {}
+        self._excess_by_endpoint: Counter[str] = Counter()
 
     def discover(self, instance_ids: list[str], complete: bool) -> None:
         """Count the daemons of this zone learnt from settings, the instance list or the view.
@@ -195,6 +197,7 @@
         if answer.number > standing.answer_number:
             standing.answer_number = answer.number
             standing.excess_by_endpoint = answer.excess_by_endpoint
+            self._sum_excess()
         self.complete = self.complete or answer.active
         self._update_active()
 
@@ -222,6 +225,7 @@
             if standing.gone_at is not None and now >= standing.gone_at:
                 del self.standing_by_peer[peer]
                 self._rank_by_endpoint.clear()
+                self._sum_excess()
         self._update_active()
 
     def leave(self) -> LeaveNotice:
@@ -243,18 +247,17 @@
         """Return how many requests this daemon may have running at an endpoint now."""
         if not self.active:
             return 0
-        excess = sum(
-            standing.excess_by_endpoint.get(endpoint_id, 0)
-            for standing in self.standing_by_peer.values()
-        )
-        return max(0, self.share(endpoint_id, limit) - excess)
+        return max(0, self.share(endpoint_id, limit) - self._excess_by_endpoint[endpoint_id])
 
     def holders(self, endpoint_id: str, limit: int) -> list[Peer]:
         """Return the members that hold a slot of an endpoint, the largest share first."""
-        ranked = sorted(
-            (self.me, *self.standing_by_peer), key=lambda peer: rank_key(endpoint_id, peer)
-        )
-        return ranked[: max(0, limit)]
+        first = self.ranked(endpoint_id)[: max(0, limit)]
+        return [peer for peer in first if peer == self.me or self._is_live(peer)]
+
+    def ranked(self, endpoint_id: str) -> list[Peer]:
+        """Return the counted members, this one included, in their order at an endpoint."""
+        peers = (self.me, *self.standing_by_peer)
+        return sorted(peers, key=lambda peer: rank_key(endpoint_id, peer))
 
     def _count(self, peer: Peer) -> None:
         if peer == self.me or peer in self.ended or peer in self.standing_by_peer:
@@ -262,6 +265,14 @@
         self.standing_by_peer[peer] = Standing()
         self._rank_by_endpoint.clear()
 
+    def _sum_excess(self) -> None:
+        self._excess_by_endpoint = Counter()
+        for standing in self.standing_by_peer.values():
+            self._excess_by_endpoint.update(standing.excess_by_endpoint)
+
+    def _is_live(self, peer: Peer) -> bool:
+        return self.standing_by_peer[peer].gone_at is None
+
     def _replace(self, asked: Peer, now: float) -> None:
         """End a member whose instance answered as another incarnation after it was counted."""
         if asked in self.standing_by_peer:
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -8,6 +8,7 @@
     REPORT_LIFE_S,
     LimitState,
     SlotOutcome,
+    after_peer_fall,
     after_report,
     after_request,
     limit_of,
@@ -95,3 +96,10 @@
     assert limit_of(after_report(state, report(16, age_s=1.0), 10.0), 10.0) == 8
     assert limit_of(after_report(state, report(2, age_s=1.0), 10.0), 10.0) == 2
     assert limit_of(after_report(state, report(2, age_s=9.0), 10.0), 10.0) == 8
+
+
+def test_fall_told_by_a_peer_holds_against_lagging_reports() -> None:
+    state = after_report(LimitState(), report(16), 0.0)
+    fallen = after_peer_fall(state, 2, 1.0)
+    assert limit_of(after_report(fallen, report(16), 1.5), 1.5) == 2
+    assert after_peer_fall(fallen, 4, 2.0) is fallen
--- /dev/null
+++ b/tests/test_endpoint_pool.py
@@ -0,0 +1,249 @@
+"""Endpoint pools of one zone over an in-memory bus and a driven clock."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from comfreyhatch.daemon.endpoints import EndpointPool
+from comfreyhatch.daemon.shares import refuses_connections
+from comfreyhatch.decisions.cold_start import REPORT_LIFE_S, SlotOutcome
+from comfreyhatch.decisions.shares import Peer
+from comfreyhatch.domain.fleet import FleetConfig
+from comfreyhatch.domain.instance import Address, Instance, Role
+from comfreyhatch.errors import BackendError
+from comfreyhatch.ports.engine import LoadReport
+from comfreyhatch.ports.peers import Member, MemoryNetwork, View
+
+HOLD_S = 5.0
+NOWHERE = Address("127.0.0.1", 1)
+VERSION = "coach@1"
+CONFIG = FleetConfig()
+
+
+class FakeEngine:
+    def __init__(self) -> None:
+        self.bears = 8
+        self.down = False
+        self.polls = 0
+
+    async def load(self, endpoint: Instance) -> LoadReport:
+        self.polls += 1
+        if self.down:
+            raise BackendError("down")
+        return LoadReport(endpoint.instance_id, 0, 0, self.bears, False, (VERSION,))
+
+
+class FakeDirectory:
+    def __init__(self) -> None:
+        self.endpoint_by_id = {
+            name: Instance(name, Role.ENGINE, "a", NOWHERE) for name in ("engine-1", "engine-2")
+        }
+        self.members: list[Member] = []
+        self.daemon_ids: frozenset[str] | None = frozenset()
+
+
+class Zone:
+    """Daemons of a zone that share a clock, a list, a network and an engine."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.network = MemoryNetwork()
+        self.engine = FakeEngine()
+        self.directory = FakeDirectory()
+        self.refusing: set[Address] = set()
+        self.pool_by_id: dict[str, EndpointPool] = {}
+
+    def start(self, name: str, incarnation: str = "1") -> EndpointPool:
+        control = Address("127.0.0.1", 1000 + len(self.directory.members))
+        member = Member(name, incarnation, "a", control, NOWHERE)
+        self.directory.members = [m for m in self.directory.members if m.instance_id != name]
+        self.directory.members.append(member)
+        self.directory.daemon_ids = frozenset(m.instance_id for m in self.directory.members)
+        pool = EndpointPool(
+            self.directory,  # type: ignore[arg-type]
+            self.view,
+            Peer(name, incarnation),
+            "a",
+            self.engine,  # type: ignore[arg-type]
+            self.engine,  # type: ignore[arg-type]
+            self.network.join(name),
+            HOLD_S,
+            lambda: self.now,
+        )
+        pool.shares._refuses = self.refuses
+        self.pool_by_id[name] = pool
+        return pool
+
+    def kill(self, name: str) -> None:
+        del self.pool_by_id[name]
+        del self.network.bus_by_id[name]
+
+    def view(self) -> View:
+        members = [m for m in self.directory.members if m.instance_id in self.network.bus_by_id]
+        return View({m.instance_id: m for m in members})
+
+    async def refuses(self, address: Address) -> bool:
+        return address in self.refusing
+
+    async def step(self, seconds: float = 1.0, count: int = 1) -> None:
+        for _ in range(count):
+            self.now += seconds
+            for pool in list(self.pool_by_id.values()):
+                await pool.shares.tick()
+                await pool.refresh()
+
+    def slots(self, endpoint_id: str = "engine-1") -> list[int]:
+        loads = [pool.load_of(endpoint_id) for pool in self.pool_by_id.values()]
+        return [load.share if load else 0 for load in loads]
+
+
+@pytest.fixture
+async def zone() -> AsyncIterator[Zone]:
+    zone = Zone()
+    for name in ("x", "y"):
+        zone.start(name)
+    await zone.step(count=8)
+    assert zone.slots() == [4, 4]
+    yield zone
+
+
+async def test_newcomer_gets_its_share_when_running_requests_have_drained(zone: Zone) -> None:
+    x = zone.pool_by_id["x"]
+    held = [x.acquire("engine-1", zone.now) for _ in range(4)]
+    assert None not in held and x.acquire("engine-1", zone.now) is None
+    zone.start("z")
+    await zone.step(count=2)
+    assert sorted(zone.slots("engine-1"))[-1] == 3 and sum(zone.slots("engine-1")) < 8
+    for slot in held:
+        assert slot
+        x.release(slot, zone.now, SlotOutcome.OK, 0.1)
+    await zone.step(count=2)
+    assert sum(zone.slots()) == 8 and sorted(zone.slots()) == [2, 3, 3]
+
+
+async def test_silent_member_keeps_its_share_until_it_is_proven_to_have_ended(zone: Zone) -> None:
+    address = zone.directory.members[1].control
+    zone.kill("y")
+    await zone.step(count=60)
+    assert zone.slots() == [4]
+    zone.refusing.add(address)
+    await zone.step()
+    assert zone.slots() == [4]
+    await zone.step(HOLD_S + 1)
+    assert zone.slots() == [8]
+
+
+async def test_member_that_is_listed_no_longer_has_ended(zone: Zone) -> None:
+    zone.kill("y")
+    zone.directory.daemon_ids = frozenset({"x"})
+    await zone.step(count=7)
+    assert zone.slots() == [8]
+
+
+async def test_replaced_member_shares_again_as_a_new_incarnation(zone: Zone) -> None:
+    zone.kill("y")
+    zone.start("y", "2")
+    await zone.step(count=10)
+    assert zone.slots() == [4, 4]
+
+
+async def test_leaving_member_hands_its_share_over_at_once(zone: Zone) -> None:
+    await zone.pool_by_id["y"].leave()
+    assert zone.slots() == [8, 0]
+
+
+async def test_member_wrongly_held_for_ended_stops_and_joins_again(zone: Zone) -> None:
+    x, y = zone.pool_by_id.values()
+    x.shares.group.handle_end(y.shares.group.me, zone.now)
+    y.shares.group.handle_end(y.shares.group.me, zone.now)
+    assert y.acquire("engine-1", zone.now) is None
+    await zone.step(count=10)
+    assert zone.slots() == [4, 4]
+
+
+async def test_each_endpoint_is_polled_by_one_daemon_and_told_to_the_others(zone: Zone) -> None:
+    before = zone.engine.polls
+    await zone.step(0.25, count=40)
+    assert zone.engine.polls - before == 2 * 40
+    zone.engine.bears = 2
+    await zone.step(0.25)
+    await zone.step(0.25)
+    assert zone.slots() == [1, 1]
+
+
+async def test_poller_that_falls_silent_is_made_up_for(zone: Zone) -> None:
+    zone.network.cut |= {("x", "y"), ("y", "x")}
+    zone.engine.bears = 4
+    await zone.step(count=4)
+    assert zone.slots() == [2, 2]
+
+
+@pytest.mark.parametrize("first", ["x", "y"])
+@pytest.mark.parametrize("outcome", [SlotOutcome.COLD, SlotOutcome.REFUSED])
+async def test_endpoint_that_turns_cold_sheds_at_once_at_all_daemons(
+    zone: Zone, outcome: SlotOutcome, first: str
+) -> None:
+    x, y = (zone.pool_by_id[name] for name in sorted(zone.pool_by_id, reverse=first == "y"))
+    slot = x.acquire("engine-1", zone.now)
+    assert slot
+    x.release(slot, zone.now, outcome)
+    limit = 1 if outcome is SlotOutcome.COLD else 4
+    assert x.loads.limit("engine-1", zone.now) == limit
+    assert x._digest
+    await x._digest
+    assert y.loads.limit("engine-1", zone.now) == limit
+    await zone.step(0.25, count=4)
+    assert sum(zone.slots()) == limit and sum(zone.slots("engine-2")) == 8
+    await zone.step(1.0, count=int(REPORT_LIFE_S) + 2)
+    assert sum(zone.slots()) == 8
+
+
+async def test_report_in_an_answer_counts_before_the_next_poll(zone: Zone) -> None:
+    x = zone.pool_by_id["x"]
+    slot = x.acquire("engine-1", zone.now)
+    assert slot
+    report = LoadReport("engine-1", 3, 0, 2, True, (VERSION,))
+    x.release(slot, zone.now, SlotOutcome.OK, 0.1, report)
+    load = x.load_of("engine-1")
+    assert load and (load.limit, load.share, load.figures().cold) == (2, 1, True)
+
+
+async def test_endpoints_taken_out_or_leaving_get_no_new_work(zone: Zone) -> None:
+    x = zone.pool_by_id["x"]
+
+    def names(config: FleetConfig) -> list[str]:
+        loads = x.candidates(VERSION, config, zone.now)
+        return [load.endpoint.instance_id for load in loads]
+
+    assert names(CONFIG) == ["engine-1", "engine-2"]
+    assert names(FleetConfig(out_endpoints=frozenset({"engine-1"}))) == ["engine-2"]
+    assert names(FleetConfig(out_zones=frozenset({"a"}))) == []
+    del zone.directory.endpoint_by_id["engine-2"]
+    assert names(CONFIG) == ["engine-1"] and x.acquire("engine-2", zone.now) is None
+
+
+async def test_endpoint_that_does_not_answer_is_no_candidate_anywhere(zone: Zone) -> None:
+    zone.engine.down = True
+    await zone.step(0.25, count=2)
+    for pool in zone.pool_by_id.values():
+        assert pool.candidates(VERSION, CONFIG, zone.now) == []
+
+
+async def test_cold_endpoint_is_reached_through_its_holders(zone: Zone) -> None:
+    zone.engine.bears = 1
+    await zone.step(0.25, count=2)
+    x, y = zone.pool_by_id.values()
+    del zone.directory.endpoint_by_id["engine-2"]
+    holder, other = (x, y) if zone.slots() == [1, 0] else (y, x)
+    assert other.holders(VERSION, CONFIG, zone.now) == {holder.shares.group.me.instance_id}
+    assert holder.holders(VERSION, CONFIG, zone.now) == set()
+
+
+async def test_only_a_refused_connection_proves_an_end() -> None:
+    server = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    assert not await refuses_connections(address)
+    server.close()
+    await server.wait_closed()
+    assert await refuses_connections(address)
