Keep sessions on their versions by token, pin or split

The split draws for each version apart from its share, so growth never takes a session off the new version. Signed tokens need no state. Pins for bare ids live at two daemons, the second in another zone; the first proposal holds, and holders that differ agree on the older pin.

Ruled out: a row for each session (over the table's rate) and one draw for all shares (a session on the old version would change when the share passes it).

--- /dev/null
+++ b/comfreyhatch/decisions/sessions.py
@@ -0,0 +1,180 @@
+"""Versions of sessions: the roll-out split, signed tokens, pins and their holders."""
+
+import hmac
+from base64 import urlsafe_b64decode, urlsafe_b64encode
+from collections.abc import Iterable
+from hashlib import sha256
+from typing import Literal
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.msgpack import decode, encode
+from xxhash import xxh3_128_hexdigest, xxh64_intdigest
+
+from comfreyhatch.domain.contract import Contract
+from comfreyhatch.domain.fleet import FleetConfig
+from comfreyhatch.domain.version import FULL_SHARE, Version, VersionState
+from comfreyhatch.ports.peers import Member
+
+SPLIT_STEPS = 1_000_000
+PIN_BUCKETS = 256
+SIGNATURE_BYTES = 16
+MAX_TOKEN_CHARS = 1024
+TOKEN_CONTEXT = b"session token\0"
+
+PinSource = Literal["token", "pin", "split"]
+
+
+class SessionToken(Struct, frozen=True, array_like=True):
+    """What a signed session token says.
+
+    Attributes:
+        customer: Customer that it was given to.
+        session: Session id.
+        wanted: Model or version that the requests ask for; empty for none.
+        version_id: Version that the session keeps.
+    """
+
+    customer: str
+    session: str
+    wanted: str
+    version_id: str
+
+
+class Pin(Struct, frozen=True, array_like=True):
+    """A session's version as its holders keep it.
+
+    Attributes:
+        key: Hash of customer, session and what is asked for.
+        version_id: Version that the session keeps.
+        at_unix_s: When it was proposed; of two pins the older holds.
+        moves: Times that the session was moved; more moves go before age.
+    """
+
+    key: str
+    version_id: str
+    at_unix_s: float
+    moves: int = 0
+
+
+class PinHolders(Struct, frozen=True):
+    """Instance ids of the daemons that keep a pin; the second is of another zone if it can."""
+
+    names: tuple[str, ...]
+
+
+def session_key(customer: str, session: str, wanted: str) -> str:
+    """Return the key that a session's pin is kept under."""
+    return xxh3_128_hexdigest(f"{customer}\0{session}\0{wanted}".encode())
+
+
+def split_version(key: str, model: str, contract: Contract, config: FleetConfig) -> Version | None:
+    """Return the version that the roll-out split gives to a new session.
+
+    A session's draw for a version does not depend on the shares, so a session that falls to a
+    version stays with it while the share grows.
+
+    Args:
+        key: Key of the session.
+        model: Model that the session uses.
+        contract: Contract of the customer.
+        config: Configuration in force.
+    """
+    versions = [
+        version
+        for version in config.version_by_id.values()
+        if version.model == model
+        and version.state is VersionState.ACTIVE
+        and contract.allows(version.model, version.version_id)
+    ]
+    versions.sort(key=lambda v: (-_generation(v, config), v.version_id))
+    for version in versions:
+        if _draw(key, version) < version.share * SPLIT_STEPS // FULL_SHARE:
+            return version
+    return max(versions, key=lambda v: v.share, default=None)
+
+
+def seal_token(fleet_key: bytes, token: SessionToken) -> str:
+    """Return a token with its signature, for a header."""
+    payload = encode(token)
+    return f"{_to_text(payload)}.{_to_text(_signature(fleet_key, payload))}"
+
+
+def open_token(fleet_keys: Iterable[bytes], text: str) -> SessionToken | None:
+    """Return what a token says, or None if no key of the fleet signed it.
+
+    Args:
+        fleet_keys: Keys that are accepted.
+        text: The header's value.
+    """
+    head, _, tail = text.partition(".")
+    if len(text) > MAX_TOKEN_CHARS:
+        return None
+    try:
+        payload, signature = _from_text(head), _from_text(tail)
+    except ValueError:
+        return None
+    if not any(hmac.compare_digest(signature, _signature(key, payload)) for key in fleet_keys):
+        return None
+    try:
+        return decode(payload, type=SessionToken)
+    except (DecodeError, ValidationError):
+        return None
+
+
+def bucket_of(key: str) -> int:
+    """Return the bucket of a pin; pins of a bucket share their holders."""
+    return int(key[:2], 16) % PIN_BUCKETS
+
+
+def holders_of_bucket(bucket: int, members: Iterable[Member]) -> PinHolders:
+    """Return the daemons that keep a bucket's pins.
+
+    Args:
+        bucket: Number of the bucket.
+        members: Daemons that are live and not leaving, this one included.
+    """
+    ranked = sorted(members, key=lambda m: xxh64_intdigest(f"{bucket}\0{m.instance_id}".encode()))
+    if not ranked:
+        return PinHolders(())
+    first = ranked[0]
+    elsewhere = [member for member in ranked[1:] if member.zone != first.zone]
+    second = (elsewhere or ranked[1:])[:1]
+    return PinHolders((first.instance_id, *(member.instance_id for member in second)))
+
+
+def older_pin(one: Pin, other: Pin) -> Pin:
+    """Return which of two pins of a session holds; all daemons decide alike."""
+    return min(one, other, key=lambda pin: (-pin.moves, pin.at_unix_s, pin.version_id))
+
+
+def takes_new_work(version_id: str, contract: Contract, config: FleetConfig) -> bool:
+    """Return whether a session may go on with its version."""
+    version = config.version_by_id.get(version_id)
+    if version is None or version.state is VersionState.WITHDRAWN:
+        return False
+    return contract.allows(version.model, version_id)
+
+
+def _generation(version: Version, config: FleetConfig) -> int:
+    """Return how many versions came before, along `replaces`."""
+    seen = {version.version_id}
+    while version.replaces in config.version_by_id and version.replaces not in seen:
+        seen.add(version.replaces)
+        version = config.version_by_id[version.replaces]
+    return len(seen)
+
+
+def _draw(key: str, version: Version) -> int:
+    return xxh64_intdigest(f"{key}\0{version.version_id}".encode()) % SPLIT_STEPS
+
+
+def _signature(fleet_key: bytes, payload: bytes) -> bytes:
+    return hmac.new(fleet_key, TOKEN_CONTEXT + payload, sha256).digest()[:SIGNATURE_BYTES]
+
+
+def _to_text(data: bytes) -> str:
+    return urlsafe_b64encode(data).rstrip(b"=").decode("ascii")
+
+
+def _from_text(text: str) -> bytes:
+    return urlsafe_b64decode(text.encode("ascii") + b"=" * (-len(text) % 4))
