Dispatch within shares, and forward to the daemons that hold one

The pool with shares takes the place of the even division by members. A daemon without a share of an endpoint forwards to a holder of its own zone first, then to other zones; work that arrives at a daemon of another zone without a share goes on to a holder once, and no further. The hop number is signed.

The dispatcher tells the pool how each request ended: refused and cut work lowers the endpoint's limit, the time to the first token and the load report of the answer go along. Errors of a version do not lower it.

--- a/comfreyhatch/adapters/settings.py
+++ b/comfreyhatch/adapters/settings.py
@@ -129,6 +129,17 @@
     grace_s: Annotated[float, Meta(ge=0, le=3600)] = 60.0
 
 
+class EndpointSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """Calls to model engines and plain services.
+
+    Attributes:
+        orphan_hold_s: Time in which an endpoint ends the requests of a daemon that has ended, and
+            within which the instance list shows a daemon that was announced, in seconds.
+    """
+
+    orphan_hold_s: Annotated[float, Meta(ge=0, le=600)] = 5.0
+
+
 class Settings(Struct, frozen=True, forbid_unknown_fields=True):
     """All settings, by section."""
 
@@ -138,6 +149,7 @@
     operators: ListenerSettings = field(default_factory=ListenerSettings)
     peers: PeerSettings = field(default_factory=PeerSettings)
     fleet: FleetSettings = field(default_factory=FleetSettings)
+    endpoints: EndpointSettings = field(default_factory=EndpointSettings)
     logs: LogSettings = field(default_factory=LogSettings)
     limits: HttpLimits = field(default_factory=HttpLimits)
     shutdown: ShutdownSettings = field(default_factory=ShutdownSettings)
--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -25,19 +25,20 @@
 from comfreyhatch.daemon.directory import Directory
 from comfreyhatch.daemon.dispatcher import Dispatcher
 from comfreyhatch.daemon.editor import Editor
+from comfreyhatch.daemon.endpoints import EndpointPool
 from comfreyhatch.daemon.fleet_state import FleetReporter
-from comfreyhatch.daemon.forwarding import ForwardedWork, Forwarder
+from comfreyhatch.daemon.forwarding import MAX_HOPS, ForwardedWork, Forwarder
 from comfreyhatch.daemon.learning import Learner
 from comfreyhatch.daemon.membership import Membership
 from comfreyhatch.daemon.operators import OperatorHandler
 from comfreyhatch.daemon.planner import Planner
-from comfreyhatch.daemon.pool import EndpointPool
 from comfreyhatch.daemon.quarantine import Quarantine
 from comfreyhatch.daemon.ratings import Ratings
 from comfreyhatch.daemon.records import RecordBook
 from comfreyhatch.daemon.router import Router
 from comfreyhatch.daemon.services import ServiceRouter
 from comfreyhatch.daemon.shutdown import Shutdown
+from comfreyhatch.decisions.shares import Peer
 from comfreyhatch.domain.change import WithdrawVersion
 from comfreyhatch.domain.instance import Address, Instance, Role
 from comfreyhatch.ports.peers import Member
@@ -85,7 +86,14 @@
         self.keeper = ConfigurationKeeper(changes, self.bus, self.membership, rng=rng)
         self.changes = Editor(changes, self.keeper, self.membership)
         self.pool = EndpointPool(
-            self.directory, lambda: self.membership.view, own.zone, engine, service
+            self.directory,
+            lambda: self.membership.view,
+            Peer(own.id, self.incarnation),
+            own.zone,
+            engine,
+            service,
+            self.bus,
+            settings.endpoints.orphan_hold_s,
         )
         self.records = RecordBook()
         self.quarantine = Quarantine(
@@ -124,6 +132,15 @@
         forwarder = Forwarder(
             own.id, own.zone, key, lambda: self.membership.view, rng, self._require_fresh
         )
+        onward = Forwarder(
+            own.id,
+            own.zone,
+            key,
+            lambda: self.membership.view,
+            rng,
+            self._require_fresh,
+            hop=MAX_HOPS,
+        )
         router = Router(
             dispatcher,
             forwarder,
@@ -153,13 +170,14 @@
         )
         self._caller_server = HttpServer(callers.handle, settings.limits)
         self._operator_server = HttpServer(operators.handle, HttpLimits())
-        self._peer_server = HttpServer(ForwardedWork(dispatcher, key).handle, HttpLimits())
+        self._peer_server = HttpServer(ForwardedWork(dispatcher, key, onward).handle, HttpLimits())
         self.shutdown = Shutdown(
             settings.shutdown,
             self.membership,
             self.directory,
             (self._caller_server, self._peer_server),
         )
+        self.shutdown.on_flush(self.pool.leave)
 
     def ready(self) -> bool:
         """Return whether the daemon may take requests."""
--- a/comfreyhatch/daemon/dispatcher.py
+++ b/comfreyhatch/daemon/dispatcher.py
@@ -12,7 +12,8 @@
 
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.daemon.admission import Gate
-from comfreyhatch.daemon.pool import EndpointLoad, EndpointPool, Slot
+from comfreyhatch.daemon.endpoints import EndpointLoad, EndpointPool, Slot
+from comfreyhatch.decisions.cold_start import SlotOutcome
 from comfreyhatch.decisions.configuration import Use
 from comfreyhatch.decisions.endpoints import Circuits, EndpointFigures, choose_endpoint
 from comfreyhatch.domain.fleet import FleetConfig
@@ -20,7 +21,13 @@
 from comfreyhatch.domain.policy import PolicySettings
 from comfreyhatch.domain.request import Priority
 from comfreyhatch.domain.version import VersionState
-from comfreyhatch.errors import AnswerBrokenError, BackendError, ComfreyhatchError, RefusedError
+from comfreyhatch.errors import (
+    AnswerBrokenError,
+    BackendError,
+    BackendRefusedError,
+    ComfreyhatchError,
+    RefusedError,
+)
 from comfreyhatch.ports.engine import (
     Chunk,
     Engine,
@@ -62,7 +69,7 @@
         self._service = service
         self._admit = admit
         self._rng = rng
-        self._config = config
+        self.config = config
         self._policy = policy
         self._quarantined = quarantined
         self._circuits = Circuits()
@@ -83,7 +90,7 @@
             BackendError: If the endpoint failed or the deadline passed.
         """
         deadline = monotonic() + request.deadline_s
-        self._check(self._config(), request.version_id)
+        self._check(self.config(), request.version_id)
         critical = request.priority >= Priority.CRITICAL
         admitted = await self._gate.enter(critical, request.priority, deadline)
         try:
@@ -112,6 +119,7 @@
             request = replace(request, deadline_s=max(0.001, deadline - monotonic()))
             async with aclosing(self._resumed(slot.endpoint, request)) as chunks:
                 async for chunk in _until(chunks, deadline):
+                    slot.note(chunk.load, monotonic())
                     finished = bool(chunk.finish)
                     yield replace(chunk, served=served) if finished else chunk
             self._circuits.succeeded(endpoint_id, version_id)
@@ -163,6 +171,14 @@
         """Return whether the zone has an endpoint for a version or a plain service."""
         return bool(self._pool.candidates(wanted, config, monotonic()))
 
+    def holders(self, wanted: str, config: FleetConfig) -> set[str]:
+        """Return the other daemons of the zone that hold slots for a version or a service."""
+        return self._pool.holders(wanted, config, monotonic())
+
+    def has_share(self, wanted: str, config: FleetConfig) -> bool:
+        """Return whether this daemon holds any slot for a version or a service."""
+        return any(load.share for load in self._pool.candidates(wanted, config, monotonic()))
+
     @contextmanager
     def _slot(self, wanted: str, config: FleetConfig, session: str = "") -> Iterator[Slot]:
         now = monotonic()
@@ -177,6 +193,13 @@
             )
         try:
             yield slot
+            slot.outcome = SlotOutcome.OK
+        except BackendRefusedError:
+            slot.outcome = SlotOutcome.REFUSED
+            raise
+        except AnswerBrokenError:
+            slot.outcome = SlotOutcome.FAILED
+            raise
         finally:
             self._pool.release(slot, monotonic())
 
@@ -211,7 +234,7 @@
             load.share,
             report.in_flight + report.queued,
             held[1],
-            report.bears,
+            load.limit,
             report.cold,
         )
 
@@ -241,7 +264,7 @@
         now = monotonic()
         if now >= self._slots_until:
             self._slots_until = now + SLOTS_CACHED_S
-            config = self._config()
+            config = self.config()
             share_by_id = {
                 load.endpoint.instance_id: load.share
                 for version_id in config.version_by_id
@@ -259,7 +282,7 @@
         return gate
 
     def _service_slots(self, name: str) -> int:
-        loads = self._pool.candidates(name, self._config(), monotonic())
+        loads = self._pool.candidates(name, self.config(), monotonic())
         return sum(load.share for load in loads)
 
     async def _resumed(
--- a/comfreyhatch/daemon/endpoints.py
+++ b/comfreyhatch/daemon/endpoints.py
@@ -56,17 +56,37 @@
 
 
 class Slot(Struct):
-    """A slot of an endpoint's limit, held for one request."""
+    """A slot of an endpoint's limit, held for one request.
+
+    Attributes:
+        endpoint: The endpoint.
+        number: How many requests of this daemon run there with this one.
+        limit: Requests that all daemons may have running there.
+        taken_at: When it was taken.
+        outcome: What the end of the request tells of the endpoint's load.
+        first_token_s: Time to the first token, in seconds; None without one.
+        report: Load report that came with the answer.
+    """
 
     endpoint: Instance
     number: int
     limit: int
+    taken_at: float = 0.0
+    outcome: SlotOutcome = SlotOutcome.NEUTRAL
+    first_token_s: float | None = None
+    report: LoadReport | None = None
 
     @property
     def label(self) -> str:
         """Slot and limit for the record of the request."""
         return f"{self.number}/{self.limit}"
 
+    def note(self, report: LoadReport | None, now: float) -> None:
+        """Take in a piece of the answer and the load report that it may carry."""
+        if self.first_token_s is None:
+            self.first_token_s = now - self.taken_at
+        self.report = report or self.report
+
 
 class EndpointPool:
     """Hands out slots of the zone's endpoints within this daemon's shares."""
@@ -191,34 +211,19 @@
         if load is None or load.own_in_flight >= load.share:
             return None
         self._running_by_id[endpoint_id] = load.own_in_flight + 1
-        return Slot(load.endpoint, load.own_in_flight + 1, load.limit)
+        return Slot(load.endpoint, load.own_in_flight + 1, load.limit, now)
 
-    def release(
-        self,
-        slot: Slot,
-        now: float,
-        outcome: SlotOutcome = SlotOutcome.NEUTRAL,
-        first_token_s: float | None = None,
-        report: LoadReport | None = None,
-    ) -> None:
-        """Give a slot back.
-
-        Args:
-            slot: The slot.
-            now: Monotonic time, in seconds.
-            outcome: How the request ended, as far as it tells of the endpoint's load.
-            first_token_s: Time to the first token, if there was one.
-            report: Load report that came with the answer.
-        """
+    def release(self, slot: Slot, now: float) -> None:
+        """Give a slot back and take in what its request told of the endpoint."""
         endpoint_id = slot.endpoint.instance_id
         left = self._running_by_id[endpoint_id] - 1
         self._running_by_id[endpoint_id] = left
         if not left:
             del self._running_by_id[endpoint_id]
-        if report is not None and report.endpoint_id == endpoint_id:
-            self.loads.take_report(report, now)
+        if slot.report is not None and slot.report.endpoint_id == endpoint_id:
+            self.loads.take_report(slot.report, now)
             self._at_report_by_id[endpoint_id] = left
-        self.loads.take_outcome(endpoint_id, outcome, first_token_s, now)
+        self.loads.take_outcome(endpoint_id, slot.outcome, slot.first_token_s, now)
         if self.loads.has_urgent and self._digest is None:
             self._digest = asyncio.get_running_loop().create_task(self._send_urgent())
 
--- a/comfreyhatch/daemon/fleet_state.py
+++ b/comfreyhatch/daemon/fleet_state.py
@@ -4,8 +4,8 @@
 
 from comfreyhatch.daemon.directory import Directory
 from comfreyhatch.daemon.editor import Editor
+from comfreyhatch.daemon.endpoints import EndpointPool
 from comfreyhatch.daemon.membership import Membership
-from comfreyhatch.daemon.pool import EndpointPool
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.instance import Instance, Role
 from comfreyhatch.ports.operators import (
@@ -109,7 +109,7 @@
             state=state,
             in_flight=load.own_in_flight if load else 0,
             share=load.share if load else 0,
-            bears=load.report.bears if load else 0,
+            bears=load.limit if load else 0,
             versions=(endpoint.service,) if endpoint.role is Role.SERVICE else served,
         )
 
--- a/comfreyhatch/daemon/forwarding.py
+++ b/comfreyhatch/daemon/forwarding.py
@@ -1,7 +1,7 @@
 """Requests forwarded between daemons, authenticated with the fleet's key."""
 
 import hmac
-from collections.abc import AsyncGenerator, AsyncIterator, Callable, Mapping
+from collections.abc import AsyncGenerator, AsyncIterator, Callable, Mapping, Set
 from contextlib import _AsyncGeneratorContextManager, aclosing
 from hashlib import sha256
 from random import Random
@@ -27,6 +27,8 @@
 from comfreyhatch.ports.peers import Member, View
 
 SIGNATURE_HEADER = "x-fleet-signature"
+HOP_HEADER = "x-fleet-hop"
+MAX_HOPS = 2
 CALL_PATH = "/call"
 GENERATE_PATH = "/generate"
 
@@ -49,17 +51,20 @@
     message: str = ""
 
 
-def sign(key: bytes, body: bytes) -> str:
-    """Return the signature of a forwarded request's body."""
-    return hmac.new(key, body, sha256).hexdigest()
+def sign(key: bytes, hop: str, body: bytes) -> str:
+    """Return the signature of a forwarded request's hop number and body."""
+    return hmac.new(key, hop.encode() + b"\n" + body, sha256).hexdigest()
 
 
 class SigningClient(HttpClient):
     """Signs each request's body with the fleet's key."""
 
-    def __init__(self, key: bytes, before_send: Callable[[], None] | None = None) -> None:
+    def __init__(
+        self, key: bytes, before_send: Callable[[], None] | None = None, hop: int = 1
+    ) -> None:
         super().__init__(before_send)
         self._key = key
+        self._hop = str(hop)
 
     def stream(
         self,
@@ -72,12 +77,16 @@
         fresh_connection: bool = False,
     ) -> _AsyncGeneratorContextManager[StreamedReply, None]:
         """Send a signed request and give its answer piece by piece."""
-        headers = {**(header_by_name or {}), SIGNATURE_HEADER: sign(self._key, body)}
+        headers = {
+            **(header_by_name or {}),
+            HOP_HEADER: self._hop,
+            SIGNATURE_HEADER: sign(self._key, self._hop, body),
+        }
         return super().stream(address, method, target, body, headers, timeout_s, fresh_connection)
 
 
 class Forwarder:
-    """Sends requests to daemons of other zones."""
+    """Sends requests to daemons that can call endpoints which this one cannot."""
 
     def __init__(
         self,
@@ -87,23 +96,38 @@
         view: Callable[[], View],
         rng: Random,
         before_send: Callable[[], None] | None = None,
+        hop: int = 1,
     ) -> None:
         self._own_id = own_id
         self._zone = zone
         self._view = view
         self._rng = rng
-        self._client = SigningClient(key, before_send)
+        self._client = SigningClient(key, before_send, hop)
         self._engine = HttpEngine(self._client)
 
-    def members(self, config: FleetConfig) -> list[Member]:
-        """Return daemons that may take forwarded work, other zones first, in random order."""
+    def members(self, config: FleetConfig, holders: Set[str] = frozenset()) -> list[Member]:
+        """Return daemons that may take forwarded work, in random order within each rank.
+
+        Args:
+            config: Configuration in force.
+            holders: Daemons of the own zone that hold slots; they come first, then other zones.
+        """
         members = [
             m
             for m in self._view().member_by_id.values()
             if m.instance_id != self._own_id and m.zone not in config.out_zones and not m.leaving
         ]
         self._rng.shuffle(members)
-        return sorted(members, key=lambda m: m.zone == self._zone)
+        ranks = {True: 0, False: 2}
+        return sorted(
+            members, key=lambda m: ranks[m.instance_id in holders] if m.zone == self._zone else 1
+        )
+
+    def holders(self, names: Set[str]) -> list[Member]:
+        """Return the live daemons among those named, in random order."""
+        members = [m for m in self._view().member_by_id.values() if m.instance_id in names]
+        self._rng.shuffle(members)
+        return members
 
     def opener(self, member: Member) -> Callable[[GenerateRequest], AsyncGenerator[Chunk, None]]:
         """Return a function that opens an answer through a daemon."""
@@ -134,35 +158,59 @@
 class ForwardedWork:
     """Handler of the listener for forwarded requests."""
 
-    def __init__(self, dispatcher: Dispatcher, key: bytes) -> None:
+    def __init__(self, dispatcher: Dispatcher, key: bytes, onward: Forwarder) -> None:
+        """Create the handler.
+
+        Args:
+            dispatcher: Calls the endpoints of this zone.
+            key: Fleet key.
+            onward: Forwards to the zone's holders what this daemon has no share for.
+        """
         self._dispatcher = dispatcher
         self._key = key
+        self._onward = onward
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer a forwarded request; one with a wrong signature is refused."""
-        if not hmac.compare_digest(
-            request.header(SIGNATURE_HEADER).encode(), sign(self._key, request.body).encode()
-        ):
+        hop = request.header(HOP_HEADER)
+        signature = sign(self._key, hop, request.body)
+        if not hmac.compare_digest(request.header(SIGNATURE_HEADER).encode(), signature.encode()):
             return error_response(PeerError("the signature is wrong"))
+        last = not hop.isdecimal() or int(hop) >= MAX_HOPS
         try:
             if request.path == GENERATE_PATH:
-                return await self._generate(decode(request.body, type=GenerateRequest))
+                return await self._generate(decode(request.body, type=GenerateRequest), last)
             if request.path == CALL_PATH:
-                return json_response(await self._call(decode(request.body, type=ForwardedCall)))
+                call = decode(request.body, type=ForwardedCall)
+                return json_response(await self._call(call, last))
         except ValidationError as error:
             return error_response(RequestError(str(error)))
         return error_response(RequestError("no such resource", ResultCode.NOT_FOUND))
 
-    async def _generate(self, request: GenerateRequest) -> HttpResponse:
-        chunks = self._dispatcher.generate(request)
+    async def _generate(self, request: GenerateRequest, last: bool) -> HttpResponse:
+        member = None if last else self._holder(request.version_id)
+        open_answer = self._onward.opener(member) if member else self._dispatcher.generate
+        chunks = open_answer(request)
         first = await anext(chunks)
         return HttpResponse(
             200, content_type=EVENT_STREAM_TYPE, stream=_encode_events(first, chunks)
         )
 
-    async def _call(self, call: ForwardedCall) -> ForwardedAnswer:
+    def _holder(self, wanted: str) -> Member | None:
+        """Return a daemon of the zone to pass work on to; None if this one has a share."""
+        config = self._dispatcher.config()
+        if self._dispatcher.has_share(wanted, config):
+            return None
+        holders = self._onward.holders(self._dispatcher.holders(wanted, config))
+        return holders[0] if holders else None
+
+    async def _call(self, call: ForwardedCall, last: bool) -> ForwardedAnswer:
+        member = None if last else self._holder(call.service)
+        name, request, timeout_s = call.service, call.request, call.timeout_s
         try:
-            answer, served = await self._dispatcher.call(call.service, call.request, call.timeout_s)
+            if member:
+                return ForwardedAnswer(*await self._onward.call(member, name, request, timeout_s))
+            answer, served = await self._dispatcher.call(name, request, timeout_s)
         except ComfreyhatchError as error:
             return ForwardedAnswer(code=error.code, ran=error.ran, message=str(error))
         return ForwardedAnswer(answer, served)
--- a/comfreyhatch/daemon/router.py
+++ b/comfreyhatch/daemon/router.py
@@ -271,10 +271,11 @@
         return [*self._peer_sources(version_id), *([local] if serves else [])]
 
     def _peer_sources(self, version_id: str) -> list[Source]:
-        now = monotonic()
+        now, config = monotonic(), self._config()
+        holders = self._dispatcher.holders(version_id, config)
         return [
             Source(member.instance_id, self._forwarder.opener(member))
-            for member in self._forwarder.members(self._config())
+            for member in self._forwarder.members(config, holders)
             if self._notes.worth_asking(member.instance_id, version_id, now)
         ]
 
--- a/comfreyhatch/daemon/services.py
+++ b/comfreyhatch/daemon/services.py
@@ -121,10 +121,13 @@
         return self._times_by_service.setdefault(name, LatencyWindow())
 
     def _sources(self, name: str) -> list["ServiceSource"]:
-        sources: list[ServiceSource] = []
-        if self._dispatcher.serves(name, self._config()):
-            sources.append(self._local(name))
-        return sources + [self._remote(name, m) for m in self._forwarder.members(self._config())]
+        config = self._config()
+        members = self._forwarder.members(config, self._dispatcher.holders(name, config))
+        remote = [self._remote(name, member) for member in members]
+        if not self._dispatcher.serves(name, config):
+            return remote
+        local = self._local(name)
+        return [local, *remote] if self._dispatcher.has_share(name, config) else [*remote, local]
 
     def _local(self, name: str) -> "ServiceSource":
         return lambda request, timeout_s: self._dispatcher.call(name, request, timeout_s)
--- a/comfreyhatch/standins/fleet.py
+++ b/comfreyhatch/standins/fleet.py
@@ -7,6 +7,7 @@
 from msgspec import Struct
 
 from comfreyhatch.adapters.settings import (
+    EndpointSettings,
     InstanceSettings,
     ListenerSettings,
     PlatformSettings,
@@ -26,6 +27,7 @@
 API_KEY = "trackline-key"
 CUSTOMER = "trackline"
 WAIT_INTERVAL_S = 0.02
+ORPHAN_HOLD_S = 0.2
 
 SMALL = Version("coach-small", "1", input_price=100, output_price=400, prior_quality=0.7)
 LARGE = Version("coach-large", "1", input_price=1000, output_price=4000, prior_quality=0.95)
@@ -134,6 +136,7 @@
             platform=platform,
             callers=ListenerSettings(),
             operators=ListenerSettings(),
+            endpoints=EndpointSettings(ORPHAN_HOLD_S),
         )
 
     async def apply(self, *changes: Change) -> None:
@@ -187,5 +190,6 @@
             and len(daemon.directory.endpoint_by_id) >= len(self.engine_by_id)
             and len(daemon.membership.view.member_by_id) >= len(self.daemon_by_id)
             and daemon.pool.polled()
+            and daemon.pool.active
             for daemon in self.daemon_by_id.values()
         )
--- a/tests/test_endpoint_pool.py
+++ b/tests/test_endpoint_pool.py
@@ -117,7 +117,8 @@
     assert sorted(zone.slots("engine-1"))[-1] == 3 and sum(zone.slots("engine-1")) < 8
     for slot in held:
         assert slot
-        x.release(slot, zone.now, SlotOutcome.OK, 0.1)
+        slot.outcome = SlotOutcome.OK
+        x.release(slot, zone.now)
     await zone.step(count=2)
     assert sum(zone.slots()) == 8 and sorted(zone.slots()) == [2, 3, 3]
 
@@ -187,7 +188,8 @@
     x, y = (zone.pool_by_id[name] for name in sorted(zone.pool_by_id, reverse=first == "y"))
     slot = x.acquire("engine-1", zone.now)
     assert slot
-    x.release(slot, zone.now, outcome)
+    slot.outcome = outcome
+    x.release(slot, zone.now)
     limit = 1 if outcome is SlotOutcome.COLD else 4
     assert x.loads.limit("engine-1", zone.now) == limit
     assert x._digest
@@ -204,7 +206,8 @@
     slot = x.acquire("engine-1", zone.now)
     assert slot
     report = LoadReport("engine-1", 3, 0, 2, True, (VERSION,))
-    x.release(slot, zone.now, SlotOutcome.OK, 0.1, report)
+    slot.note(report, zone.now)
+    x.release(slot, zone.now)
     load = x.load_of("engine-1")
     assert load and (load.limit, load.share, load.figures().cold) == (2, 1, True)
 
