Keep the counts of burn in the object store

Burn was computed from the records that the asked daemon had in memory, so that it ended with the daemon, and at 14,000 requests/s no daemon could read the records of hours for a report. Each daemon now counts as it records, and stores its counts every five minutes under a key of their own; a report adds up the stored segments and what daemons have not stored yet. The number of counts grows with the misses, not with the endpoints.

A segment never changes once it has a key, so that a write whose answer was lost is repeated without harm; copies of a segment count once.

--- a/comfreyhatch/adapters/operator_http.py
+++ b/comfreyhatch/adapters/operator_http.py
@@ -10,7 +10,7 @@
 
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.decisions.burn import BurnCount
+from comfreyhatch.decisions.burn import BurnCount, BurnSegment, merge_segments
 from comfreyhatch.domain.change import ChangeRecord
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.instance import Address
@@ -101,9 +101,12 @@
         return sorted(bill_by_customer.values(), key=lambda bill: bill.customer)
 
     async def burn_counts(self, since_unix_s: float) -> list[BurnCount]:
-        """Return the burn counts of all daemons that answer."""
-        found = await self._get_all("/burn", list[BurnCount], since=since_unix_s)
-        return [count for counts in found for count in counts]
+        """Return the burn counts that are stored and those that daemons have not stored yet."""
+        # Pending counts are read first: a segment stored in between is found twice, and counted
+        # once, but never missed.
+        pending = await self._get_all("/burn", list[BurnSegment])
+        stored = await self._get("/burn/stored", list[BurnSegment], since=since_unix_s)
+        return merge_segments([*(segment for found in pending for segment in found), *stored])
 
     async def _get(self, path: str, kind: type[T], **parameters: object) -> T:
         return _decoded(await self._ask("GET", _target(path, parameters)), kind)
--- /dev/null
+++ b/comfreyhatch/daemon/burn_book.py
@@ -0,0 +1,148 @@
+"""Counts for the report on service-level burn, kept in the platform's object store."""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from time import time
+
+from msgspec import DecodeError, Struct
+from msgspec.msgpack import Decoder, encode
+
+from comfreyhatch.decisions.burn import BurnCounts, BurnSegment
+from comfreyhatch.domain.contract import Contract
+from comfreyhatch.domain.record import RequestRecord
+from comfreyhatch.errors import ComfreyhatchError
+from comfreyhatch.ports.objects import ObjectStore
+from comfreyhatch.ports.table import WriteOutcome
+
+FLUSH_INTERVAL_S = 300.0
+SEGMENTS_WAITING = 288
+PAGE = 1000
+READS_AT_ONCE = 16
+PREFIX = "burn/"
+
+log = logging.getLogger("comfreyhatch.burn")
+
+_decoder = Decoder(BurnSegment)
+
+
+class WaitingSegment(Struct, frozen=True):
+    """A segment that is to be stored under its key."""
+
+    key: str
+    segment: BurnSegment
+
+
+class BurnBook:
+    """Counts requests and stores the counts segment by segment.
+
+    A segment is stored under a key of its own and never changes once it has one, so that a
+    write whose answer was lost is repeated without harm.
+    """
+
+    def __init__(
+        self,
+        objects: ObjectStore,
+        incarnation: str,
+        contracts: Callable[[], dict[str, Contract]],
+        bad_versions: Callable[[], frozenset[str]],
+    ) -> None:
+        self._objects = objects
+        self._incarnation = incarnation
+        self._contracts = contracts
+        self._bad_versions = bad_versions
+        self._open = BurnCounts()
+        self._sequence = 0
+        self._waiting: deque[WaitingSegment] = deque(maxlen=SEGMENTS_WAITING)
+
+    def observe(self, record: RequestRecord) -> None:
+        """Count a request."""
+        contract = self._contracts().get(record.customer)
+        if contract:
+            self._open.add_record(record, contract, self._bad_versions())
+
+    def observe_rating(self, customer: str, version_id: str, rating: float) -> None:
+        """Count a rating that came after its request was counted."""
+        contract = self._contracts().get(customer)
+        if contract:
+            self._open.add_rating(contract, version_id, rating, time())
+
+    async def run(self) -> None:
+        """Store segments until cancelled."""
+        while True:
+            await asyncio.sleep(FLUSH_INTERVAL_S)
+            await self.flush(time())
+
+    async def flush(self, now_unix_s: float) -> None:
+        """Close the open segment and store all that wait; keeps them while the store is down."""
+        self._close_segment(now_unix_s)
+        while self._waiting:
+            first = self._waiting[0]
+            try:
+                outcome = await self._objects.put_if_absent(first.key, encode(first.segment))
+            except ComfreyhatchError as error:
+                log.warning("event=burn_store_unavailable reason=%r", str(error))
+                return
+            if outcome is WriteOutcome.UNKNOWN:
+                log.info("event=burn_write_unknown key=%s", first.key)
+                return
+            if self._waiting and self._waiting[0] is first:
+                self._waiting.popleft()
+
+    def pending(self) -> list[BurnSegment]:
+        """Return the segments that are not stored yet, the open one included."""
+        return [waiting.segment for waiting in self._waiting] + [self._open_segment()]
+
+    async def stored(self, since_unix_s: float) -> list[BurnSegment]:
+        """Return the segments of all instances that were stored since a time.
+
+        Raises:
+            PlatformError: If the store does not answer.
+        """
+        keys = await self._keys(segment_key(since_unix_s, "", 0))
+        slots = asyncio.Semaphore(READS_AT_ONCE)
+
+        async def read(key: str) -> BurnSegment | None:
+            async with slots:
+                value = await self._objects.get(key)
+            return _decoded(key, value)
+
+        found = await asyncio.gather(*(read(key) for key in keys))
+        return [segment for segment in found if segment]
+
+    async def _keys(self, after: str) -> list[str]:
+        keys: list[str] = []
+        while page := await self._objects.list_keys(PREFIX, after, PAGE):
+            keys += page
+            after = page[-1]
+        return keys
+
+    def _open_segment(self) -> BurnSegment:
+        return BurnSegment(self._incarnation, self._sequence, tuple(self._open.counts()))
+
+    def _close_segment(self, now_unix_s: float) -> None:
+        segment = self._open_segment()
+        if not segment.counts:
+            return
+        if len(self._waiting) == SEGMENTS_WAITING:
+            log.warning("event=burn_segment_dropped key=%s", self._waiting[0].key)
+        key = segment_key(now_unix_s, self._incarnation, self._sequence)
+        self._waiting.append(WaitingSegment(key, segment))
+        self._open = BurnCounts()
+        self._sequence += 1
+
+
+def segment_key(unix_s: float, incarnation: str, sequence: int) -> str:
+    """Return the object key of a segment; keys sort by the time of the segment's end."""
+    return f"{PREFIX}{int(unix_s):012d}/{incarnation}/{sequence:06d}"
+
+
+def _decoded(key: str, value: bytes | None) -> BurnSegment | None:
+    if value is None:
+        return None
+    try:
+        return _decoder.decode(value)
+    except DecodeError as error:
+        log.warning("event=burn_segment_malformed key=%s reason=%r", key, str(error))
+        return None
--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -19,6 +19,7 @@
 from comfreyhatch.adapters.platform_http import HttpInstanceList, HttpRatingService
 from comfreyhatch.adapters.settings import Settings
 from comfreyhatch.adapters.table_http import HttpTable
+from comfreyhatch.daemon.burn_book import BurnBook
 from comfreyhatch.daemon.callers import CallerHandler
 from comfreyhatch.daemon.changes import ChangeLog
 from comfreyhatch.daemon.configuration import ConfigurationKeeper
@@ -38,6 +39,7 @@
 from comfreyhatch.daemon.router import Router
 from comfreyhatch.daemon.services import ServiceRouter
 from comfreyhatch.daemon.shutdown import Shutdown
+from comfreyhatch.decisions.configuration import Freshness
 from comfreyhatch.decisions.shares import Peer
 from comfreyhatch.domain.change import WithdrawVersion
 from comfreyhatch.domain.instance import Address, Instance, Role
@@ -95,7 +97,6 @@
             self.bus,
             settings.endpoints.orphan_hold_s,
         )
-        self.records = RecordBook()
         self.quarantine = Quarantine(
             self.incarnation,
             own.id,
@@ -105,6 +106,13 @@
             enabled=settings.policy.quarantine,
             withdraw=self._withdraw,
         )
+        self.burn = BurnBook(
+            HttpObjectStore(client, platform),
+            self.incarnation,
+            lambda: self.changes.config.contract_by_customer,
+            self.quarantine.quarantined,
+        )
+        self.records = RecordBook(self.burn.observe)
         self.ratings = Ratings(
             HttpRatingService(client, platform),
             self.incarnation,
@@ -128,7 +136,7 @@
         planner = Planner(
             lambda: self.changes.config, self.ratings, self.quarantine, rng, settings.policy.plans
         )
-        learner = Learner(planner, self.ratings, self.quarantine, rng)
+        learner = Learner(planner, self.ratings, self.quarantine, rng, self.burn.observe_rating)
         forwarder = Forwarder(
             own.id, own.zone, key, lambda: self.membership.view, rng, self._require_fresh
         )
@@ -165,8 +173,10 @@
         self.reporter = FleetReporter(
             own.id, own.zone, self.changes, self.membership, self.directory, self.pool, self.ready
         )
+        self.reporter.quarantined = self.quarantine.quarantined
+        self.reporter.cut_off = lambda: (self.keeper.freshness(monotonic()) is Freshness.CUT_OFF)
         operators = OperatorHandler(
-            self.changes, self.records, self.reporter, self.registry, self.ready
+            self.changes, self.records, self.burn, self.reporter, self.registry, self.ready
         )
         self._caller_server = HttpServer(callers.handle, settings.limits)
         self._operator_server = HttpServer(operators.handle, HttpLimits())
@@ -200,6 +210,7 @@
             self.pool,
             self.ratings,
             self.quarantine,
+            self.burn,
         ):
             self._start_task(part.run())
         operators = await self._operator_server.start(
@@ -238,6 +249,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.bus.stop()
+        await self.burn.flush(time())
         for client in self._clients:
             client.close()
         log.info("event=daemon_stopped instance=%s", self._settings.instance.id)
--- a/comfreyhatch/daemon/fleet_state.py
+++ b/comfreyhatch/daemon/fleet_state.py
@@ -26,7 +26,6 @@
         spent_by_customer: Returns what customers have spent today, in micros.
         journal_lag: Returns the number of records that nobody else has acknowledged.
         cut_off: Returns whether this daemon is cut off.
-        zones_cut_off: Returns the availability zones that cannot be reached.
     """
 
     def __init__(
@@ -50,7 +49,6 @@
         self.spent_by_customer: Callable[[], dict[str, int]] = dict
         self.journal_lag: Callable[[], int] = int
         self.cut_off: Callable[[], bool] = bool
-        self.zones_cut_off: Callable[[], tuple[str, ...]] = tuple
 
     def state(self) -> FleetState:
         """Return the state now."""
@@ -63,7 +61,7 @@
             cut_off=self.cut_off(),
             journal_lag=self.journal_lag(),
             zones_out=tuple(sorted(config.out_zones)),
-            zones_cut_off=self.zones_cut_off(),
+            zones_cut_off=self._zones_cut_off(),
             instances=tuple(self._instances()),
             endpoints=tuple(self._endpoints(config)),
             versions=tuple(self._versions(config)),
@@ -74,6 +72,12 @@
         """Return which live instances have confirmed a revision."""
         return await self._changes.in_force(revision)
 
+    def _zones_cut_off(self) -> tuple[str, ...]:
+        """Return the zones whose daemons the platform lists and none of which is reached."""
+        listed = {member.zone for member in self._directory.members}
+        reached = {member.zone for member in self._membership.view.member_by_id.values()}
+        return tuple(sorted(listed - reached - {self._zone}))
+
     def _instances(self) -> list[InstanceState]:
         found = {
             member.instance_id: InstanceState(
--- a/comfreyhatch/daemon/learning.py
+++ b/comfreyhatch/daemon/learning.py
@@ -1,5 +1,6 @@
 """What the daemon learns from each answer: outcomes, times and ratings of versions."""
 
+from collections.abc import Callable
 from random import Random
 
 from msgspec import Struct, field
@@ -52,12 +53,21 @@
         return (now - self.first_at) / (self.tokens - 1)
 
 
+LateRating = Callable[[str, str, float], None]
+
+
 class Learner:
     """Hands what was seen of answers to the parts that decide by it."""
 
     def __init__(
-        self, planner: Planner, ratings: Ratings, quarantine: Quarantine, rng: Random
+        self,
+        planner: Planner,
+        ratings: Ratings,
+        quarantine: Quarantine,
+        rng: Random,
+        on_late_rating: LateRating | None = None,
     ) -> None:
+        self._on_late_rating = on_late_rating
         self._planner = planner
         self._ratings = ratings
         self._quarantine = quarantine
@@ -111,12 +121,18 @@
             return
         target = contract.quality_target
         request = rating_request(call, version, "".join(trace.text))
+
+        def note(rating: float) -> None:
+            self._note_rating(version, rating, target)
+            if self._on_late_rating:
+                self._on_late_rating(call.customer, version.version_id, rating)
+
         self._ratings.offer(
             RatingJob(
                 request,
                 target,
                 bool(version.replaces),
-                lambda rating: self._note_rating(version, rating, target),
+                note,
             )
         )
 
--- a/comfreyhatch/daemon/operators.py
+++ b/comfreyhatch/daemon/operators.py
@@ -9,10 +9,10 @@
 
 from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse, json_response
 from comfreyhatch.codes import ResultCode
+from comfreyhatch.daemon.burn_book import BurnBook
 from comfreyhatch.daemon.editor import Editor
 from comfreyhatch.daemon.fleet_state import FleetReporter
 from comfreyhatch.daemon.records import RecordBook
-from comfreyhatch.decisions.burn import BurnCount, BurnCounts
 from comfreyhatch.domain.change import ChangeRecord, SetContract, apply_change
 from comfreyhatch.domain.contract import contract_problems
 from comfreyhatch.domain.fleet import FleetConfig
@@ -24,6 +24,8 @@
 EXPLAIN_PREFIX = "/explain/"
 HISTORY_LIMIT = 1000
 RECORDS_LIMIT = 1000
+RECORDS_PERIOD_S = 3600
+BURN_PERIOD_S = 6 * 3600
 CUSTOMER_PARAMETER = "customer"
 
 Route = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -36,12 +38,14 @@
         self,
         changes: Editor,
         records: RecordBook,
+        burn_book: BurnBook,
         reporter: FleetReporter,
         registry: CollectorRegistry,
         ready: Callable[[], bool],
     ) -> None:
         self._changes = changes
         self._records = records
+        self._burn_book = burn_book
         self._reporter = reporter
         self._registry = registry
         self._ready = ready
@@ -56,6 +60,7 @@
             ("GET", "/config/in-force"): self._in_force,
             ("GET", "/records"): self._recent,
             ("GET", "/burn"): self._burn,
+            ("GET", "/burn/stored"): self._stored_burn,
             ("POST", "/changes"): self._change,
         }
 
@@ -140,22 +145,17 @@
         return record
 
     async def _recent(self, request: HttpRequest) -> HttpResponse:
-        since = _number(request, "since", time() - 3600)
+        since = _number(request, "since", time() - RECORDS_PERIOD_S)
         records = await self._records.since(since, request.query.get(CUSTOMER_PARAMETER, ""))
         limit = min(RECORDS_LIMIT, _integer(request, "limit", RECORDS_LIMIT))
         return json_response(records[-limit:])
 
     async def _burn(self, request: HttpRequest) -> HttpResponse:
-        since = _number(request, "since", time() - 6 * 3600)
-        contracts = self._changes.config.contract_by_customer
-        bad_versions = self._reporter.quarantined()
-        counts = BurnCounts()
-        for record in await self._records.since(since):
-            contract = contracts.get(record.customer)
-            if contract:
-                counts.add_record(record, contract, bad_versions)
-        found: list[BurnCount] = counts.counts()
-        return json_response(found)
+        return json_response(self._burn_book.pending())
+
+    async def _stored_burn(self, request: HttpRequest) -> HttpResponse:
+        since = _number(request, "since", time() - BURN_PERIOD_S)
+        return json_response(await self._burn_book.stored(since))
 
 
 def _integer(request: HttpRequest, name: str, default: int) -> int:
--- a/comfreyhatch/daemon/records.py
+++ b/comfreyhatch/daemon/records.py
@@ -1,5 +1,7 @@
 """Records of the requests that this daemon accepted."""
 
+from collections.abc import Callable
+
 from comfreyhatch.domain.record import RequestRecord
 
 RECORDS_KEPT = 100_000
@@ -8,12 +10,14 @@
 class RecordBook:
     """Keeps the latest records in memory, by request id."""
 
-    def __init__(self) -> None:
+    def __init__(self, observe: Callable[[RequestRecord], None]) -> None:
+        self._observe = observe
         self.record_by_id: dict[str, RequestRecord] = {}
 
     async def commit(self, record: RequestRecord) -> None:
         """Store a record before the caller sees the end of its answer."""
         self.record_by_id[record.request_id] = record
+        self._observe(record)
         if len(self.record_by_id) > RECORDS_KEPT:
             del self.record_by_id[next(iter(self.record_by_id))]
 
--- a/comfreyhatch/decisions/burn.py
+++ b/comfreyhatch/decisions/burn.py
@@ -61,7 +61,11 @@
 
 
 class Cause(Struct, frozen=True, order=True):
-    """Where a request ended and how; the axes that burn is broken down by."""
+    """Where a request ended and how; the axes that burn is broken down by.
+
+    The endpoint is empty for requests that met the objective, so that the number of counts
+    grows with the misses and not with the endpoints.
+    """
 
     code: int
     version: str
@@ -86,13 +90,26 @@
     bad: int
 
 
+class BurnSegment(Struct, frozen=True):
+    """Counts that one incarnation of a daemon has gathered; a later copy has more.
+
+    Attributes:
+        incarnation: Incarnation of the daemon.
+        sequence: Number of the segment within the incarnation.
+        counts: The counts.
+    """
+
+    incarnation: str
+    sequence: int
+    counts: tuple[BurnCount, ...]
+
+
 class Contribution(Struct, frozen=True):
     """How many misses one value of an axis accounts for."""
 
     axis: str
     value: str
     bad: int
-    total: int
 
 
 class ObjectiveBurn(Struct, frozen=True):
@@ -147,27 +164,32 @@
         """
         if record.code in CALLER_FAULTS:
             return
-        cause = _cause(record)
-        start_s = int(record.at_unix_s) // BUCKET_S * BUCKET_S
         for objective, missed in _verdicts(record, contract, bad_versions).items():
-            self._add(BurnKey(start_s, record.customer, objective, cause), 1, missed)
+            cause = _cause(record, missed)
+            self._add_verdict(record.customer, objective, cause, record.at_unix_s, missed)
+
+    def add_rating(
+        self, contract: Contract, version_id: str, rating: float, at_unix_s: float
+    ) -> None:
+        """Count a rating that came after its request was counted."""
+        missed = rating < contract.quality_target
+        cause = Cause(int(ResultCode.OK), version_id, "", "")
+        self._add_verdict(contract.customer, Objective.QUALITY, cause, at_unix_s, missed)
 
     def add_count(self, count: BurnCount) -> None:
         """Add a count from another instance."""
         self._add(count.key, count.total, count.bad)
 
+    def _add_verdict(
+        self, customer: str, objective: Objective, cause: Cause, at_unix_s: float, missed: bool
+    ) -> None:
+        start_s = int(at_unix_s) // BUCKET_S * BUCKET_S
+        self._add(BurnKey(start_s, customer, objective, cause), 1, missed)
+
     def counts(self) -> list[BurnCount]:
         """Return all counts."""
         return [BurnCount(key, total, bad) for key, (total, bad) in self._count_by_key.items()]
 
-    def forget_before(self, unix_s: float) -> None:
-        """Drop buckets that ended before a time."""
-        self._count_by_key = {
-            key: value
-            for key, value in self._count_by_key.items()
-            if key.start_s + BUCKET_S > unix_s
-        }
-
     def _add(self, key: BurnKey, total: int, bad: int) -> None:
         entry = self._count_by_key.setdefault(key, [0, 0])
         entry[0] += total
@@ -259,7 +281,7 @@
 
 
 def _contributions(counts: list[BurnCount]) -> tuple[Contribution, ...]:
-    sums: dict[tuple[str, str], list[int]] = {}
+    bad_by_pair: dict[tuple[str, str], int] = {}
     for count in counts:
         cause = count.key.cause
         axes = (
@@ -269,22 +291,35 @@
             ("endpoint", cause.endpoint),
         )
         for pair in axes:
-            entry = sums.setdefault(pair, [0, 0])
-            entry[0] += count.bad
-            entry[1] += count.total
+            bad_by_pair[pair] = bad_by_pair.get(pair, 0) + count.bad
     found = [
-        Contribution(axis, value or "none", bad, total)
-        for (axis, value), (bad, total) in sums.items()
+        Contribution(axis, value or "none", bad)
+        for (axis, value), bad in bad_by_pair.items()
         if bad
     ]
     return tuple(sorted(found, key=lambda item: (-item.bad, item.axis, item.value)))
 
 
-def _cause(record: RequestRecord) -> Cause:
+def _cause(record: RequestRecord, missed: bool) -> Cause:
     if not record.attempts:
         return Cause(int(record.code), "", "", "")
     last = record.attempts[-1]
-    return Cause(int(record.code), last.version_id, last.zone, last.endpoint_id)
+    endpoint = last.endpoint_id if missed else ""
+    return Cause(int(record.code), last.version_id, last.zone, endpoint)
+
+
+def merge_segments(segments: Iterable[BurnSegment]) -> list[BurnCount]:
+    """Return the counts of all segments; of copies of one, the fullest counts."""
+    fullest: dict[tuple[str, int], BurnSegment] = {}
+    for segment in segments:
+        key = (segment.incarnation, segment.sequence)
+        if key not in fullest or _size(segment) > _size(fullest[key]):
+            fullest[key] = segment
+    return [count for segment in fullest.values() for count in segment.counts]
+
+
+def _size(segment: BurnSegment) -> int:
+    return sum(count.total for count in segment.counts)
 
 
 def _verdicts(
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -8,9 +8,11 @@
 from comfreyhatch.decisions.burn import (
     BurnCounts,
     BurnReport,
+    BurnSegment,
     Objective,
     ObjectiveBurn,
     burn_report,
+    merge_segments,
 )
 from comfreyhatch.domain.contract import Contract, Objectives
 from comfreyhatch.domain.record import Attempt, RequestRecord
@@ -118,6 +120,23 @@
     ]
 
 
+def test_rating_that_comes_late_counts_for_quality_alone() -> None:
+    counts = BurnCounts()
+    counts.add_rating(CONTRACT, "m@1", 0.7, NOW)
+    counts.add_rating(CONTRACT, "m@1", 0.8, NOW)
+    (burn,) = burn_report(counts.counts(), {"trackline": CONTRACT}, 0, NOW).objectives
+    assert (burn.objective, burn.bad, burn.total) == (Objective.QUALITY, 1, 2)
+
+
+def test_counts_grow_with_the_misses_and_not_with_the_endpoints() -> None:
+    counts = BurnCounts()
+    for number in range(50):
+        record = record_of()
+        attempt = replace(record.attempts[0], endpoint_id=f"e-{number}")
+        counts.add_record(replace(record, attempts=(attempt,)), CONTRACT, frozenset())
+    assert len(counts.counts()) == 3
+
+
 def test_objective_without_any_allowance_is_overspent_by_one_miss() -> None:
     strict = replace(CONTRACT, objectives=replace(CONTRACT.objectives, availability=1.0))
     counts = BurnCounts()
@@ -146,5 +165,7 @@
     contracts = {"trackline": CONTRACT}
     whole = report([record for record, _ in records], since_s)
     assert burn_report(merged.counts(), contracts, NOW - since_s, NOW) == whole
-    merged.forget_before(NOW - since_s)
-    assert burn_report(merged.counts(), contracts, NOW - since_s, NOW) == whole
+    segments = [BurnSegment("i", n, tuple(c.counts())) for n, c in enumerate(split)]
+    early = BurnSegment("i", 0, tuple(split[0].counts()[:1]))
+    copies = merge_segments([early, *segments, segments[1], early])
+    assert burn_report(copies, contracts, NOW - since_s, NOW) == whole
