--- a/comfreyhatch/daemon/buddies.py
+++ b/comfreyhatch/daemon/buddies.py
@@ -13,7 +13,7 @@
 from comfreyhatch.domain.journal import Entry, Outcome, decode_body
 from comfreyhatch.domain.record import RequestRecord
 from comfreyhatch.errors import PlatformError
-from comfreyhatch.ports.peers import PeerBus, View
+from comfreyhatch.ports.peers import PeerBus, View, may_be_process
 
 WATCH_INTERVAL_S = 2.0
 WRITER_GRACE_S = 20.0
@@ -113,7 +113,7 @@
 
     def _gone(self, journal: str, copy: _Copy) -> bool:
         member = self._view().member_by_id.get(copy.writer)
-        return member is None or member.incarnation != journal
+        return member is None or not may_be_process(member, journal)
 
     async def _store_orphan(self, copy: _Copy) -> None:
         try:
--- a/comfreyhatch/daemon/callers.py
+++ b/comfreyhatch/daemon/callers.py
@@ -31,6 +31,9 @@
 CHAT_PATH = "/v1/chat/completions"
 MODELS_PATH = "/v1/models"
 SERVICES_PREFIX = "/services/"
+KEYS_PATH = "/v1/keys"
+FIRST_ATTEMPT_HEADER = "x-first-attempt"
+REPLAYED_HEADER = "x-idempotent-replay"
 REQUEST_ID_HEADER = "x-request-id"
 MAX_PRIORITY = 9
 
@@ -120,6 +123,12 @@
     object: str = "list"
 
 
+class MintedKeyBody(Struct):
+    """A minted idempotency key."""
+
+    idempotency_key: str
+
+
 class CallerHandler:
     """Handler of the callers' listener."""
 
@@ -132,7 +141,9 @@
         config: Callable[[], FleetConfig],
         latest: Callable[[], Awaitable[FleetConfig]],
         ready: Callable[[], bool],
+        mint: Callable[[str], str],
     ) -> None:
+        self._mint = mint
         self._instance_id = instance_id
         self._incarnation = incarnation
         self._router = router
@@ -163,6 +174,9 @@
         if request.path == MODELS_PATH:
             _require_method(request, ("GET",))
             return json_response(_models(config, contract))
+        if request.path == KEYS_PATH:
+            _require_method(request, ("POST",))
+            return json_response(MintedKeyBody(self._mint(contract.customer)), 201)
         if request.path.startswith(SERVICES_PREFIX):
             _require_method(request, ("GET", "POST"))
             return await self._service(request, request_id, contract)
@@ -197,8 +211,10 @@
         call = service_request(request, request_id, path)
         deadline = now + _deadline_s(request, contract)
         draft = self._service_draft(request_id, name, contract, now, deadline - now)
-        answer = await self._services.answer(name, call, deadline, draft)
-        return HttpResponse(answer.status, answer.body, answer.content_type)
+        first_attempt = request.header(FIRST_ATTEMPT_HEADER) == "true"
+        answer = await self._services.answer(name, call, deadline, draft, first_attempt)
+        headers = {REPLAYED_HEADER: "true"} if answer.replayed else {}
+        return HttpResponse(answer.status, answer.body, answer.content_type, headers)
 
     def _draft(
         self, call: ChatRequest, contract: Contract, kind: str, task: str, now: float
--- a/comfreyhatch/daemon/claims.py
+++ b/comfreyhatch/daemon/claims.py
@@ -29,7 +29,7 @@
     release,
     settle,
 )
-from comfreyhatch.domain.claim import Claim, ClaimState, KeptAnswer, claim_key
+from comfreyhatch.domain.claim import Claim, ClaimState, KeptAnswer, claim_key, kept_part
 from comfreyhatch.errors import ComfreyhatchError, PeerError, PlatformError, RefusedError
 from comfreyhatch.ports.peers import PeerBus
 from comfreyhatch.ports.table import Operation, Table, WriteOutcome
@@ -224,7 +224,8 @@
         if not attempt.ended.done():
             return HolderReply(HolderState.ACTIVE)
         if attempt.claim.state is ClaimState.DONE:
-            return HolderReply(HolderState.DONE, attempt.claim.answer)
+            answer = attempt.claim.answer
+            return HolderReply(HolderState.DONE, kept_part(answer) if answer else None)
         return HolderReply(HolderState.UNKNOWN)
 
     async def _execute(self, attempt: _Attempt, execute: Execute) -> ClaimedAnswer:
@@ -261,7 +262,10 @@
 
     async def _record(self, attempt: _Attempt) -> None:
         """Write the end of an attempt, retrying until it is in the table."""
-        write = settle(attempt.key, attempt.claim, attempt.revision)
+        claim = attempt.claim
+        if claim.answer is not None:
+            claim = replace(claim, answer=kept_part(claim.answer))
+        write = settle(attempt.key, claim, attempt.revision)
         delay_s = RETRY_FIRST_S
         while await self._write(write) is WriteOutcome.UNKNOWN:
             await asyncio.sleep(delay_s)
--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -19,9 +19,11 @@
 from comfreyhatch.adapters.platform_http import HttpInstanceList, HttpRatingService
 from comfreyhatch.adapters.settings import Settings
 from comfreyhatch.adapters.table_http import HttpTable
+from comfreyhatch.daemon.buddies import Buddies
 from comfreyhatch.daemon.burn_book import BurnBook
 from comfreyhatch.daemon.callers import CallerHandler
 from comfreyhatch.daemon.changes import ChangeLog
+from comfreyhatch.daemon.claims import Claims
 from comfreyhatch.daemon.configuration import ConfigurationKeeper
 from comfreyhatch.daemon.directory import Directory
 from comfreyhatch.daemon.dispatcher import Dispatcher
@@ -29,14 +31,18 @@
 from comfreyhatch.daemon.endpoints import EndpointPool
 from comfreyhatch.daemon.fleet_state import FleetReporter
 from comfreyhatch.daemon.forwarding import MAX_HOPS, ForwardedWork, Forwarder
+from comfreyhatch.daemon.journal import Journal
 from comfreyhatch.daemon.learning import Learner
 from comfreyhatch.daemon.membership import Membership
+from comfreyhatch.daemon.minted import MintedKeys
+from comfreyhatch.daemon.once import OnceRouter
 from comfreyhatch.daemon.operators import OperatorHandler
 from comfreyhatch.daemon.planner import Planner
 from comfreyhatch.daemon.quarantine import Quarantine
 from comfreyhatch.daemon.ratings import Ratings
 from comfreyhatch.daemon.records import RecordBook
 from comfreyhatch.daemon.router import Router
+from comfreyhatch.daemon.segments import SegmentStore
 from comfreyhatch.daemon.services import ServiceRouter
 from comfreyhatch.daemon.shutdown import Shutdown
 from comfreyhatch.decisions.configuration import Freshness
@@ -45,6 +51,8 @@
 from comfreyhatch.domain.instance import Address, Instance, Role
 from comfreyhatch.ports.peers import Member
 
+FLUSH_S = 3.0
+
 log = logging.getLogger("comfreyhatch.daemon")
 
 
@@ -80,7 +88,8 @@
         self.directory = Directory(instances, self._own)
         self.bus = NngBus(own.id, (key,))
         table = HttpTable(client, platform, settings.platform.timeout_s)
-        changes = ChangeLog(table, HttpObjectStore(client, platform))
+        objects = HttpObjectStore(client, platform)
+        changes = ChangeLog(table, objects)
         nowhere = Address("", 0)
         member = Member(own.id, self.incarnation, own.zone, nowhere, nowhere)
         seeds = tuple(settings.peers.seed_addresses)
@@ -97,6 +106,21 @@
             self.bus,
             settings.endpoints.orphan_hold_s,
         )
+        segments = SegmentStore(objects, table)
+        self.journal = Journal(
+            self.bus,
+            lambda: self.membership.view,
+            segments,
+            own.id,
+            own.zone,
+            self.incarnation,
+            self.registry,
+        )
+        self.buddies = Buddies(
+            self.bus, lambda: self.membership.view, segments, own.id, self.registry
+        )
+        self.claims = Claims(table, self.bus, own.id, self.incarnation, self.registry)
+        self.minted = MintedKeys(table, key, own.id, self.incarnation, self.registry)
         self.quarantine = Quarantine(
             self.incarnation,
             own.id,
@@ -112,7 +136,7 @@
             lambda: self.changes.config.contract_by_customer,
             self.quarantine.quarantined,
         )
-        self.records = RecordBook(self.burn.observe)
+        self.records = RecordBook(self.burn.observe, self.journal)
         self.ratings = Ratings(
             HttpRatingService(client, platform),
             self.incarnation,
@@ -158,8 +182,9 @@
             learner,
             rng,
         )
+        once = OnceRouter(self.claims, self.minted, forwarder, lambda: self.membership.view)
         services = ServiceRouter(
-            dispatcher, forwarder, self.records, lambda: self.changes.config, rng
+            dispatcher, forwarder, self.records, lambda: self.changes.config, rng, once
         )
         callers = CallerHandler(
             own.id,
@@ -169,6 +194,7 @@
             lambda: self.keeper.config,
             self.keeper.latest,
             lambda: self.keeper.ready,
+            self.minted.mint,
         )
         self.reporter = FleetReporter(
             own.id, own.zone, self.changes, self.membership, self.directory, self.pool, self.ready
@@ -180,7 +206,9 @@
         )
         self._caller_server = HttpServer(callers.handle, settings.limits)
         self._operator_server = HttpServer(operators.handle, HttpLimits())
-        self._peer_server = HttpServer(ForwardedWork(dispatcher, key, onward).handle, HttpLimits())
+        forwarded = ForwardedWork(dispatcher, key, onward)
+        forwarded.run_minted = services.run_minted
+        self._peer_server = HttpServer(forwarded.handle, HttpLimits())
         self.shutdown = Shutdown(
             settings.shutdown,
             self.membership,
@@ -188,6 +216,9 @@
             (self._caller_server, self._peer_server),
         )
         self.shutdown.on_flush(self.pool.leave)
+        self.shutdown.on_flush(lambda: self.minted.close(FLUSH_S))
+        self.shutdown.on_flush(lambda: self.claims.drain(FLUSH_S))
+        self.shutdown.on_flush(lambda: self.journal.close(FLUSH_S))
 
     def ready(self) -> bool:
         """Return whether the daemon may take requests."""
@@ -211,6 +242,8 @@
             self.ratings,
             self.quarantine,
             self.burn,
+            self.journal,
+            self.buddies,
         ):
             self._start_task(part.run())
         operators = await self._operator_server.start(
@@ -248,6 +281,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.claims.close()
         await self.bus.stop()
         await self.burn.flush(time())
         for client in self._clients:
--- a/comfreyhatch/daemon/forwarding.py
+++ b/comfreyhatch/daemon/forwarding.py
@@ -1,7 +1,7 @@
 """Requests forwarded between daemons, authenticated with the fleet's key."""
 
 import hmac
-from collections.abc import AsyncGenerator, AsyncIterator, Callable, Mapping, Set
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable, Mapping, Set
 from contextlib import _AsyncGeneratorContextManager, aclosing
 from hashlib import sha256
 from random import Random
@@ -30,6 +30,7 @@
 HOP_HEADER = "x-fleet-hop"
 MAX_HOPS = 2
 CALL_PATH = "/call"
+MINTED_PATH = "/minted"
 GENERATE_PATH = "/generate"
 
 
@@ -41,6 +42,15 @@
     timeout_s: float
 
 
+class ForwardedMinted(Struct, frozen=True):
+    """A call under a minted key, handed to the process that the key names."""
+
+    customer: str
+    service: str
+    request: ServiceRequest
+    timeout_s: float
+
+
 class ForwardedAnswer(Struct, frozen=True):
     """The answer to a forwarded plain service call, or why there is none."""
 
@@ -144,15 +154,32 @@
             BackendError: If the endpoint failed or refused.
         """
         body = encode(ForwardedCall(service, request, timeout_s))
+        answer = await self._ask(member, CALL_PATH, body, timeout_s)
+        if answer.answer is None:
+            raise BackendError(answer.message, answer.code, answer.ran)
+        return answer.answer, answer.served
+
+    async def call_runner(self, member: Member, call: ForwardedMinted) -> ServiceAnswer:
+        """Hand a call under a minted key to its runner.
+
+        Raises:
+            BackendError: If the runner refused the call or it failed.
+            HttpError: If the runner could not be reached or did not answer.
+        """
+        answer = await self._ask(member, MINTED_PATH, encode(call), call.timeout_s)
+        if answer.answer is None:
+            raise BackendError(answer.message, answer.code, answer.ran)
+        return answer.answer
+
+    async def _ask(
+        self, member: Member, path: str, body: bytes, timeout_s: float
+    ) -> ForwardedAnswer:
         reply = await self._client.request(
-            member.http, "POST", CALL_PATH, body, timeout_s=timeout_s, fresh_connection=True
+            member.http, "POST", path, body, timeout_s=timeout_s, fresh_connection=True
         )
         if reply.status != 200:
             raise BackendError(f"peer {member.instance_id} answered {reply.status}")
-        answer = decode(reply.body, type=ForwardedAnswer)
-        if answer.answer is None:
-            raise BackendError(answer.message, answer.code, answer.ran)
-        return answer.answer, answer.served
+        return decode(reply.body, type=ForwardedAnswer)
 
 
 class ForwardedWork:
@@ -169,6 +196,7 @@
         self._dispatcher = dispatcher
         self._key = key
         self._onward = onward
+        self.run_minted: Callable[[ForwardedMinted], Awaitable[ServiceAnswer]] | None = None
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer a forwarded request; one with a wrong signature is refused."""
@@ -183,6 +211,9 @@
             if request.path == CALL_PATH:
                 call = decode(request.body, type=ForwardedCall)
                 return json_response(await self._call(call, last))
+            if request.path == MINTED_PATH and self.run_minted:
+                work = decode(request.body, type=ForwardedMinted)
+                return json_response(await _answered(self.run_minted(work)))
         except ValidationError as error:
             return error_response(RequestError(str(error)))
         return error_response(RequestError("no such resource", ResultCode.NOT_FOUND))
@@ -216,6 +247,13 @@
         return ForwardedAnswer(answer, served)
 
 
+async def _answered(answer: Awaitable[ServiceAnswer]) -> ForwardedAnswer:
+    try:
+        return ForwardedAnswer(await answer)
+    except ComfreyhatchError as error:
+        return ForwardedAnswer(code=error.code, ran=error.ran, message=str(error))
+
+
 async def _encode_events(first: Chunk, chunks: AsyncGenerator[Chunk, None]) -> AsyncIterator[bytes]:
     async with aclosing(chunks):
         yield b"data: " + encode(first) + b"\n\n"
--- /dev/null
+++ b/comfreyhatch/daemon/minted.py
@@ -0,0 +1,207 @@
+"""Runs calls under minted keys, of which this very process is the only possible runner."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from itertools import islice
+from secrets import token_hex
+from time import monotonic
+
+from msgspec.structs import replace
+from prometheus_client import CollectorRegistry, Gauge
+
+from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.daemon.claims import ClaimedAnswer, ClaimedCall, Execute
+from comfreyhatch.decisions.minted import MintedKey, mint_key, read_key
+from comfreyhatch.domain.claim import (
+    Claim,
+    ClaimState,
+    KeptAnswer,
+    claim_key,
+    decode_claim,
+    encode_claim,
+    kept_part,
+)
+from comfreyhatch.errors import ComfreyhatchError, PlatformError, RefusedError, RequestError
+from comfreyhatch.ports.table import Insert, Table
+
+MAX_KEYS = 20_000
+KEPT_BYTES = 4_000_000
+FORGET_AFTER_S = 60.0
+FORGET_AT_ONCE = 100
+
+log = logging.getLogger("comfreyhatch.claims")
+
+
+class _Run:
+    """The one execution under a key."""
+
+    def __init__(self, digest: str, forget_at: float) -> None:
+        self.digest = digest
+        self.forget_at = forget_at
+        self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.answer: KeptAnswer | None = None
+        self.error: ComfreyhatchError | None = None
+
+
+class MintedKeys:
+    """Mints keys that name this process, and runs their calls."""
+
+    def __init__(
+        self,
+        table: Table,
+        fleet_key: bytes,
+        instance_id: str,
+        incarnation: str,
+        registry: CollectorRegistry | None = None,
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
+        self._table = table
+        self._fleet_key = fleet_key
+        self._instance_id = instance_id
+        self._incarnation = incarnation
+        self._clock = clock
+        self._run_by_key: dict[str, _Run] = {}
+        self._kept_bytes = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        held = Gauge("comfreyhatch_minted_keys", "Minted keys remembered.", registry=registry)
+        held.set_function(lambda: len(self._run_by_key))
+
+    def mint(self, customer: str) -> str:
+        """Return a new key for a customer."""
+        return mint_key(
+            self._fleet_key,
+            customer,
+            self._instance_id,
+            self._incarnation,
+            self._clock(),
+            token_hex(8),
+        )
+
+    def read(self, customer: str, text: str) -> MintedKey:
+        """Return a minted key in its parts.
+
+        Raises:
+            RequestError: If it was not minted by the fleet for the customer.
+        """
+        return read_key(self._fleet_key, customer, text)
+
+    def is_own(self, key: MintedKey) -> bool:
+        """Return whether this process is the runner that the key names."""
+        return key.incarnation == self._incarnation
+
+    async def run(self, call: ClaimedCall, key: MintedKey, execute: Execute) -> ClaimedAnswer:
+        """Run a call once under a key that names this process.
+
+        Raises:
+            ComfreyhatchError: If the call is refused or failed.
+        """
+        self._forget_old()
+        run = self._run_by_key.get(key.text)
+        if run is not None:
+            if run.digest != call.digest:
+                raise RequestError("the key belongs to another call", ResultCode.KEY_REUSED)
+            await asyncio.shield(run.ended)
+            return _answer_of(run, replayed=True)
+        if self._clock() >= key.expires_at:
+            raise RequestError("the minted key has expired", ran=Ran.UNKNOWN)
+        if len(self._run_by_key) >= MAX_KEYS:
+            raise RefusedError("too many minted keys are remembered", retry_after_s=FORGET_AFTER_S)
+        run = _Run(call.digest, key.expires_at + FORGET_AFTER_S)
+        self._run_by_key[key.text] = run
+        task = asyncio.create_task(self._execute(call, key.text, run, execute))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        await asyncio.shield(run.ended)
+        return _answer_of(run, replayed=False)
+
+    async def answer_of_gone(self, call: ClaimedCall, key: MintedKey) -> ClaimedAnswer:
+        """Return the answer that a runner that is gone has left.
+
+        Raises:
+            RefusedError: If it left none; the call may have run.
+        """
+        unknown = RefusedError(
+            f"the runner {key.instance_id} is gone", ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN
+        )
+        try:
+            row = await self._table.read(claim_key(call.customer, key.text))
+        except PlatformError:
+            raise unknown from None
+        claim = decode_claim(row.value) if row else None
+        if claim is None or claim.answer is None or not claim.answer.whole:
+            raise unknown
+        if claim.digest != call.digest:
+            raise RequestError("the key belongs to another call", ResultCode.KEY_REUSED)
+        return ClaimedAnswer(claim.answer, replayed=True)
+
+    async def close(self, timeout_s: float) -> None:
+        """Wait for the running calls and their records."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=timeout_s)
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def _execute(self, call: ClaimedCall, key: str, run: _Run, execute: Execute) -> None:
+        try:
+            run.answer = await execute()
+            self._kept_bytes += len(run.answer.body)
+        except ComfreyhatchError as error:
+            run.error = error
+            if error.ran is Ran.NO:
+                del self._run_by_key[key]
+        except BaseException as error:
+            run.error = RefusedError(
+                "the call ended by a fault", ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN
+            )
+            log.error("event=minted_call_failed key=%s reason=%r", call.key, error)
+            if not isinstance(error, Exception):
+                raise
+        finally:
+            run.ended.set_result(None)
+        if run.answer is not None:
+            await self._record(call, run.answer)
+
+    async def _record(self, call: ClaimedCall, answer: KeptAnswer) -> None:
+        """Leave the answer in the table, for when this process is gone; best effort."""
+        claim = Claim(
+            self._instance_id,
+            self._incarnation,
+            call.key,
+            call.digest,
+            ClaimState.DONE,
+            kept_part(answer),
+        )
+        row = Insert(claim_key(call.customer, call.key), encode_claim(claim))
+        try:
+            await self._table.commit([row])
+        except PlatformError:
+            log.info("event=minted_answer_not_stored key=%s", call.key)
+
+    def _forget_old(self) -> None:
+        """Forget keys that have expired, and the bodies of the oldest answers over the bound."""
+        now = self._clock()
+        for key, run in list(islice(self._run_by_key.items(), FORGET_AT_ONCE)):
+            if not run.ended.done() or run.forget_at > now:
+                break
+            self._drop_body(run)
+            del self._run_by_key[key]
+        if self._kept_bytes > KEPT_BYTES:
+            for run in self._run_by_key.values():
+                if self._kept_bytes <= KEPT_BYTES // 2:
+                    break
+                self._drop_body(run)
+
+    def _drop_body(self, run: _Run) -> None:
+        if run.answer is not None:
+            self._kept_bytes -= len(run.answer.body)
+            run.answer = replace(run.answer, body=b"", whole=False)
+
+
+def _answer_of(run: _Run, replayed: bool) -> ClaimedAnswer:
+    if run.error is not None:
+        raise run.error
+    assert run.answer is not None
+    if not run.answer.whole:
+        raise RefusedError("the answer is not kept", ResultCode.ANSWER_NOT_KEPT, Ran.YES)
+    return ClaimedAnswer(run.answer, replayed)
--- /dev/null
+++ b/comfreyhatch/daemon/once.py
@@ -0,0 +1,100 @@
+"""Runs calls that may not be repeated: under a claim, or by the process a minted key names."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from hashlib import sha256
+
+from comfreyhatch.daemon.claims import ClaimedAnswer, ClaimedCall, Claims
+from comfreyhatch.daemon.forwarding import ForwardedMinted, Forwarder
+from comfreyhatch.daemon.minted import MintedKeys
+from comfreyhatch.decisions.minted import MintedKey, is_minted
+from comfreyhatch.domain.claim import KeptAnswer, check_idempotency_key
+from comfreyhatch.errors import HttpError
+from comfreyhatch.ports.engine import ServiceAnswer
+from comfreyhatch.ports.peers import Member, View, may_be_process
+
+log = logging.getLogger("comfreyhatch.claims")
+
+Dispatch = Callable[[], Awaitable[ServiceAnswer]]
+
+
+class OnceRouter:
+    """Runs each call at most once over the whole fleet."""
+
+    def __init__(
+        self,
+        claims: Claims,
+        minted: MintedKeys,
+        forwarder: Forwarder,
+        view: Callable[[], View],
+    ) -> None:
+        self._claims = claims
+        self._minted = minted
+        self._forwarder = forwarder
+        self._view = view
+
+    async def run(
+        self, work: ForwardedMinted, first_attempt: bool, dispatch: Dispatch
+    ) -> ServiceAnswer:
+        """Run a call, or return the answer of its one execution.
+
+        Args:
+            work: The call and its customer.
+            first_attempt: Whether the caller asserts that it sent the call nowhere before.
+            dispatch: Sends the call to an endpoint.
+
+        Raises:
+            ComfreyhatchError: If it is refused or failed; `ran` tells whether it may have run.
+        """
+        key = work.request.idempotency_key
+        check_idempotency_key(key)
+        call = ClaimedCall(work.customer, key, _digest(work), first_attempt)
+        if not is_minted(key):
+            return _service_answer(await self._claims.run(call, _kept(dispatch)))
+        minted = self._minted.read(work.customer, key)
+        if self._minted.is_own(minted):
+            return _service_answer(await self._minted.run(call, minted, _kept(dispatch)))
+        runner = self._runner(minted)
+        if runner is not None:
+            try:
+                return await self._forwarder.call_runner(runner, work)
+            except HttpError as error:
+                # An earlier attempt may have reached the runner even if this one did not.
+                log.info("event=runner_silent runner=%s reason=%r", runner.instance_id, str(error))
+        return _service_answer(await self._minted.answer_of_gone(call, minted))
+
+    async def run_own(self, work: ForwardedMinted, dispatch: Dispatch) -> ServiceAnswer:
+        """Run a call under a minted key that a peer handed over.
+
+        Raises:
+            ComfreyhatchError: If it is refused or failed; `ran` tells whether it may have run.
+        """
+        key = work.request.idempotency_key
+        minted = self._minted.read(work.customer, key)
+        call = ClaimedCall(work.customer, key, _digest(work))
+        if not self._minted.is_own(minted):
+            return _service_answer(await self._minted.answer_of_gone(call, minted))
+        return _service_answer(await self._minted.run(call, minted, _kept(dispatch)))
+
+    def _runner(self, key: MintedKey) -> Member | None:
+        member = self._view().member_by_id.get(key.instance_id)
+        return member if member and may_be_process(member, key.incarnation) else None
+
+
+def _kept(dispatch: Dispatch) -> Callable[[], Awaitable[KeptAnswer]]:
+    async def run() -> KeptAnswer:
+        answer = await dispatch()
+        return KeptAnswer(answer.status, answer.content_type, answer.body)
+
+    return run
+
+
+def _service_answer(claimed: ClaimedAnswer) -> ServiceAnswer:
+    answer = claimed.answer
+    return ServiceAnswer(answer.status, answer.content_type, answer.body, claimed.replayed)
+
+
+def _digest(work: ForwardedMinted) -> str:
+    request = work.request
+    text = f"{work.service}\n{request.method}\n{request.path}\n{request.content_type}\n"
+    return sha256(text.encode() + request.body).hexdigest()
--- a/comfreyhatch/daemon/records.py
+++ b/comfreyhatch/daemon/records.py
@@ -1,7 +1,9 @@
 """Records of the requests that this daemon accepted."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
+from comfreyhatch.daemon.journal import Journal
+from comfreyhatch.domain.journal import Intent, Outcome
 from comfreyhatch.domain.record import RequestRecord
 
 RECORDS_KEPT = 100_000
@@ -10,16 +12,31 @@
 class RecordBook:
     """Keeps the latest records in memory, by request id."""
 
-    def __init__(self, observe: Callable[[RequestRecord], None]) -> None:
+    def __init__(self, observe: Callable[[RequestRecord], None], journal: Journal) -> None:
         self._observe = observe
+        self._journal = journal
+        self._begun_by_id: dict[str, Awaitable[bool]] = {}
         self.record_by_id: dict[str, RequestRecord] = {}
 
+    def begin(self, intent: Intent) -> None:
+        """Note that a request is about to be dispatched; does not wait."""
+        if intent.request_id not in self._begun_by_id:
+            self._begun_by_id[intent.request_id] = self._journal.append(intent)
+
+    async def begun(self, request_id: str) -> None:
+        """Wait until others keep the note, before the caller sees the first of its answer."""
+        begun = self._begun_by_id.get(request_id)
+        if begun is not None:
+            await begun
+
     async def commit(self, record: RequestRecord) -> None:
         """Store a record before the caller sees the end of its answer."""
+        self._begun_by_id.pop(record.request_id, None)
         self.record_by_id[record.request_id] = record
         self._observe(record)
         if len(self.record_by_id) > RECORDS_KEPT:
             del self.record_by_id[next(iter(self.record_by_id))]
+        await self._journal.commit(Outcome(record))
 
     async def find(self, request_id: str) -> RequestRecord | None:
         """Return a record by its request id."""
--- a/comfreyhatch/daemon/router.py
+++ b/comfreyhatch/daemon/router.py
@@ -17,10 +17,12 @@
 from comfreyhatch.daemon.member_notes import MemberNotes, more_telling
 from comfreyhatch.daemon.planner import Planner
 from comfreyhatch.daemon.records import RecordBook
+from comfreyhatch.decisions.budgets import worst_cost_micros
 from comfreyhatch.decisions.plan import Plan
 from comfreyhatch.decisions.retries import RetryBudget
 from comfreyhatch.domain.contract import Contract
 from comfreyhatch.domain.fleet import FleetConfig
+from comfreyhatch.domain.journal import Intent
 from comfreyhatch.domain.request import ChatRequest, Usage
 from comfreyhatch.domain.version import Version
 from comfreyhatch.errors import AbandonedError, ComfreyhatchError, RefusedError
@@ -87,6 +89,7 @@
                 async for chunk in chunks:
                     if draft.first_token_s is None:
                         draft.first_token_s = monotonic() - draft.started
+                        await self._records.begun(draft.request_id)
                     if chunk.finish:
                         await self._store(draft, ResultCode.OK)
                         stored = True
@@ -121,6 +124,7 @@
         excluded: set[str] = set()
         while True:
             plan = self._planner.plan(call, contract, draft, monotonic(), frozenset(excluded))
+            self._records.begin(self._intent(call, plan, draft))
             begun = False
             try:
                 async with aclosing(self._run_plan(call, contract, plan, draft)) as chunks:
@@ -134,6 +138,12 @@
                     raise
                 excluded.add(draft.served_version)
 
+    def _intent(self, call: ChatRequest, plan: Plan, draft: RecordDraft) -> Intent:
+        versions = self._config().version_by_id
+        steps = [versions[step] for step in plan.steps if step in versions]
+        cost = sum(worst_cost_micros(v, call.messages, call.max_tokens) for v in steps)
+        return Intent(call.request_id, call.customer, draft.started_unix_s, plan.steps[-1], cost)
+
     async def _run_plan(
         self, call: ChatRequest, contract: Contract, plan: Plan, draft: RecordDraft
     ) -> AsyncGenerator[Chunk, None]:
--- a/comfreyhatch/daemon/services.py
+++ b/comfreyhatch/daemon/services.py
@@ -5,12 +5,15 @@
 from random import Random
 from time import monotonic
 
+from msgspec.structs import replace
+
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.daemon.dispatcher import REPEATABLE_METHODS, Dispatcher
 from comfreyhatch.daemon.draft import RecordDraft
-from comfreyhatch.daemon.forwarding import Forwarder
+from comfreyhatch.daemon.forwarding import ForwardedMinted, Forwarder
 from comfreyhatch.daemon.hedging import hedged
 from comfreyhatch.daemon.member_notes import more_telling
+from comfreyhatch.daemon.once import OnceRouter
 from comfreyhatch.daemon.records import RecordBook
 from comfreyhatch.decisions.retries import (
     LatencyWindow,
@@ -37,8 +40,10 @@
         records: RecordBook,
         config: Callable[[], FleetConfig],
         rng: Random,
+        once: OnceRouter,
     ) -> None:
         self._rng = rng
+        self._once = once
         self._retries = RetryBudget()
         self._times_by_service: dict[str, LatencyWindow] = {}
         self._dispatcher = dispatcher
@@ -47,17 +52,32 @@
         self._config = config
 
     async def answer(
-        self, name: str, request: ServiceRequest, deadline: float, draft: RecordDraft
+        self,
+        name: str,
+        request: ServiceRequest,
+        deadline: float,
+        draft: RecordDraft,
+        first_attempt: bool = False,
     ) -> ServiceAnswer:
         """Call the service; only calls that may be repeated are tried again once sent.
 
+        Args:
+            name: Name of the service.
+            request: The call.
+            deadline: Monotonic time by which it must be answered, in seconds.
+            draft: Record of the request.
+            first_attempt: Whether the caller asserts that it sent the call nowhere before.
+
         Raises:
             RefusedError: If it cannot be served; it has not run.
             BackendError: If it was tried and failed.
         """
         code = ResultCode.INTERNAL
         try:
-            answer = await self._attempts(name, request, deadline, draft)
+            if _idempotent(request) or not request.idempotency_key:
+                answer = await self._attempts(name, request, deadline, draft)
+            else:
+                answer = await self._answer_once(name, request, deadline, draft, first_attempt)
             code = ResultCode.OK
             return answer
         except ComfreyhatchError as error:
@@ -66,6 +86,52 @@
         finally:
             await self._records.commit(draft.record(monotonic(), code))
 
+    async def run_minted(self, work: ForwardedMinted) -> ServiceAnswer:
+        """Run a call under a minted key that a peer handed over to this process.
+
+        Raises:
+            ComfreyhatchError: If it is refused or failed.
+        """
+        deadline = monotonic() + work.timeout_s
+        draft = self._forwarded_draft(work)
+        claimed = replace(work.request, claimed=True)
+        return await self._once.run_own(
+            work, lambda: self._attempts(work.service, claimed, deadline, draft)
+        )
+
+    async def _answer_once(
+        self,
+        name: str,
+        request: ServiceRequest,
+        deadline: float,
+        draft: RecordDraft,
+        first_attempt: bool,
+    ) -> ServiceAnswer:
+        work = ForwardedMinted(draft.customer, name, request, deadline - monotonic())
+        claimed = replace(request, claimed=True)
+        answer = await self._once.run(
+            work, first_attempt, lambda: self._attempts(name, claimed, deadline, draft)
+        )
+        draft.grounds = "first answer of the key" if answer.replayed else draft.grounds
+        return answer
+
+    def _forwarded_draft(self, work: ForwardedMinted) -> RecordDraft:
+        """Return a draft for the attempts of a call whose record another daemon keeps."""
+        return RecordDraft(
+            request_id=work.request.request_id,
+            customer=work.customer,
+            daemon="",
+            incarnation="",
+            revision=self._config().revision,
+            kind="service",
+            task=work.service,
+            session="",
+            critical=False,
+            started_unix_s=0.0,
+            started=monotonic(),
+            deadline_s=work.timeout_s,
+        )
+
     async def _attempts(
         self, name: str, request: ServiceRequest, deadline: float, draft: RecordDraft
     ) -> ServiceAnswer:
--- a/comfreyhatch/decisions/claims.py
+++ b/comfreyhatch/decisions/claims.py
@@ -210,5 +210,5 @@
     if answer is None:
         return Denied(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN)
     if not answer.whole:
-        return Denied(ResultCode.ANSWER_NOT_KEPT, Ran.UNKNOWN)
+        return Denied(ResultCode.ANSWER_NOT_KEPT, Ran.YES)
     return Replay(answer)
--- a/comfreyhatch/domain/claim.py
+++ b/comfreyhatch/domain/claim.py
@@ -1,11 +1,15 @@
 """Claims: permanent records that a non-repeatable call has its one runner."""
 
+import re
 from enum import Enum
 
 from msgspec import Struct
 from msgspec.msgpack import decode, encode
 
+from comfreyhatch.errors import RequestError
+
 KEPT_ANSWER_BYTES = 65536
+KEY_PATTERN = re.compile(r"[A-Za-z0-9_.:~@-]{1,200}")
 
 
 class ClaimState(Enum):
@@ -46,6 +50,16 @@
     answer: KeptAnswer | None = None
 
 
+def check_idempotency_key(key: str) -> None:
+    """Check a key that a caller chose.
+
+    Raises:
+        RequestError: If it is empty, too long or has characters other than A-Z a-z 0-9 _.:~@-
+    """
+    if not KEY_PATTERN.fullmatch(key):
+        raise RequestError("the idempotency key must be 1 to 200 of A-Z a-z 0-9 _ . : ~ @ -")
+
+
 def claim_key(customer: str, key: str) -> str:
     """Return the table key of a claim."""
     return f"claim/{customer}/{key}"
@@ -61,8 +75,8 @@
     return decode(value, type=Claim)
 
 
-def kept_answer(status: int, content_type: str, body: bytes) -> KeptAnswer:
+def kept_part(answer: KeptAnswer) -> KeptAnswer:
     """Return what is kept of an answer; a body over the limit is left out."""
-    if len(body) <= KEPT_ANSWER_BYTES:
-        return KeptAnswer(status, content_type, body)
-    return KeptAnswer(status, content_type, b"", whole=False)
+    if len(answer.body) <= KEPT_ANSWER_BYTES:
+        return answer
+    return KeptAnswer(answer.status, answer.content_type, b"", whole=False)
--- a/comfreyhatch/ports/engine.py
+++ b/comfreyhatch/ports/engine.py
@@ -171,11 +171,12 @@
 
 
 class ServiceAnswer(Struct, frozen=True):
-    """A plain service's answer."""
+    """A plain service's answer; `replayed` if it is that of an earlier execution."""
 
     status: int
     content_type: str
     body: bytes
+    replayed: bool = False
 
 
 class PlainService(Protocol):
--- a/comfreyhatch/ports/peers.py
+++ b/comfreyhatch/ports/peers.py
@@ -35,6 +35,15 @@
     revision: int = 0
 
 
+def may_be_process(member: Member, process: str) -> bool:
+    """Return whether a member may be the process that started with an incarnation.
+
+    A member that is only listed has no known incarnation.
+    """
+    known = member.incarnation
+    return not known or known == process or known.startswith(f"{process}.")
+
+
 class View(Struct, frozen=True):
     """The live daemons that this daemon knows of, itself included, by instance id."""
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -77,7 +77,7 @@
         return CONFIG
 
     return CallerHandler(
-        "entry-a", "entry-a-1", router, services, lambda: CONFIG, latest, lambda: True
+        "entry-a", "entry-a-1", router, services, lambda: CONFIG, latest, lambda: True, str.upper
     )
 
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -12,7 +12,7 @@
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.daemon import claims as claims_module
 from comfreyhatch.daemon.claims import ClaimedAnswer, ClaimedCall, Claims
-from comfreyhatch.domain.claim import KeptAnswer, claim_key, decode_claim, kept_answer
+from comfreyhatch.domain.claim import KeptAnswer, claim_key, decode_claim
 from comfreyhatch.errors import (
     BackendError,
     BackendRefusedError,
@@ -286,7 +286,7 @@
 
 
 async def paid() -> KeptAnswer:
-    return kept_answer(200, "application/json", b"paid")
+    return KeptAnswer(200, "application/json", b"paid")
 
 
 async def busy() -> KeptAnswer:
@@ -391,7 +391,7 @@
     claims = make(table, network, "d1")
 
     async def large() -> KeptAnswer:
-        return kept_answer(200, "text/plain", b"x" * 70_000)
+        return KeptAnswer(200, "text/plain", b"x" * 70_000)
 
-    await claims.run(CALL, large)
+    assert len((await claims.run(CALL, large)).answer.body) == 70_000
     assert (await denied(claims.run(CALL, paid))).code is ResultCode.ANSWER_NOT_KEPT
