--- a/comfreyhatch/standins/engine.py
+++ b/comfreyhatch/standins/engine.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from random import Random
 from time import monotonic
 from typing import Literal
@@ -143,13 +143,28 @@
         timing: BatchTiming | None = None,
         cache_tokens: int = 50_000,
         quality_by_version: dict[str, float] | None = None,
+        quality_of: Callable[[GenerateRequest], float] | None = None,
     ) -> None:
+        """Create an engine.
+
+        Args:
+            instance: Its row of the instance list.
+            versions: Version ids loaded.
+            seed: Seed of its faults.
+            bears: Requests that it bears at once when warm.
+            queue_limit: Requests that it queues above these.
+            timing: Times of its steps.
+            cache_tokens: Size of its prefix cache.
+            quality_by_version: Share of good words by version.
+            quality_of: Share of good words of one request's answer, instead of by version.
+        """
         self.instance = instance
         self.versions = list(versions)
         self.role = "generate"
         self.bears = bears
         self.queue_limit = queue_limit
         self.quality_by_version = quality_by_version or {}
+        self._quality_of = quality_of
         self.faults = EngineFaults()
         self.witness = EngineWitness()
         self.switch_address: Address | None = None
@@ -258,9 +273,7 @@
         self._cache.event_gap_rate = self.faults.event_gap_rate
         uncached = self._cache.use(request, monotonic())
         self.witness.hit_tokens = self._cache.hit_tokens
-        quality = fault.quality
-        if quality is None:
-            quality = self.quality_by_version.get(request.version_id, DEFAULT_QUALITY)
+        quality = self._quality(request, fault)
         sequence = Sequence(request, request.max_tokens, quality, max(0, uncached), fault.slowdown)
         self._batch.add(sequence)
         self.witness.in_flight += 1
@@ -268,6 +281,13 @@
         self._log_report()
         return sequence
 
+    def _quality(self, request: GenerateRequest, fault: VersionFault) -> float:
+        if fault.quality is not None:
+            return fault.quality
+        if self._quality_of:
+            return self._quality_of(request)
+        return self.quality_by_version.get(request.version_id, DEFAULT_QUALITY)
+
     def _count_run(self, request: GenerateRequest) -> None:
         witness = self.witness
         runs, version_runs = witness.run_count_by_id, witness.run_count_by_version
