Pool ratings over customers up to a bounded weight

Cause: a bound of 0.95 needs 52 ratings without a miss, and ten workspaces with three tasks each reach that slowly, so most requests ran on the default model. Ratings of other customers' answers to the same task, version and target now count up to a weight of 80.

Ruled out: a lower objective (the contract's word), a mean over all customers without a cap (a customer unlike the others would never be heard).

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -12,7 +12,7 @@
 
 from bench.policy_figures import Figures, figures_of
 from bench.policy_fleet import DEPLOYMENT_BY_NAME, PolicyFleet
-from bench.policy_load import Load
+from bench.policy_load import Load, engine_alone
 from bench.policy_report import write_report
 from bench.policy_scenarios import DURATION_S, SCENARIO_BY_NAME, Marks
 from comfreyhatch.domain.policy import PolicySettings
@@ -39,6 +39,7 @@
     scenario = SCENARIO_BY_NAME[scenario_name]
     marks = Marks()
     async with PolicyFleet(deployment, POLICY_BY_NAME[policy]) as fleet:
+        alone = await engine_alone(next(iter(fleet.engine_by_id.values())).instance)
         load = Load(deployment, seed, fleet.caller_addresses)
         script = asyncio.create_task(scenario.script(fleet, marks))
         await load.run(DURATION_S, scenario.rate_factor)
@@ -47,7 +48,7 @@
         records: dict[str, Any] = {}
         for daemon in fleet.all_daemons:
             records.update(daemon.records.record_by_id)
-        return figures_of(scenario, load, marks, records)
+        return figures_of(load, marks, records, alone)
 
 
 def run_one(task: tuple[str, str, str, int]) -> tuple[tuple[str, str, str, int], Figures]:
--- a/bench/policy_figures.py
+++ b/bench/policy_figures.py
@@ -4,7 +4,7 @@
 
 from bench.policy_fleet import NEW, QUALITY_TARGET
 from bench.policy_load import Load, Seen
-from bench.policy_scenarios import Marks, Scenario
+from bench.policy_scenarios import Marks
 from comfreyhatch.domain.record import RequestRecord
 
 SETTLING_S = 2.0
@@ -23,6 +23,8 @@
         late_cost: As `cost`, in the second half.
         first_token_ms: p50, p95 and p99 of streamed chats.
         gap_ms: p50, p95 and p99.
+        alone_first_token_ms: The same of an engine that is asked directly, before the load.
+        alone_gap_ms: The same.
         bad_seen: Chats answered by the bad version after it turned.
         after_turn: Chats sent after it turned.
         quarantine_s: Time from the turn until the last daemon had it in quarantine.
@@ -41,6 +43,8 @@
     late_cost: float
     first_token_ms: tuple[float, float, float]
     gap_ms: tuple[float, float, float]
+    alone_first_token_ms: tuple[float, float, float]
+    alone_gap_ms: tuple[float, float, float]
     bad_seen: int
     after_turn: int
     quarantine_s: float | None
@@ -51,7 +55,10 @@
 
 
 def figures_of(
-    scenario: Scenario, load: Load, marks: Marks, records: dict[str, RequestRecord]
+    load: Load,
+    marks: Marks,
+    records: dict[str, RequestRecord],
+    alone: tuple[list[float], list[float]],
 ) -> Figures:
     """Return the figures of a run."""
     seen = load.seen
@@ -78,6 +85,8 @@
         late_cost=_cost(late, records),
         first_token_ms=_quantiles([s.first_token_s or 0.0 for s in streamed]),
         gap_ms=_quantiles([gap for s in streamed for gap in s.gaps_s]),
+        alone_first_token_ms=_quantiles(alone[0]),
+        alone_gap_ms=_quantiles(alone[1]),
         bad_seen=sum(s.version == NEW.version_id and s.status == 200 for s in turned),
         after_turn=len(turned),
         quarantine_s=quarantined - at_by_name["bad"] if quarantined else None,
--- a/bench/policy_load.py
+++ b/bench/policy_load.py
@@ -10,14 +10,17 @@
 from msgspec.json import decode, encode
 
 from bench.policy_fleet import WORKSPACES, Deployment, api_key
+from comfreyhatch.adapters.engine_http import HttpEngine
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.domain.instance import Address
+from comfreyhatch.domain.instance import Address, Instance
+from comfreyhatch.domain.request import ChatMessage
 from comfreyhatch.errors import ComfreyhatchError, ConnectError
+from comfreyhatch.ports.engine import GenerateRequest
 from comfreyhatch.standins.text import quality_of
 
 DEADLINE_S = 8.0
 OUTPUT_TOKENS = 32
-SESSIONS = 200
+ALONE_WAVES = 3
 EVENT_PREFIX = b"data: "
 
 
@@ -151,6 +154,8 @@
                     address, seen.task, target, b"{}", headers, DEADLINE_S + 1
                 )
                 seen.status = reply.status
+                if reply.status != 200:
+                    seen.code = decode(reply.body)["error"]["code"]
                 return
             except ConnectError:
                 continue
@@ -161,6 +166,29 @@
         return addresses[:3]
 
 
+async def engine_alone(endpoint: Instance) -> tuple[list[float], list[float]]:
+    """Return first-token times and token gaps of an engine that is asked directly."""
+    first_tokens: list[float] = []
+    gaps: list[float] = []
+    engine = HttpEngine(HttpClient())
+
+    async def ask(number: int) -> None:
+        started = last = monotonic()
+        request = GenerateRequest(
+            f"alone-{number}", "large@1", (ChatMessage("user", "plan a day"),), OUTPUT_TOKENS, 5
+        )
+        first = True
+        async for _ in engine.generate(endpoint, request):
+            now = monotonic()
+            (first_tokens if first else gaps).append(now - last if not first else now - started)
+            first = False
+            last = now
+
+    for wave in range(ALONE_WAVES):
+        await asyncio.gather(*(ask(8 * wave + n) for n in range(8)))
+    return first_tokens, gaps
+
+
 async def _read_stream(seen: Seen, pieces: object, started: float) -> str:
     text: list[str] = []
     last = 0.0
--- a/bench/policy_report.py
+++ b/bench/policy_report.py
@@ -60,9 +60,23 @@
 
 
 def _time_table(results: list[Result]) -> str:
-    head = ["scenario", "policy", "first token p50/p95/p99 ms", "token gap p50/p95/p99 ms"]
+    head = [
+        "scenario",
+        "policy",
+        "first token p50/p95/p99 ms",
+        "engine alone",
+        "token gap p50/p95/p99 ms",
+        "engine alone",
+    ]
     rows = [
-        [scenario, policy, _slashed(f.first_token_ms), _slashed(f.gap_ms)]
+        [
+            scenario,
+            policy,
+            _slashed(f.first_token_ms),
+            _slashed(f.alone_first_token_ms),
+            _slashed(f.gap_ms),
+            _slashed(f.alone_gap_ms),
+        ]
         for (_, scenario, policy, _), f in results
     ]
     return _table(head, rows)
@@ -96,7 +110,7 @@
 
 
 def _slashed(values: tuple[float, float, float]) -> str:
-    return " / ".join(f"{value:.0f}" for value in values)
+    return " / ".join(f"{value:.1f}" for value in values)
 
 
 def _plot(path: Path, results: list[Result]) -> None:
--- a/comfreyhatch/daemon/learning.py
+++ b/comfreyhatch/daemon/learning.py
@@ -10,7 +10,7 @@
 from comfreyhatch.daemon.quarantine import Quarantine
 from comfreyhatch.daemon.ratings import RatingJob, Ratings
 from comfreyhatch.decisions.exposure import Outcomes
-from comfreyhatch.decisions.quality import QualityKey, sample_for_rating
+from comfreyhatch.decisions.quality import quality_key, sample_for_rating
 from comfreyhatch.domain.contract import Contract
 from comfreyhatch.domain.request import ChatRequest
 from comfreyhatch.domain.version import Version
@@ -73,11 +73,13 @@
         self._quarantine = quarantine
         self._rng = rng
 
-    def trace(self, call: ChatRequest, version: Version, now: float) -> AnswerTrace:
+    def trace(
+        self, call: ChatRequest, contract: Contract, version: Version, now: float
+    ) -> AnswerTrace:
         """Return the trace of an answer that is asked for now."""
-        key = QualityKey(call.customer, call.task, version.version_id)
-        estimate = self._ratings.estimate(key)
-        sampled = sample_for_rating(bool(version.replaces), estimate, self._rng)
+        key = quality_key(call.customer, call.task, version.version_id, contract.quality_target)
+        samples = self._ratings.book.own_samples(key)
+        sampled = sample_for_rating(bool(version.replaces), samples, self._rng)
         return AnswerTrace(now, sampled)
 
     def succeeded(
--- a/comfreyhatch/daemon/planner.py
+++ b/comfreyhatch/daemon/planner.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
+from msgspec.structs import replace
 from xxhash import xxh64_intdigest
 
 from comfreyhatch.codes import ResultCode
@@ -19,7 +20,7 @@
     choose_plan,
     usable_versions,
 )
-from comfreyhatch.decisions.quality import Estimate, QualityKey
+from comfreyhatch.decisions.quality import Estimate, quality_key
 from comfreyhatch.decisions.retries import LatencyWindow
 from comfreyhatch.domain.contract import Contract
 from comfreyhatch.domain.fleet import FleetConfig
@@ -98,9 +99,10 @@
         refused += [Candidate(version_id, "no endpoint takes it") for version_id in excluded]
         if not usable:
             self._refuse(call, refused)
+        target = contract.quality_target
         chosen = choose_by_share(usable, share_point(call.session or call.request_id))
         query = self._query(call, contract, now)
-        plan = choose_plan(query, [self._option(call, v) for v in chosen], self._rng)
+        plan = choose_plan(query, [self._option(call, v, target) for v in chosen], self._rng)
         assert plan is not None
         draft.clause = f"allowed={','.join(contract.allowed)}"
         draft.plan = plan.describe()
@@ -134,16 +136,16 @@
             policy=self._policy,
         )
 
-    def _option(self, call: ChatRequest, version: Version) -> Option:
-        estimate = self._estimate(call, version)
+    def _option(self, call: ChatRequest, version: Version, target: float) -> Option:
+        estimate = self._estimate(call, version, target)
         return Option(version, estimate, self.times(version.version_id).timing(call.max_tokens))
 
-    def _estimate(self, call: ChatRequest, version: Version) -> Estimate:
+    def _estimate(self, call: ChatRequest, version: Version, target: float) -> Estimate:
         """Return a version's estimate; a new one has that of the version it replaces."""
-        key = QualityKey(call.customer, call.task, version.version_id)
+        key = quality_key(call.customer, call.task, version.version_id, target)
         estimate = self._ratings.estimate(key)
         if version.replaces and estimate.samples < MIN_SAMPLES:
-            return self._ratings.estimate(QualityKey(call.customer, call.task, version.replaces))
+            return self._ratings.estimate(replace(key, version_id=version.replaces))
         return estimate
 
     def _refuse(self, call: ChatRequest, refused: list[Candidate]) -> None:
--- a/comfreyhatch/daemon/ratings.py
+++ b/comfreyhatch/daemon/ratings.py
@@ -16,6 +16,7 @@
     QualityDigest,
     QualityKey,
     RatingRate,
+    quality_key,
 )
 from comfreyhatch.decisions.retries import LatencyWindow
 from comfreyhatch.errors import PlatformError
@@ -139,7 +140,7 @@
             return None
         self._failures = 0
         self._times.add(monotonic() - started)
-        key = QualityKey(request.customer, request.task, request.version_id)
+        key = quality_key(request.customer, request.task, request.version_id, target)
         self.book.add(key, rating, target)
         return rating
 
--- a/comfreyhatch/daemon/router.py
+++ b/comfreyhatch/daemon/router.py
@@ -207,7 +207,7 @@
             if last and tries >= MAX_TRIES:
                 raise last
             request = _generate_request(call, version, run_id, started)
-            trace = self._learner.trace(call, version, started)
+            trace = self._learner.trace(call, contract, version, started)
             try:
                 async with aclosing(source.open(request)) as chunks:
                     async for chunk in chunks:
--- a/comfreyhatch/decisions/quality.py
+++ b/comfreyhatch/decisions/quality.py
@@ -11,14 +11,30 @@
 MAX_ENTRIES = 4096
 SAMPLE_SHARE = 0.1
 EARLY_SAMPLES = 60
+COMMON_WEIGHT = 80.0
+MIN_COUNT = 1e-6
 
 
 class QualityKey(Struct, frozen=True, array_like=True):
-    """What an estimate is kept for."""
+    """What an estimate is kept for; the target is the contract's, in hundredths."""
 
     customer: str
     task: str
     version_id: str
+    target: int = 80
+
+
+class CommonKey(Struct, frozen=True, array_like=True):
+    """What customers have in common: the task, the version and the target."""
+
+    task: str
+    version_id: str
+    target: int
+
+
+def quality_key(customer: str, task: str, version_id: str, target: float) -> QualityKey:
+    """Return the key of an estimate."""
+    return QualityKey(customer, task, version_id, round(100 * target))
 
 
 class Tally(Struct, frozen=True, array_like=True):
@@ -84,6 +100,10 @@
     return max(0.0, (centre - spread) / (1 + z * z / count))
 
 
+def _common(key: QualityKey) -> CommonKey:
+    return CommonKey(key.task, key.version_id, key.target)
+
+
 class QualityBook:
     """Tallies of this daemon and, by incarnation, of its peers; bounded.
 
@@ -96,6 +116,7 @@
         self._max_entries = max_entries
         self._entries: OrderedDict[tuple[QualityKey, str], QualityEntry] = OrderedDict()
         self._sources_by_key: dict[QualityKey, set[str]] = {}
+        self._common_by_key: dict[CommonKey, Tally] = {}
         self._changed: dict[QualityKey, None] = {}
         self._sequence = 0
 
@@ -137,15 +158,27 @@
                 self._put(digest.incarnation, entry)
 
     def estimate(self, key: QualityKey) -> Estimate:
-        """Return the pooled estimate of a key."""
-        total = Tally()
+        """Return the estimate of a key.
+
+        Ratings of other customers' answers to the same task count up to a bounded weight, so
+        that they help a customer with few ratings and hardly move one with many.
+        """
+        own = Tally()
         for incarnation in self._sources_by_key.get(key, ()):
-            total = total.plus(self._entries[key, incarnation].tally)
-        if total.count <= 0:
+            own = own.plus(self._entries[key, incarnation].tally)
+        others = self._common_by_key.get(_common(key), Tally()).plus(own.scaled(-1))
+        if others.count > 0:
+            own = own.plus(others.scaled(min(1.0, COMMON_WEIGHT / others.count)))
+        if own.count <= 0:
             return Estimate()
-        share = total.hits / total.count
-        lower = lower_bound(total.hits, total.count)
-        return Estimate(total.count, share, lower, total.total / total.count)
+        hits = min(own.count, max(0.0, own.hits))
+        lower = lower_bound(hits, own.count)
+        return Estimate(own.count, hits / own.count, lower, own.total / own.count)
+
+    def own_samples(self, key: QualityKey) -> float:
+        """Return the ratings of this customer's answers alone."""
+        sources = self._sources_by_key.get(key, ())
+        return sum(self._entries[key, incarnation].tally.count for incarnation in sources)
 
     def forget_version(self, version_id: str) -> None:
         """Drop all tallies of a version, as when it turned bad."""
@@ -154,6 +187,10 @@
 
     def _put(self, incarnation: str, entry: QualityEntry) -> None:
         slot = (entry.key, incarnation)
+        held = self._entries.get(slot)
+        if held:
+            self._add_common(entry.key, held.tally.scaled(-1))
+        self._add_common(entry.key, entry.tally)
         self._entries[slot] = entry
         self._entries.move_to_end(slot)
         self._sources_by_key.setdefault(entry.key, set()).add(incarnation)
@@ -162,13 +199,21 @@
 
     def _remove(self, slot: tuple[QualityKey, str]) -> None:
         key, incarnation = slot
-        del self._entries[slot]
+        self._add_common(key, self._entries.pop(slot).tally.scaled(-1))
         self._changed.pop(key, None)
         sources = self._sources_by_key[key]
         sources.discard(incarnation)
         if not sources:
             del self._sources_by_key[key]
 
+    def _add_common(self, key: QualityKey, tally: Tally) -> None:
+        common = _common(key)
+        total = self._common_by_key.get(common, Tally()).plus(tally)
+        if total.count > MIN_COUNT:
+            self._common_by_key[common] = total
+        else:
+            self._common_by_key.pop(common, None)
+
 
 class RatingRate:
     """Token bucket that keeps this daemon within its part of the rating service's rate.
@@ -201,12 +246,12 @@
         return self._tokens >= (1 if urgent else 1 + self._burst / 2)
 
 
-def sample_for_rating(canary: bool, estimate: Estimate, rng: Random) -> bool:
+def sample_for_rating(canary: bool, samples: float, rng: Random) -> bool:
     """Return whether an answer that was delivered should be rated afterwards.
 
     Args:
         canary: Whether its version is being rolled out.
-        estimate: What is known of its version.
+        samples: Ratings that this customer's answers have.
         rng: Seeded source of the sample.
     """
-    return canary or estimate.samples < EARLY_SAMPLES or rng.random() < SAMPLE_SHARE
+    return canary or samples < EARLY_SAMPLES or rng.random() < SAMPLE_SHARE
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from comfreyhatch.decisions.quality import (
+    COMMON_WEIGHT,
     EARLY_SAMPLES,
     MAX_TALLY_COUNT,
     Estimate,
@@ -72,6 +73,36 @@
     assert book.estimate(KEY).share < 0.3
 
 
+def test_ratings_of_other_customers_count_up_to_a_bounded_weight() -> None:
+    book = QualityBook("a")
+    for number in range(10):
+        for _ in range(100):
+            book.add(QualityKey(f"c{number}", "plan", "coach-small@1"), 0.9, 0.8)
+    newcomer = book.estimate(KEY)
+    assert newcomer.samples == COMMON_WEIGHT and newcomer.lower > 0.95
+    for _ in range(80):
+        book.add(KEY, 0.1, 0.8)
+    assert book.estimate(KEY).share == 0.5
+    assert book.own_samples(KEY) == 80
+    assert book.estimate(QualityKey("trackline", "chat", "coach-small@1")) == Estimate()
+    assert book.estimate(QualityKey("trackline", "plan", "coach-small@1", 90)) == Estimate()
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from("ab"), st.sampled_from("xyz"), st.booleans()), max_size=40)
+)
+def test_common_sums_follow_the_entries_through_eviction(
+    events: list[tuple[str, str, bool]],
+) -> None:
+    book = QualityBook("own", max_entries=2)
+    for customer, task, good in events:
+        book.add(QualityKey(customer, task, "v@1"), float(good), 0.8)
+    for task in "xyz":
+        held = [e.tally.count for (k, _), e in book._entries.items() if k.task == task]
+        common = book.estimate(QualityKey("other", task, "v@1"))
+        assert abs(common.samples - sum(held)) < 1e-6
+
+
 def test_version_is_forgotten() -> None:
     book = rated("a", [0.9])
     book.forget_version("coach-small@1")
@@ -115,7 +146,6 @@
 
 def test_canaries_are_rated_always_and_known_versions_by_sample() -> None:
     rng = Random(1)
-    known = Estimate(samples=EARLY_SAMPLES)
-    assert all(sample_for_rating(True, known, rng) for _ in range(100))
-    assert all(sample_for_rating(False, Estimate(), rng) for _ in range(100))
-    assert 60 < sum(sample_for_rating(False, known, rng) for _ in range(1000)) < 140
+    assert all(sample_for_rating(True, EARLY_SAMPLES, rng) for _ in range(100))
+    assert all(sample_for_rating(False, 0, rng) for _ in range(100))
+    assert 60 < sum(sample_for_rating(False, EARLY_SAMPLES, rng) for _ in range(1000)) < 140
