Repeat a commit whose answer was lost, and show every instance's revision

The command line gave up when the answer to a change was lost, though the same edit id finds the change. It now repeats it and says, when that fails too, that the change may have been made.

Heartbeats from other zones do not tell the newest revision, so that status showed instances of other zones as behind for good; it now asks those that may lag.

--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -201,6 +201,7 @@
             own.id, own.zone, self.changes, self.membership, self.directory, self.pool, self.ready
         )
         self.reporter.quarantined = self.quarantine.quarantined
+        self.reporter.journal_lag = lambda: self.journal.lag
         self.reporter.cut_off = lambda: (self.keeper.freshness(monotonic()) is Freshness.CUT_OFF)
         operators = OperatorHandler(
             self.changes, self.records, self.burn, self.reporter, self.registry, self.ready
--- a/comfreyhatch/daemon/fleet_state.py
+++ b/comfreyhatch/daemon/fleet_state.py
@@ -50,9 +50,10 @@
         self.journal_lag: Callable[[], int] = int
         self.cut_off: Callable[[], bool] = bool
 
-    def state(self) -> FleetState:
-        """Return the state now."""
+    async def state(self) -> FleetState:
+        """Return the state now; asks the instances that may lag for their revision."""
         config = self._changes.config
+        confirmed = frozenset((await self.in_force(config.revision)).confirmed)
         return FleetState(
             instance_id=self._instance_id,
             zone=self._zone,
@@ -62,7 +63,7 @@
             journal_lag=self.journal_lag(),
             zones_out=tuple(sorted(config.out_zones)),
             zones_cut_off=self._zones_cut_off(),
-            instances=tuple(self._instances()),
+            instances=tuple(self._instances(config.revision, confirmed)),
             endpoints=tuple(self._endpoints(config)),
             versions=tuple(self._versions(config)),
             budgets=tuple(self._budgets(config)),
@@ -78,17 +79,18 @@
         reached = {member.zone for member in self._membership.view.member_by_id.values()}
         return tuple(sorted(listed - reached - {self._zone}))
 
-    def _instances(self) -> list[InstanceState]:
-        found = {
-            member.instance_id: InstanceState(
-                member.instance_id, member.zone, member.revision, member.leaving
+    def _instances(self, revision: int, confirmed: frozenset[str]) -> list[InstanceState]:
+        states = [
+            InstanceState(
+                member.instance_id,
+                member.zone,
+                # Heartbeats from other zones do not tell the newest revision.
+                revision if member.instance_id in confirmed else member.revision,
+                member.leaving,
             )
             for member in self._membership.view.member_by_id.values()
-        }
-        found[self._instance_id] = InstanceState(
-            self._instance_id, self._zone, self._changes.config.revision, False
-        )
-        return sorted(found.values(), key=lambda instance: (instance.zone, instance.instance_id))
+        ]
+        return sorted(states, key=lambda instance: (instance.zone, instance.instance_id))
 
     def _endpoints(self, config: FleetConfig) -> list[EndpointState]:
         endpoints = self._directory.endpoint_by_id.values()
--- a/comfreyhatch/daemon/operators.py
+++ b/comfreyhatch/daemon/operators.py
@@ -85,7 +85,7 @@
         return HttpResponse(200, generate_latest(self._registry), METRICS_TYPE)
 
     async def _status(self, request: HttpRequest) -> HttpResponse:
-        return json_response(self._reporter.state())
+        return json_response(await self._reporter.state())
 
     async def _in_force(self, request: HttpRequest) -> HttpResponse:
         return json_response(await self._reporter.in_force(_integer(request, "revision", 0)))
--- a/comfreyhatch/porcelain/changes.py
+++ b/comfreyhatch/porcelain/changes.py
@@ -8,13 +8,17 @@
 from msgspec import Struct, to_builtins
 
 from comfreyhatch.adapters.operator_http import OperatorClient
+from comfreyhatch.codes import ResultCode
 from comfreyhatch.domain.change import Change, change_config
 from comfreyhatch.domain.fleet import FleetConfig
-from comfreyhatch.errors import ComfreyhatchError
+from comfreyhatch.errors import ComfreyhatchError, PlatformError
 from comfreyhatch.ports.operators import Edit, InForce
 
 CONFIRM_INTERVAL_S = 0.1
 CONFIRM_TIMEOUT_S = 4.0
+COMMIT_ATTEMPTS = 3
+COMMIT_RETRY_S = 1.0
+LOST_ANSWER_CODES = frozenset({ResultCode.WRITE_UNKNOWN, ResultCode.PEER_TIMEOUT})
 
 
 class PlannedChange(Struct, frozen=True):
@@ -60,14 +64,35 @@
     return PlannedChange(change, config.revision, diff)
 
 
-async def commit_change(client: OperatorClient, planned: PlannedChange, author: str) -> int:
+async def commit_change(
+    client: OperatorClient,
+    planned: PlannedChange,
+    author: str,
+    retry_interval_s: float = COMMIT_RETRY_S,
+) -> int:
     """Commit a planned change and return its revision.
 
+    A commit whose answer was lost is repeated with the same edit id, which finds the change if
+    it was made.
+
     Raises:
         ConflictError: If another change came first.
+        PlatformError: If it cannot be found out whether the change was made.
     """
     edit = Edit(planned.change, uuid4().hex, author, planned.base_revision)
-    return await client.apply(edit)
+    failure: ComfreyhatchError | None = None
+    for _ in range(COMMIT_ATTEMPTS):
+        try:
+            return await client.apply(edit)
+        except ComfreyhatchError as error:
+            if error.code not in LOST_ANSWER_CODES:
+                raise
+            failure = error
+        await asyncio.sleep(retry_interval_s)
+    raise PlatformError(
+        f"the change may have been made, see config history; last error: {failure}",
+        ResultCode.WRITE_UNKNOWN,
+    )
 
 
 async def await_in_force(
