--- a/comfreyhatch/decisions/cold_start.py
+++ b/comfreyhatch/decisions/cold_start.py
@@ -123,8 +123,9 @@
 def _window_is_done(state: LimitState) -> bool:
     """Return whether the endpoint's word counts again: slow start has come up to it."""
     bears = state.bears or 0
-    current = state.taken_at > state.trouble_at + REPORT_LIFE_S
-    return state.window is not None and bears > 0 and (state.window >= bears or current)
+    if state.window is None or bears == 0 or state.taken_at <= state.trouble_at:
+        return False
+    return state.window >= bears or state.taken_at > state.trouble_at + REPORT_LIFE_S
 
 
 def _halved(state: LimitState, now: float) -> LimitState:
@@ -133,8 +134,10 @@
 
 
 def _grown(state: LimitState, now: float) -> LimitState:
+    """Add to the window, but not while the last report may be older than the trouble."""
     state = after_stale(state, now)
-    if state.window is None:
+    outdated = _is_current(state, now) and state.taken_at <= state.trouble_at
+    if state.window is None or outdated:
         return state
     return replace(state, window=min(MAX_WINDOW, state.window + 1 / state.window))
 
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -73,6 +73,21 @@
     assert limit_of(state, REPORT_LIFE_S + 0.1) == 1
 
 
+def test_window_does_not_grow_on_a_report_from_before_the_trouble() -> None:
+    state = after_report(LimitState(), report(16), 0.0)
+    fallen = served(after_request(state, SlotOutcome.REFUSED, None, 1.0), 50, 1.5)
+    assert limit_of(fallen, 1.5) == 8
+    told = served(after_report(fallen, report(12), 2.0), 50, 2.0)
+    assert limit_of(told, 2.0) == 12
+
+
+def test_limit_passed_on_by_a_peer_does_not_end_slow_start() -> None:
+    state = after_report(LimitState(), report(16), 0.0)
+    fallen = after_request(state, SlotOutcome.COLD, None, 1.0)
+    passed_on = after_report(fallen, report(1, age_s=1.0), 1.2)
+    assert limit_of(after_report(passed_on, report(16, age_s=0.9), 1.3), 1.3) == 1
+
+
 @pytest.mark.parametrize("outcome", [SlotOutcome.REFUSED, SlotOutcome.COLD, SlotOutcome.FAILED])
 def test_lagging_report_does_not_undo_a_fall(outcome: SlotOutcome) -> None:
     state = after_report(LimitState(), report(16), 0.0)
