--- a/tests/promises.feature
+++ b/tests/promises.feature
@@ -12,6 +12,11 @@
     Then no engine receives work for "coach-small@1" after 4 seconds
     And the refusals say not run
 
+  Scenario: Each request is billed once
+    Given a fleet whose platform loses every third write's answer
+    When 30 requests are answered and the journals are settled
+    Then the bills hold each request once and nothing else
+
   Scenario: An endpoint in cold start gets no more than it bears
     Given a fleet whose only engine turns cold and bears 2
     When 30 requests arrive at once at all daemons
@@ -34,6 +39,11 @@
     When 30 deposits with keys of their own are sent
     Then no deposit that was refused as not run has run
 
+  Scenario: A deposit runs at most once
+    Given a fleet whose services refuse, crash and lose answers
+    When each of 10 deposits is sent again and again at every daemon
+    Then each deposit has run at most once
+
   Scenario: A leaving endpoint gets no new work
     Given a fleet under steady traffic for "coach-small"
     When the platform lists engine "engine-a0" as leaving
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -7,11 +7,15 @@
 from typing import Any, TypeVar
 
 import pytest
+from msgspec.json import decode
 from msgspec.structs import replace
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.decisions.settlement import settle
 from comfreyhatch.domain.change import SetContract, SetShare, SetZone, WithdrawVersion
+from comfreyhatch.domain.journal import BILL_PREFIX, decode_bill
+from comfreyhatch.domain.record import RequestRecord
 from comfreyhatch.errors import ComfreyhatchError, HttpError
 from comfreyhatch.standins.fleet import CONTRACT, LARGE, SMALL, FleetPlan, LocalFleet
 from comfreyhatch.standins.text import token
@@ -42,6 +46,7 @@
         self.version_by_session: dict[str, str] = {}
         self.token_by_session: dict[str, str] = {}
         self.accepted: list[int] = []
+        self.record_by_id: dict[str, RequestRecord] = {}
 
     def run(self, coroutine: Coroutine[Any, Any, T]) -> T:
         return self.runner.run(coroutine)
@@ -450,3 +455,40 @@
     world.run(world.wait(0.1))
     for seen in world.revisions_by_id.values():
         assert len(seen) > 1 and seen == sorted(seen)
+
+
+# Bills
+
+
+@given("a fleet whose platform loses every third write's answer")
+def losing_platform(world: World) -> None:
+    world.run(world.start())
+    world.fleet.platform.faults.lose_write_rate = 1 / 3
+
+
+@when(parsers.parse("{count:d} requests are answered and the journals are settled"))
+def answered_and_settled(world: World, count: int) -> None:
+    requests_at_once(world, count)
+    for instance_id in list(world.fleet.daemon_by_id):
+        operators = world.fleet.addresses_by_id[instance_id].operators
+        for reply in world.replies:
+            target = "/explain/" + reply.header_by_name["x-request-id"]
+            found = world.run(world.client.request(operators, "GET", target))
+            if found.status == 200:
+                record = decode(found.body, type=RequestRecord)
+                world.record_by_id[record.request_id] = record
+    for instance_id in list(world.fleet.daemon_by_id):
+        world.run(world.fleet.stop_daemon(instance_id))
+
+
+@then("the bills hold each request once and nothing else")
+def billed_once(world: World) -> None:
+    assert [reply.status for reply in world.replies] == [200] * len(world.replies)
+    rows = world.run(world.fleet.platform.table.scan(BILL_PREFIX))
+    settlement = settle(decode_bill(row.value) for row in rows)
+    assert world.fleet.platform.witness.lost_answers > 0
+    assert sum(line.requests for line in settlement.lines) == len(world.replies)
+    costs = [record.cost_micros for record in world.record_by_id.values()]
+    assert len(costs) == len(world.replies)
+    assert sum(line.cost_micros for line in settlement.lines) == sum(costs)
+    assert (settlement.open, settlement.missing) == ((), 0)
