Bring the instance list to a zone through its relays

Now the zone's first relay reads it once a second, by conditional request, and passes what changed through the tree of the notices; digests show a lost notice, and the list is then fetched from the relay page by page.

--- a/comfreyhatch/adapters/platform_http.py
+++ b/comfreyhatch/adapters/platform_http.py
@@ -12,6 +12,7 @@
 from comfreyhatch.ports.platform import RatingRequest
 
 PLATFORM_TIMEOUT_S = 2.0
+NOT_MODIFIED_STATUS = 304
 
 T = TypeVar("T")
 
@@ -40,15 +41,29 @@
     def __init__(self, client: HttpClient, address: Address) -> None:
         self._client = client
         self._address = address
+        self._etag = ""
+        self._rows: list[Instance] = []
 
     async def instances(self) -> list[Instance]:
-        """Return the list.
+        """Return the list; the same object as before when the platform says so.
 
         Raises:
             PlatformError: If the list does not answer.
         """
-        body = await ask(self._client, self._address, "GET", "/instances")
-        return _decoded(body, list[Instance])
+        headers = {"if-none-match": self._etag} if self._etag else {}
+        try:
+            reply = await self._client.request(
+                self._address, "GET", "/instances", b"", headers, PLATFORM_TIMEOUT_S
+            )
+        except HttpError as error:
+            raise PlatformError(f"platform at {self._address}: {error}") from error
+        if reply.status == NOT_MODIFIED_STATUS and self._etag:
+            return self._rows
+        if reply.status != 200:
+            raise PlatformError(f"platform at {self._address} answered {reply.status}")
+        self._rows = _decoded(reply.body, list[Instance])
+        self._etag = reply.header_by_name.get("etag", "")
+        return self._rows
 
     async def announce(self, instance: Instance) -> None:
         """Announce this daemon or its leaving.
--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -33,6 +33,7 @@
 from comfreyhatch.daemon.forwarding import MAX_HOPS, ForwardedWork, Forwarder
 from comfreyhatch.daemon.journal import Journal
 from comfreyhatch.daemon.learning import Learner
+from comfreyhatch.daemon.list_feed import ListFeed
 from comfreyhatch.daemon.membership import Membership
 from comfreyhatch.daemon.minted import MintedKeys
 from comfreyhatch.daemon.once import OnceRouter
@@ -95,6 +96,7 @@
         member = Member(own.id, self.incarnation, own.zone, nowhere, nowhere)
         seeds = tuple(settings.peers.seed_addresses)
         self.membership = Membership(self.bus, member, seeds, lambda: self.directory.members)
+        self.list_feed = ListFeed(self.directory, self.bus, self.membership)
         self.keeper = ConfigurationKeeper(changes, self.bus, self.membership, rng=rng)
         self.changes = Editor(changes, self.keeper, self.membership)
         self.pool = EndpointPool(
@@ -237,7 +239,7 @@
         self.membership.set_addresses(control, peers_http)
         self.directory.announce_as(peers_http, control)
         for part in (
-            self.directory,
+            self.list_feed,
             self.membership,
             self.keeper,
             self.pool,
--- a/comfreyhatch/daemon/peer_messages.py
+++ b/comfreyhatch/daemon/peer_messages.py
@@ -2,10 +2,11 @@
 
 from msgspec import Struct
 
+from comfreyhatch.decisions.listing import ListDelta
 from comfreyhatch.decisions.membership import ZoneReport
 from comfreyhatch.domain.change import ChangeRecord
 from comfreyhatch.domain.fleet import FleetConfig
-from comfreyhatch.domain.instance import Address
+from comfreyhatch.domain.instance import Address, Instance
 from comfreyhatch.ports.peers import Member
 
 
@@ -66,6 +67,32 @@
     same: tuple[str, ...] = ()
 
 
+class ListNotice(Struct, frozen=True, array_like=True, tag="ln"):
+    """A relay's news of the instance list, passed on through the zone.
+
+    Attributes:
+        origin: The daemon that read the list.
+        read_at: When it read it, by its own clock.
+        delta: What changed; without rows it only tells the digest.
+    """
+
+    origin: str
+    read_at: float
+    delta: ListDelta
+
+
+class ListQuery(Struct, frozen=True, array_like=True, tag="lq"):
+    """Asks for a page of the instance list, of the ids after one."""
+
+    after: str
+
+
+class ListPage(Struct, frozen=True, array_like=True, tag="lp"):
+    """A page of the instance list; one that is not full is the last."""
+
+    rows: tuple[Instance, ...]
+
+
 class HeadNotice(Struct, frozen=True, array_like=True, tag="n"):
     """A relay's news, passed on through the zone.
 
--- a/comfreyhatch/standins/platform.py
+++ b/comfreyhatch/standins/platform.py
@@ -106,9 +106,12 @@
 
     def __init__(self) -> None:
         self._history: list[tuple[float, dict[str, Instance]]] = [(0.0, {})]
+        self.number = 0
 
     def put(self, instance: Instance, now: float) -> None:
         """Add or replace an instance."""
+        if self._history[-1][1].get(instance.instance_id) == instance:
+            return
         self._history.append((now, {**self._history[-1][1], instance.instance_id: instance}))
 
     def remove(self, instance_id: str, now: float) -> None:
@@ -120,6 +123,7 @@
         """Return the instances as they were at a time; what is older is forgotten."""
         while len(self._history) > 1 and self._history[1][0] <= time_s:
             del self._history[0]
+            self.number += 1
         return list(self._history[0][1].values())
 
 
@@ -260,7 +264,13 @@
             self.put_instance(decode_body(request, Instance))
             return HttpResponse(204)
         self.witness.list_reads += 1
-        return json_response(self._listed.at(monotonic() - self.faults.list_lag_s))
+        rows = self._listed.at(monotonic() - self.faults.list_lag_s)
+        etag = f'"{self._listed.number}"'
+        if request.header("if-none-match") == etag:
+            return HttpResponse(304, header_by_name={"etag": etag})
+        response = json_response(rows)
+        response.header_by_name["etag"] = etag
+        return response
 
     async def _rate(self, request: RatingRequest) -> HttpResponse:
         if self.faults.rating_slow_s:
--- /dev/null
+++ b/tests/test_list_feed.py
@@ -0,0 +1,161 @@
+"""The instance list: deltas and digests, and its way through the relays of a zone."""
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec.structs import replace
+
+from comfreyhatch.daemon.directory import Directory
+from comfreyhatch.daemon.list_feed import PAGE_ROWS, ListFeed
+from comfreyhatch.daemon.membership import Membership
+from comfreyhatch.decisions.configuration import relay_order
+from comfreyhatch.decisions.listing import apply_delta, delta_between, list_digest
+from comfreyhatch.domain.instance import Address, Instance, Role
+from comfreyhatch.errors import PlatformError
+from comfreyhatch.ports.peers import Member, MemoryNetwork
+
+ADDRESS = Address("127.0.0.1", 1)
+ENGINE = Instance("engine-1", Role.ENGINE, "a", ADDRESS)
+
+states = st.dictionaries(st.sampled_from("pqrstu"), st.booleans())
+
+
+def rows_of(state: dict[str, bool]) -> list[Instance]:
+    return [replace(ENGINE, instance_id=i, leaving=leaving) for i, leaving in state.items()]
+
+
+@given(st.lists(states, min_size=1, max_size=6))
+def test_deltas_lead_from_state_to_state_and_their_digests_tell_states_apart(
+    history: list[dict[str, bool]],
+) -> None:
+    row_by_id: dict[str, Instance] = {}
+    digest = 0
+    for state in history:
+        rows = rows_of(state)
+        delta = delta_between(row_by_id, digest, rows)
+        same = row_by_id == {row.instance_id: row for row in rows}
+        assert (delta.before == delta.after) == same == (not delta.rows and not delta.removed)
+        row_by_id = apply_delta(row_by_id, delta)
+        digest = delta.after
+        assert row_by_id == {row.instance_id: row for row in rows}
+        assert digest == list_digest(rows)
+
+
+class FakeList:
+    """The platform's list as one daemon reaches it."""
+
+    def __init__(self, rows: dict[str, Instance]) -> None:
+        self.rows = rows
+        self.reads = 0
+        self.down = False
+
+    async def instances(self) -> list[Instance]:
+        self.reads += 1
+        if self.down:
+            raise PlatformError("the list is down")
+        return list(self.rows.values())
+
+    async def announce(self, instance: Instance) -> None:
+        if self.down:
+            raise PlatformError("the list is down")
+        self.rows[instance.instance_id] = instance
+
+
+class Zone:
+    """Feeds of the daemons of one zone on an in-memory network."""
+
+    def __init__(self, size: int) -> None:
+        self.now = 100.0
+        self.network = MemoryNetwork()
+        self.rows: dict[str, Instance] = {"engine-1": ENGINE}
+        self.parts: dict[str, tuple[FakeList, Directory, Membership, ListFeed]] = {}
+        for number in range(size):
+            self.add(f"a{number}")
+
+    def add(self, name: str) -> Directory:
+        control = Address("127.0.0.1", 2 + len(self.parts))
+        source = FakeList(self.rows)
+        own = Instance(name, Role.DAEMON, "a", control, control)
+        directory = Directory(source, own)
+        bus = self.network.join(name)
+        member = Member(name, name, "a", control, control)
+        seeds = (Address("127.0.0.1", 2),)
+        membership = Membership(
+            bus, member, seeds, lambda: directory.members, clock=lambda: self.now
+        )
+        feed = ListFeed(directory, bus, membership, clock=lambda: self.now)
+        self.parts[name] = source, directory, membership, feed
+        return directory
+
+    async def run(self, seconds: float, *stopped: str) -> None:
+        for _ in range(round(seconds / 0.25)):
+            self.now += 0.25
+            for name, (_, _, membership, feed) in self.parts.items():
+                if name not in stopped:
+                    await membership.tick()
+                    await feed.tick()
+            for _ in range(8):
+                await asyncio.sleep(0)
+
+    def relays(self) -> list[str]:
+        return relay_order((p[2].own for p in self.parts.values()), "a")
+
+    def seen(self, instance_id: str) -> set[str]:
+        return {n for n, p in self.parts.items() if instance_id in p[1].endpoint_by_id}
+
+
+async def test_one_daemon_reads_the_list_for_its_zone_and_news_come_at_once() -> None:
+    zone = Zone(6)
+    await zone.run(6)
+    assert zone.seen("engine-1") == set(zone.parts)
+    for source, *_ in zone.parts.values():
+        source.reads = 0
+    await zone.run(10)
+    reads = {name: part[0].reads for name, part in zone.parts.items()}
+    assert reads == {name: 10 if name == zone.relays()[0] else 0 for name in reads}
+    zone.rows["engine-1"] = replace(ENGINE, leaving=True)
+    zone.rows["engine-2"] = replace(ENGINE, instance_id="engine-2")
+    await zone.run(1)
+    assert zone.seen("engine-1") == set() and zone.seen("engine-2") == set(zone.parts)
+
+
+async def test_lost_notices_and_dead_relays_are_made_up_for() -> None:
+    zone = Zone(5)
+    await zone.run(6)
+    relays = zone.relays()
+    zone.network.cut = {(relays[0], relays[4])}
+    zone.rows["engine-2"] = replace(ENGINE, instance_id="engine-2")
+    await zone.run(1.5)
+    assert zone.seen("engine-2") == set(zone.parts) - {relays[4]}
+    zone.network.cut = set()
+    await zone.run(3)
+    assert zone.seen("engine-2") == set(zone.parts)
+    dead = relays[0]
+    zone.network.cut = {(a, b) for a in zone.parts for b in zone.parts if dead in (a, b)}
+    zone.rows["engine-3"] = replace(ENGINE, instance_id="engine-3")
+    await zone.run(8, dead)
+    assert zone.seen("engine-3") == set(zone.parts) - {dead}
+
+
+async def test_a_daemon_that_cannot_read_the_list_gets_it_from_the_relay_page_by_page() -> None:
+    zone = Zone(2)
+    many = {f"engine-x{number}" for number in range(2 * PAGE_ROWS + 7)}
+    zone.rows.update({name: replace(ENGINE, instance_id=name) for name in many})
+    await zone.run(6)
+    late = zone.add("a9")
+    zone.parts["a9"][0].down = True
+    zone.rows["a9"] = Instance("a9", Role.DAEMON, "a", ADDRESS, zone.parts["a9"][2].own.control)
+    await zone.run(6)
+    assert zone.relays()[0] != "a9", "the late daemon is not the one that reads"
+    assert set(late.endpoint_by_id) == many | {"engine-1"}
+    assert late.digest == zone.parts["a0"][1].digest
+
+
+async def test_the_list_is_kept_while_the_platform_is_down() -> None:
+    zone = Zone(2)
+    await zone.run(4)
+    for source, *_ in zone.parts.values():
+        source.down = True
+    await zone.run(20)
+    assert zone.seen("engine-1") == set(zone.parts)
