Find records and bills wherever they are

explain asks this daemon, the writer and its possible buddies, then the stored segments: a request id holds the incarnation and the time, and bills of segments are rows by the hour of their close, so no index is needed. Daemons keep 2,000 records in memory instead of 100,000.

--- a/comfreyhatch/adapters/operator_http.py
+++ b/comfreyhatch/adapters/operator_http.py
@@ -16,7 +16,7 @@
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.domain.record import RequestRecord
 from comfreyhatch.errors import ComfreyhatchError, HttpError, PeerError
-from comfreyhatch.ports.operators import Accepted, Bill, Edit, FleetState, InForce
+from comfreyhatch.ports.operators import Accepted, BillReport, Edit, FleetState, InForce
 
 OPERATOR_TIMEOUT_S = 10.0
 
@@ -89,16 +89,9 @@
         by_id = {record.request_id: record for records in found for record in records}
         return sorted(by_id.values(), key=lambda record: record.at_unix_s)
 
-    async def bills(self, customer: str, since_unix_s: float) -> list[Bill]:
-        """Return what customers owe, summed over all daemons that answer."""
-        found = await self._get_all("/bills", list[Bill], customer=customer, since=since_unix_s)
-        bill_by_customer: dict[str, Bill] = {}
-        for bill in (bill for bills in found for bill in bills):
-            old = bill_by_customer.get(bill.customer, Bill(bill.customer, 0, 0))
-            requests = old.requests + bill.requests
-            cost = old.cost_micros + bill.cost_micros
-            bill_by_customer[bill.customer] = Bill(bill.customer, requests, cost)
-        return sorted(bill_by_customer.values(), key=lambda bill: bill.customer)
+    async def bills(self, customer: str, since_unix_s: float) -> BillReport:
+        """Return the bills of one customer or of all since a time."""
+        return await self._get("/bills", BillReport, customer=customer, since=since_unix_s)
 
     async def burn_counts(self, since_unix_s: float) -> list[BurnCount]:
         """Return the burn counts that are stored and those that daemons have not stored yet."""
--- a/comfreyhatch/cli/report.py
+++ b/comfreyhatch/cli/report.py
@@ -18,10 +18,10 @@
 )
 from comfreyhatch.decisions.burn import BurnCount, BurnReport, burn_report
 from comfreyhatch.errors import RequestError
+from comfreyhatch.porcelain.bills import bill_lines
 from comfreyhatch.porcelain.burn_text import burn_lines, plot_burn
 from comfreyhatch.porcelain.explain import explain_lines, group_lines, group_records
 from comfreyhatch.porcelain.status import status_lines
-from comfreyhatch.porcelain.table import table
 
 app = Typer(help="Reports.", no_args_is_help=True)
 
@@ -91,14 +91,13 @@
     client_settings: ClientFileOption = None,
     json: JsonOption = False,
 ) -> None:
-    """Print what customers owe.
+    """Print what customers owe, by day and version.
 
     Example: comfreyhatch bills --since 30d --json
     """
     start = time() - period_s(since)
     found = run_command(daemon, client_settings, lambda client: client.bills(customer, start))
-    rows = [(bill.customer, bill.requests, bill.cost_micros) for bill in found]
-    show(found, table(("CUSTOMER", "REQUESTS", "MICROS"), rows), json)
+    show(found.bills, bill_lines(found), json)
 
 
 @app.command()
--- a/comfreyhatch/daemon/buddies.py
+++ b/comfreyhatch/daemon/buddies.py
@@ -111,6 +111,10 @@
         copy = self._copy_by_journal.get(journal)
         return find_record(copy.tail, request_id) if copy else None
 
+    def tails(self) -> list[Tail]:
+        """Return the copies that are not empty."""
+        return [copy.tail for copy in self._copy_by_journal.values() if copy.tail.entry_by_number]
+
     def _gone(self, journal: str, copy: _Copy) -> bool:
         member = self._view().member_by_id.get(copy.writer)
         return member is None or not may_be_process(member, journal)
--- a/comfreyhatch/daemon/callers.py
+++ b/comfreyhatch/daemon/callers.py
@@ -24,6 +24,7 @@
 from comfreyhatch.domain.contract import Contract
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.request import ChatMessage, ChatRequest, Priority, Usage
+from comfreyhatch.domain.request_id import new_request_id
 from comfreyhatch.domain.version import VersionState
 from comfreyhatch.errors import ComfreyhatchError, NotReadyError, RequestError
 from comfreyhatch.ports.engine import Chunk, ServiceRequest
@@ -155,7 +156,7 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer a caller's request."""
-        request_id = f"{self._incarnation}.{int(time() * 1000):x}.{next(self._sequence):x}"
+        request_id = new_request_id(self._incarnation, time(), next(self._sequence))
         try:
             response = await self._route(request, request_id)
         except ComfreyhatchError as error:
--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -29,6 +29,7 @@
 from comfreyhatch.daemon.dispatcher import Dispatcher
 from comfreyhatch.daemon.editor import Editor
 from comfreyhatch.daemon.endpoints import EndpointPool
+from comfreyhatch.daemon.explanations import Explanations
 from comfreyhatch.daemon.fleet_state import FleetReporter
 from comfreyhatch.daemon.forwarding import MAX_HOPS, ForwardedWork, Forwarder
 from comfreyhatch.daemon.journal import Journal
@@ -205,8 +206,18 @@
         self.reporter.quarantined = self.quarantine.quarantined
         self.reporter.journal_lag = lambda: self.journal.lag
         self.reporter.cut_off = lambda: (self.keeper.freshness(monotonic()) is Freshness.CUT_OFF)
+        explanations = Explanations(
+            self.bus,
+            lambda: self.membership.view,
+            own.id,
+            self.records,
+            self.journal,
+            self.buddies,
+            segments,
+        )
+        self.reporter.journal_lag = lambda: self.journal.lag
         operators = OperatorHandler(
-            self.changes, self.records, self.burn, self.reporter, self.registry, self.ready
+            self.changes, explanations, self.burn, self.reporter, self.registry, self.ready
         )
         self._caller_server = HttpServer(callers.handle, settings.limits)
         self._operator_server = HttpServer(operators.handle, HttpLimits())
--- a/comfreyhatch/daemon/operators.py
+++ b/comfreyhatch/daemon/operators.py
@@ -11,17 +11,18 @@
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.daemon.burn_book import BurnBook
 from comfreyhatch.daemon.editor import Editor
+from comfreyhatch.daemon.explanations import Explanations
 from comfreyhatch.daemon.fleet_state import FleetReporter
-from comfreyhatch.daemon.records import RecordBook
 from comfreyhatch.domain.change import ChangeRecord, SetContract, apply_change
 from comfreyhatch.domain.contract import contract_problems
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.record import RequestRecord
 from comfreyhatch.errors import ContractError, NotReadyError, RequestError
-from comfreyhatch.ports.operators import Accepted, Bill, Edit, Health
+from comfreyhatch.ports.operators import Accepted, Bill, BillReport, Edit, Health
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 EXPLAIN_PREFIX = "/explain/"
+DAY_S = 86400
 HISTORY_LIMIT = 1000
 RECORDS_LIMIT = 1000
 RECORDS_PERIOD_S = 3600
@@ -37,14 +38,14 @@
     def __init__(
         self,
         changes: Editor,
-        records: RecordBook,
+        explanations: Explanations,
         burn_book: BurnBook,
         reporter: FleetReporter,
         registry: CollectorRegistry,
         ready: Callable[[], bool],
     ) -> None:
         self._changes = changes
-        self._records = records
+        self._explanations = explanations
         self._burn_book = burn_book
         self._reporter = reporter
         self._registry = registry
@@ -129,24 +130,33 @@
         return json_response(Accepted(revision))
 
     async def _bills(self, request: HttpRequest) -> HttpResponse:
-        since = _number(request, "since", 0.0)
-        bill_by_customer: dict[str, Bill] = {}
-        for record in await self._records.since(since, request.query.get(CUSTOMER_PARAMETER, "")):
-            old = bill_by_customer.get(record.customer, Bill(record.customer, 0, 0))
-            bill_by_customer[record.customer] = Bill(
-                record.customer, old.requests + 1, old.cost_micros + record.cost_micros
+        since = _number(request, "since", time() - DAY_S)
+        customer = request.query.get(CUSTOMER_PARAMETER, "")
+        settlement = await self._explanations.settlement(since)
+        bills = [
+            Bill(
+                line.customer,
+                line.day,
+                line.version_id,
+                line.requests,
+                line.unknown,
+                line.cost_micros,
             )
-        return json_response(list(bill_by_customer.values()))
+            for line in settlement.lines
+            if customer in ("", line.customer)
+        ]
+        open_count = sum(customer in ("", intent.customer) for intent in settlement.open)
+        return json_response(BillReport(tuple(bills), open_count, settlement.missing))
 
     async def _explain(self, request_id: str) -> RequestRecord:
-        record = await self._records.find(request_id)
+        record = await self._explanations.find(request_id)
         if record is None:
             raise RequestError(f"no record of request {request_id}", ResultCode.NOT_FOUND)
         return record
 
     async def _recent(self, request: HttpRequest) -> HttpResponse:
         since = _number(request, "since", time() - RECORDS_PERIOD_S)
-        records = await self._records.since(since, request.query.get(CUSTOMER_PARAMETER, ""))
+        records = await self._explanations.since(since, request.query.get(CUSTOMER_PARAMETER, ""))
         limit = min(RECORDS_LIMIT, _integer(request, "limit", RECORDS_LIMIT))
         return json_response(records[-limit:])
 
--- a/comfreyhatch/daemon/records.py
+++ b/comfreyhatch/daemon/records.py
@@ -6,7 +6,7 @@
 from comfreyhatch.domain.journal import Intent, Outcome
 from comfreyhatch.domain.record import RequestRecord
 
-RECORDS_KEPT = 100_000
+RECORDS_KEPT = 2_000
 
 
 class RecordBook:
--- a/comfreyhatch/daemon/segments.py
+++ b/comfreyhatch/daemon/segments.py
@@ -1,20 +1,28 @@
 """Stores segments of journals: their records as objects, their bills as rows."""
 
 import asyncio
+from collections.abc import AsyncIterator
 
 from comfreyhatch.decisions.journal import Tail, bill_segment
 from comfreyhatch.domain.journal import (
     Segment,
+    SegmentBill,
     bill_key,
+    bill_prefix,
+    decode_bill,
     decode_segment,
     encode_bill,
     encode_segment,
     segment_key,
+    segment_prefix,
 )
 from comfreyhatch.errors import PlatformError
 from comfreyhatch.ports.objects import ObjectStore
 from comfreyhatch.ports.table import Insert, Table, WriteOutcome
 
+SCAN_LIMIT = 1000
+UNBILLED_AT_MOST = 20
+
 
 class SegmentStore:
     """Writes segments so that each sequence number of a journal has one content.
@@ -64,6 +72,32 @@
             raise PlatformError(f"segment {sequence} of journal {journal} is missing")
         return decode_segment(value)
 
+    async def bills(self, hour: str, journal: str = "") -> AsyncIterator[SegmentBill]:
+        """Yield the bills of segments closed in an hour, of one journal or of all.
+
+        Raises:
+            PlatformError: If the table does not answer.
+        """
+        after = ""
+        while True:
+            rows = await self._table.scan(bill_prefix(hour, journal), after, SCAN_LIMIT)
+            for row in rows:
+                yield decode_bill(row.value)
+            if len(rows) < SCAN_LIMIT:
+                return
+            after = rows[-1].key
+
+    async def sequences_after(self, journal: str, sequence: int) -> list[int]:
+        """Return the numbers of a journal's stored segments after one, at most a few.
+
+        Raises:
+            PlatformError: If the object store does not answer.
+        """
+        prefix = segment_prefix(journal)
+        after = segment_key(journal, sequence)
+        keys = await self._objects.list_keys(prefix, after, UNBILLED_AT_MOST)
+        return [int(key.removeprefix(prefix)) for key in keys]
+
     async def _insert_bill(self, segment: Segment) -> None:
         row = Insert(bill_key(segment), encode_bill(bill_segment(segment)))
         if await self._table.commit([row]) is WriteOutcome.UNKNOWN:
--- a/comfreyhatch/decisions/journal.py
+++ b/comfreyhatch/decisions/journal.py
@@ -174,6 +174,7 @@
         first_unix_s=min(times, default=segment.closed_unix_s),
         last_unix_s=max(times, default=segment.closed_unix_s),
         lines=tuple(line_by_key.values()),
+        customers=tuple(sorted({record.customer for record in segment.records})),
         open=segment.open,
     )
 
--- a/comfreyhatch/domain/journal.py
+++ b/comfreyhatch/domain/journal.py
@@ -97,6 +97,7 @@
         first_unix_s: When the earliest of its requests was accepted.
         last_unix_s: When the latest of its requests was accepted.
         lines: Bills of the requests that ran.
+        customers: Customers of all its requests, those that did not run included.
         open: Requests dispatched and not ended by its close.
     """
 
@@ -106,6 +107,7 @@
     first_unix_s: float
     last_unix_s: float
     lines: tuple[BillLine, ...]
+    customers: tuple[str, ...]
     open: tuple[Intent, ...] = ()
 
 
@@ -121,15 +123,31 @@
     return datetime.fromtimestamp(unix_s, UTC).strftime("%Y-%m-%d")
 
 
+def hour_of(unix_s: float) -> str:
+    """Return the hour of a time in UTC, such as "2026-01-31T14"."""
+    return datetime.fromtimestamp(unix_s, UTC).strftime("%Y-%m-%dT%H")
+
+
+def segment_prefix(journal: str) -> str:
+    """Return the prefix of the object keys of a journal's segments."""
+    return f"{SEGMENT_PREFIX}{journal}/"
+
+
 def segment_key(journal: str, sequence: int) -> str:
     """Return the object key of a segment."""
-    return f"{SEGMENT_PREFIX}{journal}/{sequence:08d}"
+    return f"{segment_prefix(journal)}{sequence:08d}"
 
 
 def bill_key(segment: Segment) -> str:
     """Return the table key of a segment's bills."""
-    day = day_of(segment.closed_unix_s)
-    return f"{BILL_PREFIX}{day}/{segment.journal}/{segment.sequence:08d}"
+    return bill_prefix(hour_of(segment.closed_unix_s), segment.journal) + (
+        f"{segment.sequence:08d}"
+    )
+
+
+def bill_prefix(hour: str, journal: str = "") -> str:
+    """Return the prefix of the keys of bills by the hour of their close, and by journal."""
+    return f"{BILL_PREFIX}{hour}/{journal}/" if journal else f"{BILL_PREFIX}{hour}/"
 
 
 def encode_body(body: Body) -> bytes:
--- a/comfreyhatch/domain/request_id.py
+++ b/comfreyhatch/domain/request_id.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct
 
+from comfreyhatch.codes import ResultCode
 from comfreyhatch.errors import RequestError
 
 MILLISECONDS_PER_S = 1000
@@ -39,4 +40,4 @@
         incarnation, at_ms, number = text.rsplit(".", 2)
         return RequestId(incarnation, int(at_ms, 16), int(number, 16))
     except ValueError:
-        raise RequestError(f"{text!r} is not a request id") from None
+        raise RequestError(f"{text!r} is not a request id", ResultCode.NOT_FOUND) from None
--- a/comfreyhatch/ports/operators.py
+++ b/comfreyhatch/ports/operators.py
@@ -138,8 +138,34 @@
 
 
 class Bill(Struct, frozen=True):
-    """What a customer owes for its requests."""
+    """What a customer owes for its requests of one day on one version.
+
+    Attributes:
+        customer: Customer billed.
+        day: Day on which the requests were accepted, in UTC.
+        version_id: Version that ran, or the plain service.
+        requests: Requests that ran.
+        unknown: Those of them that may have run.
+        cost_micros: Their cost.
+    """
 
     customer: str
+    day: str
+    version_id: str
     requests: int
+    unknown: int
     cost_micros: int
+
+
+class BillReport(Struct, frozen=True):
+    """The bills of a period.
+
+    Attributes:
+        bills: Bills by customer, day and version.
+        open: Requests dispatched whose end is not known; not charged.
+        missing: Journal entries that all their holders lost.
+    """
+
+    bills: tuple[Bill, ...]
+    open: int
+    missing: int
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -136,6 +136,8 @@
         if fault is signal.SIGKILL:
             assert isinstance(first[0], HttpError)
             assert code_of(last) == (ResultCode.OUTCOME_UNKNOWN, "unknown")
+        else:
+            assert isinstance(first[0], HttpReply) and first[0].body == last.body
         assert runs(fleet, KEY) == 1
     finally:
         await holder.kill()
