--- a/tests/test_list_feed.py
+++ b/tests/test_list_feed.py
@@ -1,14 +1,16 @@
 """The instance list: deltas and digests, and its way through the relays of a zone."""
 
 import asyncio
+from typing import Any
 
 from hypothesis import given
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
 from comfreyhatch.daemon.directory import Directory
-from comfreyhatch.daemon.list_feed import PAGE_ROWS, ListFeed
+from comfreyhatch.daemon.list_feed import PAGE_ROWS, ROWS_PER_NOTICE, ListFeed
 from comfreyhatch.daemon.membership import Membership
+from comfreyhatch.daemon.peer_messages import ListNotice
 from comfreyhatch.decisions.configuration import relay_order
 from comfreyhatch.decisions.listing import apply_delta, delta_between, list_digest
 from comfreyhatch.domain.instance import Address, Instance, Role
@@ -118,6 +120,10 @@
     zone.rows["engine-2"] = replace(ENGINE, instance_id="engine-2")
     await zone.run(1)
     assert zone.seen("engine-1") == set() and zone.seen("engine-2") == set(zone.parts)
+    for number in (3, 4):
+        zone.rows[f"engine-{number}"] = replace(ENGINE, instance_id=f"engine-{number}")
+        await zone.run(1)
+        assert zone.seen(f"engine-{number}") == set(zone.parts)
 
 
 async def test_lost_notices_and_dead_relays_are_made_up_for() -> None:
@@ -152,6 +158,25 @@
     assert late.digest == zone.parts["a0"][1].digest
 
 
+async def test_a_notice_holds_a_bounded_number_of_rows_and_all_daemons_get_the_rest() -> None:
+    zone = Zone(3)
+    await zone.run(6)
+    rows: list[int] = []
+    for bus in zone.network.bus_by_id.values():
+
+        async def deliver(sender: str, message: Any, deliver: Any = bus.deliver) -> Any:
+            if isinstance(message, ListNotice):
+                rows.append(len(message.delta.rows))
+            return await deliver(sender, message)
+
+        bus.deliver = deliver  # type: ignore[method-assign]
+    many = {f"engine-x{number}" for number in range(ROWS_PER_NOTICE + 1)}
+    zone.rows.update({name: replace(ENGINE, instance_id=name) for name in many})
+    await zone.run(2)
+    assert rows and max(rows) <= ROWS_PER_NOTICE
+    assert all(many < set(part[1].endpoint_by_id) for part in zone.parts.values())
+
+
 async def test_the_list_is_kept_while_the_platform_is_down() -> None:
     zone = Zone(2)
     await zone.run(4)
