Let the fleet key be changed daemon by daemon

The bus took several keys, but the settings named one, and forwarded requests and minted keys knew only that one, so a change of the key needed a stop of the whole fleet. accepted_key_files names keys that are accepted besides the one that signs. A minted key has to stay readable, for refusing a call that has run as not run would be false. Broken by hand, each seen failing the test: the keys of the bus, of forwarded requests and of minted keys.

--- a/comfreyhatch/adapters/settings.py
+++ b/comfreyhatch/adapters/settings.py
@@ -99,10 +99,12 @@
     Attributes:
         key_env: Environment variable that holds the key, if there is no key_file.
         key_file: File that holds the key.
+        accepted_key_files: Files with other keys that are accepted while the key is changed.
     """
 
     key_env: str = "COMFREYHATCH_FLEET_KEY"
     key_file: str = ""
+    accepted_key_files: tuple[str, ...] = ()
 
 
 class LogSettings(Struct, frozen=True, forbid_unknown_fields=True):
@@ -192,16 +194,34 @@
 
 
 def fleet_key(settings: FleetSettings) -> bytes:
-    """Return the fleet's key.
+    """Return the fleet's key, which signs.
 
     Raises:
         SettingsError: If neither the file nor the environment has a key of enough length.
     """
-    source = settings.key_file or f"environment variable {settings.key_env}"
+    if settings.key_file:
+        return _read_key_file(settings.key_file)
+    source = f"environment variable {settings.key_env}"
+    return _checked_key(os.environ.get(settings.key_env, "").encode(), source)
+
+
+def accepted_fleet_keys(settings: FleetSettings) -> tuple[bytes, ...]:
+    """Return the other keys that are accepted.
+
+    Raises:
+        SettingsError: If a file cannot be read or its key is too short.
+    """
+    return tuple(_read_key_file(path) for path in settings.accepted_key_files)
+
+
+def _read_key_file(path: str) -> bytes:
     try:
-        key = _read_key(settings)
+        return _checked_key(Path(path).read_bytes().strip(), path)
     except OSError as error:
-        raise SettingsError(f"[fleet] key_file = {source}: {error.strerror}") from error
+        raise SettingsError(f"[fleet] key_file = {path}: {error.strerror}") from error
+
+
+def _checked_key(key: bytes, source: str) -> bytes:
     if len(key) < FLEET_KEY_LENGTH_BYTES:
         raise SettingsError(
             f"[fleet] {source}: must hold a key of at least {FLEET_KEY_LENGTH_BYTES} bytes,"
@@ -210,11 +230,5 @@
     return key
 
 
-def _read_key(settings: FleetSettings) -> bytes:
-    if settings.key_file:
-        return Path(settings.key_file).read_bytes().strip()
-    return os.environ.get(settings.key_env, "").encode()
-
-
 def _kinds() -> dict[str, type[Struct]]:
     return {info.name: info.type for info in fields(Settings)}
--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -69,7 +69,22 @@
 class Daemon:
     """One entry instance of the system."""
 
-    def __init__(self, settings: Settings, key: bytes, seed: int | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        key: bytes,
+        seed: int | None = None,
+        accepted_keys: tuple[bytes, ...] = (),
+    ) -> None:
+        """Build a daemon.
+
+        Args:
+            settings: Its settings.
+            key: Fleet key, which signs.
+            seed: Seed of its random choices; None takes the settings'.
+            accepted_keys: Other fleet keys that are accepted.
+        """
+        keys = (key, *accepted_keys)
         own = settings.instance
         rng = Random(seed if seed is not None else settings.policy.seed or None)
         client = HttpClient()
@@ -88,7 +103,7 @@
         instances = HttpInstanceList(client, platform)
         self._own = Instance(own.id, Role.DAEMON, own.zone, Address("", 0))
         self.directory = Directory(instances, self._own)
-        self.bus = NngBus(own.id, (key,))
+        self.bus = NngBus(own.id, keys)
         PeerMetrics(self.registry, self.bus.count_by_event)
         table = HttpTable(client, platform, settings.platform.timeout_s)
         objects = HttpObjectStore(client, platform)
@@ -124,7 +139,7 @@
             self.bus, lambda: self.membership.view, segments, own.id, self.registry
         )
         self.claims = Claims(table, self.bus, own.id, self.incarnation, self.registry)
-        self.minted = MintedKeys(table, key, own.id, self.incarnation, self.registry)
+        self.minted = MintedKeys(table, keys, own.id, self.incarnation, self.registry)
         self.quarantine = Quarantine(
             self.incarnation,
             own.id,
@@ -221,7 +236,7 @@
         )
         self._caller_server = HttpServer(callers.handle, settings.limits)
         self._operator_server = HttpServer(operators.handle, HttpLimits())
-        forwarded = ForwardedWork(dispatcher, key, onward)
+        forwarded = ForwardedWork(dispatcher, keys, onward)
         forwarded.run_minted = services.run_minted
         self._peer_server = HttpServer(forwarded.handle, HttpLimits())
         self.shutdown = Shutdown(
--- a/comfreyhatch/daemon/forwarding.py
+++ b/comfreyhatch/daemon/forwarding.py
@@ -185,24 +185,25 @@
 class ForwardedWork:
     """Handler of the listener for forwarded requests."""
 
-    def __init__(self, dispatcher: Dispatcher, key: bytes, onward: Forwarder) -> None:
+    def __init__(self, dispatcher: Dispatcher, keys: tuple[bytes, ...], onward: Forwarder) -> None:
         """Create the handler.
 
         Args:
             dispatcher: Calls the endpoints of this zone.
-            key: Fleet key.
+            keys: Fleet keys that are accepted.
             onward: Forwards to the zone's holders what this daemon has no share for.
         """
         self._dispatcher = dispatcher
-        self._key = key
+        self._keys = keys
         self._onward = onward
         self.run_minted: Callable[[ForwardedMinted], Awaitable[ServiceAnswer]] | None = None
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer a forwarded request; one with a wrong signature is refused."""
         hop = request.header(HOP_HEADER)
-        signature = sign(self._key, hop, request.body)
-        if not hmac.compare_digest(request.header(SIGNATURE_HEADER).encode(), signature.encode()):
+        signature = request.header(SIGNATURE_HEADER).encode()
+        expected = [sign(key, hop, request.body).encode() for key in self._keys]
+        if not any(hmac.compare_digest(signature, each) for each in expected):
             return error_response(PeerError("the signature is wrong"))
         last = not hop.isdecimal() or int(hop) >= MAX_HOPS
         try:
--- a/comfreyhatch/daemon/main.py
+++ b/comfreyhatch/daemon/main.py
@@ -9,7 +9,7 @@
 from typer import Option, run
 
 from comfreyhatch.adapters.logs import set_up_logs
-from comfreyhatch.adapters.settings import Settings, fleet_key, load_settings
+from comfreyhatch.adapters.settings import Settings, accepted_fleet_keys, fleet_key, load_settings
 from comfreyhatch.daemon.daemon import Daemon
 from comfreyhatch.errors import SettingsError
 
@@ -22,16 +22,16 @@
     """Run a daemon of comfreyhatch until SIGTERM."""
     try:
         loaded = load_settings(settings)
-        key = fleet_key(loaded.fleet)
+        keys = (fleet_key(loaded.fleet), *accepted_fleet_keys(loaded.fleet))
     except SettingsError as error:
         print(f"comfreyhatchd: {int(error.code)} {error.code.name}\n{error}", file=sys.stderr)
         raise SystemExit(EXIT_SETTINGS) from error
     set_up_logs(loaded.logs.format, loaded.logs.level)
-    asyncio.run(_serve(loaded, key))
+    asyncio.run(_serve(loaded, keys))
 
 
-async def _serve(settings: Settings, key: bytes) -> None:
-    daemon = Daemon(settings, key)
+async def _serve(settings: Settings, keys: tuple[bytes, ...]) -> None:
+    daemon = Daemon(settings, keys[0], accepted_keys=keys[1:])
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/comfreyhatch/daemon/minted.py
+++ b/comfreyhatch/daemon/minted.py
@@ -50,14 +50,14 @@
     def __init__(
         self,
         table: Table,
-        fleet_key: bytes,
+        fleet_keys: tuple[bytes, ...],
         instance_id: str,
         incarnation: str,
         registry: CollectorRegistry | None = None,
         clock: Callable[[], float] = monotonic,
     ) -> None:
         self._table = table
-        self._fleet_key = fleet_key
+        self._fleet_keys = fleet_keys
         self._instance_id = instance_id
         self._incarnation = incarnation
         self._clock = clock
@@ -70,7 +70,7 @@
     def mint(self, customer: str) -> str:
         """Return a new key for a customer."""
         return mint_key(
-            self._fleet_key,
+            self._fleet_keys[0],
             customer,
             self._instance_id,
             self._incarnation,
@@ -84,7 +84,7 @@
         Raises:
             RequestError: If it was not minted by the fleet for the customer.
         """
-        return read_key(self._fleet_key, customer, text)
+        return read_key(self._fleet_keys, customer, text)
 
     def is_own(self, key: MintedKey) -> bool:
         """Return whether this process is the runner that the key names."""
--- a/comfreyhatch/decisions/minted.py
+++ b/comfreyhatch/decisions/minted.py
@@ -53,15 +53,15 @@
     return text.startswith(PREFIX + SEPARATOR)
 
 
-def read_key(fleet_key: bytes, customer: str, text: str) -> MintedKey:
+def read_key(fleet_keys: tuple[bytes, ...], customer: str, text: str) -> MintedKey:
     """Return a minted key in its parts.
 
     Raises:
         RequestError: If it was not minted by the fleet for the customer.
     """
     unsigned, _, signature = text.rpartition(SEPARATOR)
-    expected = _signature(fleet_key, customer, unsigned)
-    if not hmac.compare_digest(signature.encode(), expected.encode()):
+    expected = [_signature(key, customer, unsigned).encode() for key in fleet_keys]
+    if not any(hmac.compare_digest(signature.encode(), each) for each in expected):
         raise RequestError("the minted key is not one of this customer's")
     _, instance_id, incarnation, expires_ms, _ = unsigned.split(SEPARATOR)
     return MintedKey(text, instance_id, incarnation, int(expires_ms, 16) / MILLISECONDS_PER_S)
--- /dev/null
+++ b/tests/test_key_change.py
@@ -0,0 +1,62 @@
+"""The fleet key is changed daemon by daemon while all go on working together."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from msgspec.json import decode
+
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.settings import FleetSettings, accepted_fleet_keys
+from comfreyhatch.daemon.daemon import Daemon
+from comfreyhatch.errors import SettingsError
+from comfreyhatch.standins.fleet import FLEET_KEY, FleetPlan, LocalFleet
+from tests.calls import AUTHORIZATION, book, chat
+
+NEW_KEY = b"next key of the local fleet"
+
+
+def heard(one: Daemon, other: Daemon) -> bool:
+    member = one.membership.view.member_by_id.get(other.membership.own.instance_id)
+    return member is not None and member.incarnation == other.incarnation
+
+
+async def test_daemons_with_the_old_and_the_new_key_first_work_together() -> None:
+    plan = FleetPlan(zones=("a",), engine_zones=("b",), service_zones=("b",))
+    async with LocalFleet(plan) as fleet:
+        old = Daemon(fleet.settings("old", "b"), FLEET_KEY, 1, accepted_keys=(NEW_KEY,))
+        new = Daemon(fleet.settings("new", "c"), NEW_KEY, 2, accepted_keys=(FLEET_KEY,))
+        client = HttpClient()
+        at = {"old": await old.start(), "new": await new.start()}
+        try:
+            await fleet.until(lambda: old.ready() and new.ready() and old.pool.polled())
+            # The list tells no incarnation, so each must have heard the other.
+            for one, other in ((old, new), (new, old)):
+                await fleet.until(lambda one=one, other=other: heard(one, other))
+            # The share of the old daemon starts a moment after the daemon itself.
+            async with asyncio.timeout(20):
+                while (await chat(client, at["new"].callers)).status != 200:
+                    await asyncio.sleep(0.05)
+            minted = await client.request(
+                at["old"].callers, "POST", "/v1/keys", header_by_name=AUTHORIZATION
+            )
+            key = decode(minted.body)["idempotency_key"]
+            booked = await book(client, at["new"].callers, key)
+            assert booked.status == 200, booked.body
+            # The daemon that knows only the old key takes nothing signed with the new one.
+            first = fleet.daemon_by_id["entry-a0"]
+            await fleet.until(lambda: first.bus.count_by_event["unauthenticated"] > 0)
+        finally:
+            client.close()
+            await new.stop()
+            await old.stop()
+
+
+def test_accepted_keys_come_from_files_of_enough_length(tmp_path: Path) -> None:
+    good, short = tmp_path / "good", tmp_path / "short"
+    good.write_bytes(NEW_KEY + b"\n")
+    short.write_bytes(b"short")
+    assert accepted_fleet_keys(FleetSettings(accepted_key_files=(str(good),))) == (NEW_KEY,)
+    for bad in (short, tmp_path / "absent"):
+        with pytest.raises(SettingsError, match="key"):
+            accepted_fleet_keys(FleetSettings(accepted_key_files=(str(good), str(bad))))
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -145,7 +145,7 @@
 
 async def test_an_expired_key_is_not_run_and_a_failed_one_may_be_run_by_its_runner() -> None:
     now = 0.0
-    minted = MintedKeys(MemoryTable(), b"fleet", "d1", "d1-1", clock=lambda: now)
+    minted = MintedKeys(MemoryTable(), (b"fleet",), "d1", "d1-1", clock=lambda: now)
     key = minted.read("trackline", minted.mint("trackline"))
     with pytest.raises(RequestError):
         minted.read("another", key.text)
@@ -156,7 +156,7 @@
     assert (await minted.run(CALL, fresh, paid)).replayed is False
     now = fresh.expires_at + 30
     assert (await minted.run(CALL, fresh, paid)).replayed is True
-    restarted = MintedKeys(MemoryTable(), b"fleet", "d1", "d1-2")
+    restarted = MintedKeys(MemoryTable(), (b"fleet",), "d1", "d1-2")
     assert not restarted.is_own(fresh)
     other = mint_key(FLEET_KEY, "trackline", "d1", "d1-1", 0.0, "n")
     with pytest.raises(RequestError):
