Keep sessions on their versions on the path of a request

A request with a session is planned on the version that its session keeps; the answer carries a token, and tells of a move from a withdrawn version. A new session takes the split of the model that the plan would use, apart from versions in quarantine. Pins are handed over when daemons come, go or are leaving; a view that only tells new revisions does not count as a change.

--- a/comfreyhatch/daemon/callers.py
+++ b/comfreyhatch/daemon/callers.py
@@ -36,6 +36,9 @@
 FIRST_ATTEMPT_HEADER = "x-first-attempt"
 REPLAYED_HEADER = "x-idempotent-replay"
 REQUEST_ID_HEADER = "x-request-id"
+SESSION_TOKEN_HEADER = "x-session-token"
+SESSION_MOVED_HEADER = "x-session-moved"
+MAX_SESSION_CHARS = 256
 MAX_PRIORITY = 9
 
 
@@ -193,6 +196,10 @@
         first = await anext(chunks)
         version_id = draft.served_version
         headers = {REQUEST_ID_HEADER: request_id, "x-version": version_id}
+        if draft.session_token:
+            headers[SESSION_TOKEN_HEADER] = draft.session_token
+        if draft.moved_from:
+            headers[SESSION_MOVED_HEADER] = f"{draft.moved_from} > {version_id}"
         if call.stream:
             stream = _stream_pieces(request_id, version_id, first, chunks)
             return HttpResponse(
@@ -301,7 +308,8 @@
         messages=tuple(body.messages),
         model=body.model,
         task=request.header("x-task", "chat"),
-        session=request.header("x-session"),
+        session=_session(request),
+        session_token=request.header(SESSION_TOKEN_HEADER),
         stream=body.stream,
         max_tokens=body.max_tokens,
         priority=Priority.CRITICAL if critical else _priority(request, contract),
@@ -323,6 +331,13 @@
     )
 
 
+def _session(request: HttpRequest) -> str:
+    session = request.header("x-session")
+    if len(session) > MAX_SESSION_CHARS:
+        raise RequestError(f"x-session is longer than {MAX_SESSION_CHARS} characters")
+    return session
+
+
 def _priority(request: HttpRequest, contract: Contract) -> int:
     text = request.header("x-priority", str(int(Priority.NORMAL)))
     if not text.isdecimal() or int(text) > MAX_PRIORITY:
--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -46,6 +46,7 @@
 from comfreyhatch.daemon.router import Router
 from comfreyhatch.daemon.segments import SegmentStore
 from comfreyhatch.daemon.services import ServiceRouter
+from comfreyhatch.daemon.sessions import Sessions
 from comfreyhatch.daemon.shutdown import Shutdown
 from comfreyhatch.decisions.configuration import Freshness
 from comfreyhatch.decisions.shares import Peer
@@ -183,6 +184,14 @@
         forwarder = Forwarder(
             own.id, own.zone, key, lambda: self.membership.view, rng, self._require_fresh
         )
+        self.sessions = Sessions(
+            own.id,
+            (key,),
+            self.bus,
+            lambda: self.membership.view,
+            quarantined=self.quarantine.quarantined,
+        )
+        self.membership.on_change(self.sessions.view_changed)
         onward = Forwarder(
             own.id,
             own.zone,
@@ -200,6 +209,7 @@
             planner,
             learner,
             rng,
+            self.sessions,
         )
         once = OnceRouter(self.claims, self.minted, forwarder, lambda: self.membership.view)
         services = ServiceRouter(
@@ -246,6 +256,7 @@
             (self._caller_server, self._peer_server),
         )
         self.shutdown.on_flush(self.pool.leave)
+        self.shutdown.on_flush(lambda: self.sessions.hand_over(leaving=True))
         self.shutdown.on_flush(lambda: self.minted.close(FLUSH_S))
         self.shutdown.on_flush(lambda: self.claims.drain(FLUSH_S))
         self.shutdown.on_flush(lambda: self.journal.close(FLUSH_S))
@@ -269,6 +280,7 @@
             self.membership,
             self.keeper,
             self.pool,
+            self.sessions,
             self.ratings,
             self.quarantine,
             self.burn,
--- a/comfreyhatch/daemon/draft.py
+++ b/comfreyhatch/daemon/draft.py
@@ -26,6 +26,8 @@
         started_unix_s: When it was accepted, in seconds since the epoch.
         started: The same as monotonic time, in seconds.
         deadline_s: Time allowed, in seconds.
+        session_token: Signed token of the session, for the caller.
+        moved_from: Withdrawn version that the session was moved from; empty if it was not.
     """
 
     request_id: str
@@ -51,6 +53,8 @@
     rating: float | None = None
     code: ResultCode = ResultCode.OK
     served_version: str = ""
+    session_token: str = ""
+    moved_from: str = ""
 
     def add_attempt(
         self,
--- a/comfreyhatch/daemon/planner.py
+++ b/comfreyhatch/daemon/planner.py
@@ -115,6 +115,14 @@
         draft.versions = (*plan.candidates, *others, *refused)
         return plan
 
+    def keep(self, call: ChatRequest, contract: Contract, draft: RecordDraft) -> Plan:
+        """Return the plan of a request whose session keeps its version, and note its grounds."""
+        plan = Plan((call.kept,), f"the session keeps its version ({draft.pin})")
+        draft.clause = f"allowed={','.join(contract.allowed)}"
+        draft.plan = plan.describe()
+        draft.grounds = plan.grounds
+        return plan
+
     def times(self, version_id: str) -> VersionTimes:
         """Return the times of a version."""
         times = self._times_by_version.get(version_id)
--- a/comfreyhatch/daemon/router.py
+++ b/comfreyhatch/daemon/router.py
@@ -8,6 +8,7 @@
 from time import monotonic
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.daemon.dispatcher import Dispatcher, check_version
@@ -17,6 +18,7 @@
 from comfreyhatch.daemon.member_notes import MemberNotes, more_telling
 from comfreyhatch.daemon.planner import Planner
 from comfreyhatch.daemon.records import RecordBook
+from comfreyhatch.daemon.sessions import Sessions
 from comfreyhatch.decisions.budgets import worst_cost_micros
 from comfreyhatch.decisions.plan import Plan
 from comfreyhatch.decisions.retries import RetryBudget
@@ -61,7 +63,9 @@
         planner: Planner,
         learner: Learner,
         rng: Random,
+        sessions: Sessions,
     ) -> None:
+        self._sessions = sessions
         self._planner = planner
         self._learner = learner
         self._rng = rng
@@ -85,6 +89,7 @@
         code = ResultCode.INTERNAL
         stored = False
         try:
+            call = await self._with_session(call, contract, draft)
             async with aclosing(self._run_plans(call, contract, draft)) as chunks:
                 async for chunk in chunks:
                     if draft.first_token_s is None:
@@ -104,6 +109,30 @@
             if not stored:
                 await self._store(draft, code)
 
+    async def _with_session(
+        self, call: ChatRequest, contract: Contract, draft: RecordDraft
+    ) -> ChatRequest:
+        """Return the request with the version that its session keeps.
+
+        Raises:
+            RefusedError: If that version is withdrawn and the contract wants no move.
+        """
+        config = self._config()
+        if not call.session or call.model in config.version_by_id:
+            return call
+        settled = await self._sessions.settle(
+            call, contract, config, lambda: self._proposed(call, contract, draft)
+        )
+        draft.pin = settled.source
+        draft.session_token = settled.token
+        draft.moved_from = settled.moved_from
+        return replace(call, kept=settled.version_id, pinned=settled.source != "split")
+
+    def _proposed(self, call: ChatRequest, contract: Contract, draft: RecordDraft) -> Version:
+        """Return the version whose model a new session is to use."""
+        plan = self._planner.plan(call, contract, draft, monotonic())
+        return self._version(plan.steps[-1])
+
     async def _store(self, draft: RecordDraft, code: ResultCode) -> None:
         record = draft.record(monotonic(), code)
         await self._records.commit(record)
@@ -123,7 +152,10 @@
         """Run a plan; when a version turns out not to take work, make another plan."""
         excluded: set[str] = set()
         while True:
-            plan = self._planner.plan(call, contract, draft, monotonic(), frozenset(excluded))
+            if call.kept:
+                plan = self._planner.keep(call, contract, draft)
+            else:
+                plan = self._planner.plan(call, contract, draft, monotonic(), frozenset(excluded))
             self._records.begin(self._intent(call, plan, draft))
             begun = False
             try:
@@ -134,7 +166,7 @@
                 return
             except ComfreyhatchError as error:
                 unusable = error.code in UNUSABLE_CODES and error.ran is Ran.NO
-                if begun or not unusable or len(excluded) >= MAX_REPLANS:
+                if begun or call.kept or not unusable or len(excluded) >= MAX_REPLANS:
                     raise
                 excluded.add(draft.served_version)
 
@@ -300,5 +332,6 @@
         max_tokens=call.max_tokens,
         priority=call.priority,
         session=call.session,
+        pinned=call.pinned,
         deadline_s=call.deadline - now,
     )
--- a/comfreyhatch/daemon/sessions.py
+++ b/comfreyhatch/daemon/sessions.py
@@ -110,6 +110,7 @@
         view: Callable[[], View],
         unix_clock: Callable[[], float] = time,
         timeout_s: float = PIN_TIMEOUT_S,
+        quarantined: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         """Create the sessions of a daemon.
 
@@ -120,6 +121,7 @@
             view: Live daemons, this one included.
             unix_clock: Seconds since the epoch.
             timeout_s: Time for the holders of a pin to answer.
+            quarantined: Versions that new sessions avoid.
         """
         self.pins = PinBook()
         self._instance_id = instance_id
@@ -128,8 +130,11 @@
         self._view = view
         self._unix_clock = unix_clock
         self._timeout_s = timeout_s
+        self._quarantined = quarantined
         self._holders_by_bucket: dict[int, PinHolders] = {}
         self._used = PinBook()
+        self._names: frozenset[tuple[str, str]] = frozenset()
+        self._changed = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         bus.on_message(PinRequest, self._take_request)
         bus.on_message(PinBatch, self._take_batch)
@@ -139,7 +144,6 @@
         call: ChatRequest,
         contract: Contract,
         config: FleetConfig,
-        token: str,
         propose: Callable[[], Version],
     ) -> SettledSession:
         """Return the version of a request's session.
@@ -148,14 +152,13 @@
             call: The request; it has a session.
             contract: Contract of the customer.
             config: Configuration in force.
-            token: Session token that the caller sent; may be empty.
             propose: Returns a version of the model to use if the session is new.
 
         Raises:
             RefusedError: If the version is withdrawn and the contract wants no move.
         """
         key = session_key(contract.customer, call.session, call.model)
-        said = self._said_by_token(token, call, contract)
+        said = self._said_by_token(call, contract)
         if said and takes_new_work(said, contract, config):
             return self._settled(call, contract, said, "token")
         if said:
@@ -171,6 +174,21 @@
         self._used.merge(pin)
         return self._settled(call, contract, pin.version_id, source, moved_from)
 
+    async def run(self) -> None:
+        """Hand pins over whenever the daemons have changed, until cancelled."""
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            await self.hand_over()
+
+    def view_changed(self, view: View) -> None:
+        """Note a new view; only daemons that come, go or are leaving matter."""
+        members = view.member_by_id.values()
+        names = frozenset((m.instance_id, m.zone) for m in members if not m.leaving)
+        if names != self._names:
+            self._names = names
+            self._changed.set()
+
     async def hand_over(self, leaving: bool = False) -> None:
         """Send pins to daemons that have become their holders.
 
@@ -188,7 +206,8 @@
             for start in range(0, len(pins), PINS_PER_MESSAGE):
                 await self._bus.send(name, PinBatch(tuple(pins[start : start + PINS_PER_MESSAGE])))
 
-    def _said_by_token(self, text: str, call: ChatRequest, contract: Contract) -> str:
+    def _said_by_token(self, call: ChatRequest, contract: Contract) -> str:
+        text = call.session_token
         token = open_token(self._fleet_keys, text) if text else None
         if token is None or token.customer != contract.customer:
             return ""
@@ -207,7 +226,8 @@
         if used is not None and not moved_from:
             return used
         version = propose()
-        split = split_version(key, version.model, contract, config) or version
+        avoided = self._quarantined()
+        split = split_version(key, version.model, contract, config, avoided) or version
         moves = (used.moves + 1 if used else 1) if moved_from else 0
         return Pin(key, split.version_id, self._unix_clock(), moves)
 
--- a/comfreyhatch/decisions/sessions.py
+++ b/comfreyhatch/decisions/sessions.py
@@ -2,7 +2,7 @@
 
 import hmac
 from base64 import urlsafe_b64decode, urlsafe_b64encode
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from hashlib import sha256
 from typing import Literal
 
@@ -67,7 +67,9 @@
     return xxh3_128_hexdigest(f"{customer}\0{session}\0{wanted}".encode())
 
 
-def split_version(key: str, model: str, contract: Contract, config: FleetConfig) -> Version | None:
+def split_version(
+    key: str, model: str, contract: Contract, config: FleetConfig, avoided: Set[str] = frozenset()
+) -> Version | None:
     """Return the version that the roll-out split gives to a new session.
 
     A session's draw for a version does not depend on the shares, so a session that falls to a
@@ -78,12 +80,14 @@
         model: Model that the session uses.
         contract: Contract of the customer.
         config: Configuration in force.
+        avoided: Versions that get no new sessions for now.
     """
     versions = [
         version
         for version in config.version_by_id.values()
         if version.model == model
         and version.state is VersionState.ACTIVE
+        and version.version_id not in avoided
         and contract.allows(version.model, version.version_id)
     ]
     versions.sort(key=lambda v: (-_generation(v, config), v.version_id))
--- a/comfreyhatch/domain/request.py
+++ b/comfreyhatch/domain/request.py
@@ -37,6 +37,9 @@
         model: Model or version id that the caller asked for; empty lets the router choose.
         task: Kind of task, for estimates of quality.
         session: Session id; empty without a session.
+        session_token: Signed token of the session that came along; empty without one.
+        kept: Version that the session keeps; empty until it is found.
+        pinned: Whether the session was on that version before.
         stream: Whether the answer is streamed.
         max_tokens: Largest answer, in tokens.
         priority: 0 to 9.
@@ -50,6 +53,9 @@
     model: str = ""
     task: str = "chat"
     session: str = ""
+    session_token: str = ""
+    kept: str = ""
+    pinned: bool = False
     stream: bool = False
     max_tokens: int = 256
     priority: int = Priority.NORMAL
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -63,6 +63,8 @@
     draining = config(0, VersionState.DRAINING)
     version = split_version(KEYS[0], "coach", contract(), draining)
     assert version and version.version_id == "coach@2"
+    avoided = split_version(KEYS[0], "coach", contract(), config(100), {"coach@2"})
+    assert avoided and avoided.version_id == "coach@1"
     only_old = Contract("trackline", allowed=("coach@1",))
     version = split_version(KEYS[0], "coach", only_old, config(100))
     assert version and version.version_id == "coach@1"
@@ -157,9 +159,16 @@
         rules: Contract | None = None,
         proposed: Version = OLD,
     ) -> SettledSession:
-        call = ChatRequest("r", "trackline", (ChatMessage("user", "hi"),), "coach", session=session)
+        call = ChatRequest(
+            "r",
+            "trackline",
+            (ChatMessage("user", "hi"),),
+            "coach",
+            session=session,
+            session_token=token,
+        )
         return await self.sessions_by_id[name].settle(
-            call, rules or contract(), fleet, token, lambda: proposed
+            call, rules or contract(), fleet, lambda: proposed
         )
 
     def partition(self, *side: str) -> None:
