--- a/comfreyhatch/adapters/operator_http.py
+++ b/comfreyhatch/adapters/operator_http.py
@@ -11,12 +11,20 @@
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.decisions.burn import BurnCount, BurnSegment, StoredBurn, add_stored, merge_burn
+from comfreyhatch.decisions.rollout import Rollout
 from comfreyhatch.domain.change import ChangeRecord
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.domain.record import RequestRecord
 from comfreyhatch.errors import ComfreyhatchError, HttpError, PeerError
-from comfreyhatch.ports.operators import Accepted, BillReport, Edit, FleetState, InForce
+from comfreyhatch.ports.operators import (
+    Accepted,
+    BillReport,
+    Edit,
+    FleetState,
+    HaltRollout,
+    InForce,
+)
 
 OPERATOR_TIMEOUT_S = 10.0
 BURN_SLICE_S = 1800.0
@@ -70,6 +78,19 @@
         reply = await self._ask("POST", "/changes", encode_json(edit))
         return _decoded(reply, Accepted).revision
 
+    async def rollouts(self) -> list[Rollout]:
+        """Return all roll-outs."""
+        return await self._get("/rollouts", list[Rollout])
+
+    async def start_rollout(self, rollout: Rollout) -> None:
+        """Start a roll-out."""
+        await self._ask("POST", "/rollouts", encode_json(rollout))
+
+    async def halt_rollout(self, model: str, halted: bool) -> Rollout:
+        """Halt a roll-out or let it go on, and return it."""
+        halt = encode_json(HaltRollout(model, halted))
+        return _decoded(await self._ask("POST", "/rollouts/halt", halt), Rollout)
+
     async def explain(self, request_id: str) -> RequestRecord:
         """Return the record of a request; asks every daemon before it gives up."""
         missing: ComfreyhatchError | None = None
--- a/comfreyhatch/cli/main.py
+++ b/comfreyhatch/cli/main.py
@@ -10,6 +10,7 @@
 from comfreyhatch.cli.demo import run_demo
 from comfreyhatch.cli.report import app as report_app
 from comfreyhatch.cli.report import bills, explain, status
+from comfreyhatch.cli.rollout import app as rollout_app
 from comfreyhatch.cli.service import endpoint_app, zone_app
 from comfreyhatch.cli.version import app as version_app
 
@@ -19,6 +20,7 @@
 )
 app.add_typer(contract_app, name="contract")
 app.add_typer(version_app, name="version")
+app.add_typer(rollout_app, name="rollout")
 app.add_typer(zone_app, name="zone")
 app.add_typer(endpoint_app, name="endpoint")
 app.add_typer(config_app, name="config")
--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -16,7 +16,7 @@
 from comfreyhatch.adapters.metrics import PeerMetrics, RequestMetrics, add_process_metrics
 from comfreyhatch.adapters.objects_http import HttpObjectStore
 from comfreyhatch.adapters.peer_bus import NngBus
-from comfreyhatch.adapters.platform_http import HttpInstanceList, HttpRatingService
+from comfreyhatch.adapters.platform_http import HttpInstanceList, HttpRatingService, HttpWeightStore
 from comfreyhatch.adapters.settings import Settings
 from comfreyhatch.adapters.table_http import HttpTable
 from comfreyhatch.daemon.buddies import Buddies
@@ -43,19 +43,23 @@
 from comfreyhatch.daemon.quarantine import Quarantine
 from comfreyhatch.daemon.ratings import Ratings
 from comfreyhatch.daemon.records import RecordBook
+from comfreyhatch.daemon.rollout import ROLLOUT_PREFIX, RolloutBook, RolloutDriver
 from comfreyhatch.daemon.router import Router
 from comfreyhatch.daemon.segments import SegmentStore
 from comfreyhatch.daemon.services import ServiceRouter
 from comfreyhatch.daemon.sessions import Sessions
 from comfreyhatch.daemon.shutdown import Shutdown
 from comfreyhatch.decisions.configuration import Freshness
+from comfreyhatch.decisions.rendezvous import rendezvous_order
 from comfreyhatch.decisions.shares import Peer
-from comfreyhatch.domain.change import WithdrawVersion
+from comfreyhatch.domain.change import Change, WithdrawVersion
 from comfreyhatch.domain.instance import Address, Instance, Role
 from comfreyhatch.ports.peers import Member
 
 FLUSH_S = 3.0
 
+ROLLOUT_DRIVERS = 2
+
 log = logging.getLogger("comfreyhatch.daemon")
 
 
@@ -242,7 +246,23 @@
         )
         self.reporter.journal_lag = lambda: self.journal.lag
         operators = OperatorHandler(
-            self.changes, explanations, self.burn, self.reporter, self.registry, self.ready
+            self.changes,
+            explanations,
+            self.burn,
+            self.reporter,
+            self.registry,
+            self.ready,
+            RolloutBook(table),
+        )
+        self.rollouts = RolloutDriver(
+            self.incarnation,
+            table,
+            HttpWeightStore(client, platform),
+            engine,
+            lambda: self.directory.endpoint_by_id,
+            self._edit_for_rollout,
+            may_grow=lambda version_id: version_id not in self.quarantine.quarantined(),
+            is_candidate=self._drives_rollouts,
         )
         self._caller_server = HttpServer(callers.handle, settings.limits)
         self._operator_server = HttpServer(operators.handle, HttpLimits())
@@ -281,6 +301,7 @@
             self.keeper,
             self.pool,
             self.sessions,
+            self.rollouts,
             self.ratings,
             self.quarantine,
             self.burn,
@@ -303,6 +324,15 @@
         )
         return addresses
 
+    def _drives_rollouts(self) -> bool:
+        members = self.membership.view.member_by_id.values()
+        names = [member.instance_id for member in members if not member.leaving]
+        drivers = rendezvous_order(ROLLOUT_PREFIX, names)[:ROLLOUT_DRIVERS]
+        return self._settings.instance.id in drivers
+
+    async def _edit_for_rollout(self, change: Change, edit_id: str) -> None:
+        await self.changes.apply(change, edit_id, self._settings.instance.id)
+
     async def _withdraw(self, version_id: str, edit_id: str) -> None:
         """Withdraw a version that failed its test."""
         await self.changes.apply(WithdrawVersion(version_id), edit_id, self._settings.instance.id)
--- a/comfreyhatch/daemon/operators.py
+++ b/comfreyhatch/daemon/operators.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from time import time
+from typing import TypeVar
 
 from msgspec import ValidationError
 from msgspec.json import decode
@@ -13,12 +14,14 @@
 from comfreyhatch.daemon.editor import Editor
 from comfreyhatch.daemon.explanations import Explanations
 from comfreyhatch.daemon.fleet_state import FleetReporter
+from comfreyhatch.daemon.rollout import RolloutBook
+from comfreyhatch.decisions.rollout import Rollout
 from comfreyhatch.domain.change import ChangeRecord, SetContract, apply_change
 from comfreyhatch.domain.contract import contract_problems
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.record import RequestRecord
 from comfreyhatch.errors import ContractError, NotReadyError, RequestError
-from comfreyhatch.ports.operators import Accepted, Bill, BillReport, Edit, Health
+from comfreyhatch.ports.operators import Accepted, Bill, BillReport, Edit, HaltRollout, Health
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 EXPLAIN_PREFIX = "/explain/"
@@ -29,6 +32,7 @@
 BURN_PERIOD_S = 6 * 3600
 CUSTOMER_PARAMETER = "customer"
 
+T = TypeVar("T")
 Route = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
@@ -43,7 +47,9 @@
         reporter: FleetReporter,
         registry: CollectorRegistry,
         ready: Callable[[], bool],
+        rollouts: RolloutBook,
     ) -> None:
+        self._rollouts = rollouts
         self._changes = changes
         self._explanations = explanations
         self._burn_book = burn_book
@@ -63,6 +69,9 @@
             ("GET", "/burn"): self._burn,
             ("GET", "/burn/stored"): self._stored_burn,
             ("POST", "/changes"): self._change,
+            ("GET", "/rollouts"): self._list_rollouts,
+            ("POST", "/rollouts"): self._start_rollout,
+            ("POST", "/rollouts/halt"): self._halt_rollout,
         }
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -116,10 +125,7 @@
         return json_response(records)
 
     async def _change(self, request: HttpRequest) -> HttpResponse:
-        try:
-            edit = decode(request.body, type=Edit)
-        except (ValidationError, ValueError) as error:
-            raise RequestError(f"the change does not fit: {error}") from error
+        edit = _decoded(request, Edit)
         if isinstance(edit.change, SetContract):
             problems = contract_problems(edit.change.contract)
             if problems:
@@ -129,6 +135,22 @@
         )
         return json_response(Accepted(revision))
 
+    async def _list_rollouts(self, request: HttpRequest) -> HttpResponse:
+        return json_response([rollout for rollout, _ in await self._rollouts.all()])
+
+    async def _start_rollout(self, request: HttpRequest) -> HttpResponse:
+        rollout = _decoded(request, Rollout)
+        versions = self._changes.config.version_by_id
+        unknown = {rollout.version_id, rollout.replaces} - {"", *versions}
+        if unknown:
+            raise RequestError(f"no version {', '.join(sorted(unknown))}", ResultCode.NOT_FOUND)
+        await self._rollouts.start(rollout)
+        return json_response(rollout, 201)
+
+    async def _halt_rollout(self, request: HttpRequest) -> HttpResponse:
+        halt = _decoded(request, HaltRollout)
+        return json_response(await self._rollouts.set_state(halt.model, halt.halted))
+
     async def _bills(self, request: HttpRequest) -> HttpResponse:
         since = _number(request, "since", time() - DAY_S)
         customer = request.query.get(CUSTOMER_PARAMETER, "")
@@ -169,6 +191,13 @@
         return json_response(await self._burn_book.stored(start, end))
 
 
+def _decoded(request: HttpRequest, kind: type[T]) -> T:
+    try:
+        return decode(request.body, type=kind)
+    except (ValidationError, ValueError) as error:
+        raise RequestError(f"the body does not fit: {error}") from error
+
+
 def _integer(request: HttpRequest, name: str, default: int) -> int:
     text = request.query.get(name, "")
     if text and not text.isdecimal():
--- a/comfreyhatch/daemon/rollout.py
+++ b/comfreyhatch/daemon/rollout.py
@@ -166,6 +166,11 @@
         except PlatformError as error:
             log.info("event=rollouts_unread reason=%r", str(error))
 
+    def drives(self, model: str) -> bool:
+        """Return whether this daemon holds the lease of a model's roll-out."""
+        claim = self._claim_by_model.get(model)
+        return claim is not None and claim.holds(self._clock())
+
     async def step_done(self, model: str) -> None:
         """Wait until the step that is being carried out has ended."""
         task = self._task_by_model.get(model)
--- a/comfreyhatch/ports/operators.py
+++ b/comfreyhatch/ports/operators.py
@@ -27,6 +27,13 @@
     revision: int
 
 
+class HaltRollout(Struct, frozen=True):
+    """Asks to halt a model's roll-out, or to let it go on."""
+
+    model: str
+    halted: bool
+
+
 class Health(Struct, frozen=True):
     """Answer of the health and readiness checks."""
 
