Leave slots to work that still runs after an endpoint's limit fell

A daemon that has more running than its share after a fall tells the holders of the endpoint's slots; they take it off their shares until it has drained.

Broken by hand and seen to fail: the notice taken in by a holder.

--- a/comfreyhatch/daemon/endpoints.py
+++ b/comfreyhatch/daemon/endpoints.py
@@ -124,7 +124,6 @@
         self._running_by_id: dict[str, int] = {}
         self._at_report_by_id: dict[str, int] = {}
         self._digest: asyncio.Task[None] | None = None
-        self.loads = LoadBook(engine, service, bus, self._peers, clock)
         self.shares = ShareTask(
             me,
             bus,
@@ -134,6 +133,7 @@
             orphan_hold_s=orphan_hold_s,
             clock=clock,
         )
+        self.loads = LoadBook(engine, service, bus, self._peers, clock, self.shares.tell_excess)
 
     async def run(self) -> None:
         """Poll loads and keep the shares until cancelled."""
--- a/comfreyhatch/daemon/loads.py
+++ b/comfreyhatch/daemon/loads.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from time import monotonic
 
 from msgspec import Struct
@@ -66,6 +66,7 @@
         bus: PeerBus | None,
         peers: Callable[[], Iterable[str]],
         clock: Callable[[], float] = monotonic,
+        on_fall: Callable[[list[str]], Awaitable[None]] | None = None,
     ) -> None:
         """Create the book.
 
@@ -75,7 +76,9 @@
             bus: Peer bus; None for a daemon without peers.
             peers: Ids of the zone's other daemons.
             clock: Monotonic seconds.
+            on_fall: Called with endpoints that bear less, after the peers were told.
         """
+        self._on_fall = on_fall
         self.report_by_id: dict[str, LoadReport] = {}
         self.state_by_id: dict[str, LimitState] = {}
         self._engine = engine
@@ -169,6 +172,7 @@
         self._urgent.clear()
         if entries:
             await self._send(LoadDigest(entries, 0, 0.0, urgent=True))
+            await self._tell_fall(entries)
 
     async def _send(self, digest: LoadDigest) -> None:
         if self._bus is None:
@@ -180,6 +184,7 @@
         if digest.urgent:
             for entry in digest.entries:
                 self._take_fall(entry, now)
+            await self._tell_fall(digest.entries)
             return
         known = {} if digest.full else self._received_by_sender.get(sender, {})
         told = {entry.endpoint_id: entry for entry in digest.entries}
@@ -189,6 +194,10 @@
         for entry in (told if missed else known).values():
             self._take_entry(entry, digest.age_s, now)
 
+    async def _tell_fall(self, entries: Iterable[DigestEntry]) -> None:
+        if self._on_fall:
+            await self._on_fall([entry.endpoint_id for entry in entries])
+
     def _take_fall(self, entry: DigestEntry, now: float) -> None:
         state = self.state_by_id.get(entry.endpoint_id)
         if state is not None:
--- a/comfreyhatch/daemon/shares.py
+++ b/comfreyhatch/daemon/shares.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from time import monotonic
 
 from msgspec import Struct
@@ -10,6 +10,7 @@
 from comfreyhatch.decisions.shares import (
     ORPHAN_HOLD_S,
     EndNotice,
+    ExcessNotice,
     JoinAnswer,
     JoinRequest,
     LeaveNotice,
@@ -87,6 +88,7 @@
         bus.on_message(JoinRequest, self._take_join)
         bus.on_message(LeaveNotice, self._take_leave)
         bus.on_message(EndNotice, self._take_end)
+        bus.on_message(ExcessNotice, self._take_excess)
 
     async def run(self) -> None:
         """Keep the shares until cancelled."""
@@ -110,6 +112,19 @@
             self._probe_due = now + PROBE_INTERVAL_S
             await self._probe_silent(roll)
 
+    async def tell_excess(self, endpoint_ids: Iterable[str]) -> None:
+        """Tell the holders of slots what runs here above the share since limits fell."""
+        limits = self._limits()
+        notice = self.group.excess_notice(limits, self._running())
+        names = {
+            peer.instance_id
+            for endpoint_id in endpoint_ids
+            if endpoint_id in notice.excess_by_endpoint
+            for peer in self.group.holders(endpoint_id, limits.get(endpoint_id, 0))
+            if peer != self.group.me
+        }
+        await asyncio.gather(*(self._bus.send(name, notice) for name in names))
+
     async def leave(self) -> None:
         """Give this daemon's shares up; call it when nothing runs."""
         notice = self.group.leave()
@@ -180,6 +195,10 @@
     async def _take_join(self, sender: str, request: JoinRequest) -> JoinAnswer:
         return self.group.handle_join(request, self._limits(), self._running())
 
+    async def _take_excess(self, sender: str, notice: ExcessNotice) -> None:
+        if notice.sender.instance_id == sender:
+            self.group.handle_excess(notice)
+
     async def _take_leave(self, sender: str, notice: LeaveNotice) -> None:
         if notice.sender.instance_id == sender:
             self.group.handle_leave(notice, self._clock())
--- a/comfreyhatch/decisions/shares.py
+++ b/comfreyhatch/decisions/shares.py
@@ -56,6 +56,20 @@
     sender: Peer
 
 
+class ExcessNotice(Struct, frozen=True, tag="share-excess"):
+    """Tells a holder of running requests above the sender's share after a limit fell.
+
+    Attributes:
+        sender: The member whose requests these are.
+        number: Numbered like its answers.
+        excess_by_endpoint: All its running requests above its shares, by endpoint.
+    """
+
+    sender: Peer
+    number: int
+    excess_by_endpoint: dict[str, int]
+
+
 class EndNotice(Struct, frozen=True, tag="share-ended"):
     """Says that an incarnation is proven to have ended."""
 
@@ -157,19 +171,28 @@
             return JoinAnswer(self.me, request.sender, self._answers, False, (), refused=True)
         self._count(request.sender)
         self._update_active()
-        over = {
-            endpoint_id: count - self.share(endpoint_id, limit_by_endpoint.get(endpoint_id, 0))
-            for endpoint_id, count in running.items()
-        }
         return JoinAnswer(
             self.me,
             request.sender,
             self._answers,
             self.active,
             (self.me, *(peer for peer in self.standing_by_peer if peer.incarnation)),
-            {endpoint_id: count for endpoint_id, count in over.items() if count > 0},
+            self._own_excess(limit_by_endpoint, running),
         )
 
+    def excess_notice(
+        self, limit_by_endpoint: dict[str, int], running: dict[str, int]
+    ) -> ExcessNotice:
+        """Return the notice of what runs here above the shares."""
+        self._answers += 1
+        return ExcessNotice(self.me, self._answers, self._own_excess(limit_by_endpoint, running))
+
+    def handle_excess(self, notice: ExcessNotice) -> None:
+        """Leave slots to a member's running requests until it says that they have ended."""
+        standing = self.standing_by_peer.get(notice.sender)
+        if standing is not None and standing.answer_number:
+            self._take_excess(standing, notice.number, notice.excess_by_endpoint)
+
     def handle_answer(self, answer: JoinAnswer, asked: Peer, now: float) -> None:
         """Take in a member's answer; old and doubled ones change nothing.
 
@@ -194,10 +217,7 @@
         standing = self.standing_by_peer.get(answer.sender)
         if standing is None:
             return
-        if answer.number > standing.answer_number:
-            standing.answer_number = answer.number
-            standing.excess_by_endpoint = answer.excess_by_endpoint
-            self._sum_excess()
+        self._take_excess(standing, answer.number, answer.excess_by_endpoint)
         self.complete = self.complete or answer.active
         self._update_active()
 
@@ -265,6 +285,23 @@
         self.standing_by_peer[peer] = Standing()
         self._rank_by_endpoint.clear()
 
+    def _own_excess(
+        self, limit_by_endpoint: dict[str, int], running: dict[str, int]
+    ) -> dict[str, int]:
+        over = {
+            endpoint_id: count - self.share(endpoint_id, limit_by_endpoint.get(endpoint_id, 0))
+            for endpoint_id, count in running.items()
+        }
+        return {endpoint_id: count for endpoint_id, count in over.items() if count > 0}
+
+    def _take_excess(
+        self, standing: Standing, number: int, excess_by_endpoint: dict[str, int]
+    ) -> None:
+        if number > standing.answer_number:
+            standing.answer_number = number
+            standing.excess_by_endpoint = excess_by_endpoint
+            self._sum_excess()
+
     def _sum_excess(self) -> None:
         self._excess_by_endpoint = Counter()
         for standing in self.standing_by_peer.values():
--- a/tests/test_endpoint_pool.py
+++ b/tests/test_endpoint_pool.py
@@ -201,6 +201,24 @@
     assert sum(zone.slots()) == 8
 
 
+async def test_after_a_fall_holders_leave_slots_to_what_still_runs(zone: Zone) -> None:
+    pools = sorted(zone.pool_by_id.values(), key=lambda p: p.shares.group.share("engine-1", 1))
+    other, holder = pools
+    held = [other.acquire("engine-1", zone.now) for _ in range(4)]
+    slot = holder.acquire("engine-1", zone.now)
+    assert None not in held and slot
+    slot.outcome = SlotOutcome.COLD
+    holder.release(slot, zone.now)
+    assert holder._digest
+    await holder._digest
+    assert zone.slots() == [0, 0]
+    for one in held:
+        assert one
+        other.release(one, zone.now)
+    await zone.step(0.25, count=2)
+    assert sorted(zone.slots()) == [0, 1]
+
+
 async def test_report_in_an_answer_counts_before_the_next_poll(zone: Zone) -> None:
     x = zone.pool_by_id["x"]
     slot = x.acquire("engine-1", zone.now)
