Count a rating for quality only if its answer was delivered

A cascade that escalates rates the first answer and delivers the second. Explanations now say which.

--- a/comfreyhatch/cli/main.py
+++ b/comfreyhatch/cli/main.py
@@ -7,7 +7,6 @@
 from comfreyhatch.cli.check import check_app, settings_app
 from comfreyhatch.cli.config import app as config_app
 from comfreyhatch.cli.contract import app as contract_app
-from comfreyhatch.cli.demo import run_demo
 from comfreyhatch.cli.report import app as report_app
 from comfreyhatch.cli.report import bills, explain, status
 from comfreyhatch.cli.rollout import app as rollout_app
@@ -38,6 +37,9 @@
 
     Example: comfreyhatch demo
     """
+    # Loading the daemon takes longer than most commands run.
+    from comfreyhatch.cli.demo import run_demo
+
     asyncio.run(run_demo())
 
 
--- a/comfreyhatch/decisions/burn.py
+++ b/comfreyhatch/decisions/burn.py
@@ -377,8 +377,8 @@
     if record.first_token_s is not None:
         limit_s = contract.objectives.first_token_s
         verdicts[Objective.FIRST_TOKEN] = record.first_token_s > limit_s
-    if record.rating is not None:
-        verdicts[Objective.QUALITY] = record.rating < contract.quality_target
+    if record.delivered_rating is not None:
+        verdicts[Objective.QUALITY] = record.delivered_rating < contract.quality_target
     if record.kind == "chat":
         ran = {attempt.version_id for attempt in record.attempts}
         verdicts[Objective.EXPOSURE] = bool(ran & bad_versions)
--- a/comfreyhatch/domain/record.py
+++ b/comfreyhatch/domain/record.py
@@ -108,3 +108,9 @@
     first_token_s: float | None = None
     critical: bool = False
     deadline_s: float = 0.0
+
+    @property
+    def delivered_rating(self) -> float | None:
+        """Rating of the answer that was delivered; None if another version's was rated."""
+        answered = {attempt.version_id for attempt in self.attempts if attempt.code == 0}
+        return self.rating if len(answered) == 1 else None
--- a/comfreyhatch/porcelain/explain.py
+++ b/comfreyhatch/porcelain/explain.py
@@ -55,6 +55,8 @@
     lines += _candidates("endpoint", record.endpoints)
     lines += _attempts(record.attempts)
     rating = NONE if record.rating is None else f"{record.rating:.3f}"
+    if record.rating is not None and record.delivered_rating is None:
+        rating += ", of an answer that was not delivered"
     first = NONE if record.first_token_s is None else f"{record.first_token_s:.3f} s"
     lines += [
         f"rating     {rating}",
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -123,6 +123,16 @@
     ]
 
 
+def test_rating_of_an_answer_that_was_not_delivered_does_not_count() -> None:
+    record = record_of(rating=0.2)
+    escalated = replace(record.attempts[0], version_id="m@9")
+    counts = BurnCounts()
+    counts.add_record(
+        replace(record, attempts=(*record.attempts, escalated)), CONTRACT, frozenset()
+    )
+    assert Objective.QUALITY not in {count.key.objective for count in counts.counts()}
+
+
 def test_rating_that_comes_late_counts_for_quality_alone() -> None:
     counts = BurnCounts()
     counts.add_rating(CONTRACT, "m@1", 0.7, NOW)
