--- a/comfreyhatch/daemon/dispatcher.py
+++ b/comfreyhatch/daemon/dispatcher.py
@@ -12,7 +12,7 @@
 
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.daemon.admission import Gate
-from comfreyhatch.daemon.endpoints import EndpointLoad, EndpointPool, Slot
+from comfreyhatch.daemon.endpoints import SAMPLE, EndpointLoad, EndpointPool, Slot
 from comfreyhatch.decisions.cold_start import SlotOutcome
 from comfreyhatch.decisions.configuration import Use
 from comfreyhatch.decisions.endpoints import Circuits, EndpointFigures, choose_endpoint
@@ -169,7 +169,7 @@
 
     def serves(self, wanted: str, config: FleetConfig) -> bool:
         """Return whether the zone has an endpoint for a version or a plain service."""
-        return bool(self._pool.candidates(wanted, config, monotonic()))
+        return self._pool.serves(wanted, config)
 
     def holders(self, wanted: str, config: FleetConfig) -> set[str]:
         """Return the other daemons of the zone that hold slots for a version or a service."""
@@ -177,15 +177,19 @@
 
     def has_share(self, wanted: str, config: FleetConfig) -> bool:
         """Return whether this daemon holds any slot for a version or a service."""
-        return any(load.share for load in self._pool.candidates(wanted, config, monotonic()))
+        return self._pool.has_share(wanted, config, monotonic())
 
     @contextmanager
     def _slot(self, wanted: str, config: FleetConfig, session: str = "") -> Iterator[Slot]:
         now = monotonic()
-        loads = self._pool.candidates(wanted, config, now)
+        affine = self._endpoint_by_session.get(session, "") if session else ""
+        loads = self._pool.sample(wanted, config, now, affine, self._rng)
         if not loads:
             raise RefusedError(f"no endpoint of this zone serves {wanted}", ResultCode.NO_ENDPOINT)
         slot = self._acquire(loads, wanted, session, now)
+        if slot is None and len(loads) >= SAMPLE:
+            loads = self._pool.candidates(wanted, config, now)
+            slot = self._acquire(loads, wanted, session, now)
         if slot is None:
             raise RefusedError(
                 f"all endpoints for {wanted} are at their limits",
@@ -264,13 +268,7 @@
         now = monotonic()
         if now >= self._slots_until:
             self._slots_until = now + SLOTS_CACHED_S
-            config = self.config()
-            share_by_id = {
-                load.endpoint.instance_id: load.share
-                for version_id in config.version_by_id
-                for load in self._pool.candidates(version_id, config, now)
-            }
-            self._slots = sum(share_by_id.values())
+            self._slots = self._pool.engine_slots(self.config(), now)
         return self._slots
 
     def _service_gate(self, name: str) -> Gate:
--- a/comfreyhatch/daemon/endpoints.py
+++ b/comfreyhatch/daemon/endpoints.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from random import Random
 from time import monotonic
 
 from msgspec import Struct
@@ -19,6 +20,7 @@
 from comfreyhatch.ports.peers import PeerBus, View
 
 POLL_INTERVAL_S = 0.25
+SAMPLE = 16
 
 log = logging.getLogger("comfreyhatch.endpoints")
 
@@ -123,6 +125,8 @@
         self._clock = clock
         self._running_by_id: dict[str, int] = {}
         self._at_report_by_id: dict[str, int] = {}
+        self._listed: dict[str, Instance] = {}
+        self._own: list[Instance] = []
         self._digest: asyncio.Task[None] | None = None
         self.shares = ShareTask(
             me,
@@ -187,23 +191,58 @@
             config: Configuration in force.
             now: Monotonic time, in seconds.
         """
+        return [self._load(endpoint, now) for endpoint in self._serving(wanted, config)]
+
+    def sample(
+        self, wanted: str, config: FleetConfig, now: float, affine: str, rng: Random
+    ) -> list[EndpointLoad]:
+        """Return some of the candidates, at random, and the one that holds a session's prefix.
+
+        Args:
+            wanted: Version id, or name of a plain service.
+            config: Configuration in force.
+            now: Monotonic time, in seconds.
+            affine: Id of the endpoint that holds the prefix; may be empty.
+            rng: Seeded source of the choice.
+        """
+        serving = list(self._serving(wanted, config))
+        if len(serving) > SAMPLE:
+            held = [endpoint for endpoint in serving if endpoint.instance_id == affine]
+            drawn = rng.sample(serving, SAMPLE)
+            serving = [*(endpoint for endpoint in held if endpoint not in drawn), *drawn]
+        return [self._load(endpoint, now) for endpoint in serving]
+
+    def serves(self, wanted: str, config: FleetConfig) -> bool:
+        """Return whether the zone has an endpoint for a version or a plain service."""
+        return any(self._serving(wanted, config))
+
+    def has_share(self, wanted: str, config: FleetConfig, now: float) -> bool:
+        """Return whether this daemon holds any slot for a version or a plain service."""
+        return any(self._slots(e.instance_id, now) for e in self._serving(wanted, config))
+
+    def engine_slots(self, config: FleetConfig, now: float) -> int:
+        """Return the slots that this daemon holds at all engines in service."""
         if self._zone in config.out_zones:
-            return []
-        return [
-            self._load(endpoint, now)
+            return 0
+        return sum(
+            self._slots(endpoint.instance_id, now)
             for endpoint in self._endpoints()
-            if endpoint.instance_id not in config.out_endpoints and self._serves(endpoint, wanted)
-        ]
+            if endpoint.role is Role.ENGINE
+            and endpoint.instance_id not in config.out_endpoints
+            and endpoint.instance_id in self.loads.report_by_id
+        )
 
     def holders(self, wanted: str, config: FleetConfig, now: float) -> set[str]:
         """Return the other daemons of the zone that hold a slot for a version or a service."""
         group = self.shares.group
-        return {
-            peer.instance_id
-            for load in self.candidates(wanted, config, now)
-            for peer in group.holders(load.endpoint.instance_id, load.limit)
-            if peer != group.me
-        }
+        names: set[str] = set()
+        for endpoint in self._serving(wanted, config):
+            limit = self.loads.limit(endpoint.instance_id, now)
+            peers = group.holders(endpoint.instance_id, limit)
+            names |= {peer.instance_id for peer in peers if peer != group.me}
+            if len(names) >= len(group.standing_by_peer):
+                break
+        return names
 
     def acquire(self, endpoint_id: str, now: float) -> Slot | None:
         """Take a slot of an endpoint; None when the share is used up."""
@@ -248,6 +287,18 @@
             self._at_report_by_id.get(endpoint_id, 0),
         )
 
+    def _slots(self, endpoint_id: str, now: float) -> int:
+        return self.shares.group.slots(endpoint_id, self.loads.limit(endpoint_id, now))
+
+    def _serving(self, wanted: str, config: FleetConfig) -> Iterator[Instance]:
+        if self._zone in config.out_zones:
+            return
+        for endpoint in self._endpoints():
+            if endpoint.instance_id in config.out_endpoints:
+                continue
+            if self._serves(endpoint, wanted):
+                yield endpoint
+
     def _serves(self, endpoint: Instance, wanted: str) -> bool:
         report = self.loads.report_by_id.get(endpoint.instance_id)
         if report is None:
@@ -257,7 +308,11 @@
         return wanted in report.versions
 
     def _endpoints(self) -> list[Instance]:
-        return [e for e in self._directory.endpoint_by_id.values() if e.zone == self._zone]
+        endpoint_by_id = self._directory.endpoint_by_id
+        if endpoint_by_id is not self._listed:
+            self._listed = endpoint_by_id
+            self._own = [e for e in endpoint_by_id.values() if e.zone == self._zone]
+        return self._own
 
     def _polls(self, endpoint_id: str) -> bool:
         """Return whether this daemon is the first in order of those that are heard of."""
--- a/comfreyhatch/daemon/loads.py
+++ b/comfreyhatch/daemon/loads.py
@@ -22,9 +22,9 @@
 from comfreyhatch.ports.engine import Engine, LoadReport, PlainService
 from comfreyhatch.ports.peers import PeerBus
 
-DIGEST_INTERVAL_S = 2.0
-DIGESTS_PER_FULL = 8
-OWN_POLL_AFTER_S = 2.5
+DIGEST_INTERVAL_S = 4.0
+DIGESTS_PER_FULL = 16
+OWN_POLL_AFTER_S = 4.5
 
 log = logging.getLogger("comfreyhatch.loads")
 
@@ -38,23 +38,63 @@
     versions: tuple[str, ...]
 
 
-class LoadDigest(Struct, frozen=True, tag="load-digest"):
+class ToldEntry(Struct, frozen=True, array_like=True):
+    """An entry on its way; `versions` is the number of a set in the digest."""
+
+    endpoint_id: str
+    limit: int
+    cold: bool
+    versions: int
+
+
+class LoadDigest(Struct, frozen=True, array_like=True, tag="load-digest"):
     """What a daemon knows of the endpoints that it polls.
 
     Attributes:
-        entries: Endpoints whose state changed, or all of them.
+        told: Endpoints whose state changed, or all of them.
+        version_sets: Sets of version ids that the entries name by number.
         state_hash: Hash of all entries; equal at a receiver that missed none.
         age_s: Age of the oldest report behind it, in seconds.
         full: Whether all entries are given.
         urgent: Whether the limits given hold at once, whatever newer reports say.
     """
 
-    entries: tuple[DigestEntry, ...]
+    told: tuple[ToldEntry, ...]
+    version_sets: tuple[tuple[str, ...], ...]
     state_hash: int
     age_s: float
     full: bool = False
     urgent: bool = False
 
+    def entries(self) -> tuple[DigestEntry, ...]:
+        """Return the entries with their versions; one that names no set is left out."""
+        return tuple(
+            DigestEntry(e.endpoint_id, e.limit, e.cold, self.version_sets[e.versions])
+            for e in self.told
+            if 0 <= e.versions < len(self.version_sets)
+        )
+
+
+def digest_of(
+    entries: Iterable[DigestEntry],
+    state_hash: int = 0,
+    age_s: float = 0.0,
+    full: bool = False,
+    urgent: bool = False,
+) -> LoadDigest:
+    """Return the digest of entries, each set of versions in it once."""
+    number_by_set: dict[tuple[str, ...], int] = {}
+    told = tuple(
+        ToldEntry(
+            e.endpoint_id,
+            e.limit,
+            e.cold,
+            number_by_set.setdefault(e.versions, len(number_by_set)),
+        )
+        for e in entries
+    )
+    return LoadDigest(told, tuple(number_by_set), state_hash, age_s, full, urgent)
+
 
 class LoadBook:
     """Keeps reports and limits of the zone's endpoints; polls its part of them."""
@@ -159,7 +199,7 @@
         if entries:
             age_s = max(self._known_age_s(endpoint_id, now) for endpoint_id in entries)
             told = entries.values() if full else changed
-            await self._send(LoadDigest(tuple(told), _state_hash(entries), age_s, full))
+            await self._send(digest_of(told, _state_hash(entries), age_s, full))
 
     @property
     def has_urgent(self) -> bool:
@@ -171,7 +211,7 @@
         entries = self._entries(self._urgent, self._clock())
         self._urgent.clear()
         if entries:
-            await self._send(LoadDigest(entries, 0, 0.0, urgent=True))
+            await self._send(digest_of(entries, urgent=True))
             await self._tell_fall(entries)
 
     async def _send(self, digest: LoadDigest) -> None:
@@ -182,12 +222,12 @@
     async def _take_digest(self, sender: str, digest: LoadDigest) -> None:
         now = self._clock()
         if digest.urgent:
-            for entry in digest.entries:
+            for entry in digest.entries():
                 self._take_fall(entry, now)
-            await self._tell_fall(digest.entries)
+            await self._tell_fall(digest.entries())
             return
         known = {} if digest.full else self._received_by_sender.get(sender, {})
-        told = {entry.endpoint_id: entry for entry in digest.entries}
+        told = {entry.endpoint_id: entry for entry in digest.entries()}
         known = {**known, **told}
         self._received_by_sender[sender] = known
         missed = _state_hash(known) != digest.state_hash
--- a/comfreyhatch/decisions/cold_start.py
+++ b/comfreyhatch/decisions/cold_start.py
@@ -7,7 +7,7 @@
 
 from comfreyhatch.ports.engine import LoadReport
 
-REPORT_LIFE_S = 5.0
+REPORT_LIFE_S = 6.0
 LATENCY_JUMP = 4.0
 LATENCY_WEIGHT = 0.1
 MIN_LATENCY_SAMPLES = 8
--- a/comfreyhatch/decisions/shares.py
+++ b/comfreyhatch/decisions/shares.py
@@ -127,6 +127,7 @@
         self.must_restart = False
         self._answers = 0
         self._rank_by_endpoint: dict[str, int] = {}
+        self._ranked_by_endpoint: dict[str, list[Peer]] = {}
         self._excess_by_endpoint: Counter[str] = Counter()
 
     def discover(self, instance_ids: list[str], complete: bool) -> None:
@@ -244,7 +245,7 @@
         for peer, standing in list(self.standing_by_peer.items()):
             if standing.gone_at is not None and now >= standing.gone_at:
                 del self.standing_by_peer[peer]
-                self._rank_by_endpoint.clear()
+                self._forget_ranks()
                 self._sum_excess()
         self._update_active()
 
@@ -276,14 +277,22 @@
 
     def ranked(self, endpoint_id: str) -> list[Peer]:
         """Return the counted members, this one included, in their order at an endpoint."""
-        peers = (self.me, *self.standing_by_peer)
-        return sorted(peers, key=lambda peer: rank_key(endpoint_id, peer))
+        ranked = self._ranked_by_endpoint.get(endpoint_id)
+        if ranked is None:
+            peers = (self.me, *self.standing_by_peer)
+            ranked = sorted(peers, key=lambda peer: rank_key(endpoint_id, peer))
+            self._ranked_by_endpoint[endpoint_id] = ranked
+        return ranked
 
     def _count(self, peer: Peer) -> None:
         if peer == self.me or peer in self.ended or peer in self.standing_by_peer:
             return
         self.standing_by_peer[peer] = Standing()
+        self._forget_ranks()
+
+    def _forget_ranks(self) -> None:
         self._rank_by_endpoint.clear()
+        self._ranked_by_endpoint.clear()
 
     def _own_excess(
         self, limit_by_endpoint: dict[str, int], running: dict[str, int]
