--- a/comfreyhatch/adapters/engine_http.py
+++ b/comfreyhatch/adapters/engine_http.py
@@ -6,6 +6,7 @@
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import Decoder
 from msgspec.json import encode as encode_json
+from msgspec.structs import replace
 
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply, StreamedReply
 from comfreyhatch.adapters.http_server import JSON_TYPE
@@ -103,6 +104,8 @@
                 if reply.status != 200:
                     await _raise_for_stream(endpoint, reply, request.deadline_s)
                 async for chunk in _checked_chunks(reply, request):
+                    if chunk.load is not None and chunk.served is None:
+                        chunk = replace(chunk, load=_named(chunk.load, endpoint))
                     yield chunk
         except ConnectError as error:
             raise _unreachable(endpoint, error) from error
@@ -322,11 +325,16 @@
     )
 
 
+def _named(report: LoadReport, endpoint: Instance) -> LoadReport:
+    """Return a report under the endpoint that it came from, whatever name it gives itself."""
+    return replace(report, endpoint_id=endpoint.instance_id)
+
+
 async def _load(client: HttpClient, endpoint: Instance) -> LoadReport:
     try:
         reply = await client.request(endpoint.address, "GET", "/load", timeout_s=LOAD_TIMEOUT_S)
         if reply.status != 200:
             _raise_for_status(endpoint, reply)
-        return _load_decoder.decode(reply.body)
+        return _named(_load_decoder.decode(reply.body), endpoint)
     except (HttpError, DecodeError, ValidationError) as error:
         raise BackendError(f"endpoint {endpoint.instance_id}: {error}") from error
--- a/tests/test_engine_http.py
+++ b/tests/test_engine_http.py
@@ -23,6 +23,7 @@
 from comfreyhatch.ports.engine import (
     Chunk,
     GenerateRequest,
+    LoadReport,
     Order,
     OrderKind,
     ServiceRequest,
@@ -123,6 +124,18 @@
     assert service.witness.run_count_by_key["k-1"] == 1 + runs
 
 
+async def test_load_is_filed_under_the_endpoint_that_was_asked() -> None:
+    report = LoadReport("somebody-else", 0, 0, 4, False)
+    chunk = Chunk("r-1", 0, ("t",), "stop", load=report)
+    server, instance = await serve(b"data: " + encode(chunk) + b"\n\n")
+    (taken,) = [c async for c in HttpEngine(HttpClient()).generate(instance, REQUEST)]
+    assert taken.load and taken.load.endpoint_id == instance.instance_id
+    await server.stop(0)
+    server, instance = await serve(encode(report))
+    assert (await HttpEngine(HttpClient()).load(instance)).endpoint_id == instance.instance_id
+    await server.stop(0)
+
+
 async def test_old_fencing_number_and_lost_order_answer(engine: EngineStandin) -> None:
     client = HttpEngine(HttpClient())
     await client.order(engine.instance, Order("o-1", OrderKind.LOAD_VERSION, "m@3", 7))
