Measure control costs over several zones; test a held-back resumption

A resumption that is refused because the configuration has to be confirmed must not turn a request that has run in part into one that has not run.

--- a/bench/control.py
+++ b/bench/control.py
@@ -1,8 +1,8 @@
-"""Control costs of idle daemons of one zone, and the time until a change is in force.
+"""Control costs of idle daemons, and the time until a change is in force.
 
-Usage: python -m bench.control ENDPOINTS SECONDS CHANGES DAEMONS...
+Usage: python -m bench.control ENDPOINTS SECONDS CHANGES DAEMONS[/ZONES]...
 
-Each daemon is a process of its own; the platform's stand-in runs in this one. The endpoints
+The daemons are spread over one zone, or as many as given; each is a process of its own; the platform's stand-in runs in this one. The endpoints
 are listed in another zone, so that they are in each view and their load is not polled.
 """
 
@@ -46,7 +46,7 @@
 class Measured(Struct, frozen=True):
     """One row of the result."""
 
-    daemons: int
+    daemons: str
     cost_by_id: dict[str, Cost]
     reads_per_s: float
     in_force_s: list[float]
@@ -117,21 +117,24 @@
     return min((at for r, at in at_by_revision.items() if r >= revision), default=float("inf"))
 
 
-async def measure(daemons: int, endpoints: int, seconds: float, changes: int) -> Measured:
+async def measure(
+    daemons: int, zones: int, endpoints: int, seconds: float, changes: int
+) -> Measured:
     platform = PlatformStandin()
-    await platform.start()
+    address = await platform.start()
     for number in range(endpoints):
-        address = Address("127.0.0.1", 1)
-        platform.put_instance(Instance(f"engine-z{number}", Role.ENGINE, "z", address))
+        engine = Instance(f"engine-z{number}", Role.ENGINE, "z", Address("127.0.0.1", 1))
+        platform.put_instance(engine)
     client = HttpClient()
     daemon_by_id: dict[str, MeasuredProcess] = {}
     with TemporaryDirectory() as name:
         folder = Path(name)
         try:
-            ids = [f"entry-a{number}" for number in range(daemons)]
+            zone_by_id = {f"entry-{n}": chr(ord("a") + n % zones) for n in range(daemons)}
+            ids = list(zone_by_id)
             for first in range(0, daemons, AT_ONCE):
                 part = ids[first : first + AT_ONCE]
-                started = (start_daemon(folder, i, "a", platform.address, SETTINGS) for i in part)
+                started = (start_daemon(folder, i, zone_by_id[i], address, SETTINGS) for i in part)
                 daemon_by_id.update(zip(part, await asyncio.gather(*started), strict=True))
             first_daemon = daemon_by_id[ids[0]]
             await make_changes(client, first_daemon, 1)
@@ -150,7 +153,7 @@
         max(first_with(at, revision) for at in found) - asked
         for revision, asked in enumerate(asked_at, 2)
     ]
-    return Measured(daemons, cost_by_id, reads_per_s, in_force_s)
+    return Measured(f"{daemons} in {zones}", cost_by_id, reads_per_s, in_force_s)
 
 
 def row(found: Measured, bare_mb: float) -> str:
@@ -159,7 +162,7 @@
     extra_mb = max(c.memory_mb for c in costs) - bare_mb
     late = sorted(found.in_force_s)
     cells = [
-        f"{found.daemons}",
+        found.daemons,
         f"{mean(c.core_percent for c in costs):.2f} / {max(c.core_percent for c in costs):.2f}",
         f"{mean(c.sent_bytes for c in costs):.0f} + {mean(c.received_bytes for c in costs):.0f}",
         f"{most.sent_bytes:.0f} + {most.received_bytes:.0f}",
@@ -187,13 +190,15 @@
     bare_mb = await bare_memory_mb()
     print(f"bare process with the daemon imported: {bare_mb:.1f} MB; {endpoints} endpoints\n")
     print(
-        "| daemons | % of a core, mean / most | bytes/s sent + received, mean | at the busiest"
-        " | frames/s | MB (most over bare) | table reads/s in all"
+        "| daemons in zones | % of a core, mean / most | bytes/s sent + received, mean"
+        " | at the busiest | frames/s | MB (most over bare) | table reads/s in all"
         " | s to be in force, median / most |"
     )
     print("| --- " * 8 + "|")
-    for daemons in map(int, sys.argv[4:]):
-        print(row(await measure(daemons, endpoints, seconds, changes), bare_mb), flush=True)
+    for size in sys.argv[4:]:
+        daemons, _, zones = size.partition("/")
+        found = await measure(int(daemons), int(zones or 1), endpoints, seconds, changes)
+        print(row(found, bare_mb), flush=True)
 
 
 if __name__ == "__main__":
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -8,6 +8,7 @@
 
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply
 from comfreyhatch.codes import ResultCode
+from comfreyhatch.errors import RefusedError
 from comfreyhatch.standins.engine import EngineStandin
 from comfreyhatch.standins.fleet import API_KEY, LARGE, SMALL, FleetPlan, LocalFleet
 from comfreyhatch.standins.text import token
@@ -141,3 +142,23 @@
     reply = await book(client, fleet.callers("entry-a0"), "deposit-crossed")
     assert error_of(reply)["ran"] == "unknown"
     assert service.witness.run_count_by_key["deposit-crossed"] == 1
+
+
+async def test_a_resumption_that_is_held_back_does_not_make_the_request_one_that_has_not_run(
+    fleet: LocalFleet, engine: EngineStandin, client: HttpClient
+) -> None:
+    keeper = fleet.daemon_by_id["entry-a0"].keeper
+    sent: list[float] = []
+
+    def stale_at_the_resumption(now: float) -> None:
+        # Checked at the admission, before the first byte, and before the resumption.
+        sent.append(now)
+        if len(sent) > 2:
+            raise RefusedError("the configuration has to be confirmed first")
+
+    keeper.require_fresh = stale_at_the_resumption  # type: ignore[method-assign]
+    engine.faults.cut_next, engine.faults.cut_after_tokens = 1, 3
+    reply = await chat(client, fleet.callers("entry-a0"), max_tokens=TOKENS)
+    assert len(sent) == 3 and reply.status == 502
+    assert error_of(reply)["ran"] == "unknown"
+    assert sum(engine.witness.run_count_by_id.values()) == 1
