--- a/bench/control.py
+++ b/bench/control.py
@@ -2,8 +2,9 @@
 
 Usage: python -m bench.control ENDPOINTS SECONDS CHANGES DAEMONS[/ZONES]...
 
-The daemons are spread over one zone, or as many as given; each is a process of its own; the platform's stand-in runs in this one. The endpoints
-are listed in another zone, so that they are in each view and their load is not polled.
+The daemons are spread over one zone, or over as many as given; each is a process of its own.
+The platform's stand-in runs in this one. The endpoints are listed in another zone, so that they
+are in each view and their load is not polled.
 """
 
 import asyncio
--- a/comfreyhatch/daemon/configuration.py
+++ b/comfreyhatch/daemon/configuration.py
@@ -29,7 +29,6 @@
     may_serve_cut_off,
     must_poll,
     newest,
-    relay_order,
 )
 from comfreyhatch.decisions.membership import delegates, incarnation_digest_of
 from comfreyhatch.decisions.rendezvous import tree_children
@@ -90,6 +89,7 @@
         self._polled_at: float | None = None
         self._noticed_at: float | None = None
         self._noticed_revision = 0
+        self._snapshot_checked = 0
         self._loaded = False
         self._last_notice_by_origin: dict[str, HeadNotice] = {}
         self._clock_by_origin: dict[str, _Clock] = {}
@@ -230,8 +230,10 @@
             raise PlatformError(f"the change log ends at {head}, this daemon is at {known}")
         self._loaded = True
         self._set_confirmed(started)
-        if self._rank() == 0:
+        if self._rank() == 0 and self.config.revision > self._snapshot_checked:
+            revision = self.config.revision
             await self._changes.store_snapshot(self.config)
+            self._snapshot_checked = revision
 
     async def _ask_peers(self) -> None:
         """Take the newest configuration of some peers of this and other zones."""
@@ -252,7 +254,7 @@
     def _peers_to_ask(self) -> list[str]:
         own = self._membership.own
         members = list(self._membership.view.member_by_id.values())
-        near = [i for i in relay_order(members, own.zone) if i != own.instance_id]
+        near = [i for i in self._membership.relay_order if i != own.instance_id]
         zones = sorted({member.zone for member in members} - {own.zone})
         self._rng.shuffle(zones)
         far = [i for zone in zones for i in delegates(members, zone)]
@@ -296,10 +298,9 @@
         await self._pass_on(notice)
 
     async def _pass_on(self, notice: HeadNotice) -> None:
-        own = self._membership.own
-        order = relay_order(self._membership.view.member_by_id.values(), own.zone)
-        order = [notice.origin, *(i for i in order if i != notice.origin)]
-        for child in tree_children(order, own.instance_id, self.timing.fan_out):
+        own_id = self._membership.own.instance_id
+        others = (i for i in self._membership.relay_order if i != notice.origin)
+        for child in tree_children([notice.origin, *others], own_id, self.timing.fan_out):
             await self._bus.send(child, notice)
 
     async def _take_notice(self, sender: str, notice: HeadNotice) -> None:
@@ -367,9 +368,7 @@
             callback(config)
 
     def _rank(self) -> int:
-        own = self._membership.own
-        order = relay_order(self._membership.view.member_by_id.values(), own.zone)
-        return order.index(own.instance_id)
+        return self._membership.relay_order.index(self._membership.own.instance_id)
 
     def _set_confirmed(self, confirmed_at: float) -> None:
         if self._confirmed_at is None or confirmed_at > self._confirmed_at:
--- a/comfreyhatch/daemon/list_feed.py
+++ b/comfreyhatch/daemon/list_feed.py
@@ -10,7 +10,7 @@
 from comfreyhatch.daemon.directory import Directory
 from comfreyhatch.daemon.membership import Membership
 from comfreyhatch.daemon.peer_messages import ListNotice, ListPage, ListQuery
-from comfreyhatch.decisions.configuration import RELAYS, KeeperTiming, must_poll, relay_order
+from comfreyhatch.decisions.configuration import RELAYS, KeeperTiming, must_poll
 from comfreyhatch.decisions.listing import ListDelta
 from comfreyhatch.decisions.rendezvous import tree_children
 from comfreyhatch.domain.instance import Instance
@@ -85,7 +85,7 @@
         announced_at = self._announced_at
         if announced_at is None or now - announced_at >= self._timing.announce_s:
             self._announced_at = now if await self._directory.announce() else None
-        rank = self._order().index(self._membership.own.instance_id)
+        rank = self._membership.relay_order.index(self._membership.own.instance_id)
         if not must_poll(rank, self._heard_at, self._polled_at, now, self._timing.poll):
             return
         self._polled_at = now
@@ -137,11 +137,7 @@
         return ListPage(tuple(rows[i] for i in ids))
 
     async def _pass_on(self, notice: ListNotice) -> None:
-        order = [notice.origin, *(i for i in self._order() if i != notice.origin)]
+        order = [notice.origin, *(i for i in self._membership.relay_order if i != notice.origin)]
         own_id = self._membership.own.instance_id
         for child in tree_children(order, own_id, self._timing.poll.fan_out):
             await self._bus.send(child, notice)
-
-    def _order(self) -> list[str]:
-        members = self._membership.view.member_by_id.values()
-        return relay_order(members, self._membership.own.zone)
--- a/comfreyhatch/daemon/membership.py
+++ b/comfreyhatch/daemon/membership.py
@@ -11,6 +11,7 @@
 
 from comfreyhatch.daemon.peer_messages import Beat, Bye, Hello, Welcome
 from comfreyhatch.daemon.zones import ZoneExchange, delegate_rank
+from comfreyhatch.decisions.configuration import relay_order
 from comfreyhatch.decisions.membership import (
     Roster,
     Timing,
@@ -42,7 +43,13 @@
 
 
 class Membership:
-    """Keeps the view; owns the roster and the heartbeats."""
+    """Keeps the view; owns the roster and the heartbeats.
+
+    Attributes:
+        timing: Times.
+        view: Live daemons.
+        relay_order: Daemons of the zone in the order in which they relay what the platform says.
+    """
 
     def __init__(
         self,
@@ -65,6 +72,7 @@
         """
         self.timing = timing or Timing()
         self.view = View()
+        self.relay_order: list[str] = []
         self._bus = bus
         self._clock = clock
         self._listed = listed
@@ -193,6 +201,7 @@
         if view == self.view:
             return
         old, self.view = self.view, view
+        self.relay_order = relay_order(view.member_by_id.values(), self.own.zone)
         for member in view.member_by_id.values():
             if member.instance_id != self.own.instance_id:
                 self._bus.learn(member.instance_id, member.control)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -120,6 +120,7 @@
         node.table.read = read  # type: ignore[method-assign]
     await fleet.run(10)
     assert len(set(reads)) == 2, "only the first relay of each zone reads the head"
+    assert len(reads) <= 2 * 10 / TIMING.poll_s
     await make(fleet.node_by_id["a3"], SetContract(contract("trackline")))
     await fleet.run(0.2)
     assert {r for name, r in fleet.revisions().items() if name[0] == "a"} == {1}
