Hold spending to slices of a budget taken by transactions

Requests hold their worst cost before dispatch and settle at the end. A slice is at least a sixteenth of a daemon's part of what is left, so that it lasts into an outage, and doubles while it lasts less than five minutes. When the table is down a slice is finished, then the contract decides; what is spent beyond is owed to the budget afterwards. Unused money returns at shutdown.

Guards broken by hand, each failing a test: a change sent again after a lost answer, lost takes not noticed, spending after the return, no pause when spent, debts of an outage forgotten, the allowance unbounded, reservations not counted or not checked, slices that do not grow, the budget's end ignored, settlement left out.

--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -20,6 +20,7 @@
 from comfreyhatch.adapters.settings import Settings
 from comfreyhatch.adapters.table_http import HttpTable
 from comfreyhatch.daemon.buddies import Buddies
+from comfreyhatch.daemon.budgets import Budgets
 from comfreyhatch.daemon.burn_book import BurnBook
 from comfreyhatch.daemon.callers import CallerHandler
 from comfreyhatch.daemon.changes import ChangeLog
@@ -143,6 +144,12 @@
         self.buddies = Buddies(
             self.bus, lambda: self.membership.view, segments, own.id, self.registry
         )
+        self.budgets = Budgets(
+            table,
+            self.incarnation,
+            lambda: len(self.membership.view.member_by_id),
+            self.registry,
+        )
         self.claims = Claims(table, self.bus, own.id, self.incarnation, self.registry)
         self.minted = MintedKeys(table, keys, own.id, self.incarnation, self.registry)
         self.quarantine = Quarantine(
@@ -214,6 +221,7 @@
             learner,
             rng,
             self.sessions,
+            self.budgets,
         )
         once = OnceRouter(self.claims, self.minted, forwarder, lambda: self.membership.view)
         services = ServiceRouter(
@@ -233,6 +241,7 @@
             own.id, own.zone, self.changes, self.membership, self.directory, self.pool, self.ready
         )
         self.reporter.quarantined = self.quarantine.quarantined
+        self.reporter.spent_by_customer = self.budgets.spent_by_customer
         self.reporter.journal_lag = lambda: self.journal.lag
         self.reporter.cut_off = lambda: (self.keeper.freshness(monotonic()) is Freshness.CUT_OFF)
         explanations = Explanations(
@@ -279,6 +288,7 @@
         self.shutdown.on_flush(lambda: self.sessions.hand_over(leaving=True))
         self.shutdown.on_flush(lambda: self.minted.close(FLUSH_S))
         self.shutdown.on_flush(lambda: self.claims.drain(FLUSH_S))
+        self.shutdown.on_flush(self.budgets.return_unused)
         self.shutdown.on_flush(lambda: self.journal.close(FLUSH_S))
 
     def ready(self) -> bool:
--- a/comfreyhatch/daemon/draft.py
+++ b/comfreyhatch/daemon/draft.py
@@ -91,6 +91,11 @@
         )
         self.attempts = (*self.attempts, attempt)
 
+    @property
+    def cost_micros(self) -> int:
+        """Cost of the attempts so far."""
+        return sum(attempt.cost_micros for attempt in self.attempts)
+
     def record(self, now: float, code: ResultCode) -> RequestRecord:
         """Return the finished record.
 
@@ -118,7 +123,7 @@
             code=code,
             ran=_ran(self.attempts),
             rating=self.rating,
-            cost_micros=sum(attempt.cost_micros for attempt in self.attempts),
+            cost_micros=self.cost_micros,
             duration_s=now - self.started,
             first_token_s=self.first_token_s,
             critical=self.critical,
--- a/comfreyhatch/daemon/router.py
+++ b/comfreyhatch/daemon/router.py
@@ -11,6 +11,7 @@
 from msgspec.structs import replace
 
 from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.daemon.budgets import Budgets
 from comfreyhatch.daemon.dispatcher import Dispatcher, check_version
 from comfreyhatch.daemon.draft import RecordDraft
 from comfreyhatch.daemon.forwarding import Forwarder
@@ -19,7 +20,7 @@
 from comfreyhatch.daemon.planner import Planner
 from comfreyhatch.daemon.records import RecordBook
 from comfreyhatch.daemon.sessions import Sessions
-from comfreyhatch.decisions.budgets import worst_cost_micros
+from comfreyhatch.decisions.budgets import dearer_versions, worst_cost_micros
 from comfreyhatch.decisions.plan import Plan
 from comfreyhatch.decisions.retries import RetryBudget
 from comfreyhatch.domain.contract import Contract
@@ -64,8 +65,10 @@
         learner: Learner,
         rng: Random,
         sessions: Sessions,
+        budgets: Budgets,
     ) -> None:
         self._sessions = sessions
+        self._budgets = budgets
         self._planner = planner
         self._learner = learner
         self._rng = rng
@@ -156,9 +159,16 @@
                 plan = self._planner.keep(call, contract, draft)
             else:
                 plan = self._planner.plan(call, contract, draft, monotonic(), frozenset(excluded))
-            self._records.begin(self._intent(call, plan, draft))
+            intent = self._intent(call, plan, draft)
+            held = await self._budgets.reserve(contract, intent.cost_micros)
+            spent_before = draft.cost_micros
             begun = False
             try:
+                if held.cheapest_only and not call.kept:
+                    allowed = self._config().allowed_versions(contract)
+                    dearer = dearer_versions(allowed, call)
+                    plan = self._planner.plan(call, contract, draft, monotonic(), dearer)
+                self._records.begin(intent)
                 async with aclosing(self._run_plan(call, contract, plan, draft)) as chunks:
                     async for chunk in chunks:
                         begun = True
@@ -169,6 +179,8 @@
                 if begun or call.kept or not unusable or len(excluded) >= MAX_REPLANS:
                     raise
                 excluded.add(draft.served_version)
+            finally:
+                self._budgets.settle(held, draft.cost_micros - spent_before)
 
     def _intent(self, call: ChatRequest, plan: Plan, draft: RecordDraft) -> Intent:
         versions = self._config().version_by_id
