Bound the times that the operators' port takes, and note undeclared names

A time of 0 or beyond the calendar made the daemon list half a million hours or fail with an internal error; numbers of thousands of digits failed too. Times reach 90 days back at most.

Applying a contract that allows a name which is not declared says so: a typing error there used to show only as refused requests.

--- a/comfreyhatch/cli/options.py
+++ b/comfreyhatch/cli/options.py
@@ -140,6 +140,8 @@
 ) -> None:
     """Show a change's diff, ask if it is dangerous, commit it and print where it is in force."""
     planned = run_command(daemons, client_file, lambda client: plan_change(client, change))
+    for note in planned.notes:
+        echo(f"note: {note}", err=True)
     if options.dry_run or not planned.diff:
         outcome = ChangeOutcome(False, planned.base_revision, planned.diff)
         show(outcome, _plan_lines(planned), options.json)
--- a/comfreyhatch/daemon/operators.py
+++ b/comfreyhatch/daemon/operators.py
@@ -1,6 +1,7 @@
 """The operators' listener: health, readiness, metrics, state, changes and explanations."""
 
 from collections.abc import Awaitable, Callable
+from math import nan
 from time import time
 from typing import TypeVar
 
@@ -28,6 +29,8 @@
 DAY_S = 86400
 HISTORY_LIMIT = 1000
 RECORDS_LIMIT = 1000
+INTEGER_DIGITS = 15
+OLDEST_S = 90 * 86400
 RECORDS_PERIOD_S = 3600
 BURN_PERIOD_S = 6 * 3600
 CUSTOMER_PARAMETER = "customer"
@@ -152,7 +155,7 @@
         return json_response(await self._rollouts.set_state(halt.model, halt.halted))
 
     async def _bills(self, request: HttpRequest) -> HttpResponse:
-        since = _number(request, "since", time() - DAY_S)
+        since = _time(request, "since", time() - DAY_S, time())
         customer = request.query.get(CUSTOMER_PARAMETER, "")
         settlement = await self._explanations.settlement(since)
         bills = [
@@ -177,7 +180,7 @@
         return record
 
     async def _recent(self, request: HttpRequest) -> HttpResponse:
-        since = _number(request, "since", time() - RECORDS_PERIOD_S)
+        since = _time(request, "since", time() - RECORDS_PERIOD_S, time())
         records = await self._explanations.since(since, request.query.get(CUSTOMER_PARAMETER, ""))
         limit = min(RECORDS_LIMIT, _integer(request, "limit", RECORDS_LIMIT))
         return json_response(records[-limit:])
@@ -186,8 +189,8 @@
         return json_response(self._burn_book.pending())
 
     async def _stored_burn(self, request: HttpRequest) -> HttpResponse:
-        end = _number(request, "to", time())
-        start = _number(request, "from", end - BURN_PERIOD_S)
+        end = _time(request, "to", time(), time())
+        start = _time(request, "from", end - BURN_PERIOD_S, time())
         return json_response(await self._burn_book.stored(start, end))
 
 
@@ -200,13 +203,17 @@
 
 def _integer(request: HttpRequest, name: str, default: int) -> int:
     text = request.query.get(name, "")
-    if text and not text.isdecimal():
+    if text and not (text.isdecimal() and len(text) <= INTEGER_DIGITS):
         raise RequestError(f"parameter {name} = {text!r}: must be an integer from 0")
     return int(text) if text else default
 
 
-def _number(request: HttpRequest, name: str, default: float) -> float:
+def _time(request: HttpRequest, name: str, default: float, now: float) -> float:
+    """Return a time in seconds since the epoch; bounds what an answer has to read."""
     try:
-        return float(request.query.get(name, default))
+        value = float(request.query.get(name, default))
     except ValueError:
-        raise RequestError(f"parameter {name}: must be a number") from None
+        value = nan
+    if not now - OLDEST_S <= value <= now + DAY_S:
+        raise RequestError(f"parameter {name}: must be a time in the last {OLDEST_S // DAY_S} days")
+    return value
--- a/comfreyhatch/porcelain/changes.py
+++ b/comfreyhatch/porcelain/changes.py
@@ -9,7 +9,7 @@
 
 from comfreyhatch.adapters.operator_http import OperatorClient
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.domain.change import Change, change_config
+from comfreyhatch.domain.change import Change, SetContract, SetVersion, change_config
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.errors import ComfreyhatchError, PlatformError
 from comfreyhatch.ports.operators import Edit, InForce
@@ -28,11 +28,13 @@
         change: The change.
         base_revision: Revision that it was compared with.
         diff: Lines that it removes ("- ") and adds ("+ ").
+        notes: What an operator may have overlooked.
     """
 
     change: Change
     base_revision: int
     diff: tuple[str, ...]
+    notes: tuple[str, ...] = ()
 
 
 class ChangeOutcome(Struct, frozen=True):
@@ -61,7 +63,21 @@
     """
     config = await client.config()
     diff = diff_configs(config, change_config(config, change))
-    return PlannedChange(change, config.revision, diff)
+    return PlannedChange(change, config.revision, diff, notes_on(config, change))
+
+
+def notes_on(config: FleetConfig, change: Change) -> tuple[str, ...]:
+    """Return what is allowed by contract or replaced by a version, but not declared."""
+    versions = config.version_by_id
+    match change:
+        case SetContract(contract=contract):
+            declared = versions.keys() | {version.model for version in versions.values()}
+            missing = [name for name in contract.allowed if name not in declared]
+            return tuple(f"allowed names {name}, which is not declared yet" for name in missing)
+        case SetVersion(version=version) if version.replaces:
+            if version.replaces not in versions:
+                return (f"replaces names {version.replaces}, which is not declared",)
+    return ()
 
 
 async def commit_change(
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -6,7 +6,8 @@
 
 from comfreyhatch.adapters.operator_http import OperatorClient
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.domain.change import SetZone
+from comfreyhatch.domain.change import SetContract, SetVersion, SetZone
+from comfreyhatch.domain.contract import Contract
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.version import Version
 from comfreyhatch.errors import ComfreyhatchError, ConflictError, PeerError
@@ -16,6 +17,7 @@
     await_in_force,
     commit_change,
     diff_configs,
+    notes_on,
 )
 from comfreyhatch.ports.operators import Edit, InForce
 
@@ -88,3 +90,12 @@
     assert (diff == ()) == (old == new and price == 1)
     swapped = [("+" if line[0] == "-" else "-") + line[1:] for line in diff]
     assert sorted(swapped) == sorted(diff_configs(second, first))
+
+
+def test_names_that_are_not_declared_are_noted() -> None:
+    config = FleetConfig(version_by_id={"m@1": Version("m", "1", 1, 1)})
+    contract = Contract("c", allowed=("m", "m@1", "m@2", "n"))
+    notes = notes_on(config, SetContract(contract))
+    assert [note.split()[2] for note in notes] == ["m@2,", "n,"]
+    assert notes_on(config, SetVersion(Version("m", "3", 1, 1, replaces="m@1"))) == ()
+    assert "m@2" in notes_on(config, SetVersion(Version("m", "3", 1, 1, replaces="m@2")))[0]
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -6,9 +6,12 @@
 from pathlib import Path
 from threading import Thread
 from typing import Any
+from urllib.parse import quote, urlencode
 
 import pytest
 from click.testing import Result
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from msgspec.json import decode
 from typer.main import get_command
 from typer.testing import CliRunner
@@ -272,3 +275,51 @@
     assert command("contract", "example").output == contract_example()
     key = decode(command("contract", "new-key", "--json").output)
     assert len(key["digest"]) == 64 and key["key"] not in key["digest"]
+
+
+@pytest.mark.parametrize(
+    "target",
+    [
+        "/bills?since=0",
+        "/records?since=nan",
+        "/burn/stored?from=-inf",
+        "/burn/stored?to=1e300",
+        "/config?revision=" + "9" * 5000,
+    ],
+)
+def test_parameter_out_of_bounds_is_refused(fleet: FleetThread, target: str) -> None:
+    async def status() -> int:
+        client = HttpClient()
+        address = fleet.fleet.addresses_by_id["entry-a0"].operators
+        reply = await client.request(address, "GET", target, timeout_s=20)
+        client.close()
+        return reply.status
+
+    assert fleet.run(status()) == 400
+
+
+@settings(max_examples=60)
+@given(
+    path=st.sampled_from(
+        ["/bills", "/records", "/burn/stored", "/config", "/config/history", "/config/in-force"]
+    ),
+    name=st.sampled_from(["since", "from", "to", "revision", "after", "limit"]),
+    value=st.one_of(st.text(max_size=8), st.floats().map(str), st.integers().map(str)),
+    body=st.binary(max_size=40),
+)
+def test_no_parameter_and_no_body_makes_the_operators_port_fail(
+    fleet: FleetThread, path: str, name: str, value: str, body: bytes
+) -> None:
+    target = f"{path}?{urlencode({name: value.encode('utf-8', 'replace')})}"
+
+    async def statuses() -> list[int]:
+        client = HttpClient()
+        address = fleet.fleet.addresses_by_id["entry-a0"].operators
+        read = await client.request(address, "GET", target)
+        change = await client.request(address, "POST", "/changes", body)
+        explained = await client.request(address, "GET", "/explain/" + quote(value, safe=""))
+        client.close()
+        return [read.status, change.status, explained.status]
+
+    read, change, explained = fleet.run(statuses())
+    assert read in (200, 400, 404) and change == 400 and explained in (400, 404)
