Refuse forwarded requests that are replayed, redirected or old

The signature of a forwarded request covered its hop and body only: whoever saw one could send it again, also to another daemon or path, and it ran again.

Forwarding has tests of its own: passed on to a holder once, refusals that keep whether the work ran over each hop, and forged work of each kind.

--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -277,6 +277,7 @@
         self._operator_server = HttpServer(operators.handle, HttpLimits())
         forwarded = ForwardedWork(dispatcher, keys, onward)
         forwarded.run_minted = services.run_minted
+        self._forwarded = forwarded
         self._peer_server = HttpServer(forwarded.handle, HttpLimits())
         self.shutdown = Shutdown(
             settings.shutdown,
@@ -302,6 +303,7 @@
         """Start the listeners and the tasks; returns when they run."""
         settings = self._settings
         peers_http = await self._peer_server.start(settings.peers.host, settings.peers.http_port)
+        self._forwarded.address = peers_http
         control = await self.bus.start(settings.peers.host, settings.peers.control_port)
         self.membership.set_addresses(control, peers_http)
         self.directory.announce_as(peers_http, control)
--- a/comfreyhatch/daemon/forwarding.py
+++ b/comfreyhatch/daemon/forwarding.py
@@ -5,6 +5,8 @@
 from contextlib import _AsyncGeneratorContextManager, aclosing
 from hashlib import sha256
 from random import Random
+from secrets import token_hex
+from time import time
 
 from msgspec import Struct, ValidationError
 from msgspec.json import decode, encode
@@ -20,6 +22,7 @@
 )
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.daemon.dispatcher import Dispatcher
+from comfreyhatch.decisions.replay import SeenStamps
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.instance import Address, Instance, Role
 from comfreyhatch.errors import BackendError, ComfreyhatchError, PeerError, RequestError
@@ -28,6 +31,7 @@
 
 SIGNATURE_HEADER = "x-fleet-signature"
 HOP_HEADER = "x-fleet-hop"
+STAMP_HEADER = "x-fleet-stamp"
 MAX_HOPS = 2
 CALL_PATH = "/call"
 MINTED_PATH = "/minted"
@@ -61,9 +65,31 @@
     message: str = ""
 
 
-def sign(key: bytes, hop: str, body: bytes) -> str:
-    """Return the signature of a forwarded request's hop number and body."""
-    return hmac.new(key, hop.encode() + b"\n" + body, sha256).hexdigest()
+class Envelope(Struct, frozen=True):
+    """What is signed along with the body of a forwarded request.
+
+    Attributes:
+        recipient: Address that it is sent to.
+        path: Path that it is sent to.
+        hop: How often it has been forwarded, this time included.
+        stamp: Time and random word that make it unique.
+    """
+
+    recipient: str
+    path: str
+    hop: str
+    stamp: str
+
+
+def sign(key: bytes, envelope: Envelope, body: bytes) -> str:
+    """Return the signature of a forwarded request."""
+    words = (envelope.recipient, envelope.path, envelope.hop, envelope.stamp)
+    return hmac.new(key, "\n".join(words).encode() + b"\n" + body, sha256).hexdigest()
+
+
+def new_stamp() -> str:
+    """Return a stamp that no other request has."""
+    return f"{int(time() * 1000)}.{token_hex(8)}"
 
 
 class SigningClient(HttpClient):
@@ -87,10 +113,12 @@
         fresh_connection: bool = False,
     ) -> _AsyncGeneratorContextManager[StreamedReply, None]:
         """Send a signed request and give its answer piece by piece."""
+        envelope = Envelope(str(address), target, self._hop, new_stamp())
         headers = {
             **(header_by_name or {}),
             HOP_HEADER: self._hop,
-            SIGNATURE_HEADER: sign(self._key, self._hop, body),
+            STAMP_HEADER: envelope.stamp,
+            SIGNATURE_HEADER: sign(self._key, envelope, body),
         }
         return super().stream(address, method, target, body, headers, timeout_s, fresh_connection)
 
@@ -192,19 +220,26 @@
             dispatcher: Calls the endpoints of this zone.
             keys: Fleet keys that are accepted.
             onward: Forwards to the zone's holders what this daemon has no share for.
+
+        The address of the listener has to be set before it is known to others.
         """
         self._dispatcher = dispatcher
         self._keys = keys
         self._onward = onward
+        self.address = Address("", 0)
+        self._stamps = SeenStamps()
         self.run_minted: Callable[[ForwardedMinted], Awaitable[ServiceAnswer]] | None = None
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer a forwarded request; one with a wrong signature is refused."""
-        hop = request.header(HOP_HEADER)
+        """Answer a forwarded request; one that is forged, replayed or too old is refused."""
+        hop, stamp = request.header(HOP_HEADER), request.header(STAMP_HEADER)
+        envelope = Envelope(str(self.address), request.path, hop, stamp)
         signature = request.header(SIGNATURE_HEADER).encode()
-        expected = [sign(key, hop, request.body).encode() for key in self._keys]
+        expected = [sign(key, envelope, request.body).encode() for key in self._keys]
         if not any(hmac.compare_digest(signature, each) for each in expected):
             return error_response(PeerError("the signature is wrong"))
+        if not self._stamps.accept(stamp, time()):
+            return error_response(PeerError("the request was seen before or is too old"))
         last = not hop.isdecimal() or int(hop) >= MAX_HOPS
         try:
             if request.path == GENERATE_PATH:
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,192 @@
+"""Forwarded requests: authenticated, passed on once at most, refused as they were refused."""
+
+from collections.abc import AsyncGenerator, AsyncIterator
+from random import Random
+from typing import Any
+
+import pytest
+from msgspec.json import decode, encode
+
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_server import HttpServer
+from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.daemon.forwarding import (
+    GENERATE_PATH,
+    HOP_HEADER,
+    MAX_HOPS,
+    SIGNATURE_HEADER,
+    STAMP_HEADER,
+    Envelope,
+    ForwardedWork,
+    Forwarder,
+    new_stamp,
+    sign,
+)
+from comfreyhatch.domain.fleet import FleetConfig
+from comfreyhatch.domain.instance import Address
+from comfreyhatch.domain.request import ChatMessage
+from comfreyhatch.errors import BackendError, RefusedError
+from comfreyhatch.ports.engine import Chunk, GenerateRequest, Served, ServiceAnswer, ServiceRequest
+from comfreyhatch.ports.peers import Member, View
+
+KEY = b"fleet key"
+REQUEST = GenerateRequest("r1", "coach@1", (ChatMessage("user", "hi"),), 2, 5)
+CALL = ServiceRequest("r2", "POST", "/deposits", b"{}")
+
+
+class FakeDispatcher:
+    """A daemon's dispatcher; `served` names what it ran itself."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.share = True
+        self.zone_holders: set[str] = set()
+        self.served: list[str] = []
+        self.error: Exception | None = None
+
+    def config(self) -> FleetConfig:
+        return FleetConfig()
+
+    def has_share(self, wanted: str, config: FleetConfig) -> bool:
+        return self.share
+
+    def holders(self, wanted: str, config: FleetConfig) -> set[str]:
+        return self.zone_holders
+
+    async def generate(self, request: GenerateRequest) -> AsyncGenerator[Chunk, None]:
+        self.take(request.request_id)
+        yield Chunk(request.request_id, 0, ("a",))
+        yield Chunk(
+            request.request_id, 1, ("b",), "stop", served=Served("e", "a", self.name, "1/1")
+        )
+
+    async def call(
+        self, name: str, request: ServiceRequest, timeout_s: float
+    ) -> tuple[ServiceAnswer, Served]:
+        self.take(request.request_id)
+        return ServiceAnswer(200, "text/plain", b"done"), Served("e", "a", self.name, "1/1")
+
+    def take(self, request_id: str) -> None:
+        if self.error:
+            raise self.error
+        self.served.append(request_id)
+
+
+class Daemons:
+    """Daemons of one zone with their listeners for forwarded work."""
+
+    def __init__(self) -> None:
+        self.dispatcher_by_id: dict[str, FakeDispatcher] = {}
+        self.member_by_id: dict[str, Member] = {}
+        self.servers: list[HttpServer] = []
+
+    def forwarder(self, name: str, hop: int) -> Forwarder:
+        return Forwarder(name, "a", KEY, lambda: View(self.member_by_id), Random(1), hop=hop)
+
+    async def start(self, name: str) -> None:
+        dispatcher: Any = FakeDispatcher(name)
+        work = ForwardedWork(dispatcher, (KEY,), self.forwarder(name, MAX_HOPS))
+        server = HttpServer(work.handle)
+        address = work.address = await server.start("127.0.0.1", 0)
+        self.servers.append(server)
+        self.dispatcher_by_id[name] = dispatcher
+        self.member_by_id[name] = Member(name, "1", "a", address, address)
+
+
+@pytest.fixture
+async def daemons() -> AsyncIterator[Daemons]:
+    daemons = Daemons()
+    for name in ("x", "y"):
+        await daemons.start(name)
+    yield daemons
+    for server in daemons.servers:
+        await server.stop(0.1)
+
+
+async def generate(daemons: Daemons, hop: int) -> str:
+    """Send a request to x and return the daemon that served it."""
+    open_answer = daemons.forwarder("caller", hop).opener(daemons.member_by_id["x"])
+    chunks = [chunk async for chunk in open_answer(REQUEST)]
+    assert "".join(token for chunk in chunks for token in chunk.tokens) == "ab"
+    assert chunks[-1].served
+    return chunks[-1].served.dispatcher
+
+
+async def test_work_goes_on_to_a_holder_once_and_no_further(daemons: Daemons) -> None:
+    x, y = daemons.dispatcher_by_id.values()
+    assert await generate(daemons, hop=1) == "x"
+    x.share, x.zone_holders = False, {"y"}
+    y.share, y.zone_holders = False, {"x"}
+    assert await generate(daemons, hop=1) == "y"
+    assert await generate(daemons, hop=MAX_HOPS) == "x"
+    answer, served = await daemons.forwarder("caller", 1).call(
+        daemons.member_by_id["x"], "booking", CALL, 5.0
+    )
+    assert (answer.body, served and served.dispatcher, y.served[-1]) == (b"done", "y", "r2")
+
+
+@pytest.mark.parametrize(
+    ("error", "ran"),
+    [
+        (RefusedError("full"), Ran.NO),
+        (BackendError("failed"), Ran.UNKNOWN),
+        (BackendError("refused", ResultCode.ENDPOINT_REFUSED, Ran.NO), Ran.NO),
+    ],
+)
+@pytest.mark.parametrize("share", [True, False])
+async def test_refusal_says_whether_it_ran_over_each_hop(
+    daemons: Daemons, error: Exception, ran: Ran, share: bool
+) -> None:
+    x, y = daemons.dispatcher_by_id.values()
+    x.share, x.zone_holders = share, {"y"}
+    x.error = y.error = error
+    forwarder = daemons.forwarder("caller", 1)
+    with pytest.raises(BackendError) as caught:
+        await forwarder.call(daemons.member_by_id["x"], "booking", CALL, 5.0)
+    assert caught.value.ran is ran
+    with pytest.raises(BackendError) as caught:
+        await generate(daemons, hop=1)
+    assert caught.value.ran is ran
+
+
+@pytest.mark.parametrize(
+    "forged", ["key", "body", "hop", "path", "recipient", "stamp", "old", "none"]
+)
+async def test_forged_work_is_refused_and_not_run(daemons: Daemons, forged: str) -> None:
+    address, body = daemons.member_by_id["x"].http, encode(REQUEST)
+    envelope = Envelope(
+        str(daemons.member_by_id["y"].http if forged == "recipient" else address),
+        "/call" if forged == "path" else GENERATE_PATH,
+        "2" if forged == "hop" else "1",
+        new_stamp() if forged != "old" else "1000000.abc",
+    )
+    signature = sign(b"other key" if forged == "key" else KEY, envelope, body)
+    headers = {
+        HOP_HEADER: "1",
+        STAMP_HEADER: new_stamp() if forged == "stamp" else envelope.stamp,
+        SIGNATURE_HEADER: "" if forged == "none" else signature,
+    }
+    sent = body.replace(b"r1", b"r9") if forged == "body" else body
+    assert await post(address, sent, headers) == ResultCode.PEER_REFUSED
+    assert daemons.dispatcher_by_id["x"].served == []
+
+
+async def test_replayed_work_is_refused_and_runs_once(daemons: Daemons) -> None:
+    address, body = daemons.member_by_id["x"].http, encode(REQUEST)
+    envelope = Envelope(str(address), GENERATE_PATH, "1", new_stamp())
+    headers = {
+        HOP_HEADER: "1",
+        STAMP_HEADER: envelope.stamp,
+        SIGNATURE_HEADER: sign(KEY, envelope, body),
+    }
+    assert await post(address, body, headers) == ResultCode.OK
+    assert await post(address, body, headers) == ResultCode.PEER_REFUSED
+    assert daemons.dispatcher_by_id["x"].served == ["r1"]
+
+
+async def post(address: Address, body: bytes, headers: dict[str, str]) -> int:
+    """Send raw forwarded work and return the result code."""
+    client = HttpClient()
+    reply = await client.request(address, "POST", GENERATE_PATH, body, headers)
+    client.close()
+    return 0 if reply.status == 200 else int(decode(reply.body)["error"]["code"])
--- /dev/null
+++ b/tests/test_replay.py
@@ -0,0 +1,42 @@
+"""Stamps are accepted once, while they are fresh, in bounded memory."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from comfreyhatch.decisions.replay import MAX_AGE_S, SeenStamps
+
+NOW = 1_000_000.0
+
+
+def stamp(at: float, word: str = "w") -> str:
+    return f"{int(at * 1000)}.{word}"
+
+
+@given(st.lists(st.tuples(st.floats(0, 20), st.floats(-40, 40), st.sampled_from("abc"))))
+def test_no_stamp_is_accepted_twice_and_none_that_is_not_fresh(
+    events: list[tuple[float, float, str]],
+) -> None:
+    stamps, now, accepted = SeenStamps(), NOW, set()
+    sent: list[str] = []
+    for step, age, word in events:
+        now += step
+        sent.append(stamp(now - age, word))
+        for each in sent:
+            fresh = abs(now - int(each.split(".")[0]) / 1000) <= MAX_AGE_S
+            taken = stamps.accept(each, now)
+            assert taken == (fresh and each not in accepted)
+            if taken:
+                accepted.add(each)
+
+
+@pytest.mark.parametrize("text", ["", "12", "x.y", f"{int(NOW * 1000)}.", stamp(NOW, "w" * 99)])
+def test_malformed_stamps_are_refused(text: str) -> None:
+    assert not SeenStamps().accept(text, NOW)
+
+
+def test_memory_is_bounded_and_freed_by_age() -> None:
+    stamps = SeenStamps(limit=2)
+    assert [stamps.accept(stamp(NOW, word), NOW) for word in "abc"] == [True, True, False]
+    later = NOW + 2 * MAX_AGE_S + 1
+    assert stamps.accept(stamp(later, "c"), later)
