--- a/tests/promises.feature
+++ b/tests/promises.feature
@@ -60,3 +60,9 @@
     When two operators make 10 changes each at different daemons
     Then every accepted change is in force at every daemon within 4 seconds
     And no daemon's revision has ever gone back
+
+  Scenario: A session keeps its version
+    Given a fleet in which 40 sessions have begun on "coach-small"
+    When "coach-small@2" is rolled out to half and then to all new sessions
+    And every daemon is replaced by a new one
+    Then each session with its token still runs on its first version
