--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -177,7 +177,7 @@
             lambda: self.membership.view,
             self.bus,
         )
-        dispatcher = Dispatcher(
+        self.dispatcher = dispatcher = Dispatcher(
             own.id,
             self.pool,
             engine,
--- a/comfreyhatch/daemon/dispatcher.py
+++ b/comfreyhatch/daemon/dispatcher.py
@@ -96,6 +96,7 @@
         try:
             config = await self._admit(Use(request.version_id, request.pinned))
             self._check(config, request.version_id)
+            check_contract(config, request.customer, request.version_id)
             with self._slot(request.version_id, config, request.session) as slot:
                 async with aclosing(self._run(slot, request, deadline)) as chunks:
                     async for chunk in chunks:
@@ -338,6 +339,19 @@
         raise RefusedError(f"version {version_id} is withdrawn", ResultCode.VERSION_WITHDRAWN)
 
 
+def check_contract(config: FleetConfig, customer: str, version_id: str) -> None:
+    """Refuse a version that the customer's contract does not allow, or no longer.
+
+    Raises:
+        RefusedError: If there is no contract or it does not allow the version.
+    """
+    contract = config.contract_by_customer.get(customer)
+    if contract is None or not contract.allows(version_id.partition("@")[0], version_id):
+        raise RefusedError(
+            f"the contract of {customer!r} does not allow {version_id}", ResultCode.NOT_ALLOWED
+        )
+
+
 def speaks_against_endpoint(error: ComfreyhatchError) -> bool:
     """Return whether an error opens the endpoint's circuit; being full does not."""
     return error.code is not ResultCode.ENDPOINT_REFUSED
--- a/comfreyhatch/daemon/router.py
+++ b/comfreyhatch/daemon/router.py
@@ -345,5 +345,6 @@
         priority=call.priority,
         session=call.session,
         pinned=call.pinned,
+        customer=call.customer,
         deadline_s=call.deadline - now,
     )
--- a/comfreyhatch/ports/engine.py
+++ b/comfreyhatch/ports/engine.py
@@ -45,6 +45,7 @@
         resume_offset: First token wanted, when an answer is resumed.
         deadline_s: Time left, in seconds.
         pinned: Whether the session is on the version already.
+        customer: Whose contract has to allow the version at the dispatch.
     """
 
     request_id: str
@@ -56,6 +57,7 @@
     resume_offset: int = 0
     deadline_s: float = 30.0
     pinned: bool = False
+    customer: str = ""
 
 
 class Served(Struct, frozen=True):
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -5,12 +5,16 @@
 
 import pytest
 from msgspec.json import decode
+from msgspec.structs import replace
 
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply
-from comfreyhatch.codes import ResultCode
+from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.domain.change import SetContract
+from comfreyhatch.domain.request import ChatMessage
 from comfreyhatch.errors import RefusedError
+from comfreyhatch.ports.engine import GenerateRequest
 from comfreyhatch.standins.engine import EngineStandin
-from comfreyhatch.standins.fleet import API_KEY, LARGE, SMALL, FleetPlan, LocalFleet
+from comfreyhatch.standins.fleet import API_KEY, CONTRACT, LARGE, SMALL, FleetPlan, LocalFleet
 from comfreyhatch.standins.text import token
 from tests.calls import book, chat, content, error_of
 
@@ -162,3 +166,33 @@
     assert len(sent) == 3 and reply.status == 502
     assert error_of(reply)["ran"] == "unknown"
     assert sum(engine.witness.run_count_by_id.values()) == 1
+
+
+async def test_a_contract_changed_while_a_request_waits_binds_at_the_dispatch(
+    fleet: LocalFleet, engine: EngineStandin
+) -> None:
+    daemon = fleet.daemon_by_id["entry-a0"]
+
+    def request(number: int, tokens: int) -> GenerateRequest:
+        messages = (ChatMessage("user", "q"),)
+        return GenerateRequest(
+            f"r-{number}", SMALL.version_id, messages, tokens, 5, customer=CONTRACT.customer
+        )
+
+    async def run(number: int, tokens: int) -> None:
+        async for _ in daemon.dispatcher.generate(request(number, tokens)):
+            pass
+
+    running: list[asyncio.Task[None]] = []
+    while daemon.dispatcher.free():
+        running.append(asyncio.create_task(run(len(running), 2000)))
+        await asyncio.sleep(0)
+    waiting = asyncio.create_task(run(9999, 1))
+    await fleet.apply(SetContract(replace(CONTRACT, allowed=(LARGE.model,))))
+    for task in running:
+        task.cancel()
+    await asyncio.gather(*running, return_exceptions=True)
+    with pytest.raises(RefusedError) as refusal:
+        await waiting
+    assert (refusal.value.code, refusal.value.ran) == (ResultCode.NOT_ALLOWED, Ran.NO)
+    assert running and "r-9999" not in engine.witness.run_count_by_id
--- a/tests/test_key_change.py
+++ b/tests/test_key_change.py
@@ -6,9 +6,10 @@
 import pytest
 from msgspec.json import decode
 
-from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_client import HttpClient, HttpReply
 from comfreyhatch.adapters.settings import FleetSettings, accepted_fleet_keys
 from comfreyhatch.daemon.daemon import Daemon
+from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import SettingsError
 from comfreyhatch.standins.fleet import FLEET_KEY, FleetPlan, LocalFleet
 from tests.calls import AUTHORIZATION, book, chat
@@ -16,6 +17,11 @@
 NEW_KEY = b"next key of the local fleet"
 
 
+async def pin_of(client: HttpClient, operators: Address, reply: HttpReply) -> str:
+    target = f"/explain/{reply.header_by_name['x-request-id']}"
+    return str(decode((await client.request(operators, "GET", target)).body)["pin"])
+
+
 def heard(one: Daemon, other: Daemon) -> bool:
     member = one.membership.view.member_by_id.get(other.membership.own.instance_id)
     return member is not None and member.incarnation == other.incarnation
@@ -37,6 +43,12 @@
             async with asyncio.timeout(20):
                 while (await chat(client, at["new"].callers)).status != 200:
                     await asyncio.sleep(0.05)
+            session = {"x-session": "s-1"}
+            first = await chat(client, at["old"].callers, session)
+            session["x-session-token"] = first.header_by_name["x-session-token"]
+            second = await chat(client, at["new"].callers, session)
+            assert second.header_by_name["x-version"] == first.header_by_name["x-version"]
+            assert await pin_of(client, at["new"].operators, second) == "token"
             minted = await client.request(
                 at["old"].callers, "POST", "/v1/keys", header_by_name=AUTHORIZATION
             )
@@ -44,8 +56,8 @@
             booked = await book(client, at["new"].callers, key)
             assert booked.status == 200, booked.body
             # The daemon that knows only the old key takes nothing signed with the new one.
-            first = fleet.daemon_by_id["entry-a0"]
-            await fleet.until(lambda: first.bus.count_by_event["unauthenticated"] > 0)
+            outside = fleet.daemon_by_id["entry-a0"]
+            await fleet.until(lambda: outside.bus.count_by_event["unauthenticated"] > 0)
         finally:
             client.close()
             await new.stop()
