Explore until a version is decided, and only below the cheapest proven one

Cause: a version that serves in cascades was no longer rated by itself, so its bound stayed under the objective and streams, which cannot cascade, ran on the default model. The weight of 80 for other customers' ratings also kept a version of 0.985 from ever reaching a bound of 0.95 (that takes about 130).

Callers that do not stream now get a rated cascade with the cheapest version that is undecided, at 0.7 of their requests, if it costs less than the cheapest version that is proven. The weight is 200.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -14,7 +14,7 @@
 from bench.policy_fleet import DEPLOYMENT_BY_NAME, PolicyFleet
 from bench.policy_load import Load, engine_alone
 from bench.policy_report import write_report
-from bench.policy_scenarios import DURATION_S, SCENARIO_BY_NAME, Marks
+from bench.policy_scenarios import SCENARIO_BY_NAME, Marks
 from comfreyhatch.domain.policy import PolicySettings
 
 POLICY_BY_NAME = {
@@ -42,7 +42,7 @@
         alone = await engine_alone(next(iter(fleet.engine_by_id.values())).instance)
         load = Load(deployment, seed, fleet.caller_addresses)
         script = asyncio.create_task(scenario.script(fleet, marks))
-        await load.run(DURATION_S, scenario.rate_factor)
+        await load.run(scenario.duration_s, scenario.rate_factor)
         script.cancel()
         await asyncio.gather(script, return_exceptions=True)
         records: dict[str, Any] = {}
--- a/bench/policy_scenarios.py
+++ b/bench/policy_scenarios.py
@@ -11,6 +11,7 @@
 from comfreyhatch.standins.engine import VersionFault
 
 DURATION_S = 24.0
+STEADY_S = 60.0
 BAD = VersionFault(quality=0.3)
 PEAK = 1.5
 
@@ -34,7 +35,7 @@
     name: str
     script: Script
     peak: bool = False
-    rolls_out: bool = False
+    duration_s: float = DURATION_S
 
     def rate_factor(self, at_s: float) -> float:
         """Return the factor on the rate of requests."""
@@ -116,13 +117,13 @@
 
 
 SCENARIOS = (
-    Scenario("steady", steady),
-    Scenario("bad-version", bad_version, rolls_out=True),
+    Scenario("steady", steady, duration_s=STEADY_S),
+    Scenario("bad-version", bad_version),
     Scenario("store-outage", store_outage),
     Scenario("cold-at-peak", cold_at_peak, peak=True),
     Scenario("zone-out-in", zone_out_in),
     Scenario("daemon-killed", daemon_killed),
-    Scenario("bad-version-in-outage", bad_version_in_outage, rolls_out=True),
+    Scenario("bad-version-in-outage", bad_version_in_outage),
     Scenario("zone-out-daemon-killed", zone_out_daemon_killed),
 )
 SCENARIO_BY_NAME = {scenario.name: scenario for scenario in SCENARIOS}
--- a/comfreyhatch/decisions/plan.py
+++ b/comfreyhatch/decisions/plan.py
@@ -10,6 +10,8 @@
 from comfreyhatch.domain.version import Version, VersionState, cost_micros
 
 EXPLORATION_SHARE = 0.02
+RATED_EXPLORATION_SHARE = 0.7
+EXPLORED_SAMPLES = 200
 MIN_SAMPLES = 12
 DEADLINE_MARGIN = 0.8
 
@@ -194,24 +196,55 @@
 
 
 def _explore(query: PlanQuery, ordered: list[Option], rng: Random) -> Plan | None:
-    """Return a plan with the least known version for a small share of requests."""
-    unknown = [o for o in ordered if o.estimate.samples < MIN_SAMPLES]
-    if query.critical or not unknown or query.rating_s is None:
+    """Return a plan that has a version rated whose estimate does not decide yet.
+
+    Callers that do not stream get a cascade, whose answer is rated before delivery; of streams
+    only a small share is used.
+    """
+    if query.critical or query.rating_s is None:
         return None
     default = _default_option(query, ordered)
-    least = min(unknown, key=lambda o: (o.estimate.samples, o.version.version_id))
-    if least.version.version_id == default.version.version_id:
+    limit = _cheapest_proven(query, ordered)
+    open_options = [
+        o
+        for o in ordered
+        if o is not default and _cost(query, o) < limit and _undecided(query, o.estimate)
+    ]
+    if not open_options:
         return None
+    chosen = min(open_options, key=lambda o: (o.estimate.samples >= MIN_SAMPLES, _cost(query, o)))
     if not query.stream:
-        cascade = _cascade(query, least, default)
-        if _in_time(query, cascade):
+        known = chosen.estimate.samples >= MIN_SAMPLES
+        cascade = _cascade(query, chosen, default)
+        if _in_time(query, cascade) and not (known and rng.random() >= RATED_EXPLORATION_SHARE):
             return _plan(query, cascade, "exploration, rated before delivery", ordered)
     if rng.random() >= EXPLORATION_SHARE:
         return None
-    direct = _direct(query, least)
+    direct = _direct(query, chosen)
     return _plan(query, direct, "exploration", ordered) if _in_time(query, direct) else None
 
 
+def _cheapest_proven(query: PlanQuery, ordered: list[Option]) -> float:
+    """Return the cost of the cheapest version that is known to meet the target by itself."""
+    objective = query.contract.objectives.quality
+    return min(
+        (
+            _cost(query, option)
+            for option in ordered
+            if option.estimate.samples >= MIN_SAMPLES and option.estimate.lower >= objective
+        ),
+        default=float("inf"),
+    )
+
+
+def _undecided(query: PlanQuery, estimate: Estimate) -> bool:
+    """Return whether more ratings could show that a version meets the target by itself."""
+    if estimate.samples < MIN_SAMPLES:
+        return True
+    objective = query.contract.objectives.quality
+    return estimate.lower < objective <= estimate.upper and estimate.samples < EXPLORED_SAMPLES
+
+
 def _default_option(query: PlanQuery, ordered: list[Option]) -> Option:
     """Return the contract's default model, else the version of the highest prior."""
     for option in ordered:
--- a/comfreyhatch/decisions/quality.py
+++ b/comfreyhatch/decisions/quality.py
@@ -11,7 +11,7 @@
 MAX_ENTRIES = 4096
 SAMPLE_SHARE = 0.1
 EARLY_SAMPLES = 60
-COMMON_WEIGHT = 80.0
+COMMON_WEIGHT = 200.0
 MIN_COUNT = 1e-6
 
 
@@ -81,6 +81,7 @@
         samples: Ratings behind it.
         share: Estimated share of answers at the quality target.
         lower: Lower confidence bound of the share; 0 without ratings.
+        upper: Upper confidence bound of the share; 1 without ratings.
         mean: Mean rating; None without ratings.
     """
 
@@ -88,6 +89,7 @@
     share: float = 0.0
     lower: float = 0.0
     mean: float | None = None
+    upper: float = 1.0
 
 
 def lower_bound(hits: float, count: float, z: float = CONFIDENCE_Z) -> float:
@@ -172,8 +174,13 @@
         if own.count <= 0:
             return Estimate()
         hits = min(own.count, max(0.0, own.hits))
-        lower = lower_bound(hits, own.count)
-        return Estimate(own.count, hits / own.count, lower, own.total / own.count)
+        return Estimate(
+            own.count,
+            hits / own.count,
+            lower_bound(hits, own.count),
+            own.total / own.count,
+            1 - lower_bound(own.count - hits, own.count),
+        )
 
     def own_samples(self, key: QualityKey) -> float:
         """Return the ratings of this customer's answers alone."""
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -27,7 +27,8 @@
 
 
 def option(model: str, price: int, lower: float, samples: float = KNOWN) -> Option:
-    estimate = Estimate(samples, min(1.0, lower + 0.02), lower, 0.8) if samples else Estimate()
+    share = min(1.0, lower + 0.02)
+    estimate = Estimate(samples, share, lower, 0.8, share) if samples else Estimate()
     return Option(Version(model, "1", price, price), estimate, Timing(0.3, 2.0))
 
 
@@ -86,6 +87,25 @@
         assert steps(query(stream=True), options[0], enough, seed=seed) == ("large@1",)
 
 
+def test_version_that_may_meet_the_target_is_rated_on_until_that_is_decided() -> None:
+    large, small = option("large", 100, 0.97), option("small", 10, 0.7)
+    undecided = Option(
+        Version("middle", "1", 30, 30), Estimate(50, 0.96, 0.88, 0.9, 0.99), Timing(0.3, 2.0)
+    )
+    whole = [steps(query(), large, small, undecided, seed=s) for s in range(300)]
+    assert 150 < whole.count(("middle@1", "large@1")) < 270
+    streams = [steps(query(stream=True), large, small, undecided, seed=s) for s in range(300)]
+    assert streams.count(("middle@1",)) < 20
+    critical = [steps(query(critical=True), large, small, undecided, seed=s) for s in range(50)]
+    assert set(critical) == {("small@1", "middle@1")}
+
+
+def test_version_dearer_than_a_proven_one_is_not_explored() -> None:
+    options = option("large", 100, 0.97), option("small", 10, 0.96), option("middle", 30, 0, 0)
+    for seed in range(100):
+        assert steps(query(), *options, seed=seed) == ("small@1",)
+
+
 def test_baselines() -> None:
     options = option("large", 100, 0.97), option("small", 10, 0.2)
     assert steps(query(policy="cheapest"), *options) == ("small@1",)
@@ -128,7 +148,7 @@
         v.version_id for v in versions
     }
     options = [
-        Option(version, Estimate(samples, lower, lower, lower))
+        Option(version, Estimate(samples, lower, lower, lower, lower))
         for version, (lower, samples) in zip(usable, known, strict=False)
     ]
     plan = choose_plan(query(stream, contract=contract, policy=policy), options, Random(seed))
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -80,10 +80,10 @@
             book.add(QualityKey(f"c{number}", "plan", "coach-small@1"), 0.9, 0.8)
     newcomer = book.estimate(KEY)
     assert newcomer.samples == COMMON_WEIGHT and newcomer.lower > 0.95
-    for _ in range(80):
+    for _ in range(int(COMMON_WEIGHT)):
         book.add(KEY, 0.1, 0.8)
     assert book.estimate(KEY).share == 0.5
-    assert book.own_samples(KEY) == 80
+    assert book.own_samples(KEY) == COMMON_WEIGHT
     assert book.estimate(QualityKey("trackline", "chat", "coach-small@1")) == Estimate()
     assert book.estimate(QualityKey("trackline", "plan", "coach-small@1", 90)) == Estimate()
 
