Give the last tokens before the record of the request is stored

Cause: the whole last piece waited for the copies of the record, so that one token gap in seventeen was twice the engine's step: p50 25.8 ms, p95 47.9 ms in the steady scenario, while the loop itself was late by 2.5 ms at p99.

Ruled out: the loop (measured), the choice of endpoints (the same with uniform). Only the end of the answer waits now, so that no answer is whole to its caller before it is recorded, as before.

--- a/comfreyhatch/daemon/router.py
+++ b/comfreyhatch/daemon/router.py
@@ -99,6 +99,10 @@
                         draft.first_token_s = monotonic() - draft.started
                         await self._records.begun(draft.request_id)
                     if chunk.finish:
+                        # The last tokens need not wait; the end of the answer does.
+                        if chunk.tokens:
+                            yield _without_end(chunk)
+                            chunk = replace(chunk, tokens=(), offset=_end_of(chunk))
                         await self._store(draft, ResultCode.OK)
                         stored = True
                     yield chunk
@@ -334,6 +338,15 @@
         ]
 
 
+def _without_end(chunk: Chunk) -> Chunk:
+    """Return the tokens of the last piece of an answer without the mark of its end."""
+    return Chunk(chunk.request_id, chunk.offset, chunk.tokens)
+
+
+def _end_of(chunk: Chunk) -> int:
+    return chunk.offset + len(chunk.tokens)
+
+
 def _generate_request(
     call: ChatRequest, version: Version, run_id: str, now: float
 ) -> GenerateRequest:
--- /dev/null
+++ b/tests/test_last_tokens.py
@@ -0,0 +1,51 @@
+"""The last tokens of a stream come at once; its end waits for the record."""
+
+import asyncio
+
+from msgspec.json import encode
+
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.domain.record import RequestRecord
+from comfreyhatch.standins.fleet import FleetPlan, LocalFleet
+from comfreyhatch.standins.text import GOOD_WORDS, POOR_WORDS
+from tests.calls import AUTHORIZATION
+
+TOKENS = 6
+
+
+async def test_tokens_come_before_the_record_is_stored_and_the_end_after() -> None:
+    plan = FleetPlan(zones=("a",), engine_zones=("a",), service_zones=())
+    async with LocalFleet(plan) as fleet:
+        records = fleet.daemon_by_id["entry-a0"].records
+        commit, allowed = records.commit, asyncio.Event()
+
+        async def held_commit(record: RequestRecord) -> None:
+            await allowed.wait()
+            await commit(record)
+
+        records.commit = held_commit  # type: ignore[method-assign]
+        body = encode(
+            {
+                "messages": [{"role": "user", "content": "a question"}],
+                "max_tokens": TOKENS,
+                "stream": True,
+            }
+        )
+        client = HttpClient()
+        async with client.stream(
+            fleet.callers("entry-a0"), "POST", "/v1/chat/completions", body, AUTHORIZATION, 20
+        ) as reply:
+            text = ""
+            async for piece in reply.pieces(20):
+                text += piece.decode()
+                if count_words(text) == TOKENS and not allowed.is_set():
+                    assert "[DONE]" not in text and '"finish_reason":"length"' not in text
+                    allowed.set()
+        client.close()
+        assert allowed.is_set()
+        assert text.count('"finish_reason":"length"') == 1 and "[DONE]" in text
+        assert count_words(text) == TOKENS
+
+
+def count_words(text: str) -> int:
+    return sum(text.count(f"{word} ") for word in GOOD_WORDS + POOR_WORDS)
