--- a/comfreyhatch/daemon/router.py
+++ b/comfreyhatch/daemon/router.py
@@ -32,7 +32,7 @@
 from comfreyhatch.ports.engine import Chunk, GenerateRequest
 
 RETRY_AFTER_S = 1.0
-MAX_TRIES = 3
+MAX_TRIES = 6
 MAX_REPLANS = 2
 UNUSABLE_CODES = (
     ResultCode.NO_ENDPOINT,
