Say that a request may have run when only its last run was refused

Cause: a cascade whose first run broke off and whose second was refused told the caller "not run" with the refusal of the second. The error now says unknown if any attempt of the request may have run. Found by the test of a resumption that is held back once it met a cascade; the test now covers both the direct plan (three checks of freshness, as before) and the cascade (four).

--- a/comfreyhatch/daemon/router.py
+++ b/comfreyhatch/daemon/router.py
@@ -181,6 +181,9 @@
             except ComfreyhatchError as error:
                 unusable = error.code in UNUSABLE_CODES and error.ran is Ran.NO
                 if begun or call.kept or not unusable or len(excluded) >= MAX_REPLANS:
+                    if any(attempt.ran is not Ran.NO for attempt in draft.attempts):
+                        # An earlier run of the request may have run, whatever the last did.
+                        error.ran = Ran.YES if error.ran is Ran.YES else Ran.UNKNOWN
                     raise
                 excluded.add(draft.served_version)
             finally:
