Go on with limits and roll-outs after a turn that failed

An error in one turn of the shares, of the polls or of the roll-outs ended the task for good. It is logged now, and the next turn comes. A roll-out's row that cannot be read is passed over; before, it held all roll-outs up.

Broken by hand, each seen to fail: the catch in both tasks of the pool, the passing over of the row.

--- a/comfreyhatch/daemon/endpoints.py
+++ b/comfreyhatch/daemon/endpoints.py
@@ -311,9 +311,15 @@
 
     async def _run_polls(self) -> None:
         while True:
-            await self.refresh()
+            await self._refresh_safely()
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    async def _refresh_safely(self) -> None:
+        try:
+            await self.refresh()
+        except Exception:
+            log.exception("event=endpoints_refresh_failed")
+
     def _load(self, endpoint: Instance, now: float) -> EndpointLoad:
         endpoint_id = endpoint.instance_id
         limit = self.loads.limit(endpoint_id, now)
--- a/comfreyhatch/daemon/rollout.py
+++ b/comfreyhatch/daemon/rollout.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from time import monotonic
 
-from msgspec import Struct
+from msgspec import DecodeError, Struct, ValidationError
 from msgspec.msgpack import decode, encode
 from msgspec.structs import replace
 
@@ -86,9 +86,10 @@
         return changed
 
     async def all(self) -> list[tuple[Rollout, Row]]:
-        """Return all roll-outs with their rows."""
+        """Return all roll-outs with their rows; a row that cannot be read is passed over."""
         rows = await self._table.scan(ROLLOUT_PREFIX)
-        return [(decode(row.value, type=Rollout), row) for row in rows]
+        found = [(_decoded(row), row) for row in rows]
+        return [(rollout, row) for rollout, row in found if rollout is not None]
 
     async def _write(self, row: Row | None, rollout: Rollout) -> None:
         key, value = ROLLOUT_PREFIX + rollout.model, encode(rollout)
@@ -150,12 +151,18 @@
         """Drive roll-outs until cancelled."""
         try:
             while True:
-                await self.tick()
+                await self._tick_safely()
                 await asyncio.sleep(TICK_S)
         finally:
             for task in self._task_by_model.values():
                 task.cancel()
 
+    async def _tick_safely(self) -> None:
+        try:
+            await self.tick()
+        except Exception:
+            log.exception("event=rollouts_tick_failed")
+
     async def tick(self) -> None:
         """Read the roll-outs, keep the leases, and begin the steps that are due."""
         if not self._is_candidate():
@@ -304,6 +311,14 @@
         return True
 
 
+def _decoded(row: Row) -> Rollout | None:
+    try:
+        return decode(row.value, type=Rollout)
+    except (DecodeError, ValidationError) as error:
+        log.error("event=rollout_unreadable key=%s reason=%r", row.key, str(error))
+        return None
+
+
 def replace_state(rollout: Rollout, halted: bool) -> Rollout:
     """Return a roll-out halted or going on."""
     return replace(rollout, state="halted" if halted else "running")
--- a/comfreyhatch/daemon/shares.py
+++ b/comfreyhatch/daemon/shares.py
@@ -93,9 +93,15 @@
     async def run(self) -> None:
         """Keep the shares until cancelled."""
         while True:
-            await self.tick()
+            await self._tick_safely()
             await asyncio.sleep(TICK_S)
 
+    async def _tick_safely(self) -> None:
+        try:
+            await self.tick()
+        except Exception:
+            log.exception("event=shares_tick_failed")
+
     async def tick(self) -> None:
         """Do what is due now."""
         now = self._clock()
--- a/tests/test_endpoint_pool.py
+++ b/tests/test_endpoint_pool.py
@@ -308,6 +308,24 @@
     assert holder.holders(VERSION, CONFIG, zone.now) == set()
 
 
+async def test_pool_goes_on_after_a_turn_that_failed(zone: Zone) -> None:
+    x = zone.pool_by_id["x"]
+    turns: list[str] = []
+
+    async def fail_once() -> None:
+        turns.append("turn")
+        if len(turns) < 3:
+            raise ZeroDivisionError
+
+    x.refresh = x.shares.tick = fail_once  # type: ignore[method-assign]
+    task = asyncio.create_task(x.run())
+    async with asyncio.timeout(20):
+        while len(turns) < 6:
+            await asyncio.sleep(0.01)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
 async def test_only_a_refused_connection_proves_an_end() -> None:
     server = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", 0)
     address = Address(*server.sockets[0].getsockname()[:2])
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -27,7 +27,7 @@
 from comfreyhatch.domain.instance import Address, Instance, Role
 from comfreyhatch.errors import BackendError, ConflictError, PlatformError, StaleFenceError
 from comfreyhatch.ports.engine import Order
-from comfreyhatch.ports.table import MemoryTable, Operation, WriteOutcome
+from comfreyhatch.ports.table import MemoryTable, Operation, Row, WriteOutcome
 from comfreyhatch.standins.engine import EngineStandin
 
 TIMES = LeaseTimes(lease_s=10.0, guard_s=2.0, longest_order_s=30.0)
@@ -316,6 +316,12 @@
     assert [change for change, _ in fleet.edits] == EDITS
 
 
+async def test_unreadable_row_holds_no_other_rollout_up(fleet: Fleet) -> None:
+    fleet.table.row_by_key["rollout/aaa"] = Row("rollout/aaa", b"not a roll-out", 1)
+    await fleet.drive(fleet.driver("a"), ticks=40)
+    assert (await fleet.rollout()).state == "finished"
+
+
 async def test_rate_of_the_weight_store_is_respected(fleet: Fleet) -> None:
     fleet.weights.grants = 1
     await fleet.drive(fleet.driver("a"), ticks=5)
