Name every daemon that does not answer

When no daemon could be reached, the command line named the last one only, so that a typing error in the first stayed unseen. Reporting only the last was put back once and seen to fail the test.

--- a/comfreyhatch/adapters/operator_http.py
+++ b/comfreyhatch/adapters/operator_http.py
@@ -146,19 +146,21 @@
         return found
 
     async def _ask(self, method: str, target: str, body: bytes = b"") -> HttpReply:
-        failure: ComfreyhatchError = _no_address()
+        failures: list[str] = []
         for address in self._addresses:
             try:
                 reply = await self._client.request(
                     address, method, target, body, timeout_s=OPERATOR_TIMEOUT_S
                 )
             except HttpError as error:
-                failure = PeerError(f"daemon {address}: {error}", ResultCode.PEER_TIMEOUT)
+                failures.append(f"daemon {address}: {error}")
                 continue
             if reply.status >= 300:
                 raise _error_of(reply, address)
             return reply
-        raise failure
+        if not failures:
+            raise _no_address()
+        raise PeerError("; ".join(failures), ResultCode.PEER_TIMEOUT)
 
 
 def _target(path: str, parameters: dict[str, object]) -> str:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -214,7 +214,9 @@
 
 
 def test_daemon_that_does_not_answer_is_passed_over(command: Command, fleet: FleetThread) -> None:
-    assert command("status", daemon="127.0.0.1:1").exit_code == Exit.UNREACHABLE
+    dead = command("status", daemon="127.0.0.1:1 127.0.0.1:2")
+    assert dead.exit_code == Exit.UNREACHABLE
+    assert "daemon 127.0.0.1:1:" in dead.stderr and "daemon 127.0.0.1:2:" in dead.stderr
     assert command("status", daemon="nowhere").exit_code == Exit.INVALID
     assert command("status", daemon="").exit_code == Exit.INVALID
     address = str(fleet.fleet.addresses_by_id["entry-a0"].operators)
