Offer a request again for a moment when every source is merely full

A request that was refused everywhere, with some source full and nothing run, is offered again after 0.1, 0.2, 0.4 and 0.8 s (with jitter) within its deadline; at most 64 requests wait so, the rest is refused at once. Latencies under 0.1 s are no jump. A daemon's refusal keeps its code. Ruled out: waiting in the gate of a daemon without slots, which would hold requests to their deadline where a cold endpoint leaves it none for good.

--- a/comfreyhatch/adapters/engine_http.py
+++ b/comfreyhatch/adapters/engine_http.py
@@ -11,7 +11,7 @@
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply, StreamedReply
 from comfreyhatch.adapters.http_server import JSON_TYPE
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.domain.instance import Instance
+from comfreyhatch.domain.instance import Instance, Role
 from comfreyhatch.errors import (
     AnswerBrokenError,
     BackendError,
@@ -52,6 +52,7 @@
 
     ran: str = "unknown"
     message: str = ""
+    code: int = 0
 
 
 class RefusalBody(Struct, frozen=True):
@@ -309,11 +310,21 @@
     except (DecodeError, ValidationError):
         detail = RefusalDetail()
     message = f"endpoint {endpoint.instance_id} answered {reply.status}: {detail.message}"
+    if detail.ran == Ran.NO.value and endpoint.role is Role.DAEMON:
+        code = _known_code(detail.code)
+        raise BackendRefusedError(message, code, retry_after_s=_retry_after(reply))
     if detail.ran == Ran.NO.value and reply.status in REFUSING_STATUSES:
         raise BackendRefusedError(message, retry_after_s=_retry_after(reply))
     raise BackendError(message)
 
 
+def _known_code(number: int) -> ResultCode:
+    try:
+        return ResultCode(number)
+    except ValueError:
+        return ResultCode.ENDPOINT_REFUSED
+
+
 def _retry_after(reply: HttpReply) -> float | None:
     text = reply.header_by_name.get("retry-after", "")
     return float(text) if text.isdecimal() else None
--- a/comfreyhatch/daemon/daemon.py
+++ b/comfreyhatch/daemon/daemon.py
@@ -212,7 +212,7 @@
             self._require_fresh,
             hop=MAX_HOPS,
         )
-        router = Router(
+        self.router = Router(
             dispatcher,
             forwarder,
             self.records,
@@ -230,7 +230,7 @@
         callers = CallerHandler(
             own.id,
             self.incarnation,
-            router,
+            self.router,
             services,
             lambda: self.keeper.config,
             self.keeper.latest,
--- a/comfreyhatch/daemon/router.py
+++ b/comfreyhatch/daemon/router.py
@@ -1,7 +1,7 @@
 """The path of a chat request: plan, dispatch or forward, record."""
 
 import logging
-from asyncio import CancelledError
+from asyncio import CancelledError, sleep
 from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 from random import Random
@@ -32,6 +32,10 @@
 from comfreyhatch.ports.engine import Chunk, GenerateRequest
 
 RETRY_AFTER_S = 1.0
+WAITS_S = (0.1, 0.2, 0.4, 0.8)
+MAX_WAITING = 64
+MAX_ASKED = 6
+WAITING_CODES = (ResultCode.OVERLOADED, ResultCode.NO_ENDPOINT)
 MAX_TRIES = 6
 MAX_REPLANS = 2
 UNUSABLE_CODES = (
@@ -52,6 +56,28 @@
     open: Callable[[GenerateRequest], AsyncGenerator[Chunk, None]]
 
 
+class Patience:
+    """Whether a request that was refused everywhere may be offered again a little later.
+
+    It may while nothing has run, some source was merely full, and its deadline allows: a daemon
+    that has just joined, or whose endpoints' limits fell, holds no slots for a moment.
+    """
+
+    def __init__(self, deadline: float) -> None:
+        self._deadline = deadline
+        self._full = False
+        self._final = False
+
+    def note(self, error: ComfreyhatchError) -> None:
+        """Take in how a source ended."""
+        self._full = self._full or error.code is ResultCode.OVERLOADED
+        self._final = self._final or error.code not in WAITING_CODES or error.ran is not Ran.NO
+
+    def may_wait(self, wait_s: float, now: float) -> bool:
+        """Return whether to offer the request again after a time."""
+        return self._full and not self._final and now + wait_s < self._deadline
+
+
 class Router:
     """Answers chat requests."""
 
@@ -72,6 +98,7 @@
         self._planner = planner
         self._learner = learner
         self._rng = rng
+        self.waiting = 0
         self._retries = RetryBudget()
         self._notes = MemberNotes()
         self._dispatcher = dispatcher
@@ -249,14 +276,15 @@
         self._retries.request_started()
         last: ComfreyhatchError | None = None
         tries = 0
-        for source in self._sources(version_id):
+        patience = Patience(call.deadline)
+        async for source in self._sources_in_time(version_id, patience):
             started = monotonic()
             if started >= call.deadline:
                 raise RefusedError("the deadline has passed", ResultCode.DEADLINE_EXCEEDED)
             if last and last.ran is not Ran.NO and not self._retries.take():
                 raise last
             if last and tries >= MAX_TRIES:
-                raise last
+                break
             request = _generate_request(call, version, run_id, started)
             trace = self._learner.trace(call, contract, version, started)
             try:
@@ -279,7 +307,8 @@
                     raise
                 self._notes.refused(source.name, version_id, error, monotonic())
                 last = more_telling(last, error)
-                tries += error.code is not ResultCode.NO_ENDPOINT
+                patience.note(error)
+                tries += error.code not in WAITING_CODES
                 log.info(
                     "event=attempt_failed request=%s source=%s code=%d reason=%r; trying the next",
                     call.request_id,
@@ -323,6 +352,24 @@
         check_version(config, version_id)
         return config.version_by_id[version_id]
 
+    async def _sources_in_time(
+        self, version_id: str, patience: "Patience"
+    ) -> AsyncGenerator[Source, None]:
+        """Yield all sources, and again after a while if every one was merely full."""
+        for source in self._sources(version_id)[:MAX_ASKED]:
+            yield source
+        for wait_s in WAITS_S:
+            wait_s *= 0.5 + self._rng.random()
+            if not patience.may_wait(wait_s, monotonic()) or self.waiting >= MAX_WAITING:
+                return
+            self.waiting += 1
+            try:
+                await sleep(wait_s)
+            finally:
+                self.waiting -= 1
+            for source in self._sources(version_id)[:MAX_ASKED]:
+                yield source
+
     def _sources(self, version_id: str) -> list[Source]:
         """Return the local slots if any is free, else some peers first and then the local queue."""
         local = Source(LOCAL, self._dispatcher.generate)
--- a/comfreyhatch/decisions/cold_start.py
+++ b/comfreyhatch/decisions/cold_start.py
@@ -9,6 +9,7 @@
 
 REPORT_LIFE_S = 6.0
 LATENCY_JUMP = 4.0
+LATENCY_FLOOR_S = 0.1
 LATENCY_WEIGHT = 0.1
 MIN_LATENCY_SAMPLES = 8
 MAX_WINDOW = 4096.0
@@ -95,9 +96,9 @@
         return _halved(state, now)
     if first_token_s is None:
         return _grown(state, now)
-    jumped = state.samples >= MIN_LATENCY_SAMPLES and first_token_s > (
-        LATENCY_JUMP * state.latency_s
-    )
+    # Below the floor, the jitter of the daemon's own loop looks like a jump.
+    threshold_s = max(LATENCY_FLOOR_S, LATENCY_JUMP * state.latency_s)
+    jumped = state.samples >= MIN_LATENCY_SAMPLES and first_token_s > threshold_s
     measured = _with_latency(state, first_token_s)
     return _halved(measured, now) if jumped else _grown(measured, now)
 
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from comfreyhatch.decisions.cold_start import (
+    LATENCY_FLOOR_S,
     REPORT_LIFE_S,
     LimitState,
     SlotOutcome,
@@ -118,3 +119,9 @@
     fallen = after_peer_fall(state, 2, 1.0)
     assert limit_of(after_report(fallen, report(16), 1.5), 1.5) == 2
     assert after_peer_fall(fallen, 4, 2.0) is fallen
+
+
+def test_jitter_below_the_floor_is_no_jump_and_a_jump_above_it_is() -> None:
+    state = served(after_report(LimitState(), report(16), 0.0), 20, 0.0, first_token_s=0.005)
+    assert limit_of(served(state, 1, 0.0, first_token_s=LATENCY_FLOOR_S), 0.0) == 16
+    assert limit_of(served(state, 1, 0.0, first_token_s=2 * LATENCY_FLOOR_S), 0.0) == 8
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -7,8 +7,9 @@
 import pytest
 from msgspec.json import decode, encode
 
+from comfreyhatch.adapters.engine_http import HttpEngine
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.adapters.http_server import HttpServer
+from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse, HttpServer, error_response
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.daemon.forwarding import (
     GENERATE_PATH,
@@ -23,9 +24,9 @@
     sign,
 )
 from comfreyhatch.domain.fleet import FleetConfig
-from comfreyhatch.domain.instance import Address
+from comfreyhatch.domain.instance import Address, Instance, Role
 from comfreyhatch.domain.request import ChatMessage
-from comfreyhatch.errors import BackendError, RefusedError
+from comfreyhatch.errors import BackendError, BackendRefusedError, RefusedError
 from comfreyhatch.ports.engine import Chunk, GenerateRequest, Served, ServiceAnswer, ServiceRequest
 from comfreyhatch.ports.peers import Member, View
 
@@ -190,3 +191,18 @@
     reply = await client.request(address, "POST", GENERATE_PATH, body, headers)
     client.close()
     return 0 if reply.status == 200 else int(decode(reply.body)["error"]["code"])
+
+
+async def test_refusal_of_a_daemon_keeps_its_code() -> None:
+    async def handle(request: HttpRequest) -> HttpResponse:
+        return error_response(RefusedError("full", ResultCode.OVERLOADED, retry_after_s=2))
+
+    server = HttpServer(handle)
+    address = await server.start("127.0.0.1", 0)
+    daemon = Instance("entry-b", Role.DAEMON, "b", address)
+    request = GenerateRequest("r-1", "m@1", (), 4, 5)
+    with pytest.raises(BackendRefusedError) as caught:
+        _ = [chunk async for chunk in HttpEngine(HttpClient()).generate(daemon, request)]
+    assert (caught.value.code, caught.value.ran) == (ResultCode.OVERLOADED, Ran.NO)
+    assert caught.value.retry_after_s == 2
+    await server.stop(0)
