Split the callers' listener by what it parses, routes and writes

Two faults found on the way: the query of a call to a plain service was rebuilt from its decoded parameters, so that a repeated parameter (lane=4&lane=5) or an empty one was lost; it is passed on as sent. A task of any length was kept as a key of estimates; it is bounded to 64 characters.

--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -47,13 +47,23 @@
 
 
 class HttpRequest(Struct):
-    """A request; header names are in lower case."""
+    """A request; header names are in lower case.
+
+    Attributes:
+        method: HTTP method.
+        path: Path as sent.
+        query: Last value of each parameter of the query, decoded.
+        header_by_name: Headers.
+        body: Body.
+        raw_query: Query as sent.
+    """
 
     method: str
     path: str
     query: dict[str, str]
     header_by_name: dict[str, str]
     body: bytes = b""
+    raw_query: str = ""
 
     def header(self, name: str, default: str = "") -> str:
         """Return a header's value by its name in lower case."""
@@ -229,7 +239,7 @@
         if not await self._await_first_byte():
             return None
         body = bytearray()
-        async with _request_timeout(self._limits.header_timeout_s):
+        async with _RequestTimeout(self._limits.header_timeout_s):
             first = await self._next_event()
             if not isinstance(first, h11.Request):
                 return None
@@ -341,10 +351,11 @@
             name.decode("ascii"): value.decode("latin-1") for name, value in first.headers
         },
         body=body,
+        raw_query=target.query,
     )
 
 
-class _request_timeout:  # noqa: N801
+class _RequestTimeout:
     """Turns a timeout while a request is read into a refusal."""
 
     def __init__(self, timeout_s: float) -> None:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -12,7 +12,8 @@
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_server import HttpLimits, HttpRequest, HttpServer
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.daemon.callers import CHAT_PATH, CallerHandler, authenticate, parse_chat
+from comfreyhatch.daemon.caller_request import authenticate, parse_chat, service_request
+from comfreyhatch.daemon.callers import CHAT_PATH, CallerHandler
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.request import Priority, Usage
 from comfreyhatch.errors import RequestError
@@ -151,6 +152,8 @@
         (GOOD_BODY, {"x_deadline_s": "soon"}),
         (GOOD_BODY, {"x_deadline_s": "-1"}),
         (GOOD_BODY, {"x_deadline_s": "nan"}),
+        (GOOD_BODY, {"x_task": "t" * 65}),
+        (GOOD_BODY, {"x_session": "s" * 257}),
         (GOOD_BODY, {"x_priority": "10"}),
         (GOOD_BODY, {"x_priority": "\u00b2"}),
     ],
@@ -170,6 +173,12 @@
     assert authenticate(known, CONFIG) is CONTRACT
 
 
+def test_query_of_a_service_call_is_passed_on_as_sent() -> None:
+    raw = "lane=4&lane=5&note=&at=10%3A30+b"
+    sent = HttpRequest("GET", "/services/booking/slots", {}, {}, raw_query=raw)
+    assert service_request(sent, "r", "slots").path == f"/slots?{raw}"
+
+
 async def test_slow_caller_holds_the_answer_back(handler: CallerHandler) -> None:
     """A caller that does not read stops the source of its answer instead of filling memory."""
     produced = 0
