--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -9,7 +9,7 @@
 
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.domain.change import SetContract
+from comfreyhatch.domain.change import Change, SetContract, WithdrawVersion
 from comfreyhatch.domain.request import ChatMessage
 from comfreyhatch.errors import RefusedError
 from comfreyhatch.ports.engine import GenerateRequest
@@ -181,8 +181,15 @@
     assert sum(engine.witness.run_count_by_id.values()) == 1
 
 
-async def test_a_contract_changed_while_a_request_waits_binds_at_the_dispatch(
-    fleet: LocalFleet, engine: EngineStandin
+@pytest.mark.parametrize(
+    ("change", "code"),
+    [
+        (SetContract(replace(CONTRACT, allowed=(LARGE.model,))), ResultCode.NOT_ALLOWED),
+        (WithdrawVersion(SMALL.version_id), ResultCode.VERSION_WITHDRAWN),
+    ],
+)
+async def test_a_change_made_while_a_request_waits_binds_at_the_dispatch(
+    fleet: LocalFleet, engine: EngineStandin, change: Change, code: ResultCode
 ) -> None:
     daemon = fleet.daemon_by_id["entry-a0"]
 
@@ -201,11 +208,11 @@
         running.append(asyncio.create_task(run(len(running), 2000)))
         await asyncio.sleep(0)
     waiting = asyncio.create_task(run(9999, 1))
-    await fleet.apply(SetContract(replace(CONTRACT, allowed=(LARGE.model,))))
+    await fleet.apply(change)
     for task in running:
         task.cancel()
     await asyncio.gather(*running, return_exceptions=True)
     with pytest.raises(RefusedError) as refusal:
         await waiting
-    assert (refusal.value.code, refusal.value.ran) == (ResultCode.NOT_ALLOWED, Ran.NO)
+    assert (refusal.value.code, refusal.value.ran) == (code, Ran.NO)
     assert running and "r-9999" not in engine.witness.run_count_by_id
