--- a/tests/test_endpoint_pool.py
+++ b/tests/test_endpoint_pool.py
@@ -5,8 +5,10 @@
 from random import Random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from comfreyhatch.daemon.endpoints import SAMPLE, EndpointPool
+from comfreyhatch.daemon.endpoints import SAMPLE, EndpointPool, LeavingNotice
 from comfreyhatch.daemon.shares import refuses_connections
 from comfreyhatch.decisions.cold_start import REPORT_LIFE_S, SlotOutcome
 from comfreyhatch.decisions.shares import Peer
@@ -251,6 +253,28 @@
     assert names(CONFIG) == ["engine-1"] and x.acquire("engine-2", zone.now) is None
 
 
+@given(
+    out_zones=st.frozensets(st.sampled_from("ab")),
+    out=st.frozensets(st.sampled_from(["engine-1", "engine-2", "engine-3"])),
+    gone=st.frozensets(st.sampled_from(["engine-1", "engine-2"])),
+    told=st.frozensets(st.sampled_from(["engine-1", "engine-2"])),
+)
+async def test_no_candidate_is_out_of_service_gone_or_leaving(
+    out_zones: frozenset[str], out: frozenset[str], gone: frozenset[str], told: frozenset[str]
+) -> None:
+    zone = Zone()
+    pool = zone.start("x")
+    await zone.step(count=8)
+    for endpoint_id in gone:
+        zone.directory.remove(endpoint_id)
+    await pool._take_leaving("y", LeavingNotice(tuple(told)))
+    config = FleetConfig(out_zones=out_zones, out_endpoints=out)
+    names = {load.endpoint.instance_id for load in pool.candidates(VERSION, config, zone.now)}
+    expected = set() if "a" in out_zones else {"engine-1", "engine-2"} - out - gone - told
+    assert names == expected
+    assert pool.serves(VERSION, config) is bool(expected)
+
+
 async def test_leaving_endpoint_that_only_one_daemon_hears_of_gets_no_work_from_any(
     zone: Zone,
 ) -> None:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -4,6 +4,8 @@
 from collections.abc import AsyncIterator
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_server import (
@@ -152,3 +154,37 @@
     assert len(received) == 1
     client.close()
     server.close()
+
+
+@settings(max_examples=20)
+@given(delays_ms=st.lists(st.integers(0, 30), min_size=1, max_size=6), stop_ms=st.integers(0, 30))
+async def test_stop_lets_every_request_that_runs_end_whole(
+    delays_ms: list[int], stop_ms: int
+) -> None:
+    begun: set[str] = set()
+
+    async def answer_later(request: HttpRequest) -> HttpResponse:
+        begun.add(request.query["n"])
+        return HttpResponse(200, stream=slow_pieces(int(request.query["ms"])))
+
+    async def slow_pieces(delay_ms: int) -> AsyncIterator[bytes]:
+        yield b"begin "
+        await asyncio.sleep(delay_ms / 1000)
+        yield b"end"
+
+    async def call(number: int, delay_ms: int) -> str | None:
+        target = f"/?n={number}&ms={delay_ms}"
+        try:
+            reply = await HttpClient().request(address, "GET", target, timeout_s=20)
+        except HttpError:
+            return None
+        return reply.body.decode()
+
+    server = HttpServer(answer_later)
+    address = await server.start("127.0.0.1", 0)
+    calls = [asyncio.create_task(call(n, ms)) for n, ms in enumerate(delays_ms)]
+    await asyncio.sleep(stop_ms / 1000)
+    await server.stop(20.0)
+    answers = await asyncio.gather(*calls)
+    assert {str(n) for n, answer in enumerate(answers) if answer == "begin end"} == begun
+    assert all(answer in (None, "begin end") for answer in answers)
