Hold a roll-out without evidence, count requests, and split the daemon

Three things found while reading the composition of the daemon: - The driver of roll-outs grew a share unless the version was in quarantine; that missing evidence holds it was decided (growth_hindrance) but not asked. It is asked now.

--- /dev/null
+++ b/comfreyhatch/daemon/parts.py
@@ -0,0 +1,373 @@
+"""The parts of a daemon, and how they are put together."""
+
+import logging
+from random import Random
+from time import monotonic, time
+
+from prometheus_client import CollectorRegistry
+
+from comfreyhatch.adapters.engine_http import HttpEngine, HttpPlainService
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_server import HttpLimits, HttpServer
+from comfreyhatch.adapters.metrics import (
+    PeerMetrics,
+    RequestMetrics,
+    add_gauge,
+    add_process_metrics,
+)
+from comfreyhatch.adapters.objects_http import HttpObjectStore
+from comfreyhatch.adapters.peer_bus import NngBus
+from comfreyhatch.adapters.platform_http import HttpInstanceList, HttpRatingService, HttpWeightStore
+from comfreyhatch.adapters.settings import Settings
+from comfreyhatch.adapters.table_http import HttpTable
+from comfreyhatch.daemon.buddies import Buddies
+from comfreyhatch.daemon.budgets import Budgets
+from comfreyhatch.daemon.burn_book import BurnBook
+from comfreyhatch.daemon.callers import CallerHandler
+from comfreyhatch.daemon.changes import ChangeLog
+from comfreyhatch.daemon.claims import Claims
+from comfreyhatch.daemon.configuration import ConfigurationKeeper
+from comfreyhatch.daemon.directory import Directory
+from comfreyhatch.daemon.dispatcher import Dispatcher
+from comfreyhatch.daemon.editor import Editor
+from comfreyhatch.daemon.endpoints import EndpointPool
+from comfreyhatch.daemon.explanations import Explanations
+from comfreyhatch.daemon.fleet_state import FleetReporter
+from comfreyhatch.daemon.forwarding import MAX_HOPS, ForwardedWork, Forwarder
+from comfreyhatch.daemon.journal import Journal
+from comfreyhatch.daemon.learning import Learner
+from comfreyhatch.daemon.list_feed import ListFeed
+from comfreyhatch.daemon.membership import Membership
+from comfreyhatch.daemon.minted import MintedKeys
+from comfreyhatch.daemon.once import OnceRouter
+from comfreyhatch.daemon.operators import OperatorHandler
+from comfreyhatch.daemon.planner import Planner
+from comfreyhatch.daemon.quarantine import Quarantine
+from comfreyhatch.daemon.ratings import Ratings
+from comfreyhatch.daemon.records import RecordBook
+from comfreyhatch.daemon.rollout import ROLLOUT_PREFIX, RolloutBook, RolloutDriver
+from comfreyhatch.daemon.router import Router
+from comfreyhatch.daemon.segments import SegmentStore
+from comfreyhatch.daemon.services import ServiceRouter
+from comfreyhatch.daemon.sessions import Sessions
+from comfreyhatch.daemon.shutdown import Shutdown
+from comfreyhatch.decisions.configuration import Freshness
+from comfreyhatch.decisions.rendezvous import rendezvous_order
+from comfreyhatch.decisions.shares import Peer
+from comfreyhatch.domain.change import Change, WithdrawVersion
+from comfreyhatch.domain.fleet import FleetConfig
+from comfreyhatch.domain.instance import Address, Instance, Role
+from comfreyhatch.domain.record import RequestRecord
+from comfreyhatch.ports.peers import Member, View
+
+FLUSH_S = 3.0
+
+ROLLOUT_DRIVERS = 2
+
+log = logging.getLogger("comfreyhatch.daemon")
+
+
+class Parts:
+    """The parts of one entry instance, built and not started."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        key: bytes,
+        seed: int | None = None,
+        accepted_keys: tuple[bytes, ...] = (),
+    ) -> None:
+        """Build the parts.
+
+        Args:
+            settings: Its settings.
+            key: Fleet key, which signs.
+            seed: Seed of its random choices; None takes the settings'.
+            accepted_keys: Other fleet keys that are accepted.
+        """
+        own = settings.instance
+        self._settings = settings
+        self._key = key
+        self._keys = (key, *accepted_keys)
+        self._own_id = own.id
+        self.zone = own.zone
+        self.incarnation = f"{own.id}-{int(time() * 1000):x}"
+        self._rng = Random(seed if seed is not None else settings.policy.seed or None)
+        self._build_metrics()
+        self._build_outside()
+        self._build_control()
+        self._build_accounts()
+        self._build_policy()
+        self._build_paths()
+        self._build_operations()
+        self._build_shutdown()
+
+    def _view(self) -> View:
+        return self.membership.view
+
+    def _config(self) -> FleetConfig:
+        return self.changes.config
+
+    def _build_metrics(self) -> None:
+        self.registry = CollectorRegistry()
+        self.metrics = RequestMetrics(self.registry)
+        add_process_metrics(self.registry)
+        add_gauge(
+            self.registry,
+            "configuration_revision",
+            "Configuration revision in force.",
+            lambda: self.keeper.config.revision,
+        )
+        add_gauge(
+            self.registry,
+            "requests_waiting_for_slots",
+            "Requests that every source refused as full and that are offered again.",
+            lambda: self.router.waiting,
+        )
+
+    def _build_outside(self) -> None:
+        """Build the clients of platform and endpoints."""
+        platform = self._settings.platform
+        client = HttpClient()
+        work_client = HttpClient(self._require_fresh)
+        self._clients = (client, work_client)
+        self._engine = HttpEngine(client, work_client)
+        self._service = HttpPlainService(client, work_client)
+        self._table = HttpTable(client, platform.address, platform.timeout_s)
+        self._objects = HttpObjectStore(client, platform.address)
+        self._rating_service = HttpRatingService(client, platform.address)
+        self._weights = HttpWeightStore(client, platform.address)
+        self._instances = HttpInstanceList(client, platform.address)
+
+    def _build_control(self) -> None:
+        """Build membership, configuration and the endpoints' limits."""
+        nowhere = Address("", 0)
+        own = Instance(self._own_id, Role.DAEMON, self.zone, nowhere)
+        member = Member(self._own_id, self.incarnation, self.zone, nowhere, nowhere)
+        seeds = tuple(self._settings.peers.seed_addresses)
+        self.directory = Directory(self._instances, own)
+        self.bus = NngBus(self._own_id, self._keys)
+        PeerMetrics(self.registry, self.bus.count_by_event)
+        self.membership = Membership(self.bus, member, seeds, lambda: self.directory.members)
+        self.list_feed = ListFeed(self.directory, self.bus, self.membership)
+        changes = ChangeLog(self._table, self._objects)
+        self.keeper = ConfigurationKeeper(changes, self.bus, self.membership, rng=self._rng)
+        self.changes = Editor(changes, self.keeper, self.membership)
+        self.pool = EndpointPool(
+            self.directory,
+            self._view,
+            Peer(self._own_id, self.incarnation),
+            self.zone,
+            self._engine,
+            self._service,
+            self.bus,
+            self._settings.endpoints.orphan_hold_s,
+        )
+
+    def _build_accounts(self) -> None:
+        """Build what keeps records, bills, budgets and claims."""
+        self._segments = SegmentStore(self._objects, self._table)
+        self.journal = Journal(
+            self.bus,
+            self._view,
+            self._segments,
+            self._own_id,
+            self.zone,
+            self.incarnation,
+            self.registry,
+        )
+        self.buddies = Buddies(self.bus, self._view, self._segments, self._own_id, self.registry)
+        self.budgets = Budgets(
+            self._table, self.incarnation, lambda: len(self._view().member_by_id), self.registry
+        )
+        self.claims = Claims(self._table, self.bus, self._own_id, self.incarnation, self.registry)
+        self.minted = MintedKeys(
+            self._table, self._keys, self._own_id, self.incarnation, self.registry
+        )
+        self.records = RecordBook(self._observe, self.journal)
+
+    def _build_policy(self) -> None:
+        """Build what learns about versions and chooses among them."""
+        policy = self._settings.policy
+        self.quarantine = Quarantine(
+            self.incarnation,
+            self._own_id,
+            self._config,
+            self._view,
+            self.bus,
+            enabled=policy.quarantine,
+            withdraw=self._withdraw,
+        )
+        self.burn = BurnBook(
+            self._objects,
+            self.incarnation,
+            lambda: self._config().contract_by_customer,
+            self.quarantine.quarantined,
+        )
+        self.ratings = Ratings(
+            self._rating_service,
+            self.incarnation,
+            policy.ratings_per_s,
+            self._rng,
+            self._own_id,
+            self._view,
+            self.bus,
+        )
+        self.sessions = Sessions(
+            self._own_id,
+            self._keys,
+            self.bus,
+            self._view,
+            quarantined=self.quarantine.quarantined,
+        )
+        self.membership.on_change(self.sessions.view_changed)
+        self._planner = Planner(
+            self._config, self.ratings, self.quarantine, self._rng, policy.plans
+        )
+        self._learner = Learner(
+            self._planner, self.ratings, self.quarantine, self._rng, self.burn.observe_rating
+        )
+
+    def _build_paths(self) -> None:
+        """Build the paths of requests and the listeners of callers and peers."""
+        self.dispatcher = Dispatcher(
+            self._own_id,
+            self.pool,
+            self._engine,
+            self._service,
+            self.keeper.admit,
+            self._rng,
+            self._config,
+            self._settings.policy,
+            self.quarantine.quarantined,
+        )
+        forwarder = self._forwarder(hop=1)
+        self.router = Router(
+            self.dispatcher,
+            forwarder,
+            self.records,
+            self._config,
+            self._planner,
+            self._learner,
+            self._rng,
+            self.sessions,
+            self.budgets,
+        )
+        once = OnceRouter(self.claims, self.minted, forwarder, self._view)
+        services = ServiceRouter(
+            self.dispatcher, forwarder, self.records, self._config, self._rng, once
+        )
+        callers = CallerHandler(
+            self._own_id,
+            self.incarnation,
+            self.router,
+            services,
+            lambda: self.keeper.config,
+            self.keeper.latest,
+            lambda: self.keeper.ready,
+            self.minted.mint,
+        )
+        self._forwarded = ForwardedWork(self.dispatcher, self._keys, self._forwarder(hop=MAX_HOPS))
+        self._forwarded.run_minted = services.run_minted
+        self._caller_server = HttpServer(callers.handle, self._settings.limits)
+        self._peer_server = HttpServer(self._forwarded.handle, HttpLimits())
+
+    def _forwarder(self, hop: int) -> Forwarder:
+        return Forwarder(
+            self._own_id,
+            self.zone,
+            self._key,
+            self._view,
+            self._rng,
+            self._require_fresh,
+            hop=hop,
+        )
+
+    def _build_operations(self) -> None:
+        """Build the operators' listener and the driver of roll-outs."""
+        self.reporter = FleetReporter(
+            self._own_id,
+            self.zone,
+            self.changes,
+            self.membership,
+            self.directory,
+            self.pool,
+            self.ready,
+        )
+        self.reporter.quarantined = self.quarantine.quarantined
+        self.reporter.spent_by_customer = self.budgets.spent_by_customer
+        self.reporter.journal_lag = lambda: self.journal.lag
+        self.reporter.cut_off = lambda: self.keeper.freshness(monotonic()) is Freshness.CUT_OFF
+        explanations = Explanations(
+            self.bus,
+            self._view,
+            self._own_id,
+            self.records,
+            self.journal,
+            self.buddies,
+            self._segments,
+        )
+        operators = OperatorHandler(
+            self.changes,
+            explanations,
+            self.burn,
+            self.reporter,
+            self.registry,
+            self.ready,
+            RolloutBook(self._table),
+        )
+        self._operator_server = HttpServer(operators.handle, HttpLimits())
+        self.rollouts = RolloutDriver(
+            self.incarnation,
+            self._table,
+            self._weights,
+            self._engine,
+            lambda: self.directory.endpoint_by_id,
+            self._edit_for_rollout,
+            may_grow=self._may_grow,
+            is_candidate=self._drives_rollouts,
+        )
+
+    def _build_shutdown(self) -> None:
+        self.shutdown = Shutdown(
+            self._settings.shutdown,
+            self.membership,
+            self.directory,
+            (self._caller_server, self._peer_server),
+        )
+        self.shutdown.on_flush(self.pool.leave)
+        self.shutdown.on_flush(lambda: self.sessions.hand_over(leaving=True))
+        self.shutdown.on_flush(lambda: self.minted.close(FLUSH_S))
+        self.shutdown.on_flush(lambda: self.claims.drain(FLUSH_S))
+        self.shutdown.on_flush(self.budgets.return_unused)
+        self.shutdown.on_flush(lambda: self.journal.close(FLUSH_S))
+
+    def _observe(self, record: RequestRecord) -> None:
+        self.metrics.observe(record)
+        self.burn.observe(record)
+
+    def _may_grow(self, version_id: str) -> bool:
+        hindrance = self.quarantine.hindrance(version_id)
+        if hindrance:
+            log.info("event=roll_out_held version=%s reason=%r", version_id, hindrance)
+        return not hindrance
+
+    def ready(self) -> bool:
+        """Return whether the daemon may take requests."""
+        return self.keeper.ready and not self.shutdown.leaving
+
+    def _require_fresh(self) -> None:
+        self.keeper.require_fresh(monotonic())
+
+    def _drives_rollouts(self) -> bool:
+        members = self.membership.view.member_by_id.values()
+        names = [member.instance_id for member in members if not member.leaving]
+        drivers = rendezvous_order(ROLLOUT_PREFIX, names)[:ROLLOUT_DRIVERS]
+        return self._settings.instance.id in drivers
+
+    async def _edit_for_rollout(self, change: Change, edit_id: str) -> None:
+        await self.changes.apply(change, edit_id, self._settings.instance.id)
+
+    async def _withdraw(self, version_id: str, edit_id: str) -> None:
+        """Withdraw a version that failed its test."""
+        await self.changes.apply(WithdrawVersion(version_id), edit_id, self._settings.instance.id)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -107,3 +107,13 @@
 
 def _revision(daemon: object) -> int:
     return daemon.changes.config.revision  # type: ignore[attr-defined, no-any-return]
+
+
+async def test_metrics_count_what_was_answered(fleet: LocalFleet, client: HttpClient) -> None:
+    for _ in range(3):
+        assert (await chat(client, fleet.callers("entry-a0"))).status == 200
+    operators = fleet.addresses_by_id["entry-a0"].operators
+    text = (await client.request(operators, "GET", "/metrics")).body.decode()
+    assert 'comfreyhatch_requests_total{code="0",kind="chat"} 3.0' in text
+    assert "comfreyhatch_configuration_revision 3.0" in text
+    assert "process_resident_memory_bytes" in text
