Move the second offer out of the router, and the scenarios' world out of their steps

The decision whether a refused request is offered again is pure and stands with the other decisions now.

--- a/comfreyhatch/daemon/router.py
+++ b/comfreyhatch/daemon/router.py
@@ -21,6 +21,7 @@
 from comfreyhatch.daemon.records import RecordBook
 from comfreyhatch.daemon.sessions import Sessions
 from comfreyhatch.decisions.budgets import dearer_versions, worst_cost_micros
+from comfreyhatch.decisions.patience import WAITING_CODES, WAITS_S, Patience
 from comfreyhatch.decisions.plan import Plan
 from comfreyhatch.decisions.retries import RetryBudget
 from comfreyhatch.domain.contract import Contract
@@ -32,10 +33,8 @@
 from comfreyhatch.ports.engine import Chunk, GenerateRequest
 
 RETRY_AFTER_S = 1.0
-WAITS_S = (0.1, 0.2, 0.4, 0.8)
 MAX_WAITING = 64
 MAX_ASKED = 6
-WAITING_CODES = (ResultCode.OVERLOADED, ResultCode.NO_ENDPOINT)
 MAX_TRIES = 6
 MAX_REPLANS = 2
 UNUSABLE_CODES = (
@@ -56,28 +55,6 @@
     open: Callable[[GenerateRequest], AsyncGenerator[Chunk, None]]
 
 
-class Patience:
-    """Whether a request that was refused everywhere may be offered again a little later.
-
-    It may while nothing has run, some source was merely full, and its deadline allows: a daemon
-    that has just joined, or whose endpoints' limits fell, holds no slots for a moment.
-    """
-
-    def __init__(self, deadline: float) -> None:
-        self._deadline = deadline
-        self._full = False
-        self._final = False
-
-    def note(self, error: ComfreyhatchError) -> None:
-        """Take in how a source ended."""
-        self._full = self._full or error.code is ResultCode.OVERLOADED
-        self._final = self._final or error.code not in WAITING_CODES or error.ran is not Ran.NO
-
-    def may_wait(self, wait_s: float, now: float) -> bool:
-        """Return whether to offer the request again after a time."""
-        return self._full and not self._final and now + wait_s < self._deadline
-
-
 class Router:
     """Answers chat requests."""
 
@@ -353,7 +330,7 @@
         return config.version_by_id[version_id]
 
     async def _sources_in_time(
-        self, version_id: str, patience: "Patience"
+        self, version_id: str, patience: Patience
     ) -> AsyncGenerator[Source, None]:
         """Yield all sources, and again after a while if every one was merely full."""
         for source in self._sources(version_id)[:MAX_ASKED]:
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -1,108 +1,31 @@
 """The promises of the system as scenarios in plain words; the witnesses are the stand-ins."""
 
 import asyncio
-from collections.abc import Coroutine, Iterator
+from collections.abc import Iterator
 from contextlib import suppress
 from time import monotonic
-from typing import Any, TypeVar
 
 import pytest
 from msgspec.json import decode
 from msgspec.structs import replace
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.adapters.http_client import HttpReply
 from comfreyhatch.decisions.settlement import settle
 from comfreyhatch.domain.change import SetContract, SetShare, SetZone, WithdrawVersion
 from comfreyhatch.domain.journal import BILL_PREFIX, decode_bill
 from comfreyhatch.domain.record import RequestRecord
 from comfreyhatch.errors import ComfreyhatchError, HttpError
-from comfreyhatch.standins.fleet import CONTRACT, LARGE, SMALL, FleetPlan, LocalFleet
+from comfreyhatch.standins.fleet import CONTRACT, LARGE, SMALL, FleetPlan
 from comfreyhatch.standins.text import token
 from tests.calls import book, chat, content, error_of
+from tests.world import IN_FORCE_S, TOKENS, World
 
-T = TypeVar("T")
-TOKENS = 6
-TRAFFIC_GAP_S = 0.02
-IN_FORCE_S = 4.0
 SECOND = replace(SMALL, name="2", replaces=SMALL.version_id, share=0)
 
 scenarios("promises.feature")
 
 
-class World:
-    """A fleet in an event loop of its own, with traffic and what came of it."""
-
-    def __init__(self) -> None:
-        self.runner = asyncio.Runner()
-        self.client = HttpClient()
-        self.fleet = LocalFleet()
-        self.replies: list[HttpReply] = []
-        self.failures: list[Exception] = []
-        self.traffic: asyncio.Task[None] | None = None
-        self.watch: asyncio.Task[None] | None = None
-        self.revisions_by_id: dict[str, list[int]] = {}
-        self.ordered_at = 0.0
-        self.version_by_session: dict[str, str] = {}
-        self.token_by_session: dict[str, str] = {}
-        self.accepted: list[int] = []
-        self.record_by_id: dict[str, RequestRecord] = {}
-
-    def run(self, coroutine: Coroutine[Any, Any, T]) -> T:
-        return self.runner.run(coroutine)
-
-    async def start(self, plan: FleetPlan | None = None) -> None:
-        self.fleet = LocalFleet(plan)
-        await self.fleet.start()
-
-    async def stop(self) -> None:
-        for task in (self.traffic, self.watch):
-            if task:
-                task.cancel()
-                with suppress(asyncio.CancelledError):
-                    await task
-        self.client.close()
-        await self.fleet.stop()
-
-    def close(self) -> None:
-        self.run(self.stop())
-        self.runner.close()
-
-    def entry(self, number: int) -> str:
-        return sorted(self.fleet.addresses_by_id)[number % len(self.fleet.addresses_by_id)]
-
-    async def chat(self, number: int = 0, **arguments: Any) -> HttpReply:
-        callers = self.fleet.callers(self.entry(number))
-        return await chat(self.client, callers, max_tokens=TOKENS, **arguments)
-
-    async def keep_sending(self, model: str) -> None:
-        number = 0
-        async with asyncio.TaskGroup() as group:
-            while True:
-                number += 1
-                group.create_task(self.send(number, model))
-                await asyncio.sleep(TRAFFIC_GAP_S)
-
-    async def send(self, number: int, model: str) -> None:
-        try:
-            self.replies.append(await self.chat(number, model=model))
-        except HttpError as error:
-            self.failures.append(error)
-
-    async def keep_watching(self) -> None:
-        while True:
-            for instance_id, daemon in self.fleet.daemon_by_id.items():
-                seen = self.revisions_by_id.setdefault(instance_id, [])
-                seen.append(self.fleet.revision_of(daemon))
-            await asyncio.sleep(0.01)
-
-    async def wait(self, seconds: float) -> None:
-        await asyncio.sleep(seconds)
-
-    def engine_arrivals(self, engine_id: str) -> list[Any]:
-        return self.fleet.engine_by_id[engine_id].witness.arrivals
-
-
 @pytest.fixture
 def world() -> Iterator[World]:
     world = World()
@@ -394,7 +317,7 @@
 
     async def begin() -> None:
         callers = world.fleet.callers(instance_id)
-        world.streams = [  # type: ignore[attr-defined]
+        world.streams = [
             asyncio.create_task(chat(world.client, callers, stream=True, max_tokens=100))
             for _ in range(count)
         ]
@@ -412,7 +335,7 @@
 @then(parsers.parse("all {count:d} answers arrive whole"))
 def all_arrive(world: World, count: int) -> None:
     async def collect() -> list[HttpReply]:
-        return await asyncio.gather(*world.streams)  # type: ignore[attr-defined]
+        return await asyncio.gather(*world.streams)
 
     replies = world.run(collect())
     assert [reply.status for reply in replies] == [200] * count
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -3,40 +3,11 @@
 import asyncio
 from time import monotonic
 
-import pytest
-
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon.router import Patience
-from comfreyhatch.errors import BackendError, RefusedError
+from comfreyhatch.codes import ResultCode
 from comfreyhatch.standins.fleet import FleetPlan, LocalFleet
 from tests.calls import chat, error_of
 
-FULL = RefusedError("full", ResultCode.OVERLOADED)
-NOWHERE = RefusedError("not here", ResultCode.NO_ENDPOINT)
-FAILED = BackendError("cut", ran=Ran.UNKNOWN)
-
-
-@pytest.mark.parametrize(
-    ("errors", "waits"),
-    [
-        ([], False),
-        ([NOWHERE], False),
-        ([FULL], True),
-        ([NOWHERE, FULL], True),
-        ([FULL, FAILED], False),
-        ([FULL, RefusedError("withdrawn", ResultCode.VERSION_WITHDRAWN)], False),
-    ],
-)
-def test_patience_needs_a_full_source_and_nothing_final(
-    errors: list[RefusedError | BackendError], waits: bool
-) -> None:
-    patience = Patience(deadline=10.0)
-    for error in errors:
-        patience.note(error)
-    assert patience.may_wait(0.5, now=9.0) is waits
-    assert not patience.may_wait(0.5, now=9.6)
-
 
 async def test_request_outlives_a_moment_without_slots() -> None:
     async with LocalFleet(FleetPlan(zones=("a",), engine_zones=("a",))) as fleet:
