Test that work past its deadline is cancelled at the engine

Nothing tested it. The new test gives an engine 400 times its token time and a deadline of 0.4 s: 504 with ran=unknown, and nothing left in flight. Three functions that nothing called are gone.

--- a/comfreyhatch/daemon/dispatcher.py
+++ b/comfreyhatch/daemon/dispatcher.py
@@ -10,7 +10,7 @@
 
 from msgspec.structs import replace
 
-from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.codes import ResultCode
 from comfreyhatch.daemon.admission import Gate
 from comfreyhatch.daemon.endpoints import SAMPLE, EndpointLoad, EndpointPool, Slot
 from comfreyhatch.decisions.cold_start import SlotOutcome
@@ -376,8 +376,3 @@
         raise BackendError(
             "the deadline passed before the end", ResultCode.DEADLINE_EXCEEDED
         ) from None
-
-
-def refused(error: ComfreyhatchError) -> bool:
-    """Return whether an error says that the work has not run."""
-    return error.ran is Ran.NO
--- a/comfreyhatch/daemon/endpoints.py
+++ b/comfreyhatch/daemon/endpoints.py
@@ -187,10 +187,6 @@
         own = {endpoint.instance_id for endpoint in self._endpoints()}
         return own <= self.loads.report_by_id.keys()
 
-    def versions_loaded(self) -> set[str]:
-        """Return the version ids that some endpoint of the zone has loaded."""
-        return {v for report in self.loads.report_by_id.values() for v in report.versions}
-
     def load_of(self, endpoint_id: str) -> EndpointLoad | None:
         """Return what is known of an endpoint's load; None if it is not known."""
         endpoint = self._directory.endpoint_by_id.get(endpoint_id)
--- a/comfreyhatch/decisions/membership.py
+++ b/comfreyhatch/decisions/membership.py
@@ -90,14 +90,6 @@
             peer.member = replace(peer.member, revision=revision)
         return True
 
-    def set_leaving(self, instance_id: str) -> bool:
-        """Mark a peer as leaving; return whether that is new."""
-        peer = self.peer_by_id.get(instance_id)
-        if peer is None or peer.member.leaving:
-            return False
-        peer.member = replace(peer.member, leaving=True)
-        return True
-
     def remove(self, instance_id: str) -> bool:
         """Remove a peer that has left; return whether it was there."""
         return self.peer_by_id.pop(instance_id, None) is not None
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -13,7 +13,7 @@
 from comfreyhatch.domain.request import ChatMessage
 from comfreyhatch.errors import RefusedError
 from comfreyhatch.ports.engine import GenerateRequest
-from comfreyhatch.standins.engine import EngineStandin
+from comfreyhatch.standins.engine import EngineStandin, VersionFault
 from comfreyhatch.standins.fleet import API_KEY, CONTRACT, LARGE, SMALL, FleetPlan, LocalFleet
 from comfreyhatch.standins.text import token
 from tests.calls import book, chat, content, error_of
@@ -216,3 +216,18 @@
         await waiting
     assert (refusal.value.code, refusal.value.ran) == (code, Ran.NO)
     assert running and "r-9999" not in engine.witness.run_count_by_id
+
+
+@pytest.mark.parametrize("stream", [False, True])
+async def test_work_past_its_deadline_is_cancelled_at_the_engine(
+    fleet: LocalFleet, engine: EngineStandin, client: HttpClient, stream: bool
+) -> None:
+    slow = VersionFault(slowdown=400.0)
+    engine.faults.fault_by_version = {SMALL.version_id: slow, LARGE.version_id: slow}
+    headers = {"x-deadline-s": "0.4", "x-critical": "true"}
+    reply = await chat(client, fleet.callers("entry-a0"), headers, stream=stream)
+    error = error_of(reply)
+    assert (reply.status, error["code"]) == (504, ResultCode.DEADLINE_EXCEEDED)
+    assert error["ran"] == "unknown"
+    await fleet.until(lambda: engine.witness.in_flight == 0)
+    assert len(engine.witness.run_count_by_id) == 1
