--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -1,20 +1,24 @@
 """An HTTP/1.1 client on h11 with a pool of connections, one request on each at a time."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
 
 import h11
-from msgspec import Struct
+from msgspec import Struct, field
 
 from comfreyhatch.codes import Ran
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import ConnectError, ExchangeTimeoutError, HttpError
 
-READ_SIZE_BYTES = 65536
+UNREAD_LIMIT_BYTES = 262144
 CONNECT_TIMEOUT_S = 1.0
 IDLE_PER_ADDRESS = 64
 IDLE_LIFE_S = 20.0
+IDLE_MARGIN_S = 0.5
+
+
+Headers = list[tuple[bytes, bytes]]
 
 
 class HttpReply(Struct):
@@ -23,14 +27,16 @@
     status: int
     header_by_name: dict[str, str]
     body: bytes
+    headers: Headers = field(default_factory=list)
 
 
 class StreamedReply:
     """An answer whose body is read piece by piece."""
 
-    def __init__(self, status: int, header_by_name: dict[str, str], link: "_Link") -> None:
+    def __init__(self, status: int, headers: Headers, link: "_Link") -> None:
         self.status = status
-        self.header_by_name = header_by_name
+        self.headers = headers
+        self.header_by_name = {n.decode("ascii"): v.decode("latin-1") for n, v in headers}
         self._link = link
 
     async def pieces(self, timeout_s: float) -> AsyncIterator[bytes]:
@@ -58,19 +64,49 @@
                 raise HttpError("the answer ended before its end")
 
 
-class _Link:
+class _Link(asyncio.Protocol):
     """A connection and its protocol state."""
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._reader = reader
-        self.writer = writer
+    def __init__(self) -> None:
         self.protocol = h11.Connection(h11.CLIENT)
         self.idle = False
         self.idle_since = 0.0
+        self.idle_life_s = IDLE_LIFE_S
+        self.transport: asyncio.Transport = _NO_TRANSPORT
+        self._waiter: asyncio.Future[None] | None = None
+        self._loss: str = ""
+        self._unread_bytes = 0
         self._read_until = 0.0
         self._timed_out = False
         self._timer: asyncio.TimerHandle | None = None
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the open connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Hand bytes to the parser; bytes on an idle connection belong to no request."""
+        if self.idle:
+            self.transport.abort()
+            return
+        self.protocol.receive_data(data)
+        self._unread_bytes += len(data)
+        if self._unread_bytes > UNREAD_LIMIT_BYTES:
+            self.transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Tell the parser that the peer has closed; this ends an answer without a length."""
+        self.protocol.receive_data(b"")
+        self._wake()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note why the connection is gone."""
+        self._loss = repr(exc) if exc else "closed"
+        self._wake()
+
     async def next_event(self, timeout_s: float) -> object:
         """Return the next event of the answer.
 
@@ -78,43 +114,15 @@
             ExchangeTimeoutError: If nothing came in time.
             HttpError: If the connection broke.
         """
-        try:
-            while True:
-                event = self.protocol.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                self.protocol.receive_data(await self._read(timeout_s))
-        except TimeoutError:
-            raise ExchangeTimeoutError(f"no answer within {timeout_s:g} s") from None
-        except (OSError, h11.ProtocolError) as error:
-            raise HttpError(f"the exchange broke: {error}") from error
-
-    async def _read(self, timeout_s: float) -> bytes:
-        """Read what comes; a silent peer is found by one timer for many reads."""
-        loop = asyncio.get_running_loop()
-        self._read_until = loop.time() + timeout_s
-        if self._timer is None or self._timer.when() > self._read_until:
-            self._arm(loop, self._read_until)
-        data = await self._reader.read(READ_SIZE_BYTES)
-        if not data and self._timed_out:
-            raise TimeoutError
-        return data
-
-    def _arm(self, loop: asyncio.AbstractEventLoop, when: float) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer = loop.call_at(when, self._expire, loop)
-
-    def _expire(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._timer = None
-        if self.idle:
-            return
-        if loop.time() < self._read_until:
-            self._arm(loop, self._read_until)
-            return
-        self._timed_out = True
-        self._reader.feed_eof()
-        self.writer.transport.abort()
+        while True:
+            event = self.buffered_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self._timed_out:
+                raise ExchangeTimeoutError(f"no answer within {timeout_s:g} s")
+            if self._loss:
+                raise HttpError(f"the connection broke: {self._loss}")
+            await self._wait(timeout_s)
 
     def buffered_event(self) -> object:
         """Return the next event of what has been read; NEED_DATA when there is none.
@@ -123,14 +131,19 @@
             HttpError: If the answer is malformed.
         """
         try:
-            return self.protocol.next_event()
+            event = self.protocol.next_event()
         except h11.ProtocolError as error:
             raise HttpError(f"the exchange broke: {error}") from error
+        if event is h11.NEED_DATA:
+            self._resume_reading()
+        return event
 
     def reusable(self) -> bool:
         """Return whether another request may follow, and prepare for it."""
         if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
             return False
+        if self.protocol.trailing_data[0] or self._loss:
+            return False
         self.protocol.start_next_cycle()
         return True
 
@@ -138,25 +151,82 @@
         """Close the connection."""
         if self._timer is not None:
             self._timer.cancel()
-        self.writer.close()
+        self.transport.close()
+
+    def abort(self) -> None:
+        """Reset the connection, so that the peer stops its work at once."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self.transport.abort()
 
     def fresh(self, now: float) -> bool:
         """Return whether an idle connection is likely to be open still."""
-        closed = self.writer.transport.is_closing() or self._reader.at_eof()
-        return not closed and now - self.idle_since < IDLE_LIFE_S
+        closed = bool(self._loss) or self.transport.is_closing()
+        return not closed and now - self.idle_since < self.idle_life_s
+
+    def write(self, data: bytes) -> None:
+        """Send bytes."""
+        self.transport.write(data)
+
+    async def _wait(self, timeout_s: float) -> None:
+        """Wait for bytes; a silent peer is found by one timer for many reads."""
+        loop = asyncio.get_running_loop()
+        self._read_until = loop.time() + timeout_s
+        if self._timer is None or self._timer.when() > self._read_until:
+            self._arm(loop, self._read_until)
+        self._waiter = loop.create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _resume_reading(self) -> None:
+        if self._unread_bytes > UNREAD_LIMIT_BYTES and not self.transport.is_closing():
+            self.transport.resume_reading()
+        self._unread_bytes = 0
+
+    def _arm(self, loop: asyncio.AbstractEventLoop, when: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = loop.call_at(when, self._expire, loop)
+
+    def _expire(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._timer = None
+        if self.idle or self._waiter is None:
+            return
+        if loop.time() < self._read_until:
+            self._arm(loop, self._read_until)
+            return
+        self._timed_out = True
+        self.transport.abort()
+        self._wake()
+
+
+_NO_TRANSPORT = asyncio.Transport()
 
 
 class HttpClient:
     """Sends requests; owns its connections."""
 
-    def __init__(self, before_send: Callable[[], None] | None = None) -> None:
+    def __init__(
+        self,
+        before_send: Callable[[], None] | None = None,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> None:
         """Create a client.
 
         Args:
             before_send: Called when a connection is open, just before the first byte is
                 written; what it raises ends the request with nothing sent.
+            connect_timeout_s: Longest time for a new connection, in seconds.
         """
         self._before_send = before_send
+        self._connect_timeout_s = connect_timeout_s
+        self.connections_opened = 0
         self._idle_by_address: dict[Address, list[_Link]] = {}
 
     async def request(
@@ -165,7 +235,7 @@
         method: str,
         target: str,
         body: bytes = b"",
-        header_by_name: Mapping[str, str] | None = None,
+        headers: Mapping[str, str] | Headers | None = None,
         timeout_s: float = 5.0,
         fresh_connection: bool = False,
     ) -> HttpReply:
@@ -176,7 +246,7 @@
             method: HTTP method.
             target: Path with query.
             body: Body.
-            header_by_name: Headers besides host and content-length.
+            headers: Headers besides content-length; host is the address unless given.
             timeout_s: Time for the whole exchange, in seconds.
             fresh_connection: Whether a pooled connection must not be used.
 
@@ -189,13 +259,13 @@
             async with (
                 asyncio.timeout(timeout_s),
                 self.stream(
-                    address, method, target, body, header_by_name, timeout_s, fresh_connection
+                    address, method, target, body, headers, timeout_s, fresh_connection
                 ) as reply,
             ):
                 pieces = [piece async for piece in reply.pieces(timeout_s)]
         except TimeoutError:
             raise ExchangeTimeoutError(f"no answer from {address} within {timeout_s:g} s") from None
-        return HttpReply(reply.status, reply.header_by_name, b"".join(pieces))
+        return HttpReply(reply.status, reply.header_by_name, b"".join(pieces), reply.headers)
 
     @asynccontextmanager
     async def stream(
@@ -204,7 +274,7 @@
         method: str,
         target: str,
         body: bytes = b"",
-        header_by_name: Mapping[str, str] | None = None,
+        headers: Mapping[str, str] | Headers | None = None,
         timeout_s: float = 5.0,
         fresh_connection: bool = False,
     ) -> AsyncIterator[StreamedReply]:
@@ -220,23 +290,22 @@
         link = await self._link(address, fresh_connection)
         kept = False
         try:
-            headers = {"host": str(address), **(header_by_name or {})}
             if self._before_send:
                 self._before_send()
-            _write_request(link, method, target, body, headers)
+            _write_request(link, method, target, body, full_headers(address, headers))
             head = await link.next_event(timeout_s)
             while isinstance(head, h11.InformationalResponse):
                 head = await link.next_event(timeout_s)
             if not isinstance(head, h11.Response):
                 raise HttpError(f"{address} closed the connection before answering")
-            names = {n.decode("ascii"): v.decode("latin-1") for n, v in head.headers}
-            yield StreamedReply(head.status_code, names, link)
+            yield StreamedReply(head.status_code, list(head.headers), link)
             kept = link.reusable()
+            link.idle_life_s = _idle_life_s(head.headers)
         finally:
             if kept:
                 self._keep(address, link)
             else:
-                link.close()
+                link.abort()
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -255,11 +324,14 @@
                 return link
             link.close()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(address.host, address.port)
+            async with asyncio.timeout(self._connect_timeout_s):
+                _, link = await asyncio.get_running_loop().create_connection(
+                    _Link, address.host, address.port
+                )
         except (OSError, TimeoutError) as error:
             raise ConnectError(f"cannot connect to {address}: {error!r}", ran=Ran.NO) from error
-        return _Link(reader, writer)
+        self.connections_opened += 1
+        return link
 
     def _keep(self, address: Address, link: _Link) -> None:
         links = self._idle_by_address.setdefault(address, [])
@@ -271,13 +343,34 @@
         links.append(link)
 
 
-def _write_request(
-    link: _Link, method: str, target: str, body: bytes, header_by_name: Mapping[str, str]
-) -> None:
-    headers = [*header_by_name.items(), ("content-length", str(len(body)))]
-    request = h11.Request(method=method, target=target, headers=headers)
+def full_headers(address: Address, headers: Mapping[str, str] | Headers | None) -> Headers:
+    """Return headers as pairs of bytes; host is the address unless given."""
+    if isinstance(headers, list):
+        pairs = list(headers)
+    else:
+        pairs = [(n.encode(), v.encode("latin-1")) for n, v in (headers or {}).items()]
+    if not any(name.lower() == b"host" for name, _ in pairs):
+        pairs.insert(0, (b"host", str(address).encode()))
+    return pairs
+
+
+def _idle_life_s(headers: Iterable[tuple[bytes, bytes]]) -> float:
+    """Return how long the peer keeps the connection idle, less a margin for the way there."""
+    for name, value in headers:
+        if name != b"keep-alive":
+            continue
+        for part in value.decode("latin-1").split(","):
+            key, _, number = part.strip().partition("=")
+            if key.lower() == "timeout" and number.strip().isdigit():
+                return min(IDLE_LIFE_S, max(0.0, int(number) - IDLE_MARGIN_S))
+    return IDLE_LIFE_S
+
+
+def _write_request(link: _Link, method: str, target: str, body: bytes, headers: Headers) -> None:
+    sized = [*headers, (b"content-length", b"%d" % len(body))]
+    request = h11.Request(method=method, target=target, headers=sized)
     data = link.protocol.send(request) or b""
     if body:
         data += link.protocol.send(h11.Data(data=body)) or b""
     data += link.protocol.send(h11.EndOfMessage()) or b""
-    link.writer.write(data)
+    link.write(data)
--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -46,6 +46,9 @@
     buffer_bytes: Size = 65536
 
 
+Headers = list[tuple[bytes, bytes]]
+
+
 class HttpRequest(Struct):
     """A request; header names are in lower case.
 
@@ -56,6 +59,8 @@
         header_by_name: Headers.
         body: Body.
         raw_query: Query as sent.
+        target: Path with query, as sent.
+        headers: Headers in order, repeated ones too; names in lower case.
     """
 
     method: str
@@ -64,6 +69,8 @@
     header_by_name: dict[str, str]
     body: bytes = b""
     raw_query: str = ""
+    target: str = ""
+    headers: Headers = field(default_factory=list)
 
     def header(self, name: str, default: str = "") -> str:
         """Return a header's value by its name in lower case."""
@@ -71,13 +78,23 @@
 
 
 class HttpResponse(Struct):
-    """An answer: either a body or a stream of pieces, which is closed when it ends."""
+    """An answer: either a body or a stream of pieces, which is closed when it ends.
+
+    Attributes:
+        status: HTTP status.
+        body: Whole body, where there is no stream.
+        content_type: Media type; not sent when `headers` is set.
+        header_by_name: Further headers.
+        stream: Pieces of the body.
+        headers: Headers passed on as they are, in place of content type and `header_by_name`.
+    """
 
     status: int
     body: bytes = b""
     content_type: str = JSON_TYPE
     header_by_name: dict[str, str] = field(default_factory=dict)
     stream: AsyncIterator[bytes] | None = None
+    headers: Headers | None = None
 
 
 HttpHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -120,9 +137,22 @@
 class HttpServer:
     """A listener and its connections."""
 
-    def __init__(self, handler: HttpHandler, limits: HttpLimits | None = None) -> None:
+    def __init__(
+        self,
+        handler: HttpHandler,
+        limits: HttpLimits | None = None,
+        cancel_on_disconnect: bool = False,
+    ) -> None:
+        """Create a server.
+
+        Args:
+            handler: Answers requests.
+            limits: Limits of the listener.
+            cancel_on_disconnect: Whether the handler is cancelled when its caller goes away.
+        """
         self._handler = handler
-        self._limits = limits or HttpLimits()
+        self.limits = limits or HttpLimits()
+        self._cancel_on_disconnect = cancel_on_disconnect
         self._server: asyncio.Server | None = None
         self._task_by_connection: dict[_Connection, asyncio.Task[None]] = {}
         self._closing = False
@@ -134,7 +164,8 @@
         Returns:
             The address that the listener has.
         """
-        self._server = await asyncio.start_server(self._accept, host, port, backlog=1024)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._protocol, host, port, backlog=1024)
         bound_host, bound_port = self._server.sockets[0].getsockname()[:2]
         return Address(bound_host, bound_port)
 
@@ -161,14 +192,32 @@
         """Number of requests being answered."""
         return sum(connection.busy for connection in self._task_by_connection)
 
+    def close_listener(self) -> None:
+        """Take no new connections; those that are open go on."""
+        if self._server:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request runs or is being read."""
+        for connection in list(self._task_by_connection):
+            connection.close_if_idle()
+
+    def _protocol(self) -> "_CallerProtocol":
+        loop = asyncio.get_running_loop()
+        return _CallerProtocol(asyncio.StreamReader(loop=loop), self._accept, loop=loop)
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self._closing or len(self._task_by_connection) >= self._limits.connections:
+        if self._closing or len(self._task_by_connection) >= self.limits.connections:
             writer.close()
             return
-        connection = _Connection(self._handler, self._limits, reader, writer)
+        connection = _Connection(self._handler, self.limits, reader, writer)
         task = asyncio.current_task()
         assert task is not None
         self._task_by_connection[connection] = task
+        if self._cancel_on_disconnect:
+            protocol = writer.transport.get_protocol()
+            assert isinstance(protocol, _CallerProtocol)
+            protocol.on_gone = lambda: connection.busy and task.cancel()
         try:
             await connection.serve(lambda: self._closing or self._draining)
         except (ConnectionError, TimeoutError, h11.ProtocolError) as error:
@@ -181,6 +230,27 @@
             writer.close()
 
 
+class _CallerProtocol(asyncio.StreamReaderProtocol):
+    """Tells when the caller closes its connection, also while its request is being answered."""
+
+    on_gone: Callable[[], object] | None = None
+
+    def eof_received(self) -> bool | None:
+        """Note that the caller sends no more."""
+        keep = super().eof_received()
+        self._tell()
+        return keep
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note that the connection is gone."""
+        super().connection_lost(exc)
+        self._tell()
+
+    def _tell(self) -> None:
+        if self.on_gone:
+            self.on_gone()
+
+
 class _Connection:
     """One caller's connection; serves one request at a time."""
 
@@ -197,10 +267,11 @@
         self._writer = writer
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
         self.busy = False
+        self._reading = False
         writer.transport.set_write_buffer_limits(high=limits.buffer_bytes)
 
     def close_if_idle(self) -> None:
-        if not self.busy:
+        if not self.busy and not self._reading:
             self._writer.close()
 
     async def serve(self, is_closing: Callable[[], bool]) -> None:
@@ -209,6 +280,7 @@
             if request is None:
                 return
             self.busy = True
+            self._reading = False
             try:
                 await self._answer(request, is_closing)
             finally:
@@ -238,12 +310,13 @@
     async def _read_request(self) -> HttpRequest | None:
         if not await self._await_first_byte():
             return None
+        self._reading = True
         body = bytearray()
         async with _RequestTimeout(self._limits.header_timeout_s):
             first = await self._next_event()
             if not isinstance(first, h11.Request):
                 return None
-            self._check_header_size(first)
+            self._check_head(first)
             event = await self._next_event()
             while isinstance(event, h11.Data):
                 body += event.data
@@ -267,11 +340,18 @@
             self._protocol.receive_data(data)
         return bool(data)
 
-    def _check_header_size(self, request: h11.Request) -> None:
+    def _check_head(self, request: h11.Request) -> None:
         # h11 bounds only a header section that is incomplete after a read.
         size = len(request.target) + sum(len(n) + len(v) + 4 for n, v in request.headers)
         if size > self._limits.header_bytes:
             raise RequestError("the header section is too large", ResultCode.HEADERS_TOO_LARGE)
+        names = [name for name, _ in request.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            # Peers that disagree on which of the two counts could be made to see two requests.
+            raise RequestError("the request has both a length and a transfer encoding")
+        length = next((v for n, v in request.headers if n == b"content-length"), b"0")
+        if int(length) > self._limits.body_bytes:
+            raise RequestError("the body is too large", ResultCode.BODY_TOO_LARGE)
 
     async def _next_event(self) -> object:
         """Return the next event of the request."""
@@ -294,13 +374,13 @@
         await self._send_response(response, is_closing())
 
     async def _send_response(self, response: HttpResponse, close: bool) -> None:
-        headers = [("content-type", response.content_type), *response.header_by_name.items()]
+        headers = _response_headers(response)
         if response.stream is None:
-            headers.append(("content-length", str(len(response.body))))
+            headers.append((b"content-length", b"%d" % len(response.body)))
         else:
-            headers.append(("transfer-encoding", "chunked"))
+            headers.append((b"transfer-encoding", b"chunked"))
         if close:
-            headers.append(("connection", "close"))
+            headers.append((b"connection", b"close"))
         self._send(h11.Response(status_code=response.status, headers=headers))
         if response.stream is None:
             self._send(h11.Data(data=response.body))
@@ -341,6 +421,13 @@
             await self._writer.drain()
 
 
+def _response_headers(response: HttpResponse) -> Headers:
+    if response.headers is not None:
+        return list(response.headers)
+    headers = [(n.encode(), v.encode("latin-1")) for n, v in response.header_by_name.items()]
+    return [(b"content-type", response.content_type.encode()), *headers]
+
+
 def _request_of(first: h11.Request, body: bytes) -> HttpRequest:
     target = urlsplit(first.target.decode("latin-1"))
     return HttpRequest(
@@ -352,6 +439,8 @@
         },
         body=body,
         raw_query=target.query,
+        target=first.target.decode("latin-1"),
+        headers=list(first.headers),
     )
 
 
--- a/comfreyhatch/cli/demo.py
+++ b/comfreyhatch/cli/demo.py
@@ -68,7 +68,7 @@
 
 async def _refused(client: HttpClient, callers: Address) -> None:
     headers = {"authorization": "Bearer unknown"}
-    reply = await client.request(callers, "GET", "/v1/models", header_by_name=headers)
+    reply = await client.request(callers, "GET", "/v1/models", headers=headers)
     print(f"\nunknown key: {reply.status} {_short(reply.body)}")
 
 
--- a/comfreyhatch/daemon/forwarding.py
+++ b/comfreyhatch/daemon/forwarding.py
@@ -12,7 +12,7 @@
 from msgspec.json import decode, encode
 
 from comfreyhatch.adapters.engine_http import HttpEngine
-from comfreyhatch.adapters.http_client import HttpClient, StreamedReply
+from comfreyhatch.adapters.http_client import Headers, HttpClient, StreamedReply, full_headers
 from comfreyhatch.adapters.http_server import (
     EVENT_STREAM_TYPE,
     HttpRequest,
@@ -108,19 +108,17 @@
         method: str,
         target: str,
         body: bytes = b"",
-        header_by_name: Mapping[str, str] | None = None,
+        headers: Mapping[str, str] | Headers | None = None,
         timeout_s: float = 5.0,
         fresh_connection: bool = False,
     ) -> _AsyncGeneratorContextManager[StreamedReply, None]:
         """Send a signed request and give its answer piece by piece."""
         envelope = Envelope(str(address), target, self._hop, new_stamp())
-        headers = {
-            **(header_by_name or {}),
-            HOP_HEADER: self._hop,
-            STAMP_HEADER: envelope.stamp,
-            SIGNATURE_HEADER: sign(self._key, envelope, body),
-        }
-        return super().stream(address, method, target, body, headers, timeout_s, fresh_connection)
+        signed = full_headers(address, headers)
+        signed.append((HOP_HEADER.encode(), self._hop.encode()))
+        signed.append((STAMP_HEADER.encode(), envelope.stamp.encode()))
+        signed.append((SIGNATURE_HEADER.encode(), sign(self._key, envelope, body).encode()))
+        return super().stream(address, method, target, body, signed, timeout_s, fresh_connection)
 
 
 class Forwarder:
--- /dev/null
+++ b/comfreyhatch/decisions/placement.py
@@ -0,0 +1,76 @@
+"""Choice of the endpoint for a request.
+
+Answers many daemons with the same stale reports: each counts its own work, spreads ties by a hash
+of the request, and prefers for a shared prompt the endpoint that all daemons prefer for it.
+"""
+
+from collections.abc import Iterable
+
+from xxhash import xxh64_intdigest
+
+from comfreyhatch.decisions.endpoint_state import EndpointState
+from comfreyhatch.domain.exchange import Exchange
+
+HASH_RANGE = float(2**64)
+FAILURE_PENALTY = 1.5
+FAILURE_NORMAL = 0.2
+OTHER_ZONE_PENALTY = 0.04
+TIE_SPREAD = 0.03
+PREFIX_PENALTY_LARGEST = 0.15
+PREFIX_TOKENS_FULL = 8000
+
+
+def choose_endpoint(
+    exchange: Exchange, candidates: Iterable[EndpointState], zone: str, now: float
+) -> EndpointState | None:
+    """Return the candidate with the least expected delay, or None when there is none.
+
+    Args:
+        exchange: Request to place.
+        candidates: Endpoints that may run it.
+        zone: Availability zone of this daemon.
+        now: Monotonic time in seconds.
+    """
+    found = list(candidates)
+    if not found:
+        return None
+    shared = _shared_prefix(exchange)
+    home = _preferred(shared, found) if shared else None
+    return min(found, key=lambda e: _cost(exchange, e, zone, home, now))
+
+
+def _cost(
+    exchange: Exchange,
+    endpoint: EndpointState,
+    zone: str,
+    home: EndpointState | None,
+    now: float,
+) -> float:
+    """Return the expected delay there, in units of a full endpoint."""
+    load = (endpoint.running(now) + 1) / endpoint.record.slots
+    cost = load * max(0.5, endpoint.slowness)
+    cost += FAILURE_PENALTY * max(0.0, endpoint.failure_share - FAILURE_NORMAL)
+    if endpoint.record.zone != zone:
+        cost += OTHER_ZONE_PENALTY
+    if home is not None and endpoint is not home:
+        tokens = sum(part.tokens for part in exchange.parts[:-1])
+        cost += PREFIX_PENALTY_LARGEST * min(1.0, tokens / PREFIX_TOKENS_FULL)
+    return cost + TIE_SPREAD * _unit(exchange.request_id, endpoint.record.endpoint_id)
+
+
+def _shared_prefix(exchange: Exchange) -> str:
+    """Return the last part of the prompt that other requests have too; empty if none."""
+    return exchange.parts[-2].part_id if len(exchange.parts) > 1 else ""
+
+
+def _preferred(key: str, candidates: list[EndpointState]) -> EndpointState:
+    return min(candidates, key=lambda e: _unit(key, e.record.endpoint_id))
+
+
+def _unit(key: str, name: str) -> float:
+    return xxh64_intdigest(f"{key}\0{name}".encode()) / HASH_RANGE
+
+
+def session_point(session_key: str, salt: str) -> float:
+    """Return a session's fixed point in [0, 1), the same at every daemon."""
+    return _unit(session_key, salt)
--- /dev/null
+++ b/comfreyhatch/decisions/version_trial.py
@@ -0,0 +1,160 @@
+"""Steps of a roll-out, and the verdict on its version from the fleet's pooled evidence.
+
+Answers a version that is bad at once, later, under load or on one route only: a small fixed share
+of the sessions goes to it first, and the share grows in steps only in the second half of the time.
+"""
+
+from collections.abc import Iterable
+from math import sqrt
+
+from msgspec import Struct
+from msgspec.structs import replace
+
+from comfreyhatch.domain.operations import (
+    Evidence,
+    RolloutOrder,
+    RolloutState,
+    TrialRecord,
+    VersionOutcomes,
+)
+
+MS_PER_S = 1000.0
+CANARY_OF_EXPOSURE = 0.6
+FIRST_HALF = 0.5
+GROWTH_SHARES = (0.25, 0.5, 1.0)
+GROWTH_END = 0.8
+MIN_BAD = 4
+BAD_MARGIN = 0.12
+BAD_FACTOR = 2.0
+CONFIDENCE_Z = 1.64
+
+
+class Pooled(Struct, frozen=True):
+    """Outcomes of the target version and of the replaced ones, by route."""
+
+    target_by_route: dict[str, VersionOutcomes]
+    other_by_route: dict[str, VersionOutcomes]
+
+
+def pool(evidence: Iterable[Evidence]) -> Pooled:
+    """Return the sum of the evidence of several daemons."""
+    target: dict[str, VersionOutcomes] = {}
+    other: dict[str, VersionOutcomes] = {}
+    for item in evidence:
+        for route, outcomes in item.target_by_route.items():
+            target[route] = plus(target.get(route, VersionOutcomes()), outcomes)
+        for route, outcomes in item.other_by_route.items():
+            other[route] = plus(other.get(route, VersionOutcomes()), outcomes)
+    return Pooled(target, other)
+
+
+def plus(one: VersionOutcomes, two: VersionOutcomes) -> VersionOutcomes:
+    """Return the sum of two counts."""
+    return VersionOutcomes(
+        one.answers + two.answers, one.failures + two.failures, one.slow + two.slow
+    )
+
+
+def fault_of(pooled: Pooled) -> str:
+    """Return why the target version is bad, on all routes together or on one; empty if not."""
+    whole = ("all routes", _total(pooled.target_by_route), _total(pooled.other_by_route))
+    parts = [
+        (route, found, pooled.other_by_route.get(route, VersionOutcomes()))
+        for route, found in pooled.target_by_route.items()
+    ]
+    for name, target, other in (whole, *parts):
+        reason = _worse(name, target, other)
+        if reason:
+            return reason
+    return ""
+
+
+def next_step(
+    order: RolloutOrder,
+    trial: TrialRecord | None,
+    pooled: Pooled,
+    canary_share: float,
+    target_ready: bool,
+    store_ms: int,
+) -> TrialRecord | None:
+    """Return the state to store next, or None when there is nothing to change.
+
+    Args:
+        order: The order.
+        trial: State stored last; None when there is none.
+        pooled: Evidence of the fleet on this order.
+        canary_share: Share of the sessions in the first half.
+        target_ready: Whether endpoints of the target version are there.
+        store_ms: The store's clock.
+    """
+    if trial is None or trial.order_revision != order.revision:
+        revision = trial.revision if trial else 0
+        return TrialRecord(
+            order.service,
+            order.version,
+            order.revision,
+            RolloutState.RUNNING,
+            canary_share,
+            store_ms,
+            store_ms,
+            revision,
+        )
+    if trial.state is not RolloutState.RUNNING:
+        return None
+    fault = fault_of(pooled)
+    if fault:
+        return replace(
+            trial, state=RolloutState.ROLLED_BACK, share=0.0, stepped_ms=store_ms, reason=fault
+        )
+    return _grown(order, trial, target_ready, store_ms)
+
+
+def _grown(
+    order: RolloutOrder, trial: TrialRecord, target_ready: bool, store_ms: int
+) -> TrialRecord | None:
+    if not target_ready:
+        return None
+    shares = [share for share in GROWTH_SHARES if share > trial.share]
+    step_s = order.duration_s * (GROWTH_END - FIRST_HALF) / len(GROWTH_SHARES)
+    half_ms = trial.started_ms + order.duration_s * FIRST_HALF * MS_PER_S
+    due_ms = max(half_ms + step_s * MS_PER_S * 0.2, trial.stepped_ms + step_s * MS_PER_S)
+    if store_ms < due_ms:
+        return None
+    if not shares:
+        return replace(trial, state=RolloutState.COMPLETED, stepped_ms=store_ms)
+    return replace(trial, share=shares[0], stepped_ms=store_ms)
+
+
+def canary_share(expose_share: float) -> float:
+    """Return the share of the sessions that a version gets before it has proved itself."""
+    return CANARY_OF_EXPOSURE * expose_share
+
+
+def _worse(name: str, target: VersionOutcomes, other: VersionOutcomes) -> str:
+    usual = (other.failures + other.slow + 1) / (other.answers + 10)
+    bad = target.failures + target.slow
+    if bad < MIN_BAD:
+        return ""
+    low = _lower_bound(bad, target.answers)
+    if low < max(usual + BAD_MARGIN, usual * BAD_FACTOR):
+        return ""
+    return (
+        f"{name}: {target.failures} failed and {target.slow} slow of {target.answers},"
+        f" others {usual:.3f}"
+    )
+
+
+def _lower_bound(bad: int, count: int) -> float:
+    """Return the lower Wilson bound of a share."""
+    share = bad / count
+    square = CONFIDENCE_Z**2 / count
+    centre = share + square / 2
+    spread = CONFIDENCE_Z * sqrt((share * (1 - share) + square / 4) / count)
+    return (centre - spread) / (1 + square)
+
+
+def _total(by_route: dict[str, VersionOutcomes]) -> VersionOutcomes:
+    total = VersionOutcomes()
+    for outcomes in by_route.values():
+        total = plus(total, outcomes)
+    return total
--- /dev/null
+++ b/comfreyhatch/exchange/daemon.py
@@ -0,0 +1,161 @@
+"""A daemon that routes exchanges: its parts, its start and its graceful shutdown."""
+
+import asyncio
+import logging
+from random import Random
+
+from prometheus_client import CollectorRegistry, generate_latest
+
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_server import HttpLimits, HttpRequest, HttpResponse, HttpServer
+from comfreyhatch.decisions.arrivals import ArrivalBudget
+from comfreyhatch.domain.deployment import Deployment
+from comfreyhatch.domain.instance import Address
+from comfreyhatch.exchange.calls import Calls
+from comfreyhatch.exchange.ledger import Ledger
+from comfreyhatch.exchange.news import News
+from comfreyhatch.exchange.outcomes import Outcomes
+from comfreyhatch.exchange.peers import PeerListener
+from comfreyhatch.exchange.pool import EndpointPool
+from comfreyhatch.exchange.router import ExchangeRouter
+from comfreyhatch.exchange.sender import Sender
+from comfreyhatch.exchange.streams import Streams
+from comfreyhatch.exchange.trials import Trials
+from comfreyhatch.exchange.view import FleetView
+from comfreyhatch.ports.directory import Directory
+from comfreyhatch.ports.wire import Wire
+
+ENDPOINT_CONNECT_TIMEOUT_S = 0.3
+BALANCER_S = 2.4
+END_MARGIN_S = 0.4
+FDS_KEPT = 300
+DAEMONS_LEAST = 6
+METRICS_TYPE = "text/plain; version=0.0.4"
+
+log = logging.getLogger("comfreyhatch.daemon")
+
+
+class ExchangeDaemon:
+    """One daemon on an entry instance."""
+
+    def __init__(
+        self, deployment: Deployment, directory: Directory, wire: Wire, rng: Random
+    ) -> None:
+        """Create a daemon; nothing is opened yet.
+
+        Args:
+            deployment: Settings.
+            directory: What operators, endpoints and daemons publish.
+            wire: Codec of callers' and endpoints' headers.
+            rng: Seeded source of spreads.
+        """
+        self._deployment = deployment
+        self._budget_by_service: dict[str, ArrivalBudget] = {}
+        self.registry = CollectorRegistry()
+        self.view = FleetView()
+        outcomes = Outcomes(deployment.instance, self.view)
+        self._trials = Trials(deployment, directory, self.view, outcomes)
+        self._pool = EndpointPool(deployment, self.view, rng, self._trials.distrusted)
+        self._client = HttpClient(connect_timeout_s=ENDPOINT_CONNECT_TIMEOUT_S)
+        sender = Sender(self._client, wire)
+        self._news = News(deployment, directory, self.view, rng, self._changed)
+        self._router = ExchangeRouter(
+            wire,
+            self.view,
+            Calls(self._pool, sender, self._budget, outcomes),
+            Streams(self._pool, sender, self._budget, outcomes),
+            self._budget,
+            Ledger(self.registry),
+        )
+        self._callers = HttpServer(self._router.handle, _limits(deployment), True)
+        self._readiness = HttpServer(self._answer_readiness)
+        self._metrics = HttpServer(self._answer_metrics)
+        control = str(deployment.control) if deployment.control else ""
+        self._peers = PeerListener(control, self._news.current) if control else None
+        self.leaving = False
+
+    async def start(self, metrics: Address | None = None) -> None:
+        """Open the listeners and start to follow the directory."""
+        if self._peers:
+            self._peers.start()
+        self._news.start()
+        self._trials.start()
+        await self._listen(self._callers, self._deployment.callers)
+        await self._listen(self._readiness, self._deployment.readiness)
+        if metrics:
+            await self._listen(self._metrics, metrics)
+        log.info(
+            "event=started instance=%s zone=%s callers=%s",
+            self._deployment.instance,
+            self._deployment.zone,
+            self._deployment.callers,
+        )
+
+    def ready(self) -> bool:
+        """Return whether this daemon should get new connections."""
+        return self.view.ready() and not self.leaving
+
+    async def shut_down(self) -> None:
+        """Leave the balancer, let requests end, and close."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + self._deployment.bounds.grace_s - END_MARGIN_S
+        self.leaving = True
+        log.info("event=stopping running=%d", self._callers.busy)
+        self._callers.drain()
+        await asyncio.sleep(BALANCER_S)
+        self._router.stopping = True
+        self._callers.close_listener()
+        await self._callers.stop(max(0.0, ends_at - loop.time()))
+        await self._close()
+        log.info("event=stopped")
+
+    async def _close(self) -> None:
+        await self._trials.stop()
+        await self._news.stop()
+        if self._peers:
+            await self._peers.stop()
+        await self._readiness.stop(0.0)
+        await self._metrics.stop(0.0)
+        self._client.close()
+
+    async def _listen(self, server: HttpServer, address: Address) -> None:
+        await server.start(address.host, address.port)
+
+    def _budget(self, service: str) -> ArrivalBudget:
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            bounds = self._deployment.bounds
+            budget = ArrivalBudget(bounds.retry_window_s, bounds.retry_ratio, self._slack())
+            self._budget_by_service[service] = budget
+        budget.slack = self._slack()
+        return budget
+
+    def _slack(self) -> float:
+        """Return this daemon's part of the arrivals allowed beside those for each request."""
+        daemons = max(DAEMONS_LEAST, len(self.view.daemons()), len(self._deployment.zones))
+        return self._deployment.bounds.retry_slack / daemons
+
+    def _changed(self) -> None:
+        """Let waiting requests see what has changed."""
+        catalog = self.view.catalog
+        if catalog and catalog.limits:
+            limits = self._callers.limits
+            self._callers.limits = HttpLimits(
+                header_bytes=max(1, catalog.limits.header_bytes),
+                body_bytes=max(1, catalog.limits.body_bytes),
+                connections=limits.connections,
+                header_timeout_s=max(0.1, catalog.limits.header_timeout_s),
+                idle_timeout_s=max(0.1, catalog.limits.idle_timeout_s),
+            )
+        for service in list(self.view.states_by_service):
+            self._pool.pump(service)
+
+    async def _answer_readiness(self, request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200 if self.ready() else 503)
+
+    async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, generate_latest(self.registry), METRICS_TYPE)
+
+
+def _limits(deployment: Deployment) -> HttpLimits:
+    return HttpLimits(connections=max(1, (deployment.max_fds - FDS_KEPT) * 2 // 3))
--- /dev/null
+++ b/comfreyhatch/exchange/ledger.py
@@ -0,0 +1,103 @@
+"""What became of requests: one log line and the counters for each."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+
+from comfreyhatch.codes import ResultCode
+from comfreyhatch.domain.exchange import Exchange, Job
+from comfreyhatch.errors import ComfreyhatchError
+
+DURATION_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
+NO_KIND = "none"
+
+log = logging.getLogger("comfreyhatch.requests")
+
+
+class Ledger:
+    """Counts and logs the end of each request."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self._requests = Counter(
+            "comfreyhatch_exchanges",
+            "Requests that ended.",
+            ("kind", "code"),
+            registry=registry,
+        )
+        self._seconds = Histogram(
+            "comfreyhatch_exchange_seconds",
+            "Time from arrival to the answer, of streams to the first event.",
+            ("kind",),
+            buckets=DURATION_BUCKETS_S,
+            registry=registry,
+        )
+
+    def note_answer(self, exchange: Exchange, job: Job | None, status: int, arrived: float) -> None:
+        """Count an answer of an endpoint that was passed on."""
+        code = ResultCode.OK if status < 400 else ResultCode.ENDPOINT_FAILED
+        self._note("answered", exchange, job, code, arrived, f"status={status}")
+
+    def note_error(
+        self, exchange: Exchange, job: Job | None, error: ComfreyhatchError, arrived: float
+    ) -> None:
+        """Count a request that was refused or failed."""
+        after = f" retry_after_s={error.retry_after_s:.2f}" if error.retry_after_s else ""
+        detail = f"ran={error.ran.value}{after} reason={str(error)!r}"
+        self._note("refused", exchange, job, error.code, arrived, detail)
+
+    def note_abandoned(self, exchange: Exchange, job: Job | None, arrived: float) -> None:
+        """Count a request whose caller went away."""
+        self._note(
+            "abandoned", exchange, job, ResultCode.ABANDONED, arrived, "reason='caller left'"
+        )
+
+    async def follow(
+        self, exchange: Exchange, job: Job | None, stream: AsyncIterator[bytes], arrived: float
+    ) -> AsyncIterator[bytes]:
+        """Pass a stream on and count it once it has ended."""
+        pieces = 0
+        try:
+            async for piece in stream:
+                pieces += 1
+                yield piece
+        except ComfreyhatchError as error:
+            detail = f"pieces={pieces} reason={str(error)!r}"
+            self._note("stream_cut", exchange, job, error.code, arrived, detail)
+            raise
+        except (asyncio.CancelledError, GeneratorExit):
+            detail = f"pieces={pieces} reason='caller left'"
+            self._note("abandoned", exchange, job, ResultCode.ABANDONED, arrived, detail)
+            raise
+        else:
+            self._note("answered", exchange, job, ResultCode.OK, arrived, f"pieces={pieces}")
+        finally:
+            close = getattr(stream, "aclose", None)
+            if close:
+                await close()
+
+    def _note(
+        self,
+        event: str,
+        exchange: Exchange,
+        job: Job | None,
+        code: ResultCode,
+        arrived: float,
+        detail: str,
+    ) -> None:
+        took_s = asyncio.get_running_loop().time() - arrived
+        kind = job.route.kind.value if job else NO_KIND
+        self._requests.labels(kind, str(int(code))).inc()
+        self._seconds.labels(kind).observe(took_s)
+        log.info(
+            "event=%s id=%s route=%s service=%s workspace=%s code=%d took_s=%.3f %s",
+            event,
+            exchange.request_id,
+            job.route.name if job else NO_KIND,
+            job.service if job else NO_KIND,
+            job.workspace if job else NO_KIND,
+            code,
+            took_s,
+            detail,
+        )
--- /dev/null
+++ b/comfreyhatch/exchange/pool.py
@@ -0,0 +1,298 @@
+"""Gives requests an endpoint, or lets them wait in order until one is free."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from itertools import count
+from random import Random
+
+from msgspec import Struct
+
+from comfreyhatch.codes import ResultCode
+from comfreyhatch.decisions.cold_rate import daemon_rate
+from comfreyhatch.decisions.endpoint_state import EndpointState
+from comfreyhatch.decisions.placement import choose_endpoint
+from comfreyhatch.decisions.session_version import VersionChoice, choose_version, version_allowed
+from comfreyhatch.decisions.version_trial import canary_share
+from comfreyhatch.decisions.waiting import Throughput, Waiter, longest_wait_s, retry_after_s
+from comfreyhatch.domain.deployment import Deployment
+from comfreyhatch.domain.exchange import Job
+from comfreyhatch.domain.operations import RolloutOrder, RolloutState
+from comfreyhatch.errors import RefusedError
+from comfreyhatch.exchange.view import FleetView
+
+WAITERS_PER_SERVICE = 256
+SWEEP_S = 0.1
+PINS_KEPT = 20000
+ALL_SHARE = 0.5
+NO_ENDPOINT_RETRY_S = 1.0
+DAEMONS_PER_ZONE = 2
+
+log = logging.getLogger("comfreyhatch.pool")
+
+
+class _Place(Struct):
+    """A request that waits and the future that its endpoint is given to."""
+
+    waiter: Waiter
+    job: Job
+    excluded: frozenset[str]
+    found: "asyncio.Future[EndpointState]"
+
+
+class EndpointPool:
+    """Places requests on endpoints; owns what waits and the versions of sessions."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        view: FleetView,
+        rng: Random,
+        distrusted: Callable[[RolloutOrder], bool],
+    ) -> None:
+        """Create a pool.
+
+        Args:
+            deployment: Settings.
+            view: What is believed of the fleet.
+            rng: Seeded source of spreads.
+            distrusted: Tells whether the version of an order was found bad here.
+        """
+        self._deployment = deployment
+        self._view = view
+        self._rng = rng
+        self._distrusted = distrusted
+        self._canary = canary_share(deployment.bounds.expose_share)
+        self._places_by_service: dict[str, list[_Place]] = {}
+        self._throughput_by_service: dict[str, Throughput] = {}
+        self._pin_by_session: dict[str, tuple[str, float]] = {}
+        self._number = count()
+        self._sweep: asyncio.TimerHandle | None = None
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait."""
+        return sum(len(places) for places in self._places_by_service.values())
+
+    async def take(self, job: Job, excluded: frozenset[str] = frozenset()) -> EndpointState:
+        """Return an endpoint for a request and count the request there.
+
+        Raises:
+            RefusedError: If none can be had in time; says when to come back.
+        """
+        now = asyncio.get_running_loop().time()
+        state = self._place(job, excluded, now)
+        if state is not None:
+            return state
+        return await self._wait(job, excluded, now)
+
+    def release(self, state: EndpointState, job: Job, took_s: float) -> None:
+        """Free an endpoint after a request of this daemon has ended there."""
+        state.in_flight -= 1
+        self._throughput(job.service).note(took_s)
+        self.pump(job.service)
+
+    def pump(self, service: str) -> None:
+        """Give free endpoints to the requests that wait, in their order."""
+        places = self._places_by_service.get(service)
+        if not places:
+            return
+        now = asyncio.get_running_loop().time()
+        places.sort(key=lambda place: place.waiter.key(now))
+        for place in list(places):
+            if place.found.done():
+                places.remove(place)
+                continue
+            state = self._place(place.job, place.excluded, now)
+            if state is not None:
+                places.remove(place)
+                place.found.set_result(state)
+            elif now >= place.waiter.give_up:
+                places.remove(place)
+                place.found.set_exception(self._refused(place.job, now))
+
+    def load(self, service: str, now: float) -> float:
+        """Return the running and waiting requests of a service as a share of its slots."""
+        states = [s for s in self._view.states_by_service.get(service, ()) if self._usable(s, now)]
+        slots = sum(state.record.slots for state in states)
+        running = sum(state.running(now) for state in states)
+        return (running + len(self._places_by_service.get(service, ()))) / slots if slots else 1.0
+
+    def note_version(self, job: Job, version: str, now: float) -> None:
+        """Remember the version on which a session runs."""
+        if not job.exchange.session:
+            return
+        self._pin_by_session.pop(job.exchange.session, None)
+        self._pin_by_session[job.exchange.session] = (version, now)
+        while len(self._pin_by_session) > PINS_KEPT:
+            self._pin_by_session.pop(next(iter(self._pin_by_session)))
+
+    async def _wait(self, job: Job, excluded: frozenset[str], now: float) -> EndpointState:
+        places = self._places_by_service.setdefault(job.service, [])
+        wait_s = longest_wait_s(job, now)
+        if not self._hopeful(job, excluded, now) or len(places) >= WAITERS_PER_SERVICE:
+            raise self._refused(job, now)
+        ahead = sum(1 for p in places if p.waiter.rank <= job.rank)
+        if wait_s <= 0 or self._expected_wait_s(job.service, ahead, now) > wait_s:
+            raise self._refused(job, now)
+        waiter = Waiter(next(self._number), job.rank, job.arrived + job.route.aim_s, now + wait_s)
+        loop = asyncio.get_running_loop()
+        place = _Place(waiter, job, excluded, loop.create_future())
+        places.append(place)
+        self._arm()
+        log.info(
+            "event=queued id=%s service=%s rank=%d ahead=%d wait_s=%.2f",
+            job.exchange.request_id,
+            job.service,
+            job.rank,
+            ahead,
+            wait_s,
+        )
+        try:
+            return await place.found
+        except asyncio.CancelledError:
+            self._withdraw(places, place, job)
+            raise
+
+    def _withdraw(self, places: list[_Place], place: _Place, job: Job) -> None:
+        if place in places:
+            places.remove(place)
+        elif place.found.done() and not place.found.cancelled() and not place.found.exception():
+            self.release(place.found.result(), job, 0.0)
+
+    def _place(self, job: Job, excluded: frozenset[str], now: float) -> EndpointState | None:
+        candidates = [
+            state for state in self._candidates(job, excluded, now) if self._free(state, job, now)
+        ]
+        state = choose_endpoint(job.exchange, candidates, self._deployment.zone, now)
+        if state is None:
+            return None
+        state.in_flight += 1
+        if self._view.cold(state, now):
+            state.take_cold(self._cold_per_s(state), now)
+        return state
+
+    def _candidates(self, job: Job, excluded: frozenset[str], now: float) -> list[EndpointState]:
+        """Return the endpoints that may run a request; ejected ones only when no other is left."""
+        order = self._view.order(job.service)
+        choice = self._choice(job, order, now)
+        usable = [
+            state
+            for state in self._view.states_by_service.get(job.service, ())
+            if state.record.endpoint_id not in excluded and self._usable(state, now)
+        ]
+        fitting = [s for s in usable if version_allowed(choice, s.record.version, order)]
+        if not fitting:
+            fitting = self._other_version(usable, choice, order, job, now)
+        if order is None:
+            settled = [s for s in fitting if self._view.settled(job.service, s.record.version, now)]
+            fitting = settled or fitting
+        return [s for s in fitting if now >= s.ejected_until] or fitting
+
+    def _other_version(
+        self,
+        usable: list[EndpointState],
+        choice: VersionChoice,
+        order: RolloutOrder | None,
+        job: Job,
+        now: float,
+    ) -> list[EndpointState]:
+        """Return what may run a request whose version has no endpoint."""
+        trial = self._view.trial(job.service)
+        if order is None or self._distrusted(order):
+            return []
+        if trial is not None and trial.state is RolloutState.ROLLED_BACK:
+            return []
+        if choice is VersionChoice.TARGET:
+            return usable if self._pinned(job, now) != order.version else []
+        # A completed roll-out has no other version left; its record may not be known here yet.
+        return usable if trial is None or trial.share >= ALL_SHARE else []
+
+    def _choice(self, job: Job, order: RolloutOrder | None, now: float) -> VersionChoice:
+        return choose_version(
+            order,
+            self._view.trial(job.service),
+            order is not None and self._distrusted(order),
+            job.session_key,
+            self._pinned(job, now),
+            self._canary,
+        )
+
+    def _pinned(self, job: Job, now: float) -> str | None:
+        version, at = self._pin_by_session.get(job.exchange.session, ("", float("-inf")))
+        return version if now - at <= 2 * self._deployment.bounds.session_s else None
+
+    def _usable(self, state: EndpointState, now: float) -> bool:
+        return self._view.listed(state, now) and not self._view.zone_out(state.record.zone)
+
+    def _free(self, state: EndpointState, job: Job, now: float) -> bool:
+        if state.running(now) >= state.record.slots:
+            return False
+        if not self._view.cold(state, now):
+            return True
+        return state.cold_ready(self._cold_per_s(state), now)
+
+    def _cold_per_s(self, state: EndpointState) -> float:
+        catalog = self._view.catalog
+        service = catalog.service_by_name.get(state.record.service) if catalog else None
+        if service is None or service.cold_per_s <= 0:
+            return float("inf")
+        bounds = self._deployment.bounds
+        return daemon_rate(
+            state.record.endpoint_id,
+            self._deployment.instance,
+            self._daemons(),
+            service.cold_per_s,
+            bounds.cold_over,
+            bounds.cold_slack,
+        )
+
+    def _daemons(self) -> set[str]:
+        """Return the known daemons, filled up while too few have been heard of to be all."""
+        known = self._view.daemons()
+        least = DAEMONS_PER_ZONE * len(self._deployment.zones)
+        return known | {f"unheard-{n}" for n in range(least - len(known))}
+
+    def _hopeful(self, job: Job, excluded: frozenset[str], now: float) -> bool:
+        """Return whether any endpoint could become free for a request."""
+        return bool(self._candidates(job, excluded, now))
+
+    def _expected_wait_s(self, service: str, ahead: int, now: float) -> float:
+        states = self._view.states_by_service.get(service, ())
+        slots = sum(s.record.slots for s in states if self._usable(s, now))
+        daemons = max(1, len(self._daemons()))
+        return self._throughput(service).expected_wait_s(ahead, max(1, slots // daemons))
+
+    def _refused(self, job: Job, now: float) -> RefusedError:
+        places = self._places_by_service.get(job.service, [])
+        listed = any(
+            self._usable(s, now) for s in self._view.states_by_service.get(job.service, ())
+        )
+        expected_s = self._expected_wait_s(job.service, len(places) + 1, now)
+        after_s = retry_after_s(
+            expected_s if listed else max(expected_s, NO_ENDPOINT_RETRY_S),
+            job.deadline - now,
+            self._rng,
+        )
+        if not listed:
+            return RefusedError(
+                f"no endpoint of {job.service} is in service",
+                ResultCode.NO_ENDPOINT,
+                retry_after_s=after_s,
+            )
+        return RefusedError(f"all endpoints of {job.service} are busy", retry_after_s=after_s)
+
+    def _throughput(self, service: str) -> Throughput:
+        return self._throughput_by_service.setdefault(service, Throughput())
+
+    def _arm(self) -> None:
+        if self._sweep is None:
+            loop = asyncio.get_running_loop()
+            self._sweep = loop.call_later(SWEEP_S, self._sweep_waiting)
+
+    def _sweep_waiting(self) -> None:
+        self._sweep = None
+        for service in list(self._places_by_service):
+            self.pump(service)
+        if self.waiting:
+            self._arm()
--- /dev/null
+++ b/comfreyhatch/exchange/router.py
@@ -0,0 +1,153 @@
+"""Finds where a caller's request goes, and has it answered."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse
+from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.decisions.arrivals import ArrivalBudget
+from comfreyhatch.decisions.placement import session_point
+from comfreyhatch.domain.catalog import Catalog, RequestKind, Route, Workspace
+from comfreyhatch.domain.exchange import Exchange, Job
+from comfreyhatch.errors import ComfreyhatchError, NotReadyError, RefusedError, RequestError
+from comfreyhatch.exchange.calls import Calls
+from comfreyhatch.exchange.ledger import Ledger
+from comfreyhatch.exchange.streams import Streams
+from comfreyhatch.exchange.view import FleetView
+from comfreyhatch.ports.wire import Wire
+
+NOT_READY_RETRY_S = 1.0
+
+log = logging.getLogger("comfreyhatch.router")
+
+
+class ExchangeRouter:
+    """Handles callers' requests."""
+
+    def __init__(
+        self,
+        wire: Wire,
+        view: FleetView,
+        calls: Calls,
+        streams: Streams,
+        budget: Callable[[str], ArrivalBudget],
+        ledger: Ledger,
+    ) -> None:
+        """Create a router.
+
+        Args:
+            wire: Codec of headers.
+            view: What is believed of the fleet.
+            calls: Path of requests with one whole answer.
+            streams: Path of streamed answers.
+            budget: Returns the budget of further arrivals of a service.
+            ledger: Counts and logs what became of requests.
+        """
+        self._wire = wire
+        self._view = view
+        self._calls = calls
+        self._streams = streams
+        self._budget = budget
+        self._ledger = ledger
+        self.stopping = False
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Return the answer to a request; refusals included."""
+        exchange = self._wire.read_exchange(request)
+        arrived = asyncio.get_running_loop().time()
+        job: Job | None = None
+        try:
+            job = self._admit(exchange, arrived)
+            response = await self._serve(job)
+        except ComfreyhatchError as error:
+            self._ledger.note_error(exchange, job, error, arrived)
+            return self._wire.refusal(error)
+        except asyncio.CancelledError:
+            self._ledger.note_abandoned(exchange, job, arrived)
+            raise
+        if response.stream is not None:
+            response.stream = self._ledger.follow(exchange, job, response.stream, arrived)
+        else:
+            self._ledger.note_answer(exchange, job, response.status, arrived)
+        return response
+
+    def _admit(self, exchange: Exchange, now: float) -> Job:
+        """Return the request with its route, workspace and service.
+
+        Raises:
+            ComfreyhatchError: If it is not allowed, or cannot be judged now.
+        """
+        catalog = self._view.catalog
+        if catalog is None or not self._view.ready():
+            raise NotReadyError("no configuration is known yet", retry_after_s=NOT_READY_RETRY_S)
+        if self.stopping:
+            raise RefusedError(
+                "the instance is shutting down", ResultCode.SHUTTING_DOWN, retry_after_s=0.1
+            )
+        route = catalog.route(exchange.host, exchange.path)
+        if route is None:
+            self._check_current(now)
+            raise RequestError("no route has this host and path", ResultCode.NOT_FOUND)
+        workspace = self._workspace(catalog, route, exchange, now)
+        patience_s = exchange.patience_s if exchange.patience_s is not None else route.timeout_s
+        job = Job(
+            exchange=exchange,
+            route=route,
+            workspace=workspace.name if workspace else "",
+            service=_service(route, exchange),
+            rank=_rank(route, workspace),
+            arrived=now,
+            deadline=now + min(patience_s, route.timeout_s),
+        )
+        self._budget(job.service).note_request(now)
+        return job
+
+    def _workspace(
+        self, catalog: Catalog, route: Route, exchange: Exchange, now: float
+    ) -> Workspace | None:
+        if route.public:
+            return None
+        workspace = catalog.workspace_by_key.get(exchange.api_key)
+        if workspace is None:
+            self._check_current(now)
+            raise RequestError("the API key is unknown", ResultCode.UNAUTHENTICATED)
+        return workspace
+
+    def _check_current(self, now: float) -> None:
+        """Raise if a newer configuration may allow what the known one does not."""
+        if self._view.stale(now):
+            raise NotReadyError(
+                f"the configuration is {self._view.operations_age_s(now):.1f} s old",
+                retry_after_s=NOT_READY_RETRY_S,
+            )
+
+    async def _serve(self, job: Job) -> HttpResponse:
+        try:
+            async with asyncio.timeout_at(job.deadline):
+                if job.route.kind is RequestKind.STREAM:
+                    return await self._streams.run(job)
+                return await self._calls.run(job)
+        except TimeoutError:
+            raise ComfreyhatchError(
+                "no answer came in time", ResultCode.DEADLINE_EXCEEDED, ran=Ran.UNKNOWN
+            ) from None
+
+
+def _service(route: Route, exchange: Exchange) -> str:
+    """Return the service for a request; weights decide by its session or, without one, its id."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    total = sum(share.weight for share in route.shares)
+    point = session_point(exchange.session or exchange.request_id, route.name) * total
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return route.shares[-1].service
+
+
+def _rank(route: Route, workspace: Workspace | None) -> int:
+    if workspace is not None and workspace.rank is not None:
+        return workspace.rank
+    return route.rank
--- /dev/null
+++ b/comfreyhatch/exchange/sender.py
@@ -0,0 +1,174 @@
+"""Sends one request to one endpoint and checks that the answer is the endpoint's, and whole."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack
+
+from msgspec import Struct
+
+from comfreyhatch.adapters.http_client import HttpClient, StreamedReply
+from comfreyhatch.codes import Ran
+from comfreyhatch.decisions.endpoint_state import EndpointState
+from comfreyhatch.domain.exchange import AnswerHead, Dispatch, Job
+from comfreyhatch.errors import (
+    AnswerBrokenError,
+    BackendError,
+    BackendRefusedError,
+    ConnectError,
+    ExchangeTimeoutError,
+    HttpError,
+)
+from comfreyhatch.ports.wire import Wire
+
+REFUSAL_READ_S = 0.5
+
+log = logging.getLogger("comfreyhatch.sender")
+
+
+class WholeAnswer(Struct, frozen=True):
+    """An answer that was read to its end."""
+
+    head: AnswerHead
+    body: bytes
+    endpoint: EndpointState
+
+
+class OpenAnswer:
+    """An answer whose head is read and whose body is still to come; close it in any case."""
+
+    def __init__(
+        self, head: AnswerHead, endpoint: EndpointState, reply: StreamedReply, stack: AsyncExitStack
+    ) -> None:
+        self.head = head
+        self.endpoint = endpoint
+        self._reply = reply
+        self._stack = stack
+
+    async def pieces(self, timeout_s: float) -> AsyncIterator[bytes]:
+        """Yield the body as it comes.
+
+        Raises:
+            BackendError: If it breaks off or stays silent for `timeout_s`.
+        """
+        try:
+            async for piece in self._reply.pieces(timeout_s):
+                yield piece
+        except HttpError as error:
+            raise AnswerBrokenError(str(error)) from error
+
+    async def close(self) -> None:
+        """Give the connection back if the answer was read to its end, else reset it."""
+        await self._stack.aclose()
+
+
+class Sender:
+    """Sends requests to endpoints; owns the connections to them."""
+
+    def __init__(self, client: HttpClient, wire: Wire) -> None:
+        self._client = client
+        self._wire = wire
+
+    async def open(
+        self, job: Job, endpoint: EndpointState, dispatch: Dispatch, head_timeout_s: float
+    ) -> OpenAnswer:
+        """Send a request and read the head of its answer.
+
+        Args:
+            job: The request.
+            endpoint: Where to; its health is noted.
+            dispatch: How it is sent.
+            head_timeout_s: Longest wait for the head, in seconds.
+
+        Raises:
+            BackendRefusedError: If the endpoint has not run the request.
+            BackendError: If the request may have run and there is no answer to pass on.
+        """
+        loop = asyncio.get_running_loop()
+        stack = AsyncExitStack()
+        try:
+            reply = await stack.enter_async_context(
+                self._client.stream(
+                    endpoint.record.address,
+                    job.exchange.method,
+                    job.exchange.target,
+                    job.exchange.body,
+                    self._wire.dispatch_headers(job.exchange, dispatch),
+                    head_timeout_s,
+                )
+            )
+            head = self._wire.read_head(reply.status, reply.headers)
+            self._note_head(endpoint, head, loop.time())
+            await self._check(job, endpoint, head, reply)
+        except HttpError as error:
+            await stack.aclose()
+            unreachable = isinstance(error, ConnectError)
+            endpoint.note_broken(loop.time(), unreachable)
+            raise _backend_error(error) from error
+        except BaseException:
+            await stack.aclose()
+            raise
+        return OpenAnswer(head, endpoint, reply, stack)
+
+    async def whole(
+        self, job: Job, endpoint: EndpointState, dispatch: Dispatch, timeout_s: float
+    ) -> WholeAnswer:
+        """Send a request and read the whole answer.
+
+        Raises:
+            BackendRefusedError: If the endpoint has not run the request.
+            BackendError: If the request may have run and there is no whole answer.
+        """
+        answer = await self.open(job, endpoint, dispatch, timeout_s)
+        try:
+            body = b"".join([piece async for piece in answer.pieces(timeout_s)])
+        except AnswerBrokenError:
+            endpoint.note_broken(asyncio.get_running_loop().time(), unreachable=False)
+            raise
+        finally:
+            await answer.close()
+        return WholeAnswer(answer.head, body, endpoint)
+
+    async def _check(
+        self, job: Job, endpoint: EndpointState, head: AnswerHead, reply: StreamedReply
+    ) -> None:
+        """Raise unless the answer may be passed on."""
+        if head.refused:
+            endpoint.misdirected = endpoint.misdirected or head.misdirected
+            await _read_out(reply)
+            raise BackendRefusedError(
+                f"{endpoint.record.endpoint_id} refused with status {head.status}"
+            )
+        if head.promises:
+            raise BackendError(f"status {head.status} without saying that nothing ran")
+        if head.request_id and head.request_id != job.exchange.request_id:
+            raise AnswerBrokenError(f"the answer belongs to request {head.request_id}")
+        if head.success and (not head.receipt or head.encoded):
+            raise AnswerBrokenError("the answer bears no receipt or is not the endpoint's own")
+
+    def _note_head(self, endpoint: EndpointState, head: AnswerHead, now: float) -> None:
+        if head.load is not None:
+            endpoint.note_load(head.load, now)
+        if head.cold_s:
+            endpoint.note_cold(head.cold_s, now)
+        if head.success:
+            endpoint.note_success()
+        elif not head.refused:
+            endpoint.note_failed_answer()
+
+
+async def _read_out(reply: StreamedReply) -> None:
+    """Read the rest of a refusal, so that its connection can be used again."""
+    try:
+        async for _ in reply.pieces(REFUSAL_READ_S):
+            pass
+    except HttpError as error:
+        log.debug("event=refusal_cut reason=%r", str(error))
+
+
+def _backend_error(error: HttpError) -> BackendError:
+    if error.ran is Ran.NO:
+        return BackendRefusedError(str(error))
+    if isinstance(error, ExchangeTimeoutError):
+        return BackendError(str(error))
+    return AnswerBrokenError(str(error))
--- /dev/null
+++ b/comfreyhatch/exchange/trials.py
@@ -0,0 +1,170 @@
+"""Carries out roll-outs: publishes evidence, and takes the next step when it is due."""
+
+import asyncio
+import logging
+
+from msgspec.structs import replace
+
+from comfreyhatch.decisions.rendezvous import rendezvous_order
+from comfreyhatch.decisions.version_trial import canary_share, fault_of, next_step, pool
+from comfreyhatch.domain.deployment import Deployment
+from comfreyhatch.domain.operations import Evidence, RolloutOrder, TrialRecord
+from comfreyhatch.exchange.outcomes import Outcomes
+from comfreyhatch.exchange.view import FleetView
+from comfreyhatch.ports.directory import Directory
+
+TURN_S = 0.4
+EVIDENCE_INTERVAL_S = 0.8
+TAKE_OVER_S = 0.8
+
+log = logging.getLogger("comfreyhatch.trials")
+
+
+class Trials:
+    """The roll-outs as this daemon drives them.
+
+    Every daemon may take a step; the condition on the stored record lets only one of them do it.
+    The first in an order that all compute alike does it at once, the others a little later each,
+    so that usually one write is made.
+    """
+
+    def __init__(
+        self, deployment: Deployment, directory: Directory, view: FleetView, outcomes: Outcomes
+    ) -> None:
+        self._deployment = deployment
+        self._directory = directory
+        self._view = view
+        self._outcomes = outcomes
+        self._canary = canary_share(deployment.bounds.expose_share)
+        self._published: dict[str, Evidence] = {}
+        self._published_at = 0.0
+        self._due_since: dict[str, float] = {}
+        self._distrusted: dict[str, int] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start to drive roll-outs."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop; another daemon goes on."""
+        if self._task:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def distrusted(self, order: RolloutOrder) -> bool:
+        """Return whether the version of an order was found bad here."""
+        return self._distrusted.get(order.service) == order.revision
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(TURN_S)
+            try:
+                await self._turn()
+            except Exception:
+                log.exception("event=trial_turn_failed")
+
+    async def _turn(self) -> None:
+        operations = self._view.operations
+        if operations is None or self._view.records is None:
+            return
+        for order in list(operations.order_by_service.values()):
+            if self._view.finished(order.service) is None:
+                await self._publish(order.service)
+                await self._step(order)
+
+    async def _publish(self, service: str) -> None:
+        now = asyncio.get_running_loop().time()
+        evidence = self._outcomes.evidence(service)
+        if evidence is None or not evidence.target_by_route:
+            return
+        # The stored counts of this order change only with new answers.
+        copy = replace(
+            evidence,
+            target_by_route=dict(evidence.target_by_route),
+            other_by_route=dict(evidence.other_by_route),
+        )
+        held = self._published.get(service)
+        unchanged = held is not None and held.target_by_route == copy.target_by_route
+        if unchanged or now - self._published_at < EVIDENCE_INTERVAL_S:
+            return
+        self._published_at = now
+        if await self._directory.put_evidence(copy):
+            self._published[service] = copy
+
+    async def _step(self, order: RolloutOrder) -> None:
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        pooled = pool(self._evidence(order))
+        fault = fault_of(pooled)
+        if fault and not self.distrusted(order):
+            self._distrusted[order.service] = order.revision
+            log.warning(
+                "event=version_distrusted service=%s version=%s reason=%r",
+                order.service,
+                order.version,
+                fault,
+            )
+        step = next_step(
+            order,
+            self._stored(order.service),
+            pooled,
+            self._canary,
+            self._target_ready(order, now),
+            self._view.store_ms(now),
+        )
+        if step is None:
+            self._due_since.pop(order.service, None)
+            return
+        since = self._due_since.setdefault(order.service, now)
+        if now - since < self._turn_in_order(order) * TAKE_OVER_S:
+            return
+        await self._commit(step)
+
+    async def _commit(self, step: TrialRecord) -> None:
+        stored = await self._directory.put_trial(step)
+        log.info(
+            "event=rollout_step service=%s version=%s state=%s share=%.2f stored=%s reason=%r",
+            step.service,
+            step.version,
+            step.state.value,
+            step.share,
+            stored,
+            step.reason,
+        )
+        loop = asyncio.get_running_loop()
+        self._due_since.pop(step.service, None)
+        found = await self._directory.records(self._view.records, 0.0)
+        self._view.apply_records(found, loop.time())
+
+    def _stored(self, service: str) -> TrialRecord | None:
+        records = self._view.records
+        return records.trial_by_service.get(service) if records else None
+
+    def _evidence(self, order: RolloutOrder) -> list[Evidence]:
+        """Return the evidence of all daemons on an order, this daemon's own as it is now."""
+        records = self._view.records
+        stored = records.evidence_by_key.values() if records else ()
+        found = [
+            e
+            for e in stored
+            if e.service == order.service
+            and e.order_revision == order.revision
+            and e.daemon != self._deployment.instance
+        ]
+        own = self._outcomes.evidence(order.service)
+        return [*found, own] if own else found
+
+    def _target_ready(self, order: RolloutOrder, now: float) -> bool:
+        states = self._view.states_by_service.get(order.service, ())
+        return any(
+            s.record.version == order.version
+            and self._view.listed(s, now)
+            and not self._view.cold(s, now)
+            for s in states
+        )
+
+    def _turn_in_order(self, order: RolloutOrder) -> int:
+        daemons = self._view.daemons() | {self._deployment.instance}
+        ranked = rendezvous_order(f"{order.service}/{order.revision}", daemons)
+        return min(ranked.index(self._deployment.instance), 5)
--- /dev/null
+++ b/comfreyhatch/platform/main.py
@@ -0,0 +1,75 @@
+"""Entry of the daemon on the users' platform."""
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+from pathlib import Path
+from random import Random
+
+from comfreyhatch.adapters.logs import set_up_logs
+from comfreyhatch.domain.deployment import Deployment
+from comfreyhatch.domain.instance import Address
+from comfreyhatch.errors import SettingsError
+from comfreyhatch.exchange.daemon import ExchangeDaemon
+from comfreyhatch.platform.directory import StoreDirectory
+from comfreyhatch.platform.settings import SETTINGS_VARIABLE, load_deployment
+from comfreyhatch.platform.store import StoreClient
+from comfreyhatch.platform.wire import PlatformWire
+
+DEFAULT_SETTINGS = "/etc/comfreyhatch/local.conf"
+METRICS_PORT = 9464
+EXIT_SETTINGS = 2
+
+log = logging.getLogger("comfreyhatch.main")
+
+
+async def serve(deployment: Deployment, settings: Path) -> None:
+    """Run a daemon until SIGTERM.
+
+    Args:
+        deployment: Settings at the start.
+        settings: File that is read again on SIGHUP.
+    """
+    store = StoreClient(deployment.store)
+    directory = StoreDirectory(store)
+    daemon = ExchangeDaemon(deployment, directory, PlatformWire(), Random(deployment.instance))
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, settings, deployment)
+    await daemon.start(Address(deployment.callers.host, METRICS_PORT))
+    await stopping.wait()
+    await daemon.shut_down()
+    store.close()
+
+
+def _reload(settings: Path, deployment: Deployment) -> None:
+    """Read the settings again; what a running daemon cannot change is only told."""
+    try:
+        found = load_deployment(settings)
+    except SettingsError as error:
+        log.error("event=reload_failed reason=%r", str(error))
+        return
+    changed = [
+        f for f in Deployment.__struct_fields__ if getattr(found, f) != getattr(deployment, f)
+    ]
+    log.info("event=reloaded changed=%s", ",".join(changed) or "nothing")
+
+
+def main() -> None:
+    """Read the settings and run the daemon."""
+    settings = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS))
+    set_up_logs("keyvalue", "info", sys.stdout)
+    try:
+        deployment = load_deployment(settings)
+    except SettingsError as error:
+        print(f"comfreyhatch: {int(error.code)} {error.code.name}\n{error}", file=sys.stderr)
+        raise SystemExit(EXIT_SETTINGS) from error
+    asyncio.run(serve(deployment, settings))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/comfreyhatch/platform/settings.py
@@ -0,0 +1,138 @@
+"""Reads the settings file that the platform lays on an instance."""
+
+from pathlib import Path
+
+from comfreyhatch.domain.deployment import Bounds, Deployment
+from comfreyhatch.domain.instance import Address
+from comfreyhatch.errors import SettingsError
+
+MS_PER_S = 1000.0
+SETTINGS_VARIABLE = "COMFREYHATCH_SETTINGS"
+DEFAULT_HEARTBEAT_MS = 1000.0
+DEFAULT_MEMORY_MB = 256.0
+DEFAULT_MAX_FDS = 1024
+
+_BOUND_BY_FIELD = {
+    # field of Bounds: (name in the file, factor to the field's unit)
+    "contact_s": ("contact_ms", 1 / MS_PER_S),
+    "drain_s": ("drain_ms", 1 / MS_PER_S),
+    "grace_s": ("grace_s", 1.0),
+    "config_s": ("config_apply_ms", 1 / MS_PER_S),
+    "retry_ratio": ("retry_budget_ratio", 1.0),
+    "retry_slack": ("retry_slack", 1.0),
+    "retry_window_s": ("budget_window_s", 1.0),
+    "expose_share": ("expose_share", 1.0),
+    "rollback_s": ("rollback_ms", 1 / MS_PER_S),
+    "cold_over": ("cold_over", 1.0),
+    "cold_slack": ("cold_slack", 1.0),
+    "session_s": ("session_s", 1.0),
+    "prefix_life_s": ("again_s", 1.0),
+}
+
+
+class _Reader:
+    """Takes typed values from the lines of a file and collects what is wrong with them."""
+
+    def __init__(self, path: str, value_by_key: dict[str, str]) -> None:
+        self.errors: list[str] = []
+        self._path = path
+        self._value_by_key = value_by_key
+
+    def text(self, key: str) -> str:
+        value = self._value_by_key.get(key, "")
+        if not value:
+            self._note(key, value, "a value")
+        return value
+
+    def number(self, key: str, default: float) -> float:
+        value = self._value_by_key.get(key, "")
+        if not value:
+            return default
+        try:
+            number = float(value)
+        except ValueError:
+            number = -1.0
+        if number >= 0:
+            return number
+        self._note(key, value, "a number, 0 or more")
+        return default
+
+    def address(self, key: str) -> Address:
+        return self._address(key, self.text(key)) or Address("", 0)
+
+    def optional_address(self, key: str) -> Address | None:
+        value = self._value_by_key.get(key, "")
+        return self._address(key, value) if value else None
+
+    def addresses(self, key: str) -> tuple[Address, ...]:
+        values = [v for v in self._value_by_key.get(key, "").split(",") if v]
+        found = [self._address(key, value) for value in values]
+        return tuple(address for address in found if address)
+
+    def keys_below(self, prefix: str) -> tuple[str, ...]:
+        return tuple(k.removeprefix(prefix) for k in self._value_by_key if k.startswith(prefix))
+
+    def _address(self, key: str, value: str) -> Address | None:
+        host, _, port = value.strip().rpartition(":")
+        if host and port.isdigit() and int(port) <= 65535:
+            return Address(host, int(port))
+        self._note(key, value, "HOST:PORT")
+        return None
+
+    def _note(self, key: str, value: str, allowed: str) -> None:
+        self.errors.append(f"{self._path}: {key} is {value!r}; allowed is {allowed}")
+
+
+def load_deployment(path: Path) -> Deployment:
+    """Read a settings file.
+
+    Raises:
+        SettingsError: If the file cannot be read or has errors; the message lists them all.
+    """
+    try:
+        text = path.read_text(encoding="utf-8-sig")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: cannot be read: {error}") from error
+    return parse_deployment(text, str(path))
+
+
+def parse_deployment(text: str, path: str = "settings") -> Deployment:
+    """Return the settings in lines of the form a.b=value; unknown keys are ignored.
+
+    Raises:
+        SettingsError: If there are errors; the message lists them all.
+    """
+    value_by_key = _values(text)
+    reader = _Reader(path, value_by_key)
+    deployment = Deployment(
+        instance=reader.text("node_name"),
+        zone=reader.text("zone"),
+        zones=reader.keys_below("zones."),
+        callers=reader.address("bind.front"),
+        readiness=reader.address("bind.ready"),
+        control=reader.optional_address("bind.control"),
+        seeds=reader.addresses("seeds"),
+        store=reader.address("platform.address"),
+        heartbeat_s=reader.number("heartbeat_ms", DEFAULT_HEARTBEAT_MS) / MS_PER_S,
+        memory_mb=reader.number("limits.memory_mb", DEFAULT_MEMORY_MB),
+        max_fds=int(reader.number("limits.max_fds", DEFAULT_MAX_FDS)),
+        bounds=_bounds(reader),
+    )
+    if reader.errors:
+        raise SettingsError("\n".join(reader.errors))
+    return deployment
+
+
+def _bounds(reader: _Reader) -> Bounds:
+    usual = Bounds()
+    values = {
+        field: reader.number(f"bounds.{key}", getattr(usual, field) / factor) * factor
+        for field, (key, factor) in _BOUND_BY_FIELD.items()
+    }
+    return Bounds(**values)
+
+
+def _values(text: str) -> dict[str, str]:
+    lines = [line.strip() for line in text.splitlines()]
+    pairs = [line.partition("=") for line in lines if "=" in line and not line.startswith("#")]
+    return {key.strip(): value.strip() for key, _, value in pairs}
--- /dev/null
+++ b/comfreyhatch/platform/store.py
@@ -0,0 +1,205 @@
+"""Client of the platform's store: rows in tables, changed under conditions."""
+
+import logging
+from base64 import b64decode, b64encode
+from binascii import Error as Base64Error
+from enum import Enum
+from urllib.parse import urlencode
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.json import Decoder, encode
+
+from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.domain.instance import Address
+from comfreyhatch.errors import HttpError, PlatformError
+
+CALL_TIMEOUT_S = 0.8
+CONNECT_TIMEOUT_S = 0.5
+ROWS_PER_CALL = 500
+MS_PER_S = 1000.0
+
+OK = 200
+CONFLICT = 412
+HISTORY_GONE = 410
+
+log = logging.getLogger("comfreyhatch.store")
+
+
+class Row(Struct, frozen=True):
+    """A row of a table, or the news that it was removed.
+
+    Attributes:
+        table: Table.
+        key: Key in the table; the daemons use only the empty partition.
+        value: Decoded value; empty when removed.
+        revision: Version of the row.
+        removed: Whether the row is gone.
+    """
+
+    table: str
+    key: str
+    value: bytes
+    revision: int
+    removed: bool = False
+
+
+class Rows(Struct, frozen=True):
+    """Rows as of one revision of the store, and its clock then, in milliseconds."""
+
+    rows: tuple[Row, ...]
+    revision: int
+    store_ms: int
+
+
+class Write(Struct, frozen=True):
+    """A row to write; `expected` is the revision that it must have, 0 for none, None for any."""
+
+    table: str
+    key: str
+    value: bytes
+    expected: int | None = None
+
+
+class WriteResult(Enum):
+    """What became of a write."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class HistoryGoneError(PlatformError):
+    """The changes asked for are no longer kept; read everything again."""
+
+
+class _WireRow(Struct):
+    table: str = ""
+    part: str = ""
+    key: str = ""
+    value: str = ""
+    ver: int = 0
+    removed: bool = False
+
+
+class _WireRows(Struct):
+    rows: list[_WireRow] = []
+    has_more: bool = False
+    ver: int = 0
+    now_ms: float = 0
+
+
+class _WireRef(Struct):
+    table: str
+    part: str
+    key: str
+    ver: int
+
+
+class _WireWrite(Struct):
+    table: str
+    part: str
+    key: str
+    value: str
+
+
+class _WireTransaction(Struct):
+    expected_rev: list[_WireRef]
+    writes: list[_WireWrite]
+    remove: list[_WireRef] = []
+
+
+class StoreClient:
+    """Reads, follows and changes rows; every call has a bounded time."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._client = HttpClient(connect_timeout_s=CONNECT_TIMEOUT_S)
+        self._decoder = Decoder(_WireRows)
+        self.calls = 0
+
+    async def read(self, table: str) -> Rows:
+        """Return all rows of a table.
+
+        Raises:
+            PlatformError: If the store does not answer or refuses.
+        """
+        rows: list[Row] = []
+        start = ""
+        while True:
+            query = {"table": table, "part": "", "limit": str(ROWS_PER_CALL)}
+            if start:
+                query["from"] = start
+            page = self._rows(await self._call("GET", f"/rows-get?{urlencode(query)}"))
+            rows += [row for row in map(_row, page.rows) if row]
+            if not page.has_more or not page.rows:
+                return Rows(tuple(rows), page.ver, int(page.now_ms))
+            start = page.rows[-1].key + "\0"
+
+    async def follow(self, table: str, after: int, wait_s: float) -> Rows:
+        """Return the rows of a table that changed after a revision, once there are any.
+
+        Raises:
+            HistoryGoneError: If the store no longer keeps these changes.
+            PlatformError: If the store does not answer or refuses.
+        """
+        query = {"table": table, "after": str(after), "wait_ms": str(int(wait_s * MS_PER_S))}
+        reply = await self._call("GET", f"/rows-feed?{urlencode(query)}", extra_s=wait_s)
+        if reply.status == HISTORY_GONE:
+            raise HistoryGoneError(f"the changes of {table} after {after} are no longer kept")
+        page = self._rows(reply)
+        rows = tuple(row for row in map(_row, page.rows) if row)
+        return Rows(rows, max(after, page.ver), int(page.now_ms))
+
+    async def write(self, writes: list[Write]) -> WriteResult:
+        """Apply all writes, or none of them.
+
+        Returns:
+            UNKNOWN when the answer was lost: the writes may be done now or later.
+        """
+        refs = [_WireRef(w.table, "", w.key, w.expected) for w in writes if w.expected is not None]
+        puts = [_WireWrite(w.table, "", w.key, b64encode(w.value).decode()) for w in writes]
+        try:
+            reply = await self._call("POST", "/rows-tx", encode(_WireTransaction(refs, puts)))
+        except PlatformError as error:
+            log.warning("event=store_write_unanswered reason=%r", str(error))
+            return WriteResult.UNKNOWN
+        if reply.status == OK:
+            return WriteResult.DONE
+        log.info("event=store_write_refused status=%d", reply.status)
+        return WriteResult.REFUSED
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    async def _call(
+        self, method: str, target: str, body: bytes = b"", extra_s: float = 0.0
+    ) -> HttpReply:
+        self.calls += 1
+        headers = {"content-type": "application/json"} if body else {}
+        try:
+            return await self._client.request(
+                self._address, method, target, body, headers, CALL_TIMEOUT_S + extra_s
+            )
+        except HttpError as error:
+            raise PlatformError(f"the store does not answer: {error}") from error
+
+    def _rows(self, reply: HttpReply) -> _WireRows:
+        if reply.status != OK:
+            raise PlatformError(f"the store refused a read with status {reply.status}")
+        try:
+            return self._decoder.decode(reply.body)
+        except (DecodeError, ValidationError) as error:
+            raise PlatformError(f"the store's answer cannot be read: {error}") from error
+
+
+def _row(wire: _WireRow) -> Row | None:
+    """Return a row of the partition that the daemons use; one that cannot be read is left out."""
+    if wire.part:
+        return None
+    try:
+        value = b64decode(wire.value, validate=True)
+    except (Base64Error, ValueError):
+        log.warning("event=row_unreadable table=%s key=%s", wire.table, wire.key)
+        value = b""
+    return Row(wire.table, wire.key, value, wire.ver, wire.removed)
--- a/tests/test_key_change.py
+++ b/tests/test_key_change.py
@@ -50,7 +50,7 @@
             assert second.header_by_name["x-version"] == first.header_by_name["x-version"]
             assert await pin_of(client, at["new"].operators, second) == "token"
             minted = await client.request(
-                at["old"].callers, "POST", "/v1/keys", header_by_name=AUTHORIZATION
+                at["old"].callers, "POST", "/v1/keys", headers=AUTHORIZATION
             )
             key = decode(minted.body)["idempotency_key"]
             booked = await book(client, at["new"].callers, key)
