Place by engine time, and watch stalled streams instead of a fixed time to the head

Cause: requests were spread by their number, so that short ones waited behind long prompts; a head timeout of three seconds gave up requests that a busy engine still had in line, three times in a row; the load that lowers the confidence for the larger model never rose, since slots are many. Change: work is counted in seconds of an engine, learned by model; an answer is given up only when the endpoint is silent, or very late, and another attempt is left; the confidence falls with the wait behind other work.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -39,6 +39,10 @@
         self.header_by_name = {n.decode("ascii"): v.decode("latin-1") for n, v in headers}
         self._link = link
 
+    def abort(self) -> None:
+        """Reset the connection; whoever reads the body sees it break."""
+        self._link.abort()
+
     async def pieces(self, timeout_s: float) -> AsyncIterator[bytes]:
         """Yield the body as it comes; what one read brings is yielded as one piece.
 
--- a/comfreyhatch/decisions/endpoint_state.py
+++ b/comfreyhatch/decisions/endpoint_state.py
@@ -1,5 +1,7 @@
 """What this daemon believes of one endpoint: work under way, health, cold start."""
 
+from math import pow
+
 from comfreyhatch.decisions.cold_rate import ColdRate
 from comfreyhatch.domain.endpoint import EndpointRecord
 from comfreyhatch.domain.exchange import ReportedLoad
@@ -7,9 +9,9 @@
 EJECT_FIRST_S = 0.5
 EJECT_LONGEST_S = 4.0
 FAILURES_TO_EJECT = 2
-SPEED_WEIGHT = 0.2
 FAILURE_WEIGHT = 0.1
 LOAD_LIFE_S = 1.5
+DELAY_LIFE_S = 1.0
 
 
 class EndpointState:
@@ -21,12 +23,15 @@
         cold_until: Monotonic time until which it counts as cold.
         ejected_until: Monotonic time until which it gets no work after failures.
         failure_share: Moving share of its answers that failed.
-        slowness: Moving ratio of its answer times to the usual ones; 1 is usual.
+        pending_s: Engine time of this daemon's requests there that wait for their first event.
+        heard_at: Monotonic time of the last byte from it.
         gone_at: Monotonic time at which its record vanished; None while it is listed.
     """
 
     __slots__ = (
         "_cold_rate",
+        "_delay_at",
+        "_delay_s",
         "_others",
         "_others_at",
         "_strikes",
@@ -35,26 +40,28 @@
         "failure_share",
         "gone_at",
         "in_flight",
+        "heard_at",
         "misdirected",
+        "pending_s",
         "record",
-        "slowness",
-        "work_left",
     )
 
     def __init__(self, record: EndpointRecord, now: float) -> None:
         self.record = record
         self.in_flight = 0
-        self.work_left = 0.0
+        self.pending_s = 0.0
+        self.heard_at = now
         self.cold_until = now + record.cold_left_s
         self.ejected_until = 0.0
         self.failure_share = 0.0
-        self.slowness = 1.0
         self.gone_at: float | None = None
         self.misdirected = False
         self._cold_rate = ColdRate()
         self._others = 0.0
         self._others_at = 0.0
         self._strikes = 0
+        self._delay_s = 0.0
+        self._delay_at = now
 
     def renew(self, record: EndpointRecord, now: float) -> None:
         """Take a newer record; a new start of the endpoint forgets what was known."""
@@ -68,7 +75,7 @@
             self.ejected_until = 0.0
             self._strikes = 0
             self.failure_share = 0.0
-            self.slowness = 1.0
+            self._delay_s = 0.0
 
     def note_cold(self, cold_s: float, now: float) -> None:
         """Take in how long the endpoint says it stays cold."""
@@ -90,9 +97,15 @@
         self._strikes = 0
         self.failure_share += FAILURE_WEIGHT * (1 - self.failure_share)
 
-    def note_time(self, ratio: float) -> None:
-        """Take in an answer's time as a ratio to the usual one."""
-        self.slowness += SPEED_WEIGHT * (min(ratio, 10.0) - self.slowness)
+    def note_delay(self, delay_s: float, now: float) -> None:
+        """Take in how long a request waited there behind other work."""
+        self._delay_s = max(0.0, delay_s)
+        self._delay_at = now
+
+    def delay_s(self, now: float) -> float:
+        """Return how long a new request would wait behind other work, in seconds."""
+        age_s = now - self._delay_at
+        return max(self.pending_s, self._delay_s * pow(0.5, age_s / DELAY_LIFE_S))
 
     def note_broken(self, now: float, unreachable: bool) -> None:
         """Count a lost answer or, with `unreachable`, a connection that could not be opened."""
--- a/comfreyhatch/decisions/placement.py
+++ b/comfreyhatch/decisions/placement.py
@@ -14,14 +14,16 @@
 HASH_RANGE = float(2**64)
 FAILURE_PENALTY = 1.5
 FAILURE_NORMAL = 0.2
-OTHER_ZONE_PENALTY = 0.04
-TIE_SPREAD = 0.03
-PREFIX_PENALTY_LARGEST = 0.15
-PREFIX_TOKENS_FULL = 8000
+OTHER_ZONE_PENALTY_S = 0.004
+TIE_SPREAD_S = 0.004
 
 
 def choose_endpoint(
-    exchange: Exchange, candidates: Iterable[EndpointState], zone: str, now: float
+    exchange: Exchange,
+    candidates: Iterable[EndpointState],
+    zone: str,
+    work_s: float,
+    now: float,
 ) -> EndpointState | None:
     """Return the candidate with the least expected delay, or None when there is none.
 
@@ -29,6 +31,7 @@
         exchange: Request to place.
         candidates: Endpoints that may run it.
         zone: Availability zone of this daemon.
+        work_s: Time that an idle endpoint needs for it.
         now: Monotonic time in seconds.
     """
     found = list(candidates)
@@ -36,26 +39,32 @@
         return None
     shared = _shared_prefix(exchange)
     home = _preferred(shared, found) if shared else None
-    return min(found, key=lambda e: _cost(exchange, e, zone, home, now))
+    return min(found, key=lambda e: _cost_s(exchange, e, zone, home, work_s, now))
 
 
-def _cost(
+def _cost_s(
     exchange: Exchange,
     endpoint: EndpointState,
     zone: str,
     home: EndpointState | None,
+    work_s: float,
     now: float,
 ) -> float:
-    """Return the expected delay there, in units of a full endpoint."""
-    load = (endpoint.running(now) + 1) / endpoint.record.slots
-    cost = load * max(0.5, endpoint.slowness)
-    cost += FAILURE_PENALTY * max(0.0, endpoint.failure_share - FAILURE_NORMAL)
+    """Return the expected time to an answer there, failures included, in seconds."""
+    crowd = (endpoint.running(now) + 1) / endpoint.record.slots
+    cost = endpoint.delay_s(now) + work_s * (1 + crowd)
+    cost *= 1 + FAILURE_PENALTY * max(0.0, endpoint.failure_share - FAILURE_NORMAL)
     if endpoint.record.zone != zone:
-        cost += OTHER_ZONE_PENALTY
+        cost += OTHER_ZONE_PENALTY_S
     if home is not None and endpoint is not home:
-        tokens = sum(part.tokens for part in exchange.parts[:-1])
-        cost += PREFIX_PENALTY_LARGEST * min(1.0, tokens / PREFIX_TOKENS_FULL)
-    return cost + TIE_SPREAD * _unit(exchange.request_id, endpoint.record.endpoint_id)
+        cost += work_s * _shared_part(exchange)
+    return cost + TIE_SPREAD_S * _unit(exchange.request_id, endpoint.record.endpoint_id)
+
+
+def _shared_part(exchange: Exchange) -> float:
+    """Return the share of the prompt that other requests have too."""
+    whole = sum(part.tokens for part in exchange.parts)
+    return 1 - exchange.parts[-1].tokens / whole if whole else 0.0
 
 
 def _shared_prefix(exchange: Exchange) -> str:
--- a/comfreyhatch/exchange/calls.py
+++ b/comfreyhatch/exchange/calls.py
@@ -88,7 +88,8 @@
     async def _attempt(self, call: "_Call") -> WholeAnswer:
         loop = asyncio.get_running_loop()
         job = call.job
-        endpoint = await self._pool.take(job, frozenset(call.tried))
+        place = await self._pool.take(job, frozenset(call.tried))
+        endpoint = place.endpoint
         call.tried.add(endpoint.record.endpoint_id)
         started = loop.time()
         # A refused attempt was an arrival too, so its repeat draws on the budget as well.
@@ -96,7 +97,7 @@
         try:
             answer = await self._send(call, endpoint, started)
         finally:
-            self._pool.release(endpoint, job, loop.time() - started)
+            self._pool.release(place)
         self._outcomes.note_answer(job, endpoint, answer.head.success, loop.time() - started)
         return answer
 
--- a/comfreyhatch/exchange/pool.py
+++ b/comfreyhatch/exchange/pool.py
@@ -31,13 +31,43 @@
 log = logging.getLogger("comfreyhatch.pool")
 
 
-class _Place(Struct):
-    """A request that waits and the future that its endpoint is given to."""
+class Place:
+    """A request's place at an endpoint, from when it is given until it is released.
+
+    Attributes:
+        endpoint: The endpoint.
+        started: Monotonic time at which the place was given.
+    """
+
+    __slots__ = ("_pending_s", "endpoint", "job", "started")
+
+    def __init__(self, endpoint: EndpointState, job: Job, work_s: float, now: float) -> None:
+        self.endpoint = endpoint
+        self.job = job
+        self.started = now
+        self._pending_s = work_s
+        endpoint.in_flight += 1
+        endpoint.pending_s += work_s
+
+    def begun(self) -> None:
+        """Note that the endpoint has begun to answer."""
+        self.endpoint.pending_s = max(0.0, self.endpoint.pending_s - self._pending_s)
+        self._pending_s = 0.0
+
+    def free(self) -> None:
+        """Give the place back."""
+        self.begun()
+        self.endpoint.in_flight -= 1
+
+
+class _Waiting(Struct):
+    """A request that waits and the future that its place is given to."""
 
     waiter: Waiter
     job: Job
     excluded: frozenset[str]
-    found: "asyncio.Future[EndpointState]"
+    work_s: float
+    found: "asyncio.Future[Place]"
 
 
 class EndpointPool:
@@ -63,7 +93,7 @@
         self._rng = rng
         self._distrusted = distrusted
         self._canary = canary_share(deployment.bounds.expose_share)
-        self._places_by_service: dict[str, list[_Place]] = {}
+        self._waiting_by_service: dict[str, list[_Waiting]] = {}
         self._throughput_by_service: dict[str, Throughput] = {}
         self._pin_by_session: dict[str, tuple[str, float]] = {}
         self._number = count()
@@ -72,51 +102,61 @@
     @property
     def waiting(self) -> int:
         """Number of requests that wait."""
-        return sum(len(places) for places in self._places_by_service.values())
+        return sum(len(entries) for entries in self._waiting_by_service.values())
+
+    async def take(
+        self, job: Job, excluded: frozenset[str] = frozenset(), work_s: float = 0.0
+    ) -> Place:
+        """Return a place for a request; release it in any case.
 
-    async def take(self, job: Job, excluded: frozenset[str] = frozenset()) -> EndpointState:
-        """Return an endpoint for a request and count the request there.
+        Args:
+            job: The request.
+            excluded: Endpoints that are no use for it.
+            work_s: Time that an idle endpoint needs for it.
 
         Raises:
             RefusedError: If none can be had in time; says when to come back.
         """
         now = asyncio.get_running_loop().time()
-        state = self._place(job, excluded, now)
-        if state is not None:
-            return state
-        return await self._wait(job, excluded, now)
-
-    def release(self, state: EndpointState, job: Job, took_s: float) -> None:
-        """Free an endpoint after a request of this daemon has ended there."""
-        state.in_flight -= 1
-        self._throughput(job.service).note(took_s)
-        self.pump(job.service)
+        place = self._place(job, excluded, work_s, now)
+        if place is not None:
+            return place
+        return await self._wait(job, excluded, work_s, now)
+
+    def release(self, place: Place) -> None:
+        """Free a place after its request has ended there."""
+        place.free()
+        now = asyncio.get_running_loop().time()
+        self._throughput(place.job.service).note(now - place.started)
+        self.pump(place.job.service)
 
     def pump(self, service: str) -> None:
         """Give free endpoints to the requests that wait, in their order."""
-        places = self._places_by_service.get(service)
-        if not places:
+        waiting = self._waiting_by_service.get(service)
+        if not waiting:
             return
         now = asyncio.get_running_loop().time()
-        places.sort(key=lambda place: place.waiter.key(now))
-        for place in list(places):
-            if place.found.done():
-                places.remove(place)
+        waiting.sort(key=lambda entry: entry.waiter.key(now))
+        for entry in list(waiting):
+            if entry.found.done():
+                waiting.remove(entry)
                 continue
-            state = self._place(place.job, place.excluded, now)
-            if state is not None:
-                places.remove(place)
-                place.found.set_result(state)
-            elif now >= place.waiter.give_up:
-                places.remove(place)
-                place.found.set_exception(self._refused(place.job, now))
-
-    def load(self, service: str, now: float) -> float:
-        """Return the running and waiting requests of a service as a share of its slots."""
-        states = [s for s in self._view.states_by_service.get(service, ()) if self._usable(s, now)]
-        slots = sum(state.record.slots for state in states)
-        running = sum(state.running(now) for state in states)
-        return (running + len(self._places_by_service.get(service, ()))) / slots if slots else 1.0
+            place = self._place(entry.job, entry.excluded, entry.work_s, now)
+            if place is not None:
+                waiting.remove(entry)
+                entry.found.set_result(place)
+            elif now >= entry.waiter.give_up:
+                waiting.remove(entry)
+                entry.found.set_exception(self._refused(entry.job, now))
+
+    def delay_s(self, service: str, now: float) -> float:
+        """Return the usual wait behind other work at the endpoints of a service, in seconds."""
+        delays = sorted(
+            state.delay_s(now)
+            for state in self._view.states_by_service.get(service, ())
+            if self._usable(state, now)
+        )
+        return delays[len(delays) // 2] if delays else 0.0
 
     def note_version(self, job: Job, version: str, now: float) -> None:
         """Remember the version on which a session runs."""
@@ -127,18 +167,18 @@
         while len(self._pin_by_session) > PINS_KEPT:
             self._pin_by_session.pop(next(iter(self._pin_by_session)))
 
-    async def _wait(self, job: Job, excluded: frozenset[str], now: float) -> EndpointState:
-        places = self._places_by_service.setdefault(job.service, [])
+    async def _wait(self, job: Job, excluded: frozenset[str], work_s: float, now: float) -> Place:
+        waiting = self._waiting_by_service.setdefault(job.service, [])
         wait_s = longest_wait_s(job, now)
-        if not self._hopeful(job, excluded, now) or len(places) >= WAITERS_PER_SERVICE:
+        if not self._hopeful(job, excluded, now) or len(waiting) >= WAITERS_PER_SERVICE:
             raise self._refused(job, now)
-        ahead = sum(1 for p in places if p.waiter.rank <= job.rank)
+        ahead = sum(1 for entry in waiting if entry.waiter.rank <= job.rank)
         if wait_s <= 0 or self._expected_wait_s(job.service, ahead, now) > wait_s:
             raise self._refused(job, now)
         waiter = Waiter(next(self._number), job.rank, job.arrived + job.route.aim_s, now + wait_s)
         loop = asyncio.get_running_loop()
-        place = _Place(waiter, job, excluded, loop.create_future())
-        places.append(place)
+        entry = _Waiting(waiter, job, excluded, work_s, loop.create_future())
+        waiting.append(entry)
         self._arm()
         log.info(
             "event=queued id=%s service=%s rank=%d ahead=%d wait_s=%.2f",
@@ -149,28 +189,29 @@
             wait_s,
         )
         try:
-            return await place.found
+            return await entry.found
         except asyncio.CancelledError:
-            self._withdraw(places, place, job)
+            self._withdraw(waiting, entry)
             raise
 
-    def _withdraw(self, places: list[_Place], place: _Place, job: Job) -> None:
-        if place in places:
-            places.remove(place)
-        elif place.found.done() and not place.found.cancelled() and not place.found.exception():
-            self.release(place.found.result(), job, 0.0)
+    def _withdraw(self, waiting: list[_Waiting], entry: _Waiting) -> None:
+        if entry in waiting:
+            waiting.remove(entry)
+        elif entry.found.done() and not entry.found.cancelled() and not entry.found.exception():
+            self.release(entry.found.result())
 
-    def _place(self, job: Job, excluded: frozenset[str], now: float) -> EndpointState | None:
+    def _place(self, job: Job, excluded: frozenset[str], work_s: float, now: float) -> Place | None:
         candidates = [
             state for state in self._candidates(job, excluded, now) if self._free(state, job, now)
         ]
-        state = choose_endpoint(job.exchange, candidates, self._deployment.zone, now)
+        work_s = work_s or self._throughput(job.service).service_s
+        zone = self._deployment.zone
+        state = choose_endpoint(job.exchange, candidates, zone, work_s, now)
         if state is None:
             return None
-        state.in_flight += 1
         if self._view.cold(state, now):
             state.take_cold(self._cold_per_s(state), now)
-        return state
+        return Place(state, job, work_s if job.route.models else 0.0, now)
 
     def _candidates(self, job: Job, excluded: frozenset[str], now: float) -> list[EndpointState]:
         """Return the endpoints that may run a request; ejected ones only when no other is left."""
@@ -264,11 +305,11 @@
         return self._throughput(service).expected_wait_s(ahead, max(1, slots // daemons))
 
     def _refused(self, job: Job, now: float) -> RefusedError:
-        places = self._places_by_service.get(job.service, [])
+        waiting = self._waiting_by_service.get(job.service, [])
         listed = any(
             self._usable(s, now) for s in self._view.states_by_service.get(job.service, ())
         )
-        expected_s = self._expected_wait_s(job.service, len(places) + 1, now)
+        expected_s = self._expected_wait_s(job.service, len(waiting) + 1, now)
         after_s = retry_after_s(
             expected_s if listed else max(expected_s, NO_ENDPOINT_RETRY_S),
             job.deadline - now,
@@ -292,7 +333,7 @@
 
     def _sweep_waiting(self) -> None:
         self._sweep = None
-        for service in list(self._places_by_service):
+        for service in list(self._waiting_by_service):
             self.pump(service)
         if self.waiting:
             self._arm()
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -51,12 +51,18 @@
         Raises:
             BackendError: If it breaks off or stays silent for `timeout_s`.
         """
+        loop = asyncio.get_running_loop()
         try:
             async for piece in self._reply.pieces(timeout_s):
+                self.endpoint.heard_at = loop.time()
                 yield piece
         except HttpError as error:
             raise AnswerBrokenError(str(error)) from error
 
+    def abort(self) -> None:
+        """Reset the connection; whoever reads the body sees it break."""
+        self._reply.abort()
+
     async def close(self) -> None:
         """Give the connection back if the answer was read to its end, else reset it."""
         await self._stack.aclose()
@@ -147,6 +153,7 @@
             raise AnswerBrokenError("the answer bears no receipt or is not the endpoint's own")
 
     def _note_head(self, endpoint: EndpointState, head: AnswerHead, now: float) -> None:
+        endpoint.heard_at = now
         if head.load is not None:
             endpoint.note_load(head.load, now)
         if head.cold_s:
--- a/comfreyhatch/exchange/streams.py
+++ b/comfreyhatch/exchange/streams.py
@@ -8,8 +8,9 @@
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.decisions.arrivals import ArrivalBudget
 from comfreyhatch.decisions.cascade import CascadeState, escalates
-from comfreyhatch.decisions.endpoint_state import EndpointState
+from comfreyhatch.decisions.engine_time import EngineTimes
 from comfreyhatch.decisions.retries import LatencyWindow
+from comfreyhatch.decisions.stall import StallLimits, first_event_limits, gap_limits, stalled
 from comfreyhatch.domain.exchange import Dispatch, Job
 from comfreyhatch.errors import (
     AnswerBrokenError,
@@ -20,17 +21,13 @@
 )
 from comfreyhatch.exchange.events import EventSplitter, event_id
 from comfreyhatch.exchange.outcomes import Outcomes
-from comfreyhatch.exchange.pool import EndpointPool
+from comfreyhatch.exchange.pool import EndpointPool, Place
 from comfreyhatch.exchange.sender import OpenAnswer, Sender
 
 REFUSALS_MAX = 4
 REFUSED_RETRY_S = 0.3
-HEAD_TIMEOUT_LEAST_S = 1.0
-HEAD_TIMEOUT_FACTOR = 2.5
-HEAD_QUANTILE = 0.95
-GAP_OF_AIM = 0.65
-GAP_LEAST_S = 0.4
-FIRST_EVENT_GUESS_S = 0.5
+FIRST_EVENT_QUANTILE = 0.95
+WATCH_INTERVAL_S = 0.1
 TIME_TO_ANSWER_S = 0.02
 
 log = logging.getLogger("comfreyhatch.streams")
@@ -52,6 +49,9 @@
         self._budget = budget
         self._outcomes = outcomes
         self._first_events: dict[tuple[str, str], LatencyWindow] = {}
+        self._times = EngineTimes()
+        self._watched: set[_StreamRun] = set()
+        self._watch: asyncio.TimerHandle | None = None
 
     async def run(self, job: Job) -> HttpResponse:
         """Return an answer whose stream relays the events of endpoints.
@@ -103,37 +103,62 @@
     async def _attempt(self, run: "_StreamRun") -> OpenAnswer:
         loop = asyncio.get_running_loop()
         job = run.job
-        endpoint = await self._pool.take(job, frozenset(run.tried))
-        started = loop.time()
-        run.take(endpoint, started)
-        self._pool.note_version(job, endpoint.record.version, started)
-        left_s = job.deadline - started - TIME_TO_ANSWER_S
-        dispatch = Dispatch(
-            endpoint.record.endpoint_id, left_s, job.workspace, run.model, run.last_event_id
-        )
-        timeout_s = min(max(0.0, left_s), self._head_timeout_s(run))
+        work_s = self._times.first_event_s(run.model, job.exchange.prompt_tokens)
+        place = await self._pool.take(job, frozenset(run.tried), work_s)
+        run.take(place)
+        endpoint = place.endpoint
+        self._pool.note_version(job, endpoint.record.version, place.started)
         try:
-            answer = await self._sender.open(job, endpoint, dispatch, timeout_s)
+            answer = await self._watched_open(run, place)
         except BaseException as error:
             if isinstance(error, BackendRefusedError):
                 run.running -= 1
-            self._release(run, endpoint, started)
+            self._pool.release(place)
             raise
-        took_s = loop.time() - started
+        place.begun()
+        now = loop.time()
+        took_s = now - place.started
         self._outcomes.note_answer(
-            job, endpoint, answer.head.success, took_s, endpoint.is_cold(loop.time())
+            job, endpoint, answer.head.success, took_s, endpoint.is_cold(now)
         )
         if answer.head.success:
             self._window(run).add(took_s)
+            self._times.note(run.model, job.exchange.prompt_tokens, took_s)
+            endpoint.note_delay(took_s - work_s, now)
         return answer
 
+    async def _watched_open(self, run: "_StreamRun", place: Place) -> OpenAnswer:
+        """Return the answer's head, unless the endpoint stalls."""
+        job = run.job
+        left_s = job.deadline - place.started - TIME_TO_ANSWER_S
+        dispatch = Dispatch(
+            place.endpoint.record.endpoint_id, left_s, job.workspace, run.model, run.last_event_id
+        )
+        opening = asyncio.create_task(
+            self._sender.open(job, place.endpoint, dispatch, max(0.0, left_s))
+        )
+        usual_s = self._window(run).quantile(FIRST_EVENT_QUANTILE)
+        limits = first_event_limits(job.route.aim_s, usual_s)
+        self._start_watch(run, limits, opening.cancel, place.started)
+        try:
+            await asyncio.wait({opening})
+        finally:
+            self._watched.discard(run)
+            if not opening.done():
+                opening.cancel()
+                await asyncio.wait({opening})
+        if opening.cancelled():
+            now = asyncio.get_running_loop().time()
+            place.endpoint.note_broken(now, unreachable=False)
+            raise AnswerBrokenError(f"no event came within {now - place.started:.2f} s")
+        return opening.result()
+
     async def _drop(self, run: "_StreamRun", answer: OpenAnswer) -> None:
+        self._watched.discard(run)
         await answer.close()
-        self._release(run, answer.endpoint, run.started)
-
-    def _release(self, run: "_StreamRun", endpoint: EndpointState, started: float) -> None:
-        took_s = asyncio.get_running_loop().time() - started
-        self._pool.release(endpoint, run.job, took_s)
+        if run.place is not None:
+            self._pool.release(run.place)
+            run.place = None
 
     async def _failure(self, run: "_StreamRun", answer: OpenAnswer) -> HttpResponse:
         """Return a failed answer of an endpoint as it is."""
@@ -171,9 +196,11 @@
     async def _events(self, run: "_StreamRun", answer: OpenAnswer) -> AsyncIterator[bytes]:
         """Yield the new events of one answer until its end."""
         splitter = EventSplitter()
-        pieces = answer.pieces(self._gap_timeout_s(run)).__aiter__()
         loop = asyncio.get_running_loop()
-        async for piece in pieces:
+        left_s = max(0.0, run.job.deadline - loop.time())
+        self._start_watch(run, gap_limits(run.job.route.gap_aim_s), answer.abort, loop.time())
+        async for piece in answer.pieces(left_s):
+            run.waiting_since = loop.time()
             events = [e for e in splitter.feed(piece) if run.is_new(e)]
             if events:
                 yield b"".join(events)
@@ -190,61 +217,79 @@
         if run.running >= job.route.max_attempts:
             return False
         budget = self._budget(job.service)
+        tokens = job.exchange.prompt_tokens
         state = CascadeState(
-            load=self._pool.load(job.service, now),
+            delay_s=self._pool.delay_s(job.service, now),
+            larger_s=self._times.first_event_s(job.route.models[-1], tokens),
+            aim_s=job.route.aim_s,
+            spent_s=now - job.arrived,
             budget_left=budget.share_left(now),
-            time_left_s=max(job.arrived + job.route.aim_s - now, 0.0),
-            first_event_s=self._usual_first_event_s(run, len(job.route.models) - 1),
         )
         wanted = escalates(answer.head.confidence, state)
         log.info(
-            "event=model_judged id=%s model=%s confidence=%s load=%.2f budget=%.2f escalates=%s",
+            "event=model_judged id=%s model=%s confidence=%s delay_s=%.2f larger_s=%.2f"
+            " spent_s=%.2f budget=%.2f escalates=%s",
             job.exchange.request_id,
             run.model,
             answer.head.confidence,
-            state.load,
+            state.delay_s,
+            state.larger_s,
+            state.spent_s,
             state.budget_left,
             wanted,
         )
         return wanted and budget.take(now)
 
     def _may_go_on(self, run: "_StreamRun") -> bool:
-        """Return whether another endpoint may get the request after a failed attempt."""
-        job = run.job
+        """Return whether another endpoint gets the request after a failed attempt."""
         now = asyncio.get_running_loop().time()
-        if run.sent > job.route.max_attempts + REFUSALS_MAX or now >= job.deadline:
+        return self._attempt_left(run, now) and self._budget(run.job.service).take(now)
+
+    def _attempt_left(self, run: "_StreamRun", now: float) -> bool:
+        """Return whether the rules of the route leave a request another attempt."""
+        route = run.job.route
+        if run.sent > route.max_attempts + REFUSALS_MAX or now >= run.job.deadline:
             return False
-        if run.running and not job.route.repeatable:
+        if run.running and not route.repeatable:
             return False
-        if run.running >= job.route.max_attempts:
-            return False
-        return self._budget(job.service).take(now)
-
-    def _head_timeout_s(self, run: "_StreamRun") -> float:
-        if not run.job.route.repeatable:
-            return float("inf")
-        usual = self._window(run).quantile(HEAD_QUANTILE)
-        if usual is None:
-            return max(HEAD_TIMEOUT_LEAST_S, run.job.route.aim_s)
-        return max(HEAD_TIMEOUT_LEAST_S, HEAD_TIMEOUT_FACTOR * usual)
+        return run.running < route.max_attempts
 
-    def _gap_timeout_s(self, run: "_StreamRun") -> float:
-        job = run.job
-        left_s = max(0.0, job.deadline - asyncio.get_running_loop().time())
-        if not job.route.repeatable:
-            return left_s
-        return min(left_s, max(GAP_LEAST_S, GAP_OF_AIM * job.route.gap_aim_s))
+    def _start_watch(
+        self,
+        run: "_StreamRun",
+        limits: StallLimits,
+        interrupt: Callable[[], object],
+        now: float,
+    ) -> None:
+        """Have an answer interrupted when it stalls."""
+        run.limits = limits
+        run.interrupt = interrupt
+        run.waiting_since = now
+        self._watched.add(run)
+        if self._watch is None:
+            loop = asyncio.get_running_loop()
+            self._watch = loop.call_later(WATCH_INTERVAL_S, self._look)
+
+    def _look(self) -> None:
+        """Interrupt the answers that have stalled and can be had elsewhere."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        for run in list(self._watched):
+            if run.stalled(now) and self._may_move(run, now):
+                self._watched.discard(run)
+                run.interrupt()
+        self._watch = loop.call_later(WATCH_INTERVAL_S, self._look) if self._watched else None
+
+    def _may_move(self, run: "_StreamRun", now: float) -> bool:
+        """Return whether a stalled answer can be had elsewhere; else it is better waited for."""
+        if not run.job.route.repeatable or not self._attempt_left(run, now):
+            return False
+        return self._budget(run.job.service).left(now) >= 1
 
     def _window(self, run: "_StreamRun") -> LatencyWindow:
         key = (run.job.route.name, run.model)
         return self._first_events.setdefault(key, LatencyWindow())
 
-    def _usual_first_event_s(self, run: "_StreamRun", model_index: int) -> float:
-        key = (run.job.route.name, run.job.route.models[model_index])
-        window = self._first_events.get(key)
-        usual = window.quantile(0.5) if window else None
-        return usual if usual is not None else FIRST_EVENT_GUESS_S
-
     def _log_failure(self, run: "_StreamRun", error: ComfreyhatchError) -> None:
         log.info(
             "event=attempt_failed id=%s endpoint=%s code=%d ran=%s events=%s reason=%r",
@@ -263,13 +308,16 @@
     __slots__ = (
         "endpoint_id",
         "error",
+        "interrupt",
         "job",
         "last_event_id",
+        "limits",
         "model_index",
+        "place",
         "running",
         "sent",
-        "started",
         "tried",
+        "waiting_since",
     )
 
     def __init__(self, job: Job) -> None:
@@ -280,8 +328,11 @@
         self.model_index = 0
         self.last_event_id = job.exchange.last_event_id
         self.endpoint_id = ""
-        self.started = 0.0
+        self.place: Place | None = None
         self.error: ComfreyhatchError | None = None
+        self.limits = StallLimits(float("inf"), float("inf"))
+        self.interrupt: Callable[[], object] = _nothing
+        self.waiting_since = job.arrived
 
     @property
     def model(self) -> str:
@@ -289,14 +340,21 @@
         models = self.job.route.models
         return models[self.model_index] if models else ""
 
-    def take(self, endpoint: EndpointState, now: float) -> None:
+    def take(self, place: Place) -> None:
         """Note that the request goes to an endpoint."""
-        self.endpoint_id = endpoint.record.endpoint_id
+        self.place = place
+        self.endpoint_id = place.endpoint.record.endpoint_id
         self.tried.add(self.endpoint_id)
-        self.started = now
         self.sent += 1
         self.running += 1
 
+    def stalled(self, now: float) -> bool:
+        """Return whether the answer that comes now has stalled."""
+        if self.place is None:
+            return False
+        silent_s = now - self.place.endpoint.heard_at
+        return stalled(self.limits, now - self.waiting_since, silent_s)
+
     def is_new(self, event: bytes) -> bool:
         """Return whether the caller lacks an event, and note that it gets it."""
         number = event_id(event)
@@ -317,3 +375,7 @@
         if self.error.ran is Ran.NO:
             return BackendError(str(self.error))
         return self.error
+
+
+def _nothing() -> None:
+    """Interrupt nothing."""
