Let the confidence that calls for a larger model fall with slot load; broken streams wait

Change: a stream that goes on waits up to 3 s for a place, ahead of new work; slot load and the route's rank enter the cascade (70 for ranks 0 and 1, 50 for others).

--- a/comfreyhatch/decisions/cascade.py
+++ b/comfreyhatch/decisions/cascade.py
@@ -1,16 +1,21 @@
 """Which model answers: the smallest first, a larger one if the answer is likely to be poor.
 
 Answers a load that rises and falls within seconds: the larger model takes several times the
-engine's time, so the confidence that calls for it falls as work waits at the engines, as the
-prompt grows against the time for it, and as the arrival budget empties.
+engine's time, so the confidence that calls for it falls as work waits at the engines, as their
+slots fill, as the prompt grows against the time for it, and as the arrival budget empties. Urgent
+routes are worth more of that time than the others.
 """
 
 from msgspec import Struct
 
-QUIET_THRESHOLD = 60.0
-BUSY_THRESHOLD = 15.0
+URGENT_RANK = 1
+URGENT_THRESHOLD = 70.0
+OTHER_THRESHOLD = 50.0
+BUSY_THRESHOLD = 10.0
 QUIET_PRESSURE = 0.15
 BUSY_PRESSURE = 0.7
+QUIET_LOAD = 0.3
+BUSY_LOAD = 0.7
 BUDGET_RESERVE = 0.2
 
 
@@ -18,6 +23,8 @@
     """What the choice depends on; times in seconds.
 
     Attributes:
+        rank: Urgency of the route; 0 is the most urgent.
+        load: Running and waiting requests of the service as a share of its slots.
         delay_s: Usual wait behind other work at the engines.
         larger_s: Time of an idle engine to the larger model's first event.
         aim_s: Time within which the first event should come.
@@ -25,6 +32,8 @@
         budget_left: Share of the arrival budget that is left, 0 to 1.
     """
 
+    rank: int
+    load: float
     delay_s: float
     larger_s: float
     aim_s: float
@@ -37,11 +46,15 @@
     if state.budget_left < BUDGET_RESERVE:
         return 0.0
     expected_s = state.spent_s + state.delay_s + state.larger_s
-    if expected_s > state.aim_s:
+    if expected_s > state.aim_s or state.load >= 1.0:
         return 0.0
+    quiet = URGENT_THRESHOLD if state.rank <= URGENT_RANK else OTHER_THRESHOLD
     pressure = (state.delay_s + state.larger_s) / state.aim_s
-    busy = (pressure - QUIET_PRESSURE) / (BUSY_PRESSURE - QUIET_PRESSURE)
-    return QUIET_THRESHOLD + min(1.0, max(0.0, busy)) * (BUSY_THRESHOLD - QUIET_THRESHOLD)
+    busy = max(
+        (pressure - QUIET_PRESSURE) / (BUSY_PRESSURE - QUIET_PRESSURE),
+        (state.load - QUIET_LOAD) / (BUSY_LOAD - QUIET_LOAD),
+    )
+    return quiet + min(1.0, max(0.0, busy)) * (BUSY_THRESHOLD - quiet)
 
 
 def escalates(confidence: int | None, state: CascadeState) -> bool:
--- a/comfreyhatch/decisions/waiting.py
+++ b/comfreyhatch/decisions/waiting.py
@@ -13,6 +13,7 @@
 
 WAIT_OF_AIM = 0.6
 WAIT_OF_TIME_LEFT = 0.3
+RESUME_WAIT_S = 3.0
 RETRY_LEAST_S = 0.2
 RETRY_MOST_S = 6.0
 RETRY_SPREAD = 0.5
@@ -25,23 +26,36 @@
 
     Attributes:
         number: Order of arrival; unique.
-        rank: Urgency; 0 is the most urgent.
+        resumes: Whether its caller already holds part of the answer.
+        rank: Urgency of the workspace or else the route; 0 is the most urgent.
+        route_rank: Urgency of the route.
         aim: Monotonic time by which it should be answered.
         give_up: Monotonic time at which it is refused.
     """
 
     number: int
+    resumes: bool
     rank: int
+    route_rank: int
     aim: float
     give_up: float
 
-    def key(self, now: float) -> tuple[int, bool, float, int]:
-        """Return the sort key: rank, then work whose aim is not lost, then the nearest aim."""
-        return (self.rank, now > self.aim, self.aim, self.number)
+    def key(self, now: float) -> tuple[bool, int, int, bool, float, int]:
+        """Return the sort key: begun answers, ranks, work whose aim is not lost, the aim."""
+        late = now > self.aim
+        return (not self.resumes, self.rank, self.route_rank, late, self.aim, self.number)
 
 
-def longest_wait_s(job: Job, now: float) -> float:
-    """Return how long a request may wait for an endpoint before it is refused."""
+def longest_wait_s(job: Job, resumes: bool, now: float) -> float:
+    """Return how long a request may wait for an endpoint before it is refused.
+
+    Args:
+        job: The request.
+        resumes: Whether its caller already holds part of the answer.
+        now: Monotonic time in seconds.
+    """
+    if resumes:
+        return max(0.0, min(RESUME_WAIT_S, job.deadline - now))
     by_aim = job.route.aim_s * WAIT_OF_AIM - (now - job.arrived)
     by_time = (job.deadline - now) * WAIT_OF_TIME_LEFT
     return max(0.0, min(by_aim, by_time))
--- a/comfreyhatch/exchange/pool.py
+++ b/comfreyhatch/exchange/pool.py
@@ -105,7 +105,11 @@
         return sum(len(entries) for entries in self._waiting_by_service.values())
 
     async def take(
-        self, job: Job, excluded: frozenset[str] = frozenset(), work_s: float = 0.0
+        self,
+        job: Job,
+        excluded: frozenset[str] = frozenset(),
+        work_s: float = 0.0,
+        resumes: bool = False,
     ) -> Place:
         """Return a place for a request; release it in any case.
 
@@ -113,6 +117,7 @@
             job: The request.
             excluded: Endpoints that are no use for it.
             work_s: Time that an idle endpoint needs for it.
+            resumes: Whether its caller already holds part of the answer.
 
         Raises:
             RefusedError: If none can be had in time; says when to come back.
@@ -121,7 +126,7 @@
         place = self._place(job, excluded, work_s, now)
         if place is not None:
             return place
-        return await self._wait(job, excluded, work_s, now)
+        return await self._wait(job, excluded, work_s, resumes, now)
 
     def release(self, place: Place) -> None:
         """Free a place after its request has ended there."""
@@ -149,6 +154,17 @@
                 waiting.remove(entry)
                 entry.found.set_exception(self._refused(entry.job, now))
 
+    def load(self, service: str, now: float) -> float:
+        """Return the running and waiting requests of a service as a share of its slots."""
+        states = [
+            state
+            for state in self._view.states_by_service.get(service, ())
+            if self._usable(state, now) and now >= state.ejected_until
+        ]
+        slots = sum(state.record.slots for state in states)
+        running = sum(state.running(now) for state in states)
+        return (running + len(self._waiting_by_service.get(service, ()))) / slots if slots else 1.0
+
     def delay_s(self, service: str, now: float) -> float:
         """Return the usual wait behind other work at the endpoints of a service, in seconds."""
         delays = sorted(
@@ -167,15 +183,24 @@
         while len(self._pin_by_session) > PINS_KEPT:
             self._pin_by_session.pop(next(iter(self._pin_by_session)))
 
-    async def _wait(self, job: Job, excluded: frozenset[str], work_s: float, now: float) -> Place:
+    async def _wait(
+        self, job: Job, excluded: frozenset[str], work_s: float, resumes: bool, now: float
+    ) -> Place:
         waiting = self._waiting_by_service.setdefault(job.service, [])
-        wait_s = longest_wait_s(job, now)
+        wait_s = longest_wait_s(job, resumes, now)
         if not self._hopeful(job, excluded, now) or len(waiting) >= WAITERS_PER_SERVICE:
             raise self._refused(job, now)
-        ahead = sum(1 for entry in waiting if entry.waiter.rank <= job.rank)
+        waiter = Waiter(
+            number=next(self._number),
+            resumes=resumes,
+            rank=job.rank,
+            route_rank=job.route.rank,
+            aim=job.arrived + job.route.aim_s,
+            give_up=now + wait_s,
+        )
+        ahead = sum(1 for entry in waiting if entry.waiter.key(now) < waiter.key(now))
         if wait_s <= 0 or self._expected_wait_s(job.service, ahead, now) > wait_s:
             raise self._refused(job, now)
-        waiter = Waiter(next(self._number), job.rank, job.arrived + job.route.aim_s, now + wait_s)
         loop = asyncio.get_running_loop()
         entry = _Waiting(waiter, job, excluded, work_s, loop.create_future())
         waiting.append(entry)
--- a/comfreyhatch/exchange/streams.py
+++ b/comfreyhatch/exchange/streams.py
@@ -64,6 +64,7 @@
         answer = await self._accepted(run)
         if not answer.head.success:
             return await self._failure(run, answer)
+        run.begun = True
         return HttpResponse(
             answer.head.status, headers=answer.head.headers, stream=self._relay(run, answer)
         )
@@ -104,7 +105,7 @@
         loop = asyncio.get_running_loop()
         job = run.job
         work_s = self._times.first_event_s(run.model, job.exchange.prompt_tokens)
-        place = await self._pool.take(job, frozenset(run.tried), work_s)
+        place = await self._pool.take(job, frozenset(run.tried), work_s, resumes=run.begun)
         run.take(place)
         endpoint = place.endpoint
         self._pool.note_version(job, endpoint.record.version, place.started)
@@ -219,6 +220,8 @@
         budget = self._budget(job.service)
         tokens = job.exchange.prompt_tokens
         state = CascadeState(
+            rank=job.route.rank,
+            load=self._pool.load(job.service, now),
             delay_s=self._pool.delay_s(job.service, now),
             larger_s=self._times.first_event_s(job.route.models[-1], tokens),
             aim_s=job.route.aim_s,
@@ -227,11 +230,12 @@
         )
         wanted = escalates(answer.head.confidence, state)
         log.info(
-            "event=model_judged id=%s model=%s confidence=%s delay_s=%.2f larger_s=%.2f"
+            "event=model_judged id=%s model=%s confidence=%s load=%.2f delay_s=%.2f larger_s=%.2f"
             " spent_s=%.2f budget=%.2f escalates=%s",
             job.exchange.request_id,
             run.model,
             answer.head.confidence,
+            state.load,
             state.delay_s,
             state.larger_s,
             state.spent_s,
@@ -306,6 +310,7 @@
     """Attempts of one streamed request and how far its answer has come."""
 
     __slots__ = (
+        "begun",
         "endpoint_id",
         "error",
         "interrupt",
@@ -327,6 +332,7 @@
         self.running = 0
         self.model_index = 0
         self.last_event_id = job.exchange.last_event_id
+        self.begun = False
         self.endpoint_id = ""
         self.place: Place | None = None
         self.error: ComfreyhatchError | None = None
