Fewer store calls in roll-outs; confidence 60 and 40 by rank; leave callers when cut off

Change: records are followed by long calls; good outcomes are published every 4 s, bad ones soon. A daemon without directory, peers and any endpoint of a service fails its readiness check.

--- a/comfreyhatch/decisions/cascade.py
+++ b/comfreyhatch/decisions/cascade.py
@@ -9,8 +9,8 @@
 from msgspec import Struct
 
 URGENT_RANK = 1
-URGENT_THRESHOLD = 70.0
-OTHER_THRESHOLD = 50.0
+URGENT_THRESHOLD = 60.0
+OTHER_THRESHOLD = 40.0
 BUSY_THRESHOLD = 10.0
 QUIET_PRESSURE = 0.15
 BUSY_PRESSURE = 0.7
--- a/comfreyhatch/decisions/version_trial.py
+++ b/comfreyhatch/decisions/version_trial.py
@@ -27,6 +27,8 @@
 BAD_MARGIN = 0.12
 BAD_FACTOR = 2.0
 CONFIDENCE_Z = 1.64
+BAD_NEWS_INTERVAL_S = 0.6
+GOOD_NEWS_INTERVAL_S = 4.0
 
 
 class Pooled(Struct, frozen=True):
@@ -69,6 +71,26 @@
     return ""
 
 
+def evidence_is_news(published: Evidence | None, found: Evidence, age_s: float) -> bool:
+    """Return whether a daemon's evidence is worth a write to the store.
+
+    Bad outcomes are published soon, since a bad version has to go soon; good ones seldom.
+
+    Args:
+        published: What the daemon published last; None if nothing.
+        found: What it has counted now.
+        age_s: Time since it published last.
+    """
+    before = _total(published.target_by_route) if published else VersionOutcomes()
+    if published and published.order_revision != found.order_revision:
+        before = VersionOutcomes()
+    after = _total(found.target_by_route)
+    bad = after.failures + after.slow > before.failures + before.slow
+    if bad:
+        return age_s >= BAD_NEWS_INTERVAL_S
+    return after != before and age_s >= GOOD_NEWS_INTERVAL_S
+
+
 def next_step(
     order: RolloutOrder,
     trial: TrialRecord | None,
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -92,8 +92,15 @@
         )
 
     def ready(self) -> bool:
-        """Return whether this daemon should get new connections."""
-        return self.view.ready() and not self.leaving
+        """Return whether this daemon should get new connections.
+
+        One that is cut off from the directory, its peers and all endpoints of a service leaves
+        its callers to daemons elsewhere.
+        """
+        if not self.view.ready() or self.leaving:
+            return False
+        now = asyncio.get_running_loop().time()
+        return not (self._news.cut_off(now) and self._pool.unreachable(now))
 
     async def shut_down(self) -> None:
         """Leave the balancer, let requests end, and close."""
--- a/comfreyhatch/exchange/news.py
+++ b/comfreyhatch/exchange/news.py
@@ -21,7 +21,8 @@
 LOST_AFTER_S = 0.6
 RECORDS_AGAIN_S = 2.0
 RECORDS_INTERVAL_S = 15.0
-TRIAL_INTERVAL_S = 0.7
+TRIAL_PAUSE_S = 0.5
+CUT_OFF_S = 2.5
 
 log = logging.getLogger("comfreyhatch.news")
 
@@ -109,7 +110,8 @@
         if not self._published:
             await self._publish()
         first = self._view.records is None
-        found = await self._try("records", self._directory.records, self._view.records, 0.0)
+        wait_s = WAIT_S if self._trial_open() else 0.0
+        found = await self._try("records", self._directory.records, self._view.records, wait_s)
         if found is None:
             return
         self._view.apply_records(found, loop.time())
@@ -120,11 +122,15 @@
         """Wait for the next reading; less long while a roll-out is under way."""
         waited_s = 0.0
         while waited_s < longest_s:
-            await asyncio.sleep(TRIAL_INTERVAL_S)
-            waited_s += TRIAL_INTERVAL_S
+            await asyncio.sleep(TRIAL_PAUSE_S)
+            waited_s += TRIAL_PAUSE_S
             if self._trial_open():
                 return
 
+    def cut_off(self, now: float) -> bool:
+        """Return whether neither the directory nor a peer has been heard of for a while."""
+        return bool(self._lost_since) and self._view.operations_age_s(now) > CUT_OFF_S
+
     def _trial_open(self) -> bool:
         operations = self._view.operations
         services = operations.order_by_service if operations else ()
--- a/comfreyhatch/exchange/pool.py
+++ b/comfreyhatch/exchange/pool.py
@@ -174,6 +174,14 @@
         )
         return delays[len(delays) // 2] if delays else 0.0
 
+    def unreachable(self, now: float) -> bool:
+        """Return whether a service has endpoints and none of them could be reached lately."""
+        for states in self._view.states_by_service.values():
+            usable = [state for state in states if self._usable(state, now)]
+            if usable and all(now < state.ejected_until for state in usable):
+                return True
+        return False
+
     def note_version(self, job: Job, version: str, now: float) -> None:
         """Remember the version on which a session runs."""
         if not job.exchange.session:
--- a/comfreyhatch/exchange/trials.py
+++ b/comfreyhatch/exchange/trials.py
@@ -6,7 +6,13 @@
 from msgspec.structs import replace
 
 from comfreyhatch.decisions.rendezvous import rendezvous_order
-from comfreyhatch.decisions.version_trial import canary_share, fault_of, next_step, pool
+from comfreyhatch.decisions.version_trial import (
+    canary_share,
+    evidence_is_news,
+    fault_of,
+    next_step,
+    pool,
+)
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.operations import Evidence, RolloutOrder, TrialRecord
 from comfreyhatch.exchange.outcomes import Outcomes
@@ -14,7 +20,6 @@
 from comfreyhatch.ports.directory import Directory
 
 TURN_S = 0.4
-EVIDENCE_INTERVAL_S = 0.8
 TAKE_OVER_S = 0.8
 
 log = logging.getLogger("comfreyhatch.trials")
@@ -78,15 +83,12 @@
         evidence = self._outcomes.evidence(service)
         if evidence is None or not evidence.target_by_route:
             return
-        # The stored counts of this order change only with new answers.
         copy = replace(
             evidence,
             target_by_route=dict(evidence.target_by_route),
             other_by_route=dict(evidence.other_by_route),
         )
-        held = self._published.get(service)
-        unchanged = held is not None and held.target_by_route == copy.target_by_route
-        if unchanged or now - self._published_at < EVIDENCE_INTERVAL_S:
+        if not evidence_is_news(self._published.get(service), copy, now - self._published_at):
             return
         self._published_at = now
         if await self._directory.put_evidence(copy):
