--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
 
 import pytest
 from hypothesis import given, settings
@@ -188,3 +190,108 @@
     answers = await asyncio.gather(*calls)
     assert {str(n) for n, answer in enumerate(answers) if answer == "begin end"} == begun
     assert all(answer in (None, "begin end") for answer in answers)
+
+
+async def _raw(address: Address, data: bytes) -> bytes:
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(data)
+    answer = await asyncio.wait_for(reader.read(65536), 5)
+    writer.close()
+    return answer
+
+
+async def _echo(request: HttpRequest) -> HttpResponse:
+    return HttpResponse(200, request.body)
+
+
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        (b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", b"400"),
+        (b"Content-Length: 999999999999\r\n", b"413"),
+    ],
+)
+async def test_head_that_cannot_be_served_is_refused_at_once(head: bytes, status: bytes) -> None:
+    server = HttpServer(_echo)
+    address = await server.start("127.0.0.1", 0)
+    answer = await _raw(address, b"POST / HTTP/1.1\r\nHost: x\r\n" + head + b"\r\n")
+    assert answer.split()[1] == status
+    await server.stop(0.0)
+
+
+async def test_handler_is_cancelled_when_its_caller_leaves() -> None:
+    begun, cancelled = asyncio.Event(), asyncio.Event()
+
+    async def wait(request: HttpRequest) -> HttpResponse:
+        begun.set()
+        try:
+            await asyncio.sleep(30)
+        finally:
+            cancelled.set()
+        return HttpResponse(200)
+
+    server = HttpServer(wait, cancel_on_disconnect=True)
+    address = await server.start("127.0.0.1", 0)
+    _, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    await asyncio.wait_for(begun.wait(), 5)
+    writer.close()
+    await asyncio.wait_for(cancelled.wait(), 5)
+    await server.stop(0.0)
+
+
+async def _serve_bytes(*answers: bytes, reset: bool = False) -> asyncio.Server:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for answer in answers:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            await writer.drain()
+        await asyncio.sleep(0.05)
+        if reset:
+            # Closing with a linger time of zero sends a reset.
+            linger = pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(SOL_SOCKET, SO_LINGER, linger)
+        writer.close()
+
+    return await asyncio.start_server(serve, "127.0.0.1", 0)
+
+
+def _address(server: asyncio.Server) -> Address:
+    return Address(*server.sockets[0].getsockname()[:2])
+
+
+async def test_answer_without_a_length_ends_with_its_connection() -> None:
+    server = await _serve_bytes(b"HTTP/1.1 200 OK\r\n\r\nwhole")
+    client = HttpClient()
+    assert (await client.request(_address(server), "GET", "/")).body == b"whole"
+    server.close()
+
+
+async def test_answer_without_a_length_that_is_reset_is_not_whole() -> None:
+    server = await _serve_bytes(b"HTTP/1.1 200 OK\r\n\r\npart", reset=True)
+    client = HttpClient()
+    with pytest.raises(HttpError):
+        await client.request(_address(server), "GET", "/")
+    server.close()
+
+
+async def test_bytes_after_an_answer_never_reach_the_next_request() -> None:
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
+    server = await _serve_bytes(answer + b"a" + answer + b"x", answer + b"b")
+    client = HttpClient()
+    first = await client.request(_address(server), "GET", "/")
+    await asyncio.sleep(0.02)
+    second = await client.request(_address(server), "GET", "/")
+    assert (first.body, second.body) == (b"a", b"a")
+    assert client.connections_opened == 2
+    server.close()
+
+
+async def test_idle_connection_is_not_used_beyond_the_time_that_its_peer_tells() -> None:
+    head = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 1\r\n\r\na"
+    server = await _serve_bytes(head, head)
+    client = HttpClient()
+    for _ in range(2):
+        await client.request(_address(server), "GET", "/")
+    assert client.connections_opened == 2
+    server.close()
