--- a/comfreyhatch/adapters/logs.py
+++ b/comfreyhatch/adapters/logs.py
@@ -4,7 +4,7 @@
 import re
 import sys
 from time import gmtime
-from typing import Literal, TextIO
+from typing import Literal, Protocol
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -52,7 +52,17 @@
         return log_data
 
 
-def set_up_logs(form: LogFormat, level: str, stream: TextIO | None = None) -> None:
+class LogStream(Protocol):
+    """Where log lines are written."""
+
+    def write(self, text: str, /) -> int:
+        """Take text."""
+
+    def flush(self) -> None:
+        """Pass on what was taken."""
+
+
+def set_up_logs(form: LogFormat, level: str, stream: LogStream | None = None) -> None:
     """Send the package's log to a stream, standard error by default."""
     formatter = PairsJsonFormatter() if form == "json" else KeyValueFormatter()
     handler = logging.StreamHandler(stream or sys.stderr)
--- a/comfreyhatch/cli/main.py
+++ b/comfreyhatch/cli/main.py
@@ -7,6 +7,7 @@
 from comfreyhatch.cli.check import check_app, settings_app
 from comfreyhatch.cli.config import app as config_app
 from comfreyhatch.cli.contract import app as contract_app
+from comfreyhatch.cli.logs import app as logs_app
 from comfreyhatch.cli.report import app as report_app
 from comfreyhatch.cli.report import bills, explain, status
 from comfreyhatch.cli.rollout import app as rollout_app
@@ -24,6 +25,7 @@
 app.add_typer(endpoint_app, name="endpoint")
 app.add_typer(config_app, name="config")
 app.add_typer(report_app, name="report")
+app.add_typer(logs_app, name="logs")
 app.add_typer(check_app, name="check")
 app.add_typer(settings_app, name="settings")
 app.command()(status)
--- a/comfreyhatch/exchange/ledger.py
+++ b/comfreyhatch/exchange/ledger.py
@@ -57,21 +57,21 @@
         self, exchange: Exchange, job: Job | None, stream: AsyncIterator[bytes], arrived: float
     ) -> AsyncIterator[bytes]:
         """Pass a stream on and count it once it has ended."""
-        pieces = 0
+        pace = _Pace(arrived)
         try:
             async for piece in stream:
-                pieces += 1
+                pace.note(asyncio.get_running_loop().time())
                 yield piece
         except ComfreyhatchError as error:
-            detail = f"pieces={pieces} reason={str(error)!r}"
+            detail = f"{pace.describe()} reason={str(error)!r}"
             self._note("stream_cut", exchange, job, error.code, arrived, detail)
             raise
         except (asyncio.CancelledError, GeneratorExit):
-            detail = f"pieces={pieces} reason='caller left'"
+            detail = f"{pace.describe()} reason='caller left'"
             self._note("abandoned", exchange, job, ResultCode.ABANDONED, arrived, detail)
             raise
         else:
-            self._note("answered", exchange, job, ResultCode.OK, arrived, f"pieces={pieces}")
+            self._note("answered", exchange, job, ResultCode.OK, arrived, pace.describe())
         finally:
             close = getattr(stream, "aclose", None)
             if close:
@@ -101,3 +101,29 @@
             took_s,
             detail,
         )
+
+
+class _Pace:
+    """Times of the pieces of one stream."""
+
+    __slots__ = ("_first_s", "_last_at", "_longest_gap_s", "_pieces", "_started")
+
+    def __init__(self, started: float) -> None:
+        self._started = started
+        self._first_s = 0.0
+        self._last_at = started
+        self._longest_gap_s = 0.0
+        self._pieces = 0
+
+    def note(self, now: float) -> None:
+        """Count a piece."""
+        if self._pieces:
+            self._longest_gap_s = max(self._longest_gap_s, now - self._last_at)
+        else:
+            self._first_s = now - self._started
+        self._last_at = now
+        self._pieces += 1
+
+    def describe(self) -> str:
+        """Return the times as pairs for a log line."""
+        return f"pieces={self._pieces} first_s={self._first_s:.3f} gap_s={self._longest_gap_s:.3f}"
--- a/comfreyhatch/exchange/pool.py
+++ b/comfreyhatch/exchange/pool.py
@@ -248,6 +248,18 @@
             return None
         if self._view.cold(state, now):
             state.take_cold(self._cold_per_s(state), now)
+        log.info(
+            "event=placed id=%s endpoint=%s zone=%s version=%s delay_s=%.3f running=%.0f"
+            " choices=%d list_age_s=%.1f",
+            job.exchange.request_id,
+            state.record.endpoint_id,
+            state.record.zone,
+            state.record.version,
+            state.delay_s(now),
+            state.running(now),
+            len(candidates),
+            self._view.endpoints_age_s(now),
+        )
         return Place(state, job, work_s if job.route.models else 0.0, now)
 
     def _candidates(self, job: Job, excluded: frozenset[str], now: float) -> list[EndpointState]:
--- a/comfreyhatch/platform/main.py
+++ b/comfreyhatch/platform/main.py
@@ -7,8 +7,10 @@
 import sys
 from pathlib import Path
 from random import Random
+from time import monotonic
 
-from comfreyhatch.adapters.logs import set_up_logs
+from comfreyhatch.adapters.log_output import NonBlockingOutput, VolumeLimit
+from comfreyhatch.adapters.logs import ROOT_LOGGER, set_up_logs
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import SettingsError
@@ -20,6 +22,8 @@
 
 DEFAULT_SETTINGS = "/etc/comfreyhatch/local.conf"
 METRICS_PORT = 9464
+# What explains a request that was not served is never left out of the log.
+ALWAYS_LOGGED = frozenset({"refused", "stream_cut", "attempt_failed", "abandoned"})
 EXIT_SETTINGS = 2
 
 log = logging.getLogger("comfreyhatch.main")
@@ -59,10 +63,19 @@
     log.info("event=reloaded changed=%s", ",".join(changed) or "nothing")
 
 
+def set_up_bounded_logs(descriptor: int) -> None:
+    """Log to a descriptor without ever waiting for its reader."""
+    output = NonBlockingOutput(descriptor)
+    set_up_logs("keyvalue", "info", output)
+    limit = VolumeLimit(monotonic, ALWAYS_LOGGED)
+    for handler in logging.getLogger(ROOT_LOGGER).handlers:
+        handler.addFilter(limit)
+
+
 def main() -> None:
     """Read the settings and run the daemon."""
     settings = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS))
-    set_up_logs("keyvalue", "info", sys.stdout)
+    set_up_bounded_logs(sys.stdout.fileno())
     try:
         deployment = load_deployment(settings)
     except SettingsError as error:
