Bill what answered requests used, in batches that the store holds once

Cause: on the platform a request ended in a log line and counters only; nothing was billed. Change: each daemon sums usage by workspace, service and model and inserts a batch every 15 s and at its stop under a key of its own; an insert that finds its row counts as stored. comfreyhatch usage prints the sums. A killed daemon loses at most its last batch; that is not billed.

--- a/comfreyhatch/cli/main.py
+++ b/comfreyhatch/cli/main.py
@@ -13,6 +13,7 @@
 from comfreyhatch.cli.report import bills, explain, status
 from comfreyhatch.cli.rollout import app as rollout_app
 from comfreyhatch.cli.service import endpoint_app, zone_app
+from comfreyhatch.cli.usage import usage
 from comfreyhatch.cli.version import app as version_app
 
 app = Typer(
@@ -33,6 +34,7 @@
 app.command()(status)
 app.command()(explain)
 app.command()(bills)
+app.command()(usage)
 
 
 @app.command()
--- a/comfreyhatch/domain/catalog.py
+++ b/comfreyhatch/domain/catalog.py
@@ -73,11 +73,17 @@
         slots: Requests that it runs at once.
         memory_tokens: Tokens that its memory holds.
         models: Models that it serves.
+        tokens_per_event: Tokens that an event of a stream holds.
     """
 
     slots: int
     memory_tokens: int
     models: tuple[ModelPrice, ...] = ()
+    tokens_per_event: int = 1
+
+    def price(self, model: str) -> float:
+        """Return a model's price for 1,000 generated tokens; 0 when none is told."""
+        return next((found.cost for found in self.models if found.name == model), 0.0)
 
 
 class BackendService(Struct, frozen=True):
--- /dev/null
+++ b/comfreyhatch/exchange/billing.py
@@ -0,0 +1,73 @@
+"""Bills what requests used: batches in the store, each stored once."""
+
+import asyncio
+import logging
+
+from comfreyhatch.domain.usage import Usage, UsageBatch, UsageKey, UsageLine
+from comfreyhatch.ports.directory import Directory
+
+INTERVAL_S = 15.0
+BATCHES_KEPT = 64
+
+log = logging.getLogger("comfreyhatch.billing")
+
+
+class Billing:
+    """Usage that is counted, and batches that are not stored yet.
+
+    A batch has a key of its own and is inserted only if absent, so that storing it again after a
+    lost answer changes nothing. What a killed daemon had not stored is not billed.
+    """
+
+    def __init__(self, daemon: str, started_ms: int, directory: Directory) -> None:
+        self._daemon = daemon
+        self._started_ms = started_ms
+        self._directory = directory
+        self._usage_by_key: dict[UsageKey, Usage] = {}
+        self._unstored: list[UsageBatch] = []
+        self._sequence = 0
+        self._task: asyncio.Task[None] | None = None
+
+    def note(self, key: UsageKey, usage: Usage) -> None:
+        """Count the usage of an answered request."""
+        self._usage_by_key[key] = self._usage_by_key.get(key, Usage()).plus(usage)
+
+    def start(self) -> None:
+        """Store batches from time to time."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Store what is left, once, and stop."""
+        if self._task:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self.store()
+
+    async def store(self) -> None:
+        """Store all that has been counted; what cannot be stored now is kept for the next time."""
+        self._close_batch()
+        while self._unstored:
+            if not await self._directory.put_usage(self._unstored[0]):
+                log.warning("event=usage_not_stored batches=%d", len(self._unstored))
+                return
+            self._unstored.pop(0)
+
+    def _close_batch(self) -> None:
+        if not self._usage_by_key:
+            return
+        if len(self._unstored) >= BATCHES_KEPT:
+            # The store has been away for long: usage goes on into the batch that is open.
+            return
+        self._sequence += 1
+        lines = tuple(UsageLine(key, usage) for key, usage in sorted(self._usage_by_key.items()))
+        batch = UsageBatch(self._daemon, self._started_ms, self._sequence, lines)
+        self._usage_by_key = {}
+        self._unstored.append(batch)
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(INTERVAL_S)
+            try:
+                await self.store()
+            except Exception:
+                log.exception("event=usage_turn_failed")
--- a/comfreyhatch/exchange/calls.py
+++ b/comfreyhatch/exchange/calls.py
@@ -30,6 +30,7 @@
         sender: Sender,
         budget: Callable[[str], ArrivalBudget],
         outcomes: Outcomes,
+        bill: Callable[[Job], None],
     ) -> None:
         """Create the path.
 
@@ -38,7 +39,9 @@
             sender: Sends to them.
             budget: Returns the budget of further arrivals of a service.
             outcomes: Takes in what became of each attempt.
+            bill: Bills an answered request.
         """
+        self._bill = bill
         self._pool = pool
         self._sender = sender
         self._budget = budget
@@ -55,6 +58,8 @@
         call = _Call(job)
         answer = await self._first_answer(call)
         self._note_latency(job, answer)
+        if answer.head.success:
+            self._bill(job)
         return HttpResponse(answer.head.status, answer.body, headers=answer.head.headers)
 
     async def _first_answer(self, call: "_Call") -> WholeAnswer:
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -10,7 +10,10 @@
 from comfreyhatch.adapters.http_server import HttpLimits, HttpRequest, HttpResponse, HttpServer
 from comfreyhatch.decisions.arrivals import ArrivalBudget
 from comfreyhatch.domain.deployment import Deployment
+from comfreyhatch.domain.exchange import Job
 from comfreyhatch.domain.instance import Address
+from comfreyhatch.domain.usage import Usage, UsageKey, model_usage
+from comfreyhatch.exchange.billing import Billing
 from comfreyhatch.exchange.calls import Calls
 from comfreyhatch.exchange.ledger import Ledger
 from comfreyhatch.exchange.news import News
@@ -39,7 +42,12 @@
     """One daemon on an entry instance."""
 
     def __init__(
-        self, deployment: Deployment, directory: Directory, wire: Wire, rng: Random
+        self,
+        deployment: Deployment,
+        directory: Directory,
+        wire: Wire,
+        rng: Random,
+        started_ms: int,
     ) -> None:
         """Create a daemon; nothing is opened yet.
 
@@ -48,6 +56,7 @@
             directory: What operators, endpoints and daemons publish.
             wire: Codec of callers' and endpoints' headers.
             rng: Seeded source of spreads.
+            started_ms: Unix time of the start; tells this daemon's starts apart.
         """
         self._deployment = deployment
         self._budget_by_service: dict[str, ArrivalBudget] = {}
@@ -58,12 +67,13 @@
         self._pool = EndpointPool(deployment, self.view, rng, self._trials.distrusted)
         self._client = HttpClient(connect_timeout_s=ENDPOINT_CONNECT_TIMEOUT_S)
         sender = Sender(self._client, wire)
+        self._billing = Billing(deployment.instance, started_ms, directory)
         self._news = News(deployment, directory, self.view, rng, self._changed)
         self._router = ExchangeRouter(
             wire,
             self.view,
-            Calls(self._pool, sender, self._budget, outcomes),
-            Streams(self._pool, sender, self._budget, outcomes),
+            Calls(self._pool, sender, self._budget, outcomes, self._bill_call),
+            Streams(self._pool, sender, self._budget, outcomes, self._bill_stream),
             self._budget,
             Ledger(self.registry),
         )
@@ -80,6 +90,7 @@
             self._peers.start()
         self._news.start()
         self._trials.start()
+        self._billing.start()
         await self._listen(self._callers, self._deployment.callers)
         await self._listen(self._readiness, self._deployment.readiness)
         if metrics:
@@ -119,6 +130,7 @@
     async def close(self) -> None:
         """Close all that is open, requests under way included."""
         await self._callers.stop(0.0)
+        await self._billing.stop()
         await self._trials.stop()
         await self._news.stop()
         if self._peers:
@@ -130,6 +142,18 @@
     async def _listen(self, server: HttpServer, address: Address) -> None:
         await server.start(address.host, address.port)
 
+    def _bill_call(self, job: Job) -> None:
+        self._billing.note(UsageKey(job.workspace, job.service), Usage(requests=1))
+
+    def _bill_stream(self, job: Job, model: str, events: int) -> None:
+        catalog = self.view.catalog
+        service = catalog.service_by_name.get(job.service) if catalog else None
+        engine = service.engine if service else None
+        tokens = events * (engine.tokens_per_event if engine else 1)
+        price = engine.price(model) if engine else 0.0
+        usage = model_usage(job.exchange.prompt_tokens, tokens, price)
+        self._billing.note(UsageKey(job.workspace, job.service, model), usage)
+
     def _budget(self, service: str) -> ArrivalBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
--- a/comfreyhatch/exchange/streams.py
+++ b/comfreyhatch/exchange/streams.py
@@ -42,8 +42,18 @@
         sender: Sender,
         budget: Callable[[str], ArrivalBudget],
         outcomes: Outcomes,
+        bill: Callable[[Job, str, int], None],
     ) -> None:
-        """Create the path; see `Calls` for the arguments."""
+        """Create the path; see `Calls` for the other arguments.
+
+        Args:
+            pool: Gives endpoints.
+            sender: Sends to them.
+            budget: Returns the budget of further arrivals of a service.
+            outcomes: Takes in what became of each attempt.
+            bill: Bills an answer: request, model, events of its stream.
+        """
+        self._bill = bill
         self._pool = pool
         self._sender = sender
         self._budget = budget
@@ -181,6 +191,7 @@
             try:
                 async for events in self._events(run, answer):
                     yield events
+                self._bill(run.job, run.model, run.events)
                 return
             except AnswerBrokenError as error:
                 run.error = error
@@ -208,6 +219,7 @@
         async for piece in answer.pieces(left_s):
             run.waiting_since = loop.time()
             events = [e for e in splitter.feed(piece) if run.is_new(e)]
+            run.events += len(events)
             if events:
                 yield b"".join(events)
             if loop.time() >= run.job.deadline:
@@ -318,6 +330,7 @@
         "begun",
         "endpoint_id",
         "error",
+        "events",
         "interrupt",
         "job",
         "last_event_id",
@@ -338,6 +351,7 @@
         self.model_index = 0
         self.last_event_id = job.exchange.last_event_id
         self.begun = False
+        self.events = 0
         self.endpoint_id = ""
         self.place: Place | None = None
         self.error: ComfreyhatchError | None = None
--- a/comfreyhatch/platform/directory.py
+++ b/comfreyhatch/platform/directory.py
@@ -15,6 +15,7 @@
     SharedRecords,
     TrialRecord,
 )
+from comfreyhatch.domain.usage import UsageBatch
 from comfreyhatch.platform.documents import decode_catalog, decode_endpoint, decode_order
 from comfreyhatch.platform.store import (
     HistoryGoneError,
@@ -29,6 +30,7 @@
 ENDPOINT_TABLE = "servers"
 STATUS_TABLE = "status"
 OWN_TABLE = "comfreyhatch"
+USAGE_TABLE = "comfreyhatch-usage"
 
 CONFIG_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
@@ -92,6 +94,22 @@
             ]
         )
 
+    async def put_usage(self, batch: UsageBatch) -> bool:
+        """Store a batch of usage unless it is stored already; return whether it is stored."""
+        key = f"{batch.daemon}/{batch.started_ms}/{batch.sequence}"
+        result = await self._store.write([Write(USAGE_TABLE, key, encode(batch), 0)])
+        # A refused insert means that the row exists: an earlier answer was lost.
+        return result in (WriteResult.DONE, WriteResult.CONFLICT)
+
+    async def usage(self) -> list[UsageBatch]:
+        """Return all batches of usage that are stored.
+
+        Raises:
+            PlatformError: If the store does not answer.
+        """
+        rows = (await self._store.read(USAGE_TABLE)).rows
+        return [batch for batch in (_decode(row, UsageBatch) for row in rows) if batch]
+
     async def _put(self, writes: list[Write]) -> bool:
         return await self._store.write(writes) is WriteResult.DONE
 
--- a/comfreyhatch/platform/documents.py
+++ b/comfreyhatch/platform/documents.py
@@ -65,6 +65,7 @@
 class _Engine(Struct):
     capacity: int = 1
     kv_capacity: int = 0
+    stride: int = 1  # tokens in an event of a stream
     models: list[_Model] = []
 
 
@@ -202,7 +203,9 @@
     engine = None
     if service.engine is not None:
         models = tuple(ModelPrice(m.name, m.cost) for m in service.engine.models)
-        engine = EngineFacts(service.engine.capacity, service.engine.kv_capacity, models)
+        engine = EngineFacts(
+            service.engine.capacity, service.engine.kv_capacity, models, service.engine.stride
+        )
     return BackendService(
         service.name, service.max_conns, service.cold_s, service.cold_per_s, engine
     )
--- a/comfreyhatch/platform/main.py
+++ b/comfreyhatch/platform/main.py
@@ -7,7 +7,7 @@
 import sys
 from pathlib import Path
 from random import Random
-from time import monotonic
+from time import monotonic, time
 
 from comfreyhatch.adapters.log_output import NonBlockingOutput, VolumeLimit
 from comfreyhatch.adapters.logs import ROOT_LOGGER, set_up_logs
@@ -22,6 +22,7 @@
 
 DEFAULT_SETTINGS = "/etc/comfreyhatch/local.conf"
 METRICS_PORT = 9464
+MS_PER_S = 1000
 # What explains a request that was not served is never left out of the log.
 ALWAYS_LOGGED = frozenset({"refused", "stream_cut", "attempt_failed", "abandoned"})
 EXIT_SETTINGS = 2
@@ -38,7 +39,9 @@
     """
     store = StoreClient(deployment.store)
     directory = StoreDirectory(store)
-    daemon = ExchangeDaemon(deployment, directory, PlatformWire(), Random(deployment.instance))
+    rng = Random(deployment.instance)
+    started_ms = int(time() * MS_PER_S)
+    daemon = ExchangeDaemon(deployment, directory, PlatformWire(), rng, started_ms)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
--- a/comfreyhatch/platform/store.py
+++ b/comfreyhatch/platform/store.py
@@ -19,7 +19,7 @@
 MS_PER_S = 1000.0
 
 OK = 200
-CONFLICT = 412
+PRECONDITION_FAILED = 412
 HISTORY_GONE = 410
 
 log = logging.getLogger("comfreyhatch.store")
@@ -64,6 +64,7 @@
     """What became of a write."""
 
     DONE = "done"
+    CONFLICT = "conflict"
     REFUSED = "refused"
     UNKNOWN = "unknown"
 
@@ -154,7 +155,9 @@
         """Apply all writes, or none of them.
 
         Returns:
-            UNKNOWN when the answer was lost: the writes may be done now or later.
+            CONFLICT when a row has not the revision that was expected; REFUSED when the store
+            did nothing for another reason; UNKNOWN when the answer was lost: the writes may be
+            done now or later.
         """
         refs = [_WireRef(w.table, "", w.key, w.expected) for w in writes if w.expected is not None]
         puts = [_WireWrite(w.table, "", w.key, b64encode(w.value).decode()) for w in writes]
@@ -165,6 +168,8 @@
             return WriteResult.UNKNOWN
         if reply.status == OK:
             return WriteResult.DONE
+        if reply.status == PRECONDITION_FAILED:
+            return WriteResult.CONFLICT
         log.info("event=store_write_refused status=%d", reply.status)
         return WriteResult.REFUSED
 
--- a/comfreyhatch/ports/directory.py
+++ b/comfreyhatch/ports/directory.py
@@ -8,6 +8,7 @@
 
 from comfreyhatch.domain.endpoint import EndpointList
 from comfreyhatch.domain.operations import Evidence, Operations, SharedRecords, TrialRecord
+from comfreyhatch.domain.usage import UsageBatch
 from comfreyhatch.errors import PlatformError
 
 
@@ -41,6 +42,9 @@
             Whether it is stored; False also when that is not known.
         """
 
+    async def put_usage(self, batch: UsageBatch) -> bool:
+        """Store a batch of usage unless it is stored already; return whether it is stored."""
+
 
 @dataclass(slots=True)
 class MemoryDirectory:
@@ -52,6 +56,7 @@
     current_endpoints: EndpointList = field(default_factory=lambda: EndpointList(1, {}))
     current_records: SharedRecords = field(default_factory=lambda: SharedRecords(1, 0, {}, {}, {}))
     available: bool = True
+    batches: list[UsageBatch] = field(default_factory=list)
 
     async def operations(self, held: Operations | None, wait_s: float) -> Operations:
         """Return the standing orders."""
@@ -92,6 +97,12 @@
         self.current_records = replace(self.current_records, revision=revision)
         return True
 
+    async def put_usage(self, batch: UsageBatch) -> bool:
+        """Keep a batch of usage."""
+        if self.available and batch not in self.batches:
+            self.batches.append(batch)
+        return self.available
+
     async def _check(self) -> None:
         await asyncio.sleep(0)
         if not self.available:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -119,7 +119,9 @@
         )
         self._store_client = StoreClient(address)
         directory = StoreDirectory(self._store_client)
-        self.daemon = ExchangeDaemon(self.deployment, directory, PlatformWire(), Random(1))
+        self.daemon = ExchangeDaemon(
+            self.deployment, directory, PlatformWire(), Random(1), started_ms=1
+        )
         await self.daemon.start()
         return self.daemon
 
--- a/tests/test_platform_directory.py
+++ b/tests/test_platform_directory.py
@@ -51,7 +51,7 @@
 
 async def test_write_under_a_condition(store: StandInStore, client: StoreClient) -> None:
     assert await client.write([Write("t", "k", b"1", 0)]) is WriteResult.DONE
-    assert await client.write([Write("t", "k", b"2", 0)]) is WriteResult.REFUSED
+    assert await client.write([Write("t", "k", b"2", 0)]) is WriteResult.CONFLICT
     (row,) = (await client.read("t")).rows
     assert row.value == b"1"
     assert await client.write([Write("t", "k", b"2", row.revision)]) is WriteResult.DONE
