--- /dev/null
+++ b/tests/test_view.py
@@ -0,0 +1,104 @@
+"""What a daemon believes of the fleet."""
+
+import pytest
+from msgspec.structs import replace
+
+from comfreyhatch.domain.catalog import Catalog
+from comfreyhatch.domain.endpoint import EndpointList
+from comfreyhatch.domain.operations import Operations
+from comfreyhatch.exchange.view import FleetView
+from tests.exchange_values import record
+
+HEARTBEAT_S = 1.0
+CATALOG = Catalog(1, {}, {}, {})
+
+
+def listed(revision: int, *ids: str, **changes: object) -> EndpointList:
+    return EndpointList(revision, {i: record(i, revision=revision, **changes) for i in ids})
+
+
+def operations(revision: int, *zones_out: str) -> Operations:
+    return Operations(revision, CATALOG, {}, frozenset(zones_out))
+
+
+@pytest.fixture
+def view() -> FleetView:
+    found = FleetView()
+    found.apply_operations(operations(1), 0.0, HEARTBEAT_S)
+    found.apply_endpoints(listed(1, "e1", "e2"), 0.0)
+    return found
+
+
+def test_ready_needs_orders_and_endpoints() -> None:
+    view = FleetView()
+    assert not view.ready()
+    view.apply_operations(operations(1), 0.0, HEARTBEAT_S)
+    assert not view.ready()
+    view.apply_endpoints(listed(1, "e1"), 0.0)
+    assert view.ready()
+
+
+def test_older_knowledge_changes_nothing(view: FleetView) -> None:
+    view.apply_operations(operations(5, "a"), 1.0, HEARTBEAT_S)
+    view.apply_operations(operations(4), 2.0, HEARTBEAT_S)
+    assert view.zone_out("a")
+    view.apply_endpoints(listed(5, "e1"), 1.0)
+    view.apply_endpoints(listed(4, "e1", "e2"), 2.0)
+    assert not view.listed(view.state_by_id["e2"], 2.0)
+
+
+def test_news_of_a_peer_has_the_age_that_the_peer_tells(view: FleetView) -> None:
+    view.apply_operations(operations(2), -4.0, HEARTBEAT_S)
+    assert view.operations_age_s(1.0) == 1.0
+    assert not view.stale(2.0) and view.stale(4.0)
+
+
+def test_vanished_endpoint_is_gone_at_once_while_the_store_is_there(view: FleetView) -> None:
+    view.apply_endpoints(listed(2, "e1"), 0.5)
+    assert not view.listed(view.state_by_id["e2"], 0.5)
+
+
+def test_entries_that_lapsed_with_the_store_are_kept_until_they_had_time_to_return(
+    view: FleetView,
+) -> None:
+    view.apply_endpoints(listed(2, "e1"), 10.0)
+    state = view.state_by_id["e2"]
+    assert view.listed(state, 10.0) and view.listed(state, 12.1)
+    assert not view.listed(state, 12.3)
+
+
+def test_draining_endpoint_is_not_kept_with_the_lapsed(view: FleetView) -> None:
+    view.apply_endpoints(listed(2, "e1", "e2", draining=True), 1.0)
+    view.apply_endpoints(listed(3, "e1"), 10.0)
+    assert not view.listed(view.state_by_id["e2"], 10.0)
+
+
+def test_zone_that_comes_back_counts_as_cold_for_two_heartbeats(view: FleetView) -> None:
+    view.apply_operations(operations(2, "a"), 5.0, HEARTBEAT_S)
+    view.apply_operations(operations(3), 9.0, HEARTBEAT_S)
+    state = view.state_by_id["e1"]
+    assert view.cold(state, 10.9) and not view.cold(state, 11.1)
+
+
+def test_version_without_an_order_has_to_wait(view: FleetView) -> None:
+    new = record("e3", version="v2", revision=2)
+    found = listed(2, "e1", "e2")
+    view.apply_endpoints(replace(found, record_by_id={**found.record_by_id, "e3": new}), 1.0)
+    assert view.settled("s", "v1", 1.0)
+    assert not view.settled("s", "v2", 1.0)
+    assert view.settled("s", "v2", 3.6)
+
+
+def test_forgotten_endpoints_leave_no_state(view: FleetView) -> None:
+    view.apply_endpoints(listed(2, "e1"), 0.5)
+    view.apply_endpoints(listed(3, "e1"), 4.0)
+    assert "e2" not in view.state_by_id
+    assert len(view.states_by_service["s"]) == 1
+
+
+def test_misdirected_endpoint_is_used_again_after_it_registers_anew(view: FleetView) -> None:
+    state = view.state_by_id["e1"]
+    state.misdirected = True
+    assert not view.listed(state, 1.0)
+    view.apply_endpoints(listed(2, "e1", "e2"), 1.0)
+    assert view.listed(state, 1.0)
