Judge a new version's speed by time for each unit of work and by the pace of its events

Slow answers were judged against the 90th percentile of times to the first event, which long prompts make so large that nothing exceeds it; events were not judged at all (median .046 s an event of the old version, .290 of the new).

--- a/comfreyhatch/exchange/calls.py
+++ b/comfreyhatch/exchange/calls.py
@@ -103,7 +103,8 @@
             answer = await self._send(call, endpoint, started)
         finally:
             self._pool.release(place)
-        self._outcomes.note_answer(job, endpoint, answer.head.success, loop.time() - started)
+        now = loop.time()
+        self._outcomes.note_answer(job, endpoint, answer.head.success, now - started, now)
         return answer
 
     async def _send(self, call: "_Call", endpoint: EndpointState, now: float) -> WholeAnswer:
--- a/comfreyhatch/exchange/outcomes.py
+++ b/comfreyhatch/exchange/outcomes.py
@@ -1,16 +1,12 @@
 """Counts what became of attempts, as evidence on the versions of a roll-out."""
 
 from comfreyhatch.decisions.endpoint_state import EndpointState
-from comfreyhatch.decisions.retries import LatencyWindow
+from comfreyhatch.decisions.slowness import UsualTimes
 from comfreyhatch.decisions.version_trial import plus
 from comfreyhatch.domain.exchange import Job
 from comfreyhatch.domain.operations import Evidence, VersionOutcomes
 from comfreyhatch.exchange.view import FleetView
 
-SLOW_FACTOR = 4.0
-SLOW_LEAST_S = 0.15
-SLOW_QUANTILE = 0.9
-
 
 class Outcomes:
     """Evidence of this daemon by service, for the order in force."""
@@ -19,7 +15,8 @@
         self._daemon = daemon
         self._view = view
         self._evidence_by_service: dict[str, Evidence] = {}
-        self._usual_by_route: dict[str, LatencyWindow] = {}
+        self._first_by_route: dict[str, UsualTimes] = {}
+        self._pace_by_route: dict[str, UsualTimes] = {}
 
     def evidence(self, service: str) -> Evidence | None:
         """Return what this daemon has counted during the order in force."""
@@ -30,30 +27,47 @@
         return held
 
     def note_answer(
-        self, job: Job, endpoint: EndpointState, good: bool, took_s: float, cold: bool = False
-    ) -> None:
+        self, job: Job, endpoint: EndpointState, good: bool, effort: float, now: float
+    ) -> bool:
         """Count an answer.
 
         Args:
             job: The request.
             endpoint: Who answered.
             good: Whether it was a success.
-            took_s: Time to the answer or to the first event of a stream.
-            cold: Whether the endpoint was cold, when slow answers are usual.
+            effort: Time to the answer, or to the first event of a stream, for each unit of work.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Whether it counts as slow.
         """
-        usual = self._usual_by_route.setdefault(job.route.name, LatencyWindow())
-        limit_s = usual.quantile(SLOW_QUANTILE)
-        slow = good and not cold and limit_s is not None
-        slow = slow and took_s > max(SLOW_LEAST_S, SLOW_FACTOR * (limit_s or 0.0))
-        order = self._view.order(job.service)
-        target = order is not None and endpoint.record.version == order.version
-        if good and not target and not cold:
-            usual.add(took_s)
+        usual = self._first_by_route.setdefault(job.route.name, UsualTimes())
+        slow = good and self._judge(usual, endpoint, effort, now)
         self._count(job, endpoint, VersionOutcomes(1, int(not good), int(slow)))
+        return slow
+
+    def note_pace(self, job: Job, endpoint: EndpointState, pace_s: float, now: float) -> None:
+        """Count a stream that has ended and was not slow to begin.
+
+        Args:
+            job: The request.
+            endpoint: Who answered.
+            pace_s: Time for each event after the first.
+            now: Monotonic time in seconds.
+        """
+        usual = self._pace_by_route.setdefault(job.route.name, UsualTimes())
+        if self._judge(usual, endpoint, pace_s, now):
+            self._count(job, endpoint, VersionOutcomes(0, 0, 1))
 
-    def note_failure(self, job: Job, endpoint: EndpointState) -> None:
-        """Count an answer that turned bad after its head."""
-        self._count(job, endpoint, VersionOutcomes(0, 1, 0))
+    def _judge(self, usual: UsualTimes, endpoint: EndpointState, value: float, now: float) -> bool:
+        """Return whether an answer is slow; those of the replaced version set what is usual."""
+        if self._view.cold(endpoint, now):
+            return False
+        slow = usual.is_slow(value, now)
+        order = self._view.order(endpoint.record.service)
+        if order is None or endpoint.record.version != order.version:
+            usual.note(value, now)
+        return slow
 
     def _count(self, job: Job, endpoint: EndpointState, outcome: VersionOutcomes) -> None:
         order = self._view.order(job.service)
--- a/comfreyhatch/exchange/streams.py
+++ b/comfreyhatch/exchange/streams.py
@@ -29,6 +29,7 @@
 FIRST_EVENT_QUANTILE = 0.95
 WATCH_INTERVAL_S = 0.1
 TIME_TO_ANSWER_S = 0.02
+PACE_EVENTS = 4
 
 log = logging.getLogger("comfreyhatch.streams")
 
@@ -134,8 +135,8 @@
         place.begun()
         now = loop.time()
         took_s = now - place.started
-        self._outcomes.note_answer(
-            job, endpoint, answer.head.success, took_s, endpoint.is_cold(now)
+        run.slow = self._outcomes.note_answer(
+            job, endpoint, answer.head.success, took_s / work_s, now
         )
         if answer.head.success:
             self._window(run).add(took_s)
@@ -192,6 +193,7 @@
                 async for events in self._events(run, answer):
                     yield events
                 self._bill(run.job, run.model, run.events)
+                self._note_pace(run, answer)
                 return
             except AnswerBrokenError as error:
                 run.error = error
@@ -203,6 +205,15 @@
                 raise run.final_error()
             answer = await self._resumed(run)
 
+    def _note_pace(self, run: "_StreamRun", answer: OpenAnswer) -> None:
+        """Take in how fast the events of a whole answer came, if there were enough."""
+        now = asyncio.get_running_loop().time()
+        events = run.events - run.events_before
+        if run.slow or events < PACE_EVENTS:
+            return
+        pace_s = (now - run.first_event_at) / (events - 1)
+        self._outcomes.note_pace(run.job, answer.endpoint, pace_s, now)
+
     async def _resumed(self, run: "_StreamRun") -> OpenAnswer:
         answer = await self._open(run)
         if answer.head.success:
@@ -215,6 +226,8 @@
         splitter = EventSplitter()
         loop = asyncio.get_running_loop()
         left_s = max(0.0, run.job.deadline - loop.time())
+        run.events_before = run.events
+        run.first_event_at = loop.time()
         self._start_watch(run, gap_limits(run.job.route.gap_aim_s), answer.abort, loop.time())
         async for piece in answer.pieces(left_s):
             run.waiting_since = loop.time()
@@ -331,6 +344,8 @@
         "endpoint_id",
         "error",
         "events",
+        "events_before",
+        "first_event_at",
         "interrupt",
         "job",
         "last_event_id",
@@ -339,6 +354,7 @@
         "place",
         "running",
         "sent",
+        "slow",
         "tried",
         "waiting_since",
     )
@@ -352,6 +368,9 @@
         self.last_event_id = job.exchange.last_event_id
         self.begun = False
         self.events = 0
+        self.events_before = 0
+        self.first_event_at = 0.0
+        self.slow = False
         self.endpoint_id = ""
         self.place: Place | None = None
         self.error: ComfreyhatchError | None = None
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -366,3 +366,19 @@
     assert {reply.header_by_name["attempt-id"] for reply in replies} == {
         f"{number:016x}" for number in range(1, 9)
     }
+
+
+async def test_version_that_answers_rightly_but_slowly_is_rolled_back(world: World) -> None:
+    # Found by a day of our own (deploy/days/slow-under-rollout.toml).
+    for worker in workers(world, "engine"):
+        worker.pause_s = lambda number: 0.005
+    new = await world.add_worker("engine-3", "engines", "v2")
+    new.pause_s = lambda number: 0.1
+    world.store.put("op", "rollout/engines", {"service": "engines", "to": "v2", "over_s": 60})
+    await world.until(lambda: world.daemon.view.trial("engines"))
+    number = 0
+    while world.store.value("status", "rollout/engines")["state"] == "running" and number < 600:
+        drafts = (world.draft(session=f"s{number + n}") for n in range(3))
+        await asyncio.gather(*drafts)
+        number += 3
+    assert world.store.value("status", "rollout/engines")["state"] == "rolled_back"
--- /dev/null
+++ b/tests/test_slowness.py
@@ -0,0 +1,33 @@
+"""Slow answers of a new version."""
+
+from comfreyhatch.decisions.slowness import UsualTimes
+
+
+def usual(*values: float) -> UsualTimes:
+    found = UsualTimes()
+    for number, value in enumerate(values):
+        found.note(value, number / 100)
+    return found
+
+
+def test_answer_eight_times_slower_is_slow() -> None:
+    times = usual(*[0.04, 0.05, 0.06] * 20)
+    assert times.is_slow(0.4, 1.0)
+    assert not times.is_slow(0.1, 1.0)
+
+
+def test_spread_of_the_usual_times_counts() -> None:
+    times = usual(*[0.04] * 50, *[0.5] * 10)
+    assert not times.is_slow(0.4, 1.0)
+
+
+def test_load_that_slows_both_versions_does_not_count() -> None:
+    times = usual(*[0.05] * 30)
+    for _ in range(256):
+        times.note(0.3, 2.0)
+    assert not times.is_slow(0.4, 2.0)
+
+
+def test_nothing_is_slow_without_fresh_answers_to_compare_with() -> None:
+    assert not UsualTimes().is_slow(9.0, 0.0)
+    assert not usual(*[0.05] * 30).is_slow(9.0, 10.0)
