Split the streams and the pool; hold the platform's words in their folder by a test

Cause: streams.py and pool.py had grown beyond 380 lines with two jobs each; the codec's interface in ports/ imported adapters; a caller that left between its last byte and the start of its answer was not noticed. Change: stream_run, stall_watch, candidates and repeated are modules of their own; the interface stands in exchange/.

--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -217,7 +217,7 @@
         if self._cancel_on_disconnect:
             protocol = writer.transport.get_protocol()
             assert isinstance(protocol, _CallerProtocol)
-            protocol.on_gone = lambda: connection.busy and task.cancel()
+            protocol.on_gone = lambda: connection.caller_left(task)
         try:
             await connection.serve(lambda: self._closing or self._draining)
         except (ConnectionError, TimeoutError, h11.ProtocolError) as error:
@@ -268,8 +268,15 @@
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
         self.busy = False
         self._reading = False
+        self._left = False
         writer.transport.set_write_buffer_limits(high=limits.buffer_bytes)
 
+    def caller_left(self, task: asyncio.Task[None]) -> None:
+        """Cancel the request that is being answered, or will not be."""
+        self._left = True
+        if self.busy:
+            task.cancel()
+
     def close_if_idle(self) -> None:
         if not self.busy and not self._reading:
             self._writer.close()
@@ -277,7 +284,7 @@
     async def serve(self, is_closing: Callable[[], bool]) -> None:
         while True:
             request = await self._read_or_refuse()
-            if request is None:
+            if request is None or self._left:
                 return
             self.busy = True
             self._reading = False
--- a/comfreyhatch/exchange/billing.py
+++ b/comfreyhatch/exchange/billing.py
@@ -1,9 +1,9 @@
 """Bills what requests used: batches in the store, each stored once."""
 
-import asyncio
 import logging
 
 from comfreyhatch.domain.usage import Usage, UsageBatch, UsageKey, UsageLine
+from comfreyhatch.exchange.repeated import RepeatedTask
 from comfreyhatch.ports.directory import Directory
 
 INTERVAL_S = 15.0
@@ -26,7 +26,7 @@
         self._usage_by_key: dict[UsageKey, Usage] = {}
         self._unstored: list[UsageBatch] = []
         self._sequence = 0
-        self._task: asyncio.Task[None] | None = None
+        self._task = RepeatedTask("billing", INTERVAL_S, self.store)
 
     def note(self, key: UsageKey, usage: Usage) -> None:
         """Count the usage of an answered request."""
@@ -34,13 +34,11 @@
 
     def start(self) -> None:
         """Store batches from time to time."""
-        self._task = asyncio.create_task(self._run())
+        self._task.start()
 
     async def stop(self) -> None:
         """Store what is left, once, and stop."""
-        if self._task:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._task.stop()
         await self.store()
 
     async def store(self) -> None:
@@ -63,11 +61,3 @@
         batch = UsageBatch(self._daemon, self._started_ms, self._sequence, lines)
         self._usage_by_key = {}
         self._unstored.append(batch)
-
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(INTERVAL_S)
-            try:
-                await self.store()
-            except Exception:
-                log.exception("event=usage_turn_failed")
--- /dev/null
+++ b/comfreyhatch/exchange/candidates.py
@@ -0,0 +1,118 @@
+"""Which endpoints may run a request: registered, in service, of the right version."""
+
+from collections.abc import Callable
+
+from comfreyhatch.decisions.cold_rate import daemon_rate
+from comfreyhatch.decisions.endpoint_state import EndpointState
+from comfreyhatch.decisions.session_version import VersionChoice, choose_version, version_allowed
+from comfreyhatch.decisions.version_trial import canary_share
+from comfreyhatch.domain.deployment import Deployment
+from comfreyhatch.domain.exchange import Job
+from comfreyhatch.domain.operations import RolloutOrder, RolloutState
+from comfreyhatch.exchange.view import FleetView
+
+PINS_KEPT = 20000
+ALL_SHARE = 0.5
+DAEMONS_PER_ZONE = 2
+
+
+class Candidates:
+    """Finds endpoints for requests; remembers the versions of sessions seen lately."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        view: FleetView,
+        distrusted: Callable[[RolloutOrder], bool],
+    ) -> None:
+        """Create it; see `EndpointPool` for the arguments."""
+        self._deployment = deployment
+        self._view = view
+        self._distrusted = distrusted
+        self._canary = canary_share(deployment.bounds.expose_share)
+        self._pin_by_session: dict[str, tuple[str, float]] = {}
+
+    def note_version(self, job: Job, version: str, now: float) -> None:
+        """Remember the version on which a session runs."""
+        if not job.exchange.session:
+            return
+        self._pin_by_session.pop(job.exchange.session, None)
+        self._pin_by_session[job.exchange.session] = (version, now)
+        while len(self._pin_by_session) > PINS_KEPT:
+            self._pin_by_session.pop(next(iter(self._pin_by_session)))
+
+    def of(self, job: Job, excluded: frozenset[str], now: float) -> list[EndpointState]:
+        """Return the endpoints that may run a request; ejected ones only when no other is left."""
+        order = self._view.order(job.service)
+        choice = self._choice(job, order, now)
+        usable = [
+            state
+            for state in self._view.states_by_service.get(job.service, ())
+            if state.record.endpoint_id not in excluded and self.usable(state, now)
+        ]
+        fitting = [s for s in usable if version_allowed(choice, s.record.version, order)]
+        if not fitting:
+            fitting = self._other_version(usable, choice, order, job, now)
+        if order is None:
+            settled = [s for s in fitting if self._view.settled(job.service, s.record.version, now)]
+            fitting = settled or fitting
+        return [s for s in fitting if now >= s.ejected_until] or fitting
+
+    def _other_version(
+        self,
+        usable: list[EndpointState],
+        choice: VersionChoice,
+        order: RolloutOrder | None,
+        job: Job,
+        now: float,
+    ) -> list[EndpointState]:
+        """Return what may run a request whose version has no endpoint."""
+        trial = self._view.trial(job.service)
+        if order is None or self._distrusted(order):
+            return []
+        if trial is not None and trial.state is RolloutState.ROLLED_BACK:
+            return []
+        if choice is VersionChoice.TARGET:
+            return usable if self._pinned(job, now) != order.version else []
+        # A completed roll-out has no other version left; its record may not be known here yet.
+        return usable if trial is None or trial.share >= ALL_SHARE else []
+
+    def _choice(self, job: Job, order: RolloutOrder | None, now: float) -> VersionChoice:
+        return choose_version(
+            order,
+            self._view.trial(job.service),
+            order is not None and self._distrusted(order),
+            job.session_key,
+            self._pinned(job, now),
+            self._canary,
+        )
+
+    def _pinned(self, job: Job, now: float) -> str | None:
+        version, at = self._pin_by_session.get(job.exchange.session, ("", float("-inf")))
+        return version if now - at <= 2 * self._deployment.bounds.session_s else None
+
+    def usable(self, state: EndpointState, now: float) -> bool:
+        """Return whether an endpoint is registered, stays, and its zone is in service."""
+        return self._view.listed(state, now) and not self._view.zone_out(state.record.zone)
+
+    def cold_per_s(self, state: EndpointState) -> float:
+        """Return the requests a second that this daemon may send to an endpoint while cold."""
+        catalog = self._view.catalog
+        service = catalog.service_by_name.get(state.record.service) if catalog else None
+        if service is None or service.cold_per_s <= 0:
+            return float("inf")
+        bounds = self._deployment.bounds
+        return daemon_rate(
+            state.record.endpoint_id,
+            self._deployment.instance,
+            self.daemons(),
+            service.cold_per_s,
+            bounds.cold_over,
+            bounds.cold_slack,
+        )
+
+    def daemons(self) -> set[str]:
+        """Return the known daemons, filled up while too few have been heard of to be all."""
+        known = self._view.daemons()
+        least = DAEMONS_PER_ZONE * len(self._deployment.zones)
+        return known | {f"unheard-{n}" for n in range(least - len(known))}
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -25,8 +25,8 @@
 from comfreyhatch.exchange.streams import Streams
 from comfreyhatch.exchange.trials import Trials
 from comfreyhatch.exchange.view import FleetView
+from comfreyhatch.exchange.wire import Wire
 from comfreyhatch.ports.directory import Directory
-from comfreyhatch.ports.wire import Wire
 
 ENDPOINT_CONNECT_TIMEOUT_S = 0.3
 BALANCER_S = 2.4
--- a/comfreyhatch/exchange/pool.py
+++ b/comfreyhatch/exchange/pool.py
@@ -9,24 +9,19 @@
 from msgspec import Struct
 
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.decisions.cold_rate import daemon_rate
 from comfreyhatch.decisions.endpoint_state import EndpointState
 from comfreyhatch.decisions.placement import choose_endpoint
-from comfreyhatch.decisions.session_version import VersionChoice, choose_version, version_allowed
-from comfreyhatch.decisions.version_trial import canary_share
 from comfreyhatch.decisions.waiting import Throughput, Waiter, longest_wait_s, retry_after_s
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.exchange import Job
-from comfreyhatch.domain.operations import RolloutOrder, RolloutState
+from comfreyhatch.domain.operations import RolloutOrder
 from comfreyhatch.errors import RefusedError
+from comfreyhatch.exchange.candidates import Candidates
 from comfreyhatch.exchange.view import FleetView
 
 WAITERS_PER_SERVICE = 256
 SWEEP_S = 0.1
-PINS_KEPT = 20000
-ALL_SHARE = 0.5
 NO_ENDPOINT_RETRY_S = 1.0
-DAEMONS_PER_ZONE = 2
 
 log = logging.getLogger("comfreyhatch.pool")
 
@@ -91,11 +86,9 @@
         self._deployment = deployment
         self._view = view
         self._rng = rng
-        self._distrusted = distrusted
-        self._canary = canary_share(deployment.bounds.expose_share)
+        self._candidates = Candidates(deployment, view, distrusted)
         self._waiting_by_service: dict[str, list[_Waiting]] = {}
         self._throughput_by_service: dict[str, Throughput] = {}
-        self._pin_by_session: dict[str, tuple[str, float]] = {}
         self._number = count()
         self._sweep: asyncio.TimerHandle | None = None
 
@@ -154,12 +147,16 @@
                 waiting.remove(entry)
                 entry.found.set_exception(self._refused(entry.job, now))
 
+    def note_version(self, job: Job, version: str, now: float) -> None:
+        """Remember the version on which a session runs."""
+        self._candidates.note_version(job, version, now)
+
     def load(self, service: str, now: float) -> float:
         """Return the running and waiting requests of a service as a share of its slots."""
         states = [
             state
             for state in self._view.states_by_service.get(service, ())
-            if self._usable(state, now) and now >= state.ejected_until
+            if self._candidates.usable(state, now) and now >= state.ejected_until
         ]
         slots = sum(state.record.slots for state in states)
         running = sum(state.running(now) for state in states)
@@ -170,31 +167,22 @@
         delays = sorted(
             state.delay_s(now)
             for state in self._view.states_by_service.get(service, ())
-            if self._usable(state, now)
+            if self._candidates.usable(state, now)
         )
         return delays[len(delays) // 2] if delays else 0.0
 
     def hopeful(self, job: Job, excluded: frozenset[str], now: float) -> bool:
         """Return whether any endpoint could become free for a request."""
-        return bool(self._candidates(job, excluded, now))
+        return bool(self._candidates.of(job, excluded, now))
 
     def unreachable(self, now: float) -> bool:
         """Return whether a service has endpoints and none of them could be reached lately."""
         for states in self._view.states_by_service.values():
-            usable = [state for state in states if self._usable(state, now)]
+            usable = [state for state in states if self._candidates.usable(state, now)]
             if usable and all(now < state.ejected_until for state in usable):
                 return True
         return False
 
-    def note_version(self, job: Job, version: str, now: float) -> None:
-        """Remember the version on which a session runs."""
-        if not job.exchange.session:
-            return
-        self._pin_by_session.pop(job.exchange.session, None)
-        self._pin_by_session[job.exchange.session] = (version, now)
-        while len(self._pin_by_session) > PINS_KEPT:
-            self._pin_by_session.pop(next(iter(self._pin_by_session)))
-
     async def _wait(
         self, job: Job, excluded: frozenset[str], work_s: float, resumes: bool, now: float
     ) -> Place:
@@ -239,7 +227,9 @@
 
     def _place(self, job: Job, excluded: frozenset[str], work_s: float, now: float) -> Place | None:
         candidates = [
-            state for state in self._candidates(job, excluded, now) if self._free(state, job, now)
+            state
+            for state in self._candidates.of(job, excluded, now)
+            if self._free(state, job, now)
         ]
         work_s = work_s or self._throughput(job.service).service_s
         zone = self._deployment.zone
@@ -247,7 +237,7 @@
         if state is None:
             return None
         if self._view.cold(state, now):
-            state.take_cold(self._cold_per_s(state), now)
+            state.take_cold(self._candidates.cold_per_s(state), now)
         log.info(
             "event=placed id=%s endpoint=%s zone=%s version=%s delay_s=%.3f running=%.0f"
             " choices=%d list_age_s=%.1f",
@@ -262,97 +252,24 @@
         )
         return Place(state, job, work_s if job.route.models else 0.0, now)
 
-    def _candidates(self, job: Job, excluded: frozenset[str], now: float) -> list[EndpointState]:
-        """Return the endpoints that may run a request; ejected ones only when no other is left."""
-        order = self._view.order(job.service)
-        choice = self._choice(job, order, now)
-        usable = [
-            state
-            for state in self._view.states_by_service.get(job.service, ())
-            if state.record.endpoint_id not in excluded and self._usable(state, now)
-        ]
-        fitting = [s for s in usable if version_allowed(choice, s.record.version, order)]
-        if not fitting:
-            fitting = self._other_version(usable, choice, order, job, now)
-        if order is None:
-            settled = [s for s in fitting if self._view.settled(job.service, s.record.version, now)]
-            fitting = settled or fitting
-        return [s for s in fitting if now >= s.ejected_until] or fitting
-
-    def _other_version(
-        self,
-        usable: list[EndpointState],
-        choice: VersionChoice,
-        order: RolloutOrder | None,
-        job: Job,
-        now: float,
-    ) -> list[EndpointState]:
-        """Return what may run a request whose version has no endpoint."""
-        trial = self._view.trial(job.service)
-        if order is None or self._distrusted(order):
-            return []
-        if trial is not None and trial.state is RolloutState.ROLLED_BACK:
-            return []
-        if choice is VersionChoice.TARGET:
-            return usable if self._pinned(job, now) != order.version else []
-        # A completed roll-out has no other version left; its record may not be known here yet.
-        return usable if trial is None or trial.share >= ALL_SHARE else []
-
-    def _choice(self, job: Job, order: RolloutOrder | None, now: float) -> VersionChoice:
-        return choose_version(
-            order,
-            self._view.trial(job.service),
-            order is not None and self._distrusted(order),
-            job.session_key,
-            self._pinned(job, now),
-            self._canary,
-        )
-
-    def _pinned(self, job: Job, now: float) -> str | None:
-        version, at = self._pin_by_session.get(job.exchange.session, ("", float("-inf")))
-        return version if now - at <= 2 * self._deployment.bounds.session_s else None
-
-    def _usable(self, state: EndpointState, now: float) -> bool:
-        return self._view.listed(state, now) and not self._view.zone_out(state.record.zone)
-
     def _free(self, state: EndpointState, job: Job, now: float) -> bool:
         if state.running(now) >= state.record.slots:
             return False
         if not self._view.cold(state, now):
             return True
-        return state.cold_ready(self._cold_per_s(state), now)
-
-    def _cold_per_s(self, state: EndpointState) -> float:
-        catalog = self._view.catalog
-        service = catalog.service_by_name.get(state.record.service) if catalog else None
-        if service is None or service.cold_per_s <= 0:
-            return float("inf")
-        bounds = self._deployment.bounds
-        return daemon_rate(
-            state.record.endpoint_id,
-            self._deployment.instance,
-            self._daemons(),
-            service.cold_per_s,
-            bounds.cold_over,
-            bounds.cold_slack,
-        )
-
-    def _daemons(self) -> set[str]:
-        """Return the known daemons, filled up while too few have been heard of to be all."""
-        known = self._view.daemons()
-        least = DAEMONS_PER_ZONE * len(self._deployment.zones)
-        return known | {f"unheard-{n}" for n in range(least - len(known))}
+        return state.cold_ready(self._candidates.cold_per_s(state), now)
 
     def _expected_wait_s(self, service: str, ahead: int, now: float) -> float:
         states = self._view.states_by_service.get(service, ())
-        slots = sum(s.record.slots for s in states if self._usable(s, now))
-        daemons = max(1, len(self._daemons()))
+        slots = sum(s.record.slots for s in states if self._candidates.usable(s, now))
+        daemons = max(1, len(self._candidates.daemons()))
         return self._throughput(service).expected_wait_s(ahead, max(1, slots // daemons))
 
     def _refused(self, job: Job, now: float) -> RefusedError:
         waiting = self._waiting_by_service.get(job.service, [])
         listed = any(
-            self._usable(s, now) for s in self._view.states_by_service.get(job.service, ())
+            self._candidates.usable(s, now)
+            for s in self._view.states_by_service.get(job.service, ())
         )
         expected_s = self._expected_wait_s(job.service, len(waiting) + 1, now)
         after_s = retry_after_s(
--- a/comfreyhatch/exchange/router.py
+++ b/comfreyhatch/exchange/router.py
@@ -15,7 +15,7 @@
 from comfreyhatch.exchange.ledger import Ledger
 from comfreyhatch.exchange.streams import Streams
 from comfreyhatch.exchange.view import FleetView
-from comfreyhatch.ports.wire import Wire
+from comfreyhatch.exchange.wire import Wire
 
 NOT_READY_RETRY_S = 1.0
 
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -19,7 +19,7 @@
     ExchangeTimeoutError,
     HttpError,
 )
-from comfreyhatch.ports.wire import Wire
+from comfreyhatch.exchange.wire import Wire
 
 REFUSAL_READ_S = 0.5
 
--- /dev/null
+++ b/comfreyhatch/exchange/stream_run.py
@@ -0,0 +1,131 @@
+"""One streamed request: its attempts, and how far its answer has come."""
+
+from collections.abc import Callable
+
+from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.decisions.stall import StallLimits, stalled
+from comfreyhatch.domain.exchange import Job
+from comfreyhatch.errors import BackendError, BackendRefusedError, ComfreyhatchError, RefusedError
+from comfreyhatch.exchange.events import event_id
+from comfreyhatch.exchange.pool import Place
+
+REFUSALS_MAX = 4
+REFUSED_RETRY_S = 0.3
+
+
+class StreamRun:
+    """Attempts of one streamed request and how far its answer has come.
+
+    Attributes:
+        job: The request.
+        tried: Endpoints that it was sent to and that are no use for it now.
+        sent: Attempts, refused ones included.
+        running: Attempts that may have run.
+        model_index: Model that is asked, by its place among the route's.
+        last_event_id: Last event that the caller holds.
+        begun: Whether the caller has the head of the answer.
+        events: Events passed on.
+        events_before: Those of them that came before the present attempt.
+        first_event_at: Monotonic time at which the present attempt began to answer.
+        slow: Whether the present attempt was slow to begin.
+        endpoint_id: Endpoint of the present attempt.
+        place: Place of the present attempt; None when it has been given back.
+        error: How the last failed attempt ended.
+        limits: Longest waits for what comes next.
+        interrupt: Ends the present wait.
+        waiting_since: Monotonic time since which nothing has come.
+    """
+
+    __slots__ = (
+        "begun",
+        "endpoint_id",
+        "error",
+        "events",
+        "events_before",
+        "first_event_at",
+        "interrupt",
+        "job",
+        "last_event_id",
+        "limits",
+        "model_index",
+        "place",
+        "running",
+        "sent",
+        "slow",
+        "tried",
+        "waiting_since",
+    )
+
+    def __init__(self, job: Job) -> None:
+        self.job = job
+        self.tried: set[str] = set()
+        self.sent = 0
+        self.running = 0
+        self.model_index = 0
+        self.last_event_id = job.exchange.last_event_id
+        self.begun = False
+        self.events = 0
+        self.events_before = 0
+        self.first_event_at = 0.0
+        self.slow = False
+        self.endpoint_id = ""
+        self.place: Place | None = None
+        self.error: ComfreyhatchError | None = None
+        self.limits = StallLimits(float("inf"), float("inf"))
+        self.interrupt: Callable[[], object] = _nothing
+        self.waiting_since = job.arrived
+
+    @property
+    def model(self) -> str:
+        """Model to run; empty when the caller's choice stands."""
+        models = self.job.route.models
+        return models[self.model_index] if models else ""
+
+    def take(self, place: Place) -> None:
+        """Note that the request goes to an endpoint."""
+        self.place = place
+        self.endpoint_id = place.endpoint.record.endpoint_id
+        self.tried.add(self.endpoint_id)
+        self.sent += 1
+        self.running += 1
+
+    def attempt_left(self, now: float) -> bool:
+        """Return whether the rules of the route leave the request another attempt."""
+        route = self.job.route
+        if self.sent > route.max_attempts + REFUSALS_MAX or now >= self.job.deadline:
+            return False
+        if self.running and not route.repeatable:
+            return False
+        return self.running < route.max_attempts
+
+    def stalled(self, now: float) -> bool:
+        """Return whether the answer that comes now has stalled."""
+        if self.place is None:
+            return False
+        silent_s = now - self.place.endpoint.heard_at
+        return stalled(self.limits, now - self.waiting_since, silent_s)
+
+    def is_new(self, event: bytes) -> bool:
+        """Return whether the caller lacks an event, and note that it gets it."""
+        number = event_id(event)
+        if number is None:
+            return True
+        if self.last_event_id is not None and number <= self.last_event_id:
+            return False
+        self.last_event_id = number
+        return True
+
+    def final_error(self) -> ComfreyhatchError:
+        """Return what to tell the caller after the last attempt failed."""
+        assert self.error is not None
+        if self.running == 0 and isinstance(self.error, BackendRefusedError):
+            return RefusedError(
+                str(self.error), ResultCode.ENDPOINT_REFUSED, retry_after_s=REFUSED_RETRY_S
+            )
+        if self.error.ran is Ran.NO:
+            return BackendError(str(self.error))
+        return self.error
+
+
+def _nothing() -> None:
+    """Interrupt nothing."""
--- a/comfreyhatch/exchange/streams.py
+++ b/comfreyhatch/exchange/streams.py
@@ -5,12 +5,12 @@
 from collections.abc import AsyncIterator, Callable
 
 from comfreyhatch.adapters.http_server import HttpResponse
-from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.codes import ResultCode
 from comfreyhatch.decisions.arrivals import ArrivalBudget
 from comfreyhatch.decisions.cascade import CascadeState, escalates
 from comfreyhatch.decisions.engine_time import EngineTimes
 from comfreyhatch.decisions.retries import LatencyWindow
-from comfreyhatch.decisions.stall import StallLimits, first_event_limits, gap_limits, stalled
+from comfreyhatch.decisions.stall import first_event_limits, gap_limits
 from comfreyhatch.domain.exchange import Dispatch, Job
 from comfreyhatch.errors import (
     AnswerBrokenError,
@@ -19,15 +19,14 @@
     ComfreyhatchError,
     RefusedError,
 )
-from comfreyhatch.exchange.events import EventSplitter, event_id
+from comfreyhatch.exchange.events import EventSplitter
 from comfreyhatch.exchange.outcomes import Outcomes
 from comfreyhatch.exchange.pool import EndpointPool, Place
 from comfreyhatch.exchange.sender import OpenAnswer, Sender
+from comfreyhatch.exchange.stall_watch import StallWatch
+from comfreyhatch.exchange.stream_run import StreamRun
 
-REFUSALS_MAX = 4
-REFUSED_RETRY_S = 0.3
 FIRST_EVENT_QUANTILE = 0.95
-WATCH_INTERVAL_S = 0.1
 TIME_TO_ANSWER_S = 0.02
 PACE_EVENTS = 4
 
@@ -45,7 +44,7 @@
         outcomes: Outcomes,
         bill: Callable[[Job, str, int], None],
     ) -> None:
-        """Create the path; see `Calls` for the other arguments.
+        """Create the path.
 
         Args:
             pool: Gives endpoints.
@@ -61,8 +60,7 @@
         self._outcomes = outcomes
         self._first_events: dict[tuple[str, str], LatencyWindow] = {}
         self._times = EngineTimes()
-        self._watched: set[_StreamRun] = set()
-        self._watch: asyncio.TimerHandle | None = None
+        self._watch = StallWatch(self._may_move)
 
     async def run(self, job: Job) -> HttpResponse:
         """Return an answer whose stream relays the events of endpoints.
@@ -71,7 +69,7 @@
             RefusedError: If the request has not run.
             BackendError: If it may have run and there is no answer.
         """
-        run = _StreamRun(job)
+        run = StreamRun(job)
         answer = await self._accepted(run)
         if not answer.head.success:
             return await self._failure(run, answer)
@@ -80,7 +78,7 @@
             answer.head.status, headers=answer.head.headers, stream=self._relay(run, answer)
         )
 
-    async def _accepted(self, run: "_StreamRun") -> OpenAnswer:
+    async def _accepted(self, run: StreamRun) -> OpenAnswer:
         """Return the first answer that is not dropped for a larger model's."""
         while True:
             answer = await self._open(run)
@@ -90,7 +88,7 @@
             run.model_index = len(run.job.route.models) - 1
             run.tried.clear()
 
-    async def _open(self, run: "_StreamRun") -> OpenAnswer:
+    async def _open(self, run: StreamRun) -> OpenAnswer:
         """Return an answer whose head has come; tries other endpoints as far as allowed."""
         while True:
             try:
@@ -112,7 +110,7 @@
             if not self._may_go_on(run):
                 raise run.final_error()
 
-    async def _attempt(self, run: "_StreamRun") -> OpenAnswer:
+    async def _attempt(self, run: StreamRun) -> OpenAnswer:
         loop = asyncio.get_running_loop()
         job = run.job
         work_s = self._times.first_event_s(run.model, job.exchange.prompt_tokens)
@@ -144,7 +142,7 @@
             endpoint.note_delay(took_s - work_s, now)
         return answer
 
-    async def _watched_open(self, run: "_StreamRun", place: Place) -> OpenAnswer:
+    async def _watched_open(self, run: StreamRun, place: Place) -> OpenAnswer:
         """Return the answer's head, unless the endpoint stalls."""
         job = run.job
         left_s = job.deadline - place.started - TIME_TO_ANSWER_S
@@ -156,11 +154,11 @@
         )
         usual_s = self._window(run).quantile(FIRST_EVENT_QUANTILE)
         limits = first_event_limits(job.route.aim_s, usual_s)
-        self._start_watch(run, limits, opening.cancel, place.started)
+        self._watch.begin(run, limits, opening.cancel, place.started)
         try:
             await asyncio.wait({opening})
         finally:
-            self._watched.discard(run)
+            self._watch.end(run)
             if not opening.done():
                 opening.cancel()
                 await asyncio.wait({opening})
@@ -170,14 +168,14 @@
             raise AnswerBrokenError(f"no event came within {now - place.started:.2f} s")
         return opening.result()
 
-    async def _drop(self, run: "_StreamRun", answer: OpenAnswer) -> None:
-        self._watched.discard(run)
+    async def _drop(self, run: StreamRun, answer: OpenAnswer) -> None:
+        self._watch.end(run)
         await answer.close()
         if run.place is not None:
             self._pool.release(run.place)
             run.place = None
 
-    async def _failure(self, run: "_StreamRun", answer: OpenAnswer) -> HttpResponse:
+    async def _failure(self, run: StreamRun, answer: OpenAnswer) -> HttpResponse:
         """Return a failed answer of an endpoint as it is."""
         try:
             timeout_s = max(0.0, run.job.deadline - asyncio.get_running_loop().time())
@@ -186,7 +184,7 @@
             await self._drop(run, answer)
         return HttpResponse(answer.head.status, body, headers=answer.head.headers)
 
-    async def _relay(self, run: "_StreamRun", answer: OpenAnswer) -> AsyncIterator[bytes]:
+    async def _relay(self, run: StreamRun, answer: OpenAnswer) -> AsyncIterator[bytes]:
         """Yield whole events, going on at another endpoint after a break."""
         while True:
             try:
@@ -205,7 +203,7 @@
                 raise run.final_error()
             answer = await self._resumed(run)
 
-    def _note_pace(self, run: "_StreamRun", answer: OpenAnswer) -> None:
+    def _note_pace(self, run: StreamRun, answer: OpenAnswer) -> None:
         """Take in how fast the events of a whole answer came, if there were enough."""
         now = asyncio.get_running_loop().time()
         events = run.events - run.events_before
@@ -214,21 +212,21 @@
         pace_s = (now - run.first_event_at) / (events - 1)
         self._outcomes.note_pace(run.job, answer.endpoint, pace_s, now)
 
-    async def _resumed(self, run: "_StreamRun") -> OpenAnswer:
+    async def _resumed(self, run: StreamRun) -> OpenAnswer:
         answer = await self._open(run)
         if answer.head.success:
             return answer
         await self._drop(run, answer)
         raise AnswerBrokenError(f"the stream could not go on: status {answer.head.status}")
 
-    async def _events(self, run: "_StreamRun", answer: OpenAnswer) -> AsyncIterator[bytes]:
+    async def _events(self, run: StreamRun, answer: OpenAnswer) -> AsyncIterator[bytes]:
         """Yield the new events of one answer until its end."""
         splitter = EventSplitter()
         loop = asyncio.get_running_loop()
         left_s = max(0.0, run.job.deadline - loop.time())
         run.events_before = run.events
         run.first_event_at = loop.time()
-        self._start_watch(run, gap_limits(run.job.route.gap_aim_s), answer.abort, loop.time())
+        self._watch.begin(run, gap_limits(run.job.route.gap_aim_s), answer.abort, loop.time())
         async for piece in answer.pieces(left_s):
             run.waiting_since = loop.time()
             events = [e for e in splitter.feed(piece) if run.is_new(e)]
@@ -240,7 +238,7 @@
         if splitter.partial:
             raise AnswerBrokenError("the stream ended inside an event")
 
-    def _escalates(self, run: "_StreamRun", answer: OpenAnswer) -> bool:
+    def _escalates(self, run: StreamRun, answer: OpenAnswer) -> bool:
         job = run.job
         now = asyncio.get_running_loop().time()
         if run.model_index >= len(job.route.models) - 1 or run.last_event_id is not None:
@@ -274,57 +272,22 @@
         )
         return wanted and budget.take(now)
 
-    def _may_go_on(self, run: "_StreamRun") -> bool:
+    def _may_go_on(self, run: StreamRun) -> bool:
         """Return whether another endpoint gets the request after a failed attempt."""
         now = asyncio.get_running_loop().time()
-        return self._attempt_left(run, now) and self._budget(run.job.service).take(now)
+        return run.attempt_left(now) and self._budget(run.job.service).take(now)
 
-    def _attempt_left(self, run: "_StreamRun", now: float) -> bool:
-        """Return whether the rules of the route leave a request another attempt."""
-        route = run.job.route
-        if run.sent > route.max_attempts + REFUSALS_MAX or now >= run.job.deadline:
-            return False
-        if run.running and not route.repeatable:
-            return False
-        return run.running < route.max_attempts
-
-    def _start_watch(
-        self,
-        run: "_StreamRun",
-        limits: StallLimits,
-        interrupt: Callable[[], object],
-        now: float,
-    ) -> None:
-        """Have an answer interrupted when it stalls."""
-        run.limits = limits
-        run.interrupt = interrupt
-        run.waiting_since = now
-        self._watched.add(run)
-        if self._watch is None:
-            loop = asyncio.get_running_loop()
-            self._watch = loop.call_later(WATCH_INTERVAL_S, self._look)
-
-    def _look(self) -> None:
-        """Interrupt the answers that have stalled and can be had elsewhere."""
-        loop = asyncio.get_running_loop()
-        now = loop.time()
-        for run in list(self._watched):
-            if run.stalled(now) and self._may_move(run, now):
-                self._watched.discard(run)
-                run.interrupt()
-        self._watch = loop.call_later(WATCH_INTERVAL_S, self._look) if self._watched else None
-
-    def _may_move(self, run: "_StreamRun", now: float) -> bool:
+    def _may_move(self, run: StreamRun, now: float) -> bool:
         """Return whether a stalled answer can be had elsewhere; else it is better waited for."""
-        if not run.job.route.repeatable or not self._attempt_left(run, now):
+        if not run.job.route.repeatable or not run.attempt_left(now):
             return False
         return self._budget(run.job.service).left(now) >= 1
 
-    def _window(self, run: "_StreamRun") -> LatencyWindow:
+    def _window(self, run: StreamRun) -> LatencyWindow:
         key = (run.job.route.name, run.model)
         return self._first_events.setdefault(key, LatencyWindow())
 
-    def _log_failure(self, run: "_StreamRun", error: ComfreyhatchError) -> None:
+    def _log_failure(self, run: StreamRun, error: ComfreyhatchError) -> None:
         log.info(
             "event=attempt_failed id=%s endpoint=%s code=%d ran=%s events=%s reason=%r",
             run.job.exchange.request_id,
@@ -334,92 +297,3 @@
             run.last_event_id,
             str(error),
         )
-
-
-class _StreamRun:
-    """Attempts of one streamed request and how far its answer has come."""
-
-    __slots__ = (
-        "begun",
-        "endpoint_id",
-        "error",
-        "events",
-        "events_before",
-        "first_event_at",
-        "interrupt",
-        "job",
-        "last_event_id",
-        "limits",
-        "model_index",
-        "place",
-        "running",
-        "sent",
-        "slow",
-        "tried",
-        "waiting_since",
-    )
-
-    def __init__(self, job: Job) -> None:
-        self.job = job
-        self.tried: set[str] = set()
-        self.sent = 0
-        self.running = 0
-        self.model_index = 0
-        self.last_event_id = job.exchange.last_event_id
-        self.begun = False
-        self.events = 0
-        self.events_before = 0
-        self.first_event_at = 0.0
-        self.slow = False
-        self.endpoint_id = ""
-        self.place: Place | None = None
-        self.error: ComfreyhatchError | None = None
-        self.limits = StallLimits(float("inf"), float("inf"))
-        self.interrupt: Callable[[], object] = _nothing
-        self.waiting_since = job.arrived
-
-    @property
-    def model(self) -> str:
-        """Model to run; empty when the caller's choice stands."""
-        models = self.job.route.models
-        return models[self.model_index] if models else ""
-
-    def take(self, place: Place) -> None:
-        """Note that the request goes to an endpoint."""
-        self.place = place
-        self.endpoint_id = place.endpoint.record.endpoint_id
-        self.tried.add(self.endpoint_id)
-        self.sent += 1
-        self.running += 1
-
-    def stalled(self, now: float) -> bool:
-        """Return whether the answer that comes now has stalled."""
-        if self.place is None:
-            return False
-        silent_s = now - self.place.endpoint.heard_at
-        return stalled(self.limits, now - self.waiting_since, silent_s)
-
-    def is_new(self, event: bytes) -> bool:
-        """Return whether the caller lacks an event, and note that it gets it."""
-        number = event_id(event)
-        if number is None:
-            return True
-        if self.last_event_id is not None and number <= self.last_event_id:
-            return False
-        self.last_event_id = number
-        return True
-
-    def final_error(self) -> ComfreyhatchError:
-        """Return what to tell the caller after the last attempt failed."""
-        assert self.error is not None
-        if self.running == 0 and isinstance(self.error, BackendRefusedError):
-            return RefusedError(
-                str(self.error), ResultCode.ENDPOINT_REFUSED, retry_after_s=REFUSED_RETRY_S
-            )
-        if self.error.ran is Ran.NO:
-            return BackendError(str(self.error))
-        return self.error
-
-
-def _nothing() -> None:
-    """Interrupt nothing."""
--- a/comfreyhatch/exchange/trials.py
+++ b/comfreyhatch/exchange/trials.py
@@ -16,6 +16,7 @@
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.operations import Evidence, RolloutOrder, TrialRecord
 from comfreyhatch.exchange.outcomes import Outcomes
+from comfreyhatch.exchange.repeated import RepeatedTask
 from comfreyhatch.exchange.view import FleetView
 from comfreyhatch.ports.directory import Directory
 
@@ -45,30 +46,20 @@
         self._published_at = 0.0
         self._due_since: dict[str, float] = {}
         self._distrusted: dict[str, int] = {}
-        self._task: asyncio.Task[None] | None = None
+        self._task = RepeatedTask("roll-outs", TURN_S, self._turn)
 
     def start(self) -> None:
         """Start to drive roll-outs."""
-        self._task = asyncio.create_task(self._run())
+        self._task.start()
 
     async def stop(self) -> None:
         """Stop; another daemon goes on."""
-        if self._task:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._task.stop()
 
     def distrusted(self, order: RolloutOrder) -> bool:
         """Return whether the version of an order was found bad here."""
         return self._distrusted.get(order.service) == order.revision
 
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(TURN_S)
-            try:
-                await self._turn()
-            except Exception:
-                log.exception("event=trial_turn_failed")
-
     async def _turn(self) -> None:
         operations = self._view.operations
         if operations is None or self._view.records is None:
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -1,6 +1,7 @@
 """The layers keep apart: decisions see no adapter, no clock and no global randomness."""
 
 import ast
+import re
 from pathlib import Path
 
 import pytest
@@ -48,3 +49,44 @@
         names = {name for name in imported_modules(path) if name.startswith("random")}
         assert names <= allowed, path.name
         assert "random.random(" not in path.read_text(), path.name
+
+
+PLATFORM_WORDS = (
+    "attempt-id",
+    "server-stamp",
+    "not-executed",
+    "expect-instance",
+    "token-counts",
+    "rows-tx",
+    "rows-feed",
+    "expected_rev",
+    "api_keys",
+    "cold_left_ms",
+    "retry_budget_ratio",
+)
+MAY_IMPORT_PLATFORM = ("platform", "cli")
+
+
+def test_words_of_the_platform_stay_in_its_folder() -> None:
+    found = [
+        f"{path.relative_to(PACKAGE)}: {word}"
+        for path in sorted(PACKAGE.rglob("*.py"))
+        if path.relative_to(PACKAGE).parts[0] != "platform"
+        for word in PLATFORM_WORDS
+        if re.search(rf"\b{word}\b", path.read_text().lower())
+    ]
+    assert found == []
+
+
+def test_only_its_entry_and_the_command_line_know_the_platform() -> None:
+    found = [
+        str(path.relative_to(PACKAGE))
+        for path in sorted(PACKAGE.rglob("*.py"))
+        if path.relative_to(PACKAGE).parts[0] not in MAY_IMPORT_PLATFORM
+        and any(n.startswith("comfreyhatch.platform") for n in imported_modules(path))
+    ]
+    assert found == []
+
+
+def test_exchange_does_not_import_the_other_path_of_requests() -> None:
+    assert violations("exchange", OUTER_LAYERS) == []
