--- a/comfreyhatch/exchange/news.py
+++ b/comfreyhatch/exchange/news.py
@@ -150,6 +150,9 @@
         wait_s: float = WAIT_S,
     ) -> Any:
         """Return what a reading call gives; None, after a pause, when the directory is away."""
+        if name in self._lost_since:
+            # A plain reading tells at once that the directory is back, and what is new.
+            wait_s = 0.0
         try:
             found = await read(held, wait_s)
         except PlatformError as error:
