Do not count runs on endpoints that have ended among a route's attempts

Change: when no attempt is left, endpoints whose attempt broke are tried with a connection; those that take none do not count.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -311,6 +311,15 @@
             else:
                 link.abort()
 
+    async def can_connect(self, address: Address) -> bool:
+        """Return whether a new connection can be opened; it is kept for later requests."""
+        try:
+            link = await self._link(address, fresh=True)
+        except ConnectError:
+            return False
+        self._keep(address, link)
+        return True
+
     def close(self) -> None:
         """Close all idle connections."""
         for links in self._idle_by_address.values():
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -116,6 +116,10 @@
             raise
         return OpenAnswer(head, endpoint, reply, stack)
 
+    async def has_ended(self, endpoint: EndpointState) -> bool:
+        """Return whether an endpoint takes no connections any more."""
+        return not await self._client.can_connect(endpoint.record.address)
+
     async def whole(
         self, job: Job, endpoint: EndpointState, dispatch: Dispatch, timeout_s: float
     ) -> WholeAnswer:
--- a/comfreyhatch/exchange/stream_run.py
+++ b/comfreyhatch/exchange/stream_run.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.decisions.endpoint_state import EndpointState
 from comfreyhatch.decisions.stall import StallLimits, stalled
 from comfreyhatch.domain.exchange import Job
 from comfreyhatch.errors import BackendError, BackendRefusedError, ComfreyhatchError, RefusedError
@@ -27,6 +28,7 @@
         events: Events passed on.
         events_before: Those of them that came before the present attempt.
         first_event_at: Monotonic time at which the present attempt began to answer.
+        broken: Endpoints whose attempt broke and that have not been looked at since.
         slow: Whether the present attempt was slow to begin.
         endpoint_id: Endpoint of the present attempt.
         place: Place of the present attempt; None when it has been given back.
@@ -38,6 +40,7 @@
 
     __slots__ = (
         "begun",
+        "broken",
         "endpoint_id",
         "error",
         "events",
@@ -64,6 +67,7 @@
         self.model_index = 0
         self.last_event_id = job.exchange.last_event_id
         self.begun = False
+        self.broken: list[EndpointState] = []
         self.events = 0
         self.events_before = 0
         self.first_event_at = 0.0
--- a/comfreyhatch/exchange/streams.py
+++ b/comfreyhatch/exchange/streams.py
@@ -103,11 +103,11 @@
             else:
                 if answer.head.success:
                     return answer
-                if not self._may_go_on(run):
+                if not await self._goes_on(run):
                     return answer
                 await self._drop(run, answer)
                 continue
-            if not self._may_go_on(run):
+            if not await self._goes_on(run):
                 raise run.final_error()
 
     async def _attempt(self, run: StreamRun) -> OpenAnswer:
@@ -128,6 +128,8 @@
         except BaseException as error:
             if isinstance(error, BackendRefusedError):
                 run.running -= 1
+            else:
+                run.broken.append(endpoint)
             self._pool.release(place)
             raise
         place.begun()
@@ -196,10 +198,11 @@
             except AnswerBrokenError as error:
                 run.error = error
                 self._log_failure(run, error)
+                run.broken.append(answer.endpoint)
                 answer.endpoint.note_broken(asyncio.get_running_loop().time(), unreachable=False)
             finally:
                 await self._drop(run, answer)
-            if not self._may_go_on(run):
+            if not await self._goes_on(run):
                 raise run.final_error()
             answer = await self._resumed(run)
 
@@ -272,8 +275,15 @@
         )
         return wanted and budget.take(now)
 
-    def _may_go_on(self, run: StreamRun) -> bool:
-        """Return whether another endpoint gets the request after a failed attempt."""
+    async def _goes_on(self, run: StreamRun) -> bool:
+        """Return whether another endpoint gets the request after a failed attempt.
+
+        A run on an endpoint that has ended meanwhile does not count among the route's attempts.
+        """
+        if run.running >= run.job.route.max_attempts:
+            for endpoint in run.broken:
+                run.running -= await self._sender.has_ended(endpoint)
+            run.broken.clear()
         now = asyncio.get_running_loop().time()
         return run.attempt_left(now) and self._budget(run.job.service).take(now)
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -200,6 +200,23 @@
     assert len(sent_to(world, "engine")) == 3
 
 
+async def test_run_on_a_worker_that_has_ended_does_not_count_as_an_attempt() -> None:
+    # Found by hunting: with two models tried, the second crash of a moment cut the stream.
+    async with running_world() as world:
+        world.store.put("op", "config", config(2, max_attempts=1))
+        await world.until(lambda: world.daemon.view.catalog.version == 2)
+        first, second = workers(world, "engine")
+        for worker in (first, second):
+            worker.pause_s = lambda number: 0.2 if number == 3 else 0.0
+        task = asyncio.create_task(world.draft())
+        await world.until(lambda: sent_to(world, "engine"))
+        await asyncio.sleep(0.1)
+        ended, other = (first, second) if first.received else (second, first)
+        await ended.stop()
+        assert (await task).body == WHOLE
+        assert [r.header("last-event-id") for r in other.received] == ["2"]
+
+
 async def test_pause_is_waited_for_when_no_attempt_is_left() -> None:
     # Found by hunting: a stream on its last attempt was cut for a pause of its worker.
     async with running_world() as world:
