Fuzz the platform's documents and headers; check deployment files; more metrics

Cause: str.isdigit takes superscript digits that int refuses, so one such port in a registered address would have stopped the list of endpoints from ever being read; a port above 65535 raised outside of the errors that a connection may give. Change: only decimal digits count, and a port is 1 to 65535. comfreyhatch check deployment reads the platform's settings file; gauges of what a daemon believes.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -374,7 +374,7 @@
             continue
         for part in value.decode("latin-1").split(","):
             key, _, number = part.strip().partition("=")
-            if key.lower() == "timeout" and number.strip().isdigit():
+            if key.lower() == "timeout" and number.strip().isdecimal():
                 return min(IDLE_LIFE_S, max(0.0, int(number) - IDLE_MARGIN_S))
     return IDLE_LIFE_S
 
--- a/comfreyhatch/cli/check.py
+++ b/comfreyhatch/cli/check.py
@@ -8,6 +8,7 @@
 from comfreyhatch.adapters.contract_file import load_contract
 from comfreyhatch.adapters.settings import load_settings, settings_example
 from comfreyhatch.cli.options import checked
+from comfreyhatch.platform.settings import load_deployment
 
 check_app = Typer(help="Check files before they are used.", no_args_is_help=True)
 settings_app = Typer(help="Settings of the daemon.", no_args_is_help=True)
@@ -35,6 +36,18 @@
     echo(f"{file}: no errors; customer {contract.customer}")
 
 
+@check_app.command("deployment")
+def check_deployment(
+    file: Annotated[Path, Argument(help="Settings file of the platform.")],
+) -> None:
+    """Check the settings file that the users' platform lays on an instance; prints all errors.
+
+    Example: comfreyhatch check deployment /etc/comfreyhatch/local.conf
+    """
+    deployment = checked(lambda: load_deployment(file))
+    echo(f"{file}: no errors; instance {deployment.instance} in zone {deployment.zone}")
+
+
 @settings_app.command("example")
 def example() -> None:
     """Print a commented settings file.
--- a/comfreyhatch/cli/usage.py
+++ b/comfreyhatch/cli/usage.py
@@ -21,7 +21,7 @@
     Example: comfreyhatch usage 10.200.1.7:8223
     """
     host, _, port = store.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not port.isdecimal():
         raise BadParameter(f"{store!r}: must be HOST:PORT")
     try:
         batches = asyncio.run(_batches(Address(host, int(port))))
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
+from functools import partial
 from random import Random
 
 from prometheus_client import CollectorRegistry, generate_latest
 
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_server import HttpLimits, HttpRequest, HttpResponse, HttpServer
+from comfreyhatch.adapters.metrics import add_gauge
 from comfreyhatch.decisions.arrivals import ArrivalBudget
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.exchange import Job
@@ -83,6 +86,7 @@
         control = str(deployment.control) if deployment.control else ""
         self._peers = PeerListener(control, self._news.current) if control else None
         self.leaving = False
+        self._add_gauges()
 
     async def start(self, metrics: Address | None = None) -> None:
         """Open the listeners and start to follow the directory."""
@@ -139,6 +143,25 @@
         await self._metrics.stop(0.0)
         self._client.close()
 
+    def _add_gauges(self) -> None:
+        """Show what this daemon believes and holds now."""
+
+        def age_s(of: Callable[[float], float]) -> Callable[[], float]:
+            return lambda: of(asyncio.get_running_loop().time())
+
+        view, client = self.view, self._client
+        gauge = partial(add_gauge, self.registry)
+        gauge("waiting_requests", "Requests that wait.", lambda: self._pool.waiting)
+        gauge("running_requests", "Requests under way.", lambda: self._callers.busy)
+        gauge("endpoints", "Endpoints known.", lambda: len(view.state_by_id))
+        gauge("orders_age_seconds", "Age of the operators' orders.", age_s(view.operations_age_s))
+        gauge("endpoints_age_seconds", "Age of the list.", age_s(view.endpoints_age_s))
+        gauge("connections_opened", "Connections to endpoints.", lambda: client.connections_opened)
+        gauge("configuration", "Version of the configuration.", self._configuration_version)
+
+    def _configuration_version(self) -> float:
+        return self.view.catalog.version if self.view.catalog else 0
+
     async def _listen(self, server: HttpServer, address: Address) -> None:
         await server.start(address.host, address.port)
 
--- a/comfreyhatch/platform/documents.py
+++ b/comfreyhatch/platform/documents.py
@@ -25,6 +25,7 @@
 MS_PER_S = 1000.0
 READY = "ready"
 DRAINING = "draining"
+HIGHEST_PORT = 65535
 
 _KIND_BY_WORD = {
     "idempotent": RequestKind.IDEMPOTENT,
@@ -150,14 +151,14 @@
     server = _decode(row.value, _Server, f"endpoint {row.key}")
     if server is None:
         return None
-    host, _, port = server.address.rpartition(":")
-    if server.state not in (READY, DRAINING) or not host or not port.isdigit():
+    address = _address(server.address)
+    if server.state not in (READY, DRAINING) or address is None:
         log.warning("event=endpoint_unusable endpoint=%s state=%r", row.key, server.state)
         return None
     return EndpointRecord(
         endpoint_id=row.key,
         service=server.service,
-        address=Address(host, int(port)),
+        address=address,
         zone=server.zone,
         version=server.version,
         slots=max(1, server.capacity),
@@ -168,6 +169,14 @@
     )
 
 
+def _address(text: str) -> Address | None:
+    """Return HOST:PORT as an address, or None when it is none."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) <= HIGHEST_PORT:
+        return None
+    return Address(host, int(port))
+
+
 def _decode(value: bytes, form: type[Any], what: str) -> Any:
     try:
         return convert(decode(value), form, strict=True)
--- a/comfreyhatch/platform/settings.py
+++ b/comfreyhatch/platform/settings.py
@@ -74,7 +74,7 @@
 
     def _address(self, key: str, value: str) -> Address | None:
         host, _, port = value.strip().rpartition(":")
-        if host and port.isdigit() and int(port) <= 65535:
+        if host and port.isdecimal() and int(port) <= 65535:
             return Address(host, int(port))
         self._note(key, value, "HOST:PORT")
         return None
--- a/comfreyhatch/platform/wire.py
+++ b/comfreyhatch/platform/wire.py
@@ -88,7 +88,7 @@
             output_tokens=tokens[1] if len(tokens) > 1 else 0,
             parts=_parts(request.header("prompt-prefix")),
             session=request.header("session"),
-            last_event_id=int(last_event) if last_event.isdigit() else None,
+            last_event_id=int(last_event) if last_event.isdecimal() else None,
         )
 
     def dispatch_headers(self, exchange: Exchange, dispatch: Dispatch) -> Headers:
@@ -124,7 +124,7 @@
             encoded=b"content-encoding" in value_by_name,
             load=_load(_text(value_by_name, b"server-load")),
             cold_s=_seconds(cold),
-            confidence=int(confidence) if confidence.isdigit() else None,
+            confidence=int(confidence) if confidence.isdecimal() else None,
         )
 
     def refusal(self, error: ComfreyhatchError) -> HttpResponse:
@@ -148,7 +148,7 @@
 
 def _host(value: str) -> str:
     name, colon, port = value.rpartition(":")
-    return (name if colon and port.isdigit() else value).strip().lower()
+    return (name if colon and port.isdecimal() else value).strip().lower()
 
 
 def _bearer(value: str) -> str:
@@ -163,12 +163,12 @@
 
 
 def _numbers(value: str) -> list[int]:
-    return [int(part) for part in value.split(",") if part.strip().isdigit()]
+    return [int(part) for part in value.split(",") if part.strip().isdecimal()]
 
 
 def _parts(value: str) -> tuple[PromptPart, ...]:
     pairs = [part.strip().partition(":") for part in value.split(",") if part]
-    return tuple(PromptPart(name, int(count)) for name, _, count in pairs if count.isdigit())
+    return tuple(PromptPart(name, int(count)) for name, _, count in pairs if count.isdecimal())
 
 
 def _text(value_by_name: dict[bytes, bytes], name: bytes) -> str:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -92,6 +92,7 @@
         self.client = HttpClient()
         self.daemon: ExchangeDaemon | None = None
         self.deployment: Deployment | None = None
+        self.metrics = Address("", 0)
         self._store_client: StoreClient | None = None
         self._number = 0
 
@@ -122,7 +123,8 @@
         self.daemon = ExchangeDaemon(
             self.deployment, directory, PlatformWire(), Random(1), started_ms=1
         )
-        await self.daemon.start()
+        self.metrics = Address("127.0.0.1", free_port())
+        await self.daemon.start(self.metrics)
         return self.daemon
 
     async def ask(self, path: str, **headers: str) -> HttpReply:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -369,6 +369,18 @@
     client.close()
 
 
+async def test_metrics_tell_requests_and_beliefs(world: World) -> None:
+    await world.ask("/read/x")
+    await world.ask("/none/")
+    client = HttpClient()
+    text = (await client.request(world.metrics, "GET", "/metrics")).body.decode()
+    client.close()
+    assert 'comfreyhatch_exchanges_total{code="0",kind="idempotent"} 1.0' in text
+    assert 'comfreyhatch_exchanges_total{code="1004",kind="none"} 1.0' in text
+    assert "comfreyhatch_endpoints 4.0" in text
+    assert "comfreyhatch_configuration 1.0" in text
+
+
 async def test_caller_key_may_not_be_sent_on_as_a_header_of_the_connection(world: World) -> None:
     reply = await world.ask("/read/x", connection="x-inner", x_inner="1", x_outer="2")
     (request,) = sent_to(world, "desk")
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,115 @@
+"""Documents from anybody: what cannot be read names nothing, and nothing raises."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec.json import encode
+
+from comfreyhatch.adapters.http_server import HttpRequest
+from comfreyhatch.platform.documents import decode_catalog, decode_endpoint, decode_order
+from comfreyhatch.platform.store import Row
+from comfreyhatch.platform.wire import PlatformWire
+from tests.platform_world import config
+
+SERVER = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "capacity": 4,
+    "state": "ready",
+    "cold_left_ms": 1500,
+    "sequence": 1,
+    "born": 7,
+}
+
+values = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**40), 2**40) | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=6), inner),
+    max_leaves=6,
+)
+keys = st.sampled_from(sorted(SERVER))
+
+
+def row(value: bytes) -> Row:
+    return Row("servers", "i-1", value, 3)
+
+
+def test_endpoint_of_the_right_form() -> None:
+    found = decode_endpoint(row(encode(SERVER)))
+    assert found and found.cold_left_s == 1.5 and found.born_ms == 7 and not found.draining
+    leaving = decode_endpoint(row(encode({**SERVER, "state": "draining"})))
+    assert leaving and leaving.draining
+
+
+@given(keys, values)
+def test_endpoint_with_one_odd_value_is_left_out_or_usable(key: str, value: object) -> None:
+    found = decode_endpoint(row(encode({**SERVER, key: value})))
+    if found is not None:
+        assert found.slots >= 1 and found.cold_left_s >= 0 and found.address.port >= 0
+
+
+@pytest.mark.parametrize("address", ["10.0.0.1:²", "10.0.0.1:70000", "10.0.0.1:0", ":80", "x", ""])
+def test_address_that_no_connection_can_have_names_no_endpoint(address: str) -> None:
+    assert decode_endpoint(row(encode({**SERVER, "address": address}))) is None
+
+
+def test_superscript_digits_are_no_numbers() -> None:
+    head = PlatformWire().read_head(200, [(b"confidence", b"\xb2"), (b"server-load", b"\xb2,1,1")])
+    assert head.confidence is None and head.load is None
+    odd = {"deadline-ms": "²", "token-counts": "²,1", "prompt-prefix": "5c:²", "last-event-id": "²"}
+    found = PlatformWire().read_exchange(HttpRequest("GET", "/", {}, odd, target="/"))
+    assert found.patience_s is None and found.parts == () and found.last_event_id is None
+
+
+@given(keys)
+def test_endpoint_without_a_field_is_left_out_or_usable(key: str) -> None:
+    rest = {name: value for name, value in SERVER.items() if name != key}
+    found = decode_endpoint(row(encode(rest)))
+    needed = key not in ("cold_left_ms", "born", "sequence")
+    assert (found is None) == needed
+
+
+@given(st.binary(max_size=64))
+def test_bytes_that_are_no_document(data: bytes) -> None:
+    decode_endpoint(row(data))
+    decode_order(row(data))
+    decode_catalog(data)
+
+
+@given(st.sampled_from(sorted(config(1))), values)
+def test_configuration_with_one_odd_value(key: str, value: object) -> None:
+    decode_catalog(encode({**config(1), key: value}))
+
+
+header_text = st.text(st.characters(min_codepoint=32, max_codepoint=126), max_size=24)
+header_names = st.sampled_from(
+    ["host", "deadline-ms", "token-counts", "prompt-prefix", "last-event-id", "authorization"]
+)
+
+
+@given(st.lists(st.tuples(header_names, header_text), max_size=6))
+def test_headers_of_any_text_are_read(headers: list[tuple[str, str]]) -> None:
+    request = HttpRequest(
+        "GET",
+        "/",
+        {},
+        dict(headers),
+        target="/",
+        headers=[(n.encode(), v.encode()) for n, v in headers],
+    )
+    found = PlatformWire().read_exchange(request)
+    assert found.prompt_tokens >= 0
+    assert found.patience_s is None or found.patience_s >= 0
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from([b"server-load", b"confidence", b"cold-ms"]), st.binary(max_size=12)
+        ),
+        max_size=4,
+    )
+)
+def test_heads_of_any_bytes_are_read(headers: list[tuple[bytes, bytes]]) -> None:
+    PlatformWire().read_head(200, headers)
