--- a/comfreyhatch/exchange/view.py
+++ b/comfreyhatch/exchange/view.py
@@ -32,7 +32,7 @@
         self.states_by_service: dict[str, list[EndpointState]] = {}
         self._operations_at = float("-inf")
         self._endpoints_at = float("-inf")
-        self._records_at = 0.0
+        self._store_ahead_ms = float("-inf")
         self._seen_at_by_version: dict[tuple[str, str], float] = {}
         self._cold_zone_until: dict[str, float] = {}
         self._lapsed_until = 0.0
@@ -60,9 +60,7 @@
 
     def store_ms(self, now: float) -> int:
         """Return the store's clock, in milliseconds, as far as it is known."""
-        if self.records is None:
-            return 0
-        return self.records.store_ms + int((now - self._records_at) * MS_PER_S)
+        return int(now * MS_PER_S + self._store_ahead_ms) if self.records else 0
 
     def apply_operations(self, found: Operations, now: float, heartbeat_s: float) -> None:
         """Take newer orders; older ones only show that the source answers.
@@ -100,11 +98,11 @@
         self._forget_gone(now)
 
     def apply_records(self, found: SharedRecords, now: float) -> None:
-        """Take newer records of the daemons."""
+        """Take newer records of the daemons; older ones can only be behind the store's clock."""
+        self._store_ahead_ms = max(self._store_ahead_ms, found.store_ms - now * MS_PER_S)
         if self.records is not None and found.revision < self.records.revision:
             return
         self.records = found
-        self._records_at = now
 
     def daemons(self) -> set[str]:
         """Return the daemons that have ever published their address."""
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -5,7 +5,7 @@
 
 from comfreyhatch.domain.catalog import Catalog
 from comfreyhatch.domain.endpoint import EndpointList
-from comfreyhatch.domain.operations import Operations
+from comfreyhatch.domain.operations import Operations, SharedRecords
 from comfreyhatch.exchange.view import FleetView
 from tests.exchange_values import record
 
@@ -89,6 +89,22 @@
     assert view.settled("s", "v2", 3.6)
 
 
+def test_old_reading_does_not_set_the_stores_clock_back(view: FleetView) -> None:
+    # Found by hunting: a peer's copy, and an answer from before a compaction, carry an old time; a
+    # roll-out that was started by it was ended twelve seconds early.
+    view.apply_records(SharedRecords(5, 20_000, {}, {}, {}), 10.0)
+    view.apply_records(SharedRecords(5, 12_000, {}, {}, {}), 11.0)
+    view.apply_records(SharedRecords(4, 13_000, {}, {}, {}), 12.0)
+    assert view.store_ms(15.0) == 25_000
+
+
+def test_stores_clock_goes_on_after_the_instance_stood_still(view: FleetView) -> None:
+    # The steady clock does not count the time for which an instance was suspended.
+    view.apply_records(SharedRecords(5, 20_000, {}, {}, {}), 10.0)
+    view.apply_records(SharedRecords(6, 25_000, {}, {}, {}), 11.0)
+    assert view.store_ms(12.0) == 26_000
+
+
 def test_forgotten_endpoints_leave_no_state(view: FleetView) -> None:
     view.apply_endpoints(listed(2, "e1"), 0.5)
     view.apply_endpoints(listed(3, "e1"), 4.0)
