--- a/comfreyhatch/exchange/calls.py
+++ b/comfreyhatch/exchange/calls.py
@@ -5,17 +5,16 @@
 from collections.abc import Callable
 
 from comfreyhatch.adapters.http_server import HttpResponse
-from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.decisions.arrivals import ArrivalBudget
 from comfreyhatch.decisions.endpoint_state import EndpointState
 from comfreyhatch.decisions.retries import LatencyWindow, hedge_delay_s
 from comfreyhatch.domain.exchange import Dispatch, Job
-from comfreyhatch.errors import BackendError, BackendRefusedError, ComfreyhatchError, RefusedError
+from comfreyhatch.errors import BackendError, BackendRefusedError, ComfreyhatchError
+from comfreyhatch.exchange.ending import REFUSALS_MAX, final_error
 from comfreyhatch.exchange.outcomes import Outcomes
 from comfreyhatch.exchange.pool import EndpointPool
 from comfreyhatch.exchange.sender import Sender, WholeAnswer
 
-REFUSALS_MAX = 4
 TIME_TO_ANSWER_S = 0.01
 
 log = logging.getLogger("comfreyhatch.calls")
@@ -176,16 +175,7 @@
         if self.answer is not None:
             return self.answer
         assert self.error is not None
-        if self.running and self.error.ran is Ran.NO:
-            raise BackendError(str(self.error)) from self.error
-        if isinstance(self.error, BackendRefusedError):
-            raise RefusedError(
-                str(self.error), ResultCode.ENDPOINT_REFUSED, retry_after_s=REFUSED_RETRY_S
-            ) from self.error
-        raise self.error
-
-
-REFUSED_RETRY_S = 0.3
+        raise final_error(self.error, self.running > 0) from self.error
 
 
 def _best_answer(done: "set[asyncio.Task[WholeAnswer]]", call: _Call) -> WholeAnswer | None:
--- a/comfreyhatch/exchange/stream_run.py
+++ b/comfreyhatch/exchange/stream_run.py
@@ -2,17 +2,14 @@
 
 from collections.abc import Callable
 
-from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.decisions.endpoint_state import EndpointState
 from comfreyhatch.decisions.stall import StallLimits, stalled
 from comfreyhatch.domain.exchange import Job
-from comfreyhatch.errors import BackendError, BackendRefusedError, ComfreyhatchError, RefusedError
+from comfreyhatch.errors import ComfreyhatchError
+from comfreyhatch.exchange.ending import REFUSALS_MAX
 from comfreyhatch.exchange.events import event_id
 from comfreyhatch.exchange.pool import Place
 
-REFUSALS_MAX = 4
-REFUSED_RETRY_S = 0.3
-
 
 class StreamRun:
     """Attempts of one streamed request and how far its answer has come.
@@ -119,17 +116,6 @@
         self.last_event_id = number
         return True
 
-    def final_error(self) -> ComfreyhatchError:
-        """Return what to tell the caller after the last attempt failed."""
-        assert self.error is not None
-        if self.running == 0 and isinstance(self.error, BackendRefusedError):
-            return RefusedError(
-                str(self.error), ResultCode.ENDPOINT_REFUSED, retry_after_s=REFUSED_RETRY_S
-            )
-        if self.error.ran is Ran.NO:
-            return BackendError(str(self.error))
-        return self.error
-
 
 def _nothing() -> None:
     """Interrupt nothing."""
--- a/comfreyhatch/exchange/streams.py
+++ b/comfreyhatch/exchange/streams.py
@@ -19,6 +19,7 @@
     ComfreyhatchError,
     RefusedError,
 )
+from comfreyhatch.exchange.ending import final_error
 from comfreyhatch.exchange.events import EventSplitter
 from comfreyhatch.exchange.outcomes import Outcomes
 from comfreyhatch.exchange.pool import EndpointPool, Place
@@ -108,7 +109,8 @@
                 await self._drop(run, answer)
                 continue
             if not await self._goes_on(run):
-                raise run.final_error()
+                assert run.error is not None
+                raise final_error(run.error, run.running > 0)
 
     async def _attempt(self, run: StreamRun) -> OpenAnswer:
         loop = asyncio.get_running_loop()
@@ -203,7 +205,8 @@
             finally:
                 await self._drop(run, answer)
             if not await self._goes_on(run):
-                raise run.final_error()
+                assert run.error is not None
+                raise final_error(run.error, run.running > 0)
             answer = await self._resumed(run)
 
     def _note_pace(self, run: StreamRun, answer: OpenAnswer) -> None:
