Find slow versions by few answers; leave callers to others while cut off and crowded

Change 1: an answer of an endpoint with little to do is measured against the fast fifth of the old version's; two bad of few answers hold the growth. Cause 2: in a cut-off zone one engine had all of the zone's work: first events 0.9 s, pauses 2.1 s. Change 2: a daemon without directory and peers that reaches under half of a service's endpoints and has work piling up fails its readiness check until the cut heals.

--- /dev/null
+++ b/comfreyhatch/decisions/isolation.py
@@ -0,0 +1,46 @@
+"""Whether a daemon that is cut off leaves its callers to daemons elsewhere.
+
+Answers a zone that is partitioned from the others while callers still reach it: its few endpoints
+get all of the zone's work, though the callers could be served elsewhere.
+"""
+
+from msgspec import Struct
+
+CROWDED_DELAY_S = 0.4
+CROWDED_LOAD = 0.6
+UNREACHABLE_SHARE = 0.5
+
+
+class ServiceReach(Struct, frozen=True):
+    """What a daemon can reach of a service.
+
+    Attributes:
+        unreachable: Share of its endpoints that could not be reached lately.
+        delay_s: Wait behind other work at those that can be reached, in seconds.
+        load: Their running and waiting requests as a share of their slots.
+    """
+
+    unreachable: float
+    delay_s: float
+    load: float
+
+
+def leaves_callers(cut_off: bool, reaches: list[ServiceReach], left_before: bool) -> bool:
+    """Return whether new callers are better served elsewhere.
+
+    Args:
+        cut_off: Whether neither the directory nor a peer is heard.
+        reaches: What the daemon can reach, by service.
+        left_before: Whether it was so a moment ago; it stays so until the cut heals, so that
+            callers do not come and go.
+    """
+    if not cut_off:
+        return False
+    return left_before or any(map(_too_little, reaches))
+
+
+def _too_little(reach: ServiceReach) -> bool:
+    if reach.unreachable >= 1.0:
+        return True
+    crowded = reach.delay_s > CROWDED_DELAY_S or reach.load > CROWDED_LOAD
+    return reach.unreachable > UNREACHABLE_SHARE and crowded
--- a/comfreyhatch/decisions/slowness.py
+++ b/comfreyhatch/decisions/slowness.py
@@ -10,6 +10,8 @@
 HIGH_QUANTILE = 0.9
 HIGH_FACTOR = 1.3
 FRESH_S = 3.0
+IDLE_QUANTILE = 0.2
+IDLE_FACTOR = 4.0
 
 
 class UsualTimes:
@@ -24,8 +26,17 @@
         self._window.add(value)
         self._at = now
 
-    def is_slow(self, value: float, now: float) -> bool:
-        """Return whether a time is far beyond the usual; False without fresh ones to compare."""
+    def is_slow(self, value: float, now: float, idle: bool = False) -> bool:
+        """Return whether a time is far beyond the usual; False without fresh ones to compare.
+
+        Args:
+            value: Time of an answer.
+            now: Monotonic time in seconds.
+            idle: Whether its endpoint had little to do, so that it should be among the fast ones.
+        """
+        low = self._window.quantile(IDLE_QUANTILE)
+        if idle and low is not None and now - self._at <= FRESH_S and value > IDLE_FACTOR * low:
+            return True
         median = self._window.quantile(0.5)
         high = self._window.quantile(HIGH_QUANTILE)
         if median is None or high is None or now - self._at > FRESH_S:
--- a/comfreyhatch/decisions/version_trial.py
+++ b/comfreyhatch/decisions/version_trial.py
@@ -25,6 +25,8 @@
 TIME_TO_STORE_END_S = 1.2
 FULL_SHARE = 1.0
 MIN_BAD = 4
+DOUBT_BAD = 2
+DOUBT_SHARE = 0.12
 BAD_MARGIN = 0.12
 BAD_FACTOR = 2.0
 CONFIDENCE_Z = 1.64
@@ -139,9 +141,18 @@
         return replace(
             trial, state=RolloutState.ROLLED_BACK, share=0.0, stepped_ms=store_ms, reason=fault
         )
+    if _doubtful(pooled):
+        return None
     return _grown(order, trial, expose_share, target_ready, store_ms)
 
 
+def _doubtful(pooled: Pooled) -> bool:
+    """Return whether the little that is known speaks against more traffic for now."""
+    target = _total(pooled.target_by_route)
+    bad = target.failures + target.slow
+    return bad >= DOUBT_BAD and bad >= DOUBT_SHARE * target.answers
+
+
 def _grown(
     order: RolloutOrder,
     trial: TrialRecord,
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -12,6 +12,7 @@
 from comfreyhatch.adapters.http_server import HttpLimits, HttpRequest, HttpResponse, HttpServer
 from comfreyhatch.adapters.metrics import add_gauge
 from comfreyhatch.decisions.arrivals import ArrivalBudget
+from comfreyhatch.decisions.isolation import leaves_callers
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.exchange import Job
 from comfreyhatch.domain.instance import Address
@@ -86,6 +87,7 @@
         control = str(deployment.control) if deployment.control else ""
         self._peers = PeerListener(control, self._news.current) if control else None
         self.leaving = False
+        self._left_callers = False
         self._add_gauges()
 
     async def start(self, metrics: Address | None = None) -> None:
@@ -107,15 +109,17 @@
         )
 
     def ready(self) -> bool:
-        """Return whether this daemon should get new connections.
-
-        One that is cut off from the directory, its peers and all endpoints of a service leaves
-        its callers to daemons elsewhere.
-        """
+        """Return whether this daemon should get new connections."""
         if not self.view.ready() or self.leaving:
             return False
         now = asyncio.get_running_loop().time()
-        return not (self._news.cut_off(now) and self._pool.unreachable(now))
+        before = self._left_callers
+        self._left_callers = leaves_callers(
+            self._news.cut_off(now), self._pool.reaches(now), before
+        )
+        if self._left_callers != before:
+            log.warning("event=cut_off leaves_callers=%s", self._left_callers)
+        return not self._left_callers
 
     async def shut_down(self) -> None:
         """Leave the balancer, let requests end, and close."""
--- a/comfreyhatch/exchange/news.py
+++ b/comfreyhatch/exchange/news.py
@@ -22,7 +22,7 @@
 RECORDS_AGAIN_S = 2.0
 RECORDS_INTERVAL_S = 15.0
 TRIAL_PAUSE_S = 0.5
-CUT_OFF_S = 2.5
+CUT_OFF_S = 1.8
 
 log = logging.getLogger("comfreyhatch.news")
 
--- a/comfreyhatch/exchange/outcomes.py
+++ b/comfreyhatch/exchange/outcomes.py
@@ -7,6 +7,8 @@
 from comfreyhatch.domain.operations import Evidence, VersionOutcomes
 from comfreyhatch.exchange.view import FleetView
 
+IDLE_RUNNING = 3
+
 
 class Outcomes:
     """Evidence of this daemon by service, for the order in force."""
@@ -63,7 +65,7 @@
         """Return whether an answer is slow; those of the replaced version set what is usual."""
         if self._view.cold(endpoint, now):
             return False
-        slow = usual.is_slow(value, now)
+        slow = usual.is_slow(value, now, endpoint.running(now) <= IDLE_RUNNING)
         order = self._view.order(endpoint.record.service)
         if order is None or endpoint.record.version != order.version:
             usual.note(value, now)
--- a/comfreyhatch/exchange/pool.py
+++ b/comfreyhatch/exchange/pool.py
@@ -10,6 +10,7 @@
 
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.decisions.endpoint_state import EndpointState
+from comfreyhatch.decisions.isolation import ServiceReach
 from comfreyhatch.decisions.placement import choose_endpoint
 from comfreyhatch.decisions.waiting import Throughput, Waiter, longest_wait_s, retry_after_s
 from comfreyhatch.domain.deployment import Deployment
@@ -175,13 +176,20 @@
         """Return whether any endpoint could become free for a request."""
         return bool(self._candidates.of(job, excluded, now))
 
-    def unreachable(self, now: float) -> bool:
-        """Return whether a service has endpoints and none of them could be reached lately."""
-        for states in self._view.states_by_service.values():
-            usable = [state for state in states if self._candidates.usable(state, now)]
-            if usable and all(now < state.ejected_until for state in usable):
-                return True
-        return False
+    def reaches(self, now: float) -> list[ServiceReach]:
+        """Return what can be reached of each service."""
+        return [self._reach(service, now) for service in self._view.states_by_service]
+
+    def _reach(self, service: str, now: float) -> ServiceReach:
+        states = self._view.states_by_service[service]
+        usable = [state for state in states if self._candidates.usable(state, now)]
+        near = [state for state in usable if now >= state.ejected_until]
+        delays = sorted(state.delay_s(now) for state in near)
+        return ServiceReach(
+            unreachable=1 - len(near) / len(usable) if usable else 0.0,
+            delay_s=delays[len(delays) // 2] if delays else 0.0,
+            load=self.load(service, now),
+        )
 
     async def _wait(
         self, job: Job, excluded: frozenset[str], work_s: float, resumes: bool, now: float
--- a/tests/test_slowness.py
+++ b/tests/test_slowness.py
@@ -28,6 +28,15 @@
     assert not times.is_slow(0.4, 2.0)
 
 
+def test_idle_endpoint_should_be_among_the_fast_ones() -> None:
+    # The old version is loaded, the new one has a few sessions only: its slow answers are no slower
+    # than the old version's loaded ones.
+    times = usual(*[0.03] * 10, *[0.06] * 20, *[0.12] * 10)
+    assert times.is_slow(0.15, 1.0, idle=True)
+    assert not times.is_slow(0.15, 1.0)
+    assert not times.is_slow(0.08, 1.0, idle=True)
+
+
 def test_nothing_is_slow_without_fresh_answers_to_compare_with() -> None:
     assert not UsualTimes().is_slow(9.0, 0.0)
     assert not usual(*[0.05] * 30).is_slow(9.0, 10.0)
--- a/tests/test_version_trial.py
+++ b/tests/test_version_trial.py
@@ -63,6 +63,13 @@
     assert exposed_ms <= expose_share * duration_s * 1000 + TIME_TO_STORE_END_S * 1000
 
 
+def test_growth_waits_while_few_answers_look_bad() -> None:
+    # Found by hunting: five answers in the first part, and the share grew before more were known.
+    trial = step(None, 0)
+    assert step(trial, 23_000, evidence("d1", {"a": VersionOutcomes(12, 0, 2)})) is None
+    assert step(trial, 23_000, evidence("d1", {"a": VersionOutcomes(12, 0, 0)})) is not None
+
+
 def test_growth_waits_for_endpoints_of_the_version() -> None:
     trial = step(None, 0)
     assert next_step(ORDER, trial, pool([]), EXPOSE_SHARE, False, 20000) is None
