End a roll-out that is in doubt after its share has grown

Change: with more than the first share of the sessions, doubt is enough to roll back. The test failed before.

--- a/comfreyhatch/decisions/version_trial.py
+++ b/comfreyhatch/decisions/version_trial.py
@@ -137,6 +137,9 @@
     if trial.state is not RolloutState.RUNNING:
         return None
     fault = fault_of(pooled)
+    if not fault and _doubtful(pooled) and trial.share > canary_share(expose_share):
+        # Too many sessions are on it to wait for proof.
+        fault = "doubtful with more than the first share of the sessions"
     if fault:
         return replace(
             trial, state=RolloutState.ROLLED_BACK, share=0.0, stepped_ms=store_ms, reason=fault
--- a/tests/test_version_trial.py
+++ b/tests/test_version_trial.py
@@ -70,6 +70,13 @@
     assert step(trial, 23_000, evidence("d1", {"a": VersionOutcomes(12, 0, 0)})) is not None
 
 
+def test_doubt_after_the_share_has_grown_ends_the_rollout() -> None:
+    # Found by hunting: the growth was held at half of the sessions for six seconds.
+    grown = replace(step(None, 0), share=0.5)
+    verdict = step(grown, 23_000, evidence("d1", {"a": VersionOutcomes(25, 1, 2)}))
+    assert verdict and verdict.state is RolloutState.ROLLED_BACK
+
+
 def test_growth_waits_for_endpoints_of_the_version() -> None:
     trial = step(None, 0)
     assert next_step(ORDER, trial, pool([]), EXPOSE_SHARE, False, 20000) is None
