Find a slow version while its streams run

An error of an attempt whose caller has left at the same moment is no longer printed as unretrieved.

--- a/comfreyhatch/exchange/outcomes.py
+++ b/comfreyhatch/exchange/outcomes.py
@@ -7,8 +7,6 @@
 from comfreyhatch.domain.operations import Evidence, VersionOutcomes
 from comfreyhatch.exchange.view import FleetView
 
-IDLE_RUNNING = 3
-
 
 class Outcomes:
     """Evidence of this daemon by service, for the order in force."""
@@ -18,7 +16,7 @@
         self._view = view
         self._evidence_by_service: dict[str, Evidence] = {}
         self._first_by_route: dict[str, UsualTimes] = {}
-        self._pace_by_route: dict[str, UsualTimes] = {}
+        self._pace_by_model: dict[tuple[str, str], UsualTimes] = {}
 
     def evidence(self, service: str) -> Evidence | None:
         """Return what this daemon has counted during the order in force."""
@@ -44,32 +42,55 @@
             Whether it counts as slow.
         """
         usual = self._first_by_route.setdefault(job.route.name, UsualTimes())
-        slow = good and self._judge(usual, endpoint, effort, now)
+        slow = good and self._slow(usual, endpoint, effort, now)
+        if good:
+            self._note_usual(usual, endpoint, effort, now)
         self._count(job, endpoint, VersionOutcomes(1, int(not good), int(slow)))
         return slow
 
-    def note_pace(self, job: Job, endpoint: EndpointState, pace_s: float, now: float) -> None:
-        """Count a stream that has ended and was not slow to begin.
+    def note_pace(
+        self,
+        job: Job,
+        endpoint: EndpointState,
+        model: str,
+        pace_s: float,
+        ended: bool,
+        now: float,
+    ) -> bool:
+        """Count a stream as slow if its events come too slowly; only whole ones tell the usual.
 
         Args:
             job: The request.
-            endpoint: Who answered.
-            pace_s: Time for each event after the first.
+            endpoint: Who answers.
+            model: Model that answers; empty when the caller's choice stands.
+            pace_s: Usual pause before an event after the first.
+            ended: Whether the stream is whole.
             now: Monotonic time in seconds.
+
+        Returns:
+            Whether it counts as slow.
         """
-        usual = self._pace_by_route.setdefault(job.route.name, UsualTimes())
-        if self._judge(usual, endpoint, pace_s, now):
+        usual = self._pace_by_model.setdefault((job.service, model), UsualTimes(steady=True))
+        slow = self._slow(usual, endpoint, pace_s, now)
+        if ended:
+            self._note_usual(usual, endpoint, pace_s, now)
+        if slow:
             self._count(job, endpoint, VersionOutcomes(0, 0, 1))
+        return slow
 
-    def _judge(self, usual: UsualTimes, endpoint: EndpointState, value: float, now: float) -> bool:
-        """Return whether an answer is slow; those of the replaced version set what is usual."""
+    def _slow(self, usual: UsualTimes, endpoint: EndpointState, value: float, now: float) -> bool:
         if self._view.cold(endpoint, now):
             return False
-        slow = usual.is_slow(value, now, endpoint.running(now) <= IDLE_RUNNING)
+        return usual.is_slow(value, endpoint.running(now), now)
+
+    def _note_usual(
+        self, usual: UsualTimes, endpoint: EndpointState, value: float, now: float
+    ) -> None:
+        """Take in what is usual of the version that is being replaced."""
         order = self._view.order(endpoint.record.service)
-        if order is None or endpoint.record.version != order.version:
-            usual.note(value, now)
-        return slow
+        replaced = order is None or endpoint.record.version != order.version
+        if replaced and not self._view.cold(endpoint, now):
+            usual.note(value, endpoint.running(now), now)
 
     def _count(self, job: Job, endpoint: EndpointState, outcome: VersionOutcomes) -> None:
         order = self._view.order(job.service)
--- a/comfreyhatch/exchange/stream_run.py
+++ b/comfreyhatch/exchange/stream_run.py
@@ -1,6 +1,7 @@
 """One streamed request: its attempts, and how far its answer has come."""
 
 from collections.abc import Callable
+from statistics import median
 
 from comfreyhatch.decisions.endpoint_state import EndpointState
 from comfreyhatch.decisions.stall import StallLimits, stalled
@@ -10,6 +11,8 @@
 from comfreyhatch.exchange.events import event_id
 from comfreyhatch.exchange.pool import Place
 
+GAPS_MOST = 40
+
 
 class StreamRun:
     """Attempts of one streamed request and how far its answer has come.
@@ -23,8 +26,8 @@
         last_event_id: Last event that the caller holds.
         begun: Whether the caller has the head of the answer.
         events: Events passed on.
-        events_before: Those of them that came before the present attempt.
-        first_event_at: Monotonic time at which the present attempt began to answer.
+        gaps_s: Pauses before the events of the present attempt, without its first.
+        last_piece_at: Monotonic time of the last events; None before the first.
         broken: Endpoints whose attempt broke and that have not been looked at since.
         slow: Whether the present attempt was slow to begin.
         endpoint_id: Endpoint of the present attempt.
@@ -41,11 +44,11 @@
         "endpoint_id",
         "error",
         "events",
-        "events_before",
-        "first_event_at",
+        "gaps_s",
         "interrupt",
         "job",
         "last_event_id",
+        "last_piece_at",
         "limits",
         "model_index",
         "place",
@@ -66,8 +69,8 @@
         self.begun = False
         self.broken: list[EndpointState] = []
         self.events = 0
-        self.events_before = 0
-        self.first_event_at = 0.0
+        self.gaps_s: list[float] = []
+        self.last_piece_at: float | None = None
         self.slow = False
         self.endpoint_id = ""
         self.place: Place | None = None
@@ -90,6 +93,26 @@
         self.sent += 1
         self.running += 1
 
+    def begin_events(self) -> None:
+        """Forget the pauses of the attempt before."""
+        self.gaps_s.clear()
+        self.last_piece_at = None
+
+    def note_events(self, count: int, now: float) -> None:
+        """Note that events came together."""
+        self.events += count
+        if self.last_piece_at is not None and len(self.gaps_s) < GAPS_MOST:
+            self.gaps_s += [(now - self.last_piece_at) / count] * count
+        self.last_piece_at = now
+
+    def pace_s(self, least: int) -> float | None:
+        """Return the usual pause before an event; None while fewer than `least` are known.
+
+        The median: a prompt that the engine reads in between holds up one event, a slow engine
+        all of them.
+        """
+        return median(self.gaps_s) if len(self.gaps_s) >= least else None
+
     def attempt_left(self, now: float) -> bool:
         """Return whether the rules of the route leave the request another attempt."""
         route = self.job.route
--- a/comfreyhatch/exchange/streams.py
+++ b/comfreyhatch/exchange/streams.py
@@ -29,7 +29,8 @@
 
 FIRST_EVENT_QUANTILE = 0.95
 TIME_TO_ANSWER_S = 0.02
-PACE_EVENTS = 4
+PACE_EVENTS = 3
+EARLY_PACE_EVENTS = 6
 
 log = logging.getLogger("comfreyhatch.streams")
 
@@ -166,6 +167,9 @@
             if not opening.done():
                 opening.cancel()
                 await asyncio.wait({opening})
+            elif not opening.cancelled():
+                # Its error is of no use if the caller has left meanwhile, but has to be seen.
+                opening.exception()
         if opening.cancelled():
             now = asyncio.get_running_loop().time()
             place.endpoint.note_broken(now, unreachable=False)
@@ -195,7 +199,7 @@
                 async for events in self._events(run, answer):
                     yield events
                 self._bill(run.job, run.model, run.events)
-                self._note_pace(run, answer)
+                self._note_pace(run, answer, ended=True)
                 return
             except AnswerBrokenError as error:
                 run.error = error
@@ -209,14 +213,18 @@
                 raise final_error(run.error, run.running > 0)
             answer = await self._resumed(run)
 
-    def _note_pace(self, run: StreamRun, answer: OpenAnswer) -> None:
-        """Take in how fast the events of a whole answer came, if there were enough."""
-        now = asyncio.get_running_loop().time()
-        events = run.events - run.events_before
-        if run.slow or events < PACE_EVENTS:
+    def _note_pace(self, run: StreamRun, answer: OpenAnswer, ended: bool) -> None:
+        """Take in how fast the events of an answer come, once there are enough of them.
+
+        A slow stream shows long before its end, and its version goes on getting requests till then.
+        """
+        if run.slow:
             return
-        pace_s = (now - run.first_event_at) / (events - 1)
-        self._outcomes.note_pace(run.job, answer.endpoint, pace_s, now)
+        pace_s = run.pace_s(PACE_EVENTS if ended else EARLY_PACE_EVENTS)
+        if pace_s is None:
+            return
+        now = asyncio.get_running_loop().time()
+        run.slow = self._outcomes.note_pace(run.job, answer.endpoint, run.model, pace_s, ended, now)
 
     async def _resumed(self, run: StreamRun) -> OpenAnswer:
         answer = await self._open(run)
@@ -230,14 +238,14 @@
         splitter = EventSplitter()
         loop = asyncio.get_running_loop()
         left_s = max(0.0, run.job.deadline - loop.time())
-        run.events_before = run.events
-        run.first_event_at = loop.time()
+        run.begin_events()
         self._watch.begin(run, gap_limits(run.job.route.gap_aim_s), answer.abort, loop.time())
         async for piece in answer.pieces(left_s):
             run.waiting_since = loop.time()
             events = [e for e in splitter.feed(piece) if run.is_new(e)]
-            run.events += len(events)
             if events:
+                run.note_events(len(events), loop.time())
+                self._note_pace(run, answer, ended=False)
                 yield b"".join(events)
             if loop.time() >= run.job.deadline:
                 raise BackendError("the time for the answer is over", ResultCode.DEADLINE_EXCEEDED)
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -20,6 +20,7 @@
         break_after: Events after which a stream breaks inside an event; None for never.
         pause_s: Pause before each event, by its number.
         hold: While set, requests wait.
+        events: Events of a whole stream.
         change: Changes an answer before it is sent.
     """
 
@@ -31,6 +32,7 @@
         self.break_after: int | None = None
         self.pause_s: Callable[[int], float] = lambda number: 0.0
         self.hold: asyncio.Event | None = None
+        self.events = EVENTS
         self.change: Callable[[HttpResponse], HttpResponse] = lambda response: response
         self.received: list[HttpRequest] = []
         self.stopped = 0
@@ -86,7 +88,7 @@
 
     async def _events(self, model: str, first: int) -> AsyncIterator[bytes]:
         try:
-            for number in range(first, EVENTS + 1):
+            for number in range(first, self.events + 1):
                 await asyncio.sleep(self.pause_s(number))
                 if self.break_after is not None and number == self.break_after + 1:
                     yield b"id: %d\nda" % number
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -411,3 +411,23 @@
         await asyncio.gather(*drafts)
         number += 3
     assert world.store.value("status", "rollout/engines")["state"] == "rolled_back"
+
+
+async def test_slow_version_is_rolled_back_before_its_streams_end(world: World) -> None:
+    # Found by hunting: sundar-buoy, deploy/days/slow-under-rollout.toml, seed 335123080264.
+    for worker in workers(world, "engine"):
+        worker.pause_s = lambda number: 0.005
+    new = await world.add_worker("engine-3", "engines", "v2")
+    new.events = 400
+    new.pause_s = lambda number: 0.1 * (number > 1)
+    world.store.put("op", "rollout/engines", {"service": "engines", "to": "v2", "over_s": 60})
+    await world.until(lambda: world.daemon.view.trial("engines"))
+    drafts: set[asyncio.Task[object]] = set()
+    for number in range(300):
+        drafts.add(asyncio.create_task(world.draft(session=f"s{number}")))
+        await asyncio.sleep(0.01)
+    await _until_state(world, "rolled_back")
+    assert new.finished == 0
+    for draft in drafts:
+        draft.cancel()
+    await asyncio.gather(*drafts, return_exceptions=True)
