Let long prompts have the larger model while engines are idle

Of 64 doubtful answers that the small model kept, 16 had long prompts (larger model's first event after 0.3 to 2.4 s): the threshold fell with the prompt's time although engines ran at a load of 0.07 and a usual wait of 0.03 s. Payoff grows with the length, so these are the dearest answers to lose.

Change: the time of the prompt counts as far as others need the engines (scarcity, from load and wait). Replays: payoff may grow with a request's length; the rule before is the baseline "prompt counts".

--- a/comfreyhatch/decisions/cascade.py
+++ b/comfreyhatch/decisions/cascade.py
@@ -2,8 +2,9 @@
 
 Answers a load that rises and falls within seconds: the larger model takes several times the
 engine's time, so the confidence that calls for it falls as work waits at the engines, as their
-slots fill, as the prompt grows against the time for it, and as the arrival budget empties. Urgent
-routes are worth more of that time than the others.
+slots fill, and as the arrival budget empties. The time that a long prompt takes counts as far as
+others need it: on idle engines a long prompt, which is also worth more, gets the larger model like
+any other. Urgent routes are worth more of that time than the others.
 """
 
 from msgspec import Struct
@@ -17,6 +18,8 @@
 QUIET_LOAD = 0.3
 BUSY_LOAD = 0.7
 BUDGET_RESERVE = 0.2
+SCARCE_LOAD = 0.2
+SCARCE_DELAY_OF_AIM = 0.1
 
 
 class CascadeState(Struct, frozen=True):
@@ -41,15 +44,26 @@
     budget_left: float
 
 
-def threshold(state: CascadeState) -> float:
-    """Return the confidence below which the larger model is worth its time."""
+def scarcity(state: CascadeState) -> float:
+    """Return what share of the engines' time other requests would use, 0 to 1."""
+    by_delay = state.delay_s / (SCARCE_DELAY_OF_AIM * state.aim_s)
+    return min(1.0, max(by_delay, state.load / SCARCE_LOAD))
+
+
+def threshold(state: CascadeState, scarce: float) -> float:
+    """Return the confidence below which the larger model is worth its time.
+
+    Args:
+        state: What the choice depends on.
+        scarce: Share of the engines' time that other requests would use.
+    """
     if state.budget_left < BUDGET_RESERVE:
         return 0.0
     expected_s = state.spent_s + state.delay_s + state.larger_s
     if expected_s > state.aim_s or state.load >= 1.0:
         return 0.0
     quiet = URGENT_THRESHOLD if state.rank <= URGENT_RANK else OTHER_THRESHOLD
-    pressure = (state.delay_s + state.larger_s) / state.aim_s
+    pressure = (state.delay_s + scarce * state.larger_s) / state.aim_s
     busy = max(
         (pressure - QUIET_PRESSURE) / (BUSY_PRESSURE - QUIET_PRESSURE),
         (state.load - QUIET_LOAD) / (BUSY_LOAD - QUIET_LOAD),
@@ -59,4 +73,4 @@
 
 def escalates(confidence: int | None, state: CascadeState) -> bool:
     """Return whether an answer is dropped for that of the larger model."""
-    return confidence is not None and confidence < threshold(state)
+    return confidence is not None and confidence < threshold(state, scarcity(state))
--- a/comfreyhatch/emulator/load.py
+++ b/comfreyhatch/emulator/load.py
@@ -19,6 +19,7 @@
         payoff: Worth of an answer within the aim.
         late_payoff: Worth of a later answer.
         rank: Urgency; 0 is the most urgent.
+        payoff_of_size: Share of the payoff that grows with the length of prompt and answer.
     """
 
     name: str
@@ -30,6 +31,7 @@
     payoff: float
     late_payoff: float
     rank: int
+    payoff_of_size: float = 0.0
 
 
 class Arrival(Struct, frozen=True):
@@ -44,6 +46,7 @@
         hard: Whether the smallest model answers it poorly.
         confidence: What the smallest model thinks of its own answer, 0 to 100.
         daemon: Daemon at which it arrives.
+        weight: Its payoff as a share of its kind's.
     """
 
     number: int
@@ -54,6 +57,7 @@
     hard: bool
     confidence: int
     daemon: int
+    weight: float = 1.0
 
 
 class Surge(Struct, frozen=True):
@@ -86,6 +90,8 @@
 HARD_CONFIDENCE = 25.0
 EASY_CONFIDENCE = 80.0
 CONFIDENCE_SPREAD = 25.0
+ANSWER_TOKEN_WEIGHT = 10
+WEIGHT_MOST = 4.0
 
 
 def arrivals(pattern: LoadPattern, daemons: int, rng: Random) -> list[Arrival]:
@@ -121,13 +127,22 @@
     hard = rng.random() < HARD_SHARE
     middle = HARD_CONFIDENCE if hard else EASY_CONFIDENCE
     confidence = min(100, max(0, round(rng.gauss(middle, CONFIDENCE_SPREAD))))
+    prompt_tokens = max(16, round(rng.lognormvariate(0.0, 0.9) * kind.prompt_tokens * 0.67))
+    output_tokens = max(1, round(rng.lognormvariate(0.0, 0.4) * kind.output_tokens * 0.92))
     return Arrival(
         number=number,
         at=at,
         kind=kind,
-        prompt_tokens=max(16, round(rng.lognormvariate(0.0, 0.9) * kind.prompt_tokens * 0.67)),
-        output_tokens=max(1, round(rng.lognormvariate(0.0, 0.4) * kind.output_tokens * 0.92)),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
         hard=hard,
         confidence=confidence,
         daemon=rng.randrange(daemons),
+        weight=_weight(kind, prompt_tokens, output_tokens),
     )
+
+
+def _weight(kind: Kind, prompt_tokens: int, output_tokens: int) -> float:
+    mean = kind.prompt_tokens + ANSWER_TOKEN_WEIGHT * kind.output_tokens
+    size = (prompt_tokens + ANSWER_TOKEN_WEIGHT * output_tokens) / mean
+    return min(WEIGHT_MOST, 1 + kind.payoff_of_size * (size - 1))
--- a/comfreyhatch/emulator/policy.py
+++ b/comfreyhatch/emulator/policy.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from comfreyhatch.decisions.cascade import CascadeState, escalates
+from comfreyhatch.decisions.cascade import CascadeState, escalates, threshold
 from comfreyhatch.decisions.endpoint_state import EndpointState
 from comfreyhatch.decisions.placement import choose_endpoint
 from comfreyhatch.domain.exchange import Exchange
@@ -42,6 +42,11 @@
     return escalates(confidence, state)
 
 
+def escalate_by_prompt(confidence: int, state: CascadeState) -> bool:
+    """Choose the model as if every engine's time were needed by others."""
+    return confidence < threshold(state, 1.0)
+
+
 def escalate_below_fixed(confidence: int, state: CascadeState) -> bool:
     """Ask the largest model below a fixed confidence."""
     return confidence < FIXED_CONFIDENCE
@@ -50,6 +55,7 @@
 PRODUCT = Policy("product", place_by_engine_time, escalate_by_pressure)
 BASELINES = (
     Policy("by count", place_by_count, escalate_by_pressure),
+    Policy("prompt counts", place_by_engine_time, escalate_by_prompt),
     Policy("fixed confidence", place_by_engine_time, escalate_below_fixed),
 )
 POLICY_BY_NAME = {policy.name: policy for policy in (PRODUCT, *BASELINES)}
--- a/comfreyhatch/emulator/replay.py
+++ b/comfreyhatch/emulator/replay.py
@@ -219,9 +219,8 @@
         result.in_aim += in_aim
         result.late += not in_aim
         poor = request.arrival.hard and request.model == SMALL
-        result.payoff += (kind.payoff if in_aim else kind.late_payoff) * (
-            POOR_PAYOFF if poor else 1.0
-        )
+        payoff = (kind.payoff if in_aim else kind.late_payoff) * request.arrival.weight
+        result.payoff += payoff * (POOR_PAYOFF if poor else 1.0)
 
     def _fail(self, request: _Request) -> None:
         self._count(request).failed += 1
@@ -229,7 +228,7 @@
     def _count(self, request: _Request) -> KindResult:
         result = self._result.by_kind[request.arrival.kind.name]
         result.asked += 1
-        result.payoff_asked += request.arrival.kind.payoff
+        result.payoff_asked += request.arrival.kind.payoff * request.arrival.weight
         return result
 
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -108,3 +108,8 @@
     assert {line.split()[0] for line in told.output.splitlines()} >= {"policy", "product"}
     missing = CliRunner().invoke(app, ["experiment", "run", str(tmp_path / "none.ini")])
     assert missing.exit_code == 2 and "SETTINGS_INVALID" in missing.output
+
+
+def test_long_prompts_get_the_larger_model_while_engines_idle() -> None:
+    found = mean_by_policy("quiet")
+    assert found["product"][0] > found["prompt counts"][0]
