--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -15,10 +15,10 @@
     AnswerBrokenError,
     BackendError,
     BackendRefusedError,
-    ConnectError,
     ExchangeTimeoutError,
     HttpError,
 )
+from comfreyhatch.exchange.health import note_lost_answer
 from comfreyhatch.exchange.wire import Wire
 
 REFUSAL_READ_S = 0.5
@@ -108,8 +108,7 @@
             await self._check(job, endpoint, head, reply)
         except HttpError as error:
             await stack.aclose()
-            unreachable = isinstance(error, ConnectError)
-            endpoint.note_broken(loop.time(), unreachable)
+            note_lost_answer(endpoint, error, loop.time())
             raise _backend_error(error) from error
         except BaseException:
             await stack.aclose()
@@ -132,8 +131,8 @@
         answer = await self.open(job, endpoint, dispatch, timeout_s)
         try:
             body = b"".join([piece async for piece in answer.pieces(timeout_s)])
-        except AnswerBrokenError:
-            endpoint.note_broken(asyncio.get_running_loop().time(), unreachable=False)
+        except AnswerBrokenError as error:
+            note_lost_answer(endpoint, error, asyncio.get_running_loop().time())
             raise
         finally:
             await answer.close()
--- a/comfreyhatch/exchange/streams.py
+++ b/comfreyhatch/exchange/streams.py
@@ -21,6 +21,7 @@
 )
 from comfreyhatch.exchange.ending import final_error
 from comfreyhatch.exchange.events import EventSplitter
+from comfreyhatch.exchange.health import note_lost_answer
 from comfreyhatch.exchange.outcomes import Outcomes
 from comfreyhatch.exchange.pool import EndpointPool, Place
 from comfreyhatch.exchange.sender import OpenAnswer, Sender
@@ -172,8 +173,9 @@
                 opening.exception()
         if opening.cancelled():
             now = asyncio.get_running_loop().time()
-            place.endpoint.note_broken(now, unreachable=False)
-            raise AnswerBrokenError(f"no event came within {now - place.started:.2f} s")
+            error = AnswerBrokenError(f"no event came within {now - place.started:.2f} s")
+            note_lost_answer(place.endpoint, error, now)
+            raise error
         return opening.result()
 
     async def _drop(self, run: StreamRun, answer: OpenAnswer) -> None:
@@ -205,7 +207,7 @@
                 run.error = error
                 self._log_failure(run, error)
                 run.broken.append(answer.endpoint)
-                answer.endpoint.note_broken(asyncio.get_running_loop().time(), unreachable=False)
+                note_lost_answer(answer.endpoint, error, asyncio.get_running_loop().time())
             finally:
                 await self._drop(run, answer)
             if not await self._goes_on(run):
