Try other endpoints when one cannot be reached, whatever is left of the arrival budget

Also streams made up to three attempts with no time left ("no answer within 0 s").

Change: a connection that cannot be opened has an error of its own, takes nothing from the budget and counts apart (8 at most a request); streams stop 20 ms before their deadline, as calls did.

--- a/comfreyhatch/errors.py
+++ b/comfreyhatch/errors.py
@@ -56,6 +56,10 @@
     ran = Ran.NO
 
 
+class EndpointUnreachableError(BackendRefusedError):
+    """No connection to the endpoint could be opened; nothing has arrived there."""
+
+
 class AbandonedError(BackendError):
     """The caller went away while its answer was coming."""
 
--- a/comfreyhatch/exchange/calls.py
+++ b/comfreyhatch/exchange/calls.py
@@ -9,8 +9,13 @@
 from comfreyhatch.decisions.endpoint_state import EndpointState
 from comfreyhatch.decisions.retries import LatencyWindow, hedge_delay_s
 from comfreyhatch.domain.exchange import Dispatch, Job
-from comfreyhatch.errors import BackendError, BackendRefusedError, ComfreyhatchError
-from comfreyhatch.exchange.ending import REFUSALS_MAX, final_error
+from comfreyhatch.errors import (
+    BackendError,
+    BackendRefusedError,
+    ComfreyhatchError,
+    EndpointUnreachableError,
+)
+from comfreyhatch.exchange.ending import REFUSALS_MAX, UNREACHABLE_MAX, final_error
 from comfreyhatch.exchange.outcomes import Outcomes
 from comfreyhatch.exchange.pool import EndpointPool
 from comfreyhatch.exchange.sender import Sender, WholeAnswer
@@ -114,8 +119,9 @@
         call.running += 1
         try:
             answer = await self._sender.whole(job, endpoint, dispatch, max(0.0, left_s))
-        except BackendRefusedError:
+        except BackendRefusedError as error:
             call.running -= 1
+            call.unreachable += isinstance(error, EndpointUnreachableError)
             raise
         return answer
 
@@ -132,14 +138,18 @@
         job = call.job
         if not isinstance(call.error, BackendError) and call.answer is None:
             return False
-        if call.sent > REFUSALS_MAX or now >= job.deadline - TIME_TO_ANSWER_S:
+        if now >= job.deadline - TIME_TO_ANSWER_S:
+            return False
+        if call.unreachable > UNREACHABLE_MAX or call.sent - call.unreachable > REFUSALS_MAX:
             return False
         refused = call.running == 0
         if not refused and not job.route.repeatable:
             return False
         if call.running >= job.route.max_attempts:
             return False
-        return self._budget(job.service).take(now)
+        # What could not be reached was no arrival, so its repeat is none beyond the first.
+        unreachable = isinstance(call.error, EndpointUnreachableError) and call.answer is None
+        return unreachable or self._budget(job.service).take(now)
 
     def _hedge_s(self, call: "_Call") -> float | None:
         job = call.job
@@ -159,12 +169,13 @@
 class _Call:
     """Attempts of one request."""
 
-    __slots__ = ("answer", "error", "hedged", "job", "running", "sent", "tried")
+    __slots__ = ("answer", "error", "hedged", "job", "running", "sent", "tried", "unreachable")
 
     def __init__(self, job: Job) -> None:
         self.job = job
         self.tried: set[str] = set()
         self.sent = 0
+        self.unreachable = 0
         self.running = 0
         self.hedged = False
         self.answer: WholeAnswer | None = None
--- a/comfreyhatch/exchange/ending.py
+++ b/comfreyhatch/exchange/ending.py
@@ -4,6 +4,7 @@
 from comfreyhatch.errors import BackendError, BackendRefusedError, ComfreyhatchError, RefusedError
 
 REFUSALS_MAX = 4
+UNREACHABLE_MAX = 8
 REFUSED_RETRY_S = 0.3
 
 
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -15,6 +15,8 @@
     AnswerBrokenError,
     BackendError,
     BackendRefusedError,
+    ConnectError,
+    EndpointUnreachableError,
     ExchangeTimeoutError,
     HttpError,
 )
@@ -177,6 +179,8 @@
 
 
 def _backend_error(error: HttpError) -> BackendError:
+    if isinstance(error, ConnectError):
+        return EndpointUnreachableError(str(error))
     if error.ran is Ran.NO:
         return BackendRefusedError(str(error))
     if isinstance(error, ExchangeTimeoutError):
--- a/comfreyhatch/exchange/stream_run.py
+++ b/comfreyhatch/exchange/stream_run.py
@@ -7,11 +7,12 @@
 from comfreyhatch.decisions.stall import StallLimits, stalled
 from comfreyhatch.domain.exchange import Job
 from comfreyhatch.errors import ComfreyhatchError
-from comfreyhatch.exchange.ending import REFUSALS_MAX
+from comfreyhatch.exchange.ending import REFUSALS_MAX, UNREACHABLE_MAX
 from comfreyhatch.exchange.events import event_id
 from comfreyhatch.exchange.pool import Place
 
 GAPS_MOST = 40
+TIME_TO_ANSWER_S = 0.02
 
 
 class StreamRun:
@@ -22,6 +23,7 @@
         tried: Endpoints that it was sent to and that are no use for it now.
         sent: Attempts, refused ones included.
         running: Attempts that may have run.
+        unreachable: Attempts for which no connection could be opened.
         model_index: Model that is asked, by its place among the route's.
         last_event_id: Last event that the caller holds.
         begun: Whether the caller has the head of the answer.
@@ -56,6 +58,7 @@
         "sent",
         "slow",
         "tried",
+        "unreachable",
         "waiting_since",
     )
 
@@ -64,6 +67,7 @@
         self.tried: set[str] = set()
         self.sent = 0
         self.running = 0
+        self.unreachable = 0
         self.model_index = 0
         self.last_event_id = job.exchange.last_event_id
         self.begun = False
@@ -116,7 +120,9 @@
     def attempt_left(self, now: float) -> bool:
         """Return whether the rules of the route leave the request another attempt."""
         route = self.job.route
-        if self.sent > route.max_attempts + REFUSALS_MAX or now >= self.job.deadline:
+        if now >= self.job.deadline - TIME_TO_ANSWER_S or self.unreachable > UNREACHABLE_MAX:
+            return False
+        if self.sent - self.unreachable > route.max_attempts + REFUSALS_MAX:
             return False
         if self.running and not route.repeatable:
             return False
--- a/comfreyhatch/exchange/streams.py
+++ b/comfreyhatch/exchange/streams.py
@@ -17,6 +17,7 @@
     BackendError,
     BackendRefusedError,
     ComfreyhatchError,
+    EndpointUnreachableError,
     RefusedError,
 )
 from comfreyhatch.exchange.ending import final_error
@@ -26,10 +27,9 @@
 from comfreyhatch.exchange.pool import EndpointPool, Place
 from comfreyhatch.exchange.sender import OpenAnswer, Sender
 from comfreyhatch.exchange.stall_watch import StallWatch
-from comfreyhatch.exchange.stream_run import StreamRun
+from comfreyhatch.exchange.stream_run import TIME_TO_ANSWER_S, StreamRun
 
 FIRST_EVENT_QUANTILE = 0.95
-TIME_TO_ANSWER_S = 0.02
 PACE_EVENTS = 3
 EARLY_PACE_EVENTS = 6
 
@@ -106,6 +106,7 @@
             else:
                 if answer.head.success:
                     return answer
+                run.error = None
                 if not await self._goes_on(run):
                     return answer
                 await self._drop(run, answer)
@@ -132,6 +133,7 @@
         except BaseException as error:
             if isinstance(error, BackendRefusedError):
                 run.running -= 1
+                run.unreachable += isinstance(error, EndpointUnreachableError)
             else:
                 run.broken.append(endpoint)
             self._pool.release(place)
@@ -298,7 +300,11 @@
                 run.running -= await self._sender.has_ended(endpoint)
             run.broken.clear()
         now = asyncio.get_running_loop().time()
-        return run.attempt_left(now) and self._budget(run.job.service).take(now)
+        if not run.attempt_left(now):
+            return False
+        # What could not be reached was no arrival, so its repeat is none beyond the first.
+        unreachable = isinstance(run.error, EndpointUnreachableError)
+        return unreachable or self._budget(run.job.service).take(now)
 
     def _may_move(self, run: StreamRun, now: float) -> bool:
         """Return whether a stalled answer can be had elsewhere; else it is better waited for."""
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -24,6 +24,7 @@
 FIRST_PORT = 20000
 PORTS_EACH = 700
 PORT_RANGES = 16
+BOUNDS = Bounds(grace_s=4.0, retry_ratio=1.0, retry_slack=200.0)
 
 
 def config(version: int, **route_changes: object) -> dict[str, object]:
@@ -124,7 +125,13 @@
         self.store.put("servers", worker_id, worker.record(service, "a", version))
         return worker
 
-    async def start_daemon(self, address: Address) -> ExchangeDaemon:
+    def add_lost_worker(self, worker_id: str, service: str) -> None:
+        """Register a worker to which no connection can be opened."""
+        record = StandInWorker(worker_id).record(service, "a")
+        record["address"] = f"127.0.0.1:{free_port()}"
+        self.store.put("servers", worker_id, record)
+
+    async def start_daemon(self, address: Address, bounds: Bounds = BOUNDS) -> ExchangeDaemon:
         self.deployment = Deployment(
             instance="front-1",
             zone="a",
@@ -137,7 +144,7 @@
             heartbeat_s=0.3,
             memory_mb=256,
             max_fds=1024,
-            bounds=Bounds(grace_s=4.0, retry_ratio=1.0, retry_slack=200.0),
+            bounds=bounds,
         )
         self._store_client = StoreClient(address)
         directory = StoreDirectory(self._store_client)
@@ -184,7 +191,7 @@
 
 
 @asynccontextmanager
-async def running_world(daemon: bool = True) -> AsyncIterator[World]:
+async def running_world(daemon: bool = True, bounds: Bounds = BOUNDS) -> AsyncIterator[World]:
     """Give a world with two engines and two desks, and a ready daemon."""
     world = World()
     address = await world.store.start()
@@ -194,7 +201,7 @@
             await world.add_worker(f"engine-{number}", "engines")
             await world.add_worker(f"desk-{number}", "desk")
         if daemon:
-            started = await world.start_daemon(address)
+            started = await world.start_daemon(address, bounds)
             await world.until(started.ready)
         yield world
     finally:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -7,6 +7,7 @@
 from msgspec.structs import replace
 
 from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.domain.deployment import Bounds
 from comfreyhatch.errors import HttpError
 from tests.platform_worker import EVENTS
 from tests.platform_world import KEY, World, config, running_world
@@ -97,6 +98,18 @@
     assert len(sent_to(world, "desk")) == 1
 
 
+@pytest.mark.parametrize(("service", "path"), [("desk", "/pay/x"), ("engines", "/draft/x")])
+async def test_unreachable_workers_cost_no_further_arrivals(service: str, path: str) -> None:
+    # From trackline-th scale-2: a zone that was cut off refused what its own workers could run.
+    async with running_world(bounds=Bounds(retry_ratio=0.0, retry_slack=0.0)) as world:
+        for number in range(6):
+            world.add_lost_worker(f"lost-{number}", service)
+        states_by_service = world.daemon.view.states_by_service
+        await world.until(lambda: len(states_by_service[service]) == 8)
+        for _ in range(4):
+            assert (await world.ask(path, model="small", token_counts="10,6")).status == 200
+
+
 async def test_refused_request_goes_to_another_worker(world: World) -> None:
     first, _ = workers(world, "desk")
     first.refuses = True
