Split daemon/ into subpackages by what they own

46 modules stood side by side; a newcomer could not find the queue, the retry or the roll-out. Tests pass as before.

--- a/bench/burn.py
+++ b/bench/burn.py
@@ -12,7 +12,7 @@
 from msgspec.msgpack import encode
 
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon.burn_book import FLUSH_INTERVAL_S, BurnBook
+from comfreyhatch.daemon.history.burn_book import FLUSH_INTERVAL_S, BurnBook
 from comfreyhatch.decisions.burn import burn_report, coarsened
 from comfreyhatch.domain.contract import Contract
 from comfreyhatch.domain.record import Attempt, RequestRecord
--- a/bench/journal.py
+++ b/bench/journal.py
@@ -10,9 +10,9 @@
 
 from comfreyhatch.adapters.peer_bus import NngBus
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon.buddies import Buddies
-from comfreyhatch.daemon.journal import SEGMENT_INTERVAL_S, Journal, JournalLimits
-from comfreyhatch.daemon.segments import SegmentStore
+from comfreyhatch.daemon.history.buddies import Buddies
+from comfreyhatch.daemon.history.journal import SEGMENT_INTERVAL_S, Journal, JournalLimits
+from comfreyhatch.daemon.history.segments import SegmentStore
 from comfreyhatch.decisions.journal import Tail, bill_segment
 from comfreyhatch.domain.journal import (
     Entry,
--- a/bench/sessions.py
+++ b/bench/sessions.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from time import perf_counter
 
-from comfreyhatch.daemon.sessions import MAX_PINS, PinBook
+from comfreyhatch.daemon.requests.sessions import MAX_PINS, PinBook
 from comfreyhatch.decisions.sessions import (
     PIN_BUCKETS,
     Pin,
--- /dev/null
+++ b/comfreyhatch/daemon/config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration in force, and changes of it."""
--- a/comfreyhatch/daemon/configuration.py
+++ b/comfreyhatch/daemon/config/configuration.py
@@ -10,9 +10,9 @@
 from msgspec import Struct
 
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.daemon.changes import ChangeLog
-from comfreyhatch.daemon.membership import Membership
-from comfreyhatch.daemon.peer_messages import (
+from comfreyhatch.daemon.config.changes import ChangeLog
+from comfreyhatch.daemon.members.membership import Membership
+from comfreyhatch.daemon.members.peer_messages import (
     HeadNotice,
     HeadQuery,
     HeadReply,
--- a/comfreyhatch/daemon/editor.py
+++ b/comfreyhatch/daemon/config/editor.py
@@ -6,9 +6,9 @@
 from time import monotonic
 
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.daemon.changes import ChangeLog
-from comfreyhatch.daemon.configuration import ConfigurationKeeper
-from comfreyhatch.daemon.membership import Membership
+from comfreyhatch.daemon.config.changes import ChangeLog
+from comfreyhatch.daemon.config.configuration import ConfigurationKeeper
+from comfreyhatch.daemon.members.membership import Membership
 from comfreyhatch.decisions.configuration import EditState, describe_changes, judge_edit
 from comfreyhatch.domain.change import Change, ChangeRecord, change_config
 from comfreyhatch.domain.fleet import FleetConfig
--- a/comfreyhatch/daemon/dispatcher.py
+++ b/comfreyhatch/daemon/dispatch/dispatcher.py
@@ -11,8 +11,8 @@
 from msgspec.structs import replace
 
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.daemon.admission import Gate
-from comfreyhatch.daemon.endpoints import SAMPLE, EndpointLoad, EndpointPool, Slot
+from comfreyhatch.daemon.dispatch.admission import Gate
+from comfreyhatch.daemon.dispatch.endpoints import SAMPLE, EndpointLoad, EndpointPool, Slot
 from comfreyhatch.decisions.cold_start import SlotOutcome
 from comfreyhatch.decisions.configuration import Use
 from comfreyhatch.decisions.endpoints import Circuits, EndpointFigures, choose_endpoint
--- a/comfreyhatch/daemon/endpoints.py
+++ b/comfreyhatch/daemon/dispatch/endpoints.py
@@ -8,9 +8,9 @@
 
 from msgspec import Struct
 
-from comfreyhatch.daemon.directory import Directory
-from comfreyhatch.daemon.loads import LoadBook
-from comfreyhatch.daemon.shares import ShareTask, ZoneRoll
+from comfreyhatch.daemon.dispatch.loads import LoadBook
+from comfreyhatch.daemon.limits.shares import ShareTask, ZoneRoll
+from comfreyhatch.daemon.members.directory import Directory
 from comfreyhatch.decisions.cold_start import SlotOutcome
 from comfreyhatch.decisions.endpoints import EndpointFigures
 from comfreyhatch.decisions.shares import ORPHAN_HOLD_S, Peer
--- a/comfreyhatch/daemon/fleet_state.py
+++ b/comfreyhatch/daemon/fleet_state.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
-from comfreyhatch.daemon.directory import Directory
-from comfreyhatch.daemon.editor import Editor
-from comfreyhatch.daemon.endpoints import EndpointPool
-from comfreyhatch.daemon.membership import Membership
+from comfreyhatch.daemon.config.editor import Editor
+from comfreyhatch.daemon.dispatch.endpoints import EndpointPool
+from comfreyhatch.daemon.members.directory import Directory
+from comfreyhatch.daemon.members.membership import Membership
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.instance import Instance, Role
 from comfreyhatch.ports.operators import (
--- /dev/null
+++ b/comfreyhatch/daemon/history/__init__.py
@@ -0,0 +1,1 @@
+"""What is kept of requests: records, journals and their copies, reports."""
--- a/comfreyhatch/daemon/buddies.py
+++ b/comfreyhatch/daemon/history/buddies.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
-from comfreyhatch.daemon.segments import SegmentStore
+from comfreyhatch.daemon.history.segments import SegmentStore
 from comfreyhatch.decisions.journal import Tail
 from comfreyhatch.domain.journal import Entry, Outcome, decode_body
 from comfreyhatch.domain.record import RequestRecord
--- a/comfreyhatch/daemon/explanations.py
+++ b/comfreyhatch/daemon/history/explanations.py
@@ -7,10 +7,10 @@
 
 from msgspec import Struct
 
-from comfreyhatch.daemon.buddies import Buddies
-from comfreyhatch.daemon.journal import Journal
-from comfreyhatch.daemon.records import RecordBook
-from comfreyhatch.daemon.segments import SegmentStore
+from comfreyhatch.daemon.history.buddies import Buddies
+from comfreyhatch.daemon.history.journal import Journal
+from comfreyhatch.daemon.history.records import RecordBook
+from comfreyhatch.daemon.history.segments import SegmentStore
 from comfreyhatch.decisions.journal import bill_segment
 from comfreyhatch.decisions.lookup import (
     LONGEST_REQUEST_S,
--- a/comfreyhatch/daemon/journal.py
+++ b/comfreyhatch/daemon/history/journal.py
@@ -11,8 +11,8 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge
 from xxhash import xxh64_intdigest
 
-from comfreyhatch.daemon.buddies import JournalAck, JournalBatch, find_record
-from comfreyhatch.daemon.segments import SegmentStore
+from comfreyhatch.daemon.history.buddies import JournalAck, JournalBatch, find_record
+from comfreyhatch.daemon.history.segments import SegmentStore
 from comfreyhatch.decisions.journal import SEGMENT_ENTRIES, Tail, choose_buddies, shortened
 from comfreyhatch.domain.journal import Body, Entry, Outcome, encode_body
 from comfreyhatch.domain.record import RequestRecord
--- a/comfreyhatch/daemon/records.py
+++ b/comfreyhatch/daemon/history/records.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
-from comfreyhatch.daemon.journal import Journal
+from comfreyhatch.daemon.history.journal import Journal
 from comfreyhatch.domain.journal import Intent, Outcome
 from comfreyhatch.domain.record import RequestRecord
 
--- /dev/null
+++ b/comfreyhatch/daemon/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Calls that may run at most once."""
--- a/comfreyhatch/daemon/minted.py
+++ b/comfreyhatch/daemon/idempotency/minted.py
@@ -11,7 +11,7 @@
 from prometheus_client import CollectorRegistry, Gauge
 
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon.claims import ClaimedAnswer, ClaimedCall, Execute
+from comfreyhatch.daemon.idempotency.claims import ClaimedAnswer, ClaimedCall, Execute
 from comfreyhatch.decisions.minted import MintedKey, mint_key, read_key
 from comfreyhatch.domain.claim import (
     Claim,
--- a/comfreyhatch/daemon/once.py
+++ b/comfreyhatch/daemon/idempotency/once.py
@@ -4,9 +4,9 @@
 from collections.abc import Awaitable, Callable
 from hashlib import sha256
 
-from comfreyhatch.daemon.claims import ClaimedAnswer, ClaimedCall, Claims
-from comfreyhatch.daemon.forwarding import ForwardedMinted, Forwarder
-from comfreyhatch.daemon.minted import MintedKeys
+from comfreyhatch.daemon.idempotency.claims import ClaimedAnswer, ClaimedCall, Claims
+from comfreyhatch.daemon.idempotency.minted import MintedKeys
+from comfreyhatch.daemon.requests.forwarding import ForwardedMinted, Forwarder
 from comfreyhatch.decisions.minted import MintedKey, is_minted
 from comfreyhatch.domain.claim import KeptAnswer, check_idempotency_key
 from comfreyhatch.errors import HttpError
--- /dev/null
+++ b/comfreyhatch/daemon/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Shares of endpoint limits and slices of budgets."""
--- /dev/null
+++ b/comfreyhatch/daemon/members/__init__.py
@@ -0,0 +1,1 @@
+"""Which daemons live, and what they tell each other of it."""
--- a/comfreyhatch/daemon/list_feed.py
+++ b/comfreyhatch/daemon/members/list_feed.py
@@ -7,9 +7,9 @@
 
 from msgspec import Struct
 
-from comfreyhatch.daemon.directory import Directory
-from comfreyhatch.daemon.membership import Membership
-from comfreyhatch.daemon.peer_messages import ListNotice, ListPage, ListQuery
+from comfreyhatch.daemon.members.directory import Directory
+from comfreyhatch.daemon.members.membership import Membership
+from comfreyhatch.daemon.members.peer_messages import ListNotice, ListPage, ListQuery
 from comfreyhatch.decisions.configuration import RELAYS, KeeperTiming, must_poll
 from comfreyhatch.decisions.listing import ListDelta
 from comfreyhatch.decisions.rendezvous import tree_children
--- a/comfreyhatch/daemon/membership.py
+++ b/comfreyhatch/daemon/members/membership.py
@@ -9,8 +9,8 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from comfreyhatch.daemon.peer_messages import Beat, Bye, Hello, Welcome
-from comfreyhatch.daemon.zones import ZoneExchange, delegate_rank
+from comfreyhatch.daemon.members.peer_messages import Beat, Bye, Hello, Welcome
+from comfreyhatch.daemon.members.zones import ZoneExchange, delegate_rank
 from comfreyhatch.decisions.configuration import relay_order
 from comfreyhatch.decisions.membership import (
     Roster,
--- a/comfreyhatch/daemon/zones.py
+++ b/comfreyhatch/daemon/members/zones.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 from time import time
 
-from comfreyhatch.daemon.peer_messages import ZoneBeat, ZonesQuery, ZonesReply
+from comfreyhatch.daemon.members.peer_messages import ZoneBeat, ZonesQuery, ZonesReply
 from comfreyhatch.decisions.membership import (
     Roster,
     ZoneReport,
--- a/comfreyhatch/daemon/operators.py
+++ b/comfreyhatch/daemon/operators.py
@@ -11,11 +11,11 @@
 
 from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse, json_response
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.daemon.burn_book import BurnBook
-from comfreyhatch.daemon.editor import Editor
-from comfreyhatch.daemon.explanations import Explanations
+from comfreyhatch.daemon.config.editor import Editor
 from comfreyhatch.daemon.fleet_state import FleetReporter
-from comfreyhatch.daemon.rollout import RolloutBook
+from comfreyhatch.daemon.history.burn_book import BurnBook
+from comfreyhatch.daemon.history.explanations import Explanations
+from comfreyhatch.daemon.versions.rollout import RolloutBook
 from comfreyhatch.decisions.rollout import Rollout
 from comfreyhatch.domain.change import ChangeRecord, SetContract, apply_change
 from comfreyhatch.domain.contract import contract_problems
--- a/comfreyhatch/daemon/parts.py
+++ b/comfreyhatch/daemon/parts.py
@@ -20,37 +20,37 @@
 from comfreyhatch.adapters.platform_http import HttpInstanceList, HttpRatingService, HttpWeightStore
 from comfreyhatch.adapters.settings import Settings
 from comfreyhatch.adapters.table_http import HttpTable
-from comfreyhatch.daemon.buddies import Buddies
-from comfreyhatch.daemon.budgets import Budgets
-from comfreyhatch.daemon.burn_book import BurnBook
-from comfreyhatch.daemon.callers import CallerHandler
-from comfreyhatch.daemon.changes import ChangeLog
-from comfreyhatch.daemon.claims import Claims
-from comfreyhatch.daemon.configuration import ConfigurationKeeper
-from comfreyhatch.daemon.directory import Directory
-from comfreyhatch.daemon.dispatcher import Dispatcher
-from comfreyhatch.daemon.editor import Editor
-from comfreyhatch.daemon.endpoints import EndpointPool
-from comfreyhatch.daemon.explanations import Explanations
+from comfreyhatch.daemon.config.changes import ChangeLog
+from comfreyhatch.daemon.config.configuration import ConfigurationKeeper
+from comfreyhatch.daemon.config.editor import Editor
+from comfreyhatch.daemon.dispatch.dispatcher import Dispatcher
+from comfreyhatch.daemon.dispatch.endpoints import EndpointPool
 from comfreyhatch.daemon.fleet_state import FleetReporter
-from comfreyhatch.daemon.forwarding import MAX_HOPS, ForwardedWork, Forwarder
-from comfreyhatch.daemon.journal import Journal
-from comfreyhatch.daemon.learning import Learner
-from comfreyhatch.daemon.list_feed import ListFeed
-from comfreyhatch.daemon.membership import Membership
-from comfreyhatch.daemon.minted import MintedKeys
-from comfreyhatch.daemon.once import OnceRouter
+from comfreyhatch.daemon.history.buddies import Buddies
+from comfreyhatch.daemon.history.burn_book import BurnBook
+from comfreyhatch.daemon.history.explanations import Explanations
+from comfreyhatch.daemon.history.journal import Journal
+from comfreyhatch.daemon.history.records import RecordBook
+from comfreyhatch.daemon.history.segments import SegmentStore
+from comfreyhatch.daemon.idempotency.claims import Claims
+from comfreyhatch.daemon.idempotency.minted import MintedKeys
+from comfreyhatch.daemon.idempotency.once import OnceRouter
+from comfreyhatch.daemon.limits.budgets import Budgets
+from comfreyhatch.daemon.members.directory import Directory
+from comfreyhatch.daemon.members.list_feed import ListFeed
+from comfreyhatch.daemon.members.membership import Membership
 from comfreyhatch.daemon.operators import OperatorHandler
-from comfreyhatch.daemon.planner import Planner
-from comfreyhatch.daemon.quarantine import Quarantine
-from comfreyhatch.daemon.ratings import Ratings
-from comfreyhatch.daemon.records import RecordBook
-from comfreyhatch.daemon.rollout import ROLLOUT_PREFIX, RolloutBook, RolloutDriver
-from comfreyhatch.daemon.router import Router
-from comfreyhatch.daemon.segments import SegmentStore
-from comfreyhatch.daemon.services import ServiceRouter
-from comfreyhatch.daemon.sessions import Sessions
+from comfreyhatch.daemon.requests.callers import CallerHandler
+from comfreyhatch.daemon.requests.forwarding import MAX_HOPS, ForwardedWork, Forwarder
+from comfreyhatch.daemon.requests.router import Router
+from comfreyhatch.daemon.requests.services import ServiceRouter
+from comfreyhatch.daemon.requests.sessions import Sessions
 from comfreyhatch.daemon.shutdown import Shutdown
+from comfreyhatch.daemon.versions.learning import Learner
+from comfreyhatch.daemon.versions.planner import Planner
+from comfreyhatch.daemon.versions.quarantine import Quarantine
+from comfreyhatch.daemon.versions.ratings import Ratings
+from comfreyhatch.daemon.versions.rollout import ROLLOUT_PREFIX, RolloutBook, RolloutDriver
 from comfreyhatch.decisions.configuration import Freshness
 from comfreyhatch.decisions.rendezvous import rendezvous_order
 from comfreyhatch.decisions.shares import Peer
--- /dev/null
+++ b/comfreyhatch/daemon/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a request: listener, router, forwarding, sessions, answers."""
--- a/comfreyhatch/daemon/callers.py
+++ b/comfreyhatch/daemon/requests/callers.py
@@ -14,17 +14,17 @@
     json_response,
 )
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.daemon.caller_request import (
+from comfreyhatch.daemon.requests.caller_request import (
     SESSION_TOKEN_HEADER,
     authenticate,
     deadline_s,
     parse_chat,
     service_request,
 )
-from comfreyhatch.daemon.chat_format import model_list, stream_pieces, whole_answer
-from comfreyhatch.daemon.draft import RecordDraft
-from comfreyhatch.daemon.router import Router
-from comfreyhatch.daemon.services import ServiceRouter
+from comfreyhatch.daemon.requests.chat_format import model_list, stream_pieces, whole_answer
+from comfreyhatch.daemon.requests.draft import RecordDraft
+from comfreyhatch.daemon.requests.router import Router
+from comfreyhatch.daemon.requests.services import ServiceRouter
 from comfreyhatch.domain.contract import Contract
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.request_id import new_request_id
--- a/comfreyhatch/daemon/forwarding.py
+++ b/comfreyhatch/daemon/requests/forwarding.py
@@ -21,7 +21,7 @@
     json_response,
 )
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon.dispatcher import Dispatcher
+from comfreyhatch.daemon.dispatch.dispatcher import Dispatcher
 from comfreyhatch.decisions.replay import SeenStamps
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.instance import Address, Instance, Role
--- a/comfreyhatch/daemon/router.py
+++ b/comfreyhatch/daemon/requests/router.py
@@ -11,15 +11,15 @@
 from msgspec.structs import replace
 
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon.budgets import Budgets
-from comfreyhatch.daemon.dispatcher import Dispatcher, check_version
-from comfreyhatch.daemon.draft import RecordDraft
-from comfreyhatch.daemon.forwarding import Forwarder
-from comfreyhatch.daemon.learning import AnswerTrace, Learner
-from comfreyhatch.daemon.member_notes import MemberNotes, more_telling
-from comfreyhatch.daemon.planner import Planner
-from comfreyhatch.daemon.records import RecordBook
-from comfreyhatch.daemon.sessions import Sessions
+from comfreyhatch.daemon.dispatch.dispatcher import Dispatcher, check_version
+from comfreyhatch.daemon.history.records import RecordBook
+from comfreyhatch.daemon.limits.budgets import Budgets
+from comfreyhatch.daemon.requests.draft import RecordDraft
+from comfreyhatch.daemon.requests.forwarding import Forwarder
+from comfreyhatch.daemon.requests.member_notes import MemberNotes, more_telling
+from comfreyhatch.daemon.requests.sessions import Sessions
+from comfreyhatch.daemon.versions.learning import AnswerTrace, Learner
+from comfreyhatch.daemon.versions.planner import Planner
 from comfreyhatch.decisions.budgets import dearer_versions, worst_cost_micros
 from comfreyhatch.decisions.patience import WAITING_CODES, WAITS_S, Patience
 from comfreyhatch.decisions.plan import Plan
--- a/comfreyhatch/daemon/services.py
+++ b/comfreyhatch/daemon/requests/services.py
@@ -8,13 +8,13 @@
 from msgspec.structs import replace
 
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon.dispatcher import REPEATABLE_METHODS, Dispatcher
-from comfreyhatch.daemon.draft import RecordDraft
-from comfreyhatch.daemon.forwarding import ForwardedMinted, Forwarder
-from comfreyhatch.daemon.hedging import hedged
-from comfreyhatch.daemon.member_notes import more_telling
-from comfreyhatch.daemon.once import OnceRouter
-from comfreyhatch.daemon.records import RecordBook
+from comfreyhatch.daemon.dispatch.dispatcher import REPEATABLE_METHODS, Dispatcher
+from comfreyhatch.daemon.history.records import RecordBook
+from comfreyhatch.daemon.idempotency.once import OnceRouter
+from comfreyhatch.daemon.requests.draft import RecordDraft
+from comfreyhatch.daemon.requests.forwarding import ForwardedMinted, Forwarder
+from comfreyhatch.daemon.requests.hedging import hedged
+from comfreyhatch.daemon.requests.member_notes import more_telling
 from comfreyhatch.decisions.retries import (
     LatencyWindow,
     RetryBudget,
--- a/comfreyhatch/daemon/shutdown.py
+++ b/comfreyhatch/daemon/shutdown.py
@@ -6,8 +6,8 @@
 
 from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.adapters.settings import ShutdownSettings
-from comfreyhatch.daemon.directory import Directory
-from comfreyhatch.daemon.membership import Membership
+from comfreyhatch.daemon.members.directory import Directory
+from comfreyhatch.daemon.members.membership import Membership
 
 FLUSH_TIMEOUT_S = 10.0
 ANNOUNCE_TIMEOUT_S = 2.0
--- /dev/null
+++ b/comfreyhatch/daemon/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Which versions answer: plans, ratings, quarantine, roll-outs."""
--- a/comfreyhatch/daemon/learning.py
+++ b/comfreyhatch/daemon/versions/learning.py
@@ -6,9 +6,9 @@
 from msgspec import Struct, field
 
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon.planner import Planner
-from comfreyhatch.daemon.quarantine import Quarantine
-from comfreyhatch.daemon.ratings import RatingJob, Ratings
+from comfreyhatch.daemon.versions.planner import Planner
+from comfreyhatch.daemon.versions.quarantine import Quarantine
+from comfreyhatch.daemon.versions.ratings import RatingJob, Ratings
 from comfreyhatch.decisions.exposure import Outcomes
 from comfreyhatch.decisions.quality import quality_key, sample_for_rating
 from comfreyhatch.domain.contract import Contract
--- a/comfreyhatch/daemon/planner.py
+++ b/comfreyhatch/daemon/versions/planner.py
@@ -7,9 +7,9 @@
 from xxhash import xxh64_intdigest
 
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.daemon.draft import RecordDraft
-from comfreyhatch.daemon.quarantine import Quarantine
-from comfreyhatch.daemon.ratings import Ratings
+from comfreyhatch.daemon.requests.draft import RecordDraft
+from comfreyhatch.daemon.versions.quarantine import Quarantine
+from comfreyhatch.daemon.versions.ratings import Ratings
 from comfreyhatch.decisions.plan import (
     MIN_SAMPLES,
     Option,
--- a/comfreyhatch/daemon/quarantine.py
+++ b/comfreyhatch/daemon/versions/quarantine.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct
 
-from comfreyhatch.daemon.peer_pool import pool_peers
+from comfreyhatch.daemon.members.peer_pool import pool_peers
 from comfreyhatch.decisions.exposure import (
     ExposureBook,
     OutcomeDigest,
--- a/comfreyhatch/daemon/ratings.py
+++ b/comfreyhatch/daemon/versions/ratings.py
@@ -9,7 +9,7 @@
 
 from msgspec import Struct
 
-from comfreyhatch.daemon.peer_pool import pool_peers
+from comfreyhatch.daemon.members.peer_pool import pool_peers
 from comfreyhatch.decisions.quality import (
     Estimate,
     QualityBook,
--- a/tests/keepers.py
+++ b/tests/keepers.py
@@ -3,10 +3,10 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from comfreyhatch.daemon.changes import ChangeLog
-from comfreyhatch.daemon.configuration import ConfigurationKeeper
-from comfreyhatch.daemon.editor import Editor
-from comfreyhatch.daemon.membership import Membership
+from comfreyhatch.daemon.config.changes import ChangeLog
+from comfreyhatch.daemon.config.configuration import ConfigurationKeeper
+from comfreyhatch.daemon.config.editor import Editor
+from comfreyhatch.daemon.members.membership import Membership
 from comfreyhatch.decisions.configuration import KeeperTiming
 from comfreyhatch.domain.change import Change
 from comfreyhatch.domain.contract import Contract
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -11,8 +11,8 @@
 
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon import budgets as budgets_module
-from comfreyhatch.daemon.budgets import Budgets
+from comfreyhatch.daemon.limits import budgets as budgets_module
+from comfreyhatch.daemon.limits.budgets import Budgets
 from comfreyhatch.decisions.budgets import (
     CHEAPEST_SHARE,
     Ledger,
--- a/tests/test_burn_book.py
+++ b/tests/test_burn_book.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.daemon.burn_book import SEGMENTS_WAITING, BurnBook
+from comfreyhatch.daemon.history.burn_book import SEGMENTS_WAITING, BurnBook
 from comfreyhatch.decisions.burn import Objective, add_stored, merge_burn
 from comfreyhatch.domain.contract import Contract
 from comfreyhatch.domain.record import RequestRecord
@@ -19,7 +19,7 @@
 
 @pytest.fixture(autouse=True)
 def small_pages(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("comfreyhatch.daemon.burn_book.PAGE", 3)
+    monkeypatch.setattr("comfreyhatch.daemon.history.burn_book.PAGE", 3)
 
 
 class FailingStore(MemoryObjectStore):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -12,8 +12,8 @@
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_server import HttpLimits, HttpRequest, HttpServer
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.daemon.caller_request import authenticate, parse_chat, service_request
-from comfreyhatch.daemon.callers import CHAT_PATH, CallerHandler
+from comfreyhatch.daemon.requests.caller_request import authenticate, parse_chat, service_request
+from comfreyhatch.daemon.requests.callers import CHAT_PATH, CallerHandler
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.request import Priority, Usage
 from comfreyhatch.errors import RequestError
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -10,8 +10,8 @@
 from hypothesis import strategies as st
 
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon import claims as claims_module
-from comfreyhatch.daemon.claims import ClaimedAnswer, ClaimedCall, Claims
+from comfreyhatch.daemon.idempotency import claims as claims_module
+from comfreyhatch.daemon.idempotency.claims import ClaimedAnswer, ClaimedCall, Claims
 from comfreyhatch.domain.claim import KeptAnswer, claim_key, decode_claim
 from comfreyhatch.errors import (
     BackendError,
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon import changes as change_log
-from comfreyhatch.daemon.configuration import HeadNotice
+from comfreyhatch.daemon.config import changes as change_log
+from comfreyhatch.daemon.config.configuration import HeadNotice
 from comfreyhatch.decisions.configuration import (
     Freshness,
     Use,
--- a/tests/test_editor.py
+++ b/tests/test_editor.py
@@ -8,7 +8,7 @@
 from msgspec.json import decode
 
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.daemon import editor
+from comfreyhatch.daemon.config import editor
 from comfreyhatch.domain.change import ChangeRecord, SetContract, SetShare, SetVersion
 from comfreyhatch.errors import ChangeError, ConflictError, PlatformError
 from tests.keepers import Keepers, contract, make, version
--- a/tests/test_endpoint_pool.py
+++ b/tests/test_endpoint_pool.py
@@ -8,8 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from comfreyhatch.daemon.endpoints import SAMPLE, EndpointPool, LeavingNotice
-from comfreyhatch.daemon.shares import refuses_connections
+from comfreyhatch.daemon.dispatch.endpoints import SAMPLE, EndpointPool, LeavingNotice
+from comfreyhatch.daemon.limits.shares import refuses_connections
 from comfreyhatch.decisions.cold_start import REPORT_LIFE_S, SlotOutcome
 from comfreyhatch.decisions.shares import Peer
 from comfreyhatch.domain.fleet import FleetConfig
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -12,7 +12,7 @@
 from msgspec.structs import replace
 
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.daemon.router import ESCALATION_SUFFIX
+from comfreyhatch.daemon.requests.router import ESCALATION_SUFFIX
 from comfreyhatch.decisions.lookup import hours_between, likely_holders
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.domain.journal import hour_of
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -11,7 +11,7 @@
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse, HttpServer, error_response
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon.forwarding import (
+from comfreyhatch.daemon.requests.forwarding import (
     GENERATE_PATH,
     HOP_HEADER,
     MAX_HOPS,
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -7,7 +7,7 @@
 import pytest
 
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon.admission import Gate
+from comfreyhatch.daemon.dispatch.admission import Gate
 from comfreyhatch.errors import RefusedError
 
 LATER_S = 60.0
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from comfreyhatch.daemon.hedging import hedged
+from comfreyhatch.daemon.requests.hedging import hedged
 from comfreyhatch.errors import BackendError
 
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -9,10 +9,10 @@
 from hypothesis import strategies as st
 
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon import journal as journal_module
-from comfreyhatch.daemon.buddies import Buddies
-from comfreyhatch.daemon.journal import Journal, JournalLimits
-from comfreyhatch.daemon.segments import SegmentStore
+from comfreyhatch.daemon.history import journal as journal_module
+from comfreyhatch.daemon.history.buddies import Buddies
+from comfreyhatch.daemon.history.journal import Journal, JournalLimits
+from comfreyhatch.daemon.history.segments import SegmentStore
 from comfreyhatch.decisions.journal import Tail, choose_buddies
 from comfreyhatch.decisions.settlement import Settlement, settle
 from comfreyhatch.domain.instance import Address
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -9,7 +9,7 @@
 import pytest
 
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.daemon.endpoints import EndpointPool
+from comfreyhatch.daemon.dispatch.endpoints import EndpointPool
 from comfreyhatch.domain.instance import Address, Instance, Role
 from comfreyhatch.errors import HttpError
 from comfreyhatch.standins.engine import EngineStandin
--- a/tests/test_list_feed.py
+++ b/tests/test_list_feed.py
@@ -7,10 +7,10 @@
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
-from comfreyhatch.daemon.directory import Directory
-from comfreyhatch.daemon.list_feed import PAGE_ROWS, ROWS_PER_NOTICE, ListFeed
-from comfreyhatch.daemon.membership import Membership
-from comfreyhatch.daemon.peer_messages import ListNotice
+from comfreyhatch.daemon.members.directory import Directory
+from comfreyhatch.daemon.members.list_feed import PAGE_ROWS, ROWS_PER_NOTICE, ListFeed
+from comfreyhatch.daemon.members.membership import Membership
+from comfreyhatch.daemon.members.peer_messages import ListNotice
 from comfreyhatch.decisions.configuration import relay_order
 from comfreyhatch.decisions.listing import apply_delta, delta_between, list_digest
 from comfreyhatch.domain.instance import Address, Instance, Role
--- a/tests/test_member_notes.py
+++ b/tests/test_member_notes.py
@@ -1,7 +1,7 @@
 """Refusals by other daemons are remembered for a time."""
 
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon.member_notes import (
+from comfreyhatch.daemon.requests.member_notes import (
     FULL_S,
     MAX_NOTES,
     NO_ENDPOINT_S,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
-from comfreyhatch.daemon.membership import Membership
-from comfreyhatch.daemon.peer_messages import Beat, Bye
+from comfreyhatch.daemon.members.membership import Membership
+from comfreyhatch.daemon.members.peer_messages import Beat, Bye
 from comfreyhatch.decisions.membership import (
     Roster,
     Timing,
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -10,7 +10,7 @@
 
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon.minted import MintedKeys
+from comfreyhatch.daemon.idempotency.minted import MintedKeys
 from comfreyhatch.decisions.minted import KEY_LIFE_S, mint_key
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import HttpError, RequestError
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from comfreyhatch.daemon.peer_pool import POOL_PEERS, pool_peers
-from comfreyhatch.daemon.quarantine import Quarantine, QuarantineNotice
+from comfreyhatch.daemon.members.peer_pool import POOL_PEERS, pool_peers
+from comfreyhatch.daemon.versions.quarantine import Quarantine, QuarantineNotice
 from comfreyhatch.decisions.exposure import Outcomes, VersionKey
 from comfreyhatch.domain.contract import Contract
 from comfreyhatch.domain.fleet import FleetConfig
--- a/tests/test_ratings.py
+++ b/tests/test_ratings.py
@@ -3,7 +3,7 @@
 import asyncio
 from random import Random
 
-from comfreyhatch.daemon.ratings import RatingJob, Ratings
+from comfreyhatch.daemon.versions.ratings import RatingJob, Ratings
 from comfreyhatch.decisions.quality import QualityKey
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import PlatformError
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -13,7 +13,7 @@
 
 from comfreyhatch.adapters.engine_http import HttpEngine
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.daemon.rollout import RolloutBook, RolloutDriver
+from comfreyhatch.daemon.versions.rollout import RolloutBook, RolloutDriver
 from comfreyhatch.decisions.rollout import (
     Lease,
     LeaseClaim,
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -10,7 +10,7 @@
 from msgspec.structs import replace
 
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.daemon.sessions import PinBook, Sessions, SettledSession
+from comfreyhatch.daemon.requests.sessions import PinBook, Sessions, SettledSession
 from comfreyhatch.decisions.sessions import (
     Pin,
     SessionToken,
