Read the store by one daemon for each sixteen; the others ask it

Change: decisions/readers.py names a few readers in each region by a hash that all compute alike. The others hold one question at a reader (pynng, 0.4 s at most), which answers at once when anything is newer: orders, the endpoints that say something new (renewals that say nothing new are left out), records. Ages travel along. A reader that does not answer in 0.8 s, or whose news is older than 0.6 of the time for a configuration to be in force, is left alone for 4 s, twice as long each time, and the daemon reads itself.

--- a/comfreyhatch/domain/deployment.py
+++ b/comfreyhatch/domain/deployment.py
@@ -46,6 +46,7 @@
         instance: Name of the instance.
         zone: Availability zone of the instance.
         zones: All availability zones.
+        region: Region of the instance.
         callers: Address of the callers' listener.
         readiness: Address of the readiness check.
         control: Address where peers ask; None when the instance serves no peers.
@@ -69,3 +70,4 @@
     memory_mb: float
     max_fds: int
     bounds: Bounds
+    region: str = ""
--- a/comfreyhatch/domain/operations.py
+++ b/comfreyhatch/domain/operations.py
@@ -107,6 +107,7 @@
         trial_by_service: Roll-outs.
         evidence_by_key: Evidence by (service, daemon).
         control_by_daemon: Control address of each daemon, as host:port.
+        region_by_daemon: Region of each daemon.
     """
 
     revision: int
@@ -114,3 +115,4 @@
     trial_by_service: dict[str, TrialRecord]
     evidence_by_key: dict[str, Evidence]
     control_by_daemon: dict[str, str]
+    region_by_daemon: dict[str, str] = {}
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -85,7 +85,7 @@
         self._readiness = HttpServer(self._answer_readiness)
         self._metrics = HttpServer(self._answer_metrics)
         control = str(deployment.control) if deployment.control else ""
-        self._peers = PeerListener(control, self._news.current) if control else None
+        self._peers = PeerListener(control, self._news.answer) if control else None
         self.leaving = False
         self._left_callers = False
         self._add_gauges()
--- a/comfreyhatch/exchange/news.py
+++ b/comfreyhatch/exchange/news.py
@@ -1,18 +1,30 @@
-"""Keeps a daemon's view current: follows the directory, and asks peers while it is out of reach."""
+"""Keeps a daemon's view current: follows the directory, or asks a daemon that does."""
 
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from random import Random
 from typing import Any
 
+from msgspec import Struct
+
+from comfreyhatch.decisions.readers import reader_for
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.errors import ComfreyhatchError, PeerError, PlatformError
-from comfreyhatch.exchange.peers import PeerNews, ask_peer
+from comfreyhatch.exchange.endpoint_changes import changed_list
+from comfreyhatch.exchange.peers import LONGEST_WAIT_S, PeerClient, PeerNews, PeerQuestion
 from comfreyhatch.exchange.view import FleetView
 from comfreyhatch.ports.directory import Directory
 
 WAIT_S = 1.6
+ASKED_WAIT_S = 0.6
+ASKED_LATELY_S = 30.0
+READER_WAIT_S = 0.4
+READER_AGE_OF_CONFIG = 0.6
+READER_AVOIDED_S = 4.0
+READER_AVOIDED_MOST_S = 64.0
+READER_PAUSE_S = 0.5
 ENDPOINTS_PAUSE_S = 0.3
 BACKOFF_S = 0.2
 BACKOFF_MOST_S = 0.6
@@ -27,6 +39,13 @@
 log = logging.getLogger("comfreyhatch.news")
 
 
+class _Avoided(Struct, frozen=True):
+    """Until when a reader is not asked, by the monotonic clock, and for how long that is."""
+
+    until: float
+    pause_s: float
+
+
 class News:
     """Tasks that follow orders, endpoints and the daemons' records."""
 
@@ -55,30 +74,67 @@
         self._lost_since: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._published = False
+        self._changed = asyncio.Event()
+        self._reads_itself = asyncio.Event()
+        self._reads_itself.set()
+        self._reader: PeerClient | None = None
+        self._avoided: dict[str, _Avoided] = {}
+        self._asked_at = float("-inf")
 
     def start(self) -> None:
         """Start to follow."""
         for follow in (self._follow_operations, self._follow_endpoints, self._follow_records):
             self._tasks.append(asyncio.create_task(self._keep_on(follow)))
         self._tasks.append(asyncio.create_task(self._keep_on(self._ask_peers)))
+        self._tasks.append(asyncio.create_task(self._keep_on(self._follow_reader)))
 
     async def stop(self) -> None:
         """Stop to follow."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._reader:
+            self._reader.close()
 
-    def current(self) -> PeerNews:
-        """Return what this daemon knows, for a peer that asks."""
+    async def answer(self, question: PeerQuestion) -> PeerNews:
+        """Return what is newer here than what a peer holds, once there is anything or in time."""
+        loop = asyncio.get_running_loop()
+        self._asked_at = loop.time()
+        ends_at = self._asked_at + min(question.wait_s, LONGEST_WAIT_S)
+        while not self._has_newer(question) and loop.time() < ends_at:
+            changed = self._changed
+            with suppress(TimeoutError):
+                async with asyncio.timeout_at(ends_at):
+                    await changed.wait()
+        return self._news_after(question)
+
+    def _has_newer(self, question: PeerQuestion) -> bool:
+        view = self._view
+        return (
+            (view.operations is not None and view.operations.revision > question.operations)
+            or view.endpoint_history.changed_revision > question.endpoints
+            or (view.records is not None and view.records.revision > question.records)
+        )
+
+    def _news_after(self, question: PeerQuestion) -> PeerNews:
         now = asyncio.get_running_loop().time()
+        view = self._view
+        operations, records = view.operations, view.records
+        listed = view.endpoint_list is not None
         return PeerNews(
-            self._view.operations,
-            self._view.operations_age_s(now),
-            self._view.endpoint_list,
-            self._view.endpoints_age_s(now),
-            self._view.records,
+            operations if operations and operations.revision > question.operations else None,
+            view.operations_age_s(now),
+            view.endpoint_history.since(question.endpoints) if listed else None,
+            view.endpoints_age_s(now),
+            records if records and records.revision > question.records else None,
         )
 
+    def _announce(self) -> None:
+        """Let peers that wait, and the owner, see what has changed."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+        self._on_change()
+
     async def _keep_on(self, follow: Callable[[], Awaitable[None]]) -> None:
         """Repeat a turn for ever; an unexpected error is logged and the next turn comes."""
         while True:
@@ -90,23 +146,26 @@
 
     async def _follow_operations(self) -> None:
         loop = asyncio.get_running_loop()
+        await self._reads_itself.wait()
         found = await self._try("orders", self._directory.operations, self._view.operations)
         if found is None:
             return
         self._view.apply_operations(found, loop.time(), self._deployment.heartbeat_s)
-        self._on_change()
+        self._announce()
 
     async def _follow_endpoints(self) -> None:
         loop = asyncio.get_running_loop()
+        await self._reads_itself.wait()
         found = await self._try("endpoints", self._directory.endpoints, self._view.endpoint_list)
         if found is None:
             return
         self._view.apply_endpoints(found, loop.time())
-        self._on_change()
+        self._announce()
         await asyncio.sleep(ENDPOINTS_PAUSE_S)
 
     async def _follow_records(self) -> None:
         loop = asyncio.get_running_loop()
+        await self._reads_itself.wait()
         if not self._published:
             await self._publish()
         first = self._view.records is None
@@ -115,7 +174,7 @@
         if found is None:
             return
         self._view.apply_records(found, loop.time())
-        self._on_change()
+        self._announce()
         await self._pause(RECORDS_AGAIN_S if first else RECORDS_INTERVAL_S)
 
     async def _pause(self, longest_s: float) -> None:
@@ -140,21 +199,24 @@
         if self._deployment.control is None:
             return
         address = str(self._deployment.control)
-        self._published = await self._directory.put_control(self._deployment.instance, address)
+        deployment = self._deployment
+        self._published = await self._directory.put_control(
+            deployment.instance, address, deployment.region
+        )
 
     async def _try(
         self,
         name: str,
         read: Callable[[Any, float], Awaitable[Any]],
         held: object,
-        wait_s: float = WAIT_S,
+        wait_s: float | None = None,
     ) -> Any:
         """Return what a reading call gives; None, after a pause, when the directory is away."""
         if name in self._lost_since:
             # A plain reading tells at once that the directory is back, and what is new.
             wait_s = 0.0
         try:
-            found = await read(held, wait_s)
+            found = await read(held, self._usual_wait_s() if wait_s is None else wait_s)
         except PlatformError as error:
             self._note_lost(name, error)
             lost_s = asyncio.get_running_loop().time() - self._lost_since[name]
@@ -165,6 +227,11 @@
             log.info("event=directory_regained what=%s", name)
         return found
 
+    def _usual_wait_s(self) -> float:
+        """Return how long a reading call waits; less long while others go by its age."""
+        now = asyncio.get_running_loop().time()
+        return ASKED_WAIT_S if now - self._asked_at < ASKED_LATELY_S else WAIT_S
+
     def _note_lost(self, name: str, error: ComfreyhatchError) -> None:
         if name not in self._lost_since:
             self._lost_since[name] = asyncio.get_running_loop().time()
@@ -178,7 +245,7 @@
             return
         known = self._peer_addresses()
         chosen = self._rng.sample(known, min(PEERS_ASKED, len(known)))
-        await asyncio.gather(*(self._ask(address) for address in chosen))
+        await asyncio.gather(*(self._ask_once(address) for address in chosen))
 
     def _peer_addresses(self) -> list[str]:
         known = {str(address) for address in self._deployment.seeds}
@@ -187,18 +254,91 @@
         known.discard(str(self._deployment.control))
         return sorted(known)
 
-    async def _ask(self, address: str) -> None:
+    async def _ask_once(self, address: str) -> None:
+        """Ask a peer over a connection of its own, so that a silent one is not used again."""
+        peer = PeerClient(address)
         try:
-            news = await ask_peer(address)
+            self._take(await peer.ask(self._question(0.0)))
         except PeerError as error:
             log.debug("event=peer_silent peer=%s reason=%r", address, str(error))
-            return
+        finally:
+            peer.close()
+
+    def _question(self, wait_s: float) -> PeerQuestion:
+        view = self._view
+        return PeerQuestion(
+            view.operations.revision if view.operations else 0,
+            view.endpoint_list.revision if view.endpoint_list else 0,
+            view.records.revision if view.records else 0,
+            wait_s,
+        )
+
+    def _take(self, news: PeerNews) -> None:
+        """Take in what a peer has told."""
         now = asyncio.get_running_loop().time()
-        if news.operations is not None:
+        view = self._view
+        operations = news.operations or view.operations
+        if operations is not None:
             at = now - news.operations_age_s
-            self._view.apply_operations(news.operations, at, self._deployment.heartbeat_s)
+            view.apply_operations(operations, at, self._deployment.heartbeat_s)
         if news.endpoints is not None:
-            self._view.apply_endpoints(news.endpoints, now - news.endpoints_age_s)
+            held = view.endpoint_list
+            if news.endpoints.whole or held is not None:
+                endpoints = changed_list(held, news.endpoints)
+                view.apply_endpoints(endpoints, now - news.endpoints_age_s)
         if news.records is not None:
-            self._view.apply_records(news.records, now)
-        self._on_change()
+            view.apply_records(news.records, now)
+        self._announce()
+
+    async def _follow_reader(self) -> None:
+        """Ask the daemon that reads for this one, if there is one that answers and is current."""
+        now = asyncio.get_running_loop().time()
+        address = self._reader_address(now)
+        if address is None or self._lost_since:
+            self._reads_itself.set()
+            await asyncio.sleep(READER_PAUSE_S)
+            return
+        if self._reader is None or self._reader.address != address:
+            self._change_reader(address)
+        assert self._reader
+        try:
+            self._take(await self._reader.ask(self._question(READER_WAIT_S)))
+        except PeerError as error:
+            self._avoid(address, str(error))
+            return
+        now = asyncio.get_running_loop().time()
+        age_s = max(self._view.operations_age_s(now), self._view.endpoints_age_s(now))
+        if age_s > READER_AGE_OF_CONFIG * self._deployment.bounds.config_s:
+            self._avoid(address, f"its news is {age_s:.1f} s old")
+            return
+        self._avoided.pop(address, None)
+        self._reads_itself.clear()
+
+    def _reader_address(self, now: float) -> str | None:
+        """Return whom to ask; None when this daemon reads itself."""
+        records = self._view.records
+        if records is None or not self._published or not self._view.ready():
+            return None
+        avoided = [
+            daemon
+            for daemon, address in records.control_by_daemon.items()
+            if address in self._avoided and now < self._avoided[address].until
+        ]
+        group = self._view.daemons_in(self._deployment.region)
+        reader = reader_for(self._deployment.instance, group, avoided)
+        return records.control_by_daemon.get(reader) if reader else None
+
+    def _change_reader(self, address: str) -> None:
+        if self._reader:
+            self._reader.close()
+        self._reader = PeerClient(address)
+        log.info("event=reader_chosen peer=%s", address)
+
+    def _avoid(self, address: str, reason: str) -> None:
+        """Read the directory again, and leave a reader alone for a while."""
+        self._reads_itself.set()
+        now = asyncio.get_running_loop().time()
+        before = self._avoided.get(address)
+        pause_s = min(READER_AVOIDED_MOST_S, 2 * before.pause_s) if before else READER_AVOIDED_S
+        self._avoided[address] = _Avoided(now + pause_s, pause_s)
+        log.info("event=reader_avoided peer=%s reason=%r", address, reason)
--- a/comfreyhatch/exchange/view.py
+++ b/comfreyhatch/exchange/view.py
@@ -12,6 +12,7 @@
     SharedRecords,
     TrialRecord,
 )
+from comfreyhatch.exchange.endpoint_changes import EndpointHistory
 
 CONTACT_LOST_S = 3.0
 LAPSE_GRACE_S = 2.2
@@ -28,6 +29,7 @@
         self.operations: Operations | None = None
         self.endpoint_list: EndpointList | None = None
         self.records: SharedRecords | None = None
+        self.endpoint_history = EndpointHistory()
         self.state_by_id: dict[str, EndpointState] = {}
         self.states_by_service: dict[str, list[EndpointState]] = {}
         self._operations_at = float("-inf")
@@ -89,6 +91,7 @@
         if held is not None and found.revision < held.revision:
             return
         self.endpoint_list = found
+        self.endpoint_history.note(found)
         for endpoint_id, record in found.record_by_id.items():
             self._apply_record(endpoint_id, record, held is None, now)
         for endpoint_id, state in self.state_by_id.items():
@@ -104,6 +107,12 @@
             return
         self.records = found
 
+    def daemons_in(self, region: str) -> list[str]:
+        """Return the daemons that have published themselves in a region."""
+        if self.records is None:
+            return []
+        return [d for d, found in self.records.region_by_daemon.items() if found == region]
+
     def daemons(self) -> set[str]:
         """Return the daemons that have ever published their address."""
         return set(self.records.control_by_daemon) if self.records else set()
--- a/comfreyhatch/platform/directory.py
+++ b/comfreyhatch/platform/directory.py
@@ -51,6 +51,7 @@
 
 class _DaemonAddress(Struct):
     control: str
+    region: str = ""
 
 
 class StoreDirectory:
@@ -74,9 +75,9 @@
         rows, whole = await self._rows(OWN_TABLE, held.revision if held else None, wait_s)
         return _apply_records(held, rows, whole)
 
-    async def put_control(self, daemon: str, address: str) -> bool:
-        """Publish the control address of this daemon."""
-        value = encode(_DaemonAddress(address))
+    async def put_control(self, daemon: str, address: str, region: str) -> bool:
+        """Publish the control address and the region of this daemon."""
+        value = encode(_DaemonAddress(address, region))
         return await self._put([Write(OWN_TABLE, DAEMON_PREFIX + daemon, value)])
 
     async def put_evidence(self, evidence: Evidence) -> bool:
@@ -171,6 +172,7 @@
     trials = dict(held.trial_by_service) if held and not whole else {}
     evidence = dict(held.evidence_by_key) if held and not whole else {}
     controls = dict(held.control_by_daemon) if held and not whole else {}
+    regions = dict(held.region_by_daemon) if held and not whole else {}
     for row in rows.rows:
         if row.key.startswith(TRIAL_PREFIX):
             _apply(trials, row, row.key.removeprefix(TRIAL_PREFIX), TrialRecord)
@@ -180,7 +182,8 @@
             address = _decode(row, _DaemonAddress)
             if address:
                 controls[row.key.removeprefix(DAEMON_PREFIX)] = address.control
-    return SharedRecords(rows.revision, rows.store_ms, trials, evidence, controls)
+                regions[row.key.removeprefix(DAEMON_PREFIX)] = address.region
+    return SharedRecords(rows.revision, rows.store_ms, trials, evidence, controls, regions)
 
 
 def _apply(held: dict[str, Any], row: Row, name: str, form: type[Struct]) -> None:
--- a/comfreyhatch/platform/settings.py
+++ b/comfreyhatch/platform/settings.py
@@ -108,6 +108,7 @@
         instance=reader.text("node_name"),
         zone=reader.text("zone"),
         zones=reader.keys_below("zones."),
+        region=value_by_key.get("region", ""),
         callers=reader.address("bind.front"),
         readiness=reader.address("bind.ready"),
         control=reader.optional_address("bind.control"),
--- a/comfreyhatch/ports/directory.py
+++ b/comfreyhatch/ports/directory.py
@@ -29,8 +29,8 @@
     async def records(self, held: SharedRecords | None, wait_s: float) -> SharedRecords:
         """Return what the daemons have published."""
 
-    async def put_control(self, daemon: str, address: str) -> bool:
-        """Publish the control address of this daemon; return whether it is stored."""
+    async def put_control(self, daemon: str, address: str, region: str) -> bool:
+        """Publish control address and region of this daemon; return whether they are stored."""
 
     async def put_evidence(self, evidence: Evidence) -> bool:
         """Publish what this daemon has counted; return whether it is stored."""
@@ -73,11 +73,12 @@
         await self._check()
         return self.current_records
 
-    async def put_control(self, daemon: str, address: str) -> bool:
-        """Keep a control address."""
+    async def put_control(self, daemon: str, address: str, region: str) -> bool:
+        """Keep a control address and a region."""
         if not self.available:
             return False
         self.current_records.control_by_daemon[daemon] = address
+        self.current_records.region_by_daemon[daemon] = region
         return True
 
     async def put_evidence(self, evidence: Evidence) -> bool:
--- a/tests/test_platform_directory.py
+++ b/tests/test_platform_directory.py
@@ -133,7 +133,7 @@
     store: StandInStore, directory: StoreDirectory
 ) -> None:
     evidence = Evidence("engines", 5, "d1", {"r": VersionOutcomes(3, 1, 0)}, {})
-    assert await directory.put_control("d1", "10.0.0.1:80")
+    assert await directory.put_control("d1", "10.0.0.1:80", "north")
     assert await directory.put_evidence(evidence)
     assert await directory.put_trial(TRIAL)
     found = await directory.records(None, 0.0)
--- /dev/null
+++ b/tests/test_readers.py
@@ -0,0 +1,42 @@
+"""Which daemons read the directory."""
+
+import pytest
+
+from comfreyhatch.decisions.readers import FOLLOWERS_PER_READER, reader_for
+
+
+def names(count: int) -> list[str]:
+    return [f"d{number}" for number in range(count)]
+
+
+def readers(group: list[str]) -> list[str]:
+    return [name for name in group if reader_for(name, group, ()) is None]
+
+
+def test_daemon_that_knows_no_other_reads_itself() -> None:
+    assert reader_for("d1", (), ()) is None
+    assert reader_for("d1", ["d1"], ()) is None
+
+
+@pytest.mark.parametrize(
+    ("count", "reading"), [(2, 1), (6, 1), (17, 1), (18, 2), (83, 5), (420, 25)]
+)
+def test_readers_grow_far_slower_than_the_fleet(count: int, reading: int) -> None:
+    assert len(readers(names(count))) == reading
+
+
+def test_the_others_ask_readers_and_none_is_asked_by_very_many() -> None:
+    group = names(83)
+    asked = [reader_for(name, group, ()) for name in group]
+    for reader in readers(group):
+        assert 1 <= asked.count(reader) <= 2 * FOLLOWERS_PER_READER
+    assert {name for name in asked if name} <= set(readers(group))
+
+
+def test_silent_reader_is_replaced_by_the_next() -> None:
+    group = names(6)
+    reader = readers(group)[0]
+    follower = next(name for name in group if name != reader)
+    assert reader_for(follower, group, {reader}) != reader
+    replaced = [name for name in group if reader_for(name, group, {reader}) is None]
+    assert len(set(replaced) - {reader}) == 1
