End with one line and exit code 3 when an address is in use; accept a byte order mark in settings

Now ADDRESS_UNAVAILABLE (5008) is told with the address and the reason. Settings and contracts in INI may begin with a byte order mark, as the platform's settings already might.

--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -12,7 +12,7 @@
 
 from comfreyhatch.codes import ResultCode, http_status
 from comfreyhatch.domain.instance import Address
-from comfreyhatch.errors import ComfreyhatchError, RequestError
+from comfreyhatch.errors import ComfreyhatchError, ListenError, RequestError
 
 READ_SIZE_BYTES = 65536
 JSON_TYPE = "application/json"
@@ -163,9 +163,15 @@
 
         Returns:
             The address that the listener has.
+
+        Raises:
+            ListenError: If the address cannot be had.
         """
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._protocol, host, port, backlog=1024)
+        try:
+            self._server = await loop.create_server(self._protocol, host, port, backlog=1024)
+        except OSError as error:
+            raise ListenError(f"cannot listen on {host}:{port}: {error}") from error
         bound_host, bound_port = self._server.sockets[0].getsockname()[:2]
         return Address(bound_host, bound_port)
 
--- a/comfreyhatch/adapters/ini.py
+++ b/comfreyhatch/adapters/ini.py
@@ -53,7 +53,7 @@
     """Return the sections of an INI file, or the errors of its syntax."""
     parser = ConfigParser(interpolation=None, default_section="")
     try:
-        parser.read_string(path.read_text(encoding="utf-8"), str(path))
+        parser.read_string(path.read_text(encoding="utf-8-sig"), str(path))
     except OSError as error:
         return {}, [f"{path}: cannot be read: {error.strerror}"]
     except (IniSyntaxError, UnicodeDecodeError) as error:
--- a/comfreyhatch/adapters/peer_bus.py
+++ b/comfreyhatch/adapters/peer_bus.py
@@ -25,7 +25,7 @@
     unseal,
 )
 from comfreyhatch.domain.instance import Address
-from comfreyhatch.errors import PeerTimeoutError
+from comfreyhatch.errors import ListenError, PeerTimeoutError
 from comfreyhatch.ports.peers import Handler, M, R
 
 FRAMES_PER_TURN = 64
@@ -106,10 +106,16 @@
 
         Returns:
             The address that the listener has.
+
+        Raises:
+            ListenError: If the address cannot be had.
         """
-        self._listener = pynng.Pull0(
-            listen=f"tcp://{host}:{port}", recv_max_size=2 * self._limits.frame_bytes
-        )
+        try:
+            self._listener = pynng.Pull0(
+                listen=f"tcp://{host}:{port}", recv_max_size=2 * self._limits.frame_bytes
+            )
+        except pynng.NNGException as error:
+            raise ListenError(f"cannot listen on {host}:{port}: {error}") from error
         loop = asyncio.get_running_loop()
         loop.add_reader(self._listener.recv_fd, self._receive_frames)
         self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
--- a/comfreyhatch/codes.py
+++ b/comfreyhatch/codes.py
@@ -54,6 +54,7 @@
     PEER_TIMEOUT = 5005
     NOT_READY = 5006
     SHUTTING_DOWN = 5007
+    ADDRESS_UNAVAILABLE = 5008
     INTERNAL = 9001
 
 
@@ -110,6 +111,9 @@
     ResultCode.PEER_TIMEOUT: CodeEntry(504, "The peer did not answer in time."),
     ResultCode.NOT_READY: CodeEntry(503, "The instance has no configuration yet."),
     ResultCode.SHUTTING_DOWN: CodeEntry(503, "The instance is shutting down; use another."),
+    ResultCode.ADDRESS_UNAVAILABLE: CodeEntry(
+        503, "A daemon cannot listen on an address of its settings; it ends with exit code 3."
+    ),
     ResultCode.INTERNAL: CodeEntry(500, "An internal error; see the log."),
 }
 
--- a/comfreyhatch/daemon/main.py
+++ b/comfreyhatch/daemon/main.py
@@ -11,9 +11,10 @@
 from comfreyhatch.adapters.logs import set_up_logs
 from comfreyhatch.adapters.settings import Settings, accepted_fleet_keys, fleet_key, load_settings
 from comfreyhatch.daemon.daemon import Daemon
-from comfreyhatch.errors import SettingsError
+from comfreyhatch.errors import ListenError, SettingsError
 
 EXIT_SETTINGS = 2
+EXIT_LISTEN = 3
 
 
 def serve(
@@ -27,7 +28,11 @@
         print(f"comfreyhatchd: {int(error.code)} {error.code.name}\n{error}", file=sys.stderr)
         raise SystemExit(EXIT_SETTINGS) from error
     set_up_logs(loaded.logs.format, loaded.logs.level)
-    asyncio.run(_serve(loaded, keys))
+    try:
+        asyncio.run(_serve(loaded, keys))
+    except ListenError as error:
+        print(f"comfreyhatchd: {int(error.code)} {error.code.name}\n{error}", file=sys.stderr)
+        raise SystemExit(EXIT_LISTEN) from error
 
 
 async def _serve(settings: Settings, keys: tuple[bytes, ...]) -> None:
--- a/comfreyhatch/errors.py
+++ b/comfreyhatch/errors.py
@@ -123,6 +123,12 @@
     code = ResultCode.SETTINGS_INVALID
 
 
+class ListenError(ComfreyhatchError):
+    """An address cannot be listened on."""
+
+    code = ResultCode.ADDRESS_UNAVAILABLE
+
+
 class PeerError(ComfreyhatchError):
     """A peer refused or could not be reached."""
 
--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -9,7 +9,7 @@
 from msgspec.msgpack import decode, encode
 
 from comfreyhatch.domain.operations import Operations, SharedRecords
-from comfreyhatch.errors import PeerError, PeerTimeoutError
+from comfreyhatch.errors import ListenError, PeerError, PeerTimeoutError
 from comfreyhatch.exchange.endpoint_changes import EndpointChanges
 
 ANSWER_TIMEOUT_S = 0.4
@@ -58,13 +58,13 @@
         """Listen.
 
         Raises:
-            PeerError: If the address cannot be had.
+            ListenError: If the address cannot be had.
         """
         self._socket = pynng.Rep0()
         try:
             self._socket.listen(f"tcp://{self._address}")
         except pynng.NNGException as error:
-            raise PeerError(f"cannot listen on {self._address}: {error}") from error
+            raise ListenError(f"cannot listen on {self._address}: {error}") from error
         self._contexts = [self._socket.new_context() for _ in range(QUESTIONS_AT_ONCE)]
         self._tasks = [asyncio.create_task(self._serve(context)) for context in self._contexts]
 
--- a/comfreyhatch/platform/main.py
+++ b/comfreyhatch/platform/main.py
@@ -13,7 +13,7 @@
 from comfreyhatch.adapters.logs import ROOT_LOGGER, set_up_logs
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.instance import Address
-from comfreyhatch.errors import SettingsError
+from comfreyhatch.errors import ListenError, SettingsError
 from comfreyhatch.exchange.daemon import ExchangeDaemon
 from comfreyhatch.platform.directory import StoreDirectory
 from comfreyhatch.platform.settings import SETTINGS_VARIABLE, load_deployment
@@ -26,6 +26,7 @@
 # What explains a request that was not served is never left out of the log.
 ALWAYS_LOGGED = frozenset({"refused", "stream_cut", "attempt_failed", "abandoned"})
 EXIT_SETTINGS = 2
+EXIT_LISTEN = 3
 
 log = logging.getLogger("comfreyhatch.main")
 
@@ -84,7 +85,11 @@
     except SettingsError as error:
         print(f"comfreyhatch: {int(error.code)} {error.code.name}\n{error}", file=sys.stderr)
         raise SystemExit(EXIT_SETTINGS) from error
-    asyncio.run(serve(deployment, settings))
+    try:
+        asyncio.run(serve(deployment, settings))
+    except ListenError as error:
+        log.error("event=start_failed code=%d reason=%r", error.code, str(error))
+        raise SystemExit(EXIT_LISTEN) from error
 
 
 if __name__ == "__main__":
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -11,6 +11,7 @@
 TEXT = """
 node_name=front-a-1
 zone=a
+region=r
 zones.a=r
 zones.b=r
 bind.front=10.1.0.40:8227
@@ -33,6 +34,7 @@
     found = parse_deployment(TEXT)
     assert found.instance == "front-a-1"
     assert found.zones == ("a", "b")
+    assert found.region == "r"
     assert found.callers == Address("10.1.0.40", 8227)
     assert found.seeds == (Address("10.1.0.40", 8229), Address("10.2.0.29", 8229))
     assert found.heartbeat_s == 1.2
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -76,6 +76,11 @@
     assert settings.peers.seed_addresses == [Address("10.0.0.1", 7), Address("10.0.0.2", 7)]
 
 
+def test_file_with_a_byte_order_mark(path: Path) -> None:
+    path.write_text(REQUIRED, encoding="utf-8-sig")
+    assert load_settings(path).instance.id == "d-1"
+
+
 def test_all_errors_are_named_at_once(path: Path) -> None:
     errors = errors_of(path, BAD)
     assert len(errors) == len(ERRORS)
