Keep the pause of an endpoint that is lost for long from overflowing

Found by a replay: after about 2,000 lost answers without a success between them the pause of an ejection was computed as 0.5 * 2 ** 1000 and raised OverflowError in the path of the request. The number of doublings is bounded now. The test failed before.

--- a/comfreyhatch/decisions/endpoint_state.py
+++ b/comfreyhatch/decisions/endpoint_state.py
@@ -7,7 +7,7 @@
 from comfreyhatch.domain.exchange import ReportedLoad
 
 EJECT_FIRST_S = 0.5
-EJECT_LONGEST_S = 4.0
+EJECT_DOUBLINGS_MOST = 3
 FAILURES_TO_EJECT = 2
 FAILURE_WEIGHT = 0.1
 LOAD_LIFE_S = 1.5
@@ -113,8 +113,8 @@
         self._strikes += FAILURES_TO_EJECT if unreachable else 1
         excess = self._strikes - FAILURES_TO_EJECT
         if excess >= 0:
-            pause_s = min(EJECT_LONGEST_S, EJECT_FIRST_S * 2 ** (excess // FAILURES_TO_EJECT))
-            self.ejected_until = now + pause_s
+            doublings = min(excess // FAILURES_TO_EJECT, EJECT_DOUBLINGS_MOST)
+            self.ejected_until = now + EJECT_FIRST_S * 2**doublings
 
     def is_cold(self, now: float) -> bool:
         """Return whether the endpoint counts as cold."""
--- a/comfreyhatch/emulator/experiment.py
+++ b/comfreyhatch/emulator/experiment.py
@@ -8,7 +8,7 @@
 from msgspec import Struct, ValidationError, convert
 
 from comfreyhatch.emulator.engine import EngineSpeed
-from comfreyhatch.emulator.load import Crash, Kind, LoadPattern, Surge
+from comfreyhatch.emulator.load import Crash, Kind, LoadPattern, Restart, Surge
 from comfreyhatch.emulator.policy import POLICY_BY_NAME, Policy
 from comfreyhatch.emulator.replay import LARGE, SMALL, Fleet, Replay, ReplayResult
 from comfreyhatch.errors import SettingsError
@@ -16,6 +16,7 @@
 KIND_PREFIX = "kind "
 SURGE_PREFIX = "surge "
 CRASH_PREFIX = "crash "
+RESTART_PREFIX = "restart "
 
 S = TypeVar("S")
 
@@ -32,6 +33,7 @@
 class _RunSection(Struct, forbid_unknown_fields=True):
     length_s: float
     seeds: int = 3
+    impatient: float = 0.0
     policies: str = ", ".join(POLICY_BY_NAME)
 
 
@@ -64,6 +66,8 @@
             tuple(_kinds(parser, path)),
             tuple(_section(parser, path, s, Surge) for s in _names(parser, SURGE_PREFIX)),
             tuple(_section(parser, path, s, Crash) for s in _names(parser, CRASH_PREFIX)),
+            tuple(_section(parser, path, s, Restart) for s in _names(parser, RESTART_PREFIX)),
+            run.impatient,
         ),
         fleet=Fleet(fleet.engines, fleet.daemons, EngineSpeed(fleet.slots, token_s, fleet.step_s)),
         policies=tuple(_policy(path, name) for name in run.policies.split(",")),
--- a/comfreyhatch/emulator/load.py
+++ b/comfreyhatch/emulator/load.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 
 class Kind(Struct, frozen=True):
@@ -47,6 +48,7 @@
         confidence: What the smallest model thinks of its own answer, 0 to 100.
         daemon: Daemon at which it arrives.
         weight: Its payoff as a share of its kind's.
+        impatient: Whether its caller repeats it at once when it is refused.
     """
 
     number: int
@@ -58,6 +60,7 @@
     confidence: int
     daemon: int
     weight: float = 1.0
+    impatient: bool = False
 
 
 class Surge(Struct, frozen=True):
@@ -77,13 +80,31 @@
     share: float
 
 
+class Restart(Struct, frozen=True):
+    """All daemons end and start again, with no knowledge of the engines."""
+
+    at_s: float
+    down_s: float
+
+
 class LoadPattern(Struct, frozen=True):
-    """What a replay plays."""
+    """What a replay plays.
+
+    Attributes:
+        length_s: Time in which requests arrive.
+        kinds: Kinds of requests.
+        surges: Spans with more arrivals.
+        crashes: Engines that go down.
+        restarts: Restarts of all daemons.
+        impatient: Share of the callers that repeat a refused request at once, not when told.
+    """
 
     length_s: float
     kinds: tuple[Kind, ...]
     surges: tuple[Surge, ...] = ()
     crashes: tuple[Crash, ...] = ()
+    restarts: tuple[Restart, ...] = ()
+    impatient: float = 0.0
 
 
 HARD_SHARE = 0.46
@@ -99,7 +120,9 @@
     found: list[Arrival] = []
     for kind in pattern.kinds:
         for at in _times(pattern, kind, rng):
-            found.append(_arrival(len(found), at, kind, daemons, rng))
+            arrival = _arrival(len(found), at, kind, daemons, rng)
+            impatient = pattern.impatient > 0 and rng.random() < pattern.impatient
+            found.append(replace(arrival, impatient=impatient))
     return sorted(found, key=lambda arrival: (arrival.at, arrival.number))
 
 
--- a/comfreyhatch/emulator/replay.py
+++ b/comfreyhatch/emulator/replay.py
@@ -11,6 +11,7 @@
 from comfreyhatch.decisions.cascade import CascadeState
 from comfreyhatch.decisions.endpoint_state import EndpointState
 from comfreyhatch.decisions.engine_time import EngineTimes
+from comfreyhatch.decisions.waiting import Throughput
 from comfreyhatch.domain.endpoint import EndpointRecord
 from comfreyhatch.domain.exchange import Exchange, ReportedLoad
 from comfreyhatch.domain.instance import Address
@@ -21,7 +22,9 @@
 SMALL = "small"
 LARGE = "large"
 POOR_PAYOFF = 0.05
-RETRY_AFTER_S = 0.5
+IMPATIENT_RETURN_S = 0.02
+RETURNS_MOST = 6
+UNREACHABLE_MOST = 8
 ATTEMPTS = 3
 BUDGET_WINDOW_S = 10.0
 BUDGET_RATIO = 0.9
@@ -74,6 +77,7 @@
         self.states = [EndpointState(_record(engine), 0.0) for engine in engines]
         self.times = EngineTimes()
         self.budget = ArrivalBudget(BUDGET_WINDOW_S, BUDGET_RATIO, BUDGET_SLACK / daemons)
+        self.throughput = Throughput()
 
 
 class _Request(Struct):
@@ -82,7 +86,8 @@
     arrival: Arrival
     model: str = SMALL
     attempts: int = 0
-    came_back: bool = False
+    unreachable: int = 0
+    returns: int = 0
 
 
 class Replay:
@@ -95,7 +100,10 @@
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._order = count()
         self._result = ReplayResult(policy.name, {k.name: KindResult() for k in pattern.kinds})
-        rng = Random(seed)
+        self._down_until = 0.0
+        self._rng = rng = Random(seed)
+        for restart in pattern.restarts:
+            self._at(restart.at_s, self._restart(restart.down_s))
         for arrival in arrivals(pattern, fleet.daemons, rng):
             self._at(arrival.at, self._arrive(_Request(arrival)))
         for crash in pattern.crashes:
@@ -115,7 +123,7 @@
 
     def _arrive(self, request: _Request) -> Callable[[float], None]:
         def act(now: float) -> None:
-            if not request.came_back:
+            if not request.returns:
                 self._daemons[request.arrival.daemon].budget.note_request(now)
             self._send(request, now)
 
@@ -124,19 +132,23 @@
     def _send(self, request: _Request, now: float) -> None:
         daemon = self._daemons[request.arrival.daemon]
         arrival = request.arrival
+        if now < self._down_until:
+            self._at(self._down_until, lambda at: self._send(request, at))
+            return
         work_s = daemon.times.first_event_s(request.model, arrival.prompt_tokens)
         usable = [s for s in daemon.states if s.running(now) < s.record.slots]
-        usable = [s for s in usable if now >= s.ejected_until] or usable
+        if self._policy.ejects:
+            usable = [s for s in usable if now >= s.ejected_until] or usable
         state = self._policy.place(_exchange(arrival), usable, work_s, now)
         if state is None:
             self._refuse(request, now)
             return
-        request.attempts += 1
         engine = self._engines[daemon.states.index(state)]
         if engine.is_down(now):
             state.note_broken(now, unreachable=True)
-            self._again(request, now)
+            self._not_reached(request, now)
             return
+        request.attempts += 1
         state.in_flight += 1
         state.pending_s += work_s
         due = engine.read(request.model, arrival.prompt_tokens, now)
@@ -172,6 +184,7 @@
             return
         self._serve(request, now)
         ends = now + engine.answer_s(request.arrival.output_tokens, now)
+        daemon.throughput.note(ends - sent)
         self._at(ends, lambda at: _end(state, engine, epoch))
 
     def _escalates(self, request: _Request, daemon: _Daemon, now: float) -> bool:
@@ -191,6 +204,17 @@
         )
         return self._policy.escalate(arrival.confidence, state) and daemon.budget.take(now)
 
+    def _not_reached(self, request: _Request, now: float) -> None:
+        if self._policy.counts_unreachable:
+            request.attempts += 1
+            self._again(request, now)
+            return
+        request.unreachable += 1
+        if request.unreachable <= UNREACHABLE_MOST:
+            self._send(request, now)
+        else:
+            self._fail(request)
+
     def _again(self, request: _Request, now: float) -> None:
         daemon = self._daemons[request.arrival.daemon]
         if request.attempts < ATTEMPTS and daemon.budget.take(now):
@@ -199,12 +223,27 @@
             self._fail(request)
 
     def _refuse(self, request: _Request, now: float) -> None:
-        left_s = request.arrival.at + request.arrival.kind.patience_s - now
-        if request.came_back or left_s <= RETRY_AFTER_S:
+        arrival = request.arrival
+        left_s = arrival.at + arrival.kind.patience_s - now
+        daemon = self._daemons[arrival.daemon]
+        slots = sum(s.record.slots for s in daemon.states) // len(self._daemons)
+        expected_s = daemon.throughput.expected_wait_s(1, slots)
+        after_s = self._policy.return_s(expected_s, left_s, self._rng)
+        if arrival.impatient:
+            after_s = IMPATIENT_RETURN_S
+        if request.returns >= RETURNS_MOST or left_s <= after_s:
             self._fail(request)
             return
-        request.came_back = True
-        self._at(now + RETRY_AFTER_S, self._arrive(request))
+        request.returns += 1
+        self._at(now + after_s, self._arrive(request))
+
+    def _restart(self, down_s: float) -> Callable[[float], None]:
+        def act(now: float) -> None:
+            self._down_until = now + down_s
+            count = len(self._daemons)
+            self._daemons = [_Daemon(self._engines, count) for _ in range(count)]
+
+        return act
 
     def _serve(self, request: _Request, now: float) -> None:
         kind = request.arrival.kind
--- a/tests/test_endpoint_state.py
+++ b/tests/test_endpoint_state.py
@@ -18,6 +18,14 @@
     assert pauses[0] == 0.5 and pauses[-1] == 4.0
 
 
+def test_endpoint_that_is_lost_for_long_stays_ejected() -> None:
+    # Found by a replay (bench/experiments/overload.ini): the pause overflowed after 2,000 failures.
+    state = EndpointState(record("e"), NOW)
+    for _ in range(3000):
+        state.note_broken(NOW, unreachable=True)
+    assert state.ejected_until - NOW == 4.0
+
+
 def test_one_lost_answer_does_not_eject() -> None:
     state = EndpointState(record("e"), NOW)
     state.note_broken(NOW, unreachable=False)
