Replay engines that leave unheard and a restart of all daemons

New patterns scale-in and restart, with the baselines "no ejection" and "counts unreachable", each with a test.

--- a/comfreyhatch/emulator/experiment.py
+++ b/comfreyhatch/emulator/experiment.py
@@ -33,7 +33,6 @@
 class _RunSection(Struct, forbid_unknown_fields=True):
     length_s: float
     seeds: int = 3
-    impatient: float = 0.0
     policies: str = ", ".join(POLICY_BY_NAME)
 
 
@@ -67,7 +66,6 @@
             tuple(_section(parser, path, s, Surge) for s in _names(parser, SURGE_PREFIX)),
             tuple(_section(parser, path, s, Crash) for s in _names(parser, CRASH_PREFIX)),
             tuple(_section(parser, path, s, Restart) for s in _names(parser, RESTART_PREFIX)),
-            run.impatient,
         ),
         fleet=Fleet(fleet.engines, fleet.daemons, EngineSpeed(fleet.slots, token_s, fleet.step_s)),
         policies=tuple(_policy(path, name) for name in run.policies.split(",")),
--- a/comfreyhatch/emulator/load.py
+++ b/comfreyhatch/emulator/load.py
@@ -4,7 +4,6 @@
 from random import Random
 
 from msgspec import Struct
-from msgspec.structs import replace
 
 
 class Kind(Struct, frozen=True):
@@ -48,7 +47,6 @@
         confidence: What the smallest model thinks of its own answer, 0 to 100.
         daemon: Daemon at which it arrives.
         weight: Its payoff as a share of its kind's.
-        impatient: Whether its caller repeats it at once when it is refused.
     """
 
     number: int
@@ -60,7 +58,6 @@
     confidence: int
     daemon: int
     weight: float = 1.0
-    impatient: bool = False
 
 
 class Surge(Struct, frozen=True):
@@ -96,7 +93,6 @@
         surges: Spans with more arrivals.
         crashes: Engines that go down.
         restarts: Restarts of all daemons.
-        impatient: Share of the callers that repeat a refused request at once, not when told.
     """
 
     length_s: float
@@ -104,7 +100,6 @@
     surges: tuple[Surge, ...] = ()
     crashes: tuple[Crash, ...] = ()
     restarts: tuple[Restart, ...] = ()
-    impatient: float = 0.0
 
 
 HARD_SHARE = 0.46
@@ -120,9 +115,7 @@
     found: list[Arrival] = []
     for kind in pattern.kinds:
         for at in _times(pattern, kind, rng):
-            arrival = _arrival(len(found), at, kind, daemons, rng)
-            impatient = pattern.impatient > 0 and rng.random() < pattern.impatient
-            found.append(replace(arrival, impatient=impatient))
+            found.append(_arrival(len(found), at, kind, daemons, rng))
     return sorted(found, key=lambda arrival: (arrival.at, arrival.number))
 
 
--- a/comfreyhatch/emulator/policy.py
+++ b/comfreyhatch/emulator/policy.py
@@ -1,33 +1,27 @@
 """Policies that a replay compares: those of the product, and the baselines that they replaced."""
 
 from collections.abc import Callable, Sequence
-from random import Random
 
 from msgspec import Struct
 
 from comfreyhatch.decisions.cascade import CascadeState, escalates, threshold
 from comfreyhatch.decisions.endpoint_state import EndpointState
 from comfreyhatch.decisions.placement import choose_endpoint
-from comfreyhatch.decisions.waiting import retry_after_s
 from comfreyhatch.domain.exchange import Exchange
 
 FIXED_CONFIDENCE = 60
-FIXED_RETURN_S = 0.5
 
 Placer = Callable[[Exchange, Sequence[EndpointState], float, float], EndpointState | None]
 Escalator = Callable[[int, CascadeState], bool]
-Returner = Callable[[float, float, Random], float]
 
 
 class Policy(Struct, frozen=True):
-    """How requests are placed, which model answers, and when refused callers come back.
+    """How requests are placed, which model answers, and what becomes of lost engines.
 
     Attributes:
         name: Its name.
         place: Chooses the engine.
         escalate: Tells whether the largest model is asked.
-        return_s: Time after which a refused caller comes back, from the expected wait and the
-            time that it has left, in seconds.
         ejects: Whether engines that cannot be reached get no work for a while.
         counts_unreachable: Whether a connection that cannot be opened counts as an attempt and
             as a further arrival.
@@ -36,7 +30,6 @@
     name: str
     place: Placer
     escalate: Escalator
-    return_s: Returner
     ejects: bool = True
     counts_unreachable: bool = False
 
@@ -70,23 +63,16 @@
     return confidence < FIXED_CONFIDENCE
 
 
-def return_after_fixed(expected_wait_s: float, time_left_s: float, rng: Random) -> float:
-    """Let all come back after the same time."""
-    return FIXED_RETURN_S
-
-
-PRODUCT = Policy("product", place_by_engine_time, escalate_by_pressure, retry_after_s)
+PRODUCT = Policy("product", place_by_engine_time, escalate_by_pressure)
 BASELINES = (
-    Policy("by count", place_by_count, escalate_by_pressure, retry_after_s),
-    Policy("prompt counts", place_by_engine_time, escalate_by_prompt, retry_after_s),
-    Policy("fixed confidence", place_by_engine_time, escalate_below_fixed, retry_after_s),
-    Policy("fixed return", place_by_engine_time, escalate_by_pressure, return_after_fixed),
-    Policy("no ejection", place_by_engine_time, escalate_by_pressure, retry_after_s, ejects=False),
+    Policy("by count", place_by_count, escalate_by_pressure),
+    Policy("prompt counts", place_by_engine_time, escalate_by_prompt),
+    Policy("fixed confidence", place_by_engine_time, escalate_below_fixed),
+    Policy("no ejection", place_by_engine_time, escalate_by_pressure, ejects=False),
     Policy(
         "counts unreachable",
         place_by_engine_time,
         escalate_by_pressure,
-        retry_after_s,
         counts_unreachable=True,
     ),
 )
--- a/comfreyhatch/emulator/replay.py
+++ b/comfreyhatch/emulator/replay.py
@@ -11,7 +11,7 @@
 from comfreyhatch.decisions.cascade import CascadeState
 from comfreyhatch.decisions.endpoint_state import EndpointState
 from comfreyhatch.decisions.engine_time import EngineTimes
-from comfreyhatch.decisions.waiting import Throughput
+from comfreyhatch.decisions.waiting import Throughput, retry_after_s
 from comfreyhatch.domain.endpoint import EndpointRecord
 from comfreyhatch.domain.exchange import Exchange, ReportedLoad
 from comfreyhatch.domain.instance import Address
@@ -22,7 +22,6 @@
 SMALL = "small"
 LARGE = "large"
 POOR_PAYOFF = 0.05
-IMPATIENT_RETURN_S = 0.02
 RETURNS_MOST = 6
 UNREACHABLE_MOST = 8
 ATTEMPTS = 3
@@ -228,9 +227,7 @@
         daemon = self._daemons[arrival.daemon]
         slots = sum(s.record.slots for s in daemon.states) // len(self._daemons)
         expected_s = daemon.throughput.expected_wait_s(1, slots)
-        after_s = self._policy.return_s(expected_s, left_s, self._rng)
-        if arrival.impatient:
-            after_s = IMPATIENT_RETURN_S
+        after_s = retry_after_s(expected_s, left_s, self._rng)
         if request.returns >= RETURNS_MOST or left_s <= after_s:
             self._fail(request)
             return
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -113,3 +113,21 @@
 def test_long_prompts_get_the_larger_model_while_engines_idle() -> None:
     found = mean_by_policy("quiet")
     assert found["product"][0] > found["prompt counts"][0]
+
+
+@pytest.mark.parametrize("name", ["crash", "scale-in", "overload"])
+def test_ejection_keeps_requests_from_lost_engines(name: str) -> None:
+    found = mean_by_policy(name)
+    assert found["product"][0] > found["no ejection"][0]
+
+
+@pytest.mark.parametrize("name", ["crash", "scale-in", "overload"])
+def test_unreachable_engines_cost_no_attempts(name: str) -> None:
+    found = mean_by_policy(name)
+    assert found["product"][0] > found["counts unreachable"][0]
+
+
+def test_daemons_that_know_nothing_spread_a_full_load_by_engine_time() -> None:
+    found = mean_by_policy("restart")
+    assert found["product"][0] > found["by count"][0]
+    assert found["product"][1] < found["by count"][1]
