--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -70,16 +70,24 @@
         self._trials = Trials(deployment, directory, self.view, outcomes)
         self._pool = EndpointPool(deployment, self.view, rng, self._trials.distrusted)
         self._client = HttpClient(connect_timeout_s=ENDPOINT_CONNECT_TIMEOUT_S)
-        sender = Sender(self._client, wire)
+        ledger = Ledger(self.registry)
+        sender = Sender(self._client, wire, ledger.note_attempt)
         self._billing = Billing(deployment.instance, started_ms, directory)
         self._news = News(deployment, directory, self.view, rng, self._changed)
         self._router = ExchangeRouter(
             wire,
             self.view,
             Calls(self._pool, sender, self._budget, outcomes, self._bill_call),
-            Streams(self._pool, sender, self._budget, outcomes, self._bill_stream),
+            Streams(
+                self._pool,
+                sender,
+                self._budget,
+                outcomes,
+                self._bill_stream,
+                ledger.note_model,
+            ),
             self._budget,
-            Ledger(self.registry),
+            ledger,
         )
         self._callers = HttpServer(self._router.handle, _limits(deployment), True)
         self._readiness = HttpServer(self._answer_readiness)
--- a/comfreyhatch/exchange/ledger.py
+++ b/comfreyhatch/exchange/ledger.py
@@ -1,8 +1,9 @@
-"""What became of requests: one log line and the counters for each."""
+"""What became of requests and of their attempts: counters, and one log line for each request."""
 
 import asyncio
 import logging
 from collections.abc import AsyncIterator
+from enum import Enum
 
 from prometheus_client import CollectorRegistry, Counter, Histogram
 
@@ -16,8 +17,18 @@
 log = logging.getLogger("comfreyhatch.requests")
 
 
+class AttemptOutcome(Enum):
+    """How an attempt at an endpoint went, as far as the head of its answer."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+    LOST = "lost"
+
+
 class Ledger:
-    """Counts and logs the end of each request."""
+    """Counts and logs the end of each request; counts attempts and choices of a model."""
 
     def __init__(self, registry: CollectorRegistry) -> None:
         self._requests = Counter(
@@ -33,6 +44,26 @@
             buckets=DURATION_BUCKETS_S,
             registry=registry,
         )
+        self._attempts = Counter(
+            "comfreyhatch_attempts",
+            "Attempts at endpoints, by how they went.",
+            ("outcome",),
+            registry=registry,
+        )
+        self._judged = Counter(
+            "comfreyhatch_model_answers",
+            "Answers of the smallest model that were passed on, or dropped for a larger one's.",
+            ("decision",),
+            registry=registry,
+        )
+
+    def note_attempt(self, outcome: AttemptOutcome) -> None:
+        """Count an attempt at an endpoint."""
+        self._attempts.labels(outcome.value).inc()
+
+    def note_model(self, dropped: bool) -> None:
+        """Count an answer of the smallest model."""
+        self._judged.labels("dropped" if dropped else "kept").inc()
 
     def note_answer(self, exchange: Exchange, job: Job | None, status: int, arrived: float) -> None:
         """Count an answer of an endpoint that was passed on."""
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
 
 from msgspec import Struct
@@ -21,6 +21,7 @@
     HttpError,
 )
 from comfreyhatch.exchange.health import note_lost_answer
+from comfreyhatch.exchange.ledger import AttemptOutcome
 from comfreyhatch.exchange.wire import Wire
 
 REFUSAL_READ_S = 0.5
@@ -73,9 +74,19 @@
 class Sender:
     """Sends requests to endpoints; owns the connections to them."""
 
-    def __init__(self, client: HttpClient, wire: Wire) -> None:
+    def __init__(
+        self, client: HttpClient, wire: Wire, count: Callable[[AttemptOutcome], None]
+    ) -> None:
+        """Create a sender.
+
+        Args:
+            client: Connections to endpoints.
+            wire: Codec of headers.
+            count: Counts attempts.
+        """
         self._client = client
         self._wire = wire
+        self._count = count
 
     async def open(
         self, job: Job, endpoint: EndpointState, dispatch: Dispatch, head_timeout_s: float
@@ -111,10 +122,18 @@
         except HttpError as error:
             await stack.aclose()
             note_lost_answer(endpoint, error, loop.time())
+            unreachable = isinstance(error, ConnectError)
+            self._count(AttemptOutcome.UNREACHABLE if unreachable else AttemptOutcome.LOST)
             raise _backend_error(error) from error
+        except BackendError as error:
+            await stack.aclose()
+            refused = isinstance(error, BackendRefusedError)
+            self._count(AttemptOutcome.REFUSED if refused else AttemptOutcome.FAILED)
+            raise
         except BaseException:
             await stack.aclose()
             raise
+        self._count(AttemptOutcome.ANSWERED if head.success else AttemptOutcome.FAILED)
         return OpenAnswer(head, endpoint, reply, stack)
 
     async def has_ended(self, endpoint: EndpointState) -> bool:
--- a/comfreyhatch/exchange/streams.py
+++ b/comfreyhatch/exchange/streams.py
@@ -46,6 +46,7 @@
         budget: Callable[[str], ArrivalBudget],
         outcomes: Outcomes,
         bill: Callable[[Job, str, int], None],
+        count_model: Callable[[bool], None],
     ) -> None:
         """Create the path.
 
@@ -55,8 +56,10 @@
             budget: Returns the budget of further arrivals of a service.
             outcomes: Takes in what became of each attempt.
             bill: Bills an answer: request, model, events of its stream.
+            count_model: Counts an answer of the smallest model, and whether it was dropped.
         """
         self._bill = bill
+        self._count_model = count_model
         self._pool = pool
         self._sender = sender
         self._budget = budget
@@ -288,7 +291,9 @@
             state.budget_left,
             wanted,
         )
-        return wanted and budget.take(now)
+        dropped = wanted and budget.take(now)
+        self._count_model(dropped)
+        return dropped
 
     async def _goes_on(self, run: StreamRun) -> bool:
         """Return whether another endpoint gets the request after a failed attempt.
--- a/comfreyhatch/platform/main.py
+++ b/comfreyhatch/platform/main.py
@@ -11,6 +11,7 @@
 
 from comfreyhatch.adapters.log_output import NonBlockingOutput, VolumeLimit
 from comfreyhatch.adapters.logs import ROOT_LOGGER, set_up_logs
+from comfreyhatch.adapters.metrics import add_gauge
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import ListenError, SettingsError
@@ -43,6 +44,7 @@
     rng = Random(deployment.instance)
     started_ms = int(time() * MS_PER_S)
     daemon = ExchangeDaemon(deployment, directory, PlatformWire(), rng, started_ms)
+    add_gauge(daemon.registry, "store_calls", "Calls to the store.", lambda: store.calls)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -385,11 +385,20 @@
 async def test_metrics_tell_requests_and_beliefs(world: World) -> None:
     await world.ask("/read/x")
     await world.ask("/none/")
+    for worker in workers(world, "engine"):
+        worker.confidence_by_model = {"small": 10, "large": 90}
+    await world.draft()
+    for worker in workers(world, "desk"):
+        worker.status = 500
+    await world.ask("/pay/x")
     client = HttpClient()
     text = (await client.request(world.metrics, "GET", "/metrics")).body.decode()
     client.close()
     assert 'comfreyhatch_exchanges_total{code="0",kind="idempotent"} 1.0' in text
     assert 'comfreyhatch_exchanges_total{code="1004",kind="none"} 1.0' in text
+    assert 'comfreyhatch_attempts_total{outcome="answered"} 3.0' in text
+    assert 'comfreyhatch_attempts_total{outcome="failed"} 1.0' in text
+    assert 'comfreyhatch_model_answers_total{decision="dropped"} 1.0' in text
     assert "comfreyhatch_endpoints 4.0" in text
     assert "comfreyhatch_configuration 1.0" in text
 
