Tell engines how urgent a request is

Cause: engines admit all requests in the order of arrival; after a crash the streams that go on elsewhere wait behind new summaries while their callers hold half of an answer.

Change: decisions/urgency.py: answers that have begun, then the rank of workspace or route.

--- a/comfreyhatch/domain/exchange.py
+++ b/comfreyhatch/domain/exchange.py
@@ -88,6 +88,7 @@
         workspace: Workspace that pays; empty on public routes.
         model: Model to run; empty when the caller's choice stands.
         last_event_id: Last event that the caller holds; None for a stream from its start.
+        urgency: Place in an engine's order of admission, 0 is first; None for the usual one.
     """
 
     endpoint_id: str
@@ -95,6 +96,7 @@
     workspace: str = ""
     model: str = ""
     last_event_id: int | None = None
+    urgency: int | None = None
 
 
 class ReportedLoad(Struct, frozen=True):
--- a/comfreyhatch/exchange/streams.py
+++ b/comfreyhatch/exchange/streams.py
@@ -11,6 +11,7 @@
 from comfreyhatch.decisions.engine_time import EngineTimes
 from comfreyhatch.decisions.retries import LatencyWindow
 from comfreyhatch.decisions.stall import first_event_limits, gap_limits
+from comfreyhatch.decisions.urgency import engine_urgency
 from comfreyhatch.domain.exchange import Dispatch, Job
 from comfreyhatch.errors import (
     AnswerBrokenError,
@@ -158,7 +159,12 @@
         job = run.job
         left_s = job.deadline - place.started - TIME_TO_ANSWER_S
         dispatch = Dispatch(
-            place.endpoint.record.endpoint_id, left_s, job.workspace, run.model, run.last_event_id
+            place.endpoint.record.endpoint_id,
+            left_s,
+            job.workspace,
+            run.model,
+            run.last_event_id,
+            engine_urgency(job.rank, run.begun),
         )
         opening = asyncio.create_task(
             self._sender.open(job, place.endpoint, dispatch, max(0.0, left_s))
--- a/comfreyhatch/platform/wire.py
+++ b/comfreyhatch/platform/wire.py
@@ -105,6 +105,8 @@
             headers.append((b"model", dispatch.model.encode()))
         if dispatch.last_event_id is not None:
             headers.append((b"last-event-id", b"%d" % dispatch.last_event_id))
+        if dispatch.urgency is not None:
+            headers.append((b"request-priority", b"%d" % dispatch.urgency))
         return headers
 
     def read_head(self, status: int, headers: Headers) -> AnswerHead:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -204,6 +204,17 @@
     assert resumed <= {"", "2", "4"} and len(resumed) > 1
 
 
+async def test_engine_is_told_how_urgent_a_request_is(world: World) -> None:
+    for worker in workers(world, "engine"):
+        worker.break_after = 2
+    with pytest.raises(HttpError):
+        await world.draft(request_priority="0")
+    first, second, *_ = sorted(sent_to(world, "engine"), key=lambda r: r.header("last-event-id"))
+    assert first.header("last-event-id") == "" and second.header("last-event-id") == "2"
+    assert int(second.header("request-priority")) < int(first.header("request-priority"))
+    assert first.header("request-priority") != "0"
+
+
 async def test_stream_that_cannot_go_on_does_not_look_whole(world: World) -> None:
     for worker in workers(world, "engine"):
         worker.break_after = 1
