Keep the choice of a reader apart from following it

exchange/news.py had two jobs; which reader is asked, and which are left alone, is exchange/reader_choice.py now, with its own tests.

--- a/comfreyhatch/exchange/news.py
+++ b/comfreyhatch/exchange/news.py
@@ -7,13 +7,11 @@
 from random import Random
 from typing import Any
 
-from msgspec import Struct
-
-from comfreyhatch.decisions.readers import reader_for
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.errors import ComfreyhatchError, PeerError, PlatformError
 from comfreyhatch.exchange.endpoint_changes import changed_list
 from comfreyhatch.exchange.peers import LONGEST_WAIT_S, PeerClient, PeerNews, PeerQuestion
+from comfreyhatch.exchange.reader_choice import ReaderChoice
 from comfreyhatch.exchange.view import FleetView
 from comfreyhatch.ports.directory import Directory
 
@@ -22,8 +20,6 @@
 ASKED_LATELY_S = 30.0
 READER_WAIT_S = 0.4
 READER_AGE_OF_CONFIG = 0.6
-READER_AVOIDED_S = 4.0
-READER_AVOIDED_MOST_S = 64.0
 READER_PAUSE_S = 0.5
 ENDPOINTS_PAUSE_S = 0.3
 BACKOFF_S = 0.2
@@ -39,13 +35,6 @@
 log = logging.getLogger("comfreyhatch.news")
 
 
-class _Avoided(Struct, frozen=True):
-    """Until when a reader is not asked, by the monotonic clock, and for how long that is."""
-
-    until: float
-    pause_s: float
-
-
 class News:
     """Tasks that follow orders, endpoints and the daemons' records."""
 
@@ -78,7 +67,7 @@
         self._reads_itself = asyncio.Event()
         self._reads_itself.set()
         self._reader: PeerClient | None = None
-        self._avoided: dict[str, _Avoided] = {}
+        self._choice = ReaderChoice(deployment, view)
         self._asked_at = float("-inf")
 
     def start(self) -> None:
@@ -293,7 +282,7 @@
     async def _follow_reader(self) -> None:
         """Ask the daemon that reads for this one, if there is one that answers and is current."""
         now = asyncio.get_running_loop().time()
-        address = self._reader_address(now)
+        address = self._choice.address(now) if self._published else None
         if address is None or self._lost_since:
             self._reads_itself.set()
             await asyncio.sleep(READER_PAUSE_S)
@@ -304,41 +293,23 @@
         try:
             self._take(await self._reader.ask(self._question(READER_WAIT_S)))
         except PeerError as error:
-            self._avoid(address, str(error))
+            self._leave_reader(address, str(error))
             return
         now = asyncio.get_running_loop().time()
         age_s = max(self._view.operations_age_s(now), self._view.endpoints_age_s(now))
         if age_s > READER_AGE_OF_CONFIG * self._deployment.bounds.config_s:
-            self._avoid(address, f"its news is {age_s:.1f} s old")
+            self._leave_reader(address, f"its news is {age_s:.1f} s old")
             return
-        self._avoided.pop(address, None)
+        self._choice.trust(address)
         self._reads_itself.clear()
 
-    def _reader_address(self, now: float) -> str | None:
-        """Return whom to ask; None when this daemon reads itself."""
-        records = self._view.records
-        if records is None or not self._published or not self._view.ready():
-            return None
-        avoided = [
-            daemon
-            for daemon, address in records.control_by_daemon.items()
-            if address in self._avoided and now < self._avoided[address].until
-        ]
-        group = self._view.daemons_in(self._deployment.region)
-        reader = reader_for(self._deployment.instance, group, avoided)
-        return records.control_by_daemon.get(reader) if reader else None
-
     def _change_reader(self, address: str) -> None:
         if self._reader:
             self._reader.close()
         self._reader = PeerClient(address)
         log.info("event=reader_chosen peer=%s", address)
 
-    def _avoid(self, address: str, reason: str) -> None:
-        """Read the directory again, and leave a reader alone for a while."""
+    def _leave_reader(self, address: str, reason: str) -> None:
+        """Read the directory again."""
         self._reads_itself.set()
-        now = asyncio.get_running_loop().time()
-        before = self._avoided.get(address)
-        pause_s = min(READER_AVOIDED_MOST_S, 2 * before.pause_s) if before else READER_AVOIDED_S
-        self._avoided[address] = _Avoided(now + pause_s, pause_s)
-        log.info("event=reader_avoided peer=%s reason=%r", address, reason)
+        self._choice.avoid(address, reason, asyncio.get_running_loop().time())
--- /dev/null
+++ b/tests/test_reader_choice.py
@@ -0,0 +1,65 @@
+"""The reader that a daemon asks, as readers fail and come back."""
+
+from comfreyhatch.domain.catalog import Catalog
+from comfreyhatch.domain.deployment import Bounds, Deployment
+from comfreyhatch.domain.endpoint import EndpointList
+from comfreyhatch.domain.instance import Address
+from comfreyhatch.domain.operations import Operations, SharedRecords
+from comfreyhatch.exchange.reader_choice import AVOIDED_MOST_S, AVOIDED_S, ReaderChoice
+from comfreyhatch.exchange.view import FleetView
+
+NOWHERE = Address("127.0.0.1", 1)
+NAMES = ("d1", "d2", "d3")
+CONTROLS = {name: f"{name}:1" for name in NAMES}
+
+
+def view(region_by_daemon: dict[str, str]) -> FleetView:
+    found = FleetView()
+    found.apply_operations(Operations(1, Catalog(1, {}, {}, {}), {}, frozenset()), 0.0, 1.0)
+    found.apply_endpoints(EndpointList(1, {}), 0.0)
+    found.apply_records(SharedRecords(1, 0, {}, {}, CONTROLS, region_by_daemon), 0.0)
+    return found
+
+
+def choice(instance: str, known: FleetView) -> ReaderChoice:
+    settings = Deployment(
+        instance, "a", ("a",), NOWHERE, NOWHERE, None, (), NOWHERE, 1.0, 1, 1, Bounds(), "r"
+    )
+    return ReaderChoice(settings, known)
+
+
+def follower(known: FleetView) -> ReaderChoice:
+    return next(c for c in (choice(name, known) for name in NAMES) if c.address(0.0))
+
+
+def test_daemons_of_other_regions_are_not_asked() -> None:
+    known = view({"d1": "r", "d2": "elsewhere", "d3": "elsewhere"})
+    assert choice("d1", known).address(0.0) is None
+
+
+def test_nobody_is_asked_before_the_directory_was_read_once() -> None:
+    assert choice("d1", FleetView()).address(0.0) is None
+
+
+def test_reader_that_failed_is_left_alone_longer_each_time() -> None:
+    chosen = follower(view(dict.fromkeys(NAMES, "r")))
+    first = chosen.address(0.0)
+    assert first
+    now, pauses = 0.0, []
+    for _ in range(6):
+        chosen.avoid(first, "silent", now)
+        pause_s = 0.0
+        while chosen.address(now + pause_s) != first:
+            pause_s += 1.0
+        pauses.append(pause_s)
+        now += pause_s
+    assert pauses == [AVOIDED_S * 2**n for n in range(5)] + [AVOIDED_MOST_S]
+
+
+def test_reader_that_answers_again_is_trusted_again() -> None:
+    chosen = follower(view(dict.fromkeys(NAMES, "r")))
+    first = chosen.address(0.0)
+    assert first
+    chosen.avoid(first, "silent", 0.0)
+    chosen.trust(first)
+    assert chosen.address(0.0) == first
