Listen before the rest of the daemon is loaded

Change: platform/start.py opens the callers' listener first, from the settings file alone, and hands it to the daemon; the daemon reads orders and endpoints (0.7 s at most) before it serves, so that those who wait are not refused for want of a configuration.

--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Annotated
 from urllib.parse import parse_qsl, urlsplit
@@ -175,6 +176,11 @@
         bound_host, bound_port = self._server.sockets[0].getsockname()[:2]
         return Address(bound_host, bound_port)
 
+    async def start_on(self, listener: socket.socket) -> None:
+        """Serve the connections of a socket that listens already, those that wait included."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._protocol, sock=listener, backlog=1024)
+
     def drain(self) -> None:
         """Go on serving, but close each connection after its next answer."""
         self._draining = True
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
 from functools import partial
 from random import Random
@@ -36,6 +37,8 @@
 BALANCER_S = 2.4
 END_MARGIN_S = 0.4
 FDS_KEPT = 300
+START_WAIT_S = 0.7
+START_LOOK_S = 0.01
 DAEMONS_LEAST = 6
 METRICS_TYPE = "text/plain; version=0.0.4"
 
@@ -98,14 +101,25 @@
         self._left_callers = False
         self._add_gauges()
 
-    async def start(self, metrics: Address | None = None) -> None:
-        """Open the listeners and start to follow the directory."""
+    async def start(
+        self, metrics: Address | None = None, callers: socket.socket | None = None
+    ) -> None:
+        """Start to follow the directory, and open the listeners.
+
+        Args:
+            metrics: Where metrics are served; None for nowhere.
+            callers: Listens on the callers' address already; None if nothing does.
+        """
         if self._peers:
             self._peers.start()
         self._news.start()
         self._trials.start()
         self._billing.start()
-        await self._listen(self._callers, self._deployment.callers)
+        await self._know_what_to_serve()
+        if callers:
+            await self._callers.start_on(callers)
+        else:
+            await self._listen(self._callers, self._deployment.callers)
         await self._listen(self._readiness, self._deployment.readiness)
         if metrics:
             await self._listen(self._metrics, metrics)
@@ -174,6 +188,13 @@
     def _configuration_version(self) -> float:
         return self.view.catalog.version if self.view.catalog else 0
 
+    async def _know_what_to_serve(self) -> None:
+        """Wait a little for the directory: callers that wait are better off than refused ones."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + START_WAIT_S
+        while not self.view.ready() and loop.time() < ends_at:
+            await asyncio.sleep(START_LOOK_S)
+
     async def _listen(self, server: HttpServer, address: Address) -> None:
         await server.start(address.host, address.port)
 
--- a/comfreyhatch/platform/main.py
+++ b/comfreyhatch/platform/main.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import logging
-import os
 import signal
+import socket
 import sys
 from pathlib import Path
 from random import Random
@@ -17,11 +17,11 @@
 from comfreyhatch.errors import ListenError, SettingsError
 from comfreyhatch.exchange.daemon import ExchangeDaemon
 from comfreyhatch.platform.directory import StoreDirectory
-from comfreyhatch.platform.settings import SETTINGS_VARIABLE, load_deployment
+from comfreyhatch.platform.setting_lines import settings_path
+from comfreyhatch.platform.settings import load_deployment
 from comfreyhatch.platform.store import StoreClient
 from comfreyhatch.platform.wire import PlatformWire
 
-DEFAULT_SETTINGS = "/etc/comfreyhatch/local.conf"
 METRICS_PORT = 9464
 MS_PER_S = 1000
 # What explains a request that was not served is never left out of the log.
@@ -32,12 +32,15 @@
 log = logging.getLogger("comfreyhatch.main")
 
 
-async def serve(deployment: Deployment, settings: Path) -> None:
+async def serve(
+    deployment: Deployment, settings: Path, listener: socket.socket | None = None
+) -> None:
     """Run a daemon until SIGTERM.
 
     Args:
         deployment: Settings at the start.
         settings: File that is read again on SIGHUP.
+        listener: Listens on the callers' address already; None if nothing does.
     """
     store = StoreClient(deployment.store)
     directory = StoreDirectory(store)
@@ -50,7 +53,7 @@
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     loop.add_signal_handler(signal.SIGINT, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, settings, deployment)
-    await daemon.start(Address(deployment.callers.host, METRICS_PORT))
+    await daemon.start(Address(deployment.callers.host, METRICS_PORT), listener)
     await stopping.wait()
     await daemon.shut_down()
     store.close()
@@ -78,9 +81,13 @@
         handler.addFilter(limit)
 
 
-def main() -> None:
-    """Read the settings and run the daemon."""
-    settings = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS))
+def main(listener: socket.socket | None = None) -> None:
+    """Read the settings and run the daemon.
+
+    Args:
+        listener: Listens on the callers' address already; None if nothing does.
+    """
+    settings = Path(settings_path())
     set_up_bounded_logs(sys.stdout.fileno())
     try:
         deployment = load_deployment(settings)
@@ -88,7 +95,7 @@
         print(f"comfreyhatch: {int(error.code)} {error.code.name}\n{error}", file=sys.stderr)
         raise SystemExit(EXIT_SETTINGS) from error
     try:
-        asyncio.run(serve(deployment, settings))
+        asyncio.run(serve(deployment, settings, listener))
     except ListenError as error:
         log.error("event=start_failed code=%d reason=%r", error.code, str(error))
         raise SystemExit(EXIT_LISTEN) from error
--- a/comfreyhatch/platform/settings.py
+++ b/comfreyhatch/platform/settings.py
@@ -5,9 +5,9 @@
 from comfreyhatch.domain.deployment import Bounds, Deployment
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import SettingsError
+from comfreyhatch.platform.setting_lines import CALLERS_KEY, value_by_key_in
 
 MS_PER_S = 1000.0
-SETTINGS_VARIABLE = "COMFREYHATCH_SETTINGS"
 DEFAULT_HEARTBEAT_MS = 1000.0
 DEFAULT_MEMORY_MB = 256.0
 DEFAULT_MAX_FDS = 1024
@@ -102,14 +102,14 @@
     Raises:
         SettingsError: If there are errors; the message lists them all.
     """
-    value_by_key = _values(text)
+    value_by_key = value_by_key_in(text)
     reader = _Reader(path, value_by_key)
     deployment = Deployment(
         instance=reader.text("node_name"),
         zone=reader.text("zone"),
         zones=reader.keys_below("zones."),
         region=value_by_key.get("region", ""),
-        callers=reader.address("bind.front"),
+        callers=reader.address(CALLERS_KEY),
         readiness=reader.address("bind.ready"),
         control=reader.optional_address("bind.control"),
         seeds=reader.addresses("seeds"),
@@ -131,9 +131,3 @@
         for field, (key, factor) in _BOUND_BY_FIELD.items()
     }
     return Bounds(**values)
-
-
-def _values(text: str) -> dict[str, str]:
-    lines = [line.strip() for line in text.splitlines()]
-    pairs = [line.partition("=") for line in lines if "=" in line and not line.startswith("#")]
-    return {key.strip(): value.strip() for key, _, value in pairs}
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -9,9 +9,11 @@
 
 import pytest
 
+from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse, HttpServer
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.daemon.main import EXIT_LISTEN
-from tests.platform_world import free_port
+from comfreyhatch.platform.start import open_callers_listener
+from tests.platform_world import free_port, running_world
 
 TIMEOUT_S = 20.0
 
@@ -45,13 +47,62 @@
         f"node_name=d1\nzone=a\nzones.a=r\nbind.front=127.0.0.1:{taken_port}\n"
         f"bind.ready=127.0.0.1:{free_port()}\nplatform.address=127.0.0.1:{free_port()}\n"
     )
-    code, output = await start("comfreyhatch.platform.main", COMFREYHATCH_SETTINGS=str(settings))
+    code, output = await start("comfreyhatch.platform.start", COMFREYHATCH_SETTINGS=str(settings))
     assert code == EXIT_LISTEN
     assert f"event=start_failed code={ResultCode.ADDRESS_UNAVAILABLE}" in output
     assert f"cannot listen on 127.0.0.1:{taken_port}" in output
     assert "Traceback" not in output
 
 
+def settings_for(folder: Path, port: object) -> str:
+    path = folder / "local.conf"
+    path.write_text(f"node_name=d1\nbind.front=127.0.0.1:{port}\n", encoding="utf-8-sig")
+    return str(path)
+
+
+def test_callers_can_connect_before_the_daemon_is_loaded(tmp_path: Path) -> None:
+    port = free_port()
+    listener = open_callers_listener(settings_for(tmp_path, port))
+    assert listener
+    with listener, socket.create_connection(("127.0.0.1", port), timeout=1.0):
+        pass
+
+
+@pytest.mark.parametrize("port", ["", "x", "99999"])
+def test_wrong_address_is_left_to_the_daemon_to_tell(tmp_path: Path, port: str) -> None:
+    assert open_callers_listener(settings_for(tmp_path, port)) is None
+
+
+def test_what_cannot_be_read_or_had_is_left_to_the_daemon_to_tell(
+    tmp_path: Path, taken_port: int
+) -> None:
+    assert open_callers_listener(str(tmp_path / "none")) is None
+    assert open_callers_listener(settings_for(tmp_path, taken_port)) is None
+
+
+async def test_connections_that_wait_are_served_once_the_server_starts() -> None:
+    listener = socket.create_server(("127.0.0.1", 0))
+    listener.setblocking(False)
+    reader, writer = await asyncio.open_connection(*listener.getsockname())
+    writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+
+    async def answer(request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, b"late but served")
+
+    server = HttpServer(answer)
+    await server.start_on(listener)
+    async with asyncio.timeout(TIMEOUT_S):
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+    writer.close()
+    await server.stop(0.0)
+
+
+async def test_daemon_knows_what_to_serve_before_it_serves() -> None:
+    async with running_world(daemon=False) as world:
+        started = await world.start_daemon(world.store.address)
+        assert started.view.ready()
+
+
 async def test_port_in_use_ends_the_own_daemon(tmp_path: Path, taken_port: int) -> None:
     settings = tmp_path / "d1.ini"
     settings.write_text(
