--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -22,6 +22,7 @@
 from comfreyhatch.exchange.directory_sync import DirectorySync
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.header_codec import HeaderCodec
+from comfreyhatch.exchange.loop_lag import LoopLagMonitor
 from comfreyhatch.exchange.peers import PeerListener
 from comfreyhatch.exchange.rollouts import RolloutController
 from comfreyhatch.exchange.router import ExchangeRouter
@@ -108,6 +109,7 @@
         self._metrics = HttpServer(self._answer_metrics)
         control = str(deployment.control) if deployment.control else ""
         self._peers = PeerListener(control, self._sync.answer) if control else None
+        self._loop_lag = LoopLagMonitor()
         self.shutting_down = False
         self._unready_while_cut_off = False
         self._add_gauges()
@@ -121,6 +123,7 @@
             metrics: Address of the metrics listener; None for no such listener.
             callers: Socket that listens on the callers' address already; None to open one.
         """
+        self._loop_lag.start()
         if self._peers:
             self._peers.start()
         self._sync.start()
@@ -174,6 +177,7 @@
 
     async def close(self) -> None:
         """Close all listeners, tasks and connections; running requests are cut."""
+        self._loop_lag.stop()
         await self._callers.stop(0.0)
         await self._billing.stop()
         await self._rollouts.stop()
@@ -199,6 +203,11 @@
         gauge("endpoints_age_seconds", "Age of the list.", age_s(view.endpoints_age_s))
         gauge("connections_opened", "Connections to endpoints.", lambda: client.connections_opened)
         gauge("configuration", "Version of the configuration.", self._configuration_version)
+        gauge("loop_lag_seconds", "Longest lag of the event loop.", age_s(self._loop_lag.longest_s))
+        if self._peers:
+            peers = self._peers
+            gauge("peer_answers", "Queries of peers answered.", lambda: peers.answers)
+            gauge("peer_bytes_sent", "Bytes of these answers.", lambda: peers.bytes_sent)
 
     def _configuration_version(self) -> float:
         return self.view.catalog.version if self.view.catalog else 0
--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -56,7 +56,12 @@
 
 
 class PeerListener:
-    """Answers the queries of peers, up to MAX_CONCURRENT_QUERIES at a time."""
+    """Answers the queries of peers, up to MAX_CONCURRENT_QUERIES at a time.
+
+    Attributes:
+        answers: Number of queries answered so far.
+        bytes_sent: Size of these answers, in bytes.
+    """
 
     def __init__(self, address: str, answer: Callable[[PeerQuery], Awaitable[PeerUpdate]]) -> None:
         """Create a listener.
@@ -70,6 +75,8 @@
         self._socket: pynng.Rep0 | None = None
         self._contexts: list[pynng.Context] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self.answers = 0
+        self.bytes_sent = 0
 
     def start(self) -> None:
         """Open the socket and start to answer.
@@ -99,7 +106,10 @@
         while True:
             try:
                 query = decode(await context.arecv(), type=PeerQuery)
-                await context.asend(encode(await self._answer(query)))
+                answer = encode(await self._answer(query))
+                await context.asend(answer)
+                self.answers += 1
+                self.bytes_sent += len(answer)
             except (pynng.NNGException, MsgspecError) as error:
                 log.warning("event=peer_answer_failed reason=%r", str(error))
 
--- a/comfreyhatch/exchange/stall_watchdog.py
+++ b/comfreyhatch/exchange/stall_watchdog.py
@@ -1,6 +1,7 @@
 """Detects stalled streams with one shared timer."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 
 from comfreyhatch.decisions.stall import StallLimits
@@ -8,6 +9,8 @@
 
 CHECK_INTERVAL_S = 0.1
 
+log = logging.getLogger("comfreyhatch.streams")
+
 
 class StallWatchdog:
     """Interrupts streams that have stalled and that another endpoint may serve."""
@@ -51,5 +54,17 @@
         for stream in list(self._streams):
             if stream.is_stalled(now) and self._may_retry(stream, now):
                 self._streams.discard(stream)
+                self._log_stalled(stream, now)
                 stream.interrupt()
         self._timer = loop.call_later(CHECK_INTERVAL_S, self._check) if self._streams else None
+
+    def _log_stalled(self, stream: StreamState, now: float) -> None:
+        assert stream.lease is not None
+        log.info(
+            "event=stream_stalled id=%s endpoint=%s events=%s waited_s=%.2f endpoint_silent_s=%.2f",
+            stream.job.exchange.request_id,
+            stream.endpoint_id,
+            stream.last_event_id,
+            now - stream.idle_since,
+            now - stream.lease.endpoint.last_received_at,
+        )
