Reproduce the full link of readers and the cut of a begun stream

A stream whose caller has part of the answer ends after nine failed connections, with most of its time left.

--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -290,13 +290,13 @@
         """Query a peer over a new connection, so that one to a silent peer is not used again."""
         peer = PeerClient(address)
         try:
-            self._apply_update(await peer.query(self._query(0.0)))
+            self.apply_update(await peer.query(self.query(0.0)))
         except PeerError as error:
             log.debug("event=peer_silent peer=%s reason=%r", address, str(error))
         finally:
             peer.close()
 
-    def _query(self, wait_s: float) -> PeerQuery:
+    def query(self, wait_s: float) -> PeerQuery:
         view = self._view
         return PeerQuery(
             view.operations.revision if view.operations else 0,
@@ -305,7 +305,7 @@
             wait_s,
         )
 
-    def _apply_update(self, update: PeerUpdate) -> None:
+    def apply_update(self, update: PeerUpdate) -> None:
         """Apply the answer of a peer to the view."""
         now = asyncio.get_running_loop().time()
         view = self._view
@@ -337,7 +337,7 @@
             self._connect_reader(address)
         assert self._reader
         try:
-            self._apply_update(await self._reader.query(self._query(READER_QUERY_WAIT_S)))
+            self.apply_update(await self._reader.query(self.query(READER_QUERY_WAIT_S)))
         except PeerError as error:
             self._drop_reader(address, str(error))
             return
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -52,6 +52,11 @@
     async def stop(self) -> None:
         await self._server.stop(0.0)
 
+    async def restart(self) -> None:
+        """Listen again on the same address."""
+        self._server = HttpServer(self._answer, cancel_on_disconnect=True)
+        await self._server.start(self.address.host, self.address.port)
+
     def record(self, service: str, zone: str, version: str = "v1") -> dict[str, object]:
         """Return the row that the worker registers in the store."""
         return {
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -254,6 +254,29 @@
         assert [r.header("last-event-id") for r in other.received] == ["2"]
 
 
+async def test_stream_outlasts_a_time_without_any_reachable_worker() -> None:
+    # The daemon's own link was full: nine connections in a row timed out within 2.7 s, and the
+    # stream was cut with most of its time left.
+    async with running_harness() as harness:
+        first, second = workers(harness, "engine")
+        for worker in (first, second):
+            worker.pause_s = lambda number: 0.3 if number == 3 else 0.0
+        task = asyncio.create_task(harness.send_draft())
+        await harness.wait_until(lambda: sent_to(harness, "engine"))
+        await first.stop()
+        await second.stop()
+        failed_attempts = harness.daemon.registry.get_sample_value
+        label = {"outcome": "unreachable"}
+        await harness.wait_until(
+            lambda: (failed_attempts("comfreyhatch_attempts_total", label) or 0) >= 3
+        )
+        await asyncio.sleep(0.5)
+        for worker in (first, second):
+            worker.pause_s = lambda number: 0.0
+            await worker.restart()
+        assert (await task).body == COMPLETE_BODY
+
+
 async def test_stalled_stream_is_not_interrupted_when_no_attempt_is_left() -> None:
     # A stream on its last attempt was cut because its worker paused between two events.
     async with running_harness() as harness:
