Send followers only what has changed

Cause: the store's revision rises with every write of anyone, and a reader took a higher revision for newer orders and records. What a full link holds up looks like silent engines and failed connections.

Change: the view notes at which revision orders last changed, and a history of records like that of endpoints gives the changes since a revision. A follower still learns up to which revision all is unchanged, so that it can go on from there by itself. Builds of before and after don't read each other's updates; such followers read the store themselves.

--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -13,11 +13,15 @@
 from random import Random
 from typing import Any
 
+from msgspec.structs import replace
+
 from comfreyhatch.domain.deployment import Deployment
+from comfreyhatch.domain.operations import Operations
 from comfreyhatch.errors import ComfreyhatchError, PeerError, PlatformError
 from comfreyhatch.exchange.endpoint_changes import apply_changes
 from comfreyhatch.exchange.peers import MAX_QUERY_WAIT_S, PeerClient, PeerQuery, PeerUpdate
 from comfreyhatch.exchange.reader_selector import ReaderSelector
+from comfreyhatch.exchange.record_changes import apply_record_changes
 from comfreyhatch.exchange.view import FleetView
 from comfreyhatch.ports.directory import Directory
 
@@ -131,22 +135,24 @@
     def _has_newer(self, query: PeerQuery) -> bool:
         view = self._view
         return (
-            (view.operations is not None and view.operations.revision > query.operations)
+            view.operations_changed_revision > query.operations
             or view.endpoint_history.changed_revision > query.endpoints
-            or (view.records is not None and view.records.revision > query.records)
+            or view.record_history.changed_revision > query.records
         )
 
     def _update_since(self, query: PeerQuery) -> PeerUpdate:
         now = asyncio.get_running_loop().time()
         view = self._view
-        operations, records = view.operations, view.records
+        operations_changed = view.operations_changed_revision > query.operations
+        records_changed = view.record_history.changed_revision > query.records
         known = view.endpoint_list is not None
         return PeerUpdate(
-            operations if operations and operations.revision > query.operations else None,
+            view.operations if operations_changed else None,
             view.operations_age_s(now),
             view.endpoint_history.since(query.endpoints) if known else None,
             view.endpoints_age_s(now),
-            records if records and records.revision > query.records else None,
+            view.record_history.since(query.records) if records_changed else None,
+            view.operations.revision if view.operations else 0,
         )
 
     def _notify_change(self) -> None:
@@ -297,6 +303,7 @@
             peer.close()
 
     def query(self, wait_s: float) -> PeerQuery:
+        """Return a query for what is newer than the view, with a longest wait in seconds."""
         view = self._view
         return PeerQuery(
             view.operations.revision if view.operations else 0,
@@ -309,7 +316,7 @@
         """Apply the answer of a peer to the view."""
         now = asyncio.get_running_loop().time()
         view = self._view
-        operations = update.operations or view.operations
+        operations = update.operations or self._unchanged_operations(update)
         if operations is not None:
             at = now - update.operations_age_s
             view.apply_operations(operations, at, self._deployment.heartbeat_s)
@@ -318,10 +325,18 @@
             if update.endpoints.whole or held is not None:
                 endpoints = apply_changes(held, update.endpoints)
                 view.apply_endpoints(endpoints, now - update.endpoints_age_s)
-        if update.records is not None:
-            view.apply_records(update.records, now)
+        changes = update.record_changes
+        if changes is not None and (changes.whole or view.records is not None):
+            view.apply_records(apply_record_changes(view.records, changes), now)
         self._notify_change()
 
+    def _unchanged_operations(self, update: PeerUpdate) -> Operations | None:
+        """Return the held orders at the revision up to which a peer knows them to be unchanged."""
+        held = self._view.operations
+        if held is None or update.operations_revision <= held.revision:
+            return held
+        return replace(held, revision=update.operations_revision)
+
     async def _poll_reader(self) -> None:
         """Query this daemon's reader, and stop polling the directory while the reader is current.
 
--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -8,9 +8,10 @@
 from msgspec import MsgspecError, Struct
 from msgspec.msgpack import decode, encode
 
-from comfreyhatch.domain.operations import Operations, SharedRecords
+from comfreyhatch.domain.operations import Operations
 from comfreyhatch.errors import ListenError, PeerError, PeerTimeoutError
 from comfreyhatch.exchange.endpoint_changes import EndpointChanges
+from comfreyhatch.exchange.record_changes import RecordChanges
 
 # Time for an answer, beyond the wait that the query asks for.
 ANSWER_TIMEOUT_S = 0.4
@@ -41,18 +42,20 @@
     """What is newer than the revisions of a query; ages count from the directory's last answer.
 
     Attributes:
-        operations: Orders; None if they are not newer.
+        operations: Orders; None if they have not changed.
         operations_age_s: Age of the orders, in seconds.
         endpoints: Changes of the list of endpoints; None if no list is known.
         endpoints_age_s: Age of the list, in seconds.
-        records: Records of the daemons; None if they are not newer.
+        record_changes: Changes of the daemons' records; None if there are none.
+        operations_revision: Revision up to which the orders are known, changed or not.
     """
 
     operations: Operations | None
     operations_age_s: float
     endpoints: EndpointChanges | None
     endpoints_age_s: float
-    records: SharedRecords | None
+    record_changes: RecordChanges | None
+    operations_revision: int
 
 
 class PeerListener:
--- /dev/null
+++ b/comfreyhatch/exchange/record_changes.py
@@ -0,0 +1,110 @@
+"""Changes of the daemons' records since a revision, so that peers need not send all of them."""
+
+from collections.abc import Mapping
+from typing import TypeVar
+
+from msgspec import Struct
+
+from comfreyhatch.domain.operations import Evidence, RolloutRecord, SharedRecords
+
+V = TypeVar("V")
+
+# Kinds of records: the mappings of `SharedRecords`.
+KINDS = ("trial_by_service", "evidence_by_key", "control_by_daemon", "region_by_daemon")
+
+
+class RecordChanges(Struct, frozen=True):
+    """Changes of the daemons' records up to one revision.
+
+    Attributes:
+        revision: Revision of the records after the changes.
+        store_ms: Time by the store's clock when the records were read, in milliseconds.
+        trial_by_service: Roll-outs that were added or changed.
+        evidence_by_key: Evidence that was added or changed.
+        control_by_daemon: Control addresses that were added or changed.
+        region_by_daemon: Regions that were added or changed.
+        whole: Whether these are all records, which replace the held ones.
+    """
+
+    revision: int
+    store_ms: int
+    trial_by_service: dict[str, RolloutRecord]
+    evidence_by_key: dict[str, Evidence]
+    control_by_daemon: dict[str, str]
+    region_by_daemon: dict[str, str]
+    whole: bool = False
+
+
+class RecordHistory:
+    """The current records, and the revision at which each last changed.
+
+    Attributes:
+        changed_revision: Revision of the last records that changed one or removed one.
+    """
+
+    def __init__(self) -> None:
+        self.changed_revision = 0
+        self._held = SharedRecords(0, 0, {}, {}, {})
+        self._changed_revision_by_kind: dict[str, dict[str, int]] = {kind: {} for kind in KINDS}
+        # Lowest revision since which no record was removed.
+        self._complete_since = 1
+
+    def update(self, found: SharedRecords) -> None:
+        """Replace the records by newer ones and note which have changed."""
+        for kind in KINDS:
+            self._update_kind(kind, getattr(found, kind), found.revision)
+        self._held = found
+
+    def since(self, revision: int) -> RecordChanges:
+        """Return the changes since a revision; all records if they are no longer known.
+
+        Args:
+            revision: Revision of the records that the daemon holds; 0 for none.
+        """
+        held = self._held
+        whole = revision < self._complete_since
+        after = 0 if whole else revision
+        return RecordChanges(
+            held.revision,
+            held.store_ms,
+            self._changed("trial_by_service", held.trial_by_service, after),
+            self._changed("evidence_by_key", held.evidence_by_key, after),
+            self._changed("control_by_daemon", held.control_by_daemon, after),
+            self._changed("region_by_daemon", held.region_by_daemon, after),
+            whole,
+        )
+
+    def _update_kind(self, kind: str, found: Mapping[str, object], revision: int) -> None:
+        held: Mapping[str, object] = getattr(self._held, kind)
+        changed_revision = self._changed_revision_by_kind[kind]
+        for name, value in found.items():
+            if name not in held or held[name] != value:
+                changed_revision[name] = revision
+                self.changed_revision = revision
+        for name in held.keys() - found.keys():
+            del changed_revision[name]
+            self._complete_since = revision
+            self.changed_revision = revision
+
+    def _changed(self, kind: str, held: dict[str, V], after: int) -> dict[str, V]:
+        changed_revision = self._changed_revision_by_kind[kind]
+        return {name: value for name, value in held.items() if changed_revision[name] > after}
+
+
+def apply_record_changes(held: SharedRecords | None, changes: RecordChanges) -> SharedRecords:
+    """Return the records after changes.
+
+    Args:
+        held: Records before the changes; None only with changes that are all records.
+        changes: Changes since the revision of those records.
+    """
+    if held is None or changes.whole:
+        held = SharedRecords(0, 0, {}, {}, {})
+    return SharedRecords(
+        changes.revision,
+        changes.store_ms,
+        {**held.trial_by_service, **changes.trial_by_service},
+        {**held.evidence_by_key, **changes.evidence_by_key},
+        {**held.control_by_daemon, **changes.control_by_daemon},
+        {**held.region_by_daemon, **changes.region_by_daemon},
+    )
--- a/comfreyhatch/exchange/view.py
+++ b/comfreyhatch/exchange/view.py
@@ -5,6 +5,8 @@
 
 import logging
 
+from msgspec.structs import replace
+
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.catalog import Catalog
 from comfreyhatch.domain.endpoint import EndpointList, EndpointRecord
@@ -16,6 +18,7 @@
     SharedRecords,
 )
 from comfreyhatch.exchange.endpoint_changes import EndpointHistory
+from comfreyhatch.exchange.record_changes import RecordHistory
 
 # Age from which orders are stale. A list of endpoints that replaces one of this age counts as the
 # first after an outage of the store.
@@ -40,7 +43,9 @@
         operations: Orders of the operators; None before they were read.
         endpoint_list: Registered endpoints; None before they were read.
         records: Records of the daemons; None before they were read.
+        operations_changed_revision: Revision of the last orders that differ from those before.
         endpoint_history: Changes of the list, for followers.
+        record_history: Changes of the records, for followers.
         tracker_by_id: Tracker of each endpoint, also of those unlisted a short time ago.
         trackers_by_service: The same trackers by service.
     """
@@ -49,7 +54,9 @@
         self.operations: Operations | None = None
         self.endpoint_list: EndpointList | None = None
         self.records: SharedRecords | None = None
+        self.operations_changed_revision = 0
         self.endpoint_history = EndpointHistory()
+        self.record_history = RecordHistory()
         self.tracker_by_id: dict[str, EndpointTracker] = {}
         self.trackers_by_service: dict[str, list[EndpointTracker]] = {}
         self._operations_at = float("-inf")
@@ -97,6 +104,8 @@
         if held is not None and found.revision <= held.revision:
             return
         self.operations = found
+        if held is None or replace(held, revision=found.revision) != found:
+            self.operations_changed_revision = found.revision
         self._log_operations(held, found)
         for zone in (held.zones_out if held else frozenset()) - found.zones_out:
             # The zone's endpoints may have become cold; their records show it a heartbeat later.
@@ -139,6 +148,7 @@
         if self.records is not None and found.revision < self.records.revision:
             return
         self.records = found
+        self.record_history.update(found)
 
     def daemons_in(self, region: str) -> list[str]:
         """Return the daemons whose records name a region."""
--- a/tests/test_directory_sync.py
+++ b/tests/test_directory_sync.py
@@ -29,6 +29,7 @@
     EndpointChanges(9, {"e1": record("e1")}, whole=True),
     0.5,
     None,
+    7,
 )
 
 
