Resume a begun stream until its time is over

Cause: attempts that did not run were limited by their number, whatever time was left: nine failed connections, a few refusals, one refusal of the own queue or a spent budget ended the stream. When the trouble lies with the daemon's own link, or passes within seconds, each of these limits is used up at once.

Change: the limits by number hold until the caller has part of the answer. From then on the daemon pauses 0.25 s between attempts, and only the deadline and the route's limit on runs end the stream. A line resume_delayed tells why.

--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -35,6 +35,8 @@
 # Fewest event gaps whose median counts as evidence on the version.
 MIN_GAPS_OF_ENDED_STREAM = 3
 MIN_GAPS_OF_RUNNING_STREAM = 6
+# Pause between attempts to resume a stream while no endpoint takes it.
+RESUME_PAUSE_S = 0.25
 
 log = logging.getLogger("comfreyhatch.streams")
 
@@ -109,6 +111,8 @@
             try:
                 answer = await self._attempt(stream)
             except RefusedError as error:
+                if await self._await_resume(stream, str(error)):
+                    continue
                 if stream.possible_runs:
                     raise BackendError(str(error)) from error
                 raise
@@ -345,9 +349,37 @@
         now = asyncio.get_running_loop().time()
         if not stream.may_attempt(now):
             return False
+        if stream.head_sent and stream.failed_often:
+            await asyncio.sleep(RESUME_PAUSE_S)
+        while not self._pay_retry(stream):
+            if not await self._await_resume(stream, "the budget of extra requests is spent"):
+                return False
+        return True
+
+    def _pay_retry(self, stream: StreamState) -> bool:
+        """Draw a retry from the budget; return whether the budget allows it."""
         # An attempt without a connection reached no endpoint, so its retry needs no budget.
-        unreachable = isinstance(stream.error, EndpointUnreachableError)
-        return unreachable or self._budget(stream.job.service).take(now)
+        if isinstance(stream.error, EndpointUnreachableError):
+            return True
+        return self._budget(stream.job.service).take(asyncio.get_running_loop().time())
+
+    async def _await_resume(self, stream: StreamState, reason: str) -> bool:
+        """Pause a stream that its caller has part of; return whether it may then be resumed.
+
+        Returns:
+            False at once if the caller has nothing yet, or if no attempt or time is left.
+        """
+        now = asyncio.get_running_loop().time()
+        if not stream.head_sent or not stream.may_attempt(now + RESUME_PAUSE_S):
+            return False
+        log.info(
+            "event=resume_delayed id=%s events=%s reason=%r",
+            stream.job.exchange.request_id,
+            stream.last_event_id,
+            reason,
+        )
+        await asyncio.sleep(RESUME_PAUSE_S)
+        return True
 
     def _may_retry_stalled(self, stream: StreamState, now: float) -> bool:
         """Return whether a stalled request may be retried; otherwise it keeps waiting."""
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -119,18 +119,28 @@
         return median(self.gaps_s) if len(self.gaps_s) >= min_gaps else None
 
     def may_attempt(self, now: float) -> bool:
-        """Return whether deadline and attempt limits allow another attempt."""
+        """Return whether deadline and attempt limits allow another attempt.
+
+        Attempts that did not run count only until the caller has part of the answer: from then on,
+        only the deadline ends the stream.
+        """
         route = self.job.route
-        if (
-            now >= self.job.deadline - DEADLINE_MARGIN_S
-            or self.unreachable_attempts > MAX_UNREACHABLE_ATTEMPTS
-        ):
-            return False
-        if self.attempts - self.unreachable_attempts > route.max_attempts + MAX_REFUSED_ATTEMPTS:
+        if now >= self.job.deadline - DEADLINE_MARGIN_S:
             return False
         if self.possible_runs and not route.repeatable:
             return False
-        return self.possible_runs < route.max_attempts
+        if self.possible_runs >= route.max_attempts:
+            return False
+        return self.head_sent or not self.failed_often
+
+    @property
+    def failed_often(self) -> bool:
+        """Whether more attempts than usual could not connect or were refused."""
+        refused_limit = self.job.route.max_attempts + MAX_REFUSED_ATTEMPTS
+        return (
+            self.unreachable_attempts > MAX_UNREACHABLE_ATTEMPTS
+            or self.attempts - self.unreachable_attempts > refused_limit
+        )
 
     def is_stalled(self, now: float) -> bool:
         """Return whether the current attempt exceeds its stall limits."""
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -277,6 +277,42 @@
         assert (await task).body == COMPLETE_BODY
 
 
+async def test_stream_outlasts_a_time_without_any_endpoint_in_service() -> None:
+    # A stream was cut at once, with most of its time left, when no endpoint was listed.
+    async with running_harness() as harness:
+        first, second = workers(harness, "engine")
+        for worker in (first, second):
+            worker.pause_s = lambda number: 0.3 if number == 3 else 0.0
+        task = asyncio.create_task(harness.send_draft())
+        await harness.wait_until(lambda: sent_to(harness, "engine"))
+        trackers = harness.daemon.view.trackers_by_service["engines"]
+        for worker in (first, second):
+            harness.store.remove("servers", worker.worker_id)
+        await harness.wait_until(lambda: all(t.removed_at is not None for t in trackers))
+        for worker in (first, second):
+            await worker.stop()
+        await asyncio.sleep(0.6)
+        await harness.add_worker("engine-3", "engines")
+        assert (await task).body == COMPLETE_BODY
+
+
+async def test_stream_outlasts_a_time_in_which_all_workers_refuse(
+    harness: PlatformHarness,
+) -> None:
+    # A stream was cut after a few refusals of busy workers, with most of its time left.
+    for worker in workers(harness, "engine"):
+        worker.break_after = 2
+    first = asyncio.create_task(harness.send_draft())
+    await harness.wait_until(lambda: sent_to(harness, "engine"))
+    for worker in workers(harness, "engine"):
+        worker.refuses = True
+    await harness.wait_until(lambda: len(sent_to(harness, "engine")) > 8)
+    for worker in workers(harness, "engine"):
+        worker.refuses = False
+        worker.break_after = None
+    assert (await first).body == COMPLETE_BODY
+
+
 async def test_stalled_stream_is_not_interrupted_when_no_attempt_is_left() -> None:
     # A stream on its last attempt was cut because its worker paused between two events.
     async with running_harness() as harness:
