Stop a peer listener without relying on pynng's cancellation

Callers saw: a daemon that stopped right after it answered a peer's query never ended its stop; test_directory_sync::test_peer_answers_queries hung at teardown. The serving task then began the next receive, and PeerListener.stop waited for it without a limit. Change: stop sets a flag that the serving loop reads after each wait, closes the contexts and the socket, which ends every pending operation, and cancels the tasks for an answer that waits. It waits at most STOP_TIMEOUT_S and logs tasks that are late, and tasks that failed, which were ignored.

--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -17,6 +17,8 @@
 # Time after which a query is answered even if it asks for a longer wait.
 MAX_QUERY_WAIT_S = 2.0
 MAX_CONCURRENT_QUERIES = 24
+# Time for the answering tasks to end once their sockets are closed.
+STOP_TIMEOUT_S = 2.0
 
 log = logging.getLogger("comfreyhatch.peers")
 
@@ -70,6 +72,7 @@
         self._socket: pynng.Rep0 | None = None
         self._contexts: list[pynng.Context] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._stopping = False
 
     def start(self) -> None:
         """Open the socket and start to answer.
@@ -86,22 +89,47 @@
         self._tasks = [asyncio.create_task(self._serve(context)) for context in self._contexts]
 
     async def stop(self) -> None:
-        """Cancel the answers under way and close the socket."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        """Close the socket and end the answers under way.
+
+        pynng drops a cancellation that arrives while its operation completes, so that a task may
+        go on after it is cancelled. Closing the contexts ends every operation of the socket, and
+        the flag keeps a task from starting another one.
+        """
+        self._stopping = True
         for context in self._contexts:
             context.close()
         if self._socket:
             self._socket.close()
+        for task in self._tasks:
+            task.cancel()
+        if self._tasks:
+            await self._wait_for_tasks()
+
+    async def _wait_for_tasks(self) -> None:
+        ended, late = await asyncio.wait(self._tasks, timeout=STOP_TIMEOUT_S)
+        if late:
+            log.error("event=peer_listener_stop_late tasks=%d", len(late))
+        for task in ended:
+            error = None if task.cancelled() else task.exception()
+            if error:
+                log.error("event=peer_answer_task_failed reason=%r", error)
 
     async def _serve(self, context: pynng.Context) -> None:
-        while True:
+        while not self._stopping:
             try:
-                query = decode(await context.arecv(), type=PeerQuery)
-                await context.asend(encode(await self._answer(query)))
+                await self._serve_query(context)
             except (pynng.NNGException, MsgspecError) as error:
-                log.warning("event=peer_answer_failed reason=%r", str(error))
+                if not self._stopping:
+                    log.warning("event=peer_answer_failed reason=%r", str(error))
+
+    async def _serve_query(self, context: pynng.Context) -> None:
+        query = decode(await context.arecv(), type=PeerQuery)
+        if self._stopping:
+            return
+        update = await self._answer(query)
+        if self._stopping:
+            return
+        await context.asend(encode(update))
 
 
 class PeerClient:
