Let the tests' store come back from an older copy

Change: tests/platform_store.py copies its rows, comes back from a copy with a generation one higher, gives revisions out again, answers 410 for a revision that it does not have, and can hold back answers and writes across the return.

--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -10,6 +10,7 @@
 from comfreyhatch.domain.instance import Address
 
 MS_PER_S = 1000.0
+DELAY_CHECK_S = 0.01
 
 
 class StoredRow(Struct):
@@ -20,10 +21,23 @@
     removed: bool = False
 
 
+class StoreCopy(Struct):
+    """Copy of the store's rows, from which it may come back later."""
+
+    row_by_key: dict[tuple[str, str], StoredRow]
+    ver: int
+
+
 class StandInStore:
     """HTTP server for the rows of one partition, whose name is empty.
 
     Attributes:
+        era: Number sent with each answer; one more with each restore.
+        era_header: Sent instead of `era`; an empty text for no header, None to send `era`.
+        delaying_answers: Whether answers to the paths in `delayed_paths` are made at once, but sent
+            only when this is reset.
+        delaying_writes: Whether transactions are carried out only when this is reset.
+        delayed_paths: Paths whose answers are delayed.
         row_by_key: Rows by table and key, removed ones included.
         ver: Version of the last write.
         oldest: Version before which the feed has no history.
@@ -41,6 +55,11 @@
         self.refusing = False
         self.silent = False
         self.losing_answers = False
+        self.era = 1
+        self.era_header: str | None = None
+        self.delaying_answers = False
+        self.delaying_writes = False
+        self.delayed_paths: set[str] = set()
         self.calls: list[str] = []
         self.address = Address("", 0)
         self._changed = asyncio.Event()
@@ -51,7 +70,7 @@
         return self.address
 
     async def stop(self) -> None:
-        self.silent = False
+        self.silent = self.delaying_answers = self.delaying_writes = False
         await self._server.stop(0.0)
 
     def put(self, table: str, key: str, value: object) -> int:
@@ -73,7 +92,28 @@
     def forget_history(self) -> None:
         self.oldest = self.ver
 
+    def copy(self) -> StoreCopy:
+        """Copy the rows and the newest version."""
+        return StoreCopy(dict(self.row_by_key), self.ver)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: later writes are gone and their versions are given out again."""
+        self.row_by_key = dict(copy.row_by_key)
+        self.ver = copy.ver
+        self.oldest = min(self.oldest, copy.ver)
+        self.era += 1
+        self._wake_feeds()
+
     async def _answer(self, request: HttpRequest) -> HttpResponse:
+        response = await self._respond(request)
+        header = str(self.era) if self.era_header is None else self.era_header
+        if header:
+            response.header_by_name = {"store-era": header}
+        while self.delaying_answers and request.path in self.delayed_paths:
+            await asyncio.sleep(DELAY_CHECK_S)
+        return response
+
+    async def _respond(self, request: HttpRequest) -> HttpResponse:
         self.calls.append(request.path)
         while self.silent:
             await asyncio.sleep(0.05)
@@ -94,10 +134,10 @@
 
     async def _feed(self, request: HttpRequest) -> HttpResponse:
         after = int(request.query["after"])
-        if after < self.oldest:
-            return HttpResponse(410)
         deadline = asyncio.get_running_loop().time() + int(request.query["wait_ms"]) / MS_PER_S
         while True:
+            if not self.oldest <= after <= self.ver:
+                return HttpResponse(410)
             found = [row for row in self._rows(request.query["table"]) if row.ver > after]
             left_s = deadline - asyncio.get_running_loop().time()
             if found or left_s <= 0:
@@ -110,6 +150,8 @@
 
     async def _transact(self, request: HttpRequest) -> HttpResponse:
         body = decode(request.body)
+        while self.delaying_writes:
+            await asyncio.sleep(DELAY_CHECK_S)
         for ref in body["expected_rev"]:
             row = self.row_by_key.get((ref["table"], ref["key"]))
             held = row.ver if row and not row.removed else 0
