Compare the store's revisions only within one generation of it

What was seen: the store came back from an older copy and gave revisions out again. A daemon that held a higher revision asked the feed without a pause (3,333 calls in a second, one daemon, in the tests' store), never saw changes below its revision, refused the newer lists, and sent conditions on revisions that another state of the row had got meanwhile, which went through. Cause: a revision was compared as if there were one history. Change: the store's answers name its generation; platform/store.py alone knows the header. Orders, lists, records, endpoints' records, peers' queries and answers carry it and are compared by position (generation first). An answer of an older generation changes nothing, not even an age, from a peer either. On a newer one all rows are read anew. A condition on a revision of an earlier generation is not sent; a write answered across the return is unknown. Without the header, or with a malformed one, all is as before, with one warning; a list older than what it had given out is an error with its back-off. An order that is listed again under another revision continues its roll-out. Sessions hash with the order's version instead of its revision, so that they keep their version. Endpoints that the copy lacks keep the grace of 2.2 s, which no longer covers endpoints that had left before.

--- a/comfreyhatch/decisions/session_version.py
+++ b/comfreyhatch/decisions/session_version.py
@@ -43,7 +43,7 @@
         return VersionChoice.TARGET
     if pinned is not None and trial.share <= canary_share:
         return VersionChoice.OTHER
-    point = session_point(session_key, f"{order.service}/{order.revision}")
+    point = session_point(session_key, f"{order.service}/{order.version}")
     return VersionChoice.TARGET if point < trial.share else VersionChoice.OTHER
 
 
--- a/comfreyhatch/decisions/version_trial.py
+++ b/comfreyhatch/decisions/version_trial.py
@@ -147,6 +147,7 @@
             store_ms,
             store_ms,
             revision,
+            generation=trial.generation if trial else 0,
         )
     if trial.state is not RolloutState.RUNNING:
         return None
--- a/comfreyhatch/domain/endpoint.py
+++ b/comfreyhatch/domain/endpoint.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from comfreyhatch.domain.instance import Address
+from comfreyhatch.domain.position import Position
 
 
 class EndpointRecord(Struct, frozen=True):
@@ -19,6 +20,7 @@
         cold_left_s: Remaining time of its cold start when the record was written, in seconds.
         born_ms: Unix time of its start, in milliseconds; distinguishes restarts under one name.
         revision: Revision of the record in the store.
+        generation: Generation of the store to which the revision belongs.
     """
 
     endpoint_id: str
@@ -31,10 +33,28 @@
     cold_left_s: float
     born_ms: int
     revision: int
+    generation: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position of the store at which the record last changed."""
+        return Position(self.generation, self.revision)
 
 
 class EndpointList(Struct, frozen=True):
-    """All valid endpoint records at one revision of the store."""
+    """All valid endpoint records at one position of the store.
+
+    Attributes:
+        revision: Revision of the store.
+        record_by_id: Records by the endpoint's id.
+        generation: Generation of the store to which the revision belongs.
+    """
 
     revision: int
     record_by_id: dict[str, EndpointRecord]
+    generation: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position of the store at which the list was read."""
+        return Position(self.generation, self.revision)
--- a/comfreyhatch/domain/operations.py
+++ b/comfreyhatch/domain/operations.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from comfreyhatch.domain.catalog import Catalog
+from comfreyhatch.domain.position import Position
 
 
 class RolloutState(Enum):
@@ -32,12 +33,26 @@
 
 
 class Operations(Struct, frozen=True):
-    """All instructions of the operators at one revision of the store."""
+    """All instructions of the operators at one position of the store.
+
+    Attributes:
+        revision: Revision of the store.
+        catalog: Configuration; None if there is none.
+        order_by_service: Orders of roll-outs.
+        zones_out: Zones that are out of service.
+        generation: Generation of the store to which the revision belongs.
+    """
 
     revision: int
     catalog: Catalog | None
     order_by_service: dict[str, RolloutOrder]
     zones_out: frozenset[str]
+    generation: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position of the store at which the instructions were read."""
+        return Position(self.generation, self.revision)
 
 
 class RolloutRecord(Struct, frozen=True):
@@ -53,6 +68,7 @@
         stepped_ms: Time of the last change by the store's clock, in milliseconds.
         revision: Revision of the record in the store; 0 before it is stored.
         reason: Reason of a roll-back; empty otherwise.
+        generation: Generation of the store to which `revision` belongs.
     """
 
     service: str
@@ -64,6 +80,7 @@
     stepped_ms: int
     revision: int = 0
     reason: str = ""
+    generation: int = 0
 
 
 class VersionOutcomes(Struct, frozen=True):
@@ -99,7 +116,7 @@
 
 
 class SharedRecords(Struct, frozen=True):
-    """Records that daemons share through the store, at one revision.
+    """Records that daemons share through the store, at one position.
 
     Attributes:
         revision: Revision of the store.
@@ -108,6 +125,7 @@
         evidence_by_key: Evidence by service and daemon, with keys "service/daemon".
         control_by_daemon: Control address of each daemon, as host:port.
         region_by_daemon: Region of each daemon.
+        generation: Generation of the store to which the revision belongs.
     """
 
     revision: int
@@ -116,3 +134,9 @@
     evidence_by_key: dict[str, Evidence]
     control_by_daemon: dict[str, str]
     region_by_daemon: dict[str, str] = {}
+    generation: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position of the store at which the records were read."""
+        return Position(self.generation, self.revision)
--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from comfreyhatch.domain.deployment import Deployment
+from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import ComfreyhatchError, PeerError, PlatformError
 from comfreyhatch.exchange.endpoint_changes import apply_changes
 from comfreyhatch.exchange.peers import MAX_QUERY_WAIT_S, PeerClient, PeerQuery, PeerUpdate
@@ -130,23 +131,25 @@
 
     def _has_newer(self, query: PeerQuery) -> bool:
         view = self._view
+        operations, records = view.listed_operations, view.records
         return (
-            (view.operations is not None and view.operations.revision > query.operations)
-            or view.endpoint_history.changed_revision > query.endpoints
-            or (view.records is not None and view.records.revision > query.records)
+            (operations is not None and operations.position > query.operations_position)
+            or view.endpoint_history.changed_position > query.endpoints_position
+            or (records is not None and records.position > query.records_position)
         )
 
     def _update_since(self, query: PeerQuery) -> PeerUpdate:
         now = asyncio.get_running_loop().time()
         view = self._view
-        operations, records = view.operations, view.records
+        operations, records = view.listed_operations, view.records
         known = view.endpoint_list is not None
         return PeerUpdate(
-            operations if operations and operations.revision > query.operations else None,
+            operations if operations and operations.position > query.operations_position else None,
             view.operations_age_s(now),
-            view.endpoint_history.since(query.endpoints) if known else None,
+            view.endpoint_history.since(query.endpoints_position) if known else None,
             view.endpoints_age_s(now),
-            records if records and records.revision > query.records else None,
+            records if records and records.position > query.records_position else None,
+            operations.generation if operations else 0,
         )
 
     def _notify_change(self) -> None:
@@ -167,7 +170,7 @@
     async def _poll_operations(self) -> None:
         loop = asyncio.get_running_loop()
         await self._reads_directory.wait()
-        found = await self._read("orders", self._directory.operations, self._view.operations)
+        found = await self._read("orders", self._directory.operations, self._view.listed_operations)
         if found is None:
             return
         self._view.apply_operations(found, loop.time(), self._deployment.heartbeat_s)
@@ -198,14 +201,22 @@
         await self._pause_records(RECORDS_FIRST_PAUSE_S if first else RECORDS_PAUSE_S)
 
     async def _pause_records(self, longest_s: float) -> None:
-        """Wait before the next read of the records; shorter while a roll-out is running."""
+        """Wait before the next read of the records.
+
+        The wait is shorter while a roll-out is running or the store has a newer generation.
+        """
         waited_s = 0.0
         while waited_s < longest_s:
             await asyncio.sleep(ROLLOUT_RECORDS_PAUSE_S)
             waited_s += ROLLOUT_RECORDS_PAUSE_S
-            if self._rollout_running():
+            if self._rollout_running() or self._records_outdated():
                 return
 
+    def _records_outdated(self) -> bool:
+        """Return whether the records are of an older generation than other things read."""
+        records = self._view.records
+        return records is not None and records.generation != self._view.generation
+
     def cut_off(self, now: float) -> bool:
         """Return whether the directory is lost and peers have sent no current orders either."""
         return bool(self._lost_since_by_source) and self._view.operations_age_s(now) > CUT_OFF_AGE_S
@@ -215,6 +226,25 @@
         services = operations.order_by_service if operations else ()
         return any(self._view.final_state(service) is None for service in services)
 
+    async def publish_again(self) -> int | None:
+        """Publish the control address again if the store has lost it.
+
+        Returns:
+            Number of rows written; None if the records of the store's generation are not known yet
+            or the write was not acknowledged.
+        """
+        deployment, records = self._deployment, self._view.records
+        if deployment.control is None:
+            return 0
+        if records is None or self._records_outdated():
+            return None
+        listed = records.control_by_daemon.get(deployment.instance)
+        region = records.region_by_daemon.get(deployment.instance)
+        if (listed, region) == (str(deployment.control), deployment.region):
+            return 0
+        await self._publish()
+        return 1 if self._control_published else None
+
     async def _publish(self) -> None:
         if self._deployment.control is None:
             return
@@ -281,8 +311,7 @@
 
     def _peer_addresses(self) -> list[str]:
         known = {str(address) for address in self._deployment.seeds}
-        if self._view.records:
-            known |= set(self._view.records.control_by_daemon.values())
+        known |= set(self._view.control_by_daemon.values())
         known.discard(str(self._deployment.control))
         return sorted(known)
 
@@ -298,24 +327,33 @@
 
     def _query(self, wait_s: float) -> PeerQuery:
         view = self._view
+        operations = view.listed_operations.position if view.listed_operations else Position()
+        endpoints = view.endpoint_list.position if view.endpoint_list else Position()
+        records = view.records.position if view.records else Position()
         return PeerQuery(
-            view.operations.revision if view.operations else 0,
-            view.endpoint_list.revision if view.endpoint_list else 0,
-            view.records.revision if view.records else 0,
+            operations.revision,
+            endpoints.revision,
+            records.revision,
             wait_s,
+            operations.generation,
+            endpoints.generation,
+            records.generation,
         )
 
     def _apply_update(self, update: PeerUpdate) -> None:
-        """Apply the answer of a peer to the view."""
+        """Apply the answer of a peer to the view; one of an older generation changes nothing."""
         now = asyncio.get_running_loop().time()
         view = self._view
-        operations = update.operations or view.operations
-        if operations is not None:
+        held_orders = view.listed_operations
+        operations = update.operations or held_orders
+        confirmed = held_orders is None or update.operations_generation >= held_orders.generation
+        if operations is not None and confirmed:
             at = now - update.operations_age_s
             view.apply_operations(operations, at, self._deployment.heartbeat_s)
         if update.endpoints is not None:
             held = view.endpoint_list
-            if update.endpoints.whole or held is not None:
+            known = held is not None and held.generation == update.endpoints.generation
+            if update.endpoints.whole or known:
                 endpoints = apply_changes(held, update.endpoints)
                 view.apply_endpoints(endpoints, now - update.endpoints_age_s)
         if update.records is not None:
--- a/comfreyhatch/exchange/evidence.py
+++ b/comfreyhatch/exchange/evidence.py
@@ -1,10 +1,12 @@
 """Collects evidence on the versions of a roll-out from the outcomes of attempts."""
 
+from msgspec.structs import replace
+
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.slowness import BaselineTimes
 from comfreyhatch.decisions.version_trial import add_outcomes
 from comfreyhatch.domain.exchange import Job
-from comfreyhatch.domain.operations import Evidence, VersionOutcomes
+from comfreyhatch.domain.operations import Evidence, RolloutOrder, VersionOutcomes
 from comfreyhatch.exchange.view import FleetView
 
 
@@ -18,15 +20,27 @@
         self._daemon = daemon
         self._view = view
         self._evidence_by_service: dict[str, Evidence] = {}
+        self._order_by_service: dict[str, RolloutOrder] = {}
         self._latency_by_route: dict[str, BaselineTimes] = {}
         self._event_gap_by_model: dict[tuple[str, str], BaselineTimes] = {}
 
     def evidence(self, service: str) -> Evidence | None:
-        """Return this daemon's counts for the roll-out order in force; None without any."""
+        """Return this daemon's counts for the roll-out order in force; None without any.
+
+        Counts go on under an order that is listed with another revision after the store came back
+        from an older copy.
+        """
         order = self._view.order(service)
         evidence = self._evidence_by_service.get(service)
-        if order is None or evidence is None or evidence.order_revision != order.revision:
+        counted = self._order_by_service.get(service)
+        if order is None or evidence is None or counted is None:
+            return None
+        if not self._view.is_same_order(counted, order):
             return None
+        if evidence.order_revision != order.revision:
+            evidence = replace(evidence, order_revision=order.revision)
+            self._evidence_by_service[service] = evidence
+            self._order_by_service[service] = order
         return evidence
 
     def record_answer(
@@ -109,6 +123,7 @@
         if evidence is None:
             evidence = Evidence(job.service, order.revision, self._daemon, {}, {})
             self._evidence_by_service[job.service] = evidence
+            self._order_by_service[job.service] = order
         target = endpoint.record.version == order.version
         by_route = evidence.target_by_route if target else evidence.other_by_route
         by_route[job.route.name] = add_outcomes(
--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -9,6 +9,7 @@
 from msgspec.msgpack import decode, encode
 
 from comfreyhatch.domain.operations import Operations, SharedRecords
+from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import ListenError, PeerError, PeerTimeoutError
 from comfreyhatch.exchange.endpoint_changes import EndpointChanges
 
@@ -29,12 +30,33 @@
         endpoints: Revision of the list of endpoints; 0 for none.
         records: Revision of the daemons' records; 0 for none.
         wait_s: Longest wait for anything newer, in seconds.
+        operations_generation: Generation of the store in which the orders were read.
+        endpoints_generation: The same for the list of endpoints.
+        records_generation: The same for the daemons' records.
     """
 
     operations: int = 0
     endpoints: int = 0
     records: int = 0
     wait_s: float = 0.0
+    operations_generation: int = 0
+    endpoints_generation: int = 0
+    records_generation: int = 0
+
+    @property
+    def operations_position(self) -> Position:
+        """Position of the orders."""
+        return Position(self.operations_generation, self.operations)
+
+    @property
+    def endpoints_position(self) -> Position:
+        """Position of the list of endpoints."""
+        return Position(self.endpoints_generation, self.endpoints)
+
+    @property
+    def records_position(self) -> Position:
+        """Position of the daemons' records."""
+        return Position(self.records_generation, self.records)
 
 
 class PeerUpdate(Struct, frozen=True):
@@ -46,6 +68,7 @@
         endpoints: Changes of the list of endpoints; None if no list is known.
         endpoints_age_s: Age of the list, in seconds.
         records: Records of the daemons; None if they are not newer.
+        operations_generation: Generation of the store to which the age of the orders belongs.
     """
 
     operations: Operations | None
@@ -53,6 +76,7 @@
     endpoints: EndpointChanges | None
     endpoints_age_s: float
     records: SharedRecords | None
+    operations_generation: int = 0
 
 
 class PeerListener:
--- a/comfreyhatch/exchange/reader_selector.py
+++ b/comfreyhatch/exchange/reader_selector.py
@@ -42,12 +42,12 @@
             return None
         held_down = [
             daemon
-            for daemon, address in records.control_by_daemon.items()
+            for daemon, address in self._view.control_by_daemon.items()
             if self._is_held_down(address, now)
         ]
         group = self._view.daemons_in(self._deployment.region)
         reader = reader_for(self._deployment.instance, group, held_down)
-        return records.control_by_daemon.get(reader) if reader else None
+        return self._view.control_by_daemon.get(reader) if reader else None
 
     def hold_down(self, address: str, reason: str, now: float) -> None:
         """Exclude a reader that has failed, for twice as long as the last time."""
--- a/comfreyhatch/exchange/rollouts.py
+++ b/comfreyhatch/exchange/rollouts.py
@@ -33,6 +33,12 @@
     Every daemon may store the next step; a conditional write lets only one succeed. All daemons
     compute the same order of succession by rendezvous hashing. The first stores a due step at
     once and each later one after a further `TAKEOVER_DELAY_S`, so that usually one write is made.
+
+    After the store has come back from an older copy, the furthest state that a daemon holds is
+    stored again before any step is taken.
+
+    Attributes:
+        steps_stored_again: Number of states that this daemon has stored again.
     """
 
     def __init__(
@@ -57,7 +63,8 @@
         self._published: dict[str, Evidence] = {}
         self._published_at = 0.0
         self._due_since: dict[str, float] = {}
-        self._bad_revision_by_service: dict[str, int] = {}
+        self._bad_order_by_service: dict[str, RolloutOrder] = {}
+        self.steps_stored_again = 0
         self._task = PeriodicTask("roll-outs", CHECK_INTERVAL_S, self._check)
 
     def start(self) -> None:
@@ -70,7 +77,45 @@
 
     def is_bad_version(self, order: RolloutOrder) -> bool:
         """Return whether this daemon has found the target version of an order to be bad."""
-        return self._bad_revision_by_service.get(order.service) == order.revision
+        bad = self._bad_order_by_service.get(order.service)
+        return bad is not None and self._view.is_same_order(bad, order)
+
+    async def store_evidence_again(self) -> int | None:
+        """Store the published evidence that the store has lost.
+
+        Returns:
+            Number of records stored; None if the records of the store's generation are not known
+            yet or a write was not acknowledged.
+        """
+        records = self._view.records
+        if records is None or records.generation != self._view.generation:
+            return None
+        count = 0
+        for service, published in list(self._published.items()):
+            listed = records.evidence_by_key.get(f"{service}/{self._deployment.instance}")
+            current = self._evidence_collector.evidence(service)
+            if current is None or listed == published or self._view.final_state(service):
+                continue
+            copy = _copy_of(current)
+            if not await self._directory.put_evidence(copy):
+                return None
+            self._published[service] = copy
+            count += 1
+        return count
+
+    async def await_lost_steps(self) -> int | None:
+        """Return the number of states stored again since the last call.
+
+        None while the store's records are not known yet, or lost states are to be stored yet.
+        """
+        operations = self._view.operations
+        records = self._view.records
+        if operations is None or records is None or records.generation != self._view.generation:
+            return None
+        if any(self._view.lost_trial(service) for service in operations.order_by_service):
+            return None
+        count, self.steps_stored_again = self.steps_stored_again, 0
+        return count
 
     async def _check(self) -> None:
         operations = self._view.operations
@@ -80,17 +125,16 @@
             if self._view.final_state(order.service) is None:
                 await self._publish_evidence(order.service)
                 await self._advance(order)
+            else:
+                if not await self._store_again(order):
+                    self._due_since.pop(order.service, None)
 
     async def _publish_evidence(self, service: str) -> None:
         now = asyncio.get_running_loop().time()
         evidence = self._evidence_collector.evidence(service)
         if evidence is None or not evidence.target_by_route:
             return
-        copy = replace(
-            evidence,
-            target_by_route=dict(evidence.target_by_route),
-            other_by_route=dict(evidence.other_by_route),
-        )
+        copy = _copy_of(evidence)
         if not should_publish_evidence(
             self._published.get(service), copy, now - self._published_at
         ):
@@ -106,13 +150,15 @@
         pooled = pool_evidence(self._fleet_evidence(order))
         fault = find_fault(pooled)
         if fault and not self.is_bad_version(order):
-            self._bad_revision_by_service[order.service] = order.revision
+            self._bad_order_by_service[order.service] = order
             log.warning(
                 "event=version_distrusted service=%s version=%s reason=%r",
                 order.service,
                 order.version,
                 fault,
             )
+        if await self._store_again(order) or not self._view.can_step(order.service):
+            return
         step = next_trial_record(
             order,
             self._stored_trial(order.service),
@@ -124,12 +170,28 @@
         if step is None:
             self._due_since.pop(order.service, None)
             return
+        if self._is_due(order, now):
+            await self._store_step(step)
+
+    async def _store_again(self, order: RolloutOrder) -> bool:
+        """Store the state that the store has lost, once it is this daemon's turn.
+
+        Returns:
+            Whether a state has been lost.
+        """
+        lost = self._view.lost_trial(order.service)
+        if lost is None:
+            return False
+        if self._is_due(order, asyncio.get_running_loop().time()):
+            self.steps_stored_again += await self._store_step(lost)
+        return True
+
+    def _is_due(self, order: RolloutOrder, now: float) -> bool:
+        """Return whether this daemon's delay since the first sight of a due step has passed."""
         since = self._due_since.setdefault(order.service, now)
-        if now - since < self._succession_rank(order) * TAKEOVER_DELAY_S:
-            return
-        await self._store_step(step)
+        return now - since >= self._succession_rank(order) * TAKEOVER_DELAY_S
 
-    async def _store_step(self, step: RolloutRecord) -> None:
+    async def _store_step(self, step: RolloutRecord) -> bool:
         stored = await self._directory.put_rollout(step)
         log.info(
             "event=rollout_step service=%s version=%s state=%s share=%.2f stored=%s reason=%r",
@@ -144,6 +206,7 @@
         self._due_since.pop(step.service, None)
         found = await self._directory.records(self._view.records, 0.0)
         self._view.apply_records(found, loop.time())
+        return stored
 
     def _stored_trial(self, service: str) -> RolloutRecord | None:
         records = self._view.records
@@ -178,3 +241,12 @@
         daemons = self._view.daemons() | {self._deployment.instance}
         ranked = rendezvous_order(f"{order.service}/{order.revision}", daemons)
         return min(ranked.index(self._deployment.instance), 5)
+
+
+def _copy_of(evidence: Evidence) -> Evidence:
+    """Return a copy that does not change with later answers."""
+    return replace(
+        evidence,
+        target_by_route=dict(evidence.target_by_route),
+        other_by_route=dict(evidence.other_by_route),
+    )
--- a/comfreyhatch/exchange/view.py
+++ b/comfreyhatch/exchange/view.py
@@ -1,10 +1,13 @@
 """A daemon's view of the fleet: orders, endpoints and roll-outs, as last read from the directory.
 
-Revisions never go back: an older list or record, from a peer or from the store, changes nothing.
+Positions never go back: an older list or record, from a peer or from the store, changes nothing.
+When the store has come back from an older copy, what was in force is carried over for a time.
 """
 
 import logging
 
+from msgspec.structs import replace
+
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.catalog import Catalog
 from comfreyhatch.domain.endpoint import EndpointList, EndpointRecord
@@ -15,6 +18,13 @@
     RolloutState,
     SharedRecords,
 )
+from comfreyhatch.exchange.carry_over import (
+    EndpointCarryOver,
+    OrderCarryOver,
+    RecordCarryOver,
+    is_further,
+    newer_catalog,
+)
 from comfreyhatch.exchange.endpoint_changes import EndpointHistory
 
 # Age from which orders are stale. A list of endpoints that replaces one of this age counts as the
@@ -37,7 +47,8 @@
     It makes no decisions about requests.
 
     Attributes:
-        operations: Orders of the operators; None before they were read.
+        operations: Orders of the operators in force; None before they were read.
+        listed_operations: Orders as read, without those that are carried over.
         endpoint_list: Registered endpoints; None before they were read.
         records: Records of the daemons; None before they were read.
         endpoint_history: Changes of the list, for followers.
@@ -47,6 +58,7 @@
 
     def __init__(self) -> None:
         self.operations: Operations | None = None
+        self.listed_operations: Operations | None = None
         self.endpoint_list: EndpointList | None = None
         self.records: SharedRecords | None = None
         self.endpoint_history = EndpointHistory()
@@ -57,13 +69,35 @@
         self._store_offset_ms = float("-inf")
         self._first_seen_at_by_version: dict[tuple[str, str], float] = {}
         self._cold_until_by_zone: dict[str, float] = {}
-        self._lapse_grace_until = 0.0
+        self._lapse_grace_from = float("-inf")
+        self._lapse_grace_until = float("-inf")
+        self._carried_orders = OrderCarryOver()
+        self._carried_endpoints = EndpointCarryOver()
+        self._carried_records = RecordCarryOver()
 
     @property
     def catalog(self) -> Catalog | None:
         """Configuration in force; None while none is known."""
         return self.operations.catalog if self.operations else None
 
+    @property
+    def generation(self) -> int | None:
+        """Newest generation of the store from which anything was read; None before that."""
+        held = (self.listed_operations, self.endpoint_list, self.records)
+        return max((found.generation for found in held if found is not None), default=None)
+
+    @property
+    def control_by_daemon(self) -> dict[str, str]:
+        """Control addresses of the daemons, those from before a return of the store included."""
+        listed = self.records.control_by_daemon if self.records else {}
+        return {**self._carried_records.control_by_daemon, **listed}
+
+    @property
+    def region_by_daemon(self) -> dict[str, str]:
+        """Regions of the daemons, those from before a return of the store included."""
+        listed = self.records.region_by_daemon if self.records else {}
+        return {**self._carried_records.region_by_daemon, **listed}
+
     def ready(self) -> bool:
         """Return whether a configuration and a list of endpoints are known."""
         return self.catalog is not None and self.endpoint_list is not None
@@ -87,15 +121,30 @@
     def apply_operations(self, found: Operations, now: float, heartbeat_s: float) -> None:
         """Replace the orders if newer; otherwise only update the age of those that are held.
 
+        Orders of an older generation change nothing, the age neither. The configuration is never
+        replaced by one with a lower version.
+
         Args:
             found: Orders as read.
             now: Monotonic time at which they were current, in seconds.
             heartbeat_s: Interval at which endpoints renew their records, in seconds.
         """
-        held = self.operations
-        self._operations_at = max(self._operations_at, now)
-        if held is not None and found.revision <= held.revision:
+        listed, held = self.listed_operations, self.operations
+        if listed is not None and found.generation < listed.generation:
             return
+        self._operations_at = max(self._operations_at, now)
+        if listed is not None and held is not None:
+            if found.generation > listed.generation:
+                self._carried_orders.begin(held, found, now)
+            elif found.revision <= listed.revision:
+                found = listed
+            found = replace(found, catalog=newer_catalog(listed.catalog, found.catalog))
+        self.listed_operations = found
+        self._enforce(self._carried_orders.merge(found, now), now, heartbeat_s)
+
+    def _enforce(self, found: Operations, now: float, heartbeat_s: float) -> None:
+        """Replace the orders in force."""
+        held = self.operations
         self.operations = found
         self._log_operations(held, found)
         for zone in (held.zones_out if held else frozenset()) - found.zones_out:
@@ -110,11 +159,18 @@
             now: Monotonic time at which it was current, in seconds.
         """
         held = self.endpoint_list
-        if held is not None and self.endpoints_age_s(now) > STALE_AGE_S:
+        if held is not None and found.generation < held.generation:
+            return
+        returned = held is not None and found.generation > held.generation
+        if held is not None and (returned or self.endpoints_age_s(now) > STALE_AGE_S):
+            self._lapse_grace_from = now
             self._lapse_grace_until = now + LAPSE_GRACE_S
         self._endpoints_at = max(self._endpoints_at, now)
-        if held is not None and found.revision < held.revision:
+        if held is not None and found.position < held.position:
             return
+        if held is not None and returned:
+            self._carried_endpoints.begin(held, found, now)
+        self._carried_endpoints.update(found)
         self.endpoint_list = found
         self.endpoint_history.update(found)
         for endpoint_id, record in found.record_by_id.items():
@@ -122,33 +178,37 @@
         for endpoint_id, tracker in self.tracker_by_id.items():
             if endpoint_id not in found.record_by_id and tracker.removed_at is None:
                 tracker.removed_at = now
+                self._carried_endpoints.note_removed(tracker.record, now)
                 log.info("event=endpoint_gone endpoint=%s", endpoint_id)
         self._remove_unlisted(now)
 
     def apply_records(self, found: SharedRecords, now: float) -> None:
         """Replace the records of the daemons if not older.
 
-        The estimate of the store's clock only goes forward: a peer's copy, or an answer from before
-        a compaction, has an old time.
+        Records of an older generation change nothing. The estimate of the store's clock only goes
+        forward: a peer's copy, or an answer from before a compaction, has an old time.
 
         Args:
             found: Records as read.
             now: Monotonic time of the read, in seconds.
         """
+        held = self.records
+        if held is not None and found.generation < held.generation:
+            return
         self._store_offset_ms = max(self._store_offset_ms, found.store_ms - now * MS_PER_S)
-        if self.records is not None and found.revision < self.records.revision:
+        if held is not None and found.position < held.position:
             return
+        if held is not None and found.generation > held.generation:
+            self._carried_records.begin(held)
         self.records = found
 
     def daemons_in(self, region: str) -> list[str]:
         """Return the daemons whose records name a region."""
-        if self.records is None:
-            return []
-        return [d for d, found in self.records.region_by_daemon.items() if found == region]
+        return [d for d, found in self.region_by_daemon.items() if found == region]
 
     def daemons(self) -> set[str]:
         """Return all daemons that have published a control address, stopped ones included."""
-        return set(self.records.control_by_daemon) if self.records else set()
+        return set(self.control_by_daemon)
 
     def order(self, service: str) -> RolloutOrder | None:
         """Return the current roll-out order of a service."""
@@ -157,21 +217,64 @@
     def trial(self, service: str) -> RolloutRecord | None:
         """Return the shared state of the current order's roll-out; None before it is published."""
         order = self.order(service)
-        found = self.records.trial_by_service.get(service) if self.records else None
-        if order is None or found is None or found.order_revision != order.revision:
+        if order is None:
             return None
-        return found
+        listed = self._matching(order, self._listed_trial(service))
+        carried = self._matching(order, self._carried_records.trial_by_service.get(service))
+        if carried is None or (listed is not None and not is_further(carried, listed)):
+            return listed
+        return carried
+
+    def lost_trial(self, service: str) -> RolloutRecord | None:
+        """Return the state of a roll-out to write again, as a write under the listed revision.
+
+        Returns:
+            The furthest state that was held, if the store came back from a copy that lists an
+            earlier state or none, and lists the order; otherwise None.
+        """
+        order, found = self.order(service), self.trial(service)
+        records = self.records
+        if order is None or found is None or records is None or not self.can_step(service):
+            return None
+        listed = self._listed_trial(service)
+        if listed is not None and listed.order_revision == order.revision:
+            same = listed.version == order.version
+            if same and not is_further(found, listed):
+                return None
+        return replace(
+            found,
+            order_revision=order.revision,
+            revision=listed.revision if listed else 0,
+            generation=records.generation,
+        )
+
+    def can_step(self, service: str) -> bool:
+        """Return whether the order in force is listed, in the generation of the records."""
+        listed, records = self.listed_operations, self.records
+        if listed is None or records is None or listed.generation != records.generation:
+            return False
+        return not self._carried_orders.is_carried(service)
+
+    def is_same_order(self, known: RolloutOrder, order: RolloutOrder) -> bool:
+        """Return whether the order in force is a known one, maybe of an earlier generation."""
+        return self._carried_orders.is_same_order(
+            order, known.version, known.revision, known.service
+        )
 
     def available(self, tracker: EndpointTracker, now: float) -> bool:
         """Return whether an endpoint is registered, not draining and not misdirected.
 
-        If its record lapsed during an outage of the store, it is available until the grace is over.
+        If its record lapsed during an outage of the store, or is missing in the copy from which the
+        store came back, it is available until the grace is over.
         """
         if tracker.record.draining or tracker.misdirected:
             return False
+        if self._carried_endpoints.is_withheld(tracker.record, now):
+            return False
         if tracker.removed_at is None:
             return True
-        return tracker.removed_at <= self._lapse_grace_until and now < self._lapse_grace_until
+        lapsed = self._lapse_grace_from <= tracker.removed_at <= self._lapse_grace_until
+        return lapsed and now < self._lapse_grace_until
 
     def zone_out(self, zone: str) -> bool:
         """Return whether operators took a zone out of service."""
@@ -219,13 +322,28 @@
                 record.zone,
                 record.cold_left_s,
             )
-        elif record.revision > tracker.record.revision:
+        elif replace(tracker.record, generation=record.generation) == record:
+            tracker.record = record
+            tracker.removed_at = None
+        elif record.position > tracker.record.position:
             if record.draining and not tracker.record.draining:
                 log.info("event=endpoint_draining endpoint=%s", endpoint_id)
             tracker.update_record(record, now)
         elif tracker.removed_at is not None:
             tracker.removed_at = None
 
+    def _listed_trial(self, service: str) -> RolloutRecord | None:
+        return self.records.trial_by_service.get(service) if self.records else None
+
+    def _matching(self, order: RolloutOrder, trial: RolloutRecord | None) -> RolloutRecord | None:
+        """Return a state of a roll-out if it belongs to an order."""
+        if trial is None:
+            return None
+        same = self._carried_orders.is_same_order(
+            order, trial.version, trial.order_revision, trial.service
+        )
+        return trial if same else None
+
     def _remove_unlisted(self, now: float) -> None:
         for endpoint_id, tracker in list(self.tracker_by_id.items()):
             if (
--- a/comfreyhatch/platform/directory.py
+++ b/comfreyhatch/platform/directory.py
@@ -15,7 +15,9 @@
     RolloutRecord,
     SharedRecords,
 )
+from comfreyhatch.domain.position import Position
 from comfreyhatch.domain.usage import UsageBatch
+from comfreyhatch.errors import PlatformError
 from comfreyhatch.platform.documents import decode_catalog, decode_endpoint, decode_order
 from comfreyhatch.platform.store import (
     HistoryGoneError,
@@ -67,21 +69,21 @@
     async def operations(self, held: Operations | None, wait_s: float) -> Operations:
         """Return the operators' instructions."""
         rows, is_full = await self._changed_rows(
-            OPERATOR_TABLE, held.revision if held else None, wait_s
+            OPERATOR_TABLE, held.position if held else None, wait_s
         )
         return _apply_operations(held, rows, is_full)
 
     async def endpoints(self, held: EndpointList | None, wait_s: float) -> EndpointList:
         """Return the registered endpoints."""
         rows, is_full = await self._changed_rows(
-            ENDPOINT_TABLE, held.revision if held else None, wait_s
+            ENDPOINT_TABLE, held.position if held else None, wait_s
         )
         return _apply_endpoints(held, rows, is_full)
 
     async def records(self, held: SharedRecords | None, wait_s: float) -> SharedRecords:
         """Return the records that daemons have published."""
         rows, is_full = await self._changed_rows(
-            DAEMON_TABLE, held.revision if held else None, wait_s
+            DAEMON_TABLE, held.position if held else None, wait_s
         )
         return _apply_records(held, rows, is_full)
 
@@ -98,7 +100,8 @@
     async def put_rollout(self, rollout: RolloutRecord) -> bool:
         """Publish the state of a roll-out if the stored one still has `rollout.revision`.
 
-        One transaction writes the record for the daemons and the status for the operator.
+        Nothing is sent if that revision is of an earlier generation of the store. One transaction
+        writes the record for the daemons and the status for the operator.
 
         Returns:
             Whether it is stored; False also if the result of the write is unknown.
@@ -111,6 +114,7 @@
                     ROLLOUT_RECORD_PREFIX + rollout.service,
                     encode(rollout),
                     rollout.revision,
+                    rollout.generation,
                 ),
                 Write(STATUS_TABLE, ROLLOUT_PREFIX + rollout.service, status),
             ]
@@ -136,28 +140,35 @@
         return await self._store.write(writes) is WriteResult.DONE
 
     async def _changed_rows(
-        self, table: str, after: int | None, wait_s: float
+        self, table: str, after: Position | None, wait_s: float
     ) -> tuple[Rows, bool]:
-        """Return the rows changed after a revision, and False; or all rows of the table, and True.
+        """Return the rows changed after a position, and False; or all rows of the table, and True.
 
-        All rows are read if `after` is None or the store no longer has the changes after it.
+        All rows are read if `after` is None or the store does not have the changes after it.
+
+        Raises:
+            PlatformError: If the store does not answer, or lists an older position than `after`.
         """
         if after is None:
             return await self._store.read(table), True
         try:
             return await self._store.follow(table, after, wait_s), False
-        except HistoryGoneError:
-            log.info("event=history_gone table=%s after=%d", table, after)
-            return await self._store.read(table), True
+        except HistoryGoneError as error:
+            log.info("event=history_gone table=%s reason=%r", table, str(error))
+        rows = await self._store.read(table)
+        if rows.position < after:
+            # Asking again at once would be answered in the same way, thousands of times a second.
+            raise PlatformError(f"table {table} is listed at {rows.position}, older than {after}")
+        return rows, True
 
 
 def _apply_operations(held: Operations | None, rows: Rows, is_full: bool) -> Operations:
     """Apply rows to the current instructions.
 
-    Rows of an older revision than the current instructions are ignored. The configuration is
+    Rows of an older position than the current instructions are ignored. The configuration is
     replaced only by a well-formed one with a higher version.
     """
-    if held and rows.revision < held.revision:
+    if held and rows.position < held.position:
         return held
     catalog = held.catalog if held else None
     orders = dict(held.order_by_service) if held and not is_full else {}
@@ -172,7 +183,7 @@
         elif row.key.startswith(EVACUATION_PREFIX):
             zone = row.key.removeprefix(EVACUATION_PREFIX)
             zones.discard(zone) if row.removed else zones.add(zone)
-    return Operations(rows.revision, catalog, orders, frozenset(zones))
+    return Operations(rows.revision, catalog, orders, frozenset(zones), rows.generation)
 
 
 def _apply_order(orders: dict[str, RolloutOrder], row: Row) -> None:
@@ -187,7 +198,7 @@
 
 def _apply_endpoints(held: EndpointList | None, rows: Rows, is_full: bool) -> EndpointList:
     """Apply rows to the current list; a removed or malformed record drops its endpoint."""
-    if held and rows.revision < held.revision:
+    if held and rows.position < held.position:
         return held
     records: dict[str, EndpointRecord] = dict(held.record_by_id) if held and not is_full else {}
     for row in rows.rows:
@@ -196,7 +207,7 @@
             records[row.key] = record
         else:
             records.pop(row.key, None)
-    return EndpointList(rows.revision, records)
+    return EndpointList(rows.revision, records, rows.generation)
 
 
 def _apply_records(held: SharedRecords | None, rows: Rows, is_full: bool) -> SharedRecords:
@@ -205,7 +216,7 @@
     Roll-outs and evidence are dropped if their row is removed or malformed. The address and region
     of a daemon are kept in that case until all rows of the table are read again.
     """
-    if held and rows.revision < held.revision:
+    if held and rows.position < held.position:
         return held
     rollouts = dict(held.trial_by_service) if held and not is_full else {}
     evidence = dict(held.evidence_by_key) if held and not is_full else {}
@@ -221,7 +232,9 @@
             if address:
                 controls[row.key.removeprefix(DAEMON_PREFIX)] = address.control
                 regions[row.key.removeprefix(DAEMON_PREFIX)] = address.region
-    return SharedRecords(rows.revision, rows.store_ms, rollouts, evidence, controls, regions)
+    return SharedRecords(
+        rows.revision, rows.store_ms, rollouts, evidence, controls, regions, rows.generation
+    )
 
 
 def _update_value(
@@ -233,7 +246,7 @@
         value_by_name.pop(name, None)
         return
     if isinstance(value, RolloutRecord):
-        value = replace(value, revision=row.revision)
+        value = replace(value, revision=row.revision, generation=row.generation)
     value_by_name[name] = value
 
 
--- a/comfreyhatch/platform/documents.py
+++ b/comfreyhatch/platform/documents.py
@@ -170,6 +170,7 @@
         cold_left_s=max(0.0, server.cold_left_ms) / MS_PER_S,
         born_ms=server.born,
         revision=row.revision,
+        generation=row.generation,
     )
 
 
--- a/comfreyhatch/platform/store.py
+++ b/comfreyhatch/platform/store.py
@@ -11,6 +11,7 @@
 
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply
 from comfreyhatch.domain.instance import Address
+from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import HttpError, PlatformError
 
 CALL_TIMEOUT_S = 0.8
@@ -18,6 +19,10 @@
 ROWS_PER_PAGE = 500
 MS_PER_S = 1000.0
 
+GENERATION_HEADER = "store-era"
+# Larger numbers would not fit into 64 bits.
+MAX_GENERATION_DIGITS = 18
+
 HTTP_OK = 200
 HTTP_PRECONDITION_FAILED = 412
 HTTP_GONE = 410
@@ -34,6 +39,7 @@
         value: Value; empty if the row is removed or its value is not valid base64.
         revision: Revision of the store that last changed the row.
         removed: Whether the row is removed.
+        generation: Generation of the store to which the revision belongs.
     """
 
     table: str
@@ -41,20 +47,28 @@
     value: bytes
     revision: int
     removed: bool = False
+    generation: int = 0
 
 
 class Rows(Struct, frozen=True):
-    """Rows at one revision of the store.
+    """Rows at one position of the store.
 
     Attributes:
         rows: All rows of a table, or those that changed.
         revision: Revision of the store.
         store_ms: Time by the store's clock, in milliseconds.
+        generation: Generation of the store to which the revision belongs.
     """
 
     rows: tuple[Row, ...]
     revision: int
     store_ms: int
+    generation: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position of the store at which the rows were read."""
+        return Position(self.generation, self.revision)
 
 
 class Write(Struct, frozen=True):
@@ -65,12 +79,19 @@
         key: Key of the row.
         value: New value.
         expected: Revision that the row must have; 0 if it must not exist, None for any.
+        generation: Generation of the store to which `expected` belongs, unless it is 0 or None.
     """
 
     table: str
     key: str
     value: bytes
     expected: int | None = None
+    generation: int = 0
+
+    @property
+    def has_revision(self) -> bool:
+        """Whether the write depends on a revision, and so on its generation."""
+        return bool(self.expected)
 
 
 class WriteResult(Enum):
@@ -83,7 +104,22 @@
 
 
 class HistoryGoneError(PlatformError):
-    """The store no longer has the requested changes; the table must be read in full."""
+    """The store does not have the requested changes; the table must be read in full."""
+
+
+class GenerationChangedError(HistoryGoneError):
+    """The store has come back from an older copy since the revision asked from."""
+
+
+class LateAnswerError(PlatformError):
+    """An answer is of an older generation of the store than another one that was read already."""
+
+
+class _Answer(Struct, frozen=True):
+    """An answer of the store and its generation."""
+
+    reply: HttpReply
+    generation: int
 
 
 class _WireRow(Struct):
@@ -131,8 +167,12 @@
 class StoreClient:
     """Reads, watches and writes rows; every call has a timeout.
 
+    An answer that does not name its generation counts as one of the generation that was known when
+    the call was sent.
+
     Attributes:
         calls: Number of calls so far.
+        generation: Highest generation of the store that an answer has named; 0 if none has.
     """
 
     def __init__(self, address: Address) -> None:
@@ -140,6 +180,8 @@
         self._client = HttpClient(connect_timeout_s=CONNECT_TIMEOUT_S)
         self._decoder = Decoder(_WireRows)
         self.calls = 0
+        self.generation = 0
+        self._warned_of_header = False
 
     async def read(self, table: str) -> Rows:
         """Return all rows of a table.
@@ -149,75 +191,128 @@
         """
         rows: list[Row] = []
         start = ""
+        generation = 0
         while True:
             query = {"table": table, "part": "", "limit": str(ROWS_PER_PAGE)}
             if start:
                 query["from"] = start
-            page = self._rows(await self._call("GET", f"/rows-get?{urlencode(query)}"))
-            rows += [row for row in map(_to_row, page.rows) if row]
+            answer = await self._read_call(f"/rows-get?{urlencode(query)}")
+            if rows and answer.generation != generation:
+                raise GenerationChangedError(f"table {table} changed generation between two pages")
+            generation = answer.generation
+            page = self._rows(answer.reply)
+            rows += _to_rows(page.rows, generation)
             if not page.has_more or not page.rows:
-                return Rows(tuple(rows), page.ver, int(page.now_ms))
+                return Rows(tuple(rows), page.ver, int(page.now_ms), generation)
             start = page.rows[-1].key + "\0"  # the smallest key after the last one
 
-    async def follow(self, table: str, after: int, wait_s: float) -> Rows:
-        """Return the rows of a table that changed after a revision (long poll).
+    async def follow(self, table: str, after: Position, wait_s: float) -> Rows:
+        """Return the rows of a table that changed after a position (long poll).
 
         Args:
             table: Name of the table.
-            after: Revision of the store.
+            after: Position of the store.
             wait_s: Longest wait for a change, in seconds.
 
         Raises:
-            HistoryGoneError: If the store no longer has these changes.
+            GenerationChangedError: If the store has a newer generation than the position.
+            HistoryGoneError: If the store does not have these changes.
+            LateAnswerError: If the answer is of an older generation.
             PlatformError: If the store does not answer or refuses.
         """
-        query = {"table": table, "after": str(after), "wait_ms": str(int(wait_s * MS_PER_S))}
-        reply = await self._call("GET", f"/rows-feed?{urlencode(query)}", extra_timeout_s=wait_s)
-        if reply.status == HTTP_GONE:
-            raise HistoryGoneError(
-                f"the changes of table {table} after revision {after} are no longer available"
-            )
-        page = self._rows(reply)
-        rows = tuple(row for row in map(_to_row, page.rows) if row)
-        return Rows(rows, max(after, page.ver), int(page.now_ms))
+        if self.generation > after.generation:
+            raise GenerationChangedError(f"table {table} has a newer generation than {after}")
+        wait_ms = int(wait_s * MS_PER_S)
+        query = {"table": table, "after": str(after.revision), "wait_ms": str(wait_ms)}
+        answer = await self._read_call(f"/rows-feed?{urlencode(query)}", wait_s)
+        if answer.generation > after.generation:
+            raise GenerationChangedError(f"table {table} has a newer generation than {after}")
+        if answer.generation < after.generation:
+            raise LateAnswerError(f"the answer is of an older generation than {after}")
+        if answer.reply.status == HTTP_GONE:
+            raise HistoryGoneError(f"the changes of table {table} after {after} are not available")
+        page = self._rows(answer.reply)
+        rows = tuple(_to_rows(page.rows, answer.generation))
+        revision = max(after.revision, page.ver)
+        return Rows(rows, revision, int(page.now_ms), answer.generation)
 
     async def write(self, writes: list[Write]) -> WriteResult:
         """Apply all writes, or none of them.
 
+        Nothing is sent if an expected revision is of an earlier generation of the store.
+
         Returns:
             DONE if the writes are applied; CONFLICT if a row does not have its expected revision;
             REFUSED if the store rejected the writes for another reason; UNKNOWN if no answer
-            arrived: the writes may be applied now or later.
+            arrived, or the store came back from an older copy meanwhile: the writes may be applied
+            now or later, or may have been lost.
         """
+        expected_of = {w.generation for w in writes if w.has_revision}
+        if any(generation < self.generation for generation in expected_of):
+            log.info("event=store_write_outdated generation=%d", self.generation)
+            return WriteResult.CONFLICT
         refs = [_WireRef(w.table, "", w.key, w.expected) for w in writes if w.expected is not None]
         puts = [_WireWrite(w.table, "", w.key, b64encode(w.value).decode()) for w in writes]
         try:
-            reply = await self._call("POST", "/rows-tx", encode(_WireTransaction(refs, puts)))
+            answer = await self._call("POST", "/rows-tx", encode(_WireTransaction(refs, puts)))
         except PlatformError as error:
             log.warning("event=store_write_unanswered reason=%r", str(error))
             return WriteResult.UNKNOWN
-        if reply.status == HTTP_OK:
-            return WriteResult.DONE
-        if reply.status == HTTP_PRECONDITION_FAILED:
-            return WriteResult.CONFLICT
-        log.info("event=store_write_refused status=%d", reply.status)
+        status = answer.reply.status
+        if status in (HTTP_OK, HTTP_PRECONDITION_FAILED):
+            crossed = any(generation != answer.generation for generation in expected_of)
+            if crossed or answer.generation < self.generation:
+                log.warning("event=store_write_crossed_return generation=%d", self.generation)
+                return WriteResult.UNKNOWN
+            return WriteResult.DONE if status == HTTP_OK else WriteResult.CONFLICT
+        log.info("event=store_write_refused status=%d", status)
         return WriteResult.REFUSED
 
     def close(self) -> None:
         """Close the connections."""
         self._client.close()
 
+    async def _read_call(self, target: str, extra_timeout_s: float = 0.0) -> _Answer:
+        """Return the answer to a reading call.
+
+        Raises:
+            LateAnswerError: If another answer has named a newer generation already.
+            PlatformError: If the store does not answer.
+        """
+        answer = await self._call("GET", target, b"", extra_timeout_s)
+        if answer.generation < self.generation:
+            raise LateAnswerError(
+                f"an answer of generation {answer.generation} came after one of {self.generation}"
+            )
+        return answer
+
     async def _call(
         self, method: str, target: str, body: bytes = b"", extra_timeout_s: float = 0.0
-    ) -> HttpReply:
+    ) -> _Answer:
         self.calls += 1
         headers = {"content-type": "application/json"} if body else {}
+        known = self.generation
         try:
-            return await self._client.request(
+            reply = await self._client.request(
                 self._address, method, target, body, headers, CALL_TIMEOUT_S + extra_timeout_s
             )
         except HttpError as error:
             raise PlatformError(f"the store does not answer: {error}") from error
+        generation = self._named_generation(reply)
+        if generation is None:
+            return _Answer(reply, known)
+        self.generation = max(self.generation, generation)
+        return _Answer(reply, generation)
+
+    def _named_generation(self, reply: HttpReply) -> int | None:
+        """Return the generation that an answer names; None, with one warning, without one."""
+        text = reply.header_by_name.get(GENERATION_HEADER, "").strip()
+        if text.isascii() and text.isdecimal() and len(text) <= MAX_GENERATION_DIGITS:
+            return int(text)
+        if not self._warned_of_header:
+            self._warned_of_header = True
+            log.warning("event=store_generation_unknown header=%r", text)
+        return None
 
     def _rows(self, reply: HttpReply) -> _WireRows:
         if reply.status != HTTP_OK:
@@ -228,7 +323,11 @@
             raise PlatformError(f"the store's answer is malformed: {error}") from error
 
 
-def _to_row(wire: _WireRow) -> Row | None:
+def _to_rows(wires: list[_WireRow], generation: int) -> list[Row]:
+    return [row for row in (_to_row(wire, generation) for wire in wires) if row]
+
+
+def _to_row(wire: _WireRow, generation: int) -> Row | None:
     """Convert a row; return None for other partitions than the one that the daemons use.
 
     A value that is not valid base64 is logged and becomes empty.
@@ -240,4 +339,4 @@
     except (Base64Error, ValueError):
         log.warning("event=row_unreadable table=%s key=%s", wire.table, wire.key)
         value = b""
-    return Row(wire.table, wire.key, value, wire.ver, wire.removed)
+    return Row(wire.table, wire.key, value, wire.ver, wire.removed, generation)
--- a/comfreyhatch/ports/directory.py
+++ b/comfreyhatch/ports/directory.py
@@ -1,6 +1,7 @@
 """Interface to the platform's directory, and an in-memory implementation for tests.
 
-The directory holds operators' instructions, endpoint records and records shared by daemons.
+The directory holds operators' instructions, endpoint records and records shared by daemons. It may
+come back from an older copy; a new generation of its revisions begins then.
 """
 
 import asyncio
@@ -20,7 +21,8 @@
 
     Each read is a long poll: it takes the caller's current state, waits up to `wait_s` seconds for
     a newer one and returns the state at that time. With None it reads the full state at once. The
-    returned state is never older than the one passed in.
+    returned state is never older than the one passed in: it has the same generation and no lower
+    revision, or a newer generation. The first state of a generation is a full one.
 
     Reads raise PlatformError if the directory does not answer.
     """
@@ -43,6 +45,8 @@
     async def put_rollout(self, rollout: RolloutRecord) -> bool:
         """Publish the state of a roll-out if the stored one still has `rollout.revision`.
 
+        That revision belongs to `rollout.generation`; nothing is sent if that is over.
+
         Returns:
             Whether it is stored; False also if the result of the write is unknown.
         """
@@ -96,10 +100,13 @@
     async def put_rollout(self, rollout: RolloutRecord) -> bool:
         """Store the state of a roll-out if the stored revision is the expected one."""
         held = self.current_records.trial_by_service.get(rollout.service)
-        if not self.available or (held.revision if held else 0) != rollout.revision:
+        current = (held.generation, held.revision) if held else (rollout.generation, 0)
+        if not self.available or current != (rollout.generation, rollout.revision):
             return False
         revision = self.current_records.revision + 1
-        self.current_records.trial_by_service[rollout.service] = replace(rollout, revision=revision)
+        self.current_records.trial_by_service[rollout.service] = replace(
+            rollout, revision=revision, generation=self.current_records.generation
+        )
         self.current_records = replace(self.current_records, revision=revision)
         return True
 
--- a/tests/test_directory_sync.py
+++ b/tests/test_directory_sync.py
@@ -195,3 +195,48 @@
         UPDATE.operations, revision=8, zones_out=frozenset({"c"})
     )
     await _until(lambda: follower.view.zone_out("c"), 2.0)
+
+
+async def test_follower_takes_a_newer_generation_from_its_reader(
+    reader_and_follower: tuple[_Daemon, _Daemon],
+) -> None:
+    reader, follower = reader_and_follower
+    await _until(follower.view.ready, 5)
+    await asyncio.sleep(1.5)
+    assert await _stopped_polling(follower)
+    reader.directory.current_operations = replace(
+        UPDATE.operations, revision=2, zones_out=frozenset({"c"}), generation=1
+    )
+    reader.directory.current_endpoints = EndpointList(3, {"e2": record("e2", generation=1)}, 1)
+    reader.directory.current_records = replace(reader.directory.current_records, generation=1)
+    await _until(lambda: follower.view.zone_out("c"), 1.0)
+    await _until(lambda: set(follower.view.endpoint_list.record_by_id) == {"e2"}, 1.0)
+    await _until(lambda: follower.view.records.generation == 1, 2.0)
+
+
+async def test_peer_of_an_older_generation_changes_nothing() -> None:
+    # Its answers kept the follower's orders young, though they confirmed nothing.
+    address = Address("127.0.0.1", free_port())
+    queries: list[PeerQuery] = []
+
+    async def answer(query: PeerQuery) -> PeerUpdate:
+        queries.append(query)
+        orders = replace(UPDATE.operations, zones_out=frozenset({"old"}))
+        return replace(UPDATE, operations=orders, operations_age_s=0.0, endpoints_age_s=0.0)
+
+    listener = PeerListener(str(address), answer)
+    listener.start()
+    view = FleetView()
+    now = asyncio.get_running_loop().time()
+    view.apply_operations(Operations(2, CATALOG, {}, frozenset(), 1), now - 9, 1.0)
+    view.apply_endpoints(EndpointList(2, {}, 1), now - 9)
+    directory = MemoryDirectory(available=False)
+    sync = DirectorySync(deployment((address,)), directory, view, Random(1), lambda: None)
+    sync.start()
+    await _until(lambda: len(queries) >= 2, 5)
+    await sync.stop()
+    await listener.stop()
+    assert queries[0].operations_position == view.listed_operations.position
+    assert not view.zone_out("old") and not view.tracker_by_id
+    now = asyncio.get_running_loop().time()
+    assert view.operations_age_s(now) >= 9 and view.endpoints_age_s(now) >= 9
--- a/tests/test_platform_directory.py
+++ b/tests/test_platform_directory.py
@@ -12,6 +12,7 @@
     RolloutState,
     VersionOutcomes,
 )
+from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import PlatformError
 from comfreyhatch.platform.directory import StoreDirectory
 from comfreyhatch.platform.store import HistoryGoneError, StoreClient, Write, WriteResult
@@ -54,7 +55,10 @@
     assert await client.write([Write("t", "k", b"2", 0)]) is WriteResult.CONFLICT
     (row,) = (await client.read("t")).rows
     assert row.value == b"1"
-    assert await client.write([Write("t", "k", b"2", row.revision)]) is WriteResult.DONE
+    assert (
+        await client.write([Write("t", "k", b"2", row.revision, row.generation)])
+        is WriteResult.DONE
+    )
 
 
 async def test_unanswered_write_returns_unknown(store: StandInStore, client: StoreClient) -> None:
@@ -77,7 +81,7 @@
     store.put("t", "k", {})
     store.forget_history()
     with pytest.raises(HistoryGoneError):
-        await client.follow("t", 0, 0.1)
+        await client.follow("t", Position(), 0.1)
     store.refusing = True
     with pytest.raises(PlatformError, match="503"):
         await client.read("t")
