Write again what a daemon owned in the store after an older copy came back

What was seen: the control address, the evidence and acknowledged batches of usage of the lost seconds were gone for good; usage was never billed. Change: exchange/recovery.py runs once for each newer generation: control address and evidence if the listed rows differ, within a random second; batches of usage acknowledged in the last 60 s, inserted under the same key if absent, within 5 random seconds. One log line names both generations and what was written; counters comfreyhatch_store_returns_total and comfreyhatch_store_rows_written_again_total, gauge comfreyhatch_store_generation. Flushes of usage no longer overlap.

--- a/comfreyhatch/exchange/billing.py
+++ b/comfreyhatch/exchange/billing.py
@@ -1,6 +1,8 @@
 """Usage accounting: sums usage in memory and stores it in numbered batches."""
 
+import asyncio
 import logging
+from collections import deque
 
 from comfreyhatch.domain.usage import UsageBatch, UsageKey, UsageLine, UsageTotals
 from comfreyhatch.exchange.periodic import PeriodicTask
@@ -8,6 +10,10 @@
 
 FLUSH_INTERVAL_S = 15.0
 MAX_UNSTORED_BATCHES = 64
+# Acknowledged batches of this time are kept, for the store may come back from a copy that is some
+# seconds old. Time in which nothing could be stored does not count.
+ACKNOWLEDGED_KEPT_S = 60.0
+MAX_ACKNOWLEDGED_BATCHES = 2 * MAX_UNSTORED_BATCHES
 
 log = logging.getLogger("comfreyhatch.billing")
 
@@ -16,7 +22,8 @@
     """Aggregates the usage of answered requests and stores it in batches.
 
     Each batch has a unique key and is inserted only if absent, so a retry after a lost reply does
-    not bill twice. Usage that a daemon has not stored when it is killed is not billed.
+    not bill twice. Usage that a daemon has not stored when it is killed is not billed. After the
+    store has come back from an older copy, the batches acknowledged last are inserted again.
     """
 
     def __init__(self, daemon: str, started_ms: int, directory: Directory) -> None:
@@ -32,6 +39,8 @@
         self._directory = directory
         self._usage_by_key: dict[UsageKey, UsageTotals] = {}
         self._unstored: list[UsageBatch] = []
+        self._acknowledged: deque[tuple[float, UsageBatch]] = deque(maxlen=MAX_ACKNOWLEDGED_BATCHES)
+        self._storing = asyncio.Lock()
         self._sequence = 0
         self._task = PeriodicTask("billing", FLUSH_INTERVAL_S, self.flush)
 
@@ -50,12 +59,34 @@
 
     async def flush(self) -> None:
         """Close the open batch and store all batches; those that fail are kept for a retry."""
-        self._close_batch()
+        async with self._storing:
+            self._close_batch()
+            await self._store_batches()
+
+    async def store_again(self) -> int:
+        """Insert the batches acknowledged last again; return their number.
+
+        Those that fail are kept for the next flush.
+        """
+        async with self._storing:
+            again = [batch for _, batch in self._acknowledged]
+            self._acknowledged.clear()
+            self._unstored[:0] = again
+            await self._store_batches()
+        return len(again)
+
+    async def _store_batches(self) -> None:
         while self._unstored:
             if not await self._directory.put_usage(self._unstored[0]):
                 log.warning("event=usage_not_stored batches=%d", len(self._unstored))
                 return
-            self._unstored.pop(0)
+            self._note_acknowledged(self._unstored.pop(0))
+
+    def _note_acknowledged(self, batch: UsageBatch) -> None:
+        last_at = self._acknowledged[-1][0] if self._acknowledged else 0.0
+        while self._acknowledged and self._acknowledged[0][0] < last_at - ACKNOWLEDGED_KEPT_S:
+            self._acknowledged.popleft()
+        self._acknowledged.append((asyncio.get_running_loop().time(), batch))
 
     def _close_batch(self) -> None:
         if not self._usage_by_key:
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -23,6 +23,12 @@
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.header_codec import HeaderCodec
 from comfreyhatch.exchange.peers import PeerListener
+from comfreyhatch.exchange.recovery import (
+    SHARED_SPREAD_S,
+    USAGE_SPREAD_S,
+    LostRows,
+    StoreRecovery,
+)
 from comfreyhatch.exchange.rollouts import RolloutController
 from comfreyhatch.exchange.router import ExchangeRouter
 from comfreyhatch.exchange.scheduler import EndpointScheduler
@@ -86,6 +92,16 @@
         sender = Sender(self._client, codec, telemetry.count_attempt)
         self._billing = Billing(deployment.instance, started_ms, directory)
         self._sync = DirectorySync(deployment, directory, self.view, rng, self._on_view_change)
+        self._recovery = StoreRecovery(
+            rng,
+            self.registry,
+            (
+                LostRows("control", SHARED_SPREAD_S, self._sync.publish_again),
+                LostRows("evidence", SHARED_SPREAD_S, self._rollouts.store_evidence_again),
+                LostRows("rollouts", 0.0, self._rollouts.await_lost_steps),
+                LostRows("usage", USAGE_SPREAD_S, self._billing.store_again),
+            ),
+        )
         self._router = ExchangeRouter(
             codec,
             self.view,
@@ -175,6 +191,7 @@
     async def close(self) -> None:
         """Close all listeners, tasks and connections; running requests are cut."""
         await self._callers.stop(0.0)
+        await self._recovery.stop()
         await self._billing.stop()
         await self._rollouts.stop()
         await self._sync.stop()
@@ -244,7 +261,12 @@
         return self._deployment.bounds.retry_slack / daemons
 
     def _on_view_change(self) -> None:
-        """Apply the limits of a new catalog, and serve the queues with the changed endpoints."""
+        """Apply the limits of a new catalog, and serve the queues with the changed endpoints.
+
+        A newer generation of the store begins its recovery.
+        """
+        if self.view.generation is not None:
+            self._recovery.note_generation(self.view.generation)
         catalog = self.view.catalog
         if catalog and catalog.limits:
             limits = self._callers.limits
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -93,3 +93,50 @@
     assert found[UsageKey("club", "engines", "large")] == model_usage(1000, 6, 1.0)
     assert len(found) == 2
     assert any("large" in line and "0.256000" in line for line in usage_lines([batch]))
+
+
+@pytest.fixture
+async def store() -> AsyncIterator[StandInStore]:
+    stand_in = StandInStore()
+    await stand_in.start()
+    yield stand_in
+    await stand_in.stop()
+
+
+@pytest.fixture
+async def store_directory(store: StandInStore) -> AsyncIterator[StoreDirectory]:
+    client = StoreClient(store.address)
+    yield StoreDirectory(client)
+    client.close()
+
+
+async def test_usage_acknowledged_in_the_lost_seconds_is_billed_once(
+    store: StandInStore, store_directory: StoreDirectory
+) -> None:
+    billing = Billing("d1", 5, store_directory)
+    key = UsageKey("club", "engines", "small")
+    billing.add_usage(key, UsageTotals(1))
+    await billing.flush()
+    copy = store.copy()
+    billing.add_usage(key, UsageTotals(2))
+    await billing.flush()
+    store.restore(copy)
+    assert await billing.store_again() == 2
+    await billing.flush()
+    lines = [line for batch in await store_directory.usage() for line in batch.lines]
+    assert sorted(line.usage.requests for line in lines) == [1, 2]
+
+
+async def test_usage_that_cannot_be_stored_again_is_kept(
+    store: StandInStore, store_directory: StoreDirectory
+) -> None:
+    billing = Billing("d1", 5, store_directory)
+    copy = store.copy()
+    billing.add_usage(UsageKey("club", "engines"), UsageTotals(1))
+    await billing.flush()
+    store.restore(copy)
+    store.refusing = True
+    await billing.store_again()
+    store.refusing = False
+    await billing.flush()
+    assert len(await store_directory.usage()) == 1
