Merge the generations of the store with the changes that readers send

Readers send orders, endpoints and records by positions (generation and revision); queries and updates between daemons carry positions in place of revisions, so that builds of before and after this don't read each other's.

--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -9,6 +9,7 @@
 from msgspec.msgpack import decode, encode
 
 from comfreyhatch.domain.operations import Operations
+from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import ListenError, PeerError, PeerTimeoutError
 from comfreyhatch.exchange.endpoint_changes import EndpointChanges
 from comfreyhatch.exchange.record_changes import RecordChanges
@@ -25,23 +26,23 @@
 
 
 class PeerQuery(Struct, frozen=True):
-    """Long poll for what is newer than the revisions that a daemon holds.
+    """Long poll for what is newer than the positions that a daemon holds.
 
     Attributes:
-        operations: Revision of the orders; 0 for none.
-        endpoints: Revision of the list of endpoints; 0 for none.
-        records: Revision of the daemons' records; 0 for none.
+        operations: Position of the orders.
+        endpoints: Position of the list of endpoints.
+        records: Position of the daemons' records.
         wait_s: Longest wait for anything newer, in seconds.
     """
 
-    operations: int = 0
-    endpoints: int = 0
-    records: int = 0
+    operations: Position = Position()
+    endpoints: Position = Position()
+    records: Position = Position()
     wait_s: float = 0.0
 
 
 class PeerUpdate(Struct, frozen=True):
-    """What is newer than the revisions of a query; ages count from the directory's last answer.
+    """What is newer than the positions of a query; ages count from the directory's last answer.
 
     Attributes:
         operations: Orders; None if they have not changed.
@@ -49,7 +50,7 @@
         endpoints: Changes of the list of endpoints; None if no list is known.
         endpoints_age_s: Age of the list, in seconds.
         record_changes: Changes of the daemons' records; None if there are none.
-        operations_revision: Revision up to which the orders are known, changed or not.
+        operations_position: Position up to which the orders are known, changed or not.
     """
 
     operations: Operations | None
@@ -57,7 +58,7 @@
     endpoints: EndpointChanges | None
     endpoints_age_s: float
     record_changes: RecordChanges | None
-    operations_revision: int
+    operations_position: Position
 
 
 class PeerListener:
--- a/comfreyhatch/exchange/record_changes.py
+++ b/comfreyhatch/exchange/record_changes.py
@@ -6,6 +6,7 @@
 from msgspec import Struct
 
 from comfreyhatch.domain.operations import Evidence, RolloutRecord, SharedRecords
+from comfreyhatch.domain.position import Position
 
 V = TypeVar("V")
 
@@ -24,6 +25,7 @@
         control_by_daemon: Control addresses that were added or changed.
         region_by_daemon: Regions that were added or changed.
         whole: Whether these are all records, which replace the held ones.
+        generation: Generation of the store to which the revision belongs.
     """
 
     revision: int
@@ -33,37 +35,49 @@
     control_by_daemon: dict[str, str]
     region_by_daemon: dict[str, str]
     whole: bool = False
+    generation: int = 0
+
+    def applies_to(self, held: SharedRecords | None) -> bool:
+        """Return whether the records after these changes follow from the held ones."""
+        return self.whole or (held is not None and held.generation == self.generation)
 
 
 class RecordHistory:
     """The current records, and the revision at which each last changed.
 
-    Attributes:
-        changed_revision: Revision of the last records that changed one or removed one.
+    No changes are kept across generations of the store.
     """
 
     def __init__(self) -> None:
-        self.changed_revision = 0
+        self._changed_revision = 0
         self._held = SharedRecords(0, 0, {}, {}, {})
         self._changed_revision_by_kind: dict[str, dict[str, int]] = {kind: {} for kind in KINDS}
         # Lowest revision since which no record was removed.
         self._complete_since = 1
 
+    @property
+    def changed_position(self) -> Position:
+        """Position of the last records that changed one or removed one."""
+        return Position(self._held.generation, self._changed_revision)
+
     def update(self, found: SharedRecords) -> None:
         """Replace the records by newer ones and note which have changed."""
+        if found.generation != self._held.generation:
+            self._restart(found)
+            return
         for kind in KINDS:
             self._update_kind(kind, getattr(found, kind), found.revision)
         self._held = found
 
-    def since(self, revision: int) -> RecordChanges:
-        """Return the changes since a revision; all records if they are no longer known.
+    def since(self, position: Position) -> RecordChanges:
+        """Return the changes since a position; all records if they are no longer known.
 
         Args:
-            revision: Revision of the records that the daemon holds; 0 for none.
+            position: Position of the records that the daemon holds; `Position()` for none.
         """
         held = self._held
-        whole = revision < self._complete_since
-        after = 0 if whole else revision
+        whole = position.generation != held.generation or position.revision < self._complete_since
+        after = 0 if whole else position.revision
         return RecordChanges(
             held.revision,
             held.store_ms,
@@ -72,19 +86,30 @@
             self._changed("control_by_daemon", held.control_by_daemon, after),
             self._changed("region_by_daemon", held.region_by_daemon, after),
             whole,
+            held.generation,
         )
 
+    def _restart(self, found: SharedRecords) -> None:
+        """Start anew with the first records of a generation."""
+        self._held = found
+        self._changed_revision = found.revision
+        self._complete_since = found.revision
+        for kind in KINDS:
+            self._changed_revision_by_kind[kind] = dict.fromkeys(
+                getattr(found, kind), found.revision
+            )
+
     def _update_kind(self, kind: str, found: Mapping[str, object], revision: int) -> None:
         held: Mapping[str, object] = getattr(self._held, kind)
         changed_revision = self._changed_revision_by_kind[kind]
         for name, value in found.items():
             if name not in held or held[name] != value:
                 changed_revision[name] = revision
-                self.changed_revision = revision
+                self._changed_revision = revision
         for name in held.keys() - found.keys():
             del changed_revision[name]
             self._complete_since = revision
-            self.changed_revision = revision
+            self._changed_revision = revision
 
     def _changed(self, kind: str, held: dict[str, V], after: int) -> dict[str, V]:
         changed_revision = self._changed_revision_by_kind[kind]
@@ -107,4 +132,5 @@
         {**held.evidence_by_key, **changes.evidence_by_key},
         {**held.control_by_daemon, **changes.control_by_daemon},
         {**held.region_by_daemon, **changes.region_by_daemon},
+        changes.generation,
     )
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,11 +8,12 @@
 import pytest
 
 from comfreyhatch.domain.operations import Operations
+from comfreyhatch.domain.position import Position
 from comfreyhatch.exchange import peers
 from comfreyhatch.exchange.peers import PeerClient, PeerListener, PeerQuery, PeerUpdate
 from tests.platform_harness import free_port
 
-UPDATE = PeerUpdate(Operations(7, None, {}, frozenset()), 0.5, None, 0.0, None)
+UPDATE = PeerUpdate(Operations(7, None, {}, frozenset()), 0.5, None, 0.0, None, Position(0, 7))
 # Stops in one test; a fault that hangs 3 of 100 stops goes unseen in 1 of 2,000 runs.
 STOPS = 250
 # Far more than a stop takes on a busy machine; a stop that hangs never ends.
--- a/tests/test_record_changes.py
+++ b/tests/test_record_changes.py
@@ -2,8 +2,10 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from comfreyhatch.domain.operations import SharedRecords
+from comfreyhatch.domain.position import Position
 from comfreyhatch.exchange.record_changes import RecordHistory, apply_record_changes
 
 DAEMONS = st.dictionaries(st.sampled_from("abcd"), st.sampled_from("xyz"), max_size=4)
@@ -23,7 +25,7 @@
     for records in found:
         history.update(records)
     held = found[held_index] if held_index < len(found) else None
-    changes = history.since(held.revision if held else 0)
+    changes = history.since(held.position if held else Position())
     assert apply_record_changes(held, changes) == found[-1]
 
 
@@ -32,13 +34,24 @@
     history.update(_records(1, {"a": "x", "b": "x"}, {}))
     history.update(_records(2, {"a": "x", "b": "y"}, {}))
     history.update(_records(3, {"a": "x", "b": "y"}, {}))
-    assert history.since(1).control_by_daemon == {"b": "y"}
-    assert history.changed_revision == 2
+    assert history.since(Position(0, 1)).control_by_daemon == {"b": "y"}
+    assert history.changed_position == Position(0, 2)
 
 
 def test_removed_record_makes_followers_behind_it_read_all() -> None:
     history = RecordHistory()
     history.update(_records(1, {"a": "x", "b": "x"}, {}))
     history.update(_records(2, {"a": "x"}, {}))
-    assert history.since(1).whole
-    assert not history.since(2).whole
+    assert history.since(Position(0, 1)).whole
+    assert not history.since(Position(0, 2)).whole
+
+
+def test_records_of_a_new_generation_are_sent_whole() -> None:
+    history = RecordHistory()
+    history.update(_records(5, {"a": "x"}, {}))
+    returned = replace(_records(3, {"b": "y"}, {}), generation=1)
+    history.update(returned)
+    changes = history.since(Position(0, 5))
+    assert changes.whole
+    assert apply_record_changes(_records(5, {"a": "x"}, {}), changes) == returned
+    assert history.changed_position > Position(0, 5)
