End waits for an answer's head that can never become one

Callers saw requests to an endpoint in trouble wait until their deadline, and streams on resumption beyond it: the endpoint sent informational answers without end, or single bytes that were no HTTP, or a head or chunk header byte by byte.

Cause: each byte renewed the wait for the next event of the parser, any number of informational answers was skipped, and bytes that cannot begin an HTTP/1 answer were kept until 16 KiB of them had come.

Change: the wait for an event has an end that bytes don't renew; more than 16 informational answers end the request; so do first bytes that are not a prefix of `HTTP/1.`. The limit of an unfinished head is named: 32 KiB, as for callers.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -12,6 +12,11 @@
 from comfreyhatch.errors import ConnectError, ExchangeTimeoutError, HttpError
 
 UNREAD_LIMIT_BYTES = 262144
+# Largest unfinished head, chunk header or trailer section of an answer.
+HEAD_LIMIT_BYTES = 32768
+# Informational answers (status 1xx) that may precede an answer.
+INFORMATIONAL_LIMIT = 16
+HTTP_PREFIX = b"HTTP/1."
 CONNECT_TIMEOUT_S = 1.0
 IDLE_PER_ADDRESS = 64
 IDLE_LIFE_S = 20.0
@@ -47,15 +52,20 @@
         """Yield the body as it comes; what one read brings is yielded as one piece.
 
         Args:
-            timeout_s: Longest wait for one piece.
+            timeout_s: Longest wait for one piece, in seconds; bytes that complete no piece, such
+                as a chunk header, don't renew it.
 
         Raises:
             ExchangeTimeoutError: If a piece did not come in time.
             HttpError: If the body ended before its end.
         """
+        loop = asyncio.get_running_loop()
         parts: list[bytes] = []
         while True:
-            event = self._link.buffered_event() if parts else await self._link.next_event(timeout_s)
+            if parts:
+                event = self._link.buffered_event()
+            else:
+                event = await self._link.next_event(loop.time() + timeout_s)
             if isinstance(event, h11.Data):
                 parts.append(event.data)
                 continue
@@ -72,7 +82,7 @@
     """A connection and its protocol state."""
 
     def __init__(self) -> None:
-        self.protocol = h11.Connection(h11.CLIENT)
+        self.protocol = h11.Connection(h11.CLIENT, HEAD_LIMIT_BYTES)
         self.idle = False
         self.idle_since = 0.0
         self.idle_life_s = IDLE_LIFE_S
@@ -111,22 +121,26 @@
         self._loss = repr(exc) if exc else "closed"
         self._wake()
 
-    async def next_event(self, timeout_s: float) -> object:
+    async def next_event(self, until: float) -> object:
         """Return the next event of the answer.
 
+        Args:
+            until: Monotonic time in seconds at which the wait ends, whatever bytes have come.
+
         Raises:
-            ExchangeTimeoutError: If nothing came in time.
-            HttpError: If the connection broke.
+            ExchangeTimeoutError: If no event came in time.
+            HttpError: If the answer is malformed or the connection broke.
         """
         while True:
             event = self.buffered_event()
             if event is not h11.NEED_DATA:
                 return event
+            self._require_http()
             if self._timed_out:
-                raise ExchangeTimeoutError(f"no answer within {timeout_s:g} s")
+                raise ExchangeTimeoutError("no complete answer came in time")
             if self._loss:
                 raise HttpError(f"the connection broke: {self._loss}")
-            await self._wait(timeout_s)
+            await self._wait(until)
 
     def buffered_event(self) -> object:
         """Return the next event of what has been read; NEED_DATA when there is none.
@@ -172,10 +186,18 @@
         """Send bytes."""
         self.transport.write(data)
 
-    async def _wait(self, timeout_s: float) -> None:
+    def _require_http(self) -> None:
+        """Raise an error if what has come of a head cannot become one."""
+        if self.protocol.their_state is not h11.SEND_RESPONSE:
+            return
+        start = self.protocol.trailing_data[0][: len(HTTP_PREFIX)]
+        if not HTTP_PREFIX.startswith(start):
+            raise HttpError(f"the answer is no HTTP/1 answer: it starts with {start!r}")
+
+    async def _wait(self, until: float) -> None:
         """Wait for bytes; a silent peer is found by one timer for many reads."""
         loop = asyncio.get_running_loop()
-        self._read_until = loop.time() + timeout_s
+        self._read_until = until
         if self._timer is None or self._timer.when() > self._read_until:
             self._arm(loop, self._read_until)
         self._waiter = loop.create_future()
@@ -288,7 +310,7 @@
 
         Raises:
             ConnectError: If nothing was sent.
-            ExchangeTimeoutError: If the head of the answer did not come in time.
+            ExchangeTimeoutError: If the head of the answer was not complete in time.
             HttpError: If the exchange broke.
         """
         link = await self._link(address, fresh_connection)
@@ -297,11 +319,7 @@
             if self._before_send:
                 self._before_send()
             _write_request(link, method, target, body, full_headers(address, headers))
-            head = await link.next_event(timeout_s)
-            while isinstance(head, h11.InformationalResponse):
-                head = await link.next_event(timeout_s)
-            if not isinstance(head, h11.Response):
-                raise HttpError(f"{address} closed the connection before answering")
+            head = await _final_head(link, asyncio.get_running_loop().time() + timeout_s)
             yield StreamedReply(head.status_code, list(head.headers), link)
             kept = link.reusable()
             link.idle_life_s = _idle_life_s(head.headers)
@@ -379,6 +397,22 @@
     return IDLE_LIFE_S
 
 
+async def _final_head(link: _Link, until: float) -> h11.Response:
+    """Return the head of an answer; informational ones before it are left out.
+
+    Raises:
+        ExchangeTimeoutError: If it is not complete in time.
+        HttpError: If there is none.
+    """
+    for _ in range(INFORMATIONAL_LIMIT + 1):
+        head = await link.next_event(until)
+        if isinstance(head, h11.Response):
+            return head
+        if not isinstance(head, h11.InformationalResponse):
+            raise HttpError("the connection was closed before an answer")
+    raise HttpError(f"more than {INFORMATIONAL_LIMIT} informational answers came")
+
+
 def _write_request(link: _Link, method: str, target: str, body: bytes, headers: Headers) -> None:
     sized = [*headers, (b"content-length", b"%d" % len(body))]
     request = h11.Request(method=method, target=target, headers=sized)
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,124 @@
+"""The HTTP client against endpoints whose answers do not end, or that send no HTTP at all."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+from hypothesis import assume, given, settings
+from hypothesis import strategies as st
+
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.codes import Ran
+from comfreyhatch.domain.instance import Address
+from comfreyhatch.errors import ExchangeTimeoutError, HttpError
+from tests.raw_endpoint import RawEndpoint, listening
+
+OK = b"HTTP/1.1 200 OK\r\n"
+SIZED = OK + b"content-length: 2\r\n\r\nok"
+CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
+UNSIZED = OK + b"\r\n"
+FILL = b"x" * 65536
+# Longest time for an error that does not depend on a timeout; the timeouts of the tests are longer.
+AT_ONCE_S = 5.0
+LONG_S = 30.0
+
+
+async def wait_until(condition: Callable[[], object]) -> None:
+    async with asyncio.timeout(AT_ONCE_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def failure(endpoint: RawEndpoint, timeout_s: float = LONG_S) -> HttpError:
+    """Return the error of a request; it has to end the connection, and to leave open what ran."""
+    client = HttpClient()
+    with pytest.raises(HttpError) as caught:
+        async with asyncio.timeout(AT_ONCE_S):
+            await client.request(endpoint.address, "GET", "/", timeout_s=timeout_s)
+    assert caught.value.ran is Ran.UNKNOWN
+    await wait_until(lambda: endpoint.resets)
+    return caught.value
+
+
+@pytest.mark.parametrize(
+    ("start", "unit", "pause_s"),
+    [
+        (OK + b"x: ", FILL, 0.0),
+        (OK, b"x: y\r\n" * 1000, 0.0),
+        (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100, 0.0),
+        (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n", 0.001),
+        (b"", FILL, 0.0),
+        (b"garbage", b"x", 0.1),
+        (b"HTTP/2", b"x", 0.1),
+        (b"HTTP/1.1 100 Continue\r\n\r\n", b"x", 0.1),
+        (b"\x16\x03\x01", FILL, 0.0),
+    ],
+    ids=[
+        "header_line",
+        "headers",
+        "fast_informational",
+        "slow_informational",
+        "no_http",
+        "slow_no_http",
+        "no_http_after_similar_bytes",
+        "no_http_after_informational",
+        "binary",
+    ],
+)
+async def test_head_without_end_ends_the_request_at_once(
+    start: bytes, unit: bytes, pause_s: float
+) -> None:
+    async with listening(start, unit, pause_s) as endpoint:
+        assert not isinstance(await failure(endpoint), ExchangeTimeoutError)
+
+
+@pytest.mark.parametrize(
+    "start", [OK + b"x: ", CHUNKED + b"2;", CHUNKED + b"0\r\n"], ids=["head", "chunk", "trailer"]
+)
+async def test_drip_that_completes_nothing_ends_with_the_wait_for_a_piece(start: bytes) -> None:
+    # Each byte renewed the wait, so that a byte now and then kept a stream waiting for ever.
+    async with listening(start, b"x", 0.02) as endpoint:
+        client = HttpClient()
+        with pytest.raises(ExchangeTimeoutError):
+            async with (
+                asyncio.timeout(AT_ONCE_S),
+                client.stream(endpoint.address, "GET", "/", timeout_s=0.3) as reply,
+            ):
+                _ = [piece async for piece in reply.pieces(0.3)]
+        await wait_until(lambda: endpoint.resets)
+
+
+@settings(max_examples=50)
+@given(
+    garbage=st.binary(min_size=1, max_size=300),
+    cuts=st.lists(st.integers(0, 300), max_size=5),
+    informational=st.booleans(),
+)
+async def test_garbage_is_never_a_success(
+    garbage: bytes, cuts: list[int], informational: bool
+) -> None:
+    lead = b"HTTP/1.1 100 Continue\r\n\r\n" if informational else b""
+    bounds = sorted({0, *(cut for cut in cuts if cut < len(garbage)), len(garbage)})
+    parts = [lead] + [garbage[a:b] for a, b in zip(bounds, bounds[1:], strict=False)]
+    assume(not garbage.startswith(b"HTTP/1."))
+    server = await _serve_parts(parts)
+    with pytest.raises(HttpError):
+        await HttpClient().request(_address(server), "GET", "/", timeout_s=LONG_S)
+    server.close()
+
+
+def _address(server: asyncio.Server) -> Address:
+    return Address(*server.sockets[0].getsockname()[:2])
+
+
+async def _serve_parts(parts: list[bytes]) -> asyncio.Server:
+    """Serve the parts of an answer one after another, and then close the connection."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        for part in parts:
+            writer.write(part)
+            await asyncio.sleep(0)
+        writer.close()
+
+    return await asyncio.start_server(serve, "127.0.0.1", 0)
