Limit the body of an answer that is read whole

An endpoint, or the store, that sent a body without end filled the daemon's memory until the timeout of the request: in a run of 3 s against a test endpoint, the client took all 48 MiB that the endpoint sends at most, and ended with a timeout.

Cause: `HttpClient.request` kept whatever came.

Change: a body read whole has a limit, 16 MiB unless the client is made with another; a declared length beyond it ends the request at the head. The error is `AnswerTooLargeError`, the connection is reset, `event=answer_too_large` is logged with address, part and limit, and counted by part in `too_large_by_part`. A head beyond its limit and too many informational answers are reported in the same way. Streams have no limit of their whole length.

Evidence: the new tests can't run on the code before, as the limit is new; the run above shows what it did. Now the same run ends before its timeout with the error. Bodies of exactly the limit, answers to HEAD and long streams pass.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -1,15 +1,23 @@
 """An HTTP/1.1 client on h11 with a pool of connections, one request on each at a time."""
 
 import asyncio
+import logging
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
+from enum import Enum
+from functools import partial
 
 import h11
 from msgspec import Struct, field
 
 from comfreyhatch.codes import Ran
 from comfreyhatch.domain.instance import Address
-from comfreyhatch.errors import ConnectError, ExchangeTimeoutError, HttpError
+from comfreyhatch.errors import (
+    AnswerTooLargeError,
+    ConnectError,
+    ExchangeTimeoutError,
+    HttpError,
+)
 
 UNREAD_LIMIT_BYTES = 262144
 # Largest unfinished head, chunk header or trailer section of an answer.
@@ -17,6 +25,11 @@
 # Informational answers (status 1xx) that may precede an answer.
 INFORMATIONAL_LIMIT = 16
 HTTP_PREFIX = b"HTTP/1."
+# Largest body of an answer that is read whole, unless a client has its own limit: the largest
+# object of the platform's store has 8 MiB, and 11 MiB in base64.
+WHOLE_BODY_LIMIT_BYTES = 16 * 1024 * 1024
+# Status that h11 suggests when its buffer is full.
+TOO_LARGE_HINT = 431
 CONNECT_TIMEOUT_S = 1.0
 IDLE_PER_ADDRESS = 64
 IDLE_LIFE_S = 20.0
@@ -25,6 +38,16 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+log = logging.getLogger("comfreyhatch.client")
+
+
+class AnswerPart(Enum):
+    """Part of an answer that can exceed its limit."""
+
+    HEAD = "head"
+    INFORMATIONAL = "informational"
+    BODY = "body"
+
 
 class HttpReply(Struct):
     """An answer with its whole body; header names are in lower case."""
@@ -38,8 +61,19 @@
 class StreamedReply:
     """An answer whose body is read piece by piece."""
 
-    def __init__(self, status: int, headers: Headers, link: "_Link") -> None:
+    def __init__(
+        self, status: int, headers: Headers, link: "_Link", declared_bytes: int | None
+    ) -> None:
+        """Create an answer whose head was read.
+
+        Args:
+            status: HTTP status.
+            headers: Headers.
+            link: Its connection.
+            declared_bytes: Length of the body as its head says; None if it doesn't.
+        """
         self.status = status
+        self._declared_bytes = declared_bytes
         self.headers = headers
         self.header_by_name = {n.decode("ascii"): v.decode("latin-1") for n, v in headers}
         self._link = link
@@ -48,6 +82,32 @@
         """Reset the connection; whoever reads the body sees it break."""
         self._link.abort()
 
+    def too_large(self, part: AnswerPart, limit: str) -> AnswerTooLargeError:
+        """Reset the connection, count and log the answer, and return the error to raise."""
+        return self._link.too_large(part, limit)
+
+    async def whole(self, timeout_s: float, limit_bytes: int) -> bytes:
+        """Return the whole body.
+
+        Args:
+            timeout_s: Longest wait for one piece, in seconds.
+            limit_bytes: Largest body.
+
+        Raises:
+            AnswerTooLargeError: If the body is larger, as soon as this is known.
+            ExchangeTimeoutError: If a piece did not come in time.
+            HttpError: If the body ended before its end.
+        """
+        limit = f"{limit_bytes} bytes"
+        if self._declared_bytes is not None and self._declared_bytes > limit_bytes:
+            raise self.too_large(AnswerPart.BODY, limit)
+        body = bytearray()
+        async for piece in self.pieces(timeout_s):
+            body += piece
+            if len(body) > limit_bytes:
+                raise self.too_large(AnswerPart.BODY, limit)
+        return bytes(body)
+
     async def pieces(self, timeout_s: float) -> AsyncIterator[bytes]:
         """Yield the body as it comes; what one read brings is yielded as one piece.
 
@@ -81,7 +141,13 @@
 class _Link(asyncio.Protocol):
     """A connection and its protocol state."""
 
-    def __init__(self) -> None:
+    def __init__(self, report: Callable[[AnswerPart, str], None]) -> None:
+        """Create the state of a connection.
+
+        Args:
+            report: Counts and logs an answer that is too large, by its part and the limit.
+        """
+        self._report = report
         self.protocol = h11.Connection(h11.CLIENT, HEAD_LIMIT_BYTES)
         self.idle = False
         self.idle_since = 0.0
@@ -151,11 +217,19 @@
         try:
             event = self.protocol.next_event()
         except h11.ProtocolError as error:
+            if error.error_status_hint == TOO_LARGE_HINT:
+                raise self.too_large(AnswerPart.HEAD, f"{HEAD_LIMIT_BYTES} bytes") from error
             raise HttpError(f"the exchange broke: {error}") from error
         if event is h11.NEED_DATA:
             self._resume_reading()
         return event
 
+    def too_large(self, part: AnswerPart, limit: str) -> AnswerTooLargeError:
+        """Reset the connection, count and log the answer, and return the error to raise."""
+        self._report(part, limit)
+        self.abort()
+        return AnswerTooLargeError(f"the answer is too large: {part.value} exceeds {limit}")
+
     def reusable(self) -> bool:
         """Return whether another request may follow, and prepare for it."""
         if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
@@ -242,6 +316,7 @@
         self,
         before_send: Callable[[], None] | None = None,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        whole_limit_bytes: int = WHOLE_BODY_LIMIT_BYTES,
     ) -> None:
         """Create a client.
 
@@ -249,7 +324,10 @@
             before_send: Called when a connection is open, just before the first byte is
                 written; what it raises ends the request with nothing sent.
             connect_timeout_s: Longest time for a new connection, in seconds.
+            whole_limit_bytes: Largest body of the answer to `request`.
         """
+        self._whole_limit_bytes = whole_limit_bytes
+        self.too_large_by_part = dict.fromkeys(AnswerPart, 0)
         self._before_send = before_send
         self._connect_timeout_s = connect_timeout_s
         self.connections_opened = 0
@@ -279,6 +357,7 @@
         Raises:
             ConnectError: If nothing was sent.
             ExchangeTimeoutError: If the answer did not come in time.
+            AnswerTooLargeError: If the answer is larger than this client's limit.
             HttpError: If the exchange broke.
         """
         try:
@@ -288,10 +367,10 @@
                     address, method, target, body, headers, timeout_s, fresh_connection
                 ) as reply,
             ):
-                pieces = [piece async for piece in reply.pieces(timeout_s)]
+                body = await reply.whole(timeout_s, self._whole_limit_bytes)
         except TimeoutError:
             raise ExchangeTimeoutError(f"no answer from {address} within {timeout_s:g} s") from None
-        return HttpReply(reply.status, reply.header_by_name, b"".join(pieces), reply.headers)
+        return HttpReply(reply.status, reply.header_by_name, body, reply.headers)
 
     @asynccontextmanager
     async def stream(
@@ -320,7 +399,8 @@
                 self._before_send()
             _write_request(link, method, target, body, full_headers(address, headers))
             head = await _final_head(link, asyncio.get_running_loop().time() + timeout_s)
-            yield StreamedReply(head.status_code, list(head.headers), link)
+            declared = None if method == "HEAD" else _declared_bytes(head.headers)
+            yield StreamedReply(head.status_code, list(head.headers), link, declared)
             kept = link.reusable()
             link.idle_life_s = _idle_life_s(head.headers)
         finally:
@@ -357,13 +437,21 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, link = await asyncio.get_running_loop().create_connection(
-                    _Link, address.host, address.port
+                    partial(_Link, partial(self._note_too_large, address)),
+                    address.host,
+                    address.port,
                 )
         except (OSError, TimeoutError) as error:
             raise ConnectError(f"cannot connect to {address}: {error!r}", ran=Ran.NO) from error
         self.connections_opened += 1
         return link
 
+    def _note_too_large(self, address: Address, part: AnswerPart, limit: str) -> None:
+        self.too_large_by_part[part] += 1
+        log.warning(
+            "event=answer_too_large address=%s part=%s limit=%r", address, part.value, limit
+        )
+
     def _keep(self, address: Address, link: _Link) -> None:
         links = self._idle_by_address.setdefault(address, [])
         if len(links) >= IDLE_PER_ADDRESS:
@@ -410,7 +498,13 @@
             return head
         if not isinstance(head, h11.InformationalResponse):
             raise HttpError("the connection was closed before an answer")
-    raise HttpError(f"more than {INFORMATIONAL_LIMIT} informational answers came")
+    raise link.too_large(AnswerPart.INFORMATIONAL, f"{INFORMATIONAL_LIMIT} answers")
+
+
+def _declared_bytes(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
+    """Return the length of a body as its head says; None if it doesn't."""
+    value = dict(headers).get(b"content-length", b"")
+    return int(value) if value.isdigit() else None
 
 
 def _write_request(link: _Link, method: str, target: str, body: bytes, headers: Headers) -> None:
--- a/comfreyhatch/errors.py
+++ b/comfreyhatch/errors.py
@@ -93,6 +93,10 @@
     """The peer did not answer in time."""
 
 
+class AnswerTooLargeError(HttpError):
+    """An answer, or a part of it, exceeds its limit; its connection was reset."""
+
+
 class PlatformError(ComfreyhatchError):
     """The platform's service does not answer or answers with an error."""
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,10 +7,10 @@
 from hypothesis import assume, given, settings
 from hypothesis import strategies as st
 
-from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_client import AnswerPart, HttpClient
 from comfreyhatch.codes import Ran
 from comfreyhatch.domain.instance import Address
-from comfreyhatch.errors import ExchangeTimeoutError, HttpError
+from comfreyhatch.errors import AnswerTooLargeError, ExchangeTimeoutError, HttpError
 from tests.raw_endpoint import RawEndpoint, listening
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -72,6 +72,12 @@
         assert not isinstance(await failure(endpoint), ExchangeTimeoutError)
 
 
+async def test_answer_that_is_too_large_is_logged(caplog: pytest.LogCaptureFixture) -> None:
+    async with listening(OK + b"x: ", FILL) as endpoint:
+        await failure(endpoint)
+        assert f"event=answer_too_large address={endpoint.address} part=head" in caplog.text
+
+
 @pytest.mark.parametrize(
     "start", [OK + b"x: ", CHUNKED + b"2;", CHUNKED + b"0\r\n"], ids=["head", "chunk", "trailer"]
 )
@@ -107,6 +113,60 @@
     server.close()
 
 
+@pytest.mark.parametrize(
+    ("start", "unit"),
+    [
+        (UNSIZED, FILL),
+        (CHUNKED, b"%x\r\n%s\r\n" % (len(FILL), FILL)),
+        (CHUNKED, b"1\r\nx\r\n" * 4096),
+        (OK + b"content-length: 99999999999\r\n\r\n", FILL),
+        (OK + b"content-length: 99999999999\r\n\r\n", b""),
+    ],
+    ids=["unsized", "chunks", "small_chunks", "sized", "declared_only"],
+)
+async def test_body_without_end_ends_the_request_within_the_limit(
+    start: bytes, unit: bytes
+) -> None:
+    # The body was kept in memory until the timeout: as many bytes as the endpoint could send.
+    limit_bytes = 200_000
+    client = HttpClient(whole_limit_bytes=limit_bytes)
+    async with listening(start, unit) as endpoint:
+        with pytest.raises(AnswerTooLargeError):
+            async with asyncio.timeout(AT_ONCE_S):
+                await client.request(endpoint.address, "GET", "/", timeout_s=LONG_S)
+        await wait_until(lambda: endpoint.resets)
+        assert client.too_large_by_part[AnswerPart.BODY] == 1
+
+
+async def test_body_of_the_limit_is_returned_whole() -> None:
+    body = FILL * 4
+    answer = OK + b"content-length: %d\r\n\r\n" % len(body) + body
+    client = HttpClient(whole_limit_bytes=len(body))
+    async with listening(answer) as endpoint:
+        assert (await client.request(endpoint.address, "GET", "/")).body == body
+        client.close()
+
+
+async def test_answer_to_head_has_no_body_whatever_length_it_tells() -> None:
+    client = HttpClient(whole_limit_bytes=10)
+    async with listening(OK + b"content-length: 4000\r\n\r\n") as endpoint:
+        assert (await client.request(endpoint.address, "HEAD", "/")).body == b""
+        client.close()
+
+
+async def test_stream_longer_than_the_limit_of_whole_bodies_passes() -> None:
+    client = HttpClient(whole_limit_bytes=10)
+    async with (
+        listening(UNSIZED, FILL) as endpoint,
+        client.stream(endpoint.address, "GET", "/") as reply,
+    ):
+        size = 0
+        async for piece in reply.pieces(1.0):
+            size += len(piece)
+            if size >= 40 * len(FILL):
+                break
+
+
 def _address(server: asyncio.Server) -> Address:
     return Address(*server.sockets[0].getsockname()[:2])
 
