Read answers in parts of 64 KiB, and give others a turn among small chunks

An endpoint that sends chunks of one byte as fast as the connection takes them kept the event loop busy with all chunks of one read, up to 43,000 of them in a row; and a connection whose caller is slow held up to 512 KiB of an answer, half of a daemon's 150 MB with 150 such streams.

Cause: the transport reads 256 KiB at a time, reading paused only beyond another 256 KiB, and `pieces` handled every event that the parser had.

Change: one read takes at most 64 KiB, into one buffer of the client instead of a new one of 256 KiB for each read; reading pauses beyond 64 KiB; `pieces` yields after 256 events of the parser and lets other tasks run. Bytes after the end of an answer, which reset the connection as before, are counted and logged as `answer_too_large part=after_end`.

Evidence: test_other_tasks_go_on_while_small_chunks_come_without_end failed before: one piece joined 4,096 chunks.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -19,7 +19,12 @@
     HttpError,
 )
 
-UNREAD_LIMIT_BYTES = 262144
+# Bytes of an answer that wait for its reader, beyond which nothing more is read from its connection
+# for the time being. With the read that exceeds it, a connection holds 128 KiB at most.
+UNREAD_LIMIT_BYTES = 65536
+READ_SIZE_BYTES = 65536
+# Events of the parser that are handled in a row, in a few milliseconds, before others get a turn.
+EVENTS_PER_TURN = 256
 # Largest unfinished head, chunk header or trailer section of an answer.
 HEAD_LIMIT_BYTES = 32768
 # Informational answers (status 1xx) that may precede an answer.
@@ -47,6 +52,7 @@
     HEAD = "head"
     INFORMATIONAL = "informational"
     BODY = "body"
+    AFTER_END = "after_end"
 
 
 class HttpReply(Struct):
@@ -111,6 +117,8 @@
     async def pieces(self, timeout_s: float) -> AsyncIterator[bytes]:
         """Yield the body as it comes; what one read brings is yielded as one piece.
 
+        A read with very many chunks is yielded in several pieces, with turns for others in between.
+
         Args:
             timeout_s: Longest wait for one piece, in seconds; bytes that complete no piece, such
                 as a chunk header, don't renew it.
@@ -122,6 +130,10 @@
         loop = asyncio.get_running_loop()
         parts: list[bytes] = []
         while True:
+            if len(parts) >= EVENTS_PER_TURN:
+                yield b"".join(parts)
+                parts = []
+                await asyncio.sleep(0)
             if parts:
                 event = self._link.buffered_event()
             else:
@@ -138,15 +150,17 @@
                 raise HttpError("the answer ended before its end")
 
 
-class _Link(asyncio.Protocol):
+class _Link(asyncio.BufferedProtocol):
     """A connection and its protocol state."""
 
-    def __init__(self, report: Callable[[AnswerPart, str], None]) -> None:
+    def __init__(self, read_buffer: bytearray, report: Callable[[AnswerPart, str], None]) -> None:
         """Create the state of a connection.
 
         Args:
+            read_buffer: Receives the bytes of one read; may be shared by connections.
             report: Counts and logs an answer that is too large, by its part and the limit.
         """
+        self._read_buffer = read_buffer
         self._report = report
         self.protocol = h11.Connection(h11.CLIENT, HEAD_LIMIT_BYTES)
         self.idle = False
@@ -165,13 +179,18 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return where to read to."""
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Hand bytes to the parser; bytes on an idle connection belong to no request."""
         if self.idle:
+            self._report(AnswerPart.AFTER_END, "0 bytes")
             self.transport.abort()
             return
-        self.protocol.receive_data(data)
-        self._unread_bytes += len(data)
+        self.protocol.receive_data(bytes(memoryview(self._read_buffer)[:nbytes]))
+        self._unread_bytes += nbytes
         if self._unread_bytes > UNREAD_LIMIT_BYTES:
             self.transport.pause_reading()
         self._wake()
@@ -234,7 +253,10 @@
         """Return whether another request may follow, and prepare for it."""
         if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
             return False
-        if self.protocol.trailing_data[0] or self._loss:
+        if self.protocol.trailing_data[0]:
+            self._report(AnswerPart.AFTER_END, "0 bytes")
+            return False
+        if self._loss:
             return False
         self.protocol.start_next_cycle()
         return True
@@ -326,6 +348,7 @@
             connect_timeout_s: Longest time for a new connection, in seconds.
             whole_limit_bytes: Largest body of the answer to `request`.
         """
+        self._read_buffer = bytearray(READ_SIZE_BYTES)
         self._whole_limit_bytes = whole_limit_bytes
         self.too_large_by_part = dict.fromkeys(AnswerPart, 0)
         self._before_send = before_send
@@ -437,7 +460,7 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, link = await asyncio.get_running_loop().create_connection(
-                    partial(_Link, partial(self._note_too_large, address)),
+                    partial(_Link, self._read_buffer, partial(self._note_too_large, address)),
                     address.host,
                     address.port,
                 )
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,7 +7,13 @@
 from hypothesis import assume, given, settings
 from hypothesis import strategies as st
 
-from comfreyhatch.adapters.http_client import AnswerPart, HttpClient
+from comfreyhatch.adapters.http_client import (
+    EVENTS_PER_TURN,
+    READ_SIZE_BYTES,
+    UNREAD_LIMIT_BYTES,
+    AnswerPart,
+    HttpClient,
+)
 from comfreyhatch.codes import Ran
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import AnswerTooLargeError, ExchangeTimeoutError, HttpError
@@ -167,6 +173,50 @@
                 break
 
 
+async def test_endless_bytes_after_an_answer_reset_the_connection() -> None:
+    client = HttpClient()
+    async with listening(SIZED, FILL) as endpoint:
+        assert (await client.request(endpoint.address, "GET", "/")).body == b"ok"
+        await wait_until(lambda: endpoint.resets)
+
+
+async def test_reading_pauses_while_nobody_takes_an_answer_without_end() -> None:
+    client = HttpClient()
+    async with (
+        listening(UNSIZED, FILL) as endpoint,
+        client.stream(endpoint.address, "GET", "/", timeout_s=LONG_S) as reply,
+    ):
+        await wait_until(lambda: not reply._link.transport.is_reading())
+        pieces = reply.pieces(LONG_S)
+        assert len(await anext(pieces)) <= UNREAD_LIMIT_BYTES + READ_SIZE_BYTES
+
+
+async def test_other_tasks_go_on_while_small_chunks_come_without_end() -> None:
+    # All chunks of one read were handled in a row, up to 43,000 of them.
+    client = HttpClient()
+    turns = 0
+
+    async def count_turns() -> None:
+        nonlocal turns
+        while True:
+            await asyncio.sleep(0)
+            turns += 1
+
+    counting = asyncio.create_task(count_turns())
+    async with (
+        listening(CHUNKED, b"1\r\nx\r\n" * 4096) as endpoint,
+        client.stream(endpoint.address, "GET", "/", timeout_s=LONG_S) as reply,
+    ):
+        number = 0
+        async for piece in reply.pieces(LONG_S):
+            assert len(piece) <= EVENTS_PER_TURN
+            number += 1
+            assert turns >= number - 1
+            if number == 200:
+                break
+    counting.cancel()
+
+
 def _address(server: asyncio.Server) -> Address:
     return Address(*server.sockets[0].getsockname()[:2])
 
