Read on from idle connections whose last answer was read late

After an answer that waited for a slow reader, its connection was kept with reading paused. Bytes that the endpoint sent while it was idle stayed in the socket, and the next request on the connection took them as its answer.

Cause: reading was resumed only when the parser asked for more bytes, which it doesn't when the rest of the answer was in its buffer.

Change: reading is resumed when the connection becomes reusable, so that such bytes reset it.

Evidence: test_bytes_after_an_answer_that_was_read_late_reset_the_connection failed before: the connection was never reset.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -259,6 +259,8 @@
         if self._loss:
             return False
         self.protocol.start_next_cycle()
+        # What comes while the connection is idle has to be seen.
+        self._resume_reading()
         return True
 
     def close(self) -> None:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -173,6 +173,21 @@
                 break
 
 
+async def test_bytes_after_an_answer_that_was_read_late_reset_the_connection() -> None:
+    # Reading was paused while an answer waited for its reader, and stayed paused once the
+    # connection was idle: what came after the answer was read as the answer to the next request.
+    body = b"x" * (UNREAD_LIMIT_BYTES * 3 // 2)
+    answer = OK + b"content-length: %d\r\n\r\n" % len(body) + body
+    client = HttpClient()
+    async with listening(answer, OK + b"\r\n", pause_s=0.5) as endpoint:
+        async with client.stream(endpoint.address, "GET", "/", timeout_s=LONG_S) as reply:
+            await wait_until(lambda: not reply._link.transport.is_reading())
+            received = [piece async for piece in reply.pieces(LONG_S)]
+        assert b"".join(received) == body
+        await wait_until(lambda: endpoint.resets)
+    client.close()
+
+
 async def test_endless_bytes_after_an_answer_reset_the_connection() -> None:
     client = HttpClient()
     async with listening(SIZED, FILL) as endpoint:
