End answers at the deadline, however slowly their bytes come

A worker that sent a byte now and then held its request until the router cancelled it at the deadline, so that the worker was never counted as failing; a stream, which the router doesn't watch once its head was sent, could last nearly twice its time: each byte renewed the wait.

Change: `pieces` and `whole` of an answer take the time by which the body has to be complete, and the sender passes the deadline. A stream at its deadline that makes progress is not counted against its endpoint; one that has stalled is.

Evidence: test_slow_answer_without_end_ends_at_the_deadline_and_counts_against_ its_endpoint failed before: no endpoint was counted. test_deadline_of_a_stream_that_goes_on_does_not_count_against_its_endpoint guards the other side; it passed before too.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager
 from enum import Enum
 from functools import partial
+from math import inf
 
 import h11
 from msgspec import Struct, field
@@ -92,29 +93,30 @@
         """Reset the connection, count and log the answer, and return the error to raise."""
         return self._link.too_large(part, limit)
 
-    async def whole(self, timeout_s: float, limit_bytes: int) -> bytes:
+    async def whole(self, timeout_s: float, limit_bytes: int, until: float = inf) -> bytes:
         """Return the whole body.
 
         Args:
             timeout_s: Longest wait for one piece, in seconds.
             limit_bytes: Largest body.
+            until: Monotonic time in seconds by which the body has to be complete.
 
         Raises:
             AnswerTooLargeError: If the body is larger, as soon as this is known.
-            ExchangeTimeoutError: If a piece did not come in time.
+            ExchangeTimeoutError: If a piece, or the end, did not come in time.
             HttpError: If the body ended before its end.
         """
         limit = f"{limit_bytes} bytes"
         if self._declared_bytes is not None and self._declared_bytes > limit_bytes:
             raise self.too_large(AnswerPart.BODY, limit)
         body = bytearray()
-        async for piece in self.pieces(timeout_s):
+        async for piece in self.pieces(timeout_s, until):
             body += piece
             if len(body) > limit_bytes:
                 raise self.too_large(AnswerPart.BODY, limit)
         return bytes(body)
 
-    async def pieces(self, timeout_s: float) -> AsyncIterator[bytes]:
+    async def pieces(self, timeout_s: float, until: float = inf) -> AsyncIterator[bytes]:
         """Yield the body as it comes; what one read brings is yielded as one piece.
 
         A read with very many chunks is yielded in several pieces, with turns for others in between.
@@ -122,9 +124,10 @@
         Args:
             timeout_s: Longest wait for one piece, in seconds; bytes that complete no piece, such
                 as a chunk header, don't renew it.
+            until: Monotonic time in seconds by which the body has to be complete.
 
         Raises:
-            ExchangeTimeoutError: If a piece did not come in time.
+            ExchangeTimeoutError: If a piece, or the end, did not come in time.
             HttpError: If the body ended before its end.
         """
         loop = asyncio.get_running_loop()
@@ -137,7 +140,10 @@
             if parts:
                 event = self._link.buffered_event()
             else:
-                event = await self._link.next_event(loop.time() + timeout_s)
+                now = loop.time()
+                if now >= until:
+                    raise ExchangeTimeoutError("the answer did not end in time")
+                event = await self._link.next_event(min(now + timeout_s, until))
             if isinstance(event, h11.Data):
                 parts.append(event.data)
                 continue
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
+from math import inf
 
 from msgspec import Struct
 
@@ -64,18 +65,18 @@
         self._reply = reply
         self._stack = stack
 
-    async def pieces(self, timeout_s: float) -> AsyncIterator[bytes]:
+    async def pieces(self, until: float) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
         Args:
-            timeout_s: Longest wait for the next piece, in seconds.
+            until: Monotonic time in seconds by which the body has to be complete.
 
         Raises:
-            AnswerBrokenError: If the body breaks off, or no piece arrives in time.
+            AnswerBrokenError: If the body breaks off, or does not end in time.
         """
         loop = asyncio.get_running_loop()
         try:
-            async for piece in self._reply.pieces(timeout_s):
+            async for piece in self._reply.pieces(inf, until):
                 self.endpoint.last_received_at = loop.time()
                 yield piece
         except HttpError as error:
@@ -168,15 +169,16 @@
             job: The request.
             endpoint: Endpoint to send to; its health and load are updated.
             dispatch: Values of the headers for the endpoint.
-            timeout_s: Longest wait for the head, and for each piece of the body, in seconds.
+            timeout_s: Time for the whole answer, in seconds.
 
         Raises:
             BackendRefusedError: If the endpoint did not run the request.
             BackendError: If the request may have run and there is no complete answer.
         """
+        until = asyncio.get_running_loop().time() + timeout_s
         answer = await self.open(job, endpoint, dispatch, timeout_s)
         try:
-            body = b"".join([piece async for piece in answer.pieces(timeout_s)])
+            body = b"".join([piece async for piece in answer.pieces(until)])
         except AnswerBrokenError as error:
             note_lost_answer(endpoint, error, asyncio.get_running_loop().time())
             raise
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -216,8 +216,7 @@
     async def _failed_response(self, stream: StreamState, answer: StreamedAnswer) -> HttpResponse:
         """Read an endpoint's error answer and return it unchanged."""
         try:
-            timeout_s = max(0.0, stream.job.deadline - asyncio.get_running_loop().time())
-            body = b"".join([piece async for piece in answer.pieces(timeout_s)])
+            body = b"".join([piece async for piece in answer.pieces(stream.job.deadline)])
         finally:
             await self._close(stream, answer)
         return HttpResponse(answer.head.status, body, headers=answer.head.headers)
@@ -232,6 +231,7 @@
                 self._record_event_gap(stream, answer, ended=True)
                 return
             except AnswerBrokenError as error:
+                _require_time(stream, asyncio.get_running_loop().time())
                 stream.error = error
                 self._log_failure(stream, error)
                 stream.broken_endpoints.append(answer.endpoint)
@@ -275,22 +275,18 @@
         """Yield the events of one answer that were not relayed before."""
         splitter = EventSplitter()
         loop = asyncio.get_running_loop()
-        left_s = max(0.0, stream.job.deadline - loop.time())
         stream.reset_gaps()
         self._watchdog.watch(
             stream, gap_limits(stream.job.route.gap_aim_s), answer.abort, loop.time()
         )
-        async for piece in answer.pieces(left_s):
+        async for piece in answer.pieces(stream.job.deadline):
             stream.idle_since = loop.time()
             events = [e for e in splitter.feed(piece) if stream.accept_event(e)]
             if events:
                 stream.record_events(len(events), loop.time())
                 self._record_event_gap(stream, answer, ended=False)
                 yield b"".join(events)
-            if loop.time() >= stream.job.deadline:
-                raise BackendError(
-                    "the deadline passed during the stream", ResultCode.DEADLINE_EXCEEDED
-                )
+            _require_time(stream, loop.time())
         if splitter.partial:
             raise AnswerBrokenError("the stream ended inside an event")
 
@@ -370,3 +366,15 @@
             stream.last_event_id,
             str(error),
         )
+
+
+def _require_time(stream: StreamState, now: float) -> None:
+    """Raise an error if the deadline of a stream that still makes progress has passed.
+
+    Its endpoint is not to blame for that; it is for a stream that has stalled.
+
+    Raises:
+        BackendError: If the deadline has passed.
+    """
+    if now >= stream.job.deadline and not stream.is_stalled(now):
+        raise BackendError("the deadline passed during the stream", ResultCode.DEADLINE_EXCEEDED)
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -24,6 +24,7 @@
 PORT_BASE = 20000
 PORTS_PER_PROCESS = 700
 PORT_RANGES = 16
+MEMORY_MB = 256.0
 BOUNDS = Bounds(grace_s=4.0, retry_ratio=1.0, retry_slack=200.0)
 
 
@@ -144,7 +145,9 @@
         record["address"] = f"127.0.0.1:{free_port()}"
         self.store.put("servers", worker_id, record)
 
-    async def start_daemon(self, address: Address, bounds: Bounds = BOUNDS) -> ExchangeDaemon:
+    async def start_daemon(
+        self, address: Address, bounds: Bounds = BOUNDS, memory_mb: float = MEMORY_MB
+    ) -> ExchangeDaemon:
         self.deployment = Deployment(
             instance="front-1",
             zone="a",
@@ -155,7 +158,7 @@
             seeds=(),
             store=address,
             heartbeat_s=0.3,
-            memory_mb=256,
+            memory_mb=memory_mb,
             max_fds=1024,
             bounds=bounds,
         )
@@ -205,7 +208,7 @@
 
 @asynccontextmanager
 async def running_harness(
-    daemon: bool = True, bounds: Bounds = BOUNDS
+    daemon: bool = True, bounds: Bounds = BOUNDS, memory_mb: float = MEMORY_MB
 ) -> AsyncIterator[PlatformHarness]:
     """Yield a harness with two workers of each service and, if wanted, a ready daemon."""
     harness = PlatformHarness()
@@ -216,7 +219,7 @@
             await harness.add_worker(f"engine-{number}", "engines")
             await harness.add_worker(f"desk-{number}", "desk")
         if daemon:
-            started = await harness.start_daemon(address, bounds)
+            started = await harness.start_daemon(address, bounds, memory_mb)
             await harness.wait_until(started.ready)
         yield harness
     finally:
--- /dev/null
+++ b/tests/platform_raw_worker.py
@@ -0,0 +1,34 @@
+"""Heads of answers of the platform's workers, for endpoints that send raw bytes after them."""
+
+import re
+
+from tests.platform_harness import PlatformHarness
+from tests.platform_worker import StandInWorker
+from tests.raw_endpoint import RawEndpoint
+
+
+def success_head(head: bytes, *headers: bytes) -> bytes:
+    """Return the head of a successful answer to a request."""
+    return answer_head(head, b"200 OK", b"server-stamp: s", *headers)
+
+
+def refusal_head(head: bytes, *headers: bytes) -> bytes:
+    """Return the head of an answer that says that the request did not run."""
+    return answer_head(head, b"503 Busy", b"not-executed: 1", *headers)
+
+
+def answer_head(head: bytes, status: bytes, *headers: bytes) -> bytes:
+    """Return the head of an answer to a request with a status line's end and headers."""
+    found = re.search(rb"\r\nattempt-id: *([^\r]+)", head, re.IGNORECASE)
+    assert found
+    return b"\r\n".join([b"HTTP/1.1 " + status, b"attempt-id: " + found[1], *headers, b"", b""])
+
+
+async def replace_worker(harness: PlatformHarness, worker_id: str, endpoint: RawEndpoint) -> None:
+    """Move a worker of the harness to another address, and wait until the daemon knows."""
+    worker = StandInWorker(worker_id)
+    worker.address = endpoint.address
+    service = "engines" if worker_id.startswith("engine") else "desk"
+    harness.store.put("servers", worker_id, worker.record(service, "a"))
+    trackers = harness.daemon.view.tracker_by_id
+    await harness.wait_until(lambda: trackers[worker_id].record.address == endpoint.address)
--- /dev/null
+++ b/tests/test_sender.py
@@ -0,0 +1,68 @@
+"""The request path with workers whose answers do not end."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import pytest
+
+from comfreyhatch.errors import HttpError
+from tests.platform_harness import PlatformHarness, running_harness
+from tests.platform_raw_worker import replace_worker, success_head
+from tests.raw_endpoint import RawEndpoint, listening
+
+# Far below the bytes that an endpoint of the tests sends before it stops.
+MEMORY_MB = 64.0
+
+
+@pytest.fixture
+async def harness() -> AsyncIterator[PlatformHarness]:
+    async with running_harness(memory_mb=MEMORY_MB) as running:
+        yield running
+
+
+@asynccontextmanager
+async def raw_workers(
+    harness: PlatformHarness,
+    ids: tuple[str, ...],
+    start: Callable[[bytes], bytes],
+    unit: bytes,
+    pause_s: float = 0.0,
+) -> AsyncIterator[list[RawEndpoint]]:
+    """Replace workers of the harness by endpoints that send a unit without end."""
+    async with AsyncExitStack() as stack:
+        endpoints = []
+        for worker_id in ids:
+            endpoint = await stack.enter_async_context(listening(start, unit, pause_s))
+            await replace_worker(harness, worker_id, endpoint)
+            endpoints.append(endpoint)
+        yield endpoints
+
+
+def requests(endpoints: list[RawEndpoint]) -> int:
+    return sum(len(endpoint.requests) for endpoint in endpoints)
+
+
+async def test_slow_answer_without_end_ends_at_the_deadline_and_counts_against_its_endpoint(
+    harness: PlatformHarness,
+) -> None:
+    ids = ("desk-1", "desk-2")
+    async with raw_workers(harness, ids, success_head, b"x", 0.05) as endpoints:
+        async with asyncio.timeout(5.0):
+            reply = await harness.send("/pay/x")
+        assert reply.status in (502, 504)
+        assert requests(endpoints) == 1
+        trackers = [harness.daemon.view.tracker_by_id[worker_id] for worker_id in ids]
+        assert sum(tracker.failure_share > 0 for tracker in trackers) == 1
+
+
+async def test_deadline_of_a_stream_that_goes_on_does_not_count_against_its_endpoint(
+    harness: PlatformHarness,
+) -> None:
+    for worker in harness.worker_by_id.values():
+        worker.pause_s = lambda number: 0.1
+        worker.events = 1000
+    with pytest.raises(HttpError):
+        await harness.send("/draft/x", model="small", token_counts="10,6", deadline_ms="700")
+    trackers = harness.daemon.view.tracker_by_id.values()
+    assert [tracker.failure_share for tracker in trackers] == [0.0] * 4
