Bound the rest of a refusal in bytes and time

A request that a worker refused with a body without end was not retried on another worker, but ended at its deadline with 504, though the refusal's head had said that nothing ran.

Cause: the rest of a refusal, read so that its connection can be reused, was read for as long as a byte came every 0.5 s.

Change: 0.5 s and 64 KiB for the whole rest; then the connection is reset and the request is retried. A rest that is too large counts against the worker.

Evidence: test_refusal_without_end_is_cut_and_the_request_retried failed before, with bytes that come fast and with a byte every 0.05 s: the answer had status 504.

--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -14,6 +14,7 @@
 from comfreyhatch.domain.exchange import AnswerHead, Dispatch, Job
 from comfreyhatch.errors import (
     AnswerBrokenError,
+    AnswerTooLargeError,
     BackendError,
     BackendRefusedError,
     ConnectError,
@@ -25,8 +26,9 @@
 from comfreyhatch.exchange.health import note_lost_answer
 from comfreyhatch.exchange.telemetry import AttemptOutcome
 
-# Longest silence while the rest of a refusal is read.
+# Limits on the rest of a refusal, which is read for its connection to be reused.
 REFUSAL_READ_TIMEOUT_S = 0.5
+REFUSAL_LIMIT_BYTES = 65536
 
 log = logging.getLogger("comfreyhatch.sender")
 
@@ -192,7 +194,7 @@
         """Raise an error unless the answer may be forwarded to the caller."""
         if head.refused:
             endpoint.misdirected = endpoint.misdirected or head.misdirected
-            await _read_out(reply)
+            await _read_out(reply, endpoint)
             raise BackendRefusedError(
                 f"{endpoint.record.endpoint_id} refused with status {head.status}"
             )
@@ -216,11 +218,18 @@
             endpoint.record_failed_answer()
 
 
-async def _read_out(reply: StreamedReply) -> None:
-    """Read the rest of a refusal, so that its connection can be reused."""
+async def _read_out(reply: StreamedReply, endpoint: EndpointTracker) -> None:
+    """Read the rest of a refusal, so that its connection can be reused.
+
+    The head has told that the request did not run. A rest that is too large counts against the
+    endpoint; one that is too late doesn't, as the endpoint may be overloaded.
+    """
+    loop = asyncio.get_running_loop()
+    until = loop.time() + REFUSAL_READ_TIMEOUT_S
     try:
-        async for _ in reply.pieces(REFUSAL_READ_TIMEOUT_S):
-            pass
+        await reply.whole(REFUSAL_READ_TIMEOUT_S, REFUSAL_LIMIT_BYTES, until)
+    except AnswerTooLargeError as error:
+        note_lost_answer(endpoint, error, loop.time())
     except HttpError as error:
         log.debug("event=refusal_cut reason=%r", str(error))
 
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -6,11 +6,13 @@
 
 import pytest
 
+from comfreyhatch.adapters.http_client import HttpReply
 from comfreyhatch.errors import HttpError
 from tests.platform_harness import PlatformHarness, running_harness
-from tests.platform_raw_worker import replace_worker, success_head
+from tests.platform_raw_worker import refusal_head, replace_worker, success_head
 from tests.raw_endpoint import RawEndpoint, listening
 
+FILL = b"x" * 65536
 # Far below the bytes that an endpoint of the tests sends before it stops.
 MEMORY_MB = 64.0
 
@@ -43,6 +45,27 @@
     return sum(len(endpoint.requests) for endpoint in endpoints)
 
 
+async def send_until_reached(
+    harness: PlatformHarness, path: str, endpoints: list[RawEndpoint]
+) -> list[HttpReply]:
+    """Send requests until one has reached an endpoint; return their answers."""
+    replies = []
+    while not requests(endpoints):
+        replies.append(await harness.send(path))
+    await harness.wait_until(lambda: sum(e.resets for e in endpoints))
+    return replies
+
+
+@pytest.mark.parametrize(("unit", "pause_s"), [(FILL, 0.0), (b"x", 0.05)], ids=["fast", "slow"])
+async def test_refusal_without_end_is_cut_and_the_request_retried(
+    harness: PlatformHarness, unit: bytes, pause_s: float
+) -> None:
+    # The rest of a refusal was read as long as any byte came: the request ended at its deadline.
+    async with raw_workers(harness, ("desk-1",), refusal_head, unit, pause_s) as endpoints:
+        replies = await send_until_reached(harness, "/pay/x", endpoints)
+        assert [reply.status for reply in replies] == [200] * len(replies)
+
+
 async def test_slow_answer_without_end_ends_at_the_deadline_and_counts_against_its_endpoint(
     harness: PlatformHarness,
 ) -> None:
