Limit the memory of answers that are read whole before they are passed on

Requests to a worker that sent a body without end filled the daemon's memory until their deadline, each with as much as the connection brought in that time; an idempotent request was not retried elsewhere but ended with 504.

Cause: unary answers, and the failed answers of streams, were joined whatever their size.

Beyond a limit the connection is reset, the answer counts against its worker, and the request is retried where it may be repeated.

Not covered: the body is no longer counted once it is read, while a slow caller takes it; the listener's write timeout bounds that.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -93,16 +93,24 @@
         """Reset the connection, count and log the answer, and return the error to raise."""
         return self._link.too_large(part, limit)
 
-    async def whole(self, timeout_s: float, limit_bytes: int, until: float = inf) -> bytes:
+    async def whole(
+        self,
+        timeout_s: float,
+        limit_bytes: int,
+        until: float = inf,
+        take: Callable[[int], bool] | None = None,
+    ) -> bytes:
         """Return the whole body.
 
         Args:
             timeout_s: Longest wait for one piece, in seconds.
             limit_bytes: Largest body.
             until: Monotonic time in seconds by which the body has to be complete.
+            take: Takes memory for a number of bytes of the body, and returns whether there is any.
 
         Raises:
-            AnswerTooLargeError: If the body is larger, as soon as this is known.
+            AnswerTooLargeError: If the body is larger, as soon as this is known, or if there is no
+                memory for it.
             ExchangeTimeoutError: If a piece, or the end, did not come in time.
             HttpError: If the body ended before its end.
         """
@@ -114,6 +122,8 @@
             body += piece
             if len(body) > limit_bytes:
                 raise self.too_large(AnswerPart.BODY, limit)
+            if take is not None and not take(len(piece)):
+                raise self.too_large(AnswerPart.BODY, "the memory for whole answers")
         return bytes(body)
 
     async def pieces(self, timeout_s: float, until: float = inf) -> AsyncIterator[bytes]:
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -12,6 +12,7 @@
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_server import HttpLimits, HttpRequest, HttpResponse, HttpServer
 from comfreyhatch.adapters.metrics import add_gauge
+from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
 from comfreyhatch.decisions.isolation import should_report_unready
 from comfreyhatch.domain.deployment import Deployment
@@ -83,7 +84,8 @@
         )
         self._client = HttpClient(connect_timeout_s=ENDPOINT_CONNECT_TIMEOUT_S)
         telemetry = RequestTelemetry(self.registry)
-        sender = Sender(self._client, codec, telemetry.count_attempt)
+        memory = AnswerMemory(deployment.memory_mb)
+        sender = Sender(self._client, codec, telemetry.count_attempt, memory)
         self._billing = Billing(deployment.instance, started_ms, directory)
         self._sync = DirectorySync(deployment, directory, self.view, rng, self._on_view_change)
         self._router = ExchangeRouter(
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -10,6 +10,7 @@
 
 from comfreyhatch.adapters.http_client import HttpClient, StreamedReply
 from comfreyhatch.codes import Ran
+from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.exchange import AnswerHead, Dispatch, Job
 from comfreyhatch.errors import (
@@ -61,11 +62,28 @@
         endpoint: EndpointTracker,
         reply: StreamedReply,
         stack: AsyncExitStack,
+        memory: AnswerMemory,
     ) -> None:
         self.head = head
         self.endpoint = endpoint
         self._reply = reply
         self._stack = stack
+        self._memory = memory
+
+    async def whole(self, until: float) -> bytes:
+        """Return the whole body.
+
+        Args:
+            until: Monotonic time in seconds by which the body has to be complete.
+
+        Raises:
+            AnswerBrokenError: If the body breaks off, does not end in time or is too large.
+        """
+        try:
+            with self._memory.hold() as take:
+                return await self._reply.whole(inf, self._memory.limit_bytes, until, take)
+        except HttpError as error:
+            raise AnswerBrokenError(str(error)) from error
 
     async def pieces(self, until: float) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
@@ -97,7 +115,11 @@
     """Sends requests to endpoints, and updates the endpoints' health and load by the answers."""
 
     def __init__(
-        self, client: HttpClient, codec: HeaderCodec, count: Callable[[AttemptOutcome], None]
+        self,
+        client: HttpClient,
+        codec: HeaderCodec,
+        count: Callable[[AttemptOutcome], None],
+        memory: AnswerMemory,
     ) -> None:
         """Create a sender.
 
@@ -105,7 +127,9 @@
             client: HTTP client that holds the connections to endpoints.
             codec: Codec of callers' and endpoints' headers.
             count: Counts an attempt by its outcome.
+            memory: Limits the answers that are read whole.
         """
+        self._memory = memory
         self._client = client
         self._codec = codec
         self._count = count
@@ -156,7 +180,7 @@
             await stack.aclose()
             raise
         self._count(AttemptOutcome.ANSWERED if head.success else AttemptOutcome.FAILED)
-        return StreamedAnswer(head, endpoint, reply, stack)
+        return StreamedAnswer(head, endpoint, reply, stack, self._memory)
 
     async def refuses_connections(self, endpoint: EndpointTracker) -> bool:
         """Return whether an endpoint refuses a new connection."""
@@ -180,7 +204,7 @@
         until = asyncio.get_running_loop().time() + timeout_s
         answer = await self.open(job, endpoint, dispatch, timeout_s)
         try:
-            body = b"".join([piece async for piece in answer.pieces(until)])
+            body = await answer.whole(until)
         except AnswerBrokenError as error:
             note_lost_answer(endpoint, error, asyncio.get_running_loop().time())
             raise
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -216,7 +216,10 @@
     async def _failed_response(self, stream: StreamState, answer: StreamedAnswer) -> HttpResponse:
         """Read an endpoint's error answer and return it unchanged."""
         try:
-            body = b"".join([piece async for piece in answer.pieces(stream.job.deadline)])
+            body = await answer.whole(stream.job.deadline)
+        except AnswerBrokenError as error:
+            note_lost_answer(answer.endpoint, error, asyncio.get_running_loop().time())
+            raise
         finally:
             await self._close(stream, answer)
         return HttpResponse(answer.head.status, body, headers=answer.head.headers)
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -9,12 +9,13 @@
 from comfreyhatch.adapters.http_client import HttpReply
 from comfreyhatch.errors import HttpError
 from tests.platform_harness import PlatformHarness, running_harness
-from tests.platform_raw_worker import refusal_head, replace_worker, success_head
+from tests.platform_raw_worker import answer_head, refusal_head, replace_worker, success_head
 from tests.raw_endpoint import RawEndpoint, listening
 
 FILL = b"x" * 65536
 # Far below the bytes that an endpoint of the tests sends before it stops.
 MEMORY_MB = 64.0
+ANSWER_LIMIT_BYTES = 4_194_304
 
 
 @pytest.fixture
@@ -66,6 +67,36 @@
         assert [reply.status for reply in replies] == [200] * len(replies)
 
 
+async def test_endless_answer_of_an_idempotent_request_is_retried(harness: PlatformHarness) -> None:
+    async with raw_workers(harness, ("desk-1",), success_head, FILL) as endpoints:
+        replies = await send_until_reached(harness, "/read/x", endpoints)
+        assert [reply.status for reply in replies] == [200] * len(replies)
+        assert endpoints[0].sent_bytes < 3 * ANSWER_LIMIT_BYTES
+
+
+async def test_endless_answer_of_a_non_idempotent_request_is_never_repeated_or_called_not_run(
+    harness: PlatformHarness,
+) -> None:
+    async with raw_workers(harness, ("desk-1", "desk-2"), success_head, FILL) as endpoints:
+        reply = await harness.send("/pay/x")
+        assert reply.status == 502
+        assert b'"ran":"unknown"' in reply.body
+        assert requests(endpoints) == 1
+
+
+@pytest.mark.parametrize("path", ["/pay/x", "/draft/x"])
+async def test_failed_answer_without_end_becomes_502(harness: PlatformHarness, path: str) -> None:
+    def failed_head(head: bytes) -> bytes:
+        return answer_head(head, b"500 Failed", b"server-stamp: s")
+
+    ids = ("desk-1", "desk-2", "engine-1", "engine-2")
+    async with raw_workers(harness, ids, failed_head, FILL) as endpoints:
+        reply = await harness.send(path, model="small", token_counts="10,6")
+        assert reply.status == 502
+        await harness.wait_until(lambda: sum(e.resets for e in endpoints))
+        assert sum(e.sent_bytes for e in endpoints) < 12 * ANSWER_LIMIT_BYTES
+
+
 async def test_slow_answer_without_end_ends_at_the_deadline_and_counts_against_its_endpoint(
     harness: PlatformHarness,
 ) -> None:
@@ -89,3 +120,13 @@
         await harness.send("/draft/x", model="small", token_counts="10,6", deadline_ms="700")
     trackers = harness.daemon.view.tracker_by_id.values()
     assert [tracker.failure_share for tracker in trackers] == [0.0] * 4
+
+
+async def test_large_answer_within_the_limit_passes_whole(harness: PlatformHarness) -> None:
+    body = FILL * 60
+
+    def large(head: bytes) -> bytes:
+        return success_head(head, b"content-length: %d" % len(body)) + body
+
+    async with raw_workers(harness, ("desk-1", "desk-2"), large, b""):
+        assert (await harness.send("/pay/x")).body == body
