Limit an event that is not complete, and split events in linear time

A worker whose event never ended kept a stream until its deadline, filled the daemon's memory with that event, and took its processor: each read copied and searched all of the event so far.

Change: an incomplete event may have 256 KiB, far above the largest pieces of the users' streams (450 bytes) and whole answers of engines; beyond that the connection is reset, the answer is logged and counted as too large, and the stream is resumed on another worker where its route allows. EventSplitter appends to one buffer and searches only what is new.

A property test checks that any cuts of any bytes give the same events.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -53,6 +53,7 @@
     HEAD = "head"
     INFORMATIONAL = "informational"
     BODY = "body"
+    EVENT = "event"
     AFTER_END = "after_end"
 
 
--- a/comfreyhatch/exchange/events.py
+++ b/comfreyhatch/exchange/events.py
@@ -8,16 +8,23 @@
     """Incremental splitter: bytes of an event stream in, complete events out."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
 
     def feed(self, data: bytes) -> list[bytes]:
         """Add bytes; return the events that they complete, each with its terminator."""
+        searched = max(0, len(self._buffer) - len(EVENT_TERMINATOR) + 1)
         self._buffer += data
-        if EVENT_TERMINATOR not in self._buffer:
+        if self._buffer.find(EVENT_TERMINATOR, searched) < 0:
             return []
-        *events, self._buffer = self._buffer.split(EVENT_TERMINATOR)
+        *events, rest = bytes(self._buffer).split(EVENT_TERMINATOR)
+        self._buffer = bytearray(rest)
         return [event + EVENT_TERMINATOR for event in events]
 
+    @property
+    def pending_bytes(self) -> int:
+        """Length of the event that is not complete yet."""
+        return len(self._buffer)
+
     @property
     def partial(self) -> bool:
         """Whether the bytes so far end within an event."""
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -8,7 +8,7 @@
 
 from msgspec import Struct
 
-from comfreyhatch.adapters.http_client import HttpClient, StreamedReply
+from comfreyhatch.adapters.http_client import AnswerPart, HttpClient, StreamedReply
 from comfreyhatch.codes import Ran
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
@@ -102,6 +102,10 @@
         except HttpError as error:
             raise AnswerBrokenError(str(error)) from error
 
+    def too_large(self, part: AnswerPart, limit: str) -> AnswerBrokenError:
+        """Reset the connection, count and log the answer, and return the error to raise."""
+        return AnswerBrokenError(str(self._reply.too_large(part, limit)))
+
     def abort(self) -> None:
         """Reset the connection; a reader of the body gets an error."""
         self._reply.abort()
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import AsyncIterator, Callable
 
+from comfreyhatch.adapters.http_client import AnswerPart
 from comfreyhatch.adapters.http_server import HttpResponse
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.decisions.cascade import CascadeState, escalates
@@ -35,6 +36,8 @@
 # Fewest event gaps whose median counts as evidence on the version.
 MIN_GAPS_OF_ENDED_STREAM = 3
 MIN_GAPS_OF_RUNNING_STREAM = 6
+# Largest incomplete event; 100 streams with such events take a sixth of a daemon's 150 MB.
+MAX_EVENT_BYTES = 262144
 
 log = logging.getLogger("comfreyhatch.streams")
 
@@ -289,6 +292,8 @@
                 stream.record_events(len(events), loop.time())
                 self._record_event_gap(stream, answer, ended=False)
                 yield b"".join(events)
+            if splitter.pending_bytes > MAX_EVENT_BYTES:
+                raise answer.too_large(AnswerPart.EVENT, f"{MAX_EVENT_BYTES} bytes")
             _require_time(stream, loop.time())
         if splitter.partial:
             raise AnswerBrokenError("the stream ended inside an event")
--- a/tests/platform_raw_worker.py
+++ b/tests/platform_raw_worker.py
@@ -1,10 +1,12 @@
 """Heads of answers of the platform's workers, for endpoints that send raw bytes after them."""
 
 import re
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
 
 from tests.platform_harness import PlatformHarness
 from tests.platform_worker import StandInWorker
-from tests.raw_endpoint import RawEndpoint
+from tests.raw_endpoint import RawEndpoint, listening
 
 
 def success_head(head: bytes, *headers: bytes) -> bytes:
@@ -32,3 +34,21 @@
     harness.store.put("servers", worker_id, worker.record(service, "a"))
     trackers = harness.daemon.view.tracker_by_id
     await harness.wait_until(lambda: trackers[worker_id].record.address == endpoint.address)
+
+
+@asynccontextmanager
+async def raw_workers(
+    harness: PlatformHarness,
+    ids: tuple[str, ...],
+    start: Callable[[bytes], bytes],
+    unit: bytes,
+    pause_s: float = 0.0,
+) -> AsyncIterator[list[RawEndpoint]]:
+    """Replace workers of the harness by endpoints that send a unit without end."""
+    async with AsyncExitStack() as stack:
+        endpoints = []
+        for worker_id in ids:
+            endpoint = await stack.enter_async_context(listening(start, unit, pause_s))
+            await replace_worker(harness, worker_id, endpoint)
+            endpoints.append(endpoint)
+        yield endpoints
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -18,6 +18,28 @@
     assert not splitter.partial
 
 
+@given(
+    st.lists(st.sampled_from([b"\n", b"\n\n", b"a", b"id: 1", b": x\n", b"\r\n"]), max_size=30),
+    st.lists(st.integers(0, 90), max_size=12),
+)
+def test_split_of_any_bytes_is_that_of_the_whole(parts: list[bytes], splits: list[int]) -> None:
+    data = b"".join(parts)
+    *whole, rest = data.split(b"\n\n")
+    splitter = EventSplitter()
+    offsets = [0, *sorted(min(split, len(data)) for split in splits), len(data)]
+    pairs = zip(offsets, offsets[1:], strict=False)
+    events = [e for start, end in pairs for e in splitter.feed(data[start:end])]
+    assert events == [event + b"\n\n" for event in whole]
+    assert splitter.pending_bytes == len(rest)
+
+
+def test_event_in_very_many_parts_is_whole() -> None:
+    splitter = EventSplitter()
+    for _ in range(200_000):
+        assert splitter.feed(b"x") == []
+    assert splitter.feed(b"\n\n") == [b"x" * 200_000 + b"\n\n"]
+
+
 def test_incomplete_event_is_buffered() -> None:
     splitter = EventSplitter()
     assert splitter.feed(EVENTS[0] + b"id: 2\nda") == EVENTS[:1]
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -1,16 +1,15 @@
 """The request path with workers whose answers do not end."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack, asynccontextmanager
+from collections.abc import AsyncIterator
 
 import pytest
 
 from comfreyhatch.adapters.http_client import HttpReply
 from comfreyhatch.errors import HttpError
 from tests.platform_harness import PlatformHarness, running_harness
-from tests.platform_raw_worker import answer_head, refusal_head, replace_worker, success_head
-from tests.raw_endpoint import RawEndpoint, listening
+from tests.platform_raw_worker import answer_head, raw_workers, refusal_head, success_head
+from tests.raw_endpoint import RawEndpoint
 
 FILL = b"x" * 65536
 # Far below the bytes that an endpoint of the tests sends before it stops.
@@ -24,24 +23,6 @@
         yield running
 
 
-@asynccontextmanager
-async def raw_workers(
-    harness: PlatformHarness,
-    ids: tuple[str, ...],
-    start: Callable[[bytes], bytes],
-    unit: bytes,
-    pause_s: float = 0.0,
-) -> AsyncIterator[list[RawEndpoint]]:
-    """Replace workers of the harness by endpoints that send a unit without end."""
-    async with AsyncExitStack() as stack:
-        endpoints = []
-        for worker_id in ids:
-            endpoint = await stack.enter_async_context(listening(start, unit, pause_s))
-            await replace_worker(harness, worker_id, endpoint)
-            endpoints.append(endpoint)
-        yield endpoints
-
-
 def requests(endpoints: list[RawEndpoint]) -> int:
     return sum(len(endpoint.requests) for endpoint in endpoints)
 
