Count only new events as progress of a stream

A worker that sent comments, blank lines, events that the caller had already, or single bytes of an event that never ended, held its stream until the deadline; at full speed it also took the daemon's processor, and its comments were billed as events.

Cause: any byte renewed `idle_since` of the stream and `last_received_at` of the endpoint, so that neither stall limit was ever reached.

Change: only new events with data or an id renew both and are counted. More than 1 MiB without any is too large an answer. A stream that stalls on such bytes is resumed elsewhere where its route allows; otherwise it ends at its deadline and counts against its endpoint.

Evidence: 6 cases of test_stream_that_sends_bytes_but_no_event_is_resumed_on_another_worker (slow event, comments and old events fast and slow, blank lines) and test_stream_with_useless_bytes_that_cannot_be_resumed_ends_at_its_deadline failed before.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -54,6 +54,7 @@
     INFORMATIONAL = "informational"
     BODY = "body"
     EVENT = "event"
+    BETWEEN_EVENTS = "between_events"
     AFTER_END = "after_end"
 
 
--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -26,7 +26,7 @@
         ejected_until: Time until which the endpoint gets no requests after failures.
         failure_share: Moving share of failures among its answers.
         pending_s: Engine time of this daemon's requests that wait for their first event.
-        last_received_at: Time of the last byte received from the endpoint.
+        last_received_at: Time of the last head or new event received from the endpoint.
         removed_at: Time at which its record left the registry; None while it is listed.
         misdirected: Whether another endpoint answered at its address.
     """
--- a/comfreyhatch/exchange/events.py
+++ b/comfreyhatch/exchange/events.py
@@ -2,6 +2,7 @@
 
 EVENT_TERMINATOR = b"\n\n"
 ID_FIELD = b"id:"
+CONTENT_FIELDS = (b"data", ID_FIELD)
 
 
 class EventSplitter:
@@ -31,6 +32,11 @@
         return bool(self._buffer.strip())
 
 
+def has_content(event: bytes) -> bool:
+    """Return whether an event has data or an id; comments and blank events have neither."""
+    return event.startswith(CONTENT_FIELDS) or b"\ndata" in event or b"\nid:" in event
+
+
 def event_id(event: bytes) -> int | None:
     """Return the decimal number in the id field of an event; None if there is none."""
     for line in event.split(b"\n"):
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -94,10 +94,8 @@
         Raises:
             AnswerBrokenError: If the body breaks off, or does not end in time.
         """
-        loop = asyncio.get_running_loop()
         try:
             async for piece in self._reply.pieces(inf, until):
-                self.endpoint.last_received_at = loop.time()
                 yield piece
         except HttpError as error:
             raise AnswerBrokenError(str(error)) from error
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -23,7 +23,7 @@
     RefusedError,
 )
 from comfreyhatch.exchange.attempts import final_error
-from comfreyhatch.exchange.events import EventSplitter
+from comfreyhatch.exchange.events import EventSplitter, has_content
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.health import note_lost_answer
 from comfreyhatch.exchange.scheduler import EndpointScheduler, SlotLease
@@ -38,6 +38,9 @@
 MIN_GAPS_OF_RUNNING_STREAM = 6
 # Largest incomplete event; 100 streams with such events take a sixth of a daemon's 150 MB.
 MAX_EVENT_BYTES = 262144
+# Bytes without a new event with content, such as comments or events that the caller has. An engine
+# that resumes a stream from its start, in spite of the id it was told, passes up to this length.
+MAX_USELESS_BYTES = 1_048_576
 
 log = logging.getLogger("comfreyhatch.streams")
 
@@ -280,24 +283,39 @@
     ) -> AsyncIterator[bytes]:
         """Yield the events of one answer that were not relayed before."""
         splitter = EventSplitter()
+        useless_bytes = 0
         loop = asyncio.get_running_loop()
         stream.reset_gaps()
         self._watchdog.watch(
             stream, gap_limits(stream.job.route.gap_aim_s), answer.abort, loop.time()
         )
         async for piece in answer.pieces(stream.job.deadline):
-            stream.idle_since = loop.time()
             events = [e for e in splitter.feed(piece) if stream.accept_event(e)]
+            count = sum(map(has_content, events))
+            if count:
+                useless_bytes = 0
+                self._note_events(stream, answer, count, loop.time())
+            else:
+                useless_bytes += len(piece)
             if events:
-                stream.record_events(len(events), loop.time())
-                self._record_event_gap(stream, answer, ended=False)
                 yield b"".join(events)
             if splitter.pending_bytes > MAX_EVENT_BYTES:
                 raise answer.too_large(AnswerPart.EVENT, f"{MAX_EVENT_BYTES} bytes")
+            if useless_bytes > MAX_USELESS_BYTES:
+                raise answer.too_large(AnswerPart.BETWEEN_EVENTS, f"{MAX_USELESS_BYTES} bytes")
             _require_time(stream, loop.time())
         if splitter.partial:
             raise AnswerBrokenError("the stream ended inside an event")
 
+    def _note_events(
+        self, stream: StreamState, answer: StreamedAnswer, count: int, now: float
+    ) -> None:
+        """Note that new events with content have come; other bytes are no progress."""
+        stream.idle_since = now
+        answer.endpoint.last_received_at = now
+        stream.record_events(count, now)
+        self._record_event_gap(stream, answer, ended=False)
+
     def _take_escalation(self, stream: StreamState, answer: StreamedAnswer) -> bool:
         """Return whether to ask the largest model instead, and draw it from the budget."""
         job = stream.job
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -28,7 +28,7 @@
         model_index: Index of the requested model among the route's models.
         last_event_id: Id of the last event that the caller has received; None before the first.
         head_sent: Whether the head of the answer was returned to the caller.
-        events_relayed: Number of events relayed to the caller.
+        events_relayed: Number of events with content relayed to the caller.
         gaps_s: Gaps between the events of the current attempt, in seconds.
         last_events_at: Monotonic time of the current attempt's last events; None before the first.
         broken_endpoints: Endpoints of broken attempts that have not been probed since.
@@ -38,7 +38,7 @@
         error: Error of the last failed attempt; None if that attempt got an answer.
         stall_limits: Longest waits for the next event.
         interrupt: Ends the current wait.
-        idle_since: Monotonic time at which data was last received or the wait began.
+        idle_since: Monotonic time at which the last new event came or the wait began.
     """
 
     __slots__ = (
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from comfreyhatch.exchange.events import EventSplitter, event_id
+from comfreyhatch.exchange.events import EventSplitter, event_id, has_content
 
 EVENTS = [b"id: %d\ndata: text %d\n\n" % (n, n) for n in range(1, 9)]
 
@@ -51,3 +51,12 @@
     assert event_id(b"weight-versions: 2\nid: 7\ndata: x\n\n") == 7
     assert event_id(b"data: x\n\n") is None
     assert event_id(b"id: seven\n\n") is None
+
+
+def test_comments_and_blank_events_have_no_content() -> None:
+    assert has_content(EVENTS[0])
+    assert has_content(b"event: x\ndata: y\n\n")
+    assert has_content(b": comment\nid: 4\n\n")
+    assert not has_content(b": data\n\n")
+    assert not has_content(b"\n\n")
+    assert not has_content(b"event: ping\n\n")
--- a/tests/test_stream_proxy.py
+++ b/tests/test_stream_proxy.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from tests.platform_harness import PlatformHarness, running_harness
+from comfreyhatch.errors import HttpError
+from tests.platform_harness import PlatformHarness, config, running_harness
 from tests.platform_raw_worker import raw_workers, success_head
 from tests.platform_worker import EVENTS_PER_STREAM
 
@@ -25,6 +26,12 @@
 
 USELESS = {
     "event_without_end": (FILL, 0.0),
+    "slow_event_without_end": (b"x", 0.02),
+    "comments": (b": x\n\n" * 1000, 0.0),
+    "slow_comments": (b": x\n\n", 0.02),
+    "old_events": (EVENTS[0] * 100, 0.0),
+    "slow_old_events": (EVENTS[0], 0.02),
+    "blank_lines": (b"\n" * 65536, 0.0),
 }
 
 
@@ -41,6 +48,22 @@
         assert endpoint.sent_bytes < 8 * 1024 * 1024
 
 
+async def test_stream_with_useless_bytes_that_cannot_be_resumed_ends_at_its_deadline(
+    harness: PlatformHarness,
+) -> None:
+    harness.store.put("op", "config", config(2, max_attempts=1))
+    await harness.wait_until(lambda: harness.daemon.view.catalog.version == 2)
+    ids = ("engine-1", "engine-2")
+    async with raw_workers(harness, ids, one_event_head, b": x\n\n", 0.02) as endpoints:
+        with pytest.raises(HttpError):
+            async with asyncio.timeout(4.0):
+                await harness.send_draft(deadline_ms="1500")
+        await harness.wait_until(lambda: sum(e.resets for e in endpoints))
+        assert sum(len(e.requests) for e in endpoints) == 1
+        trackers = [harness.daemon.view.tracker_by_id[worker_id] for worker_id in ids]
+        assert sum(tracker.failure_share > 0 for tracker in trackers) == 1
+
+
 def _content(body: bytes) -> list[bytes]:
     """Return the events of a body that are neither comments nor blank."""
     events = [event.lstrip(b"\n") + b"\n\n" for event in body.split(b"\n\n")]
