Count failures of an endpoint in a row until an answer is complete

A worker that sent a good head and then an endless, garbled or cut body each time was never ejected; half of the requests went on to reach it and had to be retried.

Cause: the head of a success, or of a failure, ended the count of failures in a row, so that it never came to two.

Change: the head changes only the share of failures; the count and the ejection end with an answer that was read to its end, or that the daemon drops on purpose (cascade, retry of a failed answer). The emulator counts both at once, as before.

Evidence: test_endpoint_whose_answers_never_become_complete_is_ejected failed before for endless unary answers, endless streams and cut bodies. The test of EndpointTracker that a success ends the ejection is replaced: heads must not end it, and a complete answer must.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -90,16 +90,21 @@
         self._other_load_at = now
 
     def record_success(self) -> None:
-        """Count a successful answer; ends an ejection."""
-        self._consecutive_failures = 0
-        self.ejected_until = 0.0
+        """Count the head of a successful answer."""
         self.failure_share *= 1 - FAILURE_SMOOTHING
 
     def record_failed_answer(self) -> None:
-        """Count an answer that reports a failure; it shows that the endpoint is reachable."""
-        self._consecutive_failures = 0
+        """Count the head of an answer that reports a failure."""
         self.failure_share += FAILURE_SMOOTHING * (1 - self.failure_share)
 
+    def record_complete_answer(self) -> None:
+        """Count an answer that was read to its end, or dropped on purpose; ends an ejection.
+
+        A head alone does not: an endpoint in trouble may send good heads and no complete answer.
+        """
+        self._consecutive_failures = 0
+        self.ejected_until = 0.0
+
     def record_delay(self, delay_s: float, now: float) -> None:
         """Record how long a request queued at the endpoint, in seconds."""
         self._delay_s = max(0.0, delay_s)
--- a/comfreyhatch/emulator/replay.py
+++ b/comfreyhatch/emulator/replay.py
@@ -210,6 +210,7 @@
         daemon = self._daemons[request.arrival.daemon]
         daemon.engine_times.record(request.model, request.arrival.prompt_tokens, now - sent_at)
         tracker.record_success()
+        tracker.record_complete_answer()
         tracker.record_delay(now - sent_at - work_s, now)
         tracker.record_load(ReportedLoad(engine.running, 0, engine.speed.slots), now)
         if self._escalates(request, daemon, now):
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -212,6 +212,7 @@
             raise
         finally:
             await answer.close()
+        endpoint.record_complete_answer()
         return BufferedAnswer(answer.head, body, endpoint)
 
     async def _check(
@@ -226,6 +227,7 @@
             )
         if head.implies_not_run:
             # Forwarded, this status would tell the caller that its request did not run.
+            endpoint.record_complete_answer()
             raise BackendError(f"status {head.status} without confirmation that nothing ran")
         if head.request_id and head.request_id != job.exchange.request_id:
             raise AnswerBrokenError(f"the answer belongs to another request, {head.request_id}")
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -100,6 +100,7 @@
             answer = await self._open(stream)
             if not answer.head.success or not self._take_escalation(stream, answer):
                 return answer
+            answer.endpoint.record_complete_answer()
             await self._close(stream, answer)
             stream.model_index = len(stream.job.route.models) - 1
             stream.excluded_ids.clear()
@@ -127,6 +128,7 @@
                 stream.error = None
                 if not await self._take_retry(stream):
                     return answer
+                answer.endpoint.record_complete_answer()
                 await self._close(stream, answer)
                 continue
             if not await self._take_retry(stream):
@@ -228,6 +230,7 @@
             raise
         finally:
             await self._close(stream, answer)
+        answer.endpoint.record_complete_answer()
         return HttpResponse(answer.head.status, body, headers=answer.head.headers)
 
     async def _relay(self, stream: StreamState, answer: StreamedAnswer) -> AsyncIterator[bytes]:
@@ -306,6 +309,7 @@
             _require_time(stream, loop.time())
         if splitter.partial:
             raise AnswerBrokenError("the stream ended inside an event")
+        answer.endpoint.record_complete_answer()
 
     def _note_events(
         self, stream: StreamState, answer: StreamedAnswer, count: int, now: float
--- a/tests/raw_endpoint.py
+++ b/tests/raw_endpoint.py
@@ -18,6 +18,7 @@
         start: Returns the first bytes of an answer to the head of a request.
         unit: Bytes repeated after the start; empty for none.
         pause_s: Pause before each unit, in seconds.
+        closes: Whether it closes the connection after the start.
         requests: Heads of the requests so far.
         sent_bytes: Bytes handed to connections so far.
         resets: Number of connections that the client has closed or reset.
@@ -30,6 +31,7 @@
         self.start = start if callable(start) else lambda head: start
         self.unit = unit
         self.pause_s = pause_s
+        self.closes = False
         self.requests: list[bytes] = []
         self.sent_bytes = 0
         self.resets = 0
@@ -56,13 +58,17 @@
                 head = await reader.readuntil(b"\r\n\r\n")
                 self.requests.append(head)
                 await self._send(writer, self.start(head))
+                if self.closes:
+                    writer.close()
+                    return
                 if self.unit:
                     await self._repeat(writer)
         except (OSError, asyncio.IncompleteReadError):
             self.resets += 1
         finally:
             self._writers.discard(writer)
-            writer.transport.abort()
+            if not self.closes:
+                writer.transport.abort()
 
     async def _repeat(self, writer: asyncio.StreamWriter) -> None:
         sent_bytes = 0
--- a/tests/test_endpoint_tracker.py
+++ b/tests/test_endpoint_tracker.py
@@ -35,10 +35,13 @@
     assert tracker.ejected_until > NOW
 
 
-def test_success_ends_the_ejection() -> None:
+def test_only_a_complete_answer_ends_the_ejection() -> None:
     tracker = EndpointTracker(record("e"), NOW)
     tracker.record_connection_failure(NOW, unreachable=True)
     tracker.record_success()
+    tracker.record_failed_answer()
+    assert tracker.ejected_until > NOW
+    tracker.record_complete_answer()
     assert tracker.ejected_until == 0.0
 
 
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -78,6 +78,34 @@
         assert sum(e.sent_bytes for e in endpoints) < 12 * ANSWER_LIMIT_BYTES
 
 
+@pytest.mark.parametrize(
+    ("worker_id", "path", "unit"),
+    [("desk-1", "/read/x", FILL), ("engine-1", "/draft/x", FILL), ("desk-1", "/read/x", b"")],
+    ids=["unary", "stream", "cut_body"],
+)
+async def test_endpoint_whose_answers_never_become_complete_is_ejected(
+    harness: PlatformHarness,
+    caplog: pytest.LogCaptureFixture,
+    worker_id: str,
+    path: str,
+    unit: bytes,
+) -> None:
+    # The head of each such answer ended the count of failures in a row.
+    def start(head: bytes) -> bytes:
+        return success_head(head) if unit else success_head(head, b"transfer-encoding: chunked")
+
+    caplog.set_level("INFO")
+    ejected = f"event=endpoint_ejected endpoint={worker_id}"
+    async with raw_workers(harness, (worker_id,), start, unit) as (endpoint,):
+        endpoint.closes = not unit
+        for _ in range(40):
+            reply = await harness.send(path, model="small", token_counts="10,6")
+            assert reply.status == 200
+            if ejected in caplog.text:
+                break
+        assert ejected in caplog.text
+
+
 async def test_slow_answer_without_end_ends_at_the_deadline_and_counts_against_its_endpoint(
     harness: PlatformHarness,
 ) -> None:
