Break chat answers that are longer than their request allows

An engine that went on with tokens for ever was relayed for ever, and all of it billed: only the offsets of its chunks were checked.

Change: an answer with more tokens than `max_tokens` of the request is broken.

Evidence: test_answer_longer_than_the_request_allows_is_broken fails without the check; the tests of callers, forwarding, emulator and roll-outs pass with it.

--- a/comfreyhatch/adapters/engine_http.py
+++ b/comfreyhatch/adapters/engine_http.py
@@ -275,6 +275,7 @@
     def __init__(self, request: GenerateRequest) -> None:
         self._request_id = request.request_id
         self._offset = request.resume_offset
+        self._max_tokens = request.max_tokens
         self.last: Chunk | None = None
 
     def accept(self, chunk: Chunk) -> Chunk | None:
@@ -293,6 +294,8 @@
                 f"the answer has offset {chunk.offset} instead of {self._offset}"
             )
         self._offset += len(chunk.tokens)
+        if self._offset > self._max_tokens:
+            raise AnswerBrokenError(f"the answer has more than {self._max_tokens} tokens")
         if not chunk.finish:
             return chunk
         self.last = chunk
--- a/tests/test_engine_http.py
+++ b/tests/test_engine_http.py
@@ -239,6 +239,13 @@
         assert endpoint.sent_bytes < 8 * 1024 * 1024
 
 
+async def test_answer_longer_than_the_request_allows_is_broken() -> None:
+    server, instance = await serve(b"data: " + encode(Chunk("r-1", 0, ("t",) * 6)) + b"\n\n")
+    with pytest.raises(AnswerBrokenError, match="more than 5 tokens"):
+        _ = [c async for c in HttpEngine(HttpClient()).generate(instance, REQUEST)]
+    await server.stop(0)
+
+
 async def test_drip_in_a_chat_answer_ends_at_its_deadline() -> None:
     # A byte now and then kept the request, and its slot, for ever.
     request = replace(REQUEST, deadline_s=0.5)
