--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -1,17 +1,41 @@
 """An HTTP/1.1 client on h11 with a pool of connections, one request on each at a time."""
 
 import asyncio
+import logging
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
+from enum import Enum
+from functools import partial
+from math import inf
 
 import h11
 from msgspec import Struct, field
 
 from comfreyhatch.codes import Ran
 from comfreyhatch.domain.instance import Address
-from comfreyhatch.errors import ConnectError, ExchangeTimeoutError, HttpError
-
-UNREAD_LIMIT_BYTES = 262144
+from comfreyhatch.errors import (
+    AnswerTooLargeError,
+    ConnectError,
+    ExchangeTimeoutError,
+    HttpError,
+)
+
+# Bytes of an answer that wait for its reader, beyond which nothing more is read from its connection
+# for the time being. With the read that exceeds it, a connection holds 128 KiB at most.
+UNREAD_LIMIT_BYTES = 65536
+READ_SIZE_BYTES = 65536
+# Events of the parser that are handled in a row, in a few milliseconds, before others get a turn.
+EVENTS_PER_TURN = 256
+# Largest unfinished head, chunk header or trailer section of an answer.
+HEAD_LIMIT_BYTES = 32768
+# Informational answers (status 1xx) that may precede an answer.
+INFORMATIONAL_LIMIT = 16
+HTTP_PREFIX = b"HTTP/1."
+# Largest body of an answer that is read whole, unless a client has its own limit: the largest
+# object of the platform's store has 8 MiB, and 11 MiB in base64.
+WHOLE_BODY_LIMIT_BYTES = 16 * 1024 * 1024
+# Status that h11 suggests when its buffer is full.
+TOO_LARGE_HINT = 431
 CONNECT_TIMEOUT_S = 1.0
 IDLE_PER_ADDRESS = 64
 IDLE_LIFE_S = 20.0
@@ -20,6 +44,19 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+log = logging.getLogger("comfreyhatch.client")
+
+
+class AnswerPart(Enum):
+    """Part of an answer that can exceed its limit."""
+
+    HEAD = "head"
+    INFORMATIONAL = "informational"
+    BODY = "body"
+    EVENT = "event"
+    BETWEEN_EVENTS = "between_events"
+    AFTER_END = "after_end"
+
 
 class HttpReply(Struct):
     """An answer with its whole body; header names are in lower case."""
@@ -33,8 +70,19 @@
 class StreamedReply:
     """An answer whose body is read piece by piece."""
 
-    def __init__(self, status: int, headers: Headers, link: "_Link") -> None:
+    def __init__(
+        self, status: int, headers: Headers, link: "_Link", declared_bytes: int | None
+    ) -> None:
+        """Create an answer whose head was read.
+
+        Args:
+            status: HTTP status.
+            headers: Headers.
+            link: Its connection.
+            declared_bytes: Length of the body as its head says; None if it doesn't.
+        """
         self.status = status
+        self._declared_bytes = declared_bytes
         self.headers = headers
         self.header_by_name = {n.decode("ascii"): v.decode("latin-1") for n, v in headers}
         self._link = link
@@ -43,19 +91,71 @@
         """Reset the connection; whoever reads the body sees it break."""
         self._link.abort()
 
-    async def pieces(self, timeout_s: float) -> AsyncIterator[bytes]:
+    def too_large(self, part: AnswerPart, limit: str) -> AnswerTooLargeError:
+        """Reset the connection, count and log the answer, and return the error to raise."""
+        return self._link.too_large(part, limit)
+
+    async def whole(
+        self,
+        timeout_s: float,
+        limit_bytes: int,
+        until: float = inf,
+        take: Callable[[int], bool] | None = None,
+    ) -> bytes:
+        """Return the whole body.
+
+        Args:
+            timeout_s: Longest wait for one piece, in seconds.
+            limit_bytes: Largest body.
+            until: Monotonic time in seconds by which the body has to be complete.
+            take: Takes memory for a number of bytes of the body, and returns whether there is any.
+
+        Raises:
+            AnswerTooLargeError: If the body is larger, as soon as this is known, or if there is no
+                memory for it.
+            ExchangeTimeoutError: If a piece, or the end, did not come in time.
+            HttpError: If the body ended before its end.
+        """
+        limit = f"{limit_bytes} bytes"
+        if self._declared_bytes is not None and self._declared_bytes > limit_bytes:
+            raise self.too_large(AnswerPart.BODY, limit)
+        body = bytearray()
+        async for piece in self.pieces(timeout_s, until):
+            body += piece
+            if len(body) > limit_bytes:
+                raise self.too_large(AnswerPart.BODY, limit)
+            if take is not None and not take(len(piece)):
+                raise self.too_large(AnswerPart.BODY, "the memory for whole answers")
+        return bytes(body)
+
+    async def pieces(self, timeout_s: float, until: float = inf) -> AsyncIterator[bytes]:
         """Yield the body as it comes; what one read brings is yielded as one piece.
 
+        A read with very many chunks is yielded in several pieces, with turns for others in between.
+
         Args:
-            timeout_s: Longest wait for one piece.
+            timeout_s: Longest wait for one piece, in seconds; bytes that complete no piece, such
+                as a chunk header, don't renew it.
+            until: Monotonic time in seconds by which the body has to be complete.
 
         Raises:
-            ExchangeTimeoutError: If a piece did not come in time.
+            ExchangeTimeoutError: If a piece, or the end, did not come in time.
             HttpError: If the body ended before its end.
         """
+        loop = asyncio.get_running_loop()
         parts: list[bytes] = []
         while True:
-            event = self._link.buffered_event() if parts else await self._link.next_event(timeout_s)
+            if len(parts) >= EVENTS_PER_TURN:
+                yield b"".join(parts)
+                parts = []
+                await asyncio.sleep(0)
+            if parts:
+                event = self._link.buffered_event()
+            else:
+                now = loop.time()
+                if now >= until:
+                    raise ExchangeTimeoutError("the answer did not end in time")
+                event = await self._link.next_event(min(now + timeout_s, until))
             if isinstance(event, h11.Data):
                 parts.append(event.data)
                 continue
@@ -68,11 +168,19 @@
                 raise HttpError("the answer ended before its end")
 
 
-class _Link(asyncio.Protocol):
+class _Link(asyncio.BufferedProtocol):
     """A connection and its protocol state."""
 
-    def __init__(self) -> None:
-        self.protocol = h11.Connection(h11.CLIENT)
+    def __init__(self, read_buffer: bytearray, report: Callable[[AnswerPart, str], None]) -> None:
+        """Create the state of a connection.
+
+        Args:
+            read_buffer: Receives the bytes of one read; may be shared by connections.
+            report: Counts and logs an answer that is too large, by its part and the limit.
+        """
+        self._read_buffer = read_buffer
+        self._report = report
+        self.protocol = h11.Connection(h11.CLIENT, HEAD_LIMIT_BYTES)
         self.idle = False
         self.idle_since = 0.0
         self.idle_life_s = IDLE_LIFE_S
@@ -89,13 +197,18 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return where to read to."""
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Hand bytes to the parser; bytes on an idle connection belong to no request."""
         if self.idle:
+            self._report(AnswerPart.AFTER_END, "0 bytes")
             self.transport.abort()
             return
-        self.protocol.receive_data(data)
-        self._unread_bytes += len(data)
+        self.protocol.receive_data(bytes(memoryview(self._read_buffer)[:nbytes]))
+        self._unread_bytes += nbytes
         if self._unread_bytes > UNREAD_LIMIT_BYTES:
             self.transport.pause_reading()
         self._wake()
@@ -111,22 +224,26 @@
         self._loss = repr(exc) if exc else "closed"
         self._wake()
 
-    async def next_event(self, timeout_s: float) -> object:
+    async def next_event(self, until: float) -> object:
         """Return the next event of the answer.
 
+        Args:
+            until: Monotonic time in seconds at which the wait ends, whatever bytes have come.
+
         Raises:
-            ExchangeTimeoutError: If nothing came in time.
-            HttpError: If the connection broke.
+            ExchangeTimeoutError: If no event came in time.
+            HttpError: If the answer is malformed or the connection broke.
         """
         while True:
             event = self.buffered_event()
             if event is not h11.NEED_DATA:
                 return event
+            self._require_http()
             if self._timed_out:
-                raise ExchangeTimeoutError(f"no answer within {timeout_s:g} s")
+                raise ExchangeTimeoutError("no complete answer came in time")
             if self._loss:
                 raise HttpError(f"the connection broke: {self._loss}")
-            await self._wait(timeout_s)
+            await self._wait(until)
 
     def buffered_event(self) -> object:
         """Return the next event of what has been read; NEED_DATA when there is none.
@@ -137,18 +254,31 @@
         try:
             event = self.protocol.next_event()
         except h11.ProtocolError as error:
+            if error.error_status_hint == TOO_LARGE_HINT:
+                raise self.too_large(AnswerPart.HEAD, f"{HEAD_LIMIT_BYTES} bytes") from error
             raise HttpError(f"the exchange broke: {error}") from error
         if event is h11.NEED_DATA:
             self._resume_reading()
         return event
 
+    def too_large(self, part: AnswerPart, limit: str) -> AnswerTooLargeError:
+        """Reset the connection, count and log the answer, and return the error to raise."""
+        self._report(part, limit)
+        self.abort()
+        return AnswerTooLargeError(f"the answer is too large: {part.value} exceeds {limit}")
+
     def reusable(self) -> bool:
         """Return whether another request may follow, and prepare for it."""
         if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
             return False
-        if self.protocol.trailing_data[0] or self._loss:
+        if self.protocol.trailing_data[0]:
+            self._report(AnswerPart.AFTER_END, "0 bytes")
+            return False
+        if self._loss:
             return False
         self.protocol.start_next_cycle()
+        # What comes while the connection is idle has to be seen.
+        self._resume_reading()
         return True
 
     def close(self) -> None:
@@ -172,10 +302,18 @@
         """Send bytes."""
         self.transport.write(data)
 
-    async def _wait(self, timeout_s: float) -> None:
+    def _require_http(self) -> None:
+        """Raise an error if what has come of a head cannot become one."""
+        if self.protocol.their_state is not h11.SEND_RESPONSE:
+            return
+        start = self.protocol.trailing_data[0][: len(HTTP_PREFIX)]
+        if not HTTP_PREFIX.startswith(start):
+            raise HttpError(f"the answer is no HTTP/1 answer: it starts with {start!r}")
+
+    async def _wait(self, until: float) -> None:
         """Wait for bytes; a silent peer is found by one timer for many reads."""
         loop = asyncio.get_running_loop()
-        self._read_until = loop.time() + timeout_s
+        self._read_until = until
         if self._timer is None or self._timer.when() > self._read_until:
             self._arm(loop, self._read_until)
         self._waiter = loop.create_future()
@@ -220,6 +358,7 @@
         self,
         before_send: Callable[[], None] | None = None,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        whole_limit_bytes: int = WHOLE_BODY_LIMIT_BYTES,
     ) -> None:
         """Create a client.
 
@@ -227,7 +366,11 @@
             before_send: Called when a connection is open, just before the first byte is
                 written; what it raises ends the request with nothing sent.
             connect_timeout_s: Longest time for a new connection, in seconds.
+            whole_limit_bytes: Largest body of the answer to `request`.
         """
+        self._read_buffer = bytearray(READ_SIZE_BYTES)
+        self._whole_limit_bytes = whole_limit_bytes
+        self.too_large_by_part = dict.fromkeys(AnswerPart, 0)
         self._before_send = before_send
         self._connect_timeout_s = connect_timeout_s
         self.connections_opened = 0
@@ -242,6 +385,7 @@
         headers: Mapping[str, str] | Headers | None = None,
         timeout_s: float = 5.0,
         fresh_connection: bool = False,
+        limit_bytes: int | None = None,
     ) -> HttpReply:
         """Send a request and return the whole answer.
 
@@ -253,12 +397,15 @@
             headers: Headers besides content-length; host is the address unless given.
             timeout_s: Time for the whole exchange, in seconds.
             fresh_connection: Whether a pooled connection must not be used.
+            limit_bytes: Largest body of the answer; the client's limit if None.
 
         Raises:
             ConnectError: If nothing was sent.
             ExchangeTimeoutError: If the answer did not come in time.
+            AnswerTooLargeError: If the answer is larger than its limit.
             HttpError: If the exchange broke.
         """
+        limit = self._whole_limit_bytes if limit_bytes is None else limit_bytes
         try:
             async with (
                 asyncio.timeout(timeout_s),
@@ -266,10 +413,10 @@
                     address, method, target, body, headers, timeout_s, fresh_connection
                 ) as reply,
             ):
-                pieces = [piece async for piece in reply.pieces(timeout_s)]
+                body = await reply.whole(timeout_s, limit)
         except TimeoutError:
             raise ExchangeTimeoutError(f"no answer from {address} within {timeout_s:g} s") from None
-        return HttpReply(reply.status, reply.header_by_name, b"".join(pieces), reply.headers)
+        return HttpReply(reply.status, reply.header_by_name, body, reply.headers)
 
     @asynccontextmanager
     async def stream(
@@ -288,7 +435,7 @@
 
         Raises:
             ConnectError: If nothing was sent.
-            ExchangeTimeoutError: If the head of the answer did not come in time.
+            ExchangeTimeoutError: If the head of the answer was not complete in time.
             HttpError: If the exchange broke.
         """
         link = await self._link(address, fresh_connection)
@@ -297,12 +444,9 @@
             if self._before_send:
                 self._before_send()
             _write_request(link, method, target, body, full_headers(address, headers))
-            head = await link.next_event(timeout_s)
-            while isinstance(head, h11.InformationalResponse):
-                head = await link.next_event(timeout_s)
-            if not isinstance(head, h11.Response):
-                raise HttpError(f"{address} closed the connection before answering")
-            yield StreamedReply(head.status_code, list(head.headers), link)
+            head = await _final_head(link, asyncio.get_running_loop().time() + timeout_s)
+            declared = None if method == "HEAD" else _declared_bytes(head.headers)
+            yield StreamedReply(head.status_code, list(head.headers), link, declared)
             kept = link.reusable()
             link.idle_life_s = _idle_life_s(head.headers)
         finally:
@@ -339,13 +483,21 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, link = await asyncio.get_running_loop().create_connection(
-                    _Link, address.host, address.port
+                    partial(_Link, self._read_buffer, partial(self._note_too_large, address)),
+                    address.host,
+                    address.port,
                 )
         except (OSError, TimeoutError) as error:
             raise ConnectError(f"cannot connect to {address}: {error!r}", ran=Ran.NO) from error
         self.connections_opened += 1
         return link
 
+    def _note_too_large(self, address: Address, part: AnswerPart, limit: str) -> None:
+        self.too_large_by_part[part] += 1
+        log.warning(
+            "event=answer_too_large address=%s part=%s limit=%r", address, part.value, limit
+        )
+
     def _keep(self, address: Address, link: _Link) -> None:
         links = self._idle_by_address.setdefault(address, [])
         if len(links) >= IDLE_PER_ADDRESS:
@@ -379,6 +531,28 @@
     return IDLE_LIFE_S
 
 
+async def _final_head(link: _Link, until: float) -> h11.Response:
+    """Return the head of an answer; informational ones before it are left out.
+
+    Raises:
+        ExchangeTimeoutError: If it is not complete in time.
+        HttpError: If there is none.
+    """
+    for _ in range(INFORMATIONAL_LIMIT + 1):
+        head = await link.next_event(until)
+        if isinstance(head, h11.Response):
+            return head
+        if not isinstance(head, h11.InformationalResponse):
+            raise HttpError("the connection was closed before an answer")
+    raise link.too_large(AnswerPart.INFORMATIONAL, f"{INFORMATIONAL_LIMIT} answers")
+
+
+def _declared_bytes(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
+    """Return the length of a body as its head says; None if it doesn't."""
+    value = dict(headers).get(b"content-length", b"")
+    return int(value) if value.isdigit() else None
+
+
 def _write_request(link: _Link, method: str, target: str, body: bytes, headers: Headers) -> None:
     sized = [*headers, (b"content-length", b"%d" % len(body))]
     request = h11.Request(method=method, target=target, headers=sized)
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import AsyncIterator, Callable
 
+from comfreyhatch.adapters.http_client import AnswerPart
 from comfreyhatch.adapters.http_server import HttpResponse
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.decisions.cascade import CascadeState, escalates
@@ -22,7 +23,7 @@
     RefusedError,
 )
 from comfreyhatch.exchange.attempts import final_error
-from comfreyhatch.exchange.events import EventSplitter
+from comfreyhatch.exchange.events import EventSplitter, has_content
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.health import note_lost_answer
 from comfreyhatch.exchange.scheduler import EndpointScheduler, SlotLease
@@ -37,6 +38,11 @@
 MIN_GAPS_OF_RUNNING_STREAM = 6
 # Pause between attempts to resume a stream while no endpoint takes it.
 RESUME_PAUSE_S = 0.25
+# Largest incomplete event; 100 streams with such events take a sixth of a daemon's 150 MB.
+MAX_EVENT_BYTES = 262144
+# Bytes without a new event with content, such as comments or events that the caller has. An engine
+# that resumes a stream from its start, in spite of the id it was told, passes up to this length.
+MAX_USELESS_BYTES = 1_048_576
 
 log = logging.getLogger("comfreyhatch.streams")
 
@@ -96,6 +102,7 @@
             answer = await self._open(stream)
             if not answer.head.success or not self._take_escalation(stream, answer):
                 return answer
+            answer.endpoint.record_complete_answer()
             await self._close(stream, answer)
             stream.model_index = len(stream.job.route.models) - 1
             stream.excluded_ids.clear()
@@ -125,6 +132,7 @@
                 stream.error = None
                 if not await self._take_retry(stream):
                     return answer
+                answer.endpoint.record_complete_answer()
                 await self._close(stream, answer)
                 continue
             if not await self._take_retry(stream):
@@ -220,10 +228,13 @@
     async def _failed_response(self, stream: StreamState, answer: StreamedAnswer) -> HttpResponse:
         """Read an endpoint's error answer and return it unchanged."""
         try:
-            timeout_s = max(0.0, stream.job.deadline - asyncio.get_running_loop().time())
-            body = b"".join([piece async for piece in answer.pieces(timeout_s)])
+            body = await answer.whole(stream.job.deadline)
+        except AnswerBrokenError as error:
+            note_lost_answer(answer.endpoint, error, asyncio.get_running_loop().time())
+            raise
         finally:
             await self._close(stream, answer)
+        answer.endpoint.record_complete_answer()
         return HttpResponse(answer.head.status, body, headers=answer.head.headers)
 
     async def _relay(self, stream: StreamState, answer: StreamedAnswer) -> AsyncIterator[bytes]:
@@ -236,6 +247,7 @@
                 self._record_event_gap(stream, answer, ended=True)
                 return
             except AnswerBrokenError as error:
+                _require_time(stream, asyncio.get_running_loop().time())
                 stream.error = error
                 self._log_failure(stream, error)
                 stream.broken_endpoints.append(answer.endpoint)
@@ -278,25 +290,39 @@
     ) -> AsyncIterator[bytes]:
         """Yield the events of one answer that were not relayed before."""
         splitter = EventSplitter()
+        useless_bytes = 0
         loop = asyncio.get_running_loop()
-        left_s = max(0.0, stream.job.deadline - loop.time())
         stream.reset_gaps()
         self._watchdog.watch(
             stream, gap_limits(stream.job.route.gap_aim_s), answer.abort, loop.time()
         )
-        async for piece in answer.pieces(left_s):
-            stream.idle_since = loop.time()
+        async for piece in answer.pieces(stream.job.deadline):
             events = [e for e in splitter.feed(piece) if stream.accept_event(e)]
+            count = sum(map(has_content, events))
+            if count:
+                useless_bytes = 0
+                self._note_events(stream, answer, count, loop.time())
+            else:
+                useless_bytes += len(piece)
             if events:
-                stream.record_events(len(events), loop.time())
-                self._record_event_gap(stream, answer, ended=False)
                 yield b"".join(events)
-            if loop.time() >= stream.job.deadline:
-                raise BackendError(
-                    "the deadline passed during the stream", ResultCode.DEADLINE_EXCEEDED
-                )
+            if splitter.pending_bytes > MAX_EVENT_BYTES:
+                raise answer.too_large(AnswerPart.EVENT, f"{MAX_EVENT_BYTES} bytes")
+            if useless_bytes > MAX_USELESS_BYTES:
+                raise answer.too_large(AnswerPart.BETWEEN_EVENTS, f"{MAX_USELESS_BYTES} bytes")
+            _require_time(stream, loop.time())
         if splitter.partial:
             raise AnswerBrokenError("the stream ended inside an event")
+        answer.endpoint.record_complete_answer()
+
+    def _note_events(
+        self, stream: StreamState, answer: StreamedAnswer, count: int, now: float
+    ) -> None:
+        """Note that new events with content have come; other bytes are no progress."""
+        stream.idle_since = now
+        answer.endpoint.last_received_at = now
+        stream.record_events(count, now)
+        self._record_event_gap(stream, answer, ended=False)
 
     def _take_escalation(self, stream: StreamState, answer: StreamedAnswer) -> bool:
         """Return whether to ask the largest model instead, and draw it from the budget."""
@@ -402,3 +428,15 @@
             stream.last_event_id,
             str(error),
         )
+
+
+def _require_time(stream: StreamState, now: float) -> None:
+    """Raise an error if the deadline of a stream that still makes progress has passed.
+
+    Its endpoint is not to blame for that; it is for a stream that has stalled.
+
+    Raises:
+        BackendError: If the deadline has passed.
+    """
+    if now >= stream.job.deadline and not stream.is_stalled(now):
+        raise BackendError("the deadline passed during the stream", ResultCode.DEADLINE_EXCEEDED)
