Compress what peers answer

Answers of peers are compressed with zlib's fastest level; a decoded answer is limited to 16 MiB, and one that cannot be decoded is an error as before.

--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import zlib
 from collections.abc import Awaitable, Callable
 
 import pynng
@@ -19,6 +20,9 @@
 # Time after which a query is answered even if it asks for a longer wait.
 MAX_QUERY_WAIT_S = 2.0
 MAX_CONCURRENT_QUERIES = 24
+# Fastest level: a change of the configuration is sent to all followers at once.
+COMPRESSION_LEVEL = 1
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Time for the answering tasks to end once their sockets are closed.
 STOP_TIMEOUT_S = 2.0
 
@@ -137,7 +141,7 @@
         query = decode(await context.arecv(), type=PeerQuery)
         if self._stopping:
             return
-        answer = encode(await self._answer(query))
+        answer = _encode_update(await self._answer(query))
         if self._stopping:
             return
         await context.asend(answer)
@@ -163,14 +167,14 @@
             async with asyncio.timeout(query.wait_s + ANSWER_TIMEOUT_S):
                 req = self._connected()
                 await req.asend(encode(query))
-                return decode(await req.arecv(), type=PeerUpdate)
+                return _decode_update(await req.arecv())
         except TimeoutError:
             self.close()
             raise PeerTimeoutError(f"{self.address} did not answer in time") from None
         except pynng.NNGException as error:
             self.close()
             raise PeerError(f"cannot query {self.address}: {error}") from error
-        except MsgspecError as error:
+        except (MsgspecError, zlib.error) as error:
             self.close()
             raise PeerError(f"cannot decode the answer of {self.address}: {error}") from error
 
@@ -185,3 +189,17 @@
             self._req = pynng.Req0()
             self._req.dial(f"tcp://{self.address}", block=False)
         return self._req
+
+
+def _encode_update(update: PeerUpdate) -> bytes:
+    return zlib.compress(encode(update), COMPRESSION_LEVEL)
+
+
+def _decode_update(data: bytes) -> PeerUpdate:
+    """Decode an answer.
+
+    Raises:
+        MsgspecError: If it is malformed or longer than `MAX_ANSWER_BYTES`.
+        zlib.error: If it is not compressed data.
+    """
+    return decode(zlib.decompressobj().decompress(data, MAX_ANSWER_BYTES), type=PeerUpdate)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,10 +5,15 @@
 from contextlib import suppress
 from random import Random
 
+import pynng
 import pytest
+from msgspec.msgpack import encode
+from msgspec.structs import replace
 
+from comfreyhatch.domain.catalog import Catalog, RequestKind, Route, ServiceShare, Workspace
 from comfreyhatch.domain.operations import Operations
 from comfreyhatch.domain.position import Position
+from comfreyhatch.errors import PeerError
 from comfreyhatch.exchange import peers
 from comfreyhatch.exchange.peers import PeerClient, PeerListener, PeerQuery, PeerUpdate
 from tests.platform_harness import free_port
@@ -112,3 +117,51 @@
     async with asyncio.timeout(STOP_LIMIT_S):
         while asyncio.all_tasks() != tasks:
             await asyncio.sleep(0.01)
+
+
+def configuration() -> Catalog:
+    """Return a configuration of 40 routes and 400 keys, with names that don't repeat."""
+    rng = Random(5)
+
+    def name() -> str:
+        return f"{rng.getrandbits(40):010x}"
+
+    def route(host: str) -> Route:
+        shares = (ServiceShare(name()),)
+        return Route(name(), host, f"/{name()}/", RequestKind.STREAM, 20.0, 2.0, 1, shares)
+
+    hosts = [f"{name()}.example" for _ in range(40)]
+    workspaces = {name(): Workspace(name(), 1) for _ in range(400)}
+    return Catalog(3, {host: (route(host),) for host in hosts}, {}, workspaces)
+
+
+async def test_change_of_the_configuration_does_not_fill_the_link_of_a_reader(
+    address: str,
+) -> None:
+    # All followers are sent a change at once. On a narrow link that took longer than they wait for
+    # an answer: ten of them dropped their reader at one change.
+    update = replace(UPDATE, operations=Operations(7, configuration(), {}, frozenset()))
+
+    async def answer(query: PeerQuery) -> PeerUpdate:
+        return update
+
+    listener = PeerListener(address, answer)
+    listener.start()
+    client = PeerClient(address)
+    assert await client.query(PeerQuery()) == update
+    client.close()
+    await listener.stop()
+    assert listener.answers == 1
+    assert listener.bytes_sent < len(encode(update)) / 2
+
+
+@pytest.mark.parametrize("data", [b"", b"no answer", b"\x78\x01", encode(UPDATE)])
+async def test_answer_that_cannot_be_decoded_is_an_error(address: str, data: bytes) -> None:
+    client = PeerClient(address)
+    with pynng.Rep0(listen=f"tcp://{address}") as socket:
+        query = asyncio.create_task(client.query(PeerQuery(wait_s=STOP_LIMIT_S)))
+        await socket.arecv()
+        await socket.asend(data)
+        with pytest.raises(PeerError):
+            await query
+    client.close()
