--- a/comfreyhatch/exchange/carry_over.py
+++ b/comfreyhatch/exchange/carry_over.py
@@ -130,8 +130,10 @@
             self._note_continuation(carried, listed)
             del self._order_by_service[service]
             return
+        revision = listed.revision if listed else 0
         first = self._first_revision_by_service.get(service, 0)
-        if (listed.revision if listed else 0) != first:
+        # An order that the copy had before the carried one has a lower revision than that one.
+        if revision != first or revision >= carried.revision:
             del self._order_by_service[service]
 
     def _note_continuation(self, carried: RolloutOrder, listed: RolloutOrder) -> None:
--- a/tests/test_carry_over.py
+++ b/tests/test_carry_over.py
@@ -220,3 +220,10 @@
     view.apply_records(replace(records(2, 90), control_by_daemon={}, region_by_daemon={}), NOW)
     assert view.daemons() == {"d1"} and view.daemons_in("r") == ["d1"]
     assert view.records.control_by_daemon == {}
+
+
+def test_new_order_that_the_first_list_shows_is_followed_at_once(view: FleetView) -> None:
+    # An order that the copy had before the one in force has a lower revision than that one.
+    other = RolloutOrder("s", "v3", 24.0, 102)
+    view.apply_operations(operations(2, 102, orders=(other,)), NOW, 1.0)
+    assert view.order("s") == other
