Let the directory in memory come back from an older copy, and guard the header's name

Change: MemoryDirectory.copy and restore, with a test of usage over it; the header's name is one of the words that test_architecture keeps in platform/.

--- a/comfreyhatch/ports/directory.py
+++ b/comfreyhatch/ports/directory.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from copy import deepcopy
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -57,7 +58,7 @@
 
 @dataclass(slots=True)
 class MemoryDirectory:
-    """A directory in memory; tests change its state or make it unavailable."""
+    """A directory in memory; tests change its state, make it unavailable, or let it come back."""
 
     current_operations: Operations = field(
         default_factory=lambda: Operations(1, None, {}, frozenset())
@@ -67,6 +68,19 @@
     available: bool = True
     batches: list[UsageBatch] = field(default_factory=list)
 
+    def copy(self) -> "MemoryDirectory":
+        """Return a copy, from which the directory may come back later."""
+        return deepcopy(self)
+
+    def restore(self, copy: "MemoryDirectory") -> None:
+        """Come back from an older copy; a new generation of revisions begins."""
+        generation = self.current_records.generation + 1
+        older = copy.copy()
+        self.current_operations = replace(older.current_operations, generation=generation)
+        self.current_endpoints = replace(older.current_endpoints, generation=generation)
+        self.current_records = replace(older.current_records, generation=generation)
+        self.batches = older.batches
+
     async def operations(self, held: Operations | None, wait_s: float) -> Operations:
         """Return the operators' instructions."""
         await self._check()
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -58,6 +58,7 @@
     "expect-instance",
     "token-counts",
     "rows-tx",
+    "store-era",
     "rows-feed",
     "expected_rev",
     "api_keys",
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -8,7 +8,10 @@
 import pytest
 from prometheus_client import CollectorRegistry
 
+from comfreyhatch.domain.usage import UsageKey, UsageTotals
+from comfreyhatch.exchange.billing import Billing
 from comfreyhatch.exchange.recovery import LostRows, StoreRecovery
+from comfreyhatch.ports.directory import MemoryDirectory
 from tests.platform_harness import PlatformHarness, running_harness
 
 CONTROL_ROW = ("comfreyhatch", "daemon/front-1")
@@ -47,6 +50,27 @@
     await harness.wait_until(lambda: row in harness.store.row_by_key)
 
 
+async def test_usage_is_in_the_store_again_after_a_return_of_the_directory_in_memory() -> None:
+    directory = MemoryDirectory()
+    billing = Billing("d1", 5, directory)
+    billing.add_usage(UsageKey("club", "desk"), UsageTotals(1))
+    copy = directory.copy()
+    await billing.flush()
+    assert len(directory.batches) == 1
+    directory.restore(copy)
+    assert directory.batches == [] and directory.current_records.generation == 1
+    recovery = StoreRecovery(
+        Random(1), CollectorRegistry(), (LostRows("usage", 0.0, billing.store_again),)
+    )
+    recovery.note_generation(0)
+    recovery.note_generation(1)
+    async with asyncio.timeout(5):
+        while not directory.batches:
+            await asyncio.sleep(0.01)
+    await recovery.stop()
+    assert len(directory.batches) == 1
+
+
 async def test_log_names_both_generations_and_what_was_written(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
