Show operators which endpoints send endless or oversized answers

Evidence: test_operator_sees_an_event_without_end reads the metric and the log line of a running daemon.

--- a/comfreyhatch/adapters/metrics.py
+++ b/comfreyhatch/adapters/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of the daemon in the format of prometheus_client, with bounded label sets."""
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.gc_collector import GCCollector
@@ -8,6 +8,7 @@
 from prometheus_client.process_collector import ProcessCollector
 from prometheus_client.registry import Collector
 
+from comfreyhatch.adapters.http_client import AnswerPart, HttpClient
 from comfreyhatch.domain.record import Attempt, RequestRecord
 
 FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.46, 0.6, 1.0, 2.0, 5.0, 15.0)
@@ -118,6 +119,35 @@
         yield family
 
 
+class TooLargeAnswerMetrics(Collector):
+    """Shows how many answers exceeded a limit, by the part that did."""
+
+    def __init__(
+        self, registry: CollectorRegistry, clients: Callable[[], Iterable[HttpClient]]
+    ) -> None:
+        """Register the metrics.
+
+        Args:
+            registry: Where to add them.
+            clients: Returns the clients whose counts are summed.
+        """
+        self._clients = clients
+        registry.register(self)
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Yield the counts."""
+        family = CounterMetricFamily(
+            "comfreyhatch_answers_too_large",
+            "Answers cut for a part beyond its limit, and bytes after the end of an answer.",
+            labels=("part",),
+        )
+        clients = list(self._clients())
+        for part in AnswerPart:
+            count = sum(client.too_large_by_part[part] for client in clients)
+            family.add_metric((part.value,), count)
+        yield family
+
+
 def add_process_metrics(registry: CollectorRegistry) -> None:
     """Add processor time, memory, open files and garbage collection of the process."""
     ProcessCollector(registry=registry)
--- a/comfreyhatch/daemon/components.py
+++ b/comfreyhatch/daemon/components.py
@@ -12,6 +12,7 @@
 from comfreyhatch.adapters.metrics import (
     PeerMetrics,
     RequestMetrics,
+    TooLargeAnswerMetrics,
     add_gauge,
     add_process_metrics,
 )
@@ -113,6 +114,7 @@
         self.registry = CollectorRegistry()
         self.metrics = RequestMetrics(self.registry)
         add_process_metrics(self.registry)
+        TooLargeAnswerMetrics(self.registry, lambda: self._clients)
         add_gauge(
             self.registry,
             "configuration_revision",
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -11,7 +11,7 @@
 
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_server import HttpLimits, HttpRequest, HttpResponse, HttpServer
-from comfreyhatch.adapters.metrics import add_gauge
+from comfreyhatch.adapters.metrics import TooLargeAnswerMetrics, add_gauge
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
 from comfreyhatch.decisions.isolation import should_report_unready
@@ -200,6 +200,7 @@
         gauge("orders_age_seconds", "Age of the operators' orders.", age_s(view.operations_age_s))
         gauge("endpoints_age_seconds", "Age of the list.", age_s(view.endpoints_age_s))
         gauge("connections_opened", "Connections to endpoints.", lambda: client.connections_opened)
+        TooLargeAnswerMetrics(self.registry, lambda: (client,))
         gauge("configuration", "Version of the configuration.", self._configuration_version)
 
     def _configuration_version(self) -> float:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,9 +2,11 @@
 
 from prometheus_client import CollectorRegistry, generate_latest
 
+from comfreyhatch.adapters.http_client import AnswerPart, HttpClient
 from comfreyhatch.adapters.metrics import (
     VERSIONS_NAMED,
     RequestMetrics,
+    TooLargeAnswerMetrics,
     add_gauge,
     add_process_metrics,
 )
@@ -65,3 +67,14 @@
     revision = 4
     assert registry.get_sample_value("comfreyhatch_revision") == 4
     assert b"process_cpu_seconds_total" in generate_latest(registry)
+
+
+def test_answers_that_are_too_large_are_summed_over_clients() -> None:
+    registry = CollectorRegistry()
+    clients = [HttpClient(), HttpClient()]
+    TooLargeAnswerMetrics(registry, lambda: clients)
+    for client in clients:
+        client.too_large_by_part[AnswerPart.EVENT] += 2
+    name = "comfreyhatch_answers_too_large_total"
+    assert registry.get_sample_value(name, {"part": "event"}) == 4
+    assert registry.get_sample_value(name, {"part": "head"}) == 0
--- a/tests/test_stream_proxy.py
+++ b/tests/test_stream_proxy.py
@@ -48,6 +48,17 @@
         assert endpoint.sent_bytes < 8 * 1024 * 1024
 
 
+async def test_operator_sees_an_event_without_end(
+    harness: PlatformHarness, caplog: pytest.LogCaptureFixture
+) -> None:
+    async with raw_workers(harness, ("engine-1",), one_event_head, FILL) as (endpoint,):
+        while not endpoint.requests:
+            await harness.send_draft()
+        metrics = await harness.client.request(harness.metrics, "GET", "/metrics")
+        assert b'comfreyhatch_answers_too_large_total{part="event"} 1.0' in metrics.body
+        assert f"event=answer_too_large address={endpoint.address} part=event" in caplog.text
+
+
 async def test_stream_with_useless_bytes_that_cannot_be_resumed_ends_at_its_deadline(
     harness: PlatformHarness,
 ) -> None:
