Test that no framing without end, and no garbage after a cut, is a success

Endless chunk extensions, chunk headers and trailers, chunked answers cut anywhere and followed by garbage, and other requests while four streams come as fast as the loopback carries them.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -84,6 +84,20 @@
         assert f"event=answer_too_large address={endpoint.address} part=head" in caplog.text
 
 
+@pytest.mark.parametrize(
+    ("start", "unit"),
+    [
+        (CHUNKED + b"2;", FILL),
+        (CHUNKED, FILL),
+        (CHUNKED + b"2\r\nok\r\n0\r\n", b"x: y\r\n" * 1000),
+    ],
+    ids=["extension", "no_chunk", "trailers"],
+)
+async def test_framing_without_end_ends_the_request_at_once(start: bytes, unit: bytes) -> None:
+    async with listening(start, unit) as endpoint:
+        assert not isinstance(await failure(endpoint), ExchangeTimeoutError)
+
+
 @pytest.mark.parametrize(
     "start", [OK + b"x: ", CHUNKED + b"2;", CHUNKED + b"0\r\n"], ids=["head", "chunk", "trailer"]
 )
@@ -173,6 +187,24 @@
                 break
 
 
+@settings(max_examples=50)
+@given(cut=st.integers(0, 60), garbage=st.binary(max_size=40), pauses=st.lists(st.integers(0, 99)))
+async def test_chunked_answer_cut_and_followed_by_garbage_is_never_a_success(
+    cut: int, garbage: bytes, pauses: list[int]
+) -> None:
+    whole = CHUNKED + b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+    sent = whole[: len(whole) - cut] + garbage
+    bounds = sorted({0, *(pause for pause in pauses if pause < len(sent)), len(sent)})
+    server = await _serve_parts([sent[a:b] for a, b in zip(bounds, bounds[1:], strict=False)])
+    request = HttpClient().request(_address(server), "GET", "/", timeout_s=LONG_S)
+    if sent.startswith(whole):
+        assert (await request).body == b"abc"
+    else:
+        with pytest.raises(HttpError):
+            await request
+    server.close()
+
+
 async def test_bytes_after_an_answer_that_was_read_late_reset_the_connection() -> None:
     # Reading was paused while an answer waited for its reader, and stayed paused once the
     # connection was idle: what came after the answer was read as the answer to the next request.
--- a/tests/test_stream_proxy.py
+++ b/tests/test_stream_proxy.py
@@ -48,6 +48,24 @@
         assert endpoint.sent_bytes < 8 * 1024 * 1024
 
 
+@pytest.mark.parametrize(
+    "unit",
+    [b"data: x\n\n" * 4096, b"\n" * 65536, b": x\n\n" * 4096],
+    ids=["data", "blank", "comment"],
+)
+async def test_other_requests_go_on_while_endpoints_send_as_fast_as_they_can(
+    harness: PlatformHarness, unit: bytes
+) -> None:
+    ids = ("engine-1", "engine-2")
+    async with raw_workers(harness, ids, one_event_head, unit) as endpoints:
+        streams = [asyncio.create_task(harness.send_draft(deadline_ms="2500")) for _ in range(4)]
+        await harness.wait_until(lambda: sum(len(e.requests) for e in endpoints))
+        for _ in range(20):
+            assert (await harness.send("/read/x")).status == 200
+        results = await asyncio.gather(*streams, return_exceptions=True)
+        assert all(isinstance(result, HttpError) for result in results)
+
+
 async def test_operator_sees_an_event_without_end(
     harness: PlatformHarness, caplog: pytest.LogCaptureFixture
 ) -> None:
