Limit the messages that daemons take from their peers

nng took memory for whatever length a message announced: its limit was off (0) in both sockets of exchange/peers.py.

Change: 16 MiB; a list of 1,000 endpoints has 143,003 bytes. A longer answer closes its connection, and the query ends with PeerTimeoutError.

Evidence: test_answer_of_a_peer_beyond_the_limit_is_not_taken failed before: the answer was read and could not be decoded.

--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -17,6 +17,9 @@
 # Time after which a query is answered even if it asks for a longer wait.
 MAX_QUERY_WAIT_S = 2.0
 MAX_CONCURRENT_QUERIES = 24
+# Without a limit, nng takes memory for whatever length a message announces. A list of 1,000
+# endpoints has 0.14 MB.
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
 log = logging.getLogger("comfreyhatch.peers")
 
@@ -77,7 +80,7 @@
         Raises:
             ListenError: If the listener cannot be opened.
         """
-        self._socket = pynng.Rep0()
+        self._socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
         try:
             self._socket.listen(f"tcp://{self._address}")
         except pynng.NNGException as error:
@@ -141,6 +144,6 @@
 
     def _connected(self) -> pynng.Req0:
         if self._req is None:
-            self._req = pynng.Req0()
+            self._req = pynng.Req0(recv_max_size=MAX_MESSAGE_BYTES)
             self._req.dial(f"tcp://{self.address}", block=False)
         return self._req
--- a/tests/test_directory_sync.py
+++ b/tests/test_directory_sync.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Callable
 from random import Random
 
+import pynng
 import pytest
 from msgspec.structs import replace
 
@@ -13,10 +14,16 @@
 from comfreyhatch.domain.endpoint import EndpointList
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.domain.operations import Operations, SharedRecords
-from comfreyhatch.errors import PeerError
+from comfreyhatch.errors import PeerError, PeerTimeoutError
 from comfreyhatch.exchange.directory_sync import DirectorySync
 from comfreyhatch.exchange.endpoint_changes import EndpointChanges
-from comfreyhatch.exchange.peers import PeerClient, PeerListener, PeerQuery, PeerUpdate
+from comfreyhatch.exchange.peers import (
+    MAX_MESSAGE_BYTES,
+    PeerClient,
+    PeerListener,
+    PeerQuery,
+    PeerUpdate,
+)
 from comfreyhatch.exchange.view import FleetView
 from comfreyhatch.ports.directory import MemoryDirectory
 from tests.exchange_values import record
@@ -52,6 +59,17 @@
     )
 
 
+async def test_answer_of_a_peer_beyond_the_limit_is_not_taken() -> None:
+    address = f"127.0.0.1:{free_port()}"
+    with pynng.Rep0(listen=f"tcp://{address}") as peer:
+        client = PeerClient(address)
+        querying = asyncio.create_task(client.query(PeerQuery(wait_s=2.0)))
+        await peer.arecv()
+        await peer.asend(bytes(MAX_MESSAGE_BYTES + 1))
+        with pytest.raises(PeerTimeoutError):
+            await querying
+
+
 async def test_peer_answers_queries(peer: Address) -> None:
     client = PeerClient(str(peer))
     assert await client.query(PeerQuery()) == UPDATE
