Allow the platform's answers to our own daemons 64 MiB

The limit of 16 MiB for whole answers is for daemons on the users' machines. A page of our table may have 1,000 rows; the platform's stand-in takes requests of 64 MiB, and its answers may be as large.

--- a/comfreyhatch/daemon/components.py
+++ b/comfreyhatch/daemon/components.py
@@ -66,6 +66,9 @@
 # Daemons that read the roll-outs and drive them under leases, the first in rendezvous order.
 ROLLOUT_DRIVERS = 2
 
+# A page of a table has at most 1,000 rows of 64 KiB.
+PLATFORM_ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
+
 log = logging.getLogger("comfreyhatch.daemon")
 
 
@@ -131,7 +134,7 @@
     def _build_clients(self) -> None:
         """Build the clients of the platform and of the endpoints."""
         platform = self._settings.platform
-        client = HttpClient()
+        client = HttpClient(whole_limit_bytes=PLATFORM_ANSWER_LIMIT_BYTES)
         work_client = HttpClient(self._require_fresh)
         self._clients = (client, work_client)
         self._engine = HttpEngine(client, work_client)
