Raise a cancellation that pynng drops in a peer query

Callers saw: the stop of DirectorySync could wait for ever, because its task went on to the next query after it was cancelled; and a query whose send completed at its timeout waited for the answer without any limit. Cause: pynng ends an operation normally, or with the operation's error, if it completes before its cancellation takes effect. PeerClient.query returned the answer, raised PeerError, or went on to receive, though its task was cancelled by the caller or by its own timeout. Change: each send and receive compares Task.cancelling() before and after, and raises the cancellation that was dropped; asyncio.timeout turns its own into TimeoutError as usual. Evidence: the five cases of test_cancelled_query_ends_as_cancelled_even_if_its_answer_arrives, test_query_times_out_even_if_its_send_drops_the_cancellation and test_cancelled_query_ends_even_if_its_send_drops_the_cancellation failed before and pass.

--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import pynng
 from msgspec import MsgspecError, Struct
@@ -20,6 +21,8 @@
 # Time for the answering tasks to end once their sockets are closed.
 STOP_TIMEOUT_S = 2.0
 
+T = TypeVar("T")
+
 log = logging.getLogger("comfreyhatch.peers")
 
 
@@ -149,8 +152,8 @@
         try:
             async with asyncio.timeout(query.wait_s + ANSWER_TIMEOUT_S):
                 req = self._connected()
-                await req.asend(encode(query))
-                return decode(await req.arecv(), type=PeerUpdate)
+                await _cancellable(req.asend(encode(query)))
+                return decode(await _cancellable(req.arecv()), type=PeerUpdate)
         except TimeoutError:
             self.close()
             raise PeerTimeoutError(f"{self.address} did not answer in time") from None
@@ -172,3 +175,19 @@
             self._req = pynng.Req0()
             self._req.dial(f"tcp://{self.address}", block=False)
         return self._req
+
+
+async def _cancellable(operation: Awaitable[T]) -> T:
+    """Await a pynng operation, and raise a cancellation that pynng drops.
+
+    pynng ends normally, or with the operation's error, if the operation completes before its
+    cancellation takes effect.
+    """
+    task = asyncio.current_task()
+    assert task is not None
+    cancellations = task.cancelling()
+    try:
+        return await operation
+    finally:
+        if task.cancelling() > cancellations:
+            raise asyncio.CancelledError
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,13 +1,15 @@
-"""Queries between daemons: the stop of a listener at any moment of an answer."""
+"""Queries between daemons: the stop of a listener and the end of a query at any moment."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import suppress
 from random import Random
 
+import pynng
 import pytest
 
 from comfreyhatch.domain.operations import Operations
+from comfreyhatch.errors import PeerTimeoutError
 from comfreyhatch.exchange import peers
 from comfreyhatch.exchange.peers import PeerClient, PeerListener, PeerQuery, PeerUpdate
 from tests.platform_harness import free_port
@@ -17,6 +19,8 @@
 STOPS = 250
 # Far more than a stop takes on a busy machine; a stop that hangs never ends.
 STOP_LIMIT_S = 10.0
+# Queries that are cancelled in one test.
+CANCELLATIONS = 500
 # Turns of the event loop within which an answer or a query under way arrives.
 MAX_TURNS = 12
 
@@ -111,3 +115,77 @@
     async with asyncio.timeout(STOP_LIMIT_S):
         while asyncio.all_tasks() != tasks:
             await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+async def client(address: str) -> AsyncIterator[PeerClient]:
+    """A client with an open connection to a listener that answers at once."""
+    listener = PeerListener(address, answer_at_once)
+    listener.start()
+    client = PeerClient(address)
+    await client.query(PeerQuery())
+    yield client
+    client.close()
+    await stop_within_limit(listener)
+
+
+async def test_cancelled_query_ends_as_cancelled_even_if_its_answer_arrives(
+    client: PeerClient,
+) -> None:
+    # A task that queries again and again would go on, and the stop of the sync would wait for it.
+    rng = Random(1)
+    cancelled = 0
+    for _ in range(CANCELLATIONS):
+        query = asyncio.create_task(client.query(PeerQuery()))
+        for _ in range(rng.randrange(MAX_TURNS)):
+            await asyncio.sleep(rng.choice((0.0, 0.0001)))
+        if query.cancel():
+            cancelled += 1
+            await asyncio.wait({query}, timeout=STOP_LIMIT_S)
+            assert query.cancelled()
+    assert cancelled
+
+
+class _SocketOfALateSend:
+    """A socket whose send ends only when it is cancelled, and drops the cancellation, as pynng."""
+
+    def __init__(self, error: pynng.NNGException | None) -> None:
+        self._error = error
+
+    def dial(self, address: str, block: bool) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+    async def asend(self, data: bytes) -> None:
+        with suppress(asyncio.CancelledError):
+            await asyncio.Event().wait()
+        if self._error:
+            raise self._error
+
+    async def arecv(self) -> bytes:
+        await asyncio.Event().wait()
+        return b""
+
+
+@pytest.mark.parametrize("error", [None, pynng.Closed("closed", 7)])
+async def test_query_times_out_even_if_its_send_drops_the_cancellation(
+    monkeypatch: pytest.MonkeyPatch, error: pynng.NNGException | None
+) -> None:
+    monkeypatch.setattr(pynng, "Req0", lambda: _SocketOfALateSend(error))
+    async with asyncio.timeout(STOP_LIMIT_S):
+        with pytest.raises(PeerTimeoutError):
+            await PeerClient("127.0.0.1:1").query(PeerQuery())
+
+
+@pytest.mark.parametrize("error", [None, pynng.Closed("closed", 7)])
+async def test_cancelled_query_ends_even_if_its_send_drops_the_cancellation(
+    monkeypatch: pytest.MonkeyPatch, error: pynng.NNGException | None
+) -> None:
+    monkeypatch.setattr(pynng, "Req0", lambda: _SocketOfALateSend(error))
+    query = asyncio.create_task(PeerClient("127.0.0.1:1").query(PeerQuery(wait_s=STOP_LIMIT_S)))
+    await asyncio.sleep(0)
+    query.cancel()
+    await asyncio.wait({query}, timeout=STOP_LIMIT_S)
+    assert query.cancelled()
