Open no peer socket once the bus is stopped

Callers saw: a message that was sent after NngBus.stop, or the reply of a handler that ended while the bus stopped, opened a dialled socket that nothing closed. Cause: stop closes the sockets before it cancels the handlers, and the next message to a peer dialled a new one. The bus itself awaits no pynng operation: it sends and receives without blocking, so that no cancellation can be dropped there. Change: a stopped bus drops messages, as it does for a peer without an address.

--- a/comfreyhatch/adapters/peer_bus.py
+++ b/comfreyhatch/adapters/peer_bus.py
@@ -100,6 +100,7 @@
         self._future_by_call: dict[int, asyncio.Future[Raw]] = {}
         self._last_sequence_by_sender: dict[str, int] = {}
         self._running: set[asyncio.Task[None]] = set()
+        self._stopped = False
 
     async def start(self, host: str, port: int) -> Address:
         """Listen; port 0 takes a free one.
@@ -123,7 +124,8 @@
         return Address(host, socket.ntohs(bound.port))
 
     async def stop(self) -> None:
-        """Close all sockets and cancel running handlers."""
+        """Close all sockets and cancel running handlers; what is sent later is dropped."""
+        self._stopped = True
         if self._sweeper:
             self._sweeper.cancel()
         if self._listener:
@@ -203,7 +205,7 @@
         link = self._link_by_id.get(instance_id)
         if link is None:
             address = self._address_by_id.get(instance_id)
-            if address is None:
+            if address is None or self._stopped:
                 return None
             if len(self._link_by_id) >= self._limits.sockets:
                 self._close_link(min(self._link_by_id, key=lambda i: self._link_by_id[i].used_at))
--- a/tests/test_peer_bus.py
+++ b/tests/test_peer_bus.py
@@ -5,6 +5,7 @@
 import socket
 import time
 from collections.abc import AsyncIterator, Callable
+from contextlib import suppress
 
 import pynng
 import pytest
@@ -183,6 +184,31 @@
         await pair.a.request("unknown", Echo("x"), Echo, 10)
 
 
+async def test_a_stopped_bus_opens_no_socket(pair: Pair) -> None:
+    await pair.a.stop()
+    await pair.a.send("b", Note("late"))
+    with pytest.raises(PeerTimeoutError):
+        await pair.a.request("b", Echo("late"), Echo, 10)
+    assert pair.a.socket_count == 0
+
+
+async def test_a_handler_that_replies_while_the_bus_stops_opens_no_socket(pair: Pair) -> None:
+    handling = asyncio.Event()
+
+    async def reply_when_cancelled(sender: str, message: Echo) -> Echo:
+        handling.set()
+        with suppress(asyncio.CancelledError):
+            await asyncio.Event().wait()
+        return message
+
+    pair.b.on_message(Echo, reply_when_cancelled)
+    request = asyncio.create_task(pair.a.request("b", Echo("x"), Echo, 10))
+    await handling.wait()
+    await pair.b.stop()
+    request.cancel()
+    assert pair.b.socket_count == 0
+
+
 @given(st.lists(st.floats(0, 2e9), max_size=20), st.floats(0, 1e9))
 def test_sequence_numbers_grow_whatever_the_clock_does(clock: list[float], start: float) -> None:
     last = sent = 0
