--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -4,6 +4,7 @@
 import logging
 import zlib
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import pynng
 from msgspec import MsgspecError, Struct
@@ -28,6 +29,8 @@
 # endpoints has 0.14 MB.
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
+T = TypeVar("T")
+
 log = logging.getLogger("comfreyhatch.peers")
 
 
@@ -168,8 +171,8 @@
         try:
             async with asyncio.timeout(query.wait_s + ANSWER_TIMEOUT_S):
                 req = self._connected()
-                await req.asend(encode(query))
-                return _decode_update(await req.arecv())
+                await _cancellable(req.asend(encode(query)))
+                return _decode_update(await _cancellable(req.arecv()))
         except TimeoutError:
             self.close()
             raise PeerTimeoutError(f"{self.address} did not answer in time") from None
@@ -205,3 +208,19 @@
         zlib.error: If it is not compressed data.
     """
     return decode(zlib.decompressobj().decompress(data, MAX_MESSAGE_BYTES), type=PeerUpdate)
+
+
+async def _cancellable(operation: Awaitable[T]) -> T:
+    """Await a pynng operation, and raise a cancellation that pynng drops.
+
+    pynng ends normally, or with the operation's error, if the operation completes before its
+    cancellation takes effect.
+    """
+    task = asyncio.current_task()
+    assert task is not None
+    cancellations = task.cancelling()
+    try:
+        return await operation
+    finally:
+        if task.cancelling() > cancellations:
+            raise asyncio.CancelledError
