Compare a new version with eight times of the replaced one, not 20

Cause: a daemon needs 20 times of the replaced version before it calls an answer slow. Four seconds after the start, with some 30 streams a second over six daemons and several models, it had 3 to 19 gaps between events until the end of a roll-out of 15 s. The gaps of the bad version, 0.10 and 0.14 s against 0.03 s, were compared with nothing: 0 slow of 15 answers when the share grew (a trial with added log lines). Change: quantiles of a baseline are known from 8 times on. With 8, the high quantile is the largest time, so that the threshold does not fall.

--- a/comfreyhatch/decisions/retries.py
+++ b/comfreyhatch/decisions/retries.py
@@ -38,10 +38,19 @@
 class SampleWindow:
     """Sliding window of the most recent samples, with their quantiles."""
 
-    def __init__(self, samples: int = WINDOW_SAMPLES) -> None:
+    def __init__(
+        self, samples: int = WINDOW_SAMPLES, min_samples: int = MIN_QUANTILE_SAMPLES
+    ) -> None:
+        """Create a window without samples.
+
+        Args:
+            samples: Number of samples that are kept.
+            min_samples: Number of samples from which quantiles are known.
+        """
         self._recent: deque[float] = deque()
         self._sorted: list[float] = []
         self._samples = samples
+        self._min_samples = min_samples
 
     def __len__(self) -> int:
         return len(self._recent)
@@ -59,7 +68,7 @@
         Args:
             share: Which quantile, 0 to 1.
         """
-        if len(self._sorted) < MIN_QUANTILE_SAMPLES:
+        if len(self._sorted) < self._min_samples:
             return None
         return self._sorted[min(len(self._sorted) - 1, int(share * len(self._sorted)))]
 
--- a/comfreyhatch/decisions/slowness.py
+++ b/comfreyhatch/decisions/slowness.py
@@ -15,6 +15,8 @@
 MEDIAN_FACTOR = 3.0
 HIGH_QUANTILE = 0.9
 HIGH_QUANTILE_FACTOR = 1.3
+# A daemon that started a few seconds before a roll-out has few times of the replaced version.
+MIN_BASELINE_TIMES = 8
 # An older baseline is not used.
 BASELINE_MAX_AGE_S = 3.0
 # Rule for an endpoint with at most IDLE_MAX_RUNNING requests: an answer is slow if it takes more
@@ -42,8 +44,8 @@
                 its endpoint runs.
         """
         self._load_dominated = load_dominated
-        self._times = SampleWindow()
-        self._running = SampleWindow()
+        self._times = SampleWindow(min_samples=MIN_BASELINE_TIMES)
+        self._running = SampleWindow(min_samples=MIN_BASELINE_TIMES)
         self._last_added_at = float("-inf")
 
     def add(self, value: float, running: float, now: float) -> None:
