Count an answer for a new version only once it was compared

Cause: an answer that could not be compared, because the daemon had no recent times of the replaced version or the endpoint was cold, counted as an answer that is not slow. Change: BaselineTimes.is_slow is None where nothing can be compared, and the collector counts a successful answer only when its time to the first event or its gaps were compared. Failures count as before. The same holds for the replaced version, so that both shares have the same basis. The former test that nothing is slow without a baseline now asks for None, which is stricter than not slow.

--- a/comfreyhatch/decisions/slowness.py
+++ b/comfreyhatch/decisions/slowness.py
@@ -60,8 +60,8 @@
         self._running.add(running)
         self._last_added_at = now
 
-    def is_slow(self, value: float, running: float, now: float) -> bool:
-        """Return whether an answer is slow; False without a recent baseline.
+    def is_slow(self, value: float, running: float, now: float) -> bool | None:
+        """Return whether an answer is slow; None without a recent baseline.
 
         Args:
             value: Time of the answer.
@@ -73,9 +73,9 @@
         high = self._times.quantile(HIGH_QUANTILE)
         busy = self._running.quantile(0.5)
         if low is None or median is None or high is None or busy is None:
-            return False
+            return None
         if now - self._last_added_at > BASELINE_MAX_AGE_S:
-            return False
+            return None
         if running <= IDLE_MAX_RUNNING and value > IDLE_FACTOR * low:
             return True
         less_busy = busy >= BUSY_MIN_RUNNING and running <= LESS_BUSY_MAX_SHARE * busy
--- a/comfreyhatch/domain/operations.py
+++ b/comfreyhatch/domain/operations.py
@@ -70,7 +70,7 @@
     """Counts of the answers of one version on one route, seen by one daemon.
 
     Attributes:
-        answers: Number of answers, including failures of the version.
+        answers: Number of answers that failed or whose speed was compared.
         failures: Number of failed answers that are attributed to the version.
         slow: Number of answers that took several times longer than expected.
     """
--- a/comfreyhatch/exchange/evidence.py
+++ b/comfreyhatch/exchange/evidence.py
@@ -11,7 +11,9 @@
 class EvidenceCollector:
     """Counts answers, failures and slow answers by service, version and route.
 
-    Whether an answer is slow is decided against a baseline of the replaced versions' answers.
+    Whether an answer is slow is decided against a baseline of the replaced versions' answers. A
+    successful answer counts once it was compared with a baseline, since an answer whose speed is
+    unknown is no evidence for its version.
     """
 
     def __init__(self, daemon: str, view: FleetView) -> None:
@@ -31,8 +33,8 @@
 
     def record_answer(
         self, job: Job, endpoint: EndpointTracker, success: bool, latency: float, now: float
-    ) -> bool:
-        """Count an answer.
+    ) -> bool | None:
+        """Count an answer if it failed or can be compared with a baseline.
 
         Args:
             job: The request.
@@ -44,13 +46,16 @@
             now: Monotonic time in seconds.
 
         Returns:
-            Whether it counts as slow.
+            Whether it counts as slow; None if it is not counted.
         """
+        if not success:
+            self._count(job, endpoint, VersionOutcomes(1, 1, 0))
+            return False
         baseline = self._latency_by_route.setdefault(job.route.name, BaselineTimes())
-        slow = success and self._is_slow(baseline, endpoint, latency, now)
-        if success:
-            self._update_baseline(baseline, endpoint, latency, now)
-        self._count(job, endpoint, VersionOutcomes(1, int(not success), int(slow)))
+        slow = self._is_slow(baseline, endpoint, latency, now)
+        self._update_baseline(baseline, endpoint, latency, now)
+        if slow is not None:
+            self._count(job, endpoint, VersionOutcomes(1, 0, int(slow)))
         return slow
 
     def record_event_gap(
@@ -59,21 +64,23 @@
         endpoint: EndpointTracker,
         model: str,
         median_gap_s: float,
+        counted: bool,
         ended: bool,
         now: float,
-    ) -> bool:
-        """Count a stream as slow if its event gaps are long.
+    ) -> bool | None:
+        """Count a stream as slow if its event gaps are long, and as an answer if it was not yet.
 
         Args:
             job: The request.
             endpoint: Endpoint that sends the stream.
             model: Requested model; empty when the caller's choice is passed through.
             median_gap_s: Median gap between events, in seconds.
+            counted: Whether the stream already counts as an answer.
             ended: Whether the stream is complete; only complete streams update the baseline.
             now: Monotonic time in seconds.
 
         Returns:
-            Whether it counts as slow.
+            Whether it counts as slow; None if its gaps cannot be compared.
         """
         baseline = self._event_gap_by_model.setdefault(
             (job.service, model), BaselineTimes(load_dominated=True)
@@ -81,15 +88,15 @@
         slow = self._is_slow(baseline, endpoint, median_gap_s, now)
         if ended:
             self._update_baseline(baseline, endpoint, median_gap_s, now)
-        if slow:
-            self._count(job, endpoint, VersionOutcomes(0, 0, 1))
+        if slow is not None:
+            self._count(job, endpoint, VersionOutcomes(int(not counted), 0, int(slow)))
         return slow
 
     def _is_slow(
         self, baseline: BaselineTimes, endpoint: EndpointTracker, value: float, now: float
-    ) -> bool:
+    ) -> bool | None:
         if self._view.cold(endpoint, now):
-            return False
+            return None
         return baseline.is_slow(value, endpoint.running(now), now)
 
     def _update_baseline(
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -257,9 +257,12 @@
         if gap_s is None:
             return
         now = asyncio.get_running_loop().time()
-        stream.slow = self._evidence.record_event_gap(
-            stream.job, answer.endpoint, stream.model, gap_s, ended, now
+        counted = stream.slow is not None
+        slow = self._evidence.record_event_gap(
+            stream.job, answer.endpoint, stream.model, gap_s, counted, ended, now
         )
+        if slow is not None:
+            stream.slow = slow
 
     async def _resume(self, stream: StreamState) -> StreamedAnswer:
         """Return an answer that continues after the last event that the caller has received."""
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -32,7 +32,7 @@
         gaps_s: Gaps between the events of the current attempt, in seconds.
         last_events_at: Monotonic time of the current attempt's last events; None before the first.
         broken_endpoints: Endpoints of broken attempts that have not been probed since.
-        slow: Whether the current attempt was counted as slow.
+        slow: Whether the current attempt was counted as slow; None while it was not compared.
         endpoint_id: Endpoint of the current attempt.
         lease: Slot of the current attempt; None once its answer was closed.
         error: Error of the last failed attempt; None if that attempt got an answer.
@@ -76,7 +76,7 @@
         self.events_relayed = 0
         self.gaps_s: list[float] = []
         self.last_events_at: float | None = None
-        self.slow = False
+        self.slow: bool | None = None
         self.endpoint_id = ""
         self.lease: SlotLease | None = None
         self.error: ComfreyhatchError | None = None
--- /dev/null
+++ b/tests/test_evidence.py
@@ -0,0 +1,94 @@
+"""Evidence of one daemon on the versions of a roll-out."""
+
+import pytest
+
+from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
+from comfreyhatch.domain.catalog import Catalog
+from comfreyhatch.domain.endpoint import EndpointList
+from comfreyhatch.domain.operations import Operations, RolloutOrder, VersionOutcomes
+from comfreyhatch.exchange.evidence import EvidenceCollector
+from comfreyhatch.exchange.view import FleetView
+from tests.exchange_values import job, record
+
+JOB = job()
+ROUTE = JOB.route.name
+USUAL_GAP_S = 0.03
+SLOW_GAP_S = 0.2
+
+
+@pytest.fixture
+def view() -> FleetView:
+    found = FleetView()
+    order = RolloutOrder("s", "v2", 15.0, 7)
+    found.apply_operations(Operations(1, Catalog(1, {}, {}, {}), {"s": order}, frozenset()), 0, 1)
+    records = {"old": record("old"), "new": record("new", version="v2")}
+    found.apply_endpoints(EndpointList(1, records), 0.0)
+    return found
+
+
+@pytest.fixture
+def collector(view: FleetView) -> EvidenceCollector:
+    return EvidenceCollector("d1", view)
+
+
+@pytest.fixture
+def old(view: FleetView) -> EndpointTracker:
+    return view.tracker_by_id["old"]
+
+
+@pytest.fixture
+def new(view: FleetView) -> EndpointTracker:
+    return view.tracker_by_id["new"]
+
+
+def of_target(collector: EvidenceCollector) -> VersionOutcomes:
+    found = collector.evidence("s")
+    return found.target_by_route.get(ROUTE, VersionOutcomes()) if found else VersionOutcomes()
+
+
+def add_latencies(collector: EvidenceCollector, old: EndpointTracker) -> None:
+    for _ in range(30):
+        collector.record_answer(JOB, old, True, 1.0, 1.0)
+
+
+def add_gaps(collector: EvidenceCollector, old: EndpointTracker) -> None:
+    for _ in range(30):
+        collector.record_event_gap(JOB, old, "m", USUAL_GAP_S, True, True, 1.0)
+
+
+def test_answer_that_cannot_be_compared_does_not_count_as_good(
+    collector: EvidenceCollector, new: EndpointTracker
+) -> None:
+    # Answers of a bad version counted as good while the daemon had no baseline, and the roll-out
+    # was completed (deploy/days/hasty.toml, trackline-th, seed 501).
+    assert collector.record_answer(JOB, new, True, 9.0, 1.0) is None
+    assert of_target(collector) == VersionOutcomes()
+
+
+def test_failure_counts_without_a_baseline(
+    collector: EvidenceCollector, new: EndpointTracker
+) -> None:
+    collector.record_answer(JOB, new, False, 9.0, 1.0)
+    assert of_target(collector) == VersionOutcomes(1, 1, 0)
+
+
+def test_compared_answer_counts_once(
+    collector: EvidenceCollector, old: EndpointTracker, new: EndpointTracker
+) -> None:
+    add_latencies(collector, old)
+    add_gaps(collector, old)
+    assert collector.record_answer(JOB, new, True, 1.0, 1.0) is False
+    assert collector.record_event_gap(JOB, new, "m", USUAL_GAP_S, True, False, 1.0) is False
+    assert of_target(collector) == VersionOutcomes(1, 0, 0)
+    assert collector.record_event_gap(JOB, new, "m", SLOW_GAP_S, True, False, 1.0) is True
+    assert of_target(collector) == VersionOutcomes(1, 0, 1)
+
+
+def test_stream_counts_once_its_gaps_are_compared_though_its_first_event_was_not(
+    collector: EvidenceCollector, old: EndpointTracker, new: EndpointTracker
+) -> None:
+    assert collector.record_event_gap(JOB, new, "m", SLOW_GAP_S, False, False, 1.0) is None
+    assert of_target(collector) == VersionOutcomes()
+    add_gaps(collector, old)
+    assert collector.record_event_gap(JOB, new, "m", SLOW_GAP_S, False, False, 1.0) is True
+    assert of_target(collector) == VersionOutcomes(1, 0, 1)
--- a/tests/test_slowness.py
+++ b/tests/test_slowness.py
@@ -54,10 +54,11 @@
     # times more slowly: a daemon had 14 times of the replaced version, and 20 were needed. Gaps
     # between events, in seconds, of deploy/days/hasty.toml, trackline-th, seed 501.
     times = baseline(*[0.03] * 4, *[0.032] * 9, 0.092, running=10, load_dominated=True)
-    assert times.is_slow(0.102, 1, 1.0)
-    assert not times.is_slow(0.031, 1, 1.0)
+    assert times.is_slow(0.102, 1, 1.0) is True
+    assert times.is_slow(0.031, 1, 1.0) is False
 
 
-def test_nothing_is_slow_without_a_recent_baseline() -> None:
-    assert not BaselineTimes().is_slow(9.0, 1, 0.0)
-    assert not baseline(*[0.05] * 30).is_slow(9.0, 1, 10.0)
+def test_answer_is_neither_slow_nor_usual_without_a_recent_baseline() -> None:
+    assert BaselineTimes().is_slow(9.0, 1, 0.0) is None
+    assert baseline(*[0.05] * 7).is_slow(9.0, 1, 0.1) is None
+    assert baseline(*[0.05] * 30).is_slow(9.0, 1, 10.0) is None
