Complete a roll-out only after ten compared answers of the new version

Cause: the share grew by the clock alone. Missing evidence counted as no fault, and the growth of a short roll-out takes 1.5 s, less than a slow answer needs to be seen. Change: beyond the first step (a quarter of the sessions) the share grows, and the roll-out ends, only with ten compared answers in the fleet. The first step is taken by the clock, as it brings the answers; staying there until the end keeps within the exposure. Where no endpoint of a replaced version is available, the clock alone decides as before: there is nothing to compare with, and the sessions of that version have no endpoint. Cost: on a service with little traffic a good version is completed late. Changed ones: the roll-out without any answer had to complete in time; it now has ten good answers, and the new test asks that it does not complete without. The test that the share does not grow without endpoints asked at 20.0 s, before the growth begins (20.5 s), and so passed with endpoints too; it now asks at 23 s, with and without. The roll-out through the stand-ins had no requests at all; it now has some, and the test asks that the new version answered at least ten.

--- a/comfreyhatch/decisions/version_trial.py
+++ b/comfreyhatch/decisions/version_trial.py
@@ -3,7 +3,9 @@
 A version may be bad from the start, only after a while, only under load or only on one route. It
 therefore gets a small constant share of the sessions for most of the roll-out (the canary phase);
 the share grows in steps only at the end. Over the whole roll-out the version gets less than the
-share of requests that a bad version may get (the exposure), even if it shows no fault.
+share of requests that a bad version may get (the exposure), even if it shows no fault. Beyond the
+first step it gets more only after enough of its answers were compared with those of the replaced
+version: after the completion that version is gone, and missing evidence says nothing for the new.
 """
 
 from collections.abc import Iterable
@@ -36,6 +38,9 @@
 # The version is in doubt from this number and this share of failed or slow answers on.
 MIN_DOUBTFUL_ANSWERS = 2
 MIN_DOUBTFUL_SHARE = 0.12
+# Fewest answers before the share grows beyond the first step. Of 10 answers of a version of which
+# half are bad, at least MIN_DOUBTFUL_ANSWERS are bad with a probability of 99%.
+MIN_ANSWERS_TO_GROW = 10
 # Bad outcomes are published soon, good ones seldom, to limit the writes to the store.
 MIN_BAD_EVIDENCE_INTERVAL_S = 0.6
 MIN_GOOD_EVIDENCE_INTERVAL_S = 4.0
@@ -57,6 +62,18 @@
 SHARE_STEPS = (ShareStep(0.25, 0.2), ShareStep(0.5, 0.2), ShareStep(ALL_SESSIONS, 0.25))
 
 
+class VersionsReady(Struct, frozen=True):
+    """Which versions have available endpoints.
+
+    Attributes:
+        target: Whether the target version has a warm one.
+        replaced: Whether a replaced version has one.
+    """
+
+    target: bool
+    replaced: bool
+
+
 class PooledEvidence(Struct, frozen=True):
     """Outcomes of the target and the replaced versions by route, summed over daemons."""
 
@@ -123,7 +140,7 @@
     trial: RolloutRecord | None,
     pooled: PooledEvidence,
     expose_share: float,
-    target_ready: bool,
+    ready: VersionsReady,
     store_ms: int,
 ) -> RolloutRecord | None:
     """Return the state of a roll-out to store next, or None if it does not change.
@@ -133,7 +150,7 @@
         trial: State stored last; None if there is none.
         pooled: Evidence of the fleet for this order.
         expose_share: Share of the service's requests that a bad version may get.
-        target_ready: Whether endpoints of the target version are available.
+        ready: Which versions have available endpoints.
         store_ms: Time of the store's clock, in milliseconds.
     """
     if trial is None or trial.order_revision != order.revision:
@@ -160,7 +177,10 @@
         )
     if _in_doubt(pooled):
         return None
-    return _with_next_share(order, trial, expose_share, target_ready, store_ms)
+    if not ready.target:
+        return None
+    largest = ALL_SESSIONS if _may_grow(pooled, ready) else SHARE_STEPS[0].share
+    return _with_next_share(order, trial, expose_share, largest, store_ms)
 
 
 def _in_doubt(pooled: PooledEvidence) -> bool:
@@ -170,20 +190,35 @@
     return bad >= MIN_DOUBTFUL_ANSWERS and bad >= MIN_DOUBTFUL_SHARE * target.answers
 
 
+def _may_grow(pooled: PooledEvidence, ready: VersionsReady) -> bool:
+    """Return whether the share may grow beyond the first step.
+
+    Without endpoints of a replaced version there is nothing to compare with, and the sessions
+    assigned to that version have no endpoint.
+    """
+    return _total(pooled.target_by_route).answers >= MIN_ANSWERS_TO_GROW or not ready.replaced
+
+
 def _with_next_share(
     order: RolloutOrder,
     trial: RolloutRecord,
     expose_share: float,
-    target_ready: bool,
+    largest: float,
     store_ms: int,
 ) -> RolloutRecord | None:
-    """Return the state with the share that is due, or completed; None if neither is due."""
-    if not target_ready:
-        return None
+    """Return the state with the share that is due, or completed; None if neither is due.
+
+    Args:
+        order: The roll-out order.
+        trial: State stored last.
+        expose_share: Share of the service's requests that a bad version may get.
+        largest: Largest share that the evidence allows.
+        store_ms: Time of the store's clock, in milliseconds.
+    """
     share = _share_at(order, (store_ms - trial.started_ms) / MS_PER_S, expose_share)
     if share is None and trial.share >= ALL_SESSIONS:
         return replace(trial, state=RolloutState.COMPLETED, stepped_ms=store_ms)
-    due = ALL_SESSIONS if share is None else share
+    due = min(largest, ALL_SESSIONS if share is None else share)
     return replace(trial, share=due, stepped_ms=store_ms) if due > trial.share else None
 
 
--- a/comfreyhatch/exchange/rollouts.py
+++ b/comfreyhatch/exchange/rollouts.py
@@ -7,6 +7,7 @@
 
 from comfreyhatch.decisions.rendezvous import rendezvous_order
 from comfreyhatch.decisions.version_trial import (
+    VersionsReady,
     find_fault,
     next_trial_record,
     pool_evidence,
@@ -118,7 +119,7 @@
             self._stored_trial(order.service),
             pooled,
             self._deployment.bounds.expose_share,
-            self._target_ready(order, now),
+            self._versions_ready(order, now),
             self._view.store_ms(now),
         )
         if step is None:
@@ -163,14 +164,13 @@
         own = self._evidence_collector.evidence(order.service)
         return [*found, own] if own else found
 
-    def _target_ready(self, order: RolloutOrder, now: float) -> bool:
-        """Return whether a warm endpoint of the target version is available."""
+    def _versions_ready(self, order: RolloutOrder, now: float) -> VersionsReady:
         trackers = self._view.trackers_by_service.get(order.service, ())
-        return any(
-            t.record.version == order.version
-            and self._view.available(t, now)
-            and not self._view.cold(t, now)
-            for t in trackers
+        available = [t for t in trackers if self._view.available(t, now)]
+        of_target = [t for t in available if t.record.version == order.version]
+        return VersionsReady(
+            target=any(not self._view.cold(t, now) for t in of_target),
+            replaced=len(available) > len(of_target),
         )
 
     def _succession_rank(self, order: RolloutOrder) -> int:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from itertools import count
 
 import pytest
 from msgspec.structs import replace
 
 from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.decisions.version_trial import MIN_ANSWERS_TO_GROW
 from comfreyhatch.domain.deployment import Bounds
 from comfreyhatch.errors import HttpError
 from tests.platform_harness import API_KEY, PlatformHarness, config, running_harness
@@ -347,9 +349,14 @@
     harness.store.put("op", "rollout/engines", {"service": "engines", "to": "v2", "over_s": 4})
     await harness.wait_until(lambda: ("status", "rollout/engines") in harness.store.row_by_key)
     assert harness.store.value("status", "rollout/engines") == {"state": "running", "to": "v2"}
+    traffic = asyncio.create_task(_send_sessions(harness))
     await _wait_for_state(harness, "completed")
+    traffic.cancel()
+    await asyncio.gather(traffic, return_exceptions=True)
+    before = len(new.received)
+    assert before >= MIN_ANSWERS_TO_GROW
     await harness.send_draft()
-    assert len(new.received) >= 1
+    assert len(new.received) > before
 
 
 async def test_failing_version_is_rolled_back_and_gets_no_requests(
@@ -370,6 +377,12 @@
     assert len(new.received) == before
 
 
+async def _send_sessions(harness: PlatformHarness) -> None:
+    """Start new sessions one after the other until cancelled."""
+    for number in count():
+        await harness.send_draft(session=f"s{number}")
+
+
 async def _wait_for_state(harness: PlatformHarness, state: str) -> None:
     async with asyncio.timeout(15):
         while harness.store.value("status", "rollout/engines")["state"] != state:
--- a/tests/test_version_trial.py
+++ b/tests/test_version_trial.py
@@ -5,6 +5,9 @@
 
 from comfreyhatch.decisions.version_trial import (
     COMPLETION_MARGIN_S,
+    MIN_ANSWERS_TO_GROW,
+    SHARE_STEPS,
+    VersionsReady,
     canary_share,
     find_fault,
     next_trial_record,
@@ -23,6 +26,8 @@
 EXPOSE_SHARE = 0.15
 CANARY = canary_share(EXPOSE_SHARE)
 OTHER = {"a": VersionOutcomes(400, 6, 2), "b": VersionOutcomes(100, 14, 0)}
+ENOUGH = VersionOutcomes(MIN_ANSWERS_TO_GROW)
+BOTH_READY = VersionsReady(target=True, replaced=True)
 
 
 def evidence(daemon: str, target: dict[str, VersionOutcomes]) -> Evidence:
@@ -30,7 +35,7 @@
 
 
 def step(trial: RolloutRecord | None, store_ms: int, *found: Evidence) -> RolloutRecord | None:
-    return next_trial_record(ORDER, trial, pool_evidence(found), EXPOSE_SHARE, True, store_ms)
+    return next_trial_record(ORDER, trial, pool_evidence(found), EXPOSE_SHARE, BOTH_READY, store_ms)
 
 
 def test_canary_share_is_below_the_allowed_exposure() -> None:
@@ -47,12 +52,13 @@
     order = RolloutOrder("s", "v2", duration_s, 7)
     tick_ms = 50
     exposed_ms = 0.0
-    trial = next_trial_record(order, None, pool_evidence([]), expose_share, True, 1000)
+    good = pool_evidence([evidence("d1", {"a": ENOUGH})])
+    trial = next_trial_record(order, None, good, expose_share, BOTH_READY, 1000)
     now_ms = 1000
     while trial.state is RolloutState.RUNNING:
         exposed_ms += trial.share * tick_ms
         now_ms += tick_ms
-        following = next_trial_record(order, trial, pool_evidence([]), expose_share, True, now_ms)
+        following = next_trial_record(order, trial, good, expose_share, BOTH_READY, now_ms)
         if following and now_ms - 1000 <= duration_s * 500:
             raise AssertionError("the share grew in the first half")
         trial = following or trial
@@ -64,6 +70,44 @@
     assert exposed_ms <= expose_share * duration_s * 1000 + COMPLETION_MARGIN_S * 1000
 
 
+def test_version_without_enough_answers_gets_the_first_step_only() -> None:
+    # A roll-out of 15 s was completed although none of the few answers of the bad version could be
+    # compared with those of the replaced one (deploy/days/hasty.toml, trackline-th, seed 501).
+    few = evidence("d1", {"a": VersionOutcomes(MIN_ANSWERS_TO_GROW - 1)})
+    trial = step(None, 0)
+    for now_ms in range(0, 60_000, 200):
+        trial = step(trial, now_ms, few) or trial
+    assert trial.state is RolloutState.RUNNING
+    assert trial.share == SHARE_STEPS[0].share
+    enough = evidence("d1", {"a": ENOUGH})
+    grown = step(trial, 60_200, enough)
+    assert grown and grown.share == 1.0
+    completed = step(grown, 60_400, enough)
+    assert completed and completed.state is RolloutState.COMPLETED
+
+
+@pytest.mark.parametrize("duration_s", [8.0, 15.0, 24.0, 60.0])
+def test_first_step_without_enough_answers_stays_within_the_exposure(duration_s: float) -> None:
+    order = RolloutOrder("s", "v2", duration_s, 7)
+    none = pool_evidence([])
+    trial = next_trial_record(order, None, none, EXPOSE_SHARE, BOTH_READY, 0)
+    exposed_ms = 0.0
+    for now_ms in range(0, int(duration_s * 1000), 50):
+        following = next_trial_record(order, trial, none, EXPOSE_SHARE, BOTH_READY, now_ms)
+        trial = following or trial
+        exposed_ms += trial.share * 50
+    assert exposed_ms <= EXPOSE_SHARE * duration_s * 1000
+
+
+def test_roll_out_ends_in_time_if_no_endpoint_of_the_replaced_version_is_left() -> None:
+    # Without that version there is nothing to compare with, and most sessions have no endpoint.
+    only_target = VersionsReady(target=True, replaced=False)
+    trial = step(None, 0)
+    none = pool_evidence([])
+    grown = next_trial_record(ORDER, trial, none, EXPOSE_SHARE, only_target, 24_000)
+    assert grown and grown.share == 1.0
+
+
 def test_share_does_not_grow_while_the_version_is_in_doubt() -> None:
     # The canary phase gave only five answers, and the share grew before more were known.
     trial = step(None, 0)
@@ -81,7 +125,10 @@
 
 def test_share_does_not_grow_without_endpoints_of_the_version() -> None:
     trial = step(None, 0)
-    assert next_trial_record(ORDER, trial, pool_evidence([]), EXPOSE_SHARE, False, 20000) is None
+    not_ready = VersionsReady(target=False, replaced=True)
+    good = pool_evidence([evidence("d1", {"a": ENOUGH})])
+    assert next_trial_record(ORDER, trial, good, EXPOSE_SHARE, not_ready, 23_000) is None
+    assert next_trial_record(ORDER, trial, good, EXPOSE_SHARE, BOTH_READY, 23_000) is not None
 
 
 def test_evidence_of_several_daemons_is_summed() -> None:
@@ -112,7 +159,8 @@
     trial = replace(step(None, 0), state=RolloutState.ROLLED_BACK, revision=5)
     assert step(trial, 30000) is None
     newer = replace(ORDER, version="v3", revision=9)
-    following = next_trial_record(newer, trial, pool_evidence([]), EXPOSE_SHARE, True, 40000)
+    none = pool_evidence([])
+    following = next_trial_record(newer, trial, none, EXPOSE_SHARE, BOTH_READY, 40_000)
     assert following and following.version == "v3" and following.revision == 5
 
 
