Roll a worse version back when its completion is due

Cause: a version in doubt (two or more bad answers, 12% or more) neither grows nor ends; it waits for the verdict with 95% confidence, without limit. Change: once the completion would be due, a version with four or more bad answers whose share is higher than that of the replaced one by the usual margin is rolled back without that confidence. One that is no worse than the replaced version stays in doubt as before. Evidence: the new test failed before.

--- a/comfreyhatch/decisions/version_trial.py
+++ b/comfreyhatch/decisions/version_trial.py
@@ -172,11 +172,9 @@
         # Too many sessions run on the version to wait for more evidence.
         fault = "doubtful with more than the first share of the sessions"
     if fault:
-        return replace(
-            trial, state=RolloutState.ROLLED_BACK, share=0.0, stepped_ms=store_ms, reason=fault
-        )
+        return _rolled_back(trial, fault, store_ms)
     if _in_doubt(pooled):
-        return None
+        return _with_verdict_when_due(order, trial, pooled, store_ms)
     if not ready.target:
         return None
     largest = ALL_SESSIONS if _may_grow(pooled, ready) else SHARE_STEPS[0].share
@@ -199,6 +197,41 @@
     return _total(pooled.target_by_route).answers >= MIN_ANSWERS_TO_GROW or not ready.replaced
 
 
+def _rolled_back(trial: RolloutRecord, reason: str, store_ms: int) -> RolloutRecord:
+    return replace(
+        trial, state=RolloutState.ROLLED_BACK, share=0.0, stepped_ms=store_ms, reason=reason
+    )
+
+
+def _with_verdict_when_due(
+    order: RolloutOrder, trial: RolloutRecord, pooled: PooledEvidence, store_ms: int
+) -> RolloutRecord | None:
+    """Return the roll-back of a doubtful version once its completion is due; None before.
+
+    A version whose answers are no worse than those of the replaced one is left in doubt.
+    """
+    if _completion_due(order, trial, store_ms) and _is_worse(pooled):
+        return _rolled_back(trial, "doubtful when its completion was due", store_ms)
+    return None
+
+
+def _completion_due(order: RolloutOrder, trial: RolloutRecord, store_ms: int) -> bool:
+    elapsed_s = (store_ms - trial.started_ms) / MS_PER_S
+    return elapsed_s >= order.duration_s - COMPLETION_MARGIN_S
+
+
+def _is_worse(pooled: PooledEvidence) -> bool:
+    """Return whether the target's share of bad answers is higher, without regard to confidence."""
+    target = _total(pooled.target_by_route)
+    bad = target.failures + target.slow
+    if bad < MIN_BAD_ANSWERS:
+        return False
+    return (
+        bad / max(bad, target.answers)
+        >= _baseline(_total(pooled.other_by_route)) + BAD_SHARE_MARGIN
+    )
+
+
 def _with_next_share(
     order: RolloutOrder,
     trial: RolloutRecord,
@@ -251,8 +284,7 @@
         target: Outcomes of the target version.
         other: Outcomes of the replaced versions.
     """
-    # Additive smoothing; a version without any answers counts as 10% bad.
-    baseline = (other.failures + other.slow + 1) / (other.answers + 10)
+    baseline = _baseline(other)
     bad = target.failures + target.slow
     if bad < MIN_BAD_ANSWERS:
         return ""
@@ -265,6 +297,14 @@
     )
 
 
+def _baseline(other: VersionOutcomes) -> float:
+    """Return the share of bad answers of the replaced versions.
+
+    Additive smoothing; a version without any answers counts as 10% bad.
+    """
+    return (other.failures + other.slow + 1) / (other.answers + 10)
+
+
 def _lower_bound(bad: int, count: int) -> float:
     """Return the lower bound of the Wilson score interval of a share."""
     share = bad / count
--- a/tests/test_version_trial.py
+++ b/tests/test_version_trial.py
@@ -123,6 +123,25 @@
     assert verdict and verdict.state is RolloutState.ROLLED_BACK
 
 
+def test_version_in_doubt_is_rolled_back_when_its_completion_is_due() -> None:
+    # A version with 5 slow answers of 13 got its verdict five seconds after the time for the
+    # roll-out (deploy/days/hasty.toml, trackline-th, seed 501).
+    trial = step(None, 0)
+    other = {"a": VersionOutcomes(120, 0, 18)}
+    doubtful = Evidence("s", 7, "d1", {"a": VersionOutcomes(13, 0, 5)}, other)
+    assert find_fault(pool_evidence([doubtful])) == ""
+    assert step(trial, 22_700, doubtful) is None
+    verdict = step(trial, 22_800, doubtful)
+    assert verdict and verdict.state is RolloutState.ROLLED_BACK and verdict.reason
+
+
+def test_version_no_worse_than_the_replaced_one_is_not_rolled_back_at_the_end() -> None:
+    trial = step(None, 0)
+    other = {"a": VersionOutcomes(100, 0, 25)}
+    as_slow = Evidence("s", 7, "d1", {"a": VersionOutcomes(13, 0, 4)}, other)
+    assert step(trial, 23_000, as_slow) is None
+
+
 def test_share_does_not_grow_without_endpoints_of_the_version() -> None:
     trial = step(None, 0)
     not_ready = VersionsReady(target=False, replaced=True)
