Judge slow streams that an earlier order counted as answers

Users saw: nothing yet; found on reading. Cause: streams that run while a version is ordered again count as slow for the new order, but as answers for the former one. With four of them and no answer the verdict divided by zero, with more of them than answers it took the root of a negative number, and the daemon's check of roll-outs failed. Change: the verdict takes at least as many answers as bad ones. Evidence: the new test failed before with ZeroDivisionError.

--- a/comfreyhatch/decisions/version_trial.py
+++ b/comfreyhatch/decisions/version_trial.py
@@ -288,7 +288,8 @@
     bad = target.failures + target.slow
     if bad < MIN_BAD_ANSWERS:
         return ""
-    lower = _lower_bound(bad, target.answers)
+    # Streams that run when a version is ordered again count as slow, but no longer as answers.
+    lower = _lower_bound(bad, max(bad, target.answers))
     if lower < max(baseline + BAD_SHARE_MARGIN, baseline * BAD_SHARE_FACTOR):
         return ""
     return (
--- a/tests/test_version_trial.py
+++ b/tests/test_version_trial.py
@@ -174,6 +174,12 @@
     assert find_fault(pool_evidence([evidence("d1", {"a": VersionOutcomes(12, 0, 8)})]))
 
 
+def test_slow_streams_that_an_earlier_order_counted_as_answers_are_judged() -> None:
+    # Streams that run when a version is ordered again count as slow, but no longer as answers.
+    assert find_fault(pool_evidence([evidence("d1", {"a": VersionOutcomes(0, 0, 4)})]))
+    assert find_fault(pool_evidence([evidence("d1", {"a": VersionOutcomes(2, 0, 5)})]))
+
+
 def test_ended_rollout_does_not_change_and_a_new_order_starts_another() -> None:
     trial = replace(step(None, 0), state=RolloutState.ROLLED_BACK, revision=5)
     assert step(trial, 30000) is None
