--- a/comfreyhatch/decisions/slowness.py
+++ b/comfreyhatch/decisions/slowness.py
@@ -15,6 +15,8 @@
 MEDIAN_FACTOR = 3.0
 HIGH_QUANTILE = 0.9
 HIGH_QUANTILE_FACTOR = 1.3
+# A daemon that started a few seconds before a roll-out has few times of the replaced version.
+MIN_BASELINE_TIMES = 8
 # An older baseline is not used.
 BASELINE_MAX_AGE_S = 3.0
 # Rule for an endpoint with at most IDLE_MAX_RUNNING requests: an answer is slow if it takes more
@@ -42,8 +44,8 @@
                 its endpoint runs.
         """
         self._load_dominated = load_dominated
-        self._times = SampleWindow()
-        self._running = SampleWindow()
+        self._times = SampleWindow(min_samples=MIN_BASELINE_TIMES)
+        self._running = SampleWindow(min_samples=MIN_BASELINE_TIMES)
         self._last_added_at = float("-inf")
 
     def add(self, value: float, running: float, now: float) -> None:
@@ -58,8 +60,8 @@
         self._running.add(running)
         self._last_added_at = now
 
-    def is_slow(self, value: float, running: float, now: float) -> bool:
-        """Return whether an answer is slow; False without a recent baseline.
+    def is_slow(self, value: float, running: float, now: float) -> bool | None:
+        """Return whether an answer is slow; None without a recent baseline.
 
         Args:
             value: Time of the answer.
@@ -71,9 +73,9 @@
         high = self._times.quantile(HIGH_QUANTILE)
         busy = self._running.quantile(0.5)
         if low is None or median is None or high is None or busy is None:
-            return False
+            return None
         if now - self._last_added_at > BASELINE_MAX_AGE_S:
-            return False
+            return None
         if running <= IDLE_MAX_RUNNING and value > IDLE_FACTOR * low:
             return True
         less_busy = busy >= BUSY_MIN_RUNNING and running <= LESS_BUSY_MAX_SHARE * busy
