Let test runs beside each other hold separate ranges of ports

A whole run failed once (test_store_generations, address in use at port 20000): a second run beside it, in another worktree, took the same range by its worker's number. Each test process holds the first port of its range now, and takes the next range if another process holds it.

--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -88,11 +88,30 @@
     }
 
 
+def _reserve_range(first: int) -> socket.socket | None:
+    """Hold the first port of a range; return None if another process holds it."""
+    guard = socket.socket()
+    try:
+        guard.bind(("127.0.0.1", first))
+    except OSError:
+        guard.close()
+        return None
+    return guard
+
+
 def _process_ports() -> Iterator[int]:
-    """Yield ports of a range below the ephemeral ports, a separate one for each test process."""
+    """Yield ports of a range below the ephemeral ports, a separate one for each test process.
+
+    Test runs that run beside this one hold other ranges.
+    """
     worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-    first = PORT_BASE + worker % PORT_RANGES * PORTS_PER_PROCESS
-    yield from cycle(range(first, first + PORTS_PER_PROCESS))
+    for offset in range(PORT_RANGES):
+        first = PORT_BASE + (worker + offset) % PORT_RANGES * PORTS_PER_PROCESS
+        guard = _reserve_range(first)
+        if guard is not None:
+            with guard:
+                yield from cycle(range(first + 1, first + PORTS_PER_PROCESS))
+    raise RuntimeError("other test processes hold all ranges of ports")
 
 
 _ports = _process_ports()
