Split the HTTP listener from its connections and messages

Change: http_message.py holds requests, answers and refusals, http_connection.py one connection and the limits, http_server.py the listener.

--- a/bench/token_source.py
+++ b/bench/token_source.py
@@ -6,13 +6,13 @@
 
 from msgspec.json import decode, encode
 
-from comfreyhatch.adapters.http_server import (
+from comfreyhatch.adapters.http_message import (
     EVENT_STREAM_TYPE,
     HttpRequest,
     HttpResponse,
-    HttpServer,
     json_response,
 )
+from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.domain.request import Usage
 from comfreyhatch.ports.engine import Chunk, GenerateRequest, LoadReport
 
--- a/comfreyhatch/adapters/engine_http.py
+++ b/comfreyhatch/adapters/engine_http.py
@@ -9,7 +9,7 @@
 from msgspec.structs import replace
 
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply, StreamedReply
-from comfreyhatch.adapters.http_server import JSON_TYPE
+from comfreyhatch.adapters.http_message import JSON_TYPE
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.domain.instance import Instance, Role
 from comfreyhatch.errors import (
--- a/comfreyhatch/daemon/components.py
+++ b/comfreyhatch/daemon/components.py
@@ -8,7 +8,8 @@
 
 from comfreyhatch.adapters.engine_http import HttpEngine, HttpPlainService
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.adapters.http_server import HttpLimits, HttpServer
+from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.adapters.metrics import (
     PeerMetrics,
     RequestMetrics,
--- a/comfreyhatch/daemon/operators.py
+++ b/comfreyhatch/daemon/operators.py
@@ -9,7 +9,7 @@
 from msgspec.json import decode
 from prometheus_client import CollectorRegistry, generate_latest
 
-from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse, json_response
+from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse, json_response
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.daemon.config.editor import ConfigEditor
 from comfreyhatch.daemon.fleet_state import FleetReporter
--- a/comfreyhatch/daemon/requests/caller_request.py
+++ b/comfreyhatch/daemon/requests/caller_request.py
@@ -5,7 +5,7 @@
 from msgspec import Struct, ValidationError
 from msgspec.json import decode
 
-from comfreyhatch.adapters.http_server import HttpRequest
+from comfreyhatch.adapters.http_message import HttpRequest
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.domain.contract import Contract
 from comfreyhatch.domain.fleet import FleetConfig
--- a/comfreyhatch/daemon/requests/callers.py
+++ b/comfreyhatch/daemon/requests/callers.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct
 
-from comfreyhatch.adapters.http_server import (
+from comfreyhatch.adapters.http_message import (
     EVENT_STREAM_TYPE,
     HttpRequest,
     HttpResponse,
--- a/comfreyhatch/daemon/requests/forwarding.py
+++ b/comfreyhatch/daemon/requests/forwarding.py
@@ -17,7 +17,7 @@
 
 from comfreyhatch.adapters.engine_http import HttpEngine
 from comfreyhatch.adapters.http_client import Headers, HttpClient, StreamedReply, full_headers
-from comfreyhatch.adapters.http_server import (
+from comfreyhatch.adapters.http_message import (
     EVENT_STREAM_TYPE,
     HttpRequest,
     HttpResponse,
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -10,7 +10,9 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.adapters.http_server import HttpLimits, HttpRequest, HttpResponse, HttpServer
+from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
+from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.adapters.metrics import add_gauge
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
 from comfreyhatch.decisions.isolation import should_report_unready
--- a/comfreyhatch/exchange/header_codec.py
+++ b/comfreyhatch/exchange/header_codec.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse
+from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
 from comfreyhatch.domain.exchange import AnswerHead, Dispatch, Exchange, Headers
 from comfreyhatch.errors import ComfreyhatchError
 
--- a/comfreyhatch/exchange/router.py
+++ b/comfreyhatch/exchange/router.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Callable
 
-from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse
+from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
 from comfreyhatch.decisions.placement import session_point
--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Callable
 
-from comfreyhatch.adapters.http_server import HttpResponse
+from comfreyhatch.adapters.http_message import HttpResponse
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
 from comfreyhatch.decisions.retries import SampleWindow, hedge_delay_s
--- a/comfreyhatch/standins/engine.py
+++ b/comfreyhatch/standins/engine.py
@@ -12,13 +12,13 @@
 from msgspec.structs import replace
 
 from comfreyhatch.adapters.engine_http import CancelRequest
-from comfreyhatch.adapters.http_server import (
+from comfreyhatch.adapters.http_message import (
     EVENT_STREAM_TYPE,
     HttpRequest,
     HttpResponse,
-    HttpServer,
     json_response,
 )
+from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.domain.instance import Address, Instance
 from comfreyhatch.domain.request import Usage
--- a/comfreyhatch/standins/platform.py
+++ b/comfreyhatch/standins/platform.py
@@ -7,13 +7,9 @@
 
 from msgspec import Struct, field
 
-from comfreyhatch.adapters.http_server import (
-    HttpLimits,
-    HttpRequest,
-    HttpResponse,
-    HttpServer,
-    json_response,
-)
+from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse, json_response
+from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.adapters.platform_http import AcquireReply, AcquireRequest, RatingReply
 from comfreyhatch.adapters.table_http import (
     CommitReply,
--- a/comfreyhatch/standins/switches.py
+++ b/comfreyhatch/standins/switches.py
@@ -6,12 +6,8 @@
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import decode as decode_json
 
-from comfreyhatch.adapters.http_server import (
-    HttpRequest,
-    HttpResponse,
-    HttpServer,
-    json_response,
-)
+from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse, json_response
+from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import BackendError, RequestError
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -6,7 +6,8 @@
 from msgspec import Struct
 from msgspec.json import decode, encode
 
-from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse, HttpServer, json_response
+from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse, json_response
+from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.domain.instance import Address
 
 MS_PER_S = 1000.0
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -3,7 +3,8 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 
-from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse, HttpServer
+from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
+from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import AnswerBrokenError
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -10,7 +10,9 @@
 from msgspec.json import decode, encode
 
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.adapters.http_server import HttpLimits, HttpRequest, HttpServer
+from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_message import HttpRequest
+from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.daemon.requests.caller_request import authenticate, parse_chat, service_request
 from comfreyhatch.daemon.requests.callers import CHAT_PATH, CallerHandler
--- a/tests/test_engine_http.py
+++ b/tests/test_engine_http.py
@@ -9,7 +9,8 @@
 
 from comfreyhatch.adapters.engine_http import HttpEngine, HttpPlainService
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse, HttpServer
+from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
+from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.codes import Ran
 from comfreyhatch.domain.instance import Address, Instance, Role
 from comfreyhatch.domain.request import ChatMessage
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -9,7 +9,8 @@
 
 from comfreyhatch.adapters.engine_http import HttpEngine
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse, HttpServer, error_response
+from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse, error_response
+from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.daemon.requests.forwarding import (
     GENERATE_PATH,
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from msgspec.json import encode
 
-from comfreyhatch.adapters.http_server import HttpRequest
+from comfreyhatch.adapters.http_message import HttpRequest
 from comfreyhatch.platform.documents import decode_catalog, decode_endpoint, decode_order
 from comfreyhatch.platform.header_codec import PlatformHeaderCodec
 from comfreyhatch.platform.store import Row
--- a/tests/test_platform_header_codec.py
+++ b/tests/test_platform_header_codec.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from comfreyhatch.adapters.http_server import HttpRequest
+from comfreyhatch.adapters.http_message import HttpRequest
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.domain.exchange import Dispatch, PromptPart, ReportedLoad
 from comfreyhatch.errors import BackendError, RefusedError
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -12,7 +12,8 @@
 
 import pytest
 
-from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse, HttpServer
+from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
+from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.daemon.main import EXIT_LISTEN_FAILED
 from comfreyhatch.platform.start import open_caller_listener
