Share the refusals of the two routers of requests

Cause: Router and ServiceRouter each built the refusal for want of an endpoint, with a constant of its own, and the one for a deadline that has passed; more_specific_error stood with the hold-down of members, which only the router of chat requests uses. Change: daemon/requests/refusals.py holds no_endpoint_error, check_deadline and more_specific_error; its test moves along unchanged. No behaviour changes: RefusedError has ran = NO by default, and jitter is still drawn only when the refusal is raised.

--- a/comfreyhatch/daemon/requests/member_hold_down.py
+++ b/comfreyhatch/daemon/requests/member_hold_down.py
@@ -45,16 +45,3 @@
     def may_forward_to(self, member_id: str, target: str, now: float) -> bool:
         """Return whether a member is not in hold-down for a version or plain service."""
         return self._until_by_pair.get((member_id, target), now) <= now
-
-
-def more_specific_error(
-    last: ComfreyhatchError | None, error: ComfreyhatchError
-) -> ComfreyhatchError:
-    """Return the error to report to the caller, of an earlier and a later one.
-
-    NO_ENDPOINT is the least specific: the earlier error is returned if the later one is
-    NO_ENDPOINT, otherwise the later one.
-    """
-    if last is not None and error.code is ResultCode.NO_ENDPOINT:
-        return last
-    return error
--- a/comfreyhatch/daemon/requests/router.py
+++ b/comfreyhatch/daemon/requests/router.py
@@ -16,7 +16,12 @@
 from comfreyhatch.daemon.limits.budgets import Budgets
 from comfreyhatch.daemon.requests.draft import RecordDraft
 from comfreyhatch.daemon.requests.forwarding import Forwarder
-from comfreyhatch.daemon.requests.member_hold_down import MemberHoldDown, more_specific_error
+from comfreyhatch.daemon.requests.member_hold_down import MemberHoldDown
+from comfreyhatch.daemon.requests.refusals import (
+    check_deadline,
+    more_specific_error,
+    no_endpoint_error,
+)
 from comfreyhatch.daemon.requests.sessions import SessionResolver
 from comfreyhatch.daemon.versions.outcome_recorder import AnswerTrace, OutcomeRecorder
 from comfreyhatch.daemon.versions.planner import Planner
@@ -29,11 +34,9 @@
 from comfreyhatch.domain.journal import Intent
 from comfreyhatch.domain.request import ChatRequest, Usage
 from comfreyhatch.domain.version import Version
-from comfreyhatch.errors import AbandonedError, ComfreyhatchError, RefusedError
+from comfreyhatch.errors import AbandonedError, ComfreyhatchError
 from comfreyhatch.ports.engine import Chunk, GenerateRequest
 
-# Retry-After of a request that no endpoint serves; jitter adds up to as much again.
-NO_ENDPOINT_RETRY_AFTER_S = 1.0
 # Requests that may wait at a time for a retry after every source has refused them; others are
 # refused at once.
 MAX_WAITING_FOR_SLOTS = 64
@@ -329,8 +332,7 @@
         refusal_retry = RefusalRetry(call.deadline)
         async for source in self._sources_with_retries(version_id, refusal_retry):
             started_at = monotonic()
-            if started_at >= call.deadline:
-                raise RefusedError("the deadline has passed", ResultCode.DEADLINE_EXCEEDED)
+            check_deadline(call.deadline, started_at)
             if last_error and last_error.ran is not Ran.NO and not self._retry_budget.take():
                 raise last_error
             if last_error and failed_attempts >= MAX_FAILED_ATTEMPTS:
@@ -366,12 +368,7 @@
                     error.code,
                     str(error),
                 )
-        raise last_error or RefusedError(
-            f"no endpoint serves {version_id}",
-            ResultCode.NO_ENDPOINT,
-            ran=Ran.NO,
-            retry_after_s=NO_ENDPOINT_RETRY_AFTER_S * (1 + self._rng.random()),
-        )
+        raise last_error or no_endpoint_error(version_id, self._rng)
 
     def _record_success(
         self,
--- a/comfreyhatch/daemon/requests/services.py
+++ b/comfreyhatch/daemon/requests/services.py
@@ -14,7 +14,11 @@
 from comfreyhatch.daemon.requests.draft import RecordDraft
 from comfreyhatch.daemon.requests.forwarding import ForwardedMintedCall, Forwarder
 from comfreyhatch.daemon.requests.hedging import hedged
-from comfreyhatch.daemon.requests.member_hold_down import more_specific_error
+from comfreyhatch.daemon.requests.refusals import (
+    check_deadline,
+    more_specific_error,
+    no_endpoint_error,
+)
 from comfreyhatch.decisions.retries import (
     RetryBudget,
     SampleWindow,
@@ -22,12 +26,10 @@
     hedge_delay_s,
 )
 from comfreyhatch.domain.fleet import FleetConfig
-from comfreyhatch.errors import ComfreyhatchError, RefusedError
+from comfreyhatch.errors import ComfreyhatchError
 from comfreyhatch.ports.engine import AnswerOrigin, ServiceAnswer, ServiceRequest
 from comfreyhatch.ports.peers import Member
 
-# Retry-After of a call that no endpoint serves; jitter adds up to as much again.
-NO_ENDPOINT_RETRY_AFTER_S = 1.0
 # Failed attempts after which no further source is tried; NO_ENDPOINT does not count.
 MAX_FAILED_ATTEMPTS = 3
 
@@ -180,11 +182,7 @@
                     raise
                 last_error = more_specific_error(last_error, error)
                 failed_attempts += error.code is not ResultCode.NO_ENDPOINT
-        raise last_error or RefusedError(
-            f"no endpoint serves {name}",
-            ResultCode.NO_ENDPOINT,
-            retry_after_s=NO_ENDPOINT_RETRY_AFTER_S * (1 + self._rng.random()),
-        )
+        raise last_error or no_endpoint_error(name, self._rng)
 
     def _attempt(
         self, source: "ServiceSource", request: ServiceRequest, deadline: float, draft: RecordDraft
@@ -193,8 +191,7 @@
 
         async def run() -> ServiceAnswer:
             started_at = monotonic()
-            if started_at >= deadline:
-                raise RefusedError("the deadline has passed", ResultCode.DEADLINE_EXCEEDED)
+            check_deadline(deadline, started_at)
             try:
                 answer, served = await source(request, deadline - started_at)
             except ComfreyhatchError as error:
--- a/tests/test_member_hold_down.py
+++ b/tests/test_member_hold_down.py
@@ -6,7 +6,6 @@
     NO_ENDPOINT_HOLD_DOWN_S,
     REFUSAL_HOLD_DOWN_S,
     MemberHoldDown,
-    more_specific_error,
 )
 from comfreyhatch.errors import BackendError, RefusedError
 
@@ -32,9 +31,3 @@
     for number in range(2 * MAX_HOLD_DOWNS):
         hold_down.record_refusal(f"d{number}", "v@1", OVERLOADED, 0.0)
     assert len(hold_down._until_by_pair) == MAX_HOLD_DOWNS
-
-
-def test_overload_is_reported_rather_than_a_missing_endpoint() -> None:
-    assert more_specific_error(OVERLOADED, NO_ENDPOINT) is OVERLOADED
-    assert more_specific_error(NO_ENDPOINT, OVERLOADED) is OVERLOADED
-    assert more_specific_error(None, NO_ENDPOINT) is NO_ENDPOINT
