--- a/comfreyhatch/daemon/components.py
+++ b/comfreyhatch/daemon/components.py
@@ -13,6 +13,7 @@
 from comfreyhatch.adapters.metrics import (
     PeerMetrics,
     RequestMetrics,
+    TooLargeAnswerMetrics,
     add_gauge,
     add_process_metrics,
 )
@@ -66,6 +67,9 @@
 # Daemons that read the roll-outs and drive them under leases, the first in rendezvous order.
 ROLLOUT_DRIVERS = 2
 
+# A page of a table has at most 1,000 rows of 64 KiB.
+PLATFORM_ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
+
 log = logging.getLogger("comfreyhatch.daemon")
 
 
@@ -114,6 +118,7 @@
         self.registry = CollectorRegistry()
         self.metrics = RequestMetrics(self.registry)
         add_process_metrics(self.registry)
+        TooLargeAnswerMetrics(self.registry, lambda: self._clients)
         add_gauge(
             self.registry,
             "configuration_revision",
@@ -130,7 +135,7 @@
     def _build_clients(self) -> None:
         """Build the clients of the platform and of the endpoints."""
         platform = self._settings.platform
-        client = HttpClient()
+        client = HttpClient(whole_limit_bytes=PLATFORM_ANSWER_LIMIT_BYTES)
         work_client = HttpClient(self._require_fresh)
         self._clients = (client, work_client)
         self._engine = HttpEngine(client, work_client)
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -13,7 +13,8 @@
 from comfreyhatch.adapters.http_connection import HttpLimits
 from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
 from comfreyhatch.adapters.http_server import HttpServer
-from comfreyhatch.adapters.metrics import add_gauge
+from comfreyhatch.adapters.metrics import TooLargeAnswerMetrics, add_gauge
+from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
 from comfreyhatch.decisions.isolation import should_report_unready
 from comfreyhatch.domain.deployment import Deployment
@@ -24,7 +25,14 @@
 from comfreyhatch.exchange.directory_sync import DirectorySync
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.header_codec import HeaderCodec
+from comfreyhatch.exchange.loop_lag import LoopLagMonitor
 from comfreyhatch.exchange.peers import PeerListener
+from comfreyhatch.exchange.recovery import (
+    SHARED_SPREAD_S,
+    USAGE_SPREAD_S,
+    LostRows,
+    StoreRecovery,
+)
 from comfreyhatch.exchange.rollouts import RolloutController
 from comfreyhatch.exchange.router import ExchangeRouter
 from comfreyhatch.exchange.scheduler import EndpointScheduler
@@ -85,9 +93,20 @@
         )
         self._client = HttpClient(connect_timeout_s=ENDPOINT_CONNECT_TIMEOUT_S)
         telemetry = RequestTelemetry(self.registry)
-        sender = Sender(self._client, codec, telemetry.count_attempt)
+        memory = AnswerMemory(deployment.memory_mb)
+        sender = Sender(self._client, codec, telemetry.count_attempt, memory)
         self._billing = Billing(deployment.instance, started_ms, directory)
         self._sync = DirectorySync(deployment, directory, self.view, rng, self._on_view_change)
+        self._recovery = StoreRecovery(
+            rng,
+            self.registry,
+            (
+                LostRows("control", SHARED_SPREAD_S, self._sync.publish_again),
+                LostRows("evidence", SHARED_SPREAD_S, self._rollouts.store_evidence_again),
+                LostRows("rollouts", 0.0, self._rollouts.await_lost_steps),
+                LostRows("usage", USAGE_SPREAD_S, self._billing.store_again),
+            ),
+        )
         self._router = ExchangeRouter(
             codec,
             self.view,
@@ -110,6 +129,7 @@
         self._metrics = HttpServer(self._answer_metrics)
         control = str(deployment.control) if deployment.control else ""
         self._peers = PeerListener(control, self._sync.answer) if control else None
+        self._loop_lag = LoopLagMonitor()
         self.shutting_down = False
         self._unready_while_cut_off = False
         self._add_gauges()
@@ -123,6 +143,7 @@
             metrics: Address of the metrics listener; None for no such listener.
             callers: Socket that listens on the callers' address already; None to open one.
         """
+        self._loop_lag.start()
         if self._peers:
             self._peers.start()
         self._sync.start()
@@ -176,7 +197,9 @@
 
     async def close(self) -> None:
         """Close all listeners, tasks and connections; running requests are cut."""
+        self._loop_lag.stop()
         await self._callers.stop(0.0)
+        await self._recovery.stop()
         await self._billing.stop()
         await self._rollouts.stop()
         await self._sync.stop()
@@ -200,7 +223,13 @@
         gauge("orders_age_seconds", "Age of the operators' orders.", age_s(view.operations_age_s))
         gauge("endpoints_age_seconds", "Age of the list.", age_s(view.endpoints_age_s))
         gauge("connections_opened", "Connections to endpoints.", lambda: client.connections_opened)
+        TooLargeAnswerMetrics(self.registry, lambda: (client,))
         gauge("configuration", "Version of the configuration.", self._configuration_version)
+        gauge("loop_lag_seconds", "Longest lag of the event loop.", age_s(self._loop_lag.longest_s))
+        if self._peers:
+            peers = self._peers
+            gauge("peer_answers", "Queries of peers answered.", lambda: peers.answers)
+            gauge("peer_bytes_sent", "Bytes of these answers.", lambda: peers.bytes_sent)
 
     def _configuration_version(self) -> float:
         return self.view.catalog.version if self.view.catalog else 0
@@ -246,7 +275,12 @@
         return self._deployment.bounds.retry_slack / daemons
 
     def _on_view_change(self) -> None:
-        """Apply the limits of a new catalog, and serve the queues with the changed endpoints."""
+        """Apply the limits of a new catalog, and serve the queues with the changed endpoints.
+
+        A newer generation of the store begins its recovery.
+        """
+        if self.view.generation is not None:
+            self._recovery.note_generation(self.view.generation)
         catalog = self.view.catalog
         if catalog and catalog.limits:
             limits = self._callers.limits
--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -13,11 +13,16 @@
 from random import Random
 from typing import Any
 
+from msgspec.structs import replace
+
 from comfreyhatch.domain.deployment import Deployment
+from comfreyhatch.domain.operations import Operations
+from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import ComfreyhatchError, PeerError, PlatformError
 from comfreyhatch.exchange.endpoint_changes import apply_changes
 from comfreyhatch.exchange.peers import MAX_QUERY_WAIT_S, PeerClient, PeerQuery, PeerUpdate
 from comfreyhatch.exchange.reader_selector import ReaderSelector
+from comfreyhatch.exchange.record_changes import apply_record_changes
 from comfreyhatch.exchange.view import FleetView
 from comfreyhatch.ports.directory import Directory
 
@@ -131,22 +136,25 @@
     def _has_newer(self, query: PeerQuery) -> bool:
         view = self._view
         return (
-            (view.operations is not None and view.operations.revision > query.operations)
-            or view.endpoint_history.changed_revision > query.endpoints
-            or (view.records is not None and view.records.revision > query.records)
+            view.operations_changed > query.operations
+            or view.endpoint_history.changed_position > query.endpoints
+            or view.record_history.changed_position > query.records
         )
 
     def _update_since(self, query: PeerQuery) -> PeerUpdate:
         now = asyncio.get_running_loop().time()
         view = self._view
-        operations, records = view.operations, view.records
+        operations_changed = view.operations_changed > query.operations
+        records_changed = view.record_history.changed_position > query.records
+        operations = view.listed_operations
         known = view.endpoint_list is not None
         return PeerUpdate(
-            operations if operations and operations.revision > query.operations else None,
+            operations if operations_changed else None,
             view.operations_age_s(now),
             view.endpoint_history.since(query.endpoints) if known else None,
             view.endpoints_age_s(now),
-            records if records and records.revision > query.records else None,
+            view.record_history.since(query.records) if records_changed else None,
+            operations.position if operations else Position(),
         )
 
     def _notify_change(self) -> None:
@@ -167,7 +175,7 @@
     async def _poll_operations(self) -> None:
         loop = asyncio.get_running_loop()
         await self._reads_directory.wait()
-        found = await self._read("orders", self._directory.operations, self._view.operations)
+        found = await self._read("orders", self._directory.operations, self._view.listed_operations)
         if found is None:
             return
         self._view.apply_operations(found, loop.time(), self._deployment.heartbeat_s)
@@ -198,14 +206,22 @@
         await self._pause_records(RECORDS_FIRST_PAUSE_S if first else RECORDS_PAUSE_S)
 
     async def _pause_records(self, longest_s: float) -> None:
-        """Wait before the next read of the records; shorter while a roll-out is running."""
+        """Wait before the next read of the records.
+
+        The wait is shorter while a roll-out is running or the store has a newer generation.
+        """
         waited_s = 0.0
         while waited_s < longest_s:
             await asyncio.sleep(ROLLOUT_RECORDS_PAUSE_S)
             waited_s += ROLLOUT_RECORDS_PAUSE_S
-            if self._rollout_running():
+            if self._rollout_running() or self._records_outdated():
                 return
 
+    def _records_outdated(self) -> bool:
+        """Return whether the records are of an older generation than other things read."""
+        records = self._view.records
+        return records is not None and records.generation != self._view.generation
+
     def cut_off(self, now: float) -> bool:
         """Return whether the directory is lost and peers have sent no current orders either."""
         return bool(self._lost_since_by_source) and self._view.operations_age_s(now) > CUT_OFF_AGE_S
@@ -215,6 +231,25 @@
         services = operations.order_by_service if operations else ()
         return any(self._view.final_state(service) is None for service in services)
 
+    async def publish_again(self) -> int | None:
+        """Publish the control address again if the store has lost it.
+
+        Returns:
+            Number of rows written; None if the records of the store's generation are not known yet
+            or the write was not acknowledged.
+        """
+        deployment, records = self._deployment, self._view.records
+        if deployment.control is None:
+            return 0
+        if records is None or self._records_outdated():
+            return None
+        listed = records.control_by_daemon.get(deployment.instance)
+        region = records.region_by_daemon.get(deployment.instance)
+        if (listed, region) == (str(deployment.control), deployment.region):
+            return 0
+        await self._publish()
+        return 1 if self._control_published else None
+
     async def _publish(self) -> None:
         if self._deployment.control is None:
             return
@@ -281,8 +316,7 @@
 
     def _peer_addresses(self) -> list[str]:
         known = {str(address) for address in self._deployment.seeds}
-        if self._view.records:
-            known |= set(self._view.records.control_by_daemon.values())
+        known |= set(self._view.control_by_daemon.values())
         known.discard(str(self._deployment.control))
         return sorted(known)
 
@@ -290,38 +324,53 @@
         """Query a peer over a new connection, so that one to a silent peer is not used again."""
         peer = PeerClient(address)
         try:
-            self._apply_update(await peer.query(self._query(0.0)))
+            self.apply_update(await peer.query(self.query(0.0)))
         except PeerError as error:
             log.debug("event=peer_silent peer=%s reason=%r", address, str(error))
         finally:
             peer.close()
 
-    def _query(self, wait_s: float) -> PeerQuery:
+    def query(self, wait_s: float) -> PeerQuery:
+        """Return a query for what is newer than the view, with a longest wait in seconds."""
         view = self._view
         return PeerQuery(
-            view.operations.revision if view.operations else 0,
-            view.endpoint_list.revision if view.endpoint_list else 0,
-            view.records.revision if view.records else 0,
+            view.listed_operations.position if view.listed_operations else Position(),
+            view.endpoint_list.position if view.endpoint_list else Position(),
+            view.records.position if view.records else Position(),
             wait_s,
         )
 
-    def _apply_update(self, update: PeerUpdate) -> None:
-        """Apply the answer of a peer to the view."""
+    def apply_update(self, update: PeerUpdate) -> None:
+        """Apply the answer of a peer to the view; one of an older generation changes nothing."""
         now = asyncio.get_running_loop().time()
         view = self._view
-        operations = update.operations or view.operations
+        operations = update.operations or self._confirmed_operations(update)
         if operations is not None:
             at = now - update.operations_age_s
             view.apply_operations(operations, at, self._deployment.heartbeat_s)
         if update.endpoints is not None:
             held = view.endpoint_list
-            if update.endpoints.whole or held is not None:
+            known = held is not None and held.generation == update.endpoints.generation
+            if update.endpoints.whole or known:
                 endpoints = apply_changes(held, update.endpoints)
                 view.apply_endpoints(endpoints, now - update.endpoints_age_s)
-        if update.records is not None:
-            view.apply_records(update.records, now)
+        changes = update.record_changes
+        if changes is not None and changes.applies_to(view.records):
+            view.apply_records(apply_record_changes(view.records, changes), now)
         self._notify_change()
 
+    def _confirmed_operations(self, update: PeerUpdate) -> Operations | None:
+        """Return the held orders at the position up to which a peer knows them to be unchanged.
+
+        Returns:
+            None if there are none, or if the peer speaks of another generation of the store.
+        """
+        held = self._view.listed_operations
+        if held is None or update.operations_position.generation != held.generation:
+            return None
+        revision = max(held.revision, update.operations_position.revision)
+        return replace(held, revision=revision)
+
     async def _poll_reader(self) -> None:
         """Query this daemon's reader, and stop polling the directory while the reader is current.
 
@@ -337,7 +386,7 @@
             self._connect_reader(address)
         assert self._reader
         try:
-            self._apply_update(await self._reader.query(self._query(READER_QUERY_WAIT_S)))
+            self.apply_update(await self._reader.query(self.query(READER_QUERY_WAIT_S)))
         except PeerError as error:
             self._drop_reader(address, str(error))
             return
--- a/comfreyhatch/exchange/evidence.py
+++ b/comfreyhatch/exchange/evidence.py
@@ -1,38 +1,54 @@
 """Collects evidence on the versions of a roll-out from the outcomes of attempts."""
 
+from msgspec.structs import replace
+
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.slowness import BaselineTimes
 from comfreyhatch.decisions.version_trial import add_outcomes
 from comfreyhatch.domain.exchange import Job
-from comfreyhatch.domain.operations import Evidence, VersionOutcomes
+from comfreyhatch.domain.operations import Evidence, RolloutOrder, VersionOutcomes
 from comfreyhatch.exchange.view import FleetView
 
 
 class EvidenceCollector:
     """Counts answers, failures and slow answers by service, version and route.
 
-    Whether an answer is slow is decided against a baseline of the replaced versions' answers.
+    Whether an answer is slow is decided against a baseline of the replaced versions' answers. A
+    successful answer counts once it was compared with a baseline, since an answer whose speed is
+    unknown is no evidence for its version.
     """
 
     def __init__(self, daemon: str, view: FleetView) -> None:
         self._daemon = daemon
         self._view = view
         self._evidence_by_service: dict[str, Evidence] = {}
+        self._order_by_service: dict[str, RolloutOrder] = {}
         self._latency_by_route: dict[str, BaselineTimes] = {}
         self._event_gap_by_model: dict[tuple[str, str], BaselineTimes] = {}
 
     def evidence(self, service: str) -> Evidence | None:
-        """Return this daemon's counts for the roll-out order in force; None without any."""
+        """Return this daemon's counts for the roll-out order in force; None without any.
+
+        Counts go on under an order that is listed with another revision after the store came back
+        from an older copy.
+        """
         order = self._view.order(service)
         evidence = self._evidence_by_service.get(service)
-        if order is None or evidence is None or evidence.order_revision != order.revision:
+        counted = self._order_by_service.get(service)
+        if order is None or evidence is None or counted is None:
+            return None
+        if not self._view.is_same_order(counted, order):
             return None
+        if evidence.order_revision != order.revision:
+            evidence = replace(evidence, order_revision=order.revision)
+            self._evidence_by_service[service] = evidence
+            self._order_by_service[service] = order
         return evidence
 
     def record_answer(
         self, job: Job, endpoint: EndpointTracker, success: bool, latency: float, now: float
-    ) -> bool:
-        """Count an answer.
+    ) -> bool | None:
+        """Count an answer if it failed or can be compared with a baseline.
 
         Args:
             job: The request.
@@ -44,13 +60,16 @@
             now: Monotonic time in seconds.
 
         Returns:
-            Whether it counts as slow.
+            Whether it counts as slow; None if it is not counted.
         """
+        if not success:
+            self._count(job, endpoint, VersionOutcomes(1, 1, 0))
+            return False
         baseline = self._latency_by_route.setdefault(job.route.name, BaselineTimes())
-        slow = success and self._is_slow(baseline, endpoint, latency, now)
-        if success:
-            self._update_baseline(baseline, endpoint, latency, now)
-        self._count(job, endpoint, VersionOutcomes(1, int(not success), int(slow)))
+        slow = self._is_slow(baseline, endpoint, latency, now)
+        self._update_baseline(baseline, endpoint, latency, now)
+        if slow is not None:
+            self._count(job, endpoint, VersionOutcomes(1, 0, int(slow)))
         return slow
 
     def record_event_gap(
@@ -59,21 +78,23 @@
         endpoint: EndpointTracker,
         model: str,
         median_gap_s: float,
+        counted: bool,
         ended: bool,
         now: float,
-    ) -> bool:
-        """Count a stream as slow if its event gaps are long.
+    ) -> bool | None:
+        """Count a stream as slow if its event gaps are long, and as an answer if it was not yet.
 
         Args:
             job: The request.
             endpoint: Endpoint that sends the stream.
             model: Requested model; empty when the caller's choice is passed through.
             median_gap_s: Median gap between events, in seconds.
+            counted: Whether the stream already counts as an answer.
             ended: Whether the stream is complete; only complete streams update the baseline.
             now: Monotonic time in seconds.
 
         Returns:
-            Whether it counts as slow.
+            Whether it counts as slow; None if its gaps cannot be compared.
         """
         baseline = self._event_gap_by_model.setdefault(
             (job.service, model), BaselineTimes(load_dominated=True)
@@ -81,15 +102,15 @@
         slow = self._is_slow(baseline, endpoint, median_gap_s, now)
         if ended:
             self._update_baseline(baseline, endpoint, median_gap_s, now)
-        if slow:
-            self._count(job, endpoint, VersionOutcomes(0, 0, 1))
+        if slow is not None:
+            self._count(job, endpoint, VersionOutcomes(int(not counted), 0, int(slow)))
         return slow
 
     def _is_slow(
         self, baseline: BaselineTimes, endpoint: EndpointTracker, value: float, now: float
-    ) -> bool:
+    ) -> bool | None:
         if self._view.cold(endpoint, now):
-            return False
+            return None
         return baseline.is_slow(value, endpoint.running(now), now)
 
     def _update_baseline(
@@ -109,6 +130,7 @@
         if evidence is None:
             evidence = Evidence(job.service, order.revision, self._daemon, {}, {})
             self._evidence_by_service[job.service] = evidence
+            self._order_by_service[job.service] = order
         target = endpoint.record.version == order.version
         by_route = evidence.target_by_route if target else evidence.other_by_route
         by_route[job.route.name] = add_outcomes(
--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import zlib
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -9,17 +10,24 @@
 from msgspec import MsgspecError, Struct
 from msgspec.msgpack import decode, encode
 
-from comfreyhatch.domain.operations import Operations, SharedRecords
+from comfreyhatch.domain.operations import Operations
+from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import ListenError, PeerError, PeerTimeoutError
 from comfreyhatch.exchange.endpoint_changes import EndpointChanges
+from comfreyhatch.exchange.record_changes import RecordChanges
 
 # Time for an answer, beyond the wait that the query asks for.
 ANSWER_TIMEOUT_S = 0.4
 # Time after which a query is answered even if it asks for a longer wait.
 MAX_QUERY_WAIT_S = 2.0
 MAX_CONCURRENT_QUERIES = 24
+# Fastest level: a change of the configuration is sent to all followers at once.
+COMPRESSION_LEVEL = 1
 # Time for the answering tasks to end once their sockets are closed.
 STOP_TIMEOUT_S = 2.0
+# Without a limit, nng takes memory for whatever length a message announces. A list of 1,000
+# endpoints has 0.14 MB.
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
 T = TypeVar("T")
 
@@ -27,41 +35,48 @@
 
 
 class PeerQuery(Struct, frozen=True):
-    """Long poll for what is newer than the revisions that a daemon holds.
+    """Long poll for what is newer than the positions that a daemon holds.
 
     Attributes:
-        operations: Revision of the orders; 0 for none.
-        endpoints: Revision of the list of endpoints; 0 for none.
-        records: Revision of the daemons' records; 0 for none.
+        operations: Position of the orders.
+        endpoints: Position of the list of endpoints.
+        records: Position of the daemons' records.
         wait_s: Longest wait for anything newer, in seconds.
     """
 
-    operations: int = 0
-    endpoints: int = 0
-    records: int = 0
+    operations: Position = Position()
+    endpoints: Position = Position()
+    records: Position = Position()
     wait_s: float = 0.0
 
 
 class PeerUpdate(Struct, frozen=True):
-    """What is newer than the revisions of a query; ages count from the directory's last answer.
+    """What is newer than the positions of a query; ages count from the directory's last answer.
 
     Attributes:
-        operations: Orders; None if they are not newer.
+        operations: Orders; None if they have not changed.
         operations_age_s: Age of the orders, in seconds.
         endpoints: Changes of the list of endpoints; None if no list is known.
         endpoints_age_s: Age of the list, in seconds.
-        records: Records of the daemons; None if they are not newer.
+        record_changes: Changes of the daemons' records; None if there are none.
+        operations_position: Position up to which the orders are known, changed or not.
     """
 
     operations: Operations | None
     operations_age_s: float
     endpoints: EndpointChanges | None
     endpoints_age_s: float
-    records: SharedRecords | None
+    record_changes: RecordChanges | None
+    operations_position: Position
 
 
 class PeerListener:
-    """Answers the queries of peers, up to MAX_CONCURRENT_QUERIES at a time."""
+    """Answers the queries of peers, up to MAX_CONCURRENT_QUERIES at a time.
+
+    Attributes:
+        answers: Number of queries answered so far.
+        bytes_sent: Size of these answers, in bytes.
+    """
 
     def __init__(self, address: str, answer: Callable[[PeerQuery], Awaitable[PeerUpdate]]) -> None:
         """Create a listener.
@@ -76,6 +91,8 @@
         self._contexts: list[pynng.Context] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = False
+        self.answers = 0
+        self.bytes_sent = 0
 
     def start(self) -> None:
         """Open the socket and start to answer.
@@ -83,7 +100,7 @@
         Raises:
             ListenError: If the listener cannot be opened.
         """
-        self._socket = pynng.Rep0()
+        self._socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
         try:
             self._socket.listen(f"tcp://{self._address}")
         except pynng.NNGException as error:
@@ -129,10 +146,12 @@
         query = decode(await context.arecv(), type=PeerQuery)
         if self._stopping:
             return
-        update = await self._answer(query)
+        answer = _encode_update(await self._answer(query))
         if self._stopping:
             return
-        await context.asend(encode(update))
+        await context.asend(answer)
+        self.answers += 1
+        self.bytes_sent += len(answer)
 
 
 class PeerClient:
@@ -153,14 +172,14 @@
             async with asyncio.timeout(query.wait_s + ANSWER_TIMEOUT_S):
                 req = self._connected()
                 await _cancellable(req.asend(encode(query)))
-                return decode(await _cancellable(req.arecv()), type=PeerUpdate)
+                return _decode_update(await _cancellable(req.arecv()))
         except TimeoutError:
             self.close()
             raise PeerTimeoutError(f"{self.address} did not answer in time") from None
         except pynng.NNGException as error:
             self.close()
             raise PeerError(f"cannot query {self.address}: {error}") from error
-        except MsgspecError as error:
+        except (MsgspecError, zlib.error) as error:
             self.close()
             raise PeerError(f"cannot decode the answer of {self.address}: {error}") from error
 
@@ -172,11 +191,25 @@
 
     def _connected(self) -> pynng.Req0:
         if self._req is None:
-            self._req = pynng.Req0()
+            self._req = pynng.Req0(recv_max_size=MAX_MESSAGE_BYTES)
             self._req.dial(f"tcp://{self.address}", block=False)
         return self._req
 
 
+def _encode_update(update: PeerUpdate) -> bytes:
+    return zlib.compress(encode(update), COMPRESSION_LEVEL)
+
+
+def _decode_update(data: bytes) -> PeerUpdate:
+    """Decode an answer.
+
+    Raises:
+        MsgspecError: If it is malformed or longer than `MAX_MESSAGE_BYTES`.
+        zlib.error: If it is not compressed data.
+    """
+    return decode(zlib.decompressobj().decompress(data, MAX_MESSAGE_BYTES), type=PeerUpdate)
+
+
 async def _cancellable(operation: Awaitable[T]) -> T:
     """Await a pynng operation, and raise a cancellation that pynng drops.
 
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -4,15 +4,18 @@
 import logging
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
+from math import inf
 
 from msgspec import Struct
 
-from comfreyhatch.adapters.http_client import HttpClient, StreamedReply
+from comfreyhatch.adapters.http_client import AnswerPart, HttpClient, StreamedReply
 from comfreyhatch.codes import Ran
+from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.exchange import AnswerHead, Dispatch, Job
 from comfreyhatch.errors import (
     AnswerBrokenError,
+    AnswerTooLargeError,
     BackendError,
     BackendRefusedError,
     ConnectError,
@@ -24,8 +27,9 @@
 from comfreyhatch.exchange.health import note_lost_answer
 from comfreyhatch.exchange.telemetry import AttemptOutcome
 
-# Longest silence while the rest of a refusal is read.
+# Limits on the rest of a refusal, which is read for its connection to be reused.
 REFUSAL_READ_TIMEOUT_S = 0.5
+REFUSAL_LIMIT_BYTES = 65536
 
 log = logging.getLogger("comfreyhatch.sender")
 
@@ -58,29 +62,48 @@
         endpoint: EndpointTracker,
         reply: StreamedReply,
         stack: AsyncExitStack,
+        memory: AnswerMemory,
     ) -> None:
         self.head = head
         self.endpoint = endpoint
         self._reply = reply
         self._stack = stack
+        self._memory = memory
 
-    async def pieces(self, timeout_s: float) -> AsyncIterator[bytes]:
+    async def whole(self, until: float) -> bytes:
+        """Return the whole body.
+
+        Args:
+            until: Monotonic time in seconds by which the body has to be complete.
+
+        Raises:
+            AnswerBrokenError: If the body breaks off, does not end in time or is too large.
+        """
+        try:
+            with self._memory.hold() as take:
+                return await self._reply.whole(inf, self._memory.limit_bytes, until, take)
+        except HttpError as error:
+            raise AnswerBrokenError(str(error)) from error
+
+    async def pieces(self, until: float) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
         Args:
-            timeout_s: Longest wait for the next piece, in seconds.
+            until: Monotonic time in seconds by which the body has to be complete.
 
         Raises:
-            AnswerBrokenError: If the body breaks off, or no piece arrives in time.
+            AnswerBrokenError: If the body breaks off, or does not end in time.
         """
-        loop = asyncio.get_running_loop()
         try:
-            async for piece in self._reply.pieces(timeout_s):
-                self.endpoint.last_received_at = loop.time()
+            async for piece in self._reply.pieces(inf, until):
                 yield piece
         except HttpError as error:
             raise AnswerBrokenError(str(error)) from error
 
+    def too_large(self, part: AnswerPart, limit: str) -> AnswerBrokenError:
+        """Reset the connection, count and log the answer, and return the error to raise."""
+        return AnswerBrokenError(str(self._reply.too_large(part, limit)))
+
     def abort(self) -> None:
         """Reset the connection; a reader of the body gets an error."""
         self._reply.abort()
@@ -94,7 +117,11 @@
     """Sends requests to endpoints, and updates the endpoints' health and load by the answers."""
 
     def __init__(
-        self, client: HttpClient, codec: HeaderCodec, count: Callable[[AttemptOutcome], None]
+        self,
+        client: HttpClient,
+        codec: HeaderCodec,
+        count: Callable[[AttemptOutcome], None],
+        memory: AnswerMemory,
     ) -> None:
         """Create a sender.
 
@@ -102,7 +129,9 @@
             client: HTTP client that holds the connections to endpoints.
             codec: Codec of callers' and endpoints' headers.
             count: Counts an attempt by its outcome.
+            memory: Limits the answers that are read whole.
         """
+        self._memory = memory
         self._client = client
         self._codec = codec
         self._count = count
@@ -153,7 +182,7 @@
             await stack.aclose()
             raise
         self._count(AttemptOutcome.ANSWERED if head.success else AttemptOutcome.FAILED)
-        return StreamedAnswer(head, endpoint, reply, stack)
+        return StreamedAnswer(head, endpoint, reply, stack, self._memory)
 
     async def refuses_connections(self, endpoint: EndpointTracker) -> bool:
         """Return whether an endpoint refuses a new connection."""
@@ -168,20 +197,22 @@
             job: The request.
             endpoint: Endpoint to send to; its health and load are updated.
             dispatch: Values of the headers for the endpoint.
-            timeout_s: Longest wait for the head, and for each piece of the body, in seconds.
+            timeout_s: Time for the whole answer, in seconds.
 
         Raises:
             BackendRefusedError: If the endpoint did not run the request.
             BackendError: If the request may have run and there is no complete answer.
         """
+        until = asyncio.get_running_loop().time() + timeout_s
         answer = await self.open(job, endpoint, dispatch, timeout_s)
         try:
-            body = b"".join([piece async for piece in answer.pieces(timeout_s)])
+            body = await answer.whole(until)
         except AnswerBrokenError as error:
             note_lost_answer(endpoint, error, asyncio.get_running_loop().time())
             raise
         finally:
             await answer.close()
+        endpoint.record_complete_answer()
         return BufferedAnswer(answer.head, body, endpoint)
 
     async def _check(
@@ -190,12 +221,13 @@
         """Raise an error unless the answer may be forwarded to the caller."""
         if head.refused:
             endpoint.misdirected = endpoint.misdirected or head.misdirected
-            await _read_out(reply)
+            await _read_out(reply, endpoint)
             raise BackendRefusedError(
                 f"{endpoint.record.endpoint_id} refused with status {head.status}"
             )
         if head.implies_not_run:
             # Forwarded, this status would tell the caller that its request did not run.
+            endpoint.record_complete_answer()
             raise BackendError(f"status {head.status} without confirmation that nothing ran")
         if head.request_id and head.request_id != job.exchange.request_id:
             raise AnswerBrokenError(f"the answer belongs to another request, {head.request_id}")
@@ -214,11 +246,18 @@
             endpoint.record_failed_answer()
 
 
-async def _read_out(reply: StreamedReply) -> None:
-    """Read the rest of a refusal, so that its connection can be reused."""
+async def _read_out(reply: StreamedReply, endpoint: EndpointTracker) -> None:
+    """Read the rest of a refusal, so that its connection can be reused.
+
+    The head has told that the request did not run. A rest that is too large counts against the
+    endpoint; one that is too late doesn't, as the endpoint may be overloaded.
+    """
+    loop = asyncio.get_running_loop()
+    until = loop.time() + REFUSAL_READ_TIMEOUT_S
     try:
-        async for _ in reply.pieces(REFUSAL_READ_TIMEOUT_S):
-            pass
+        await reply.whole(REFUSAL_READ_TIMEOUT_S, REFUSAL_LIMIT_BYTES, until)
+    except AnswerTooLargeError as error:
+        note_lost_answer(endpoint, error, loop.time())
     except HttpError as error:
         log.debug("event=refusal_cut reason=%r", str(error))
 
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import AsyncIterator, Callable
 
+from comfreyhatch.adapters.http_client import AnswerPart
 from comfreyhatch.adapters.http_server import HttpResponse
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.decisions.cascade import CascadeState, escalates
@@ -22,7 +23,7 @@
     RefusedError,
 )
 from comfreyhatch.exchange.attempts import final_error
-from comfreyhatch.exchange.events import EventSplitter
+from comfreyhatch.exchange.events import EventSplitter, has_content
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.health import note_lost_answer
 from comfreyhatch.exchange.scheduler import EndpointScheduler, SlotLease
@@ -35,6 +36,13 @@
 # Fewest event gaps whose median counts as evidence on the version.
 MIN_GAPS_OF_ENDED_STREAM = 3
 MIN_GAPS_OF_RUNNING_STREAM = 6
+# Pause between attempts to resume a stream while no endpoint takes it.
+RESUME_PAUSE_S = 0.25
+# Largest incomplete event; 100 streams with such events take a sixth of a daemon's 150 MB.
+MAX_EVENT_BYTES = 262144
+# Bytes without a new event with content, such as comments or events that the caller has. An engine
+# that resumes a stream from its start, in spite of the id it was told, passes up to this length.
+MAX_USELESS_BYTES = 1_048_576
 
 log = logging.getLogger("comfreyhatch.streams")
 
@@ -94,6 +102,7 @@
             answer = await self._open(stream)
             if not answer.head.success or not self._take_escalation(stream, answer):
                 return answer
+            answer.endpoint.record_complete_answer()
             await self._close(stream, answer)
             stream.model_index = len(stream.job.route.models) - 1
             stream.excluded_ids.clear()
@@ -109,6 +118,8 @@
             try:
                 answer = await self._attempt(stream)
             except RefusedError as error:
+                if await self._await_resume(stream, str(error)):
+                    continue
                 if stream.possible_runs:
                     raise BackendError(str(error)) from error
                 raise
@@ -121,6 +132,7 @@
                 stream.error = None
                 if not await self._take_retry(stream):
                     return answer
+                answer.endpoint.record_complete_answer()
                 await self._close(stream, answer)
                 continue
             if not await self._take_retry(stream):
@@ -216,10 +228,13 @@
     async def _failed_response(self, stream: StreamState, answer: StreamedAnswer) -> HttpResponse:
         """Read an endpoint's error answer and return it unchanged."""
         try:
-            timeout_s = max(0.0, stream.job.deadline - asyncio.get_running_loop().time())
-            body = b"".join([piece async for piece in answer.pieces(timeout_s)])
+            body = await answer.whole(stream.job.deadline)
+        except AnswerBrokenError as error:
+            note_lost_answer(answer.endpoint, error, asyncio.get_running_loop().time())
+            raise
         finally:
             await self._close(stream, answer)
+        answer.endpoint.record_complete_answer()
         return HttpResponse(answer.head.status, body, headers=answer.head.headers)
 
     async def _relay(self, stream: StreamState, answer: StreamedAnswer) -> AsyncIterator[bytes]:
@@ -232,6 +247,7 @@
                 self._record_event_gap(stream, answer, ended=True)
                 return
             except AnswerBrokenError as error:
+                _require_time(stream, asyncio.get_running_loop().time())
                 stream.error = error
                 self._log_failure(stream, error)
                 stream.broken_endpoints.append(answer.endpoint)
@@ -257,9 +273,12 @@
         if gap_s is None:
             return
         now = asyncio.get_running_loop().time()
-        stream.slow = self._evidence.record_event_gap(
-            stream.job, answer.endpoint, stream.model, gap_s, ended, now
+        counted = stream.slow is not None
+        slow = self._evidence.record_event_gap(
+            stream.job, answer.endpoint, stream.model, gap_s, counted, ended, now
         )
+        if slow is not None:
+            stream.slow = slow
 
     async def _resume(self, stream: StreamState) -> StreamedAnswer:
         """Return an answer that continues after the last event that the caller has received."""
@@ -274,25 +293,39 @@
     ) -> AsyncIterator[bytes]:
         """Yield the events of one answer that were not relayed before."""
         splitter = EventSplitter()
+        useless_bytes = 0
         loop = asyncio.get_running_loop()
-        left_s = max(0.0, stream.job.deadline - loop.time())
         stream.reset_gaps()
         self._watchdog.watch(
             stream, gap_limits(stream.job.route.gap_aim_s), answer.abort, loop.time()
         )
-        async for piece in answer.pieces(left_s):
-            stream.idle_since = loop.time()
+        async for piece in answer.pieces(stream.job.deadline):
             events = [e for e in splitter.feed(piece) if stream.accept_event(e)]
+            count = sum(map(has_content, events))
+            if count:
+                useless_bytes = 0
+                self._note_events(stream, answer, count, loop.time())
+            else:
+                useless_bytes += len(piece)
             if events:
-                stream.record_events(len(events), loop.time())
-                self._record_event_gap(stream, answer, ended=False)
                 yield b"".join(events)
-            if loop.time() >= stream.job.deadline:
-                raise BackendError(
-                    "the deadline passed during the stream", ResultCode.DEADLINE_EXCEEDED
-                )
+            if splitter.pending_bytes > MAX_EVENT_BYTES:
+                raise answer.too_large(AnswerPart.EVENT, f"{MAX_EVENT_BYTES} bytes")
+            if useless_bytes > MAX_USELESS_BYTES:
+                raise answer.too_large(AnswerPart.BETWEEN_EVENTS, f"{MAX_USELESS_BYTES} bytes")
+            _require_time(stream, loop.time())
         if splitter.partial:
             raise AnswerBrokenError("the stream ended inside an event")
+        answer.endpoint.record_complete_answer()
+
+    def _note_events(
+        self, stream: StreamState, answer: StreamedAnswer, count: int, now: float
+    ) -> None:
+        """Note that new events with content have come; other bytes are no progress."""
+        stream.idle_since = now
+        answer.endpoint.last_received_at = now
+        stream.record_events(count, now)
+        self._record_event_gap(stream, answer, ended=False)
 
     def _take_escalation(self, stream: StreamState, answer: StreamedAnswer) -> bool:
         """Return whether to ask the largest model instead, and draw it from the budget."""
@@ -345,9 +378,37 @@
         now = asyncio.get_running_loop().time()
         if not stream.may_attempt(now):
             return False
+        if stream.head_sent and stream.failed_often:
+            await asyncio.sleep(RESUME_PAUSE_S)
+        while not self._pay_retry(stream):
+            if not await self._await_resume(stream, "the budget of extra requests is spent"):
+                return False
+        return True
+
+    def _pay_retry(self, stream: StreamState) -> bool:
+        """Draw a retry from the budget; return whether the budget allows it."""
         # An attempt without a connection reached no endpoint, so its retry needs no budget.
-        unreachable = isinstance(stream.error, EndpointUnreachableError)
-        return unreachable or self._budget(stream.job.service).take(now)
+        if isinstance(stream.error, EndpointUnreachableError):
+            return True
+        return self._budget(stream.job.service).take(asyncio.get_running_loop().time())
+
+    async def _await_resume(self, stream: StreamState, reason: str) -> bool:
+        """Pause a stream that its caller has part of; return whether it may then be resumed.
+
+        Returns:
+            False at once if the caller has nothing yet, or if no attempt or time is left.
+        """
+        now = asyncio.get_running_loop().time()
+        if not stream.head_sent or not stream.may_attempt(now + RESUME_PAUSE_S):
+            return False
+        log.info(
+            "event=resume_delayed id=%s events=%s reason=%r",
+            stream.job.exchange.request_id,
+            stream.last_event_id,
+            reason,
+        )
+        await asyncio.sleep(RESUME_PAUSE_S)
+        return True
 
     def _may_retry_stalled(self, stream: StreamState, now: float) -> bool:
         """Return whether a stalled request may be retried; otherwise it keeps waiting."""
@@ -370,3 +431,15 @@
             stream.last_event_id,
             str(error),
         )
+
+
+def _require_time(stream: StreamState, now: float) -> None:
+    """Raise an error if the deadline of a stream that still makes progress has passed.
+
+    Its endpoint is not to blame for that; it is for a stream that has stalled.
+
+    Raises:
+        BackendError: If the deadline has passed.
+    """
+    if now >= stream.job.deadline and not stream.is_stalled(now):
+        raise BackendError("the deadline passed during the stream", ResultCode.DEADLINE_EXCEEDED)
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -28,17 +28,17 @@
         model_index: Index of the requested model among the route's models.
         last_event_id: Id of the last event that the caller has received; None before the first.
         head_sent: Whether the head of the answer was returned to the caller.
-        events_relayed: Number of events relayed to the caller.
+        events_relayed: Number of events with content relayed to the caller.
         gaps_s: Gaps between the events of the current attempt, in seconds.
         last_events_at: Monotonic time of the current attempt's last events; None before the first.
         broken_endpoints: Endpoints of broken attempts that have not been probed since.
-        slow: Whether the current attempt was counted as slow.
+        slow: Whether the current attempt was counted as slow; None while it was not compared.
         endpoint_id: Endpoint of the current attempt.
         lease: Slot of the current attempt; None once its answer was closed.
         error: Error of the last failed attempt; None if that attempt got an answer.
         stall_limits: Longest waits for the next event.
         interrupt: Ends the current wait.
-        idle_since: Monotonic time at which data was last received or the wait began.
+        idle_since: Monotonic time at which the last new event came or the wait began.
     """
 
     __slots__ = (
@@ -76,7 +76,7 @@
         self.events_relayed = 0
         self.gaps_s: list[float] = []
         self.last_events_at: float | None = None
-        self.slow = False
+        self.slow: bool | None = None
         self.endpoint_id = ""
         self.lease: SlotLease | None = None
         self.error: ComfreyhatchError | None = None
@@ -119,18 +119,28 @@
         return median(self.gaps_s) if len(self.gaps_s) >= min_gaps else None
 
     def may_attempt(self, now: float) -> bool:
-        """Return whether deadline and attempt limits allow another attempt."""
+        """Return whether deadline and attempt limits allow another attempt.
+
+        Attempts that did not run count only until the caller has part of the answer: from then on,
+        only the deadline ends the stream.
+        """
         route = self.job.route
-        if (
-            now >= self.job.deadline - DEADLINE_MARGIN_S
-            or self.unreachable_attempts > MAX_UNREACHABLE_ATTEMPTS
-        ):
-            return False
-        if self.attempts - self.unreachable_attempts > route.max_attempts + MAX_REFUSED_ATTEMPTS:
+        if now >= self.job.deadline - DEADLINE_MARGIN_S:
             return False
         if self.possible_runs and not route.repeatable:
             return False
-        return self.possible_runs < route.max_attempts
+        if self.possible_runs >= route.max_attempts:
+            return False
+        return self.head_sent or not self.failed_often
+
+    @property
+    def failed_often(self) -> bool:
+        """Whether more attempts than usual could not connect or were refused."""
+        refused_limit = self.job.route.max_attempts + MAX_REFUSED_ATTEMPTS
+        return (
+            self.unreachable_attempts > MAX_UNREACHABLE_ATTEMPTS
+            or self.attempts - self.unreachable_attempts > refused_limit
+        )
 
     def is_stalled(self, now: float) -> bool:
         """Return whether the current attempt exceeds its stall limits."""
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from itertools import count
 
 import pytest
 from msgspec.structs import replace
 
 from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.decisions.version_trial import MIN_ANSWERS_TO_GROW
 from comfreyhatch.domain.deployment import Bounds
 from comfreyhatch.errors import HttpError
 from tests.platform_harness import API_KEY, PlatformHarness, config, running_harness
@@ -254,6 +256,65 @@
         assert [r.header("last-event-id") for r in other.received] == ["2"]
 
 
+async def test_stream_outlasts_a_time_without_any_reachable_worker() -> None:
+    # The daemon's own link was full: nine connections in a row timed out within 2.7 s, and the
+    # stream was cut with most of its time left.
+    async with running_harness() as harness:
+        first, second = workers(harness, "engine")
+        for worker in (first, second):
+            worker.pause_s = lambda number: 0.3 if number == 3 else 0.0
+        task = asyncio.create_task(harness.send_draft())
+        await harness.wait_until(lambda: sent_to(harness, "engine"))
+        await first.stop()
+        await second.stop()
+        failed_attempts = harness.daemon.registry.get_sample_value
+        label = {"outcome": "unreachable"}
+        await harness.wait_until(
+            lambda: (failed_attempts("comfreyhatch_attempts_total", label) or 0) >= 3
+        )
+        await asyncio.sleep(0.5)
+        for worker in (first, second):
+            worker.pause_s = lambda number: 0.0
+            await worker.restart()
+        assert (await task).body == COMPLETE_BODY
+
+
+async def test_stream_outlasts_a_time_without_any_endpoint_in_service() -> None:
+    # A stream was cut at once, with most of its time left, when no endpoint was listed.
+    async with running_harness() as harness:
+        first, second = workers(harness, "engine")
+        for worker in (first, second):
+            worker.pause_s = lambda number: 0.3 if number == 3 else 0.0
+        task = asyncio.create_task(harness.send_draft())
+        await harness.wait_until(lambda: sent_to(harness, "engine"))
+        trackers = harness.daemon.view.trackers_by_service["engines"]
+        for worker in (first, second):
+            harness.store.remove("servers", worker.worker_id)
+        await harness.wait_until(lambda: all(t.removed_at is not None for t in trackers))
+        for worker in (first, second):
+            await worker.stop()
+        await asyncio.sleep(0.6)
+        await harness.add_worker("engine-3", "engines")
+        assert (await task).body == COMPLETE_BODY
+
+
+async def test_stream_outlasts_a_time_in_which_all_workers_refuse(
+    harness: PlatformHarness,
+) -> None:
+    # A stream was cut after a few refusals of busy workers, with most of its time left.
+    for worker in workers(harness, "engine"):
+        worker.break_after = 2
+    first = asyncio.create_task(harness.send_draft())
+    await harness.wait_until(lambda: sent_to(harness, "engine"))
+    for worker in workers(harness, "engine"):
+        worker.refuses = True
+    await harness.wait_until(lambda: len(sent_to(harness, "engine")) > 8)
+    for worker in workers(harness, "engine"):
+        worker.refuses = False
+        worker.break_after = None
+    assert (await first).body == COMPLETE_BODY
+
+
 async def test_stalled_stream_is_not_interrupted_when_no_attempt_is_left() -> None:
     # A stream on its last attempt was cut because its worker paused between two events.
     async with running_harness() as harness:
@@ -347,9 +408,14 @@
     harness.store.put("op", "rollout/engines", {"service": "engines", "to": "v2", "over_s": 4})
     await harness.wait_until(lambda: ("status", "rollout/engines") in harness.store.row_by_key)
     assert harness.store.value("status", "rollout/engines") == {"state": "running", "to": "v2"}
+    traffic = asyncio.create_task(_send_sessions(harness))
     await _wait_for_state(harness, "completed")
+    traffic.cancel()
+    await asyncio.gather(traffic, return_exceptions=True)
+    before = len(new.received)
+    assert before >= MIN_ANSWERS_TO_GROW
     await harness.send_draft()
-    assert len(new.received) >= 1
+    assert len(new.received) > before
 
 
 async def test_failing_version_is_rolled_back_and_gets_no_requests(
@@ -370,6 +436,12 @@
     assert len(new.received) == before
 
 
+async def _send_sessions(harness: PlatformHarness) -> None:
+    """Start new sessions one after the other until cancelled."""
+    for number in count():
+        await harness.send_draft(session=f"s{number}")
+
+
 async def _wait_for_state(harness: PlatformHarness, state: str) -> None:
     async with asyncio.timeout(15):
         while harness.store.value("status", "rollout/engines")["state"] != state:
