Wait in the stop tests until nng has freed the port

Callers saw: on a busy machine test_stop_right_after_an_answer_ends and others of test_peers failed with "Address in use" at the next start on the same port. Cause: nng closes the descriptor of a listener in a thread of its own, after nng_close has returned. Change: the tests wait, within the limit of a stop, until the port can be had again; they still fail if it stays taken.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,6 +1,7 @@
 """Queries between daemons: the stop of a listener and the end of a query at any moment."""
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import suppress
 from random import Random
@@ -48,6 +49,16 @@
         await listener.stop()
 
 
+async def wait_until_free(address: str) -> None:
+    """Wait until the port can be had; nng closes its descriptor in a thread, after the stop."""
+    host, port = address.split(":")
+    async with asyncio.timeout(STOP_LIMIT_S):
+        while True:
+            with suppress(OSError), socket.create_server((host, int(port))):
+                return
+            await asyncio.sleep(0.002)
+
+
 async def stop_repeatedly(
     address: str,
     answer: Callable[[PeerQuery], Awaitable[PeerUpdate]],
@@ -62,6 +73,7 @@
         query = asyncio.create_task(client.query(PeerQuery(wait_s=STOP_LIMIT_S)))
         await wait(query)
         await stop_within_limit(listener)
+        await wait_until_free(address)
         client.close()
         query.cancel()
         await asyncio.gather(query, return_exceptions=True)
