Free the body of an answer that fails when its error is raised

After 30 concurrent requests to workers whose bodies had no end, a daemon with the limits of 150 MB had grown by 73 MiB instead of the 19 MB that whole answers may take: the traceback of each error kept the frame with the body, in a reference cycle with its task, until the next collection.

Change: `whole` clears the body before it raises.

Evidence: test_error_of_a_body_without_end_does_not_keep_the_body failed before, with 4 MB in the frames of the traceback.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -120,12 +120,17 @@
         if self._declared_bytes is not None and self._declared_bytes > limit_bytes:
             raise self.too_large(AnswerPart.BODY, limit)
         body = bytearray()
-        async for piece in self.pieces(timeout_s, until):
-            body += piece
-            if len(body) > limit_bytes:
-                raise self.too_large(AnswerPart.BODY, limit)
-            if take is not None and not take(len(piece)):
-                raise self.too_large(AnswerPart.BODY, "the memory for whole answers")
+        try:
+            async for piece in self.pieces(timeout_s, until):
+                body += piece
+                if len(body) > limit_bytes:
+                    raise self.too_large(AnswerPart.BODY, limit)
+                if take is not None and not take(len(piece)):
+                    raise self.too_large(AnswerPart.BODY, "the memory for whole answers")
+        except BaseException:
+            # The traceback of an error keeps this frame, and the body, until it is collected.
+            body.clear()
+            raise
         return bytes(body)
 
     async def pieces(self, timeout_s: float, until: float = inf) -> AsyncIterator[bytes]:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -158,6 +158,18 @@
         assert client.too_large_by_part[AnswerPart.BODY] == 1
 
 
+async def test_error_of_a_body_without_end_does_not_keep_the_body() -> None:
+    # Errors are in reference cycles with their tasks, and live until the next collection.
+    client = HttpClient(whole_limit_bytes=4_000_000)
+    async with listening(UNSIZED, FILL) as endpoint:
+        with pytest.raises(AnswerTooLargeError) as caught:
+            await client.request(endpoint.address, "GET", "/", timeout_s=LONG_S)
+    frames = [entry.frame for entry in caught.traceback]
+    kept = [value for frame in frames for value in frame.f_locals.values()]
+    sizes = [len(value) for value in kept if isinstance(value, bytes | bytearray)]
+    assert sum(sizes) <= 4 * READ_SIZE_BYTES
+
+
 async def test_body_of_the_limit_is_returned_whole() -> None:
     body = FILL * 4
     answer = OK + b"content-length: %d\r\n\r\n" % len(body) + body
