Let the interleavings allow two states that no return is part of

In one, records were read before the order whose state they show, so that the state of the order before was no longer listed; in the other, a zone was out by an earlier order that had been taken back and given again, and the later one had not been read yet. Cause: the test asked for more than a daemon promises, which reads the tables one after the other. Change: a roll-out counts as forgotten only if the listed state is not of a later order; a zone counts as seen out only from the position of its last order on. All else is checked as before.

--- a/tests/test_store_interleavings.py
+++ b/tests/test_store_interleavings.py
@@ -9,6 +9,7 @@
 from msgspec.structs import replace
 
 from comfreyhatch.domain.operations import RolloutRecord, RolloutState
+from comfreyhatch.domain.position import Position
 from comfreyhatch.domain.usage import UsageKey, UsageTotals
 from comfreyhatch.errors import PlatformError
 from comfreyhatch.exchange.billing import Billing
@@ -44,6 +45,7 @@
         self._version = 1
         self._target = 1
         self.zones_out: set[str] = set()
+        self.moved_at_by_zone: dict[str, Position] = {}
         self.order: dict[str, object] | None = None
 
     @property
@@ -60,6 +62,7 @@
             self._store.put("op", f"evacuate/{zone}", {})
         else:
             self._store.remove("op", f"evacuate/{zone}")
+        self.moved_at_by_zone[zone] = Position(self._store.era, self._store.ver)
 
     def write_order(self) -> None:
         self._target += 1
@@ -166,7 +169,11 @@
         self.zones_seen_out &= operator.zones_out
         for zone in self.zones_seen_out:
             assert view.zone_out(zone), "a zone out was undone"
-        self.zones_seen_out |= {zone for zone in operator.zones_out if view.zone_out(zone)}
+        for zone in operator.zones_out:
+            # An earlier order for the same zone, taken back since, may be in force still.
+            is_current = view.listed_operations.position >= operator.moved_at_by_zone[zone]
+            if is_current and view.zone_out(zone):
+                self.zones_seen_out.add(zone)
         self._check_trial()
 
     def _check_trial(self) -> None:
@@ -175,7 +182,10 @@
             order = self.view.order(SERVICE)
             assert order is not None, "an order was undone"
             assert int(order.version[1:]) >= int(before.version[1:]), "an older order came back"
-            if order.version == before.version:
+            # Records may be read before the order whose state they show.
+            listed = self.view.records.trial_by_service.get(SERVICE)
+            is_behind = listed and int(listed.version[1:]) > int(order.version[1:])
+            if order.version == before.version and not is_behind:
                 assert trial is not None, "a roll-out was forgotten"
                 assert rank(trial) >= rank(before), "a roll-out went back"
         self._trial = trial or before
