Keep closed nng sockets until nng has let go of them

Seen: one whole run ended with a crashed test process in test_stop_ends_an_answer_that_waits, and 4 of 144 repeated runs of that test (six processes at a time, 250 stops each) crashed with an abort or a segmentation fault, two of them with damaged Python objects.

Cause, by reading pynng 0.9: it hands nng a handle to the socket's object for the callback about connections that end. nng ends them in threads of its own, maybe after nng_close has returned; a handle to a freed object is then followed. In service the sockets to peers are closed at each query that fails.

--- a/comfreyhatch/adapters/peer_bus.py
+++ b/comfreyhatch/adapters/peer_bus.py
@@ -12,6 +12,7 @@
 from msgspec import MsgspecError, Raw, Struct
 from msgspec.msgpack import decode, encode
 
+from comfreyhatch.adapters.nng_socket import close_socket
 from comfreyhatch.adapters.peer_frame import (
     MS_PER_S,
     REPLY,
@@ -130,10 +131,10 @@
             self._sweeper.cancel()
         if self._listener:
             asyncio.get_running_loop().remove_reader(self._listener.recv_fd)
-            self._listener.close()
+            close_socket(self._listener, time.monotonic())
             self._listener = None
         for instance_id in list(self._link_by_id):
-            self._link_by_id.pop(instance_id).socket.close()
+            self._close_link(instance_id)
         for task in list(self._running):
             task.cancel()
         await asyncio.gather(*self._running, return_exceptions=True)
@@ -319,7 +320,7 @@
     def _close_link(self, instance_id: str) -> None:
         link = self._link_by_id.pop(instance_id, None)
         if link:
-            link.socket.close()
+            close_socket(link.socket, time.monotonic())
 
 
 def _tag(message_type: type[Struct]) -> str:
--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -4,12 +4,14 @@
 import logging
 import zlib
 from collections.abc import Awaitable, Callable
+from time import monotonic
 from typing import TypeVar
 
 import pynng
 from msgspec import MsgspecError, Struct
 from msgspec.msgpack import decode, encode
 
+from comfreyhatch.adapters.nng_socket import close_socket
 from comfreyhatch.domain.operations import Operations
 from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import ListenError, PeerError, PeerTimeoutError
@@ -119,7 +121,7 @@
         for context in self._contexts:
             context.close()
         if self._socket:
-            self._socket.close()
+            close_socket(self._socket, monotonic())
         for task in self._tasks:
             task.cancel()
         if self._tasks:
@@ -186,7 +188,7 @@
     def close(self) -> None:
         """Close the connection; the next query opens a new one."""
         if self._req:
-            self._req.close()
+            close_socket(self._req, monotonic())
             self._req = None
 
     def _connected(self) -> pynng.Req0:
