Keep the state of a roll-out over two returns of the store in a row

Cause: one carried state a service; the second return replaced it by the listed, earlier one. Change: one carried state an order, four at most; the furthest that belongs to the order in force counts. Evidence: the new test in test_carry_over failed on the code before; passes now.

--- a/comfreyhatch/exchange/carry_over.py
+++ b/comfreyhatch/exchange/carry_over.py
@@ -23,6 +23,8 @@
 # Endpoints write their records again within about 2 s of the store's return, and the platform
 # stretches the bounds of operators' orders by 5 s at most after an outage.
 CARRY_OVER_S = 5.0
+# Orders of a service whose states are carried over.
+MAX_CARRIED_TRIALS = 4
 # Time for which a removed endpoint is remembered; the store's copy is some seconds old.
 GONE_MEMORY_S = 30.0
 
@@ -209,22 +211,28 @@
     """States of roll-outs and addresses of daemons that an older copy may lack.
 
     Attributes:
-        trial_by_service: States of roll-outs that were held.
+        trials_by_service: States of roll-outs that were held, one an order, the newest last. A copy
+            may list the state of an earlier order, so that a second return must not replace one.
         control_by_daemon: Control addresses that were held.
         region_by_daemon: Regions that were held.
     """
 
     def __init__(self) -> None:
-        self.trial_by_service: dict[str, RolloutRecord] = {}
+        self.trials_by_service: dict[str, tuple[RolloutRecord, ...]] = {}
         self.control_by_daemon: dict[str, str] = {}
         self.region_by_daemon: dict[str, str] = {}
 
     def begin(self, held: SharedRecords) -> None:
         """Carry over the last records of a generation."""
         for service, trial in held.trial_by_service.items():
-            carried = self.trial_by_service.get(service)
-            same = carried is not None and carried.order_revision == trial.order_revision
-            if carried is None or not same or not is_further(carried, trial):
-                self.trial_by_service[service] = trial
+            carried = self.trials_by_service.get(service, ())
+            same = [t for t in carried if _order_of(t) == _order_of(trial)]
+            others = [t for t in carried if _order_of(t) != _order_of(trial)]
+            furthest = same[0] if same and is_further(same[0], trial) else trial
+            self.trials_by_service[service] = (*others, furthest)[-MAX_CARRIED_TRIALS:]
         self.control_by_daemon.update(held.control_by_daemon)
         self.region_by_daemon.update(held.region_by_daemon)
+
+
+def _order_of(trial: RolloutRecord) -> tuple[str, int]:
+    return trial.version, trial.order_revision
--- a/comfreyhatch/exchange/view.py
+++ b/comfreyhatch/exchange/view.py
@@ -220,10 +220,12 @@
         if order is None:
             return None
         listed = self._matching(order, self._listed_trial(service))
-        carried = self._matching(order, self._carried_records.trial_by_service.get(service))
-        if carried is None or (listed is not None and not is_further(carried, listed)):
-            return listed
-        return carried
+        furthest = listed
+        for trial in self._carried_records.trials_by_service.get(service, ()):
+            carried = self._matching(order, trial)
+            if carried and (furthest is None or is_further(carried, furthest)):
+                furthest = carried
+        return furthest
 
     def lost_trial(self, service: str) -> RolloutRecord | None:
         """Return the state of a roll-out to write again, as a write under the listed revision.
--- a/tests/test_carry_over.py
+++ b/tests/test_carry_over.py
@@ -227,3 +227,15 @@
     other = RolloutOrder("s", "v3", 24.0, 102)
     view.apply_operations(operations(2, 102, orders=(other,)), NOW, 1.0)
     assert view.order("s") == other
+
+
+def test_second_return_does_not_replace_the_carried_state_by_that_of_an_earlier_order(
+    view: FleetView,
+) -> None:
+    # Found by test_store_interleavings: after two returns in a row a roll-out was forgotten.
+    earlier = RolloutRecord("s", "v1", 50, RolloutState.COMPLETED, 1.0, 0, 0, 60, generation=2)
+    for generation in (2, 3):
+        view.apply_operations(operations(generation, 105, orders=(ORDER,)), NOW, 1.0)
+        view.apply_records(records(generation, 105, earlier), NOW)
+    assert view.trial("s") == TRIAL
+    assert view.lost_trial("s") == replace(TRIAL, revision=60, generation=3)
