Compare no times below 20 ms

A machine under load adds some milliseconds to an answer, which is several times the 1 ms of the stand-ins; a daemon short of processor time would do the same to a fast plain service.

Times below 20 ms count as 20 ms, in the baseline and in what is compared, and in the ratio of a first event to the expected time.

--- a/comfreyhatch/decisions/slowness.py
+++ b/comfreyhatch/decisions/slowness.py
@@ -10,6 +10,9 @@
 
 from comfreyhatch.decisions.retries import SampleWindow
 
+# Shorter times count as this long: a busy daemon alone delays an answer by some milliseconds, which
+# would be several times the time of a very fast one.
+SHORTEST_COMPARED_S = 0.02
 # Rule for all endpoints: an answer is slow if it takes more than MEDIAN_FACTOR times the baseline's
 # median and more than HIGH_QUANTILE_FACTOR times its high quantile.
 MEDIAN_FACTOR = 3.0
@@ -33,8 +36,13 @@
 LESS_BUSY_FACTOR = 1.5
 
 
+def slowdown(took_s: float, expected_s: float) -> float:
+    """Return the ratio of a time to the expected one, in seconds; 1 if both are very short."""
+    return max(took_s, SHORTEST_COMPARED_S) / max(expected_s, SHORTEST_COMPARED_S)
+
+
 class BaselineTimes:
-    """Recent answer times of the replaced versions, all in the same unit."""
+    """Recent answer times of the replaced versions, all in seconds or all as `slowdown`."""
 
     def __init__(self, load_dominated: bool = False) -> None:
         """Create a baseline without any times.
@@ -56,7 +64,7 @@
             running: Requests that its endpoint was running.
             now: Monotonic time in seconds.
         """
-        self._times.add(value)
+        self._times.add(max(value, SHORTEST_COMPARED_S))
         self._running.add(running)
         self._last_added_at = now
 
@@ -76,6 +84,7 @@
             return None
         if now - self._last_added_at > BASELINE_MAX_AGE_S:
             return None
+        value = max(value, SHORTEST_COMPARED_S)
         if running <= IDLE_MAX_RUNNING and value > IDLE_FACTOR * low:
             return True
         less_busy = busy >= BUSY_MIN_RUNNING and running <= LESS_BUSY_MAX_SHARE * busy
--- a/comfreyhatch/exchange/evidence.py
+++ b/comfreyhatch/exchange/evidence.py
@@ -54,8 +54,8 @@
             job: The request.
             endpoint: Endpoint that answered.
             success: Whether the answer was a success.
-            latency: Time to the answer in seconds. For a stream, time to its first event divided
-                by the expected time, since long prompts would raise the baseline so far that no
+            latency: Time to the answer in seconds. For a stream, the `slowdown` of its first event
+                against the expected time: long prompts would raise the baseline so far that no
                 version counts as slow.
             now: Monotonic time in seconds.
 
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -12,6 +12,7 @@
 from comfreyhatch.decisions.engine_time import EngineTimes
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
 from comfreyhatch.decisions.retries import SampleWindow
+from comfreyhatch.decisions.slowness import slowdown
 from comfreyhatch.decisions.stall import first_event_limits, gap_limits
 from comfreyhatch.domain.exchange import Dispatch, Job
 from comfreyhatch.errors import (
@@ -169,7 +170,7 @@
         now = loop.time()
         took_s = now - lease.started
         stream.slow = self._evidence.record_answer(
-            job, endpoint, answer.head.success, took_s / work_s, now
+            job, endpoint, answer.head.success, slowdown(took_s, work_s), now
         )
         if answer.head.success:
             self._latency_window(stream).add(took_s)
--- a/tests/test_slowness.py
+++ b/tests/test_slowness.py
@@ -1,6 +1,8 @@
 """Detection of slow answers of a new version."""
 
-from comfreyhatch.decisions.slowness import BaselineTimes
+import pytest
+
+from comfreyhatch.decisions.slowness import BaselineTimes, slowdown
 
 RUNNING = 4
 
@@ -62,3 +64,13 @@
     assert BaselineTimes().is_slow(9.0, 1, 0.0) is None
     assert baseline(*[0.05] * 7).is_slow(9.0, 1, 0.1) is None
     assert baseline(*[0.05] * 30).is_slow(9.0, 1, 10.0) is None
+
+
+def test_delays_of_a_busy_daemon_do_not_make_very_fast_answers_slow() -> None:
+    # A good version was rolled back on a busy machine: its answers took 5 ms in place of 1 ms.
+    found = baseline(*[0.001] * 30, running=1)
+    assert found.is_slow(0.005, 1, 0.3) is False
+    assert found.is_slow(0.05, 1, 0.3) is False
+    assert found.is_slow(0.1, 1, 0.3) is True
+    assert slowdown(0.005, 0.001) == 1.0
+    assert slowdown(0.2, 0.02) == pytest.approx(10.0)
