Free the slot of a failed attempt before a stream waits to be resumed

And the last attempt could be sent within milliseconds of the deadline, as it was checked before the pause only.

The failed answer of a stream that the caller has part of is closed at once, as its caller can't be given another answer; the time is checked for the end of the pause. _resume is gone: _open ends such a stream itself.

--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -111,6 +111,8 @@
     async def _open(self, stream: StreamState) -> StreamedAnswer:
         """Return a successful answer, or the last failed one if no attempt is left.
 
+        A failed one is returned only before the caller has part of an answer.
+
         Raises:
             RefusedError: If the request has not run.
             BackendError: If it may have run and there is no answer.
@@ -130,12 +132,19 @@
             else:
                 if answer.head.success:
                     return answer
-                stream.error = None
-                if not await self._take_retry(stream):
-                    return answer
+                if not stream.head_sent:
+                    stream.error = None
+                    if not await self._take_retry(stream):
+                        return answer
+                    answer.endpoint.record_complete_answer()
+                    await self._close(stream, answer)
+                    continue
+                # Closed before any pause: its slot may not wait, nor be lost if the caller leaves.
                 answer.endpoint.record_complete_answer()
                 await self._close(stream, answer)
-                continue
+                stream.error = AnswerBrokenError(
+                    f"the stream could not be resumed: status {answer.head.status}"
+                )
             if not await self._take_retry(stream):
                 assert stream.error is not None
                 raise final_error(stream.error, stream.possible_runs > 0)
@@ -258,7 +267,7 @@
             if not await self._take_retry(stream):
                 assert stream.error is not None
                 raise final_error(stream.error, stream.possible_runs > 0)
-            answer = await self._resume(stream)
+            answer = await self._open(stream)
 
     def _record_event_gap(self, stream: StreamState, answer: StreamedAnswer, ended: bool) -> None:
         """Record the median event gap as evidence once enough gaps are known.
@@ -281,14 +290,6 @@
         if slow is not None:
             stream.slow = slow
 
-    async def _resume(self, stream: StreamState) -> StreamedAnswer:
-        """Return an answer that continues after the last event that the caller has received."""
-        answer = await self._open(stream)
-        if answer.head.success:
-            return answer
-        await self._close(stream, answer)
-        raise AnswerBrokenError(f"the stream could not be resumed: status {answer.head.status}")
-
     async def _new_events(
         self, stream: StreamState, answer: StreamedAnswer
     ) -> AsyncIterator[bytes]:
@@ -380,6 +381,8 @@
         if not stream.may_attempt(now):
             return False
         if stream.head_sent and stream.failed_often:
+            if not stream.may_attempt(now + RESUME_PAUSE_S):
+                return False
             await asyncio.sleep(RESUME_PAUSE_S)
         while not self._pay_retry(stream):
             if not await self._await_resume(stream, "the budget of extra requests is spent"):
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -315,6 +315,40 @@
     assert (await first).body == COMPLETE_BODY
 
 
+async def test_slot_is_free_while_a_stream_waits_to_be_resumed() -> None:
+    # An engine that failed a resumed stream kept its slot taken during the pause before the next
+    # attempt, and for ever if the caller left in that pause.
+    bounds = Bounds(grace_s=4.0, retry_ratio=0.0, retry_slack=10.0)
+    async with running_harness(bounds=bounds) as harness:
+        both = workers(harness, "engine")
+        for worker in both:
+            worker.pause_s = lambda number: 0.2 if number == 3 else 0.0
+        task = asyncio.create_task(harness.send_draft(deadline_ms="3000"))
+        await harness.wait_until(lambda: sent_to(harness, "engine"))
+        used, other = both if both[0].received else reversed(both)
+        used.break_after = 2
+        other.status = 500
+        tracker = harness.daemon.view.tracker_by_id[other.worker_id]
+        await harness.wait_until(lambda: other.received and not tracker.in_flight)
+        assert not task.done()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        trackers = harness.daemon.view.trackers_by_service["engines"]
+        await harness.wait_until(lambda: not any(t.in_flight for t in trackers))
+
+
+async def test_no_attempt_to_resume_is_sent_at_the_deadline(harness: PlatformHarness) -> None:
+    for worker in workers(harness, "engine"):
+        worker.break_after = 2
+    task = asyncio.create_task(harness.send_draft(deadline_ms="1500"))
+    await harness.wait_until(lambda: sent_to(harness, "engine"))
+    for worker in workers(harness, "engine"):
+        worker.refuses = True
+    with pytest.raises(HttpError):
+        await task
+    assert all(int(r.header("deadline-ms")) > 20 for r in sent_to(harness, "engine"))
+
+
 async def test_stalled_stream_is_not_interrupted_when_no_attempt_is_left() -> None:
     # A stream on its last attempt was cut because its worker paused between two events.
     async with running_harness() as harness:
