Remember runs on engines that have stopped for what may be repeated

A run on a stopped engine is taken off the count for the route's limit; the same count decided what may be repeated and what the caller is told. The two counts are apart now.

Measured: the two cases of the new test failed before and pass.

Open: the probe takes a connection that times out for a stopped engine, as it does one that is refused.

--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -170,6 +170,7 @@
         except BaseException as error:
             if isinstance(error, BackendRefusedError):
                 stream.possible_runs -= 1
+                stream.counted_runs -= 1
                 stream.unreachable_attempts += isinstance(error, EndpointUnreachableError)
             else:
                 stream.broken_endpoints.append(endpoint)
@@ -335,7 +336,7 @@
         now = asyncio.get_running_loop().time()
         if stream.model_index >= len(job.route.models) - 1 or stream.last_event_id is not None:
             return False
-        if stream.possible_runs >= job.route.max_attempts:
+        if stream.counted_runs >= job.route.max_attempts:
             return False
         budget = self._budget(job.service)
         tokens = job.exchange.prompt_tokens
@@ -373,9 +374,9 @@
         endpoint has stopped does not count. Otherwise two crashes at nearly the same time would cut
         a stream that has used its other attempts for the cascade.
         """
-        if stream.possible_runs >= stream.job.route.max_attempts:
+        if stream.counted_runs >= stream.job.route.max_attempts:
             for endpoint in stream.broken_endpoints:
-                stream.possible_runs -= await self._sender.refuses_connections(endpoint)
+                stream.counted_runs -= await self._sender.refuses_connections(endpoint)
             stream.broken_endpoints.clear()
         now = asyncio.get_running_loop().time()
         if not stream.may_attempt(now):
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -23,7 +23,9 @@
         job: The request.
         excluded_ids: Endpoints that the next attempt leaves out.
         attempts: Number of attempts, refused ones included.
-        possible_runs: Number of attempts that may have run.
+        possible_runs: Number of attempts that may have run, wherever.
+        counted_runs: The same without those whose endpoint has stopped since, as the route's limit
+            counts them.
         unreachable_attempts: Number of attempts whose connection could not be opened.
         model_index: Index of the requested model among the route's models.
         last_event_id: Id of the last event that the caller has received; None before the first.
@@ -44,6 +46,7 @@
     __slots__ = (
         "attempts",
         "broken_endpoints",
+        "counted_runs",
         "endpoint_id",
         "error",
         "events_relayed",
@@ -68,6 +71,7 @@
         self.excluded_ids: set[str] = set()
         self.attempts = 0
         self.possible_runs = 0
+        self.counted_runs = 0
         self.unreachable_attempts = 0
         self.model_index = 0
         self.last_event_id = job.exchange.last_event_id
@@ -97,6 +101,7 @@
         self.excluded_ids.add(self.endpoint_id)
         self.attempts += 1
         self.possible_runs += 1
+        self.counted_runs += 1
 
     def reset_gaps(self) -> None:
         """Discard the event gaps of the previous attempt."""
@@ -129,7 +134,7 @@
             return False
         if self.possible_runs and not route.repeatable:
             return False
-        if self.possible_runs >= route.max_attempts:
+        if self.counted_runs >= route.max_attempts:
             return False
         return self.head_sent or not self.failed_often
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -349,6 +349,29 @@
     assert all(int(r.header("deadline-ms")) > 20 for r in sent_to(harness, "engine"))
 
 
+@pytest.mark.parametrize("refuses", [True, False])
+async def test_run_on_a_stopped_worker_is_not_repeated_or_denied_if_it_may_run_once(
+    refuses: bool,
+) -> None:
+    # A run whose engine had stopped didn't count any more: a stream that may not be repeated ran
+    # on a second engine, or its caller was told that it had not run.
+    async with running_harness() as harness:
+        harness.store.put("op", "config", config(2, max_attempts=1, resumable=False))
+        await harness.wait_until(lambda: harness.daemon.view.catalog.version == 2)
+        both = workers(harness, "engine")
+        for worker in both:
+            worker.hold = asyncio.Event()
+        task = asyncio.create_task(harness.send_draft())
+        await harness.wait_until(lambda: sent_to(harness, "engine"))
+        used, other = both if both[0].received else reversed(both)
+        other.hold = None
+        other.refuses = refuses
+        await used.stop()
+        reply = await task
+        assert reply.status == 502
+        assert not other.received
+
+
 async def test_stalled_stream_is_not_interrupted_when_no_attempt_is_left() -> None:
     # A stream on its last attempt was cut because its worker paused between two events.
     async with running_harness() as harness:
