Send all to followers that are behind the first list of their reader

Found by the reviewer: in the first generation of the store a reader took its first list for the changes since the beginning. A follower behind it was told what is listed, not what was gone before; for records this lasted until the row was written again.

--- a/comfreyhatch/exchange/endpoint_changes.py
+++ b/comfreyhatch/exchange/endpoint_changes.py
@@ -55,7 +55,7 @@
 
     def update(self, found: EndpointList) -> None:
         """Replace the list by a newer one and record the changed and removed endpoints."""
-        if found.generation != self._list.generation:
+        if found.generation != self._list.generation or not self._list.revision:
             self._restart(found)
             return
         held = self._list.record_by_id
@@ -72,7 +72,7 @@
         self._list = found
 
     def _restart(self, found: EndpointList) -> None:
-        """Start anew with the first list of a generation."""
+        """Start anew with the first list of all, or of a generation."""
         self._list = found
         self._removals.clear()
         self._changed_revision_by_id = dict.fromkeys(found.record_by_id, found.revision)
--- a/comfreyhatch/exchange/record_changes.py
+++ b/comfreyhatch/exchange/record_changes.py
@@ -52,7 +52,7 @@
         self._changed_revision = 0
         self._held = SharedRecords(0, 0, {}, {}, {})
         self._changed_revision_by_kind: dict[str, dict[str, int]] = {kind: {} for kind in KINDS}
-        # Lowest revision since which no record was removed.
+        # No record was removed after this revision; followers below it get all records.
         self._complete_since = 1
 
     @property
@@ -62,7 +62,7 @@
 
     def update(self, found: SharedRecords) -> None:
         """Replace the records by newer ones and note which have changed."""
-        if found.generation != self._held.generation:
+        if found.generation != self._held.generation or not self._held.revision:
             self._restart(found)
             return
         for kind in KINDS:
@@ -90,7 +90,7 @@
         )
 
     def _restart(self, found: SharedRecords) -> None:
-        """Start anew with the first records of a generation."""
+        """Start anew with the first records of all, or of a generation."""
         self._held = found
         self._changed_revision = found.revision
         self._complete_since = found.revision
--- a/tests/test_endpoint_changes.py
+++ b/tests/test_endpoint_changes.py
@@ -80,3 +80,11 @@
     history.update(replace(listed(4, e1="b"), generation=2))
     assert set(history.since(Position(2, 3)).record_by_id) == {"e1"}
     assert not history.since(Position(2, 3)).whole
+
+
+def test_follower_learns_of_a_removal_before_the_first_list_of_its_reader() -> None:
+    # A reader that had just started told a follower of what it listed, not of what was gone.
+    held = EndpointList(50, {"e1": record("e1"), "e2": record("e2")})
+    reader = EndpointHistory()
+    reader.update(EndpointList(100, {"e1": record("e1")}))
+    assert set(apply_changes(held, reader.since(Position(0, 50))).record_by_id) == {"e1"}
--- a/tests/test_record_changes.py
+++ b/tests/test_record_changes.py
@@ -55,3 +55,13 @@
     assert changes.whole
     assert apply_record_changes(_records(5, {"a": "x"}, {}), changes) == returned
     assert history.changed_position > Position(0, 5)
+
+
+def test_follower_learns_of_a_removal_before_the_first_records_of_its_reader() -> None:
+    # A reader that had just started told a follower of what it listed, not of what was gone.
+    reader = RecordHistory()
+    reader.update(_records(100, {"a": "x"}, {}))
+    changes = reader.since(Position(0, 50))
+    assert apply_record_changes(_records(50, {"a": "x", "b": "x"}, {}), changes) == _records(
+        100, {"a": "x"}, {}
+    )
