Follow a table from the first page that was read

Found by the reviewer, old: a table of more than one page (500 rows) was followed from the revision of its last page, so that a row removed while the pages were read stayed for ever. It is followed from the first page's revision now; what a later page has already shown comes again.

Measured: the new test failed before and passes.

--- a/comfreyhatch/platform/store.py
+++ b/comfreyhatch/platform/store.py
@@ -184,7 +184,9 @@
         self._warned_of_header = False
 
     async def read(self, table: str) -> Rows:
-        """Return all rows of a table.
+        """Return all rows of a table, at the revision of its first page.
+
+        Rows may change between two pages; what changed since the first one is followed from there.
 
         Raises:
             PlatformError: If the store does not answer or refuses.
@@ -192,6 +194,7 @@
         rows: list[Row] = []
         start = ""
         generation = 0
+        revision = 0
         while True:
             query = {"table": table, "part": "", "limit": str(ROWS_PER_PAGE)}
             if start:
@@ -201,9 +204,10 @@
                 raise GenerationChangedError(f"table {table} changed generation between two pages")
             generation = answer.generation
             page = self._rows(answer.reply)
+            revision = revision or page.ver
             rows += _to_rows(page.rows, generation)
             if not page.has_more or not page.rows:
-                return Rows(tuple(rows), page.ver, int(page.now_ms), generation)
+                return Rows(tuple(rows), revision, int(page.now_ms), generation)
             start = page.rows[-1].key + "\0"  # the smallest key after the last one
 
     async def follow(self, table: str, after: Position, wait_s: float) -> Rows:
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,49 @@
+"""Reading tables of the platform's store that take several pages."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from comfreyhatch.platform import store as store_module
+from comfreyhatch.platform.store import StoreClient
+from tests.platform_store import StandInStore
+
+
+def after_first_call(
+    call: Callable[..., Awaitable[Any]], then: Callable[[], None]
+) -> Callable[..., Awaitable[Any]]:
+    """Return the call, with something done right after the first one."""
+    calls = 0
+
+    async def called(*arguments: object) -> Any:
+        nonlocal calls
+        answer = await call(*arguments)
+        calls += 1
+        if calls == 1:
+            then()
+        return answer
+
+    return called
+
+
+async def test_row_removed_between_two_pages_is_not_missed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # An endpoint that left while the list was read stayed listed for ever.
+    monkeypatch.setattr(store_module, "ROWS_PER_PAGE", 1)
+    store = StandInStore()
+    client = StoreClient(await store.start())
+    store.put("servers", "a", 1)
+    store.put("servers", "b", 1)
+    monkeypatch.setattr(
+        client,
+        "_read_call",
+        after_first_call(client._read_call, lambda: store.remove("servers", "a")),
+    )
+    listed = await client.read("servers")
+    assert [row.key for row in listed.rows] == ["a", "b"]
+    changed = await client.follow("servers", listed.position, 0.1)
+    client.close()
+    await store.stop()
+    assert [(row.key, row.removed) for row in changed.rows] == [("a", True)]
