--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -136,7 +136,7 @@
     def _has_newer(self, query: PeerQuery) -> bool:
         view = self._view
         return (
-            view.operations_changed > query.operations
+            view.operations_changed_position > query.operations
             or view.endpoint_history.changed_position > query.endpoints
             or view.record_history.changed_position > query.records
         )
@@ -144,7 +144,7 @@
     def _update_since(self, query: PeerQuery) -> PeerUpdate:
         now = asyncio.get_running_loop().time()
         view = self._view
-        operations_changed = view.operations_changed > query.operations
+        operations_changed = view.operations_changed_position > query.operations
         records_changed = view.record_history.changed_position > query.records
         operations = view.listed_operations
         known = view.endpoint_list is not None
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -121,7 +121,7 @@
             try:
                 answer = await self._attempt(stream)
             except RefusedError as error:
-                if await self._await_resume(stream, str(error)):
+                if await self._pause_before_resume(stream, str(error)):
                     continue
                 if stream.possible_runs:
                     raise BackendError(str(error)) from error
@@ -386,7 +386,7 @@
                 return False
             await asyncio.sleep(RESUME_PAUSE_S)
         while not self._pay_retry(stream):
-            if not await self._await_resume(stream, "the budget of extra requests is spent"):
+            if not await self._pause_before_resume(stream, "the budget of extra requests is spent"):
                 return False
         return True
 
@@ -397,7 +397,7 @@
             return True
         return self._budget(stream.job.service).take(asyncio.get_running_loop().time())
 
-    async def _await_resume(self, stream: StreamState, reason: str) -> bool:
+    async def _pause_before_resume(self, stream: StreamState, reason: str) -> bool:
         """Pause a stream that its caller has part of; return whether it may then be resumed.
 
         Returns:
--- a/comfreyhatch/exchange/view.py
+++ b/comfreyhatch/exchange/view.py
@@ -53,7 +53,8 @@
         listed_operations: Orders as read, without those that are carried over.
         endpoint_list: Registered endpoints; None before they were read.
         records: Records of the daemons; None before they were read.
-        operations_changed: Position of the last listed orders that differ from those before.
+        operations_changed_position: Position of the last listed orders that differ from those
+            before.
         endpoint_history: Changes of the list, for followers.
         record_history: Changes of the records, for followers.
         tracker_by_id: Tracker of each endpoint, also of those unlisted a short time ago.
@@ -65,7 +66,7 @@
         self.listed_operations: Operations | None = None
         self.endpoint_list: EndpointList | None = None
         self.records: SharedRecords | None = None
-        self.operations_changed = Position()
+        self.operations_changed_position = Position()
         self.endpoint_history = EndpointHistory()
         self.record_history = RecordHistory()
         self.tracker_by_id: dict[str, EndpointTracker] = {}
@@ -146,7 +147,7 @@
                 found = listed
             found = replace(found, catalog=newer_catalog(listed.catalog, found.catalog))
         if listed is None or replace(listed, revision=found.revision) != found:
-            self.operations_changed = found.position
+            self.operations_changed_position = found.position
         self.listed_operations = found
         self._enforce(self._carried_orders.merge(found, now), now, heartbeat_s)
 
