--- a/comfreyhatch/adapters/engine_http.py
+++ b/comfreyhatch/adapters/engine_http.py
@@ -9,7 +9,8 @@
 from msgspec.json import encode as encode_json
 from msgspec.structs import replace
 
-from comfreyhatch.adapters.http_client import AnswerPart, HttpClient, HttpReply, StreamedReply
+from comfreyhatch.adapters.http_client import HttpClient, HttpReply, StreamedReply
+from comfreyhatch.adapters.http_link import AnswerPart
 from comfreyhatch.adapters.http_message import JSON_TYPE
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.domain.instance import Instance, Role
--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -4,13 +4,13 @@
 import logging
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
-from enum import Enum
 from functools import partial
 from math import inf
 
 import h11
 from msgspec import Struct, field
 
+from comfreyhatch.adapters.http_link import IDLE_LIFE_S, AnswerPart, HttpLink
 from comfreyhatch.codes import Ran
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import (
@@ -20,25 +20,16 @@
     HttpError,
 )
 
-# Bytes of an answer that wait for its reader, beyond which nothing more is read from its connection
-# for the time being. With the read that exceeds it, a connection holds 128 KiB at most.
-UNREAD_LIMIT_BYTES = 65536
 READ_SIZE_BYTES = 65536
 # Events of the parser that are handled in a row, in a few milliseconds, before others get a turn.
 EVENTS_PER_TURN = 256
-# Largest unfinished head, chunk header or trailer section of an answer.
-HEAD_LIMIT_BYTES = 32768
 # Informational answers (status 1xx) that may precede an answer.
 INFORMATIONAL_LIMIT = 16
-HTTP_PREFIX = b"HTTP/1."
 # Largest body of an answer that is read whole, unless a client has its own limit: the largest
 # object of the platform's store has 8 MiB, and 11 MiB in base64.
 WHOLE_BODY_LIMIT_BYTES = 16 * 1024 * 1024
-# Status that h11 suggests when its buffer is full.
-TOO_LARGE_HINT = 431
 CONNECT_TIMEOUT_S = 1.0
 IDLE_PER_ADDRESS = 64
-IDLE_LIFE_S = 20.0
 IDLE_MARGIN_S = 0.5
 
 
@@ -47,17 +38,6 @@
 log = logging.getLogger("comfreyhatch.client")
 
 
-class AnswerPart(Enum):
-    """Part of an answer that can exceed its limit."""
-
-    HEAD = "head"
-    INFORMATIONAL = "informational"
-    BODY = "body"
-    EVENT = "event"
-    BETWEEN_EVENTS = "between_events"
-    AFTER_END = "after_end"
-
-
 class HttpReply(Struct):
     """An answer with its whole body; header names are in lower case."""
 
@@ -71,7 +51,7 @@
     """An answer whose body is read piece by piece."""
 
     def __init__(
-        self, status: int, headers: Headers, link: "_Link", declared_bytes: int | None
+        self, status: int, headers: Headers, link: HttpLink, declared_bytes: int | None
     ) -> None:
         """Create an answer whose head was read.
 
@@ -173,189 +153,6 @@
                 raise HttpError("the answer ended before its end")
 
 
-class _Link(asyncio.BufferedProtocol):
-    """A connection and its protocol state."""
-
-    def __init__(self, read_buffer: bytearray, report: Callable[[AnswerPart, str], None]) -> None:
-        """Create the state of a connection.
-
-        Args:
-            read_buffer: Receives the bytes of one read; may be shared by connections.
-            report: Counts and logs an answer that is too large, by its part and the limit.
-        """
-        self._read_buffer = read_buffer
-        self._report = report
-        self.protocol = h11.Connection(h11.CLIENT, HEAD_LIMIT_BYTES)
-        self.idle = False
-        self.idle_since = 0.0
-        self.idle_life_s = IDLE_LIFE_S
-        self.transport: asyncio.Transport = _NO_TRANSPORT
-        self._waiter: asyncio.Future[None] | None = None
-        self._loss: str = ""
-        self._unread_bytes = 0
-        self._read_until = 0.0
-        self._timed_out = False
-        self._timer: asyncio.TimerHandle | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Take the open connection."""
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Return where to read to."""
-        return self._read_buffer
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """Hand bytes to the parser; bytes on an idle connection belong to no request."""
-        if self.idle:
-            self._report(AnswerPart.AFTER_END, "0 bytes")
-            self.transport.abort()
-            return
-        self.protocol.receive_data(bytes(memoryview(self._read_buffer)[:nbytes]))
-        self._unread_bytes += nbytes
-        if self._unread_bytes > UNREAD_LIMIT_BYTES:
-            self.transport.pause_reading()
-        self._wake()
-
-    def eof_received(self) -> bool:
-        """Tell the parser that the peer has closed; this ends an answer without a length."""
-        self.protocol.receive_data(b"")
-        self._wake()
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Note why the connection is gone."""
-        self._loss = repr(exc) if exc else "closed"
-        self._wake()
-
-    async def next_event(self, until: float) -> object:
-        """Return the next event of the answer.
-
-        Args:
-            until: Monotonic time in seconds at which the wait ends, whatever bytes have come.
-
-        Raises:
-            ExchangeTimeoutError: If no event came in time.
-            HttpError: If the answer is malformed or the connection broke.
-        """
-        while True:
-            event = self.buffered_event()
-            if event is not h11.NEED_DATA:
-                return event
-            self._require_http()
-            if self._timed_out:
-                raise ExchangeTimeoutError("no complete answer came in time")
-            if self._loss:
-                raise HttpError(f"the connection broke: {self._loss}")
-            await self._wait(until)
-
-    def buffered_event(self) -> object:
-        """Return the next event of what has been read; NEED_DATA when there is none.
-
-        Raises:
-            HttpError: If the answer is malformed.
-        """
-        try:
-            event = self.protocol.next_event()
-        except h11.ProtocolError as error:
-            if error.error_status_hint == TOO_LARGE_HINT:
-                raise self.too_large(AnswerPart.HEAD, f"{HEAD_LIMIT_BYTES} bytes") from error
-            raise HttpError(f"the exchange broke: {error}") from error
-        if event is h11.NEED_DATA:
-            self._resume_reading()
-        return event
-
-    def too_large(self, part: AnswerPart, limit: str) -> AnswerTooLargeError:
-        """Reset the connection, count and log the answer, and return the error to raise."""
-        self._report(part, limit)
-        self.abort()
-        return AnswerTooLargeError(f"the answer is too large: {part.value} exceeds {limit}")
-
-    def reusable(self) -> bool:
-        """Return whether another request may follow, and prepare for it."""
-        if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
-            return False
-        if self.protocol.trailing_data[0]:
-            self._report(AnswerPart.AFTER_END, "0 bytes")
-            return False
-        if self._loss:
-            return False
-        self.protocol.start_next_cycle()
-        # What comes while the connection is idle has to be seen.
-        self._resume_reading()
-        return True
-
-    def close(self) -> None:
-        """Close the connection."""
-        if self._timer is not None:
-            self._timer.cancel()
-        self.transport.close()
-
-    def abort(self) -> None:
-        """Reset the connection, so that the peer stops its work at once."""
-        if self._timer is not None:
-            self._timer.cancel()
-        self.transport.abort()
-
-    def fresh(self, now: float) -> bool:
-        """Return whether an idle connection is likely to be open still."""
-        closed = bool(self._loss) or self.transport.is_closing()
-        return not closed and now - self.idle_since < self.idle_life_s
-
-    def write(self, data: bytes) -> None:
-        """Send bytes."""
-        self.transport.write(data)
-
-    def _require_http(self) -> None:
-        """Raise an error if what has come of a head cannot become one."""
-        if self.protocol.their_state is not h11.SEND_RESPONSE:
-            return
-        start = self.protocol.trailing_data[0][: len(HTTP_PREFIX)]
-        if not HTTP_PREFIX.startswith(start):
-            raise HttpError(f"the answer is no HTTP/1 answer: it starts with {start!r}")
-
-    async def _wait(self, until: float) -> None:
-        """Wait for bytes; a silent peer is found by one timer for many reads."""
-        loop = asyncio.get_running_loop()
-        self._read_until = until
-        if self._timer is None or self._timer.when() > self._read_until:
-            self._arm(loop, self._read_until)
-        self._waiter = loop.create_future()
-        try:
-            await self._waiter
-        finally:
-            self._waiter = None
-
-    def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
-    def _resume_reading(self) -> None:
-        if self._unread_bytes > UNREAD_LIMIT_BYTES and not self.transport.is_closing():
-            self.transport.resume_reading()
-        self._unread_bytes = 0
-
-    def _arm(self, loop: asyncio.AbstractEventLoop, when: float) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer = loop.call_at(when, self._expire, loop)
-
-    def _expire(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._timer = None
-        if self.idle or self._waiter is None:
-            return
-        if loop.time() < self._read_until:
-            self._arm(loop, self._read_until)
-            return
-        self._timed_out = True
-        self.transport.abort()
-        self._wake()
-
-
-_NO_TRANSPORT = asyncio.Transport()
-
-
 class HttpClient:
     """Sends requests; owns its connections."""
 
@@ -379,7 +176,7 @@
         self._before_send = before_send
         self._connect_timeout_s = connect_timeout_s
         self.connections_opened = 0
-        self._idle_by_address: dict[Address, list[_Link]] = {}
+        self._idle_by_address: dict[Address, list[HttpLink]] = {}
 
     async def request(
         self,
@@ -476,7 +273,7 @@
                 link.close()
         self._idle_by_address.clear()
 
-    async def _link(self, address: Address, fresh: bool) -> _Link:
+    async def _link(self, address: Address, fresh: bool) -> HttpLink:
         now = asyncio.get_running_loop().time()
         idle = self._idle_by_address.get(address, [])
         while idle and not fresh:
@@ -488,7 +285,7 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, link = await asyncio.get_running_loop().create_connection(
-                    partial(_Link, self._read_buffer, partial(self._note_too_large, address)),
+                    partial(HttpLink, self._read_buffer, partial(self._note_too_large, address)),
                     address.host,
                     address.port,
                 )
@@ -503,7 +300,7 @@
             "event=answer_too_large address=%s part=%s limit=%r", address, part.value, limit
         )
 
-    def _keep(self, address: Address, link: _Link) -> None:
+    def _keep(self, address: Address, link: HttpLink) -> None:
         links = self._idle_by_address.setdefault(address, [])
         if len(links) >= IDLE_PER_ADDRESS:
             link.close()
@@ -536,7 +333,7 @@
     return IDLE_LIFE_S
 
 
-async def _final_head(link: _Link, until: float) -> h11.Response:
+async def _final_head(link: HttpLink, until: float) -> h11.Response:
     """Return the head of an answer; informational ones before it are left out.
 
     Raises:
@@ -558,7 +355,7 @@
     return int(value) if value.isdigit() else None
 
 
-def _write_request(link: _Link, method: str, target: str, body: bytes, headers: Headers) -> None:
+def _write_request(link: HttpLink, method: str, target: str, body: bytes, headers: Headers) -> None:
     sized = [*headers, (b"content-length", b"%d" % len(body))]
     request = h11.Request(method=method, target=target, headers=sized)
     data = link.protocol.send(request) or b""
--- /dev/null
+++ b/comfreyhatch/adapters/http_link.py
@@ -0,0 +1,213 @@
+"""A connection of the HTTP client and the state of its protocol."""
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+
+import h11
+
+from comfreyhatch.errors import AnswerTooLargeError, ExchangeTimeoutError, HttpError
+
+# Bytes of an answer that wait for its reader, beyond which nothing more is read from its connection
+# for the time being. With the read that exceeds it, a connection holds 128 KiB at most.
+UNREAD_LIMIT_BYTES = 65536
+# Largest unfinished head, chunk header or trailer section of an answer.
+HEAD_LIMIT_BYTES = 32768
+HTTP_PREFIX = b"HTTP/1."
+# Status that h11 suggests when its buffer is full.
+TOO_LARGE_HINT = 431
+IDLE_LIFE_S = 20.0
+
+
+class AnswerPart(Enum):
+    """Part of an answer that can exceed its limit."""
+
+    HEAD = "head"
+    INFORMATIONAL = "informational"
+    BODY = "body"
+    EVENT = "event"
+    BETWEEN_EVENTS = "between_events"
+    AFTER_END = "after_end"
+
+
+class HttpLink(asyncio.BufferedProtocol):
+    """A connection and its protocol state."""
+
+    def __init__(self, read_buffer: bytearray, report: Callable[[AnswerPart, str], None]) -> None:
+        """Create the state of a connection.
+
+        Args:
+            read_buffer: Receives the bytes of one read; may be shared by connections.
+            report: Counts and logs an answer that is too large, by its part and the limit.
+        """
+        self._read_buffer = read_buffer
+        self._report = report
+        self.protocol = h11.Connection(h11.CLIENT, HEAD_LIMIT_BYTES)
+        self.idle = False
+        self.idle_since = 0.0
+        self.idle_life_s = IDLE_LIFE_S
+        self.transport: asyncio.Transport = _NO_TRANSPORT
+        self._waiter: asyncio.Future[None] | None = None
+        self._loss: str = ""
+        self._unread_bytes = 0
+        self._read_until = 0.0
+        self._timed_out = False
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the open connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return where to read to."""
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Hand bytes to the parser; bytes on an idle connection belong to no request."""
+        if self.idle:
+            self._report(AnswerPart.AFTER_END, "0 bytes")
+            self.transport.abort()
+            return
+        self.protocol.receive_data(bytes(memoryview(self._read_buffer)[:nbytes]))
+        self._unread_bytes += nbytes
+        if self._unread_bytes > UNREAD_LIMIT_BYTES:
+            self.transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Tell the parser that the peer has closed; this ends an answer without a length."""
+        self.protocol.receive_data(b"")
+        self._wake()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note why the connection is gone."""
+        self._loss = repr(exc) if exc else "closed"
+        self._wake()
+
+    async def next_event(self, until: float) -> object:
+        """Return the next event of the answer.
+
+        Args:
+            until: Monotonic time in seconds at which the wait ends, whatever bytes have come.
+
+        Raises:
+            ExchangeTimeoutError: If no event came in time.
+            HttpError: If the answer is malformed or the connection broke.
+        """
+        while True:
+            event = self.buffered_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._require_http()
+            if self._timed_out:
+                raise ExchangeTimeoutError("no complete answer came in time")
+            if self._loss:
+                raise HttpError(f"the connection broke: {self._loss}")
+            await self._wait(until)
+
+    def buffered_event(self) -> object:
+        """Return the next event of what has been read; NEED_DATA when there is none.
+
+        Raises:
+            HttpError: If the answer is malformed.
+        """
+        try:
+            event = self.protocol.next_event()
+        except h11.ProtocolError as error:
+            if error.error_status_hint == TOO_LARGE_HINT:
+                raise self.too_large(AnswerPart.HEAD, f"{HEAD_LIMIT_BYTES} bytes") from error
+            raise HttpError(f"the exchange broke: {error}") from error
+        if event is h11.NEED_DATA:
+            self._resume_reading()
+        return event
+
+    def too_large(self, part: AnswerPart, limit: str) -> AnswerTooLargeError:
+        """Reset the connection, count and log the answer, and return the error to raise."""
+        self._report(part, limit)
+        self.abort()
+        return AnswerTooLargeError(f"the answer is too large: {part.value} exceeds {limit}")
+
+    def reusable(self) -> bool:
+        """Return whether another request may follow, and prepare for it."""
+        if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
+            return False
+        if self.protocol.trailing_data[0]:
+            self._report(AnswerPart.AFTER_END, "0 bytes")
+            return False
+        if self._loss:
+            return False
+        self.protocol.start_next_cycle()
+        # What comes while the connection is idle has to be seen.
+        self._resume_reading()
+        return True
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self.transport.close()
+
+    def abort(self) -> None:
+        """Reset the connection, so that the peer stops its work at once."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self.transport.abort()
+
+    def fresh(self, now: float) -> bool:
+        """Return whether an idle connection is likely to be open still."""
+        closed = bool(self._loss) or self.transport.is_closing()
+        return not closed and now - self.idle_since < self.idle_life_s
+
+    def write(self, data: bytes) -> None:
+        """Send bytes."""
+        self.transport.write(data)
+
+    def _require_http(self) -> None:
+        """Raise an error if what has come of a head cannot become one."""
+        if self.protocol.their_state is not h11.SEND_RESPONSE:
+            return
+        start = self.protocol.trailing_data[0][: len(HTTP_PREFIX)]
+        if not HTTP_PREFIX.startswith(start):
+            raise HttpError(f"the answer is no HTTP/1 answer: it starts with {start!r}")
+
+    async def _wait(self, until: float) -> None:
+        """Wait for bytes; a silent peer is found by one timer for many reads."""
+        loop = asyncio.get_running_loop()
+        self._read_until = until
+        if self._timer is None or self._timer.when() > self._read_until:
+            self._arm(loop, self._read_until)
+        self._waiter = loop.create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _resume_reading(self) -> None:
+        if self._unread_bytes > UNREAD_LIMIT_BYTES and not self.transport.is_closing():
+            self.transport.resume_reading()
+        self._unread_bytes = 0
+
+    def _arm(self, loop: asyncio.AbstractEventLoop, when: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = loop.call_at(when, self._expire, loop)
+
+    def _expire(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._timer = None
+        if self.idle or self._waiter is None:
+            return
+        if loop.time() < self._read_until:
+            self._arm(loop, self._read_until)
+            return
+        self._timed_out = True
+        self.transport.abort()
+        self._wake()
+
+
+_NO_TRANSPORT = asyncio.Transport()
--- a/comfreyhatch/adapters/metrics.py
+++ b/comfreyhatch/adapters/metrics.py
@@ -8,7 +8,8 @@
 from prometheus_client.process_collector import ProcessCollector
 from prometheus_client.registry import Collector
 
-from comfreyhatch.adapters.http_client import AnswerPart, HttpClient
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_link import AnswerPart
 from comfreyhatch.domain.record import Attempt, RequestRecord
 
 FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.46, 0.6, 1.0, 2.0, 5.0, 15.0)
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -8,7 +8,8 @@
 
 from msgspec import Struct
 
-from comfreyhatch.adapters.http_client import AnswerPart, HttpClient, StreamedReply
+from comfreyhatch.adapters.http_client import HttpClient, StreamedReply
+from comfreyhatch.adapters.http_link import AnswerPart
 from comfreyhatch.codes import Ran
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import AsyncIterator, Callable
 
-from comfreyhatch.adapters.http_client import AnswerPart
+from comfreyhatch.adapters.http_link import AnswerPart
 from comfreyhatch.adapters.http_server import HttpResponse
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.decisions.cascade import CascadeState, escalates
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,7 +2,8 @@
 
 from prometheus_client import CollectorRegistry, generate_latest
 
-from comfreyhatch.adapters.http_client import AnswerPart, HttpClient
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_link import AnswerPart
 from comfreyhatch.adapters.metrics import (
     VERSIONS_NAMED,
     RequestMetrics,
