Don't blame an endpoint for this daemon's lack of memory

The attempt fails with an error of its own, a line answer_memory_full, and no mark against the endpoint; what may be repeated is.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -14,6 +14,7 @@
 from comfreyhatch.codes import Ran
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import (
+    AnswerMemoryError,
     AnswerTooLargeError,
     ConnectError,
     ExchangeTimeoutError,
@@ -91,8 +92,8 @@
             take: Takes memory for a number of bytes of the body, and returns whether there is any.
 
         Raises:
-            AnswerTooLargeError: If the body is larger, as soon as this is known, or if there is no
-                memory for it.
+            AnswerTooLargeError: If the body is larger, as soon as this is known.
+            AnswerMemoryError: If there is no memory for it.
             ExchangeTimeoutError: If a piece, or the end, did not come in time.
             HttpError: If the body ended before its end.
         """
@@ -106,7 +107,8 @@
                 if len(body) > limit_bytes:
                     raise self.too_large(AnswerPart.BODY, limit)
                 if take is not None and not take(len(piece)):
-                    raise self.too_large(AnswerPart.BODY, "the memory for whole answers")
+                    self.abort()
+                    raise AnswerMemoryError("no memory is left for answers that are read whole")
         except BaseException:
             # The traceback of an error keeps this frame, and the body, until it is collected.
             body.clear()
--- a/comfreyhatch/errors.py
+++ b/comfreyhatch/errors.py
@@ -93,6 +93,10 @@
     """The peer did not answer in time."""
 
 
+class AnswerMemoryError(HttpError):
+    """There is no memory left for an answer; its peer is not to blame."""
+
+
 class AnswerTooLargeError(HttpError):
     """An answer, or a part of it, exceeds its limit; its connection was reset."""
 
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -16,6 +16,7 @@
 from comfreyhatch.domain.exchange import AnswerHead, Dispatch, Job
 from comfreyhatch.errors import (
     AnswerBrokenError,
+    AnswerMemoryError,
     AnswerTooLargeError,
     BackendError,
     BackendRefusedError,
@@ -79,10 +80,14 @@
 
         Raises:
             AnswerBrokenError: If the body breaks off, does not end in time or is too large.
+            BackendError: If this daemon has no memory for it; the endpoint is not to blame.
         """
         try:
             with self._memory.hold() as take:
                 return await self._reply.whole(inf, self._memory.limit_bytes, until, take)
+        except AnswerMemoryError as error:
+            log.warning("event=answer_memory_full endpoint=%s", self.endpoint.record.endpoint_id)
+            raise BackendError(str(error)) from error
         except HttpError as error:
             raise AnswerBrokenError(str(error)) from error
 
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -1,11 +1,13 @@
 """The request path with workers whose answers do not end."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import contextmanager
 
 import pytest
 
 from comfreyhatch.adapters.http_client import HttpReply
+from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.errors import HttpError
 from tests.platform_harness import PlatformHarness, running_harness
 from tests.platform_raw_worker import answer_head, raw_workers, refusal_head, success_head
@@ -139,3 +141,18 @@
 
     async with raw_workers(harness, ("desk-1", "desk-2"), large, b""):
         assert (await harness.send("/pay/x")).body == body
+
+
+async def test_endpoint_is_not_blamed_if_the_daemon_has_no_memory_for_its_answer(
+    harness: PlatformHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Healthy endpoints were ejected while other large answers held the memory.
+    @contextmanager
+    def no_memory(memory: AnswerMemory) -> Iterator[Callable[[int], bool]]:
+        yield lambda size: False
+
+    monkeypatch.setattr(AnswerMemory, "hold", no_memory)
+    replies = [await harness.send("/pay/x") for _ in range(4)]
+    assert [reply.status for reply in replies] == [502] * 4
+    trackers = harness.daemon.view.trackers_by_service["desk"]
+    assert not any(tracker.ejected_until for tracker in trackers)
