Send nothing to a cold endpoint from daemons that may not

Cause: a daemon that is not selected has rate 0, but its bucket starts full, so that each of 83 could send one. The property test of the rate left out the daemons with rate 0.

Measured: the two new tests failed before and pass.

--- a/comfreyhatch/decisions/cold_rate.py
+++ b/comfreyhatch/decisions/cold_rate.py
@@ -25,10 +25,10 @@
         """Return whether a request may be sent now.
 
         Args:
-            per_s: Requests a second that this daemon may send.
+            per_s: Requests a second that this daemon may send; 0 for none, also from a full bucket.
             now: Monotonic time, in seconds.
         """
-        return self._level(per_s, now) >= 1.0
+        return per_s > 0 and self._level(per_s, now) >= 1.0
 
     def record(self, per_s: float, now: float) -> None:
         """Take a token for a request that is sent; the arguments are those of `may_send`."""
--- a/tests/test_cold_rate.py
+++ b/tests/test_cold_rate.py
@@ -44,3 +44,24 @@
     bucket.record(2.0, 10.0)
     assert not bucket.may_send(2.0, 10.4)
     assert bucket.may_send(2.0, 10.5)
+
+
+def test_daemon_that_may_not_send_to_a_cold_endpoint_sends_nothing() -> None:
+    # Each daemon started with a full bucket: 26 of 83 sent one request each to an endpoint that
+    # had just registered, where seven were selected.
+    limiter = ColdRateLimiter()
+    assert not limiter.may_send(0.0, 10.0)
+    assert limiter.may_send(0.5, 10.0)
+
+
+def test_a_fleet_that_learns_of_a_cold_endpoint_at_once_stays_within_its_bound() -> None:
+    daemons = [f"d{number}" for number in range(83)]
+    sent = 0
+    for daemon in daemons:
+        per_s = daemon_cold_rate("e1", daemon, daemons, 12.0, 1.5, 5.0)
+        limiter = ColdRateLimiter()
+        for tick in range(100):
+            if limiter.may_send(per_s, tick / 100):
+                limiter.record(per_s, tick / 100)
+                sent += 1
+    assert 0 < sent <= 12.0 * 1.5 + 5.0
