Log from whom a configuration came, and the size of what carries it

Logs could not tell a daemon that had not received a configuration from one that had refused it, nor show how old its confirmation was, from whom it came and how long its transfer took. No change of logic: config_received (source, revision, age), config_not_taken, store_answer_large, and gauges for the bytes read from the store, its unanswered calls and the largest answer to a peer.

--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -230,6 +230,7 @@
             peers = self._peers
             gauge("peer_answers", "Queries of peers answered.", lambda: peers.answers)
             gauge("peer_bytes_sent", "Bytes of these answers.", lambda: peers.bytes_sent)
+            gauge("peer_largest_bytes", "Largest of them.", lambda: peers.largest_bytes)
 
     def _configuration_version(self) -> float:
         return self.view.catalog.version if self.view.catalog else 0
--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -178,7 +178,7 @@
         found = await self._read("orders", self._directory.operations, self._view.listed_operations)
         if found is None:
             return
-        self._view.apply_operations(found, loop.time(), self._deployment.heartbeat_s)
+        self._apply_operations(found, loop.time(), "store")
         self._notify_change()
 
     async def _poll_endpoints(self) -> None:
@@ -324,7 +324,7 @@
         """Query a peer over a new connection, so that one to a silent peer is not used again."""
         peer = PeerClient(address)
         try:
-            self.apply_update(await peer.query(self.query(0.0)))
+            self.apply_update(await peer.query(self.query(0.0)), address)
         except PeerError as error:
             log.debug("event=peer_silent peer=%s reason=%r", address, str(error))
         finally:
@@ -340,14 +340,18 @@
             wait_s,
         )
 
-    def apply_update(self, update: PeerUpdate) -> None:
-        """Apply the answer of a peer to the view; one of an older generation changes nothing."""
+    def apply_update(self, update: PeerUpdate, source: str) -> None:
+        """Apply the answer of a peer to the view; one of an older generation changes nothing.
+
+        Args:
+            update: The answer.
+            source: Address of the peer, for the log.
+        """
         now = asyncio.get_running_loop().time()
         view = self._view
         operations = update.operations or self._confirmed_operations(update)
         if operations is not None:
-            at = now - update.operations_age_s
-            view.apply_operations(operations, at, self._deployment.heartbeat_s)
+            self._apply_operations(operations, now - update.operations_age_s, source)
         if update.endpoints is not None:
             held = view.endpoint_list
             known = held is not None and held.generation == update.endpoints.generation
@@ -359,6 +363,27 @@
             view.apply_records(apply_record_changes(view.records, changes), now)
         self._notify_change()
 
+    def _apply_operations(self, found: Operations, confirmed_at: float, source: str) -> None:
+        """Apply orders to the view, and log from whom a new configuration comes.
+
+        Args:
+            found: Orders as read.
+            confirmed_at: Monotonic time at which they were current, in seconds.
+            source: Address of the peer that sent them, or "store".
+        """
+        held = self._view.catalog
+        self._view.apply_operations(found, confirmed_at, self._deployment.heartbeat_s)
+        catalog = self._view.catalog
+        if catalog is not None and (held is None or catalog.version != held.version):
+            now = asyncio.get_running_loop().time()
+            log.info(
+                "event=config_received version=%d revision=%d source=%s age_s=%.2f",
+                catalog.version,
+                found.revision,
+                source,
+                now - confirmed_at,
+            )
+
     def _confirmed_operations(self, update: PeerUpdate) -> Operations | None:
         """Return the held orders at the position up to which a peer knows them to be unchanged.
 
@@ -386,7 +411,8 @@
             self._connect_reader(address)
         assert self._reader
         try:
-            self.apply_update(await self._reader.query(self.query(READER_QUERY_WAIT_S)))
+            update = await self._reader.query(self.query(READER_QUERY_WAIT_S))
+            self.apply_update(update, address)
         except PeerError as error:
             self._drop_reader(address, str(error))
             return
--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -79,6 +79,7 @@
     Attributes:
         answers: Number of queries answered so far.
         bytes_sent: Size of these answers, in bytes.
+        largest_bytes: Size of the largest of them, in bytes.
     """
 
     def __init__(self, address: str, answer: Callable[[PeerQuery], Awaitable[PeerUpdate]]) -> None:
@@ -96,6 +97,7 @@
         self._stopping = False
         self.answers = 0
         self.bytes_sent = 0
+        self.largest_bytes = 0
 
     def start(self) -> None:
         """Open the socket and start to answer.
@@ -155,6 +157,7 @@
         await context.asend(answer)
         self.answers += 1
         self.bytes_sent += len(answer)
+        self.largest_bytes = max(self.largest_bytes, len(answer))
 
 
 class PeerClient:
--- a/comfreyhatch/exchange/view.py
+++ b/comfreyhatch/exchange/view.py
@@ -369,7 +369,11 @@
 
     def _log_operations(self, held: Operations | None, found: Operations) -> None:
         if found.catalog and (not held or found.catalog is not held.catalog):
-            log.info("event=config_adopted version=%d", found.catalog.version)
+            log.info(
+                "event=config_adopted version=%d revision=%d",
+                found.catalog.version,
+                found.revision,
+            )
         if not held or found.zones_out != held.zones_out:
             log.info("event=zones_out zones=%s", ",".join(sorted(found.zones_out)) or "none")
         for service, order in found.order_by_service.items():
--- a/comfreyhatch/platform/directory.py
+++ b/comfreyhatch/platform/directory.py
@@ -7,6 +7,7 @@
 from msgspec.json import decode, encode
 from msgspec.structs import replace
 
+from comfreyhatch.domain.catalog import Catalog
 from comfreyhatch.domain.endpoint import EndpointList, EndpointRecord
 from comfreyhatch.domain.operations import (
     Evidence,
@@ -175,9 +176,7 @@
     zones = set(held.zones_out) if held and not is_full else set()
     for row in rows.rows:
         if row.key == CONFIG_KEY and not row.removed:
-            found = decode_catalog(row.value)
-            if found and (catalog is None or found.version > catalog.version):
-                catalog = found
+            catalog = _newer_catalog(catalog, row)
         elif row.key.startswith(ROLLOUT_PREFIX):
             _apply_order(orders, row)
         elif row.key.startswith(EVACUATION_PREFIX):
@@ -186,6 +185,22 @@
     return Operations(rows.revision, catalog, orders, frozenset(zones), rows.generation)
 
 
+def _newer_catalog(held: Catalog | None, row: Row) -> Catalog | None:
+    """Return the configuration of a row if it is well-formed and newer, otherwise the held one."""
+    found = decode_catalog(row.value)
+    if found and (held is None or found.version > held.version):
+        return found
+    if found and held and found.version == held.version:
+        return held
+    log.warning(
+        "event=config_not_taken revision=%d version=%s held=%s",
+        row.revision,
+        found.version if found else "unreadable",
+        held.version if held else "none",
+    )
+    return held
+
+
 def _apply_order(orders: dict[str, RolloutOrder], row: Row) -> None:
     """Set or remove the order of a service; a malformed one leaves the current order in place."""
     if row.removed:
--- a/comfreyhatch/platform/main.py
+++ b/comfreyhatch/platform/main.py
@@ -48,6 +48,12 @@
     started_ms = int(time() * MS_PER_S)
     daemon = ExchangeDaemon(deployment, directory, PlatformHeaderCodec(), rng, started_ms)
     add_gauge(daemon.registry, "store_calls", "Calls to the store.", lambda: store.calls)
+    add_gauge(
+        daemon.registry, "store_bytes_read", "Bytes of its answers.", lambda: store.bytes_read
+    )
+    add_gauge(
+        daemon.registry, "store_unanswered", "Calls without an answer.", lambda: store.unanswered
+    )
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
--- a/comfreyhatch/platform/store.py
+++ b/comfreyhatch/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's store: tables of rows with conditional writes and a change feed."""
 
+import asyncio
 import logging
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
@@ -18,6 +19,8 @@
 CONNECT_TIMEOUT_S = 0.5
 ROWS_PER_PAGE = 500
 MS_PER_S = 1000.0
+# Size from which an answer is logged with its time.
+LARGE_ANSWER_BYTES = 65536
 
 GENERATION_HEADER = "store-era"
 # Larger numbers would not fit into 64 bits.
@@ -172,6 +175,8 @@
 
     Attributes:
         calls: Number of calls so far.
+        unanswered: Number of calls that got no answer.
+        bytes_read: Size of the bodies of all answers, in bytes.
         generation: Highest generation of the store that an answer has named; 0 if none has.
     """
 
@@ -180,6 +185,8 @@
         self._client = HttpClient(connect_timeout_s=CONNECT_TIMEOUT_S)
         self._decoder = Decoder(_WireRows)
         self.calls = 0
+        self.unanswered = 0
+        self.bytes_read = 0
         self.generation = 0
         self._warned_of_header = False
 
@@ -296,18 +303,31 @@
         self.calls += 1
         headers = {"content-type": "application/json"} if body else {}
         known = self.generation
+        started = asyncio.get_running_loop().time()
         try:
             reply = await self._client.request(
                 self._address, method, target, body, headers, CALL_TIMEOUT_S + extra_timeout_s
             )
         except HttpError as error:
+            self.unanswered += 1
             raise PlatformError(f"the store does not answer: {error}") from error
+        self._note_reply(target, reply, asyncio.get_running_loop().time() - started)
         generation = self._named_generation(reply)
         if generation is None:
             return _Answer(reply, known)
         self.generation = max(self.generation, generation)
         return _Answer(reply, generation)
 
+    def _note_reply(self, target: str, reply: HttpReply, took_s: float) -> None:
+        self.bytes_read += len(reply.body)
+        if len(reply.body) >= LARGE_ANSWER_BYTES:
+            log.info(
+                "event=store_answer_large target=%r bytes=%d took_s=%.2f",
+                target,
+                len(reply.body),
+                took_s,
+            )
+
     def _named_generation(self, reply: HttpReply) -> int | None:
         """Return the generation that an answer names; None, with one warning, without one."""
         text = reply.header_by_name.get(GENERATION_HEADER, "").strip()
--- a/tests/test_reader_load.py
+++ b/tests/test_reader_load.py
@@ -54,7 +54,7 @@
     async def poll(self) -> None:
         update = await self._answer(self.sync.query(0.0))
         self.bytes_received += len(encode(update))
-        self.sync.apply_update(update)
+        self.sync.apply_update(update, "reader")
 
 
 def _reader() -> tuple[DirectorySync, FleetView]:
