--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -39,6 +39,7 @@
             only when this is reset.
         delaying_writes: Whether transactions are carried out only when this is reset.
         delayed_paths: Paths whose answers are delayed.
+        delay_s: Time by which each answer is late, in seconds.
         row_by_key: Rows by table and key, removed ones included.
         ver: Version of the last write.
         oldest: Version before which the feed has no history.
@@ -61,6 +62,7 @@
         self.delaying_answers = False
         self.delaying_writes = False
         self.delayed_paths: set[str] = set()
+        self.delay_s = 0.0
         self.calls: list[str] = []
         self.address = Address("", 0)
         self._changed = asyncio.Event()
@@ -110,6 +112,7 @@
         header = str(self.era) if self.era_header is None else self.era_header
         if header:
             response.header_by_name = {"store-era": header}
+        await asyncio.sleep(self.delay_s)
         while self.delaying_answers and request.path in self.delayed_paths:
             await asyncio.sleep(DELAY_CHECK_S)
         return response
