Time out the store's calls on silence, not on the time of the whole answer

Callers saw requests handled by a configuration that was seconds old: each read of a configuration that its link needed more than 0.8 s for was cut half-way and repeated, for ever, and so was each read of a store that takes longer than 0.8 s for an answer.

An answer now has to begin within twice the time that the store has taken lately (0.8 to 4 s), and must not pause for as long; its size no longer matters. A call that is given up goes on for a while, so that a slow store is found to be slow. Longer fixed timeouts were ruled out, since a silent connection is to be found within a second.

--- a/comfreyhatch/platform/store.py
+++ b/comfreyhatch/platform/store.py
@@ -2,21 +2,27 @@
 
 import asyncio
 import logging
+from asyncio import FIRST_COMPLETED
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
 from enum import Enum
+from typing import Any
 from urllib.parse import urlencode
 
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import Decoder, encode
 
-from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.adapters.http_client import WHOLE_BODY_LIMIT_BYTES, HttpClient, HttpReply
+from comfreyhatch.decisions.answer_times import MAX_TIMEOUT_S, AnswerTimes
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.domain.position import Position
-from comfreyhatch.errors import HttpError, PlatformError
+from comfreyhatch.errors import ExchangeTimeoutError, HttpError, PlatformError
 
-CALL_TIMEOUT_S = 0.8
 CONNECT_TIMEOUT_S = 0.5
+# An answer that has begun may take this long: a large configuration on a narrow link needs seconds.
+MAX_ANSWER_S = 30.0
+# Calls that are not waited for any longer, but go on so that the store's speed is learned.
+MAX_LATE_CALLS = 4
 ROWS_PER_PAGE = 500
 MS_PER_S = 1000.0
 # Size from which an answer is logged with its time.
@@ -168,7 +174,10 @@
 
 
 class StoreClient:
-    """Reads, watches and writes rows; every call has a timeout.
+    """Reads, watches and writes rows.
+
+    A call fails if its answer does not begin in the time that the store has taken lately, or if it
+    pauses for as long; how long the whole answer takes depends on its size and the link.
 
     An answer that does not name its generation counts as one of the generation that was known when
     the call was sent.
@@ -184,6 +193,8 @@
         self._address = address
         self._client = HttpClient(connect_timeout_s=CONNECT_TIMEOUT_S)
         self._decoder = Decoder(_WireRows)
+        self._times = AnswerTimes()
+        self._late_calls: set[asyncio.Task[HttpReply]] = set()
         self.calls = 0
         self.unanswered = 0
         self.bytes_read = 0
@@ -281,16 +292,18 @@
 
     def close(self) -> None:
         """Close the connections."""
+        for call in self._late_calls:
+            call.cancel()
         self._client.close()
 
-    async def _read_call(self, target: str, extra_timeout_s: float = 0.0) -> _Answer:
-        """Return the answer to a reading call.
+    async def _read_call(self, target: str, wait_s: float = 0.0) -> _Answer:
+        """Return the answer to a reading call, which waits up to `wait_s` seconds for a change.
 
         Raises:
             LateAnswerError: If another answer has named a newer generation already.
             PlatformError: If the store does not answer.
         """
-        answer = await self._call("GET", target, b"", extra_timeout_s)
+        answer = await self._call("GET", target, b"", wait_s)
         if answer.generation < self.generation:
             raise LateAnswerError(
                 f"an answer of generation {answer.generation} came after one of {self.generation}"
@@ -298,16 +311,13 @@
         return answer
 
     async def _call(
-        self, method: str, target: str, body: bytes = b"", extra_timeout_s: float = 0.0
+        self, method: str, target: str, body: bytes = b"", wait_s: float = 0.0
     ) -> _Answer:
         self.calls += 1
-        headers = {"content-type": "application/json"} if body else {}
         known = self.generation
         started = asyncio.get_running_loop().time()
         try:
-            reply = await self._client.request(
-                self._address, method, target, body, headers, CALL_TIMEOUT_S + extra_timeout_s
-            )
+            reply = await self._exchange(method, target, body, wait_s)
         except HttpError as error:
             self.unanswered += 1
             raise PlatformError(f"the store does not answer: {error}") from error
@@ -318,6 +328,60 @@
         self.generation = max(self.generation, generation)
         return _Answer(reply, generation)
 
+    async def _exchange(self, method: str, target: str, body: bytes, wait_s: float) -> HttpReply:
+        """Return an answer that begins in time.
+
+        Raises:
+            ExchangeTimeoutError: If it does not; the call goes on, to learn when it is answered.
+            HttpError: If the exchange broke.
+        """
+        begun: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        timeout_s = self._times.timeout_s
+        call = asyncio.create_task(self._read_reply(method, target, body, wait_s, begun))
+        waited_for: set[asyncio.Future[Any]] = {call, begun}
+        try:
+            await asyncio.wait(waited_for, timeout=wait_s + timeout_s, return_when=FIRST_COMPLETED)
+            if begun.done() or call.done():
+                return await call
+        except asyncio.CancelledError:
+            call.cancel()
+            raise
+        self._keep_late_call(call)
+        raise ExchangeTimeoutError(
+            f"no answer from {self._address} began within {wait_s + timeout_s:g} s"
+        )
+
+    async def _read_reply(
+        self, method: str, target: str, body: bytes, wait_s: float, begun: "asyncio.Future[None]"
+    ) -> HttpReply:
+        """Return an answer once it is complete, and resolve `begun` once it has begun."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        longest_s = wait_s + MAX_TIMEOUT_S
+        headers = {"content-type": "application/json"} if body else {}
+        async with self._client.stream(
+            self._address, method, target, body, headers, longest_s
+        ) as reply:
+            self._times.record(max(0.0, loop.time() - started - wait_s))
+            begun.set_result(None)
+            whole = await reply.whole(
+                self._times.timeout_s, WHOLE_BODY_LIMIT_BYTES, started + wait_s + MAX_ANSWER_S
+            )
+        return HttpReply(reply.status, reply.header_by_name, whole, reply.headers)
+
+    def _keep_late_call(self, call: "asyncio.Task[HttpReply]") -> None:
+        """Let a call go on that is not waited for; its answer is dropped."""
+        if len(self._late_calls) >= MAX_LATE_CALLS:
+            call.cancel()
+            return
+        self._late_calls.add(call)
+        call.add_done_callback(self._drop_late_call)
+
+    def _drop_late_call(self, call: "asyncio.Task[HttpReply]") -> None:
+        self._late_calls.discard(call)
+        if not call.cancelled() and (error := call.exception()):
+            log.debug("event=store_call_unanswered reason=%r", str(error))
+
     def _note_reply(self, target: str, reply: HttpReply, took_s: float) -> None:
         self.bytes_read += len(reply.body)
         if len(reply.body) >= LARGE_ANSWER_BYTES:
