Send followers only what has changed of a configuration

Callers saw requests handled by a configuration that was seconds old: for a change of one route, a reader sent all routes to each of its followers, 288 kB each with 1,400 routes before compression, which filled its link. Followers gave up after 0.4 s, held it down and read the store or asked the next reader, whose link filled up in turn.

A query names the version that the follower holds; the answer has the routes, services and keys that changed since. Readers keep the changes of the last 32 versions, which share the routes with the current one; whoever is further behind gets the whole configuration, and so do daemons from before this change, whose queries name no version. Changes of another version than the held one are not applied and confirm no position.

--- a/comfreyhatch/domain/catalog.py
+++ b/comfreyhatch/domain/catalog.py
@@ -1,5 +1,6 @@
 """Configuration published by operators: routes, services, workspaces and listener limits."""
 
+from collections.abc import Iterable
 from enum import Enum
 
 from msgspec import Struct
@@ -121,6 +122,14 @@
     idle_timeout_s: float
 
 
+def group_routes(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
+    """Return the routes of each host, longest prefix first; the order given does not matter."""
+    grouped: dict[str, list[Route]] = {}
+    for route in sorted(routes, key=lambda r: (-len(r.prefix), r.prefix, r.name)):
+        grouped.setdefault(route.host, []).append(route)
+    return {host: tuple(found) for host, found in grouped.items()}
+
+
 class Catalog(Struct, frozen=True):
     """One accepted configuration.
 
--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -19,6 +19,7 @@
 from comfreyhatch.domain.operations import Operations
 from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import ComfreyhatchError, PeerError, PlatformError
+from comfreyhatch.exchange.catalog_changes import CatalogChanges, apply_catalog_changes
 from comfreyhatch.exchange.endpoint_changes import apply_changes
 from comfreyhatch.exchange.peers import MAX_QUERY_WAIT_S, PeerClient, PeerQuery, PeerUpdate
 from comfreyhatch.exchange.reader_selector import ReaderSelector
@@ -148,13 +149,19 @@
         records_changed = view.record_history.changed_position > query.records
         operations = view.listed_operations
         known = view.endpoint_list is not None
+        changes: CatalogChanges | None = None
+        sent = operations if operations_changed else None
+        if sent is not None and query.catalog_version is not None:
+            changes = view.catalog_history.since(query.catalog_version)
+            sent = replace(sent, catalog=None)
         return PeerUpdate(
-            operations if operations_changed else None,
+            sent,
             view.operations_age_s(now),
             view.endpoint_history.since(query.endpoints) if known else None,
             view.endpoints_age_s(now),
             view.record_history.since(query.records) if records_changed else None,
             operations.position if operations else Position(),
+            changes,
         )
 
     def _notify_change(self) -> None:
@@ -333,11 +340,13 @@
     def query(self, wait_s: float) -> PeerQuery:
         """Return a query for what is newer than the view, with a longest wait in seconds."""
         view = self._view
+        catalog = view.listed_operations.catalog if view.listed_operations else None
         return PeerQuery(
             view.listed_operations.position if view.listed_operations else Position(),
             view.endpoint_list.position if view.endpoint_list else Position(),
             view.records.position if view.records else Position(),
             wait_s,
+            catalog.version if catalog else None,
         )
 
     def apply_update(self, update: PeerUpdate, source: str) -> None:
@@ -349,7 +358,7 @@
         """
         now = asyncio.get_running_loop().time()
         view = self._view
-        operations = update.operations or self._confirmed_operations(update)
+        operations = self._updated_operations(update)
         if operations is not None:
             self._apply_operations(operations, now - update.operations_age_s, source)
         if update.endpoints is not None:
@@ -384,6 +393,24 @@
                 now - confirmed_at,
             )
 
+    def _updated_operations(self, update: PeerUpdate) -> Operations | None:
+        """Return the orders after an answer, with the configuration after its changes.
+
+        Returns:
+            None if nothing is known of them, or if the changes are of another configuration than
+            the held one, as after a read of the directory meanwhile.
+        """
+        operations, changes = update.operations, update.catalog_changes
+        if operations is None:
+            return self._confirmed_operations(update)
+        if operations.catalog is not None:
+            return operations
+        listed = self._view.listed_operations
+        held = listed.catalog if listed else None
+        if changes is not None and changes.applies_to(held):
+            return replace(operations, catalog=apply_catalog_changes(held, changes))
+        return operations if changes is None else None
+
     def _confirmed_operations(self, update: PeerUpdate) -> Operations | None:
         """Return the held orders at the position up to which a peer knows them to be unchanged.
 
--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -15,6 +15,7 @@
 from comfreyhatch.domain.operations import Operations
 from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import ListenError, PeerError, PeerTimeoutError
+from comfreyhatch.exchange.catalog_changes import CatalogChanges
 from comfreyhatch.exchange.endpoint_changes import EndpointChanges
 from comfreyhatch.exchange.record_changes import RecordChanges
 
@@ -45,24 +46,30 @@
         endpoints: Position of the list of endpoints.
         records: Position of the daemons' records.
         wait_s: Longest wait for anything newer, in seconds.
+        catalog_version: Version of the configuration; None for none, and from daemons that can't
+            take changes of it.
     """
 
     operations: Position = Position()
     endpoints: Position = Position()
     records: Position = Position()
     wait_s: float = 0.0
+    catalog_version: int | None = None
 
 
 class PeerUpdate(Struct, frozen=True):
     """What is newer than the positions of a query; ages count from the directory's last answer.
 
     Attributes:
-        operations: Orders; None if they have not changed.
+        operations: Orders; None if they have not changed. Without their configuration if the
+            query names the version that the peer holds.
         operations_age_s: Age of the orders, in seconds.
         endpoints: Changes of the list of endpoints; None if no list is known.
         endpoints_age_s: Age of the list, in seconds.
         record_changes: Changes of the daemons' records; None if there are none.
         operations_position: Position up to which the orders are known, changed or not.
+        catalog_changes: Changes of the configuration; None if there are none, or if `operations`
+            has it.
     """
 
     operations: Operations | None
@@ -71,6 +78,7 @@
     endpoints_age_s: float
     record_changes: RecordChanges | None
     operations_position: Position
+    catalog_changes: CatalogChanges | None = None
 
 
 class PeerListener:
--- a/comfreyhatch/exchange/view.py
+++ b/comfreyhatch/exchange/view.py
@@ -26,6 +26,7 @@
     is_further,
     newer_catalog,
 )
+from comfreyhatch.exchange.catalog_changes import CatalogHistory
 from comfreyhatch.exchange.endpoint_changes import EndpointHistory
 from comfreyhatch.exchange.record_changes import RecordHistory
 
@@ -57,6 +58,7 @@
             before.
         endpoint_history: Changes of the list, for followers.
         record_history: Changes of the records, for followers.
+        catalog_history: Changes of the listed configuration, for followers.
         tracker_by_id: Tracker of each endpoint, also of those unlisted a short time ago.
         trackers_by_service: The same trackers by service.
     """
@@ -69,6 +71,7 @@
         self.operations_changed_position = Position()
         self.endpoint_history = EndpointHistory()
         self.record_history = RecordHistory()
+        self.catalog_history = CatalogHistory()
         self.tracker_by_id: dict[str, EndpointTracker] = {}
         self.trackers_by_service: dict[str, list[EndpointTracker]] = {}
         self._operations_at = float("-inf")
@@ -149,6 +152,8 @@
         if listed is None or replace(listed, revision=found.revision) != found:
             self.operations_changed_position = found.position
         self.listed_operations = found
+        if found.catalog is not None:
+            self.catalog_history.update(found.catalog)
         self._enforce(self._carried_orders.merge(found, now), now, heartbeat_s)
 
     def _enforce(self, found: Operations, now: float, heartbeat_s: float) -> None:
--- a/comfreyhatch/platform/documents.py
+++ b/comfreyhatch/platform/documents.py
@@ -19,6 +19,7 @@
     Route,
     ServiceShare,
     Workspace,
+    group_routes,
 )
 from comfreyhatch.domain.endpoint import EndpointRecord
 from comfreyhatch.domain.instance import Address
@@ -125,13 +126,9 @@
     if config is None:
         return None
     routes = [route for route in map(_to_route, config.routes) if route]
-    # Longest prefix first: the first match of a path is the most specific route.
-    routes_by_host: dict[str, list[Route]] = {}
-    for route in sorted(routes, key=lambda r: -len(r.prefix)):
-        routes_by_host.setdefault(route.host, []).append(route)
     return Catalog(
         version=config.version,
-        routes_by_host={host: tuple(found) for host, found in routes_by_host.items()},
+        routes_by_host=group_routes(routes),
         service_by_name={s.name: _to_service(s) for s in config.services},
         workspace_by_key={
             key: Workspace(tenant.name, tenant.priority)
--- a/tests/test_directory_sync.py
+++ b/tests/test_directory_sync.py
@@ -16,6 +16,7 @@
 from comfreyhatch.domain.operations import Operations, SharedRecords
 from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import PeerError, PeerTimeoutError
+from comfreyhatch.exchange.catalog_changes import CatalogChanges
 from comfreyhatch.exchange.directory_sync import DirectorySync
 from comfreyhatch.exchange.endpoint_changes import EndpointChanges
 from comfreyhatch.exchange.peers import (
@@ -260,3 +261,29 @@
     assert not view.zone_out("old") and not view.tracker_by_id
     now = asyncio.get_running_loop().time()
     assert view.operations_age_s(now) >= 9 and view.endpoints_age_s(now) >= 9
+
+
+async def test_changes_of_another_configuration_confirm_nothing() -> None:
+    # The follower read the directory while the reader answered: a position that it confirms would
+    # stand for orders that were not taken.
+    view = FleetView()
+    sync = DirectorySync(deployment(()), MemoryDirectory(), view, Random(1), lambda: None)
+    now = asyncio.get_running_loop().time()
+    view.apply_operations(Operations(5, Catalog(4, {}, {}, {}), {}, frozenset()), now - 1, 1.0)
+    changes = CatalogChanges(3, 6, {}, {}, {}, None)
+    orders = Operations(9, None, {}, frozenset({"b"}))
+    update = PeerUpdate(orders, 0.0, None, 0.0, None, Position(0, 9), changes)
+    sync.apply_update(update, "peer")
+    assert view.listed_operations is not None and view.listed_operations.revision == 5
+    assert view.catalog is not None and view.catalog.version == 4
+
+
+async def test_query_of_a_daemon_that_cannot_take_changes_gets_the_whole_configuration() -> None:
+    view = FleetView()
+    sync = DirectorySync(deployment(()), MemoryDirectory(), view, Random(1), lambda: None)
+    for version in (1, 2):
+        operations = Operations(version, Catalog(version, {}, {}, {}), {}, frozenset())
+        view.apply_operations(operations, 0.0, 1.0)
+    update = await sync.answer(PeerQuery(operations=Position(0, 1)))
+    assert update.operations is not None and update.operations.catalog == Catalog(2, {}, {}, {})
+    assert update.catalog_changes is None
