Let daemons with wide links read the store for the others

A reader takes each new configuration whole from the store, 0.6 MB with 1,400 routes, and passes its changes to up to 27 followers.

Daemons publish the bandwidth of their link with their address. Those with half of the widest link of the region or more come first in the order of readers, the others follow once these fail. Daemons from before this change publish none and count as narrow; while a fleet is updated, old and new daemons may compute other readers, which costs calls, never news.

--- a/comfreyhatch/decisions/readers.py
+++ b/comfreyhatch/decisions/readers.py
@@ -1,27 +1,39 @@
 """Selection of the daemons that read the directory; the others poll one of these readers.
 
 Calls to the platform's store would otherwise grow with the number of daemons. Rendezvous hashing
-gives all daemons of a region the same readers without coordination.
+gives all daemons of a region the same readers without coordination. Daemons with wide links read
+before others, since a reader sends what it reads to all its followers.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from comfreyhatch.decisions.rendezvous import rendezvous_order
 
 FOLLOWERS_PER_READER = 16
+# A link counts as wide from this share of the widest one of the region on.
+WIDE_LINK_SHARE = 0.5
 
 
-def reader_for(daemon: str, group: Collection[str], held_down: Collection[str]) -> str | None:
+def reader_for(
+    daemon: str,
+    group: Collection[str],
+    held_down: Collection[str],
+    link_by_daemon: Mapping[str, float] | None = None,
+) -> str | None:
     """Return the reader that a daemon polls; None if it reads the directory itself.
 
     Args:
         daemon: Name of this daemon.
         group: All known daemons of its region, with or without itself.
         held_down: Readers in hold-down, since they did not answer or were out of date.
+        link_by_daemon: Bandwidth of each link; None or absent if unknown.
     """
+    links = link_by_daemon or {}
     daemons = set(group) | {daemon}
     count = 1 + (len(daemons) - 1) // (FOLLOWERS_PER_READER + 1)
-    readers = rendezvous_order("readers", daemons - set(held_down) | {daemon})[:count]
+    widest = max(links.get(name, 0.0) for name in daemons)
+    ranked = rendezvous_order("readers", daemons - set(held_down) | {daemon})
+    readers = sorted(ranked, key=lambda n: links.get(n, 0.0) < WIDE_LINK_SHARE * widest)[:count]
     if daemon in readers:
         return None
     return rendezvous_order(daemon, readers)[0]
--- a/comfreyhatch/domain/deployment.py
+++ b/comfreyhatch/domain/deployment.py
@@ -58,6 +58,7 @@
         memory_mb: Memory of the instance, in megabytes.
         max_fds: Largest number of file descriptors that the process may open.
         bounds: Limits to guarantee.
+        link_mbps: Bandwidth of the instance's link, in megabits a second; 0 if unknown.
     """
 
     instance: str
@@ -73,3 +74,4 @@
     max_fds: int
     bounds: Bounds
     region: str = ""
+    link_mbps: float = 0.0
--- a/comfreyhatch/domain/operations.py
+++ b/comfreyhatch/domain/operations.py
@@ -125,6 +125,7 @@
         evidence_by_key: Evidence by service and daemon, with keys "service/daemon".
         control_by_daemon: Control address of each daemon, as host:port.
         region_by_daemon: Region of each daemon.
+        link_by_daemon: Bandwidth of the link of each daemon, in megabits a second.
         generation: Generation of the store to which the revision belongs.
     """
 
@@ -135,6 +136,7 @@
     control_by_daemon: dict[str, str]
     region_by_daemon: dict[str, str] = {}
     generation: int = 0
+    link_by_daemon: dict[str, float] = {}
 
     @property
     def position(self) -> Position:
--- a/comfreyhatch/exchange/carry_over.py
+++ b/comfreyhatch/exchange/carry_over.py
@@ -215,12 +215,14 @@
             may list the state of an earlier order, so that a second return must not replace one.
         control_by_daemon: Control addresses that were held.
         region_by_daemon: Regions that were held.
+        link_by_daemon: Bandwidths of links that were held.
     """
 
     def __init__(self) -> None:
         self.trials_by_service: dict[str, tuple[RolloutRecord, ...]] = {}
         self.control_by_daemon: dict[str, str] = {}
         self.region_by_daemon: dict[str, str] = {}
+        self.link_by_daemon: dict[str, float] = {}
 
     def begin(self, held: SharedRecords) -> None:
         """Carry over the last records of a generation."""
@@ -232,6 +234,7 @@
             self.trials_by_service[service] = (*others, furthest)[-MAX_CARRIED_TRIALS:]
         self.control_by_daemon.update(held.control_by_daemon)
         self.region_by_daemon.update(held.region_by_daemon)
+        self.link_by_daemon.update(held.link_by_daemon)
 
 
 def _order_of(trial: RolloutRecord) -> tuple[str, int]:
--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -263,7 +263,7 @@
         address = str(self._deployment.control)
         deployment = self._deployment
         self._control_published = await self._directory.put_control(
-            deployment.instance, address, deployment.region
+            deployment.instance, address, deployment.region, deployment.link_mbps
         )
 
     async def _read(
--- a/comfreyhatch/exchange/reader_selector.py
+++ b/comfreyhatch/exchange/reader_selector.py
@@ -46,7 +46,8 @@
             if self._is_held_down(address, now)
         ]
         group = self._view.daemons_in(self._deployment.region)
-        reader = reader_for(self._deployment.instance, group, held_down)
+        links = {**self._view.link_by_daemon, self._deployment.instance: self._deployment.link_mbps}
+        reader = reader_for(self._deployment.instance, group, held_down, links)
         return self._view.control_by_daemon.get(reader) if reader else None
 
     def hold_down(self, address: str, reason: str, now: float) -> None:
--- a/comfreyhatch/exchange/record_changes.py
+++ b/comfreyhatch/exchange/record_changes.py
@@ -11,7 +11,13 @@
 V = TypeVar("V")
 
 # Kinds of records: the mappings of `SharedRecords`.
-KINDS = ("trial_by_service", "evidence_by_key", "control_by_daemon", "region_by_daemon")
+KINDS = (
+    "trial_by_service",
+    "evidence_by_key",
+    "control_by_daemon",
+    "region_by_daemon",
+    "link_by_daemon",
+)
 
 
 class RecordChanges(Struct, frozen=True):
@@ -26,6 +32,7 @@
         region_by_daemon: Regions that were added or changed.
         whole: Whether these are all records, which replace the held ones.
         generation: Generation of the store to which the revision belongs.
+        link_by_daemon: Bandwidths of links that were added or changed.
     """
 
     revision: int
@@ -36,6 +43,7 @@
     region_by_daemon: dict[str, str]
     whole: bool = False
     generation: int = 0
+    link_by_daemon: dict[str, float] = {}
 
     def applies_to(self, held: SharedRecords | None) -> bool:
         """Return whether the records after these changes follow from the held ones."""
@@ -87,6 +95,7 @@
             self._changed("region_by_daemon", held.region_by_daemon, after),
             whole,
             held.generation,
+            self._changed("link_by_daemon", held.link_by_daemon, after),
         )
 
     def _restart(self, found: SharedRecords) -> None:
@@ -133,4 +142,5 @@
         {**held.control_by_daemon, **changes.control_by_daemon},
         {**held.region_by_daemon, **changes.region_by_daemon},
         changes.generation,
+        {**held.link_by_daemon, **changes.link_by_daemon},
     )
--- a/comfreyhatch/exchange/view.py
+++ b/comfreyhatch/exchange/view.py
@@ -108,6 +108,12 @@
         listed = self.records.region_by_daemon if self.records else {}
         return {**self._carried_records.region_by_daemon, **listed}
 
+    @property
+    def link_by_daemon(self) -> dict[str, float]:
+        """Bandwidths of the daemons' links, those from before a return of the store included."""
+        listed = self.records.link_by_daemon if self.records else {}
+        return {**self._carried_records.link_by_daemon, **listed}
+
     def ready(self) -> bool:
         """Return whether a configuration and a list of endpoints are known."""
         return self.catalog is not None and self.endpoint_list is not None
--- a/comfreyhatch/platform/directory.py
+++ b/comfreyhatch/platform/directory.py
@@ -55,10 +55,17 @@
 
 
 class _DaemonAddress(Struct):
-    """Control address (host:port) and region of a daemon, as read by the other daemons."""
+    """What other daemons know of a daemon.
+
+    Attributes:
+        control: Control address, as host:port.
+        region: Region.
+        link_mbps: Bandwidth of its link, in megabits a second; 0 if unknown.
+    """
 
     control: str
     region: str = ""
+    link_mbps: float = 0.0
 
 
 class StoreDirectory:
@@ -88,9 +95,9 @@
         )
         return _apply_records(held, rows, is_full)
 
-    async def put_control(self, daemon: str, address: str, region: str) -> bool:
-        """Publish this daemon's control address and region; return whether they are stored."""
-        value = encode(_DaemonAddress(address, region))
+    async def put_control(self, daemon: str, address: str, region: str, link_mbps: float) -> bool:
+        """Publish this daemon's address, region and link; return whether they are stored."""
+        value = encode(_DaemonAddress(address, region, link_mbps))
         return await self._put([Write(DAEMON_TABLE, DAEMON_PREFIX + daemon, value)])
 
     async def put_evidence(self, evidence: Evidence) -> bool:
@@ -237,6 +244,7 @@
     evidence = dict(held.evidence_by_key) if held and not is_full else {}
     controls = dict(held.control_by_daemon) if held and not is_full else {}
     regions = dict(held.region_by_daemon) if held and not is_full else {}
+    links = dict(held.link_by_daemon) if held and not is_full else {}
     for row in rows.rows:
         if row.key.startswith(ROLLOUT_RECORD_PREFIX):
             _update_value(rollouts, row, row.key.removeprefix(ROLLOUT_RECORD_PREFIX), RolloutRecord)
@@ -245,10 +253,12 @@
         elif row.key.startswith(DAEMON_PREFIX):
             address = _decode(row, _DaemonAddress)
             if address:
-                controls[row.key.removeprefix(DAEMON_PREFIX)] = address.control
-                regions[row.key.removeprefix(DAEMON_PREFIX)] = address.region
+                daemon = row.key.removeprefix(DAEMON_PREFIX)
+                controls[daemon] = address.control
+                regions[daemon] = address.region
+                links[daemon] = address.link_mbps
     return SharedRecords(
-        rows.revision, rows.store_ms, rollouts, evidence, controls, regions, rows.generation
+        rows.revision, rows.store_ms, rollouts, evidence, controls, regions, rows.generation, links
     )
 
 
--- a/comfreyhatch/platform/settings.py
+++ b/comfreyhatch/platform/settings.py
@@ -127,6 +127,7 @@
         memory_mb=reader.number("limits.memory_mb", DEFAULT_MEMORY_MB),
         max_fds=int(reader.number("limits.max_fds", DEFAULT_MAX_FDS)),
         bounds=_bounds(reader),
+        link_mbps=reader.number("limits.link_mbps", 0.0),
     )
     if reader.errors:
         raise SettingsError("\n".join(reader.errors))
--- a/comfreyhatch/ports/directory.py
+++ b/comfreyhatch/ports/directory.py
@@ -37,8 +37,8 @@
     async def records(self, held: SharedRecords | None, wait_s: float) -> SharedRecords:
         """Return the records that daemons have published."""
 
-    async def put_control(self, daemon: str, address: str, region: str) -> bool:
-        """Publish this daemon's control address and region; return whether they are stored."""
+    async def put_control(self, daemon: str, address: str, region: str, link_mbps: float) -> bool:
+        """Publish this daemon's address, region and link; return whether they are stored."""
 
     async def put_evidence(self, evidence: Evidence) -> bool:
         """Publish the answer counts of this daemon; return whether they are stored."""
@@ -96,12 +96,13 @@
         await self._check()
         return self.current_records
 
-    async def put_control(self, daemon: str, address: str, region: str) -> bool:
-        """Store a control address and a region."""
+    async def put_control(self, daemon: str, address: str, region: str, link_mbps: float) -> bool:
+        """Store a control address, a region and the bandwidth of a link."""
         if not self.available:
             return False
         self.current_records.control_by_daemon[daemon] = address
         self.current_records.region_by_daemon[daemon] = region
+        self.current_records.link_by_daemon[daemon] = link_mbps
         return True
 
     async def put_evidence(self, evidence: Evidence) -> bool:
--- a/tests/test_platform_directory.py
+++ b/tests/test_platform_directory.py
@@ -141,11 +141,12 @@
     store: StandInStore, directory: StoreDirectory
 ) -> None:
     evidence = Evidence("engines", 5, "d1", {"r": VersionOutcomes(3, 1, 0)}, {})
-    assert await directory.put_control("d1", "10.0.0.1:80", "north")
+    assert await directory.put_control("d1", "10.0.0.1:80", "north", 5.0)
     assert await directory.put_evidence(evidence)
     assert await directory.put_rollout(ROLLOUT)
     records = await directory.records(None, 0.0)
     assert records.control_by_daemon == {"d1": "10.0.0.1:80"}
+    assert records.link_by_daemon == {"d1": 5.0}
     assert records.evidence_by_key["engines/d1"] == evidence
     assert records.trial_by_service["engines"].revision > 0
     assert store.value("status", "rollout/engines") == {"state": "running", "to": "v2"}
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -40,3 +40,21 @@
     assert reader_for(follower, group, {reader}) != reader
     replaced = [name for name in group if reader_for(name, group, {reader}) is None]
     assert len(set(replaced) - {reader}) == 1
+
+
+def test_daemons_with_wide_links_read_before_others() -> None:
+    # A reader with a narrow link sent each change of a large configuration for seconds.
+    group = names(65)
+    wide = set(group[:8])
+    links = {name: 100.0 if name in wide else 5.0 for name in group}
+    reading = {name for name in group if reader_for(name, group, (), links) is None}
+    assert len(reading) == 4 and reading <= wide
+    asked = {reader_for(name, group, (), links) for name in group} - {None}
+    assert asked == reading
+
+
+def test_daemons_with_narrow_links_read_once_the_wide_ones_fail() -> None:
+    group = names(18)
+    links = {name: 100.0 if name == "d0" else 5.0 for name in group}
+    follower = next(n for n in group if reader_for(n, group, {"d0"}, links) is not None)
+    assert reader_for(follower, group, {"d0"}, links) not in (None, "d0")
