Log whether a failed answer had begun, and the shared parts of its prompt

Logs could not tell an answer that broke before its head from one that broke before its first event, nor which prompt parts requests had in common whose endpoints crashed. No change of logic.

--- a/comfreyhatch/decisions/placement.py
+++ b/comfreyhatch/decisions/placement.py
@@ -73,7 +73,8 @@
 
 def _shared_prefix(exchange: Exchange) -> str:
     """Return the id of the last prompt part that other requests may share; empty if none."""
-    return exchange.parts[-2].part_id if len(exchange.parts) > 1 else ""
+    shared = exchange.shared_part_ids
+    return shared[-1] if shared else ""
 
 
 def _affinity_endpoint(prefix: str, candidates: list[EndpointTracker]) -> EndpointTracker:
--- a/comfreyhatch/domain/exchange.py
+++ b/comfreyhatch/domain/exchange.py
@@ -52,6 +52,11 @@
     session: str = ""
     last_event_id: int | None = None
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the prompt parts that other requests may share; the last part is its own."""
+        return tuple(part.part_id for part in self.parts[:-1])
+
 
 class Job(Struct, frozen=True):
     """An authorized request with its route, service, rank and deadline.
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -44,6 +44,7 @@
 # Bytes without a new event with content, such as comments or events that the caller has. An engine
 # that resumes a stream from its start, in spite of the id it was told, passes up to this length.
 MAX_USELESS_BYTES = 1_048_576
+MAX_LOGGED_PARTS = 8
 
 log = logging.getLogger("comfreyhatch.streams")
 
@@ -128,7 +129,7 @@
                 raise
             except BackendError as error:
                 stream.error = error
-                self._log_failure(stream, error)
+                self._log_failure(stream, error, begun=False)
             else:
                 if answer.head.success:
                     return answer
@@ -260,7 +261,7 @@
             except AnswerBrokenError as error:
                 _require_time(stream, asyncio.get_running_loop().time())
                 stream.error = error
-                self._log_failure(stream, error)
+                self._log_failure(stream, error, begun=True)
                 stream.broken_endpoints.append(answer.endpoint)
                 note_lost_answer(answer.endpoint, error, asyncio.get_running_loop().time())
             finally:
@@ -426,14 +427,18 @@
         key = (stream.job.route.name, stream.model)
         return self._first_event_latencies.setdefault(key, SampleWindow())
 
-    def _log_failure(self, stream: StreamState, error: ComfreyhatchError) -> None:
+    def _log_failure(self, stream: StreamState, error: ComfreyhatchError, begun: bool) -> None:
+        """Log a failed attempt; `begun` is whether the head of its answer was read."""
         log.info(
-            "event=attempt_failed id=%s endpoint=%s code=%d ran=%s events=%s reason=%r",
+            "event=attempt_failed id=%s endpoint=%s code=%d ran=%s begun=%s events=%s parts=%s"
+            " reason=%r",
             stream.job.exchange.request_id,
             stream.endpoint_id,
             error.code,
             error.ran.value,
+            begun,
             stream.last_event_id,
+            ",".join(stream.job.exchange.shared_part_ids[:MAX_LOGGED_PARTS]) or "none",
             str(error),
         )
 
