--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -136,8 +136,10 @@
         store: Stand-in of the platform's store.
         worker_by_id: Started workers.
         client: Sends requests.
-        daemon: The daemon; None until it is started.
-        deployment: Settings of the daemon; None until it is started.
+        daemon: The daemon that was started last; None before.
+        deployment: Settings of that daemon; None before.
+        daemons: All daemons that were started.
+        deployments: Their settings.
         metrics: Address at which the daemon serves its metrics.
     """
 
@@ -147,8 +149,10 @@
         self.client = HttpClient()
         self.daemon: ExchangeDaemon | None = None
         self.deployment: Deployment | None = None
+        self.daemons: list[ExchangeDaemon] = []
+        self.deployments: list[Deployment] = []
         self.metrics = Address("", 0)
-        self._store_client: StoreClient | None = None
+        self._store_clients: list[StoreClient] = []
         self._request_number = 0
 
     async def add_worker(self, worker_id: str, service: str, version: str = "v1") -> StandInWorker:
@@ -168,7 +172,7 @@
         self, address: Address, bounds: Bounds = BOUNDS, memory_mb: float = MEMORY_MB
     ) -> ExchangeDaemon:
         self.deployment = Deployment(
-            instance="front-1",
+            instance=f"front-{len(self.daemons) + 1}",
             zone="a",
             zones=("a",),
             callers=Address("127.0.0.1", free_port()),
@@ -181,18 +185,27 @@
             max_fds=1024,
             bounds=bounds,
         )
-        self._store_client = StoreClient(address)
-        directory = StoreDirectory(self._store_client)
+        store_client = StoreClient(address)
+        self._store_clients.append(store_client)
+        directory = StoreDirectory(store_client)
         self.daemon = ExchangeDaemon(
             self.deployment, directory, PlatformHeaderCodec(), Random(1), started_ms=1
         )
         self.metrics = Address("127.0.0.1", free_port())
+        self.daemons.append(self.daemon)
+        self.deployments.append(self.deployment)
         await self.daemon.start(self.metrics)
         return self.daemon
 
-    async def send(self, path: str, **headers: str) -> HttpReply:
-        """Send a request with a valid API key and return its answer; headers may be overridden."""
-        assert self.deployment
+    async def send(self, path: str, daemon: int = -1, **headers: str) -> HttpReply:
+        """Send a request with a valid API key and return its answer.
+
+        Args:
+            path: Path of the request.
+            daemon: Number of the daemon, from 0; the one that was started last if -1.
+            headers: Headers, which may replace the usual ones.
+        """
+        callers = self.deployments[daemon].callers
         self._request_number += 1
         sent = {
             "host": HOST,
@@ -203,10 +216,10 @@
         }
         method = "POST" if path.startswith(("/draft/", "/pay/")) else "GET"
         body = b"body" if method == "POST" else b""
-        return await self.client.request(self.deployment.callers, method, path, body, sent, 10.0)
+        return await self.client.request(callers, method, path, body, sent, 10.0)
 
-    async def send_draft(self, **headers: str) -> HttpReply:
-        return await self.send("/draft/one", model="*", token_counts="1000,60", **headers)
+    async def send_draft(self, daemon: int = -1, **headers: str) -> HttpReply:
+        return await self.send("/draft/one", daemon, model="*", token_counts="1000,60", **headers)
 
     async def wait_until(self, condition: Callable[[], object]) -> None:
         """Wait until a condition holds, for `WAIT_TIMEOUT_S` at most."""
@@ -216,10 +229,10 @@
 
     async def close(self) -> None:
         self.client.close()
-        if self.daemon:
-            await self.daemon.close()
-        if self._store_client:
-            self._store_client.close()
+        for daemon in self.daemons:
+            await daemon.close()
+        for store_client in self._store_clients:
+            store_client.close()
         for worker in self.worker_by_id.values():
             await worker.stop()
         await self.store.stop()
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -27,6 +27,10 @@
         received: Requests received so far.
         cancelled: Number of requests that were cancelled.
         completed_streams: Number of streams that were sent completely.
+        crashing_parts: Prompt parts on which it crashes as it begins to write a stream.
+        down_s: Time after a crash until it listens again, in seconds.
+        crashes: Number of crashes so far.
+        on_restart: Called when it listens again after a crash.
         address: Where it listens, once started.
     """
 
@@ -43,6 +47,11 @@
         self.received: list[HttpRequest] = []
         self.cancelled = 0
         self.completed_streams = 0
+        self.crashing_parts: frozenset[str] = frozenset()
+        self.down_s = 0.5
+        self.crashes = 0
+        self.on_restart: Callable[[], None] = lambda: None
+        self._crash_task: asyncio.Task[None] | None = None
         self._server = HttpServer(self._answer, cancel_on_disconnect=True)
         self.address = Address("", 0)
 
@@ -51,6 +60,8 @@
         return self.address
 
     async def stop(self) -> None:
+        if self._crash_task is not None:
+            self._crash_task.cancel()
         await self._server.stop(0.0)
 
     async def restart(self) -> None:
@@ -95,8 +106,25 @@
         if not model or self.status != 200:
             return HttpResponse(self.status, f"from {self.worker_id}".encode(), headers=headers)
         first = int(request.header("last-event-id", "0")) + 1
+        if self.crashing_parts & set(part_ids(request)):
+            return HttpResponse(200, headers=headers, stream=self._crash())
         return HttpResponse(200, headers=headers, stream=self._stream_events(model, first))
 
+    async def _crash(self) -> AsyncIterator[bytes]:
+        """End all connections soon after the head of an answer, and listen again later."""
+        await asyncio.sleep(0.03)
+        if self._crash_task is None or self._crash_task.done():
+            self.crashes += 1
+            self._crash_task = asyncio.create_task(self._restart_later())
+        await asyncio.sleep(self.down_s)
+        yield b""
+
+    async def _restart_later(self) -> None:
+        await self._server.stop(0.0)
+        await asyncio.sleep(self.down_s)
+        await self.restart()
+        self.on_restart()
+
     async def _stream_events(self, model: str, first: int) -> AsyncIterator[bytes]:
         try:
             for number in range(first, self.events + 1):
@@ -111,3 +139,9 @@
         except (asyncio.CancelledError, GeneratorExit):
             self.cancelled += 1
             raise
+
+
+def part_ids(request: HttpRequest) -> list[str]:
+    """Return the ids of the parts of a request's prompt."""
+    parts = request.header("prompt-prefix").split(",")
+    return [part.partition(":")[0] for part in parts if part]
