Find prompt parts that crash engines, and refuse requests with them

When an endpoint crashes (a new connection is refused after an answer broke), the parts of the answers that it had just begun, without two events yet, are candidates; victims that waited or were under way are not, and no part of a prompt whose answer went on within the last minute. A part with three crashes of different starts is to blame; parts that occur in all the same crashes cannot be told apart, and only requests with all of them are refused, so that sound requests which share some are served. A block ends 30 s after the last such request; a sound answer anywhere ends it at once, and after two minutes one daemon lets one request through.

Daemons send what they see to the readers, which pass it to their followers with the queries that they hold anyway; a daemon that follows no reader asks one twice a second. Ruled out: rows of the store, which are read every 15 s; a message to every daemon, which grows with the square of the fleet.

--- a/comfreyhatch/codes.py
+++ b/comfreyhatch/codes.py
@@ -42,6 +42,7 @@
     CLAIM_UNAVAILABLE = 3009
     CUT_OFF = 3010
     ANSWER_NOT_KEPT = 3011
+    PROMPT_BLOCKED = 3012
     PLATFORM_UNAVAILABLE = 4001
     WRITE_UNKNOWN = 4002
     CONFLICT = 4003
@@ -99,6 +100,9 @@
     ResultCode.ANSWER_NOT_KEPT: CodeEntry(
         409, "The call ran once before; its answer was too large to keep."
     ),
+    ResultCode.PROMPT_BLOCKED: CodeEntry(
+        503, "Endpoints crash on a part of the prompt; requests with it are not sent."
+    ),
     ResultCode.PLATFORM_UNAVAILABLE: CodeEntry(503, "The platform's store does not answer."),
     ResultCode.WRITE_UNKNOWN: CodeEntry(503, "The write's answer was lost; it may have happened."),
     ResultCode.CONFLICT: CodeEntry(409, "Another change came first; nothing was changed."),
--- a/comfreyhatch/decisions/readers.py
+++ b/comfreyhatch/decisions/readers.py
@@ -28,12 +28,27 @@
         held_down: Readers in hold-down, since they did not answer or were out of date.
         link_by_daemon: Bandwidth of each link; None or absent if unknown.
     """
-    links = link_by_daemon or {}
     daemons = set(group) | {daemon}
-    count = 1 + (len(daemons) - 1) // (FOLLOWERS_PER_READER + 1)
-    widest = max(links.get(name, 0.0) for name in daemons)
-    ranked = rendezvous_order("readers", daemons - set(held_down) | {daemon})
-    readers = sorted(ranked, key=lambda n: links.get(n, 0.0) < WIDE_LINK_SHARE * widest)[:count]
+    readers = readers_of(daemons, set(held_down) - {daemon}, link_by_daemon)
     if daemon in readers:
         return None
     return rendezvous_order(daemon, readers)[0]
+
+
+def readers_of(
+    group: Collection[str],
+    held_down: Collection[str],
+    link_by_daemon: Mapping[str, float] | None = None,
+) -> list[str]:
+    """Return the readers of a region.
+
+    Args:
+        group: All known daemons of the region; not empty.
+        held_down: Readers in hold-down, which others replace.
+        link_by_daemon: Bandwidth of each link; None or absent if unknown.
+    """
+    links = link_by_daemon or {}
+    count = 1 + (len(group) - 1) // (FOLLOWERS_PER_READER + 1)
+    widest = max(links.get(name, 0.0) for name in group)
+    ranked = rendezvous_order("readers", set(group) - set(held_down))
+    return sorted(ranked, key=lambda n: links.get(n, 0.0) < WIDE_LINK_SHARE * widest)[:count]
--- a/comfreyhatch/errors.py
+++ b/comfreyhatch/errors.py
@@ -42,6 +42,12 @@
     code = ResultCode.OVERLOADED
 
 
+class PromptBlockedError(RefusedError):
+    """The request is refused, as endpoints crash on a part of its prompt."""
+
+    code = ResultCode.PROMPT_BLOCKED
+
+
 class BackendError(ComfreyhatchError):
     """An endpoint failed; `ran` tells whether the request may have run."""
 
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from functools import partial
 from random import Random
+from time import monotonic
 
 from prometheus_client import CollectorRegistry, generate_latest
 
@@ -26,6 +27,7 @@
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.header_codec import HeaderCodec
 from comfreyhatch.exchange.loop_lag import LoopLagMonitor
+from comfreyhatch.exchange.part_guard import PartGuard
 from comfreyhatch.exchange.peers import PeerListener
 from comfreyhatch.exchange.recovery import (
     SHARED_SPREAD_S,
@@ -96,7 +98,16 @@
         memory = AnswerMemory(deployment.memory_mb)
         sender = Sender(self._client, codec, telemetry.count_attempt, memory)
         self._billing = Billing(deployment.instance, started_ms, directory)
-        self._sync = DirectorySync(deployment, directory, self.view, rng, self._on_view_change)
+        self._parts = PartGuard(
+            deployment.instance,
+            self.view.daemons,
+            sender.refuses_connections,
+            self.registry,
+            monotonic(),
+        )
+        self._sync = DirectorySync(
+            deployment, directory, self.view, rng, self._on_view_change, self._parts
+        )
         self._recovery = StoreRecovery(
             rng,
             self.registry,
@@ -120,6 +131,7 @@
                 evidence,
                 self._bill_stream,
                 telemetry.count_cascade_answer,
+                self._parts,
             ),
             self._extra_request_budget,
             telemetry,
@@ -203,6 +215,7 @@
         await self._billing.stop()
         await self._rollouts.stop()
         await self._sync.stop()
+        await self._parts.stop()
         if self._peers:
             await self._peers.stop()
         await self._readiness.stop(0.0)
--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -17,10 +17,13 @@
 
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.operations import Operations
+from comfreyhatch.domain.part_report import PartReport
 from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import ComfreyhatchError, PeerError, PlatformError
 from comfreyhatch.exchange.catalog_changes import CatalogChanges, apply_catalog_changes
 from comfreyhatch.exchange.endpoint_changes import apply_changes
+from comfreyhatch.exchange.part_guard import PartGuard
+from comfreyhatch.exchange.part_reports import PartReportSender
 from comfreyhatch.exchange.peers import MAX_QUERY_WAIT_S, PeerClient, PeerQuery, PeerUpdate
 from comfreyhatch.exchange.reader_selector import ReaderSelector
 from comfreyhatch.exchange.record_changes import apply_record_changes
@@ -57,6 +60,8 @@
 # Pause between long polls of the records during a roll-out. Plain reads every 0.7 s cost more calls
 # to the store.
 ROLLOUT_RECORDS_PAUSE_S = 0.5
+# Interval at which a daemon that follows no reader asks one for reports on prompt parts.
+REPORT_PULL_INTERVAL_S = 0.5
 # Age of the orders from which a daemon that has lost the directory counts as cut off. It may then
 # fail its readiness check: in a cut-off zone one endpoint had all of the zone's work, with first
 # events after 0.9 s and gaps of 2.1 s between events.
@@ -75,6 +80,7 @@
         view: FleetView,
         rng: Random,
         on_change: Callable[[], None],
+        parts: PartGuard | None = None,
     ) -> None:
         """Create the sync; no task runs yet.
 
@@ -84,7 +90,10 @@
             view: Updated with what is read.
             rng: Seeded source of jitter and of the choice of peers.
             on_change: Called after the view has changed.
+            parts: Learns reports on prompt parts, and makes them; None for none.
         """
+        self._parts = parts
+        self._reports_seen_by_address: dict[str, int] = {}
         self._deployment = deployment
         self._directory = directory
         self._view = view
@@ -98,6 +107,9 @@
         self._reads_directory.set()
         self._reader: PeerClient | None = None
         self._selector = ReaderSelector(deployment, view)
+        self._report_sender = PartReportSender(self._selector.others, self._send_reports)
+        if parts is not None:
+            parts.publish = self._publish_reports
         self._last_query_at = float("-inf")
 
     def start(self) -> None:
@@ -106,12 +118,15 @@
             self._tasks.append(asyncio.create_task(self._repeat(poll)))
         self._tasks.append(asyncio.create_task(self._repeat(self._query_peers)))
         self._tasks.append(asyncio.create_task(self._repeat(self._poll_reader)))
+        if self._parts is not None:
+            self._tasks.append(asyncio.create_task(self._repeat(self._pull_reports)))
 
     async def stop(self) -> None:
         """Cancel the tasks and close the connection to the reader."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._report_sender.stop()
         if self._reader:
             self._reader.close()
 
@@ -126,6 +141,7 @@
         """
         loop = asyncio.get_running_loop()
         self._last_query_at = loop.time()
+        self._merge_reports(query.reports)
         ends_at = self._last_query_at + min(query.wait_s, MAX_QUERY_WAIT_S)
         while not self._has_newer(query) and loop.time() < ends_at:
             changed = self._view_changed
@@ -140,8 +156,14 @@
             view.operations_changed_position > query.operations
             or view.endpoint_history.changed_position > query.endpoints
             or view.record_history.changed_position > query.records
+            or self._has_newer_reports(query)
         )
 
+    def _has_newer_reports(self, query: PeerQuery) -> bool:
+        if self._parts is None or query.reports_seen is None:
+            return False
+        return self._parts.reports.revision != query.reports_seen
+
     def _update_since(self, query: PeerQuery) -> PeerUpdate:
         now = asyncio.get_running_loop().time()
         view = self._view
@@ -150,6 +172,7 @@
         operations = view.listed_operations
         known = view.endpoint_list is not None
         changes: CatalogChanges | None = None
+        reports = self._parts.reports if self._parts else None
         sent = operations if operations_changed else None
         if sent is not None and query.catalog_version is not None:
             changes = view.catalog_history.since(query.catalog_version)
@@ -162,13 +185,51 @@
             view.record_history.since(query.records) if records_changed else None,
             operations.position if operations else Position(),
             changes,
+            reports.since(query.reports_seen or 0, now) if reports else (),
+            reports.revision if reports else 0,
         )
 
+    def _merge_reports(self, reports: tuple[PartReport, ...]) -> None:
+        """Learn reports on prompt parts, and wake the followers that wait for any."""
+        if self._parts is not None and reports:
+            self._parts.merge(reports, asyncio.get_running_loop().time())
+            self._wake_queries()
+
+    async def _pull_reports(self) -> None:
+        """Ask a random reader for reports on prompt parts, unless this daemon follows one."""
+        await asyncio.sleep(REPORT_PULL_INTERVAL_S)
+        if not self._reads_directory.is_set():
+            return
+        readers = self._selector.others(asyncio.get_running_loop().time())
+        if readers:
+            await self._query_once(self._rng.choice(readers))
+
+    def _publish_reports(self, reports: list[PartReport], now: float) -> None:
+        """Send reports of this daemon to the readers, or to its followers if it is one."""
+        self._report_sender.submit(reports, now)
+        self._wake_queries()
+
+    async def _send_reports(self, address: str, reports: tuple[PartReport, ...]) -> None:
+        """Send reports over a new connection.
+
+        Raises:
+            PeerError: If the peer does not answer.
+        """
+        peer = PeerClient(address)
+        try:
+            update = await peer.query(replace(self.query(0.0, address), reports=reports))
+        finally:
+            peer.close()
+        self.apply_update(update, address)
+
     def _notify_change(self) -> None:
         """Wake the long polls of peers and call `on_change`."""
+        self._wake_queries()
+        self._on_change()
+
+    def _wake_queries(self) -> None:
         self._view_changed.set()
         self._view_changed = asyncio.Event()
-        self._on_change()
 
     async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
         """Run a step for ever; an unexpected error is logged and does not end the loop."""
@@ -331,14 +392,19 @@
         """Query a peer over a new connection, so that one to a silent peer is not used again."""
         peer = PeerClient(address)
         try:
-            self.apply_update(await peer.query(self.query(0.0)), address)
+            self.apply_update(await peer.query(self.query(0.0, address)), address)
         except PeerError as error:
             log.debug("event=peer_silent peer=%s reason=%r", address, str(error))
         finally:
             peer.close()
 
-    def query(self, wait_s: float) -> PeerQuery:
-        """Return a query for what is newer than the view, with a longest wait in seconds."""
+    def query(self, wait_s: float, address: str = "") -> PeerQuery:
+        """Return a query for what is newer than the view.
+
+        Args:
+            wait_s: Longest wait, in seconds.
+            address: Peer to which it is sent.
+        """
         view = self._view
         catalog = view.listed_operations.catalog if view.listed_operations else None
         return PeerQuery(
@@ -347,6 +413,7 @@
             view.records.position if view.records else Position(),
             wait_s,
             catalog.version if catalog else None,
+            reports_seen=self._reports_seen_by_address.get(address, 0) if self._parts else None,
         )
 
     def apply_update(self, update: PeerUpdate, source: str) -> None:
@@ -370,6 +437,9 @@
         changes = update.record_changes
         if changes is not None and changes.applies_to(view.records):
             view.apply_records(apply_record_changes(view.records, changes), now)
+        if update.reports_revision:
+            self._reports_seen_by_address[source] = update.reports_revision
+        self._merge_reports(update.reports)
         self._notify_change()
 
     def _apply_operations(self, found: Operations, confirmed_at: float, source: str) -> None:
@@ -438,7 +508,7 @@
             self._connect_reader(address)
         assert self._reader
         try:
-            update = await self._reader.query(self.query(READER_QUERY_WAIT_S))
+            update = await self._reader.query(self.query(READER_QUERY_WAIT_S, address))
             self.apply_update(update, address)
         except PeerError as error:
             self._drop_reader(address, str(error))
--- /dev/null
+++ b/comfreyhatch/exchange/part_guard.py
@@ -0,0 +1,159 @@
+"""Refuses requests with prompt parts that crash endpoints, and learns these parts."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Iterable
+
+from prometheus_client import CollectorRegistry, Counter
+
+from comfreyhatch.decisions.crashing_parts import BLOCK_S, CrashingParts
+from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
+from comfreyhatch.decisions.rendezvous import rendezvous_order
+from comfreyhatch.domain.exchange import Job
+from comfreyhatch.domain.part_report import PartReport, ReportKind
+from comfreyhatch.errors import PromptBlockedError
+from comfreyhatch.exchange.part_reports import PartReportLog
+
+MAX_LOGGED_PARTS = 8
+
+Probe = Callable[[EndpointTracker], Awaitable[bool]]
+
+log = logging.getLogger("comfreyhatch.parts")
+
+
+class PartGuard:
+    """Learns which prompt parts crash endpoints, from this daemon's attempts and from others.
+
+    Attributes:
+        reports: Reports for the daemons that follow this one.
+        publish: Sends reports of this daemon to others; set once there is a way to do so.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        known_daemons: Callable[[], set[str]],
+        refuses_connections: Probe,
+        registry: CollectorRegistry,
+        started_at: float,
+    ) -> None:
+        """Create a guard that knows nothing.
+
+        Args:
+            instance: Name of this daemon.
+            known_daemons: Returns the names of all known daemons.
+            refuses_connections: Returns whether an endpoint refuses new connections.
+            registry: Registry of the metrics.
+            started_at: Monotonic time in seconds.
+        """
+        self._instance = instance
+        self._known_daemons = known_daemons
+        self._refuses_connections = refuses_connections
+        self._parts = CrashingParts()
+        self._probes: dict[str, asyncio.Task[None]] = {}
+        self.reports = PartReportLog(started_at)
+        self.publish: Callable[[list[PartReport], float], None] = lambda reports, now: None
+        self._refused = Counter(
+            "comfreyhatch_prompts_blocked",
+            "Requests refused for prompt parts that crash endpoints.",
+            registry=registry,
+        )
+        self._crashes = Counter(
+            "comfreyhatch_endpoint_crashes",
+            "Crashes of endpoints that had just begun answers of this daemon.",
+            registry=registry,
+        )
+
+    def require_allowed(self, job: Job, now: float) -> None:
+        """Raise an error if a request has parts that crash endpoints.
+
+        Raises:
+            PromptBlockedError: If it has.
+        """
+        blocked = self._parts.blocked_parts(job.exchange.shared_part_ids, self._tries, now)
+        if blocked is None:
+            return
+        self._refused.inc()
+        self._publish(self._parts.note_refused(blocked, now), now)
+        raise PromptBlockedError(
+            f"endpoints crash on prompts with {_shown(blocked)}", retry_after_s=BLOCK_S
+        )
+
+    def note_begun(self, job: Job, endpoint: EndpointTracker, now: float) -> None:
+        """Note that the head of an answer has come."""
+        parts = job.exchange.shared_part_ids
+        self._parts.note_begun(job.exchange.request_id, _start_of(endpoint), parts, now)
+
+    def note_sound(self, job: Job, endpoint: EndpointTracker, now: float) -> None:
+        """Note that an answer has gone well beyond its beginning."""
+        parts = job.exchange.shared_part_ids
+        found = self._parts.note_sound(job.exchange.request_id, _start_of(endpoint), parts, now)
+        self._publish(found, now)
+
+    def note_broken(self, endpoint: EndpointTracker, now: float) -> None:
+        """Look whether an endpoint has crashed, after an attempt at it has failed."""
+        start = _start_of(endpoint)
+        if start in self._probes or not self._parts.has_candidates(start, now):
+            return
+        self._probes[start] = asyncio.create_task(self._probe(endpoint, start, now))
+
+    def merge(self, reports: Iterable[PartReport], now: float) -> None:
+        """Learn from reports of other daemons, and keep them for followers."""
+        for report in self.reports.add(reports, now):
+            before = set(self._parts.blocks)
+            self._publish(self._parts.merge(report, now), now)
+            self._log_blocks(before)
+
+    async def stop(self) -> None:
+        """End the probes of endpoints."""
+        probes = list(self._probes.values())
+        for probe in probes:
+            probe.cancel()
+        await asyncio.gather(*probes, return_exceptions=True)
+
+    async def _probe(self, endpoint: EndpointTracker, start: str, broke_at: float) -> None:
+        try:
+            if await self._refuses_connections(endpoint):
+                self._note_crash(start, broke_at)
+        finally:
+            del self._probes[start]
+
+    def _note_crash(self, start: str, broke_at: float) -> None:
+        now = asyncio.get_running_loop().time()
+        before = set(self._parts.blocks)
+        found = self._parts.note_crash(start, broke_at, now)
+        for report in found:
+            self._crashes.inc()
+            log.warning(
+                "event=endpoint_crashed endpoint=%s parts=%s", start, _shown(report.part_ids)
+            )
+        self._publish(found, now)
+        self._log_blocks(before)
+
+    def _publish(self, found: list[PartReport], now: float) -> None:
+        if not found:
+            return
+        self.reports.add(found, now)
+        self.publish(found, now)
+        for report in found:
+            if report.kind is ReportKind.SOUND:
+                log.info("event=parts_sound parts=%s", _shown(report.part_ids))
+
+    def _log_blocks(self, before: set[frozenset[str]]) -> None:
+        for blocked in self._parts.blocks:
+            if blocked not in before:
+                log.warning("event=parts_blocked parts=%s", _shown(blocked))
+
+    def _tries(self, blocked: frozenset[str]) -> bool:
+        """Return whether this daemon is the one that lets a request through as a trial."""
+        daemons = self._known_daemons() | {self._instance}
+        return rendezvous_order("/".join(sorted(blocked)), daemons)[0] == self._instance
+
+
+def _start_of(endpoint: EndpointTracker) -> str:
+    """Return an endpoint with its start; after a restart it is another one."""
+    return f"{endpoint.record.endpoint_id}/{endpoint.record.born_ms}"
+
+
+def _shown(part_ids: Iterable[str]) -> str:
+    return ",".join(sorted(part_ids)[:MAX_LOGGED_PARTS])
--- a/comfreyhatch/exchange/reader_selector.py
+++ b/comfreyhatch/exchange/reader_selector.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from comfreyhatch.decisions.readers import reader_for
+from comfreyhatch.decisions.readers import reader_for, readers_of
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.exchange.view import FleetView
 
@@ -40,15 +40,34 @@
         records = self._view.records
         if records is None or not self._view.ready():
             return None
-        held_down = [
+        group = self._view.daemons_in(self._deployment.region)
+        reader = reader_for(self._deployment.instance, group, self._held_down(now), self._links())
+        return self._view.control_by_daemon.get(reader) if reader else None
+
+    def others(self, now: float) -> list[str]:
+        """Return the control addresses of the readers of all regions, without this daemon's.
+
+        Those in hold-down and those that replace them are both included, as other daemons may
+        have other readers in hold-down.
+        """
+        found: set[str] = set()
+        for region in set(self._view.region_by_daemon.values()):
+            group = self._view.daemons_in(region)
+            found |= set(readers_of(group, (), self._links()))
+            found |= set(readers_of(group, self._held_down(now), self._links()))
+        found.discard(self._deployment.instance)
+        return sorted(self._view.control_by_daemon[reader] for reader in found)
+
+    def _held_down(self, now: float) -> list[str]:
+        return [
             daemon
             for daemon, address in self._view.control_by_daemon.items()
             if self._is_held_down(address, now)
         ]
-        group = self._view.daemons_in(self._deployment.region)
-        links = {**self._view.link_by_daemon, self._deployment.instance: self._deployment.link_mbps}
-        reader = reader_for(self._deployment.instance, group, held_down, links)
-        return self._view.control_by_daemon.get(reader) if reader else None
+
+    def _links(self) -> dict[str, float]:
+        own = self._deployment
+        return {**self._view.link_by_daemon, own.instance: own.link_mbps}
 
     def hold_down(self, address: str, reason: str, now: float) -> None:
         """Exclude a reader that has failed, for twice as long as the last time."""
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -8,6 +8,7 @@
 from comfreyhatch.adapters.http_server import HttpResponse
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.decisions.cascade import CascadeState, escalates
+from comfreyhatch.decisions.crashing_parts import SOUND_EVENTS
 from comfreyhatch.decisions.engine_priority import engine_priority
 from comfreyhatch.decisions.engine_time import EngineTimes
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
@@ -21,12 +22,14 @@
     BackendRefusedError,
     ComfreyhatchError,
     EndpointUnreachableError,
+    PromptBlockedError,
     RefusedError,
 )
 from comfreyhatch.exchange.attempts import final_error
 from comfreyhatch.exchange.events import EventSplitter, has_content
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.health import note_lost_answer
+from comfreyhatch.exchange.part_guard import PartGuard
 from comfreyhatch.exchange.scheduler import EndpointScheduler, SlotLease
 from comfreyhatch.exchange.sender import Sender, StreamedAnswer
 from comfreyhatch.exchange.stall_watchdog import StallWatchdog
@@ -60,6 +63,7 @@
         evidence: EvidenceCollector,
         bill: Callable[[Job, str, int], None],
         count_cascade_answer: Callable[[bool], None],
+        parts: PartGuard,
     ) -> None:
         """Create the proxy.
 
@@ -71,7 +75,9 @@
             bill: Bills an answer; called with the request, the model and the number of events.
             count_cascade_answer: Counts an answer of the smallest model; called with whether the
                 answer is dropped.
+            parts: Refuses prompts that crash endpoints, and learns their parts.
         """
+        self._parts = parts
         self._bill = bill
         self._count_cascade_answer = count_cascade_answer
         self._scheduler = scheduler
@@ -121,6 +127,10 @@
         while True:
             try:
                 answer = await self._attempt(stream)
+            except PromptBlockedError as error:
+                if stream.possible_runs:
+                    raise BackendError(str(error)) from error
+                raise
             except RefusedError as error:
                 if await self._pause_before_resume(stream, str(error)):
                     continue
@@ -154,6 +164,7 @@
         """Send the request to one endpoint and return its answer once the head was read."""
         loop = asyncio.get_running_loop()
         job = stream.job
+        self._parts.require_allowed(job, loop.time())
         work_s = self._engine_times.first_event_s(stream.model, job.exchange.prompt_tokens)
         for excluded in (stream.excluded_ids, {stream.endpoint_id}, set()):
             # An endpoint that failed earlier may have recovered: if all are excluded, retry them.
@@ -163,18 +174,27 @@
         lease = await self._scheduler.acquire(
             job, frozenset(stream.excluded_ids), work_s, resumes=stream.head_sent
         )
+        try:
+            # Its parts may have been found to crash endpoints while it waited.
+            self._parts.require_allowed(job, loop.time())
+        except PromptBlockedError:
+            self._scheduler.release(lease)
+            raise
         stream.start_attempt(lease)
         endpoint = lease.endpoint
         self._scheduler.pin_session(job, endpoint.record.version, lease.started)
         try:
             answer = await self._open_watched(stream, lease)
         except BaseException as error:
+            unreachable = isinstance(error, EndpointUnreachableError)
             if isinstance(error, BackendRefusedError):
                 stream.possible_runs -= 1
                 stream.counted_runs -= 1
-                stream.unreachable_attempts += isinstance(error, EndpointUnreachableError)
+                stream.unreachable_attempts += unreachable
             else:
                 stream.broken_endpoints.append(endpoint)
+            if unreachable or isinstance(error, AnswerBrokenError):
+                self._parts.note_broken(endpoint, loop.time())
             self._scheduler.release(lease)
             raise
         lease.note_answer_started()
@@ -184,6 +204,7 @@
             job, endpoint, answer.head.success, slowdown(took_s, work_s), now
         )
         if answer.head.success:
+            self._parts.note_begun(job, endpoint, now)
             self._latency_window(stream).add(took_s)
             self._engine_times.record(stream.model, job.exchange.prompt_tokens, took_s)
             endpoint.record_delay(took_s - work_s, now)
@@ -263,7 +284,9 @@
                 stream.error = error
                 self._log_failure(stream, error, begun=True)
                 stream.broken_endpoints.append(answer.endpoint)
-                note_lost_answer(answer.endpoint, error, asyncio.get_running_loop().time())
+                now = asyncio.get_running_loop().time()
+                note_lost_answer(answer.endpoint, error, now)
+                self._parts.note_broken(answer.endpoint, now)
             finally:
                 await self._close(stream, answer)
             if not await self._take_retry(stream):
@@ -299,7 +322,7 @@
         splitter = EventSplitter()
         useless_bytes = 0
         loop = asyncio.get_running_loop()
-        stream.reset_gaps()
+        stream.reset_attempt()
         self._watchdog.watch(
             stream, gap_limits(stream.job.route.gap_aim_s), answer.abort, loop.time()
         )
@@ -328,7 +351,10 @@
         """Note that new events with content have come; other bytes are no progress."""
         stream.idle_since = now
         answer.endpoint.last_received_at = now
+        proven = stream.attempt_events >= SOUND_EVENTS
         stream.record_events(count, now)
+        if not proven and stream.attempt_events >= SOUND_EVENTS:
+            self._parts.note_sound(stream.job, answer.endpoint, now)
         self._record_event_gap(stream, answer, ended=False)
 
     def _take_escalation(self, stream: StreamState, answer: StreamedAnswer) -> bool:
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -31,6 +31,7 @@
         last_event_id: Id of the last event that the caller has received; None before the first.
         head_sent: Whether the head of the answer was returned to the caller.
         events_relayed: Number of events with content relayed to the caller.
+        attempt_events: Number of those from the current attempt.
         gaps_s: Gaps between the events of the current attempt, in seconds.
         last_events_at: Monotonic time of the current attempt's last events; None before the first.
         broken_endpoints: Endpoints of broken attempts that have not been probed since.
@@ -44,6 +45,7 @@
     """
 
     __slots__ = (
+        "attempt_events",
         "attempts",
         "broken_endpoints",
         "counted_runs",
@@ -78,6 +80,7 @@
         self.head_sent = False
         self.broken_endpoints: list[EndpointTracker] = []
         self.events_relayed = 0
+        self.attempt_events = 0
         self.gaps_s: list[float] = []
         self.last_events_at: float | None = None
         self.slow: bool | None = None
@@ -103,14 +106,16 @@
         self.possible_runs += 1
         self.counted_runs += 1
 
-    def reset_gaps(self) -> None:
-        """Discard the event gaps of the previous attempt."""
+    def reset_attempt(self) -> None:
+        """Discard the event count and gaps of the previous attempt."""
         self.gaps_s.clear()
         self.last_events_at = None
+        self.attempt_events = 0
 
     def record_events(self, count: int, now: float) -> None:
         """Count events that were received together; they share the gap before them."""
         self.events_relayed += count
+        self.attempt_events += count
         if self.last_events_at is not None and len(self.gaps_s) < MAX_GAPS:
             self.gaps_s += [(now - self.last_events_at) / count] * count
         self.last_events_at = now
--- a/tests/test_stream_state.py
+++ b/tests/test_stream_state.py
@@ -8,7 +8,7 @@
 
 def stream_with(*arrivals: tuple[int, float]) -> StreamState:
     stream = StreamState(job())
-    stream.reset_gaps()
+    stream.reset_attempt()
     for count, at in arrivals:
         stream.record_events(count, at)
     return stream
@@ -31,7 +31,7 @@
 
 def test_reset_discards_gaps_but_not_the_event_count() -> None:
     stream = stream_with((1, 0.0), (1, 0.1))
-    stream.reset_gaps()
+    stream.reset_attempt()
     stream.record_events(1, 5.0)
     assert stream.median_gap_s(min_gaps=1) is None
     assert stream.events_relayed == 3
