Take a stream without any event and without a length as broken off

A crash of the engine as it begins to write ends such an answer like one that is done: the caller got an empty stream as complete, and the engine counted as well. The test failed before (an empty body with status 200). Streams whose head tells how they end are not affected.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -68,6 +68,11 @@
         self.header_by_name = {n.decode("ascii"): v.decode("latin-1") for n, v in headers}
         self._link = link
 
+    @property
+    def delimited(self) -> bool:
+        """Whether the head tells how the body ends; otherwise it ends with the connection."""
+        return self._declared_bytes is not None or "transfer-encoding" in self.header_by_name
+
     def abort(self) -> None:
         """Reset the connection; whoever reads the body sees it break."""
         self._link.abort()
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -72,6 +72,11 @@
         self._stack = stack
         self._memory = memory
 
+    @property
+    def delimited(self) -> bool:
+        """Whether the head tells how the body ends; otherwise it ends with the connection."""
+        return self._reply.delimited
+
     async def whole(self, until: float) -> bytes:
         """Return the whole body.
 
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -343,6 +343,9 @@
             _require_time(stream, loop.time())
         if splitter.partial:
             raise AnswerBrokenError("the stream ended inside an event")
+        if not answer.delimited and not stream.events_relayed and stream.last_event_id is None:
+            # A crash of the engine looks the same as the end of its answer.
+            raise AnswerBrokenError("the stream ended before its first event")
         answer.endpoint.record_complete_answer()
 
     def _note_events(
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -63,3 +63,14 @@
             endpoint.closes = True
         with pytest.raises(HttpError):
             await harness.send_draft(deadline_ms="800")
+
+
+async def test_stream_that_ends_before_its_first_event_is_sent_to_another_engine(
+    harness: PlatformHarness,
+) -> None:
+    # An engine that crashes as it begins to write closes its connection like one that is done.
+    async with raw_workers(harness, ("engine-1",), success_head, b"") as (endpoint,):
+        endpoint.closes = True
+        while not endpoint.requests:
+            reply = await harness.send_draft()
+        assert (reply.status, reply.body) == (200, b"".join(EVENTS))
