Let reports between daemons carry more than prompt parts

The log of reports and their sender know nothing of what a report says, so that sessions can be told in the same way.

--- a/comfreyhatch/domain/part_report.py
+++ b/comfreyhatch/domain/part_report.py
@@ -13,7 +13,7 @@
     BLOCKED = "blocked"  # requests with all of them are refused
 
 
-class PartReport(Struct, frozen=True):
+class PartReport(Struct, frozen=True, tag="part"):
     """A report on prompt parts.
 
     Attributes:
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -28,6 +28,7 @@
 from comfreyhatch.exchange.header_codec import HeaderCodec
 from comfreyhatch.exchange.loop_lag import LoopLagMonitor
 from comfreyhatch.exchange.part_guard import PartGuard
+from comfreyhatch.exchange.peer_reports import PeerReports
 from comfreyhatch.exchange.peers import PeerListener
 from comfreyhatch.exchange.recovery import (
     SHARED_SPREAD_S,
@@ -98,15 +99,16 @@
         memory = AnswerMemory(deployment.memory_mb)
         sender = Sender(self._client, codec, telemetry.count_attempt, memory)
         self._billing = Billing(deployment.instance, started_ms, directory)
+        self._reports = PeerReports(monotonic())
         self._parts = PartGuard(
             deployment.instance,
             self.view.daemons,
             sender.refuses_connections,
             self.registry,
-            monotonic(),
+            self._reports,
         )
         self._sync = DirectorySync(
-            deployment, directory, self.view, rng, self._on_view_change, self._parts
+            deployment, directory, self.view, rng, self._on_view_change, self._reports
         )
         self._recovery = StoreRecovery(
             rng,
--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -17,13 +17,11 @@
 
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.operations import Operations
-from comfreyhatch.domain.part_report import PartReport
 from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import ComfreyhatchError, PeerError, PlatformError
 from comfreyhatch.exchange.catalog_changes import CatalogChanges, apply_catalog_changes
 from comfreyhatch.exchange.endpoint_changes import apply_changes
-from comfreyhatch.exchange.part_guard import PartGuard
-from comfreyhatch.exchange.part_reports import PartReportSender
+from comfreyhatch.exchange.peer_reports import PeerReports, Report, ReportSender
 from comfreyhatch.exchange.peers import MAX_QUERY_WAIT_S, PeerClient, PeerQuery, PeerUpdate
 from comfreyhatch.exchange.reader_selector import ReaderSelector
 from comfreyhatch.exchange.record_changes import apply_record_changes
@@ -60,7 +58,7 @@
 # Pause between long polls of the records during a roll-out. Plain reads every 0.7 s cost more calls
 # to the store.
 ROLLOUT_RECORDS_PAUSE_S = 0.5
-# Interval at which a daemon that follows no reader asks one for reports on prompt parts.
+# Interval at which a daemon that follows no reader asks one for reports.
 REPORT_PULL_INTERVAL_S = 0.5
 # Age of the orders from which a daemon that has lost the directory counts as cut off. It may then
 # fail its readiness check: in a cut-off zone one endpoint had all of the zone's work, with first
@@ -80,7 +78,7 @@
         view: FleetView,
         rng: Random,
         on_change: Callable[[], None],
-        parts: PartGuard | None = None,
+        reports: PeerReports | None = None,
     ) -> None:
         """Create the sync; no task runs yet.
 
@@ -90,9 +88,9 @@
             view: Updated with what is read.
             rng: Seeded source of jitter and of the choice of peers.
             on_change: Called after the view has changed.
-            parts: Learns reports on prompt parts, and makes them; None for none.
+            reports: Reports to pass on between daemons; None for none.
         """
-        self._parts = parts
+        self._reports = reports
         self._reports_seen_by_address: dict[str, int] = {}
         self._deployment = deployment
         self._directory = directory
@@ -107,9 +105,9 @@
         self._reads_directory.set()
         self._reader: PeerClient | None = None
         self._selector = ReaderSelector(deployment, view)
-        self._report_sender = PartReportSender(self._selector.others, self._send_reports)
-        if parts is not None:
-            parts.publish = self._publish_reports
+        self._report_sender = ReportSender(self._selector.others, self._send_reports)
+        if reports is not None:
+            reports.send = self._submit_reports
         self._last_query_at = float("-inf")
 
     def start(self) -> None:
@@ -118,7 +116,7 @@
             self._tasks.append(asyncio.create_task(self._repeat(poll)))
         self._tasks.append(asyncio.create_task(self._repeat(self._query_peers)))
         self._tasks.append(asyncio.create_task(self._repeat(self._poll_reader)))
-        if self._parts is not None:
+        if self._reports is not None:
             self._tasks.append(asyncio.create_task(self._repeat(self._pull_reports)))
 
     async def stop(self) -> None:
@@ -141,7 +139,7 @@
         """
         loop = asyncio.get_running_loop()
         self._last_query_at = loop.time()
-        self._merge_reports(query.reports)
+        self._receive_reports(query.reports)
         ends_at = self._last_query_at + min(query.wait_s, MAX_QUERY_WAIT_S)
         while not self._has_newer(query) and loop.time() < ends_at:
             changed = self._view_changed
@@ -160,9 +158,9 @@
         )
 
     def _has_newer_reports(self, query: PeerQuery) -> bool:
-        if self._parts is None or query.reports_seen is None:
+        if self._reports is None or query.reports_seen is None:
             return False
-        return self._parts.reports.revision != query.reports_seen
+        return self._reports.revision != query.reports_seen
 
     def _update_since(self, query: PeerQuery) -> PeerUpdate:
         now = asyncio.get_running_loop().time()
@@ -172,7 +170,7 @@
         operations = view.listed_operations
         known = view.endpoint_list is not None
         changes: CatalogChanges | None = None
-        reports = self._parts.reports if self._parts else None
+        reports = self._reports
         sent = operations if operations_changed else None
         if sent is not None and query.catalog_version is not None:
             changes = view.catalog_history.since(query.catalog_version)
@@ -189,14 +187,14 @@
             reports.revision if reports else 0,
         )
 
-    def _merge_reports(self, reports: tuple[PartReport, ...]) -> None:
-        """Learn reports on prompt parts, and wake the followers that wait for any."""
-        if self._parts is not None and reports:
-            self._parts.merge(reports, asyncio.get_running_loop().time())
+    def _receive_reports(self, reports: tuple[Report, ...]) -> None:
+        """Learn reports of other daemons, and wake the followers that wait for any."""
+        if self._reports is not None and reports:
+            self._reports.receive(reports, asyncio.get_running_loop().time())
             self._wake_queries()
 
     async def _pull_reports(self) -> None:
-        """Ask a random reader for reports on prompt parts, unless this daemon follows one."""
+        """Ask a random reader for reports, unless this daemon follows one."""
         await asyncio.sleep(REPORT_PULL_INTERVAL_S)
         if not self._reads_directory.is_set():
             return
@@ -204,12 +202,12 @@
         if readers:
             await self._query_once(self._rng.choice(readers))
 
-    def _publish_reports(self, reports: list[PartReport], now: float) -> None:
+    def _submit_reports(self, reports: list[Report], now: float) -> None:
         """Send reports of this daemon to the readers, or to its followers if it is one."""
         self._report_sender.submit(reports, now)
         self._wake_queries()
 
-    async def _send_reports(self, address: str, reports: tuple[PartReport, ...]) -> None:
+    async def _send_reports(self, address: str, reports: tuple[Report, ...]) -> None:
         """Send reports over a new connection.
 
         Raises:
@@ -413,7 +411,7 @@
             view.records.position if view.records else Position(),
             wait_s,
             catalog.version if catalog else None,
-            reports_seen=self._reports_seen_by_address.get(address, 0) if self._parts else None,
+            reports_seen=self._reports_seen_by_address.get(address, 0) if self._reports else None,
         )
 
     def apply_update(self, update: PeerUpdate, source: str) -> None:
@@ -439,7 +437,7 @@
             view.apply_records(apply_record_changes(view.records, changes), now)
         if update.reports_revision:
             self._reports_seen_by_address[source] = update.reports_revision
-        self._merge_reports(update.reports)
+        self._receive_reports(update.reports)
         self._notify_change()
 
     def _apply_operations(self, found: Operations, confirmed_at: float, source: str) -> None:
--- a/comfreyhatch/exchange/part_guard.py
+++ b/comfreyhatch/exchange/part_guard.py
@@ -12,7 +12,7 @@
 from comfreyhatch.domain.exchange import Job
 from comfreyhatch.domain.part_report import PartReport, ReportKind
 from comfreyhatch.errors import PromptBlockedError
-from comfreyhatch.exchange.part_reports import PartReportLog
+from comfreyhatch.exchange.peer_reports import PeerReports
 
 MAX_LOGGED_PARTS = 8
 
@@ -24,9 +24,7 @@
 class PartGuard:
     """Learns which prompt parts crash endpoints, from this daemon's attempts and from others.
 
-    Attributes:
-        reports: Reports for the daemons that follow this one.
-        publish: Sends reports of this daemon to others; set once there is a way to do so.
+    Its reports go to the other daemons, and theirs come here, by `PeerReports`.
     """
 
     def __init__(
@@ -35,7 +33,7 @@
         known_daemons: Callable[[], set[str]],
         refuses_connections: Probe,
         registry: CollectorRegistry,
-        started_at: float,
+        reports: PeerReports,
     ) -> None:
         """Create a guard that knows nothing.
 
@@ -44,15 +42,15 @@
             known_daemons: Returns the names of all known daemons.
             refuses_connections: Returns whether an endpoint refuses new connections.
             registry: Registry of the metrics.
-            started_at: Monotonic time in seconds.
+            reports: Carries reports to and from other daemons.
         """
         self._instance = instance
         self._known_daemons = known_daemons
         self._refuses_connections = refuses_connections
         self._parts = CrashingParts()
         self._probes: dict[str, asyncio.Task[None]] = {}
-        self.reports = PartReportLog(started_at)
-        self.publish: Callable[[list[PartReport], float], None] = lambda reports, now: None
+        self._reports = reports
+        reports.learn_part = self.learn
         self._refused = Counter(
             "comfreyhatch_prompts_blocked",
             "Requests refused for prompt parts that crash endpoints.",
@@ -97,12 +95,11 @@
             return
         self._probes[start] = asyncio.create_task(self._probe(endpoint, start, now))
 
-    def merge(self, reports: Iterable[PartReport], now: float) -> None:
-        """Learn from reports of other daemons, and keep them for followers."""
-        for report in self.reports.add(reports, now):
-            before = set(self._parts.blocks)
-            self._publish(self._parts.merge(report, now), now)
-            self._log_blocks(before)
+    def learn(self, report: PartReport, now: float) -> None:
+        """Learn from a report of another daemon."""
+        before = set(self._parts.blocks)
+        self._publish(self._parts.merge(report, now), now)
+        self._log_blocks(before)
 
     async def stop(self) -> None:
         """End the probes of endpoints."""
@@ -131,10 +128,7 @@
         self._log_blocks(before)
 
     def _publish(self, found: list[PartReport], now: float) -> None:
-        if not found:
-            return
-        self.reports.add(found, now)
-        self.publish(found, now)
+        self._reports.publish(found, now)
         for report in found:
             if report.kind is ReportKind.SOUND:
                 log.info("event=parts_sound parts=%s", _shown(report.part_ids))
--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -13,11 +13,11 @@
 
 from comfreyhatch.adapters.nng_socket import close_socket
 from comfreyhatch.domain.operations import Operations
-from comfreyhatch.domain.part_report import PartReport
 from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import ListenError, PeerError, PeerTimeoutError
 from comfreyhatch.exchange.catalog_changes import CatalogChanges
 from comfreyhatch.exchange.endpoint_changes import EndpointChanges
+from comfreyhatch.exchange.peer_reports import Report
 from comfreyhatch.exchange.record_changes import RecordChanges
 
 # Time for an answer, beyond the wait that the query asks for.
@@ -49,7 +49,7 @@
         wait_s: Longest wait for anything newer, in seconds.
         catalog_version: Version of the configuration; None for none, and from daemons that can't
             take changes of it.
-        reports: Reports on prompt parts to learn and to pass on.
+        reports: Reports to learn and to pass on.
         reports_seen: Revision of the peer's reports that the daemon has; None from daemons that
             can't take any.
     """
@@ -59,7 +59,7 @@
     records: Position = Position()
     wait_s: float = 0.0
     catalog_version: int | None = None
-    reports: tuple[PartReport, ...] = ()
+    reports: tuple[Report, ...] = ()
     reports_seen: int | None = None
 
 
@@ -76,7 +76,7 @@
         operations_position: Position up to which the orders are known, changed or not.
         catalog_changes: Changes of the configuration; None if there are none, or if `operations`
             has it.
-        reports: Reports on prompt parts that are new to the daemon.
+        reports: Reports that are new to the daemon.
         reports_revision: Revision of the peer's last report.
     """
 
@@ -87,7 +87,7 @@
     record_changes: RecordChanges | None
     operations_position: Position
     catalog_changes: CatalogChanges | None = None
-    reports: tuple[PartReport, ...] = ()
+    reports: tuple[Report, ...] = ()
     reports_revision: int = 0
 
 
--- a/tests/test_part_reports.py
+++ b/tests/test_peer_reports.py
@@ -1,55 +1,58 @@
-"""How reports on prompt parts reach other daemons."""
+"""How reports reach other daemons."""
 
 import asyncio
 
 from comfreyhatch.domain.part_report import PartReport, ReportKind
 from comfreyhatch.errors import PeerError
-from comfreyhatch.exchange.part_reports import MAX_KEPT_REPORTS, PartReportLog, PartReportSender
+from comfreyhatch.exchange.peer_reports import MAX_KEPT_REPORTS, PeerReports, Report, ReportSender
 from tests.platform_harness import BOUNDS, running_harness
 
 REPORT = PartReport(ReportKind.BLOCKED, frozenset({"bad"}))
 
 
 def test_follower_gets_each_report_once_with_its_age() -> None:
-    log = PartReportLog(1.0)
-    log.add([REPORT], 5.0)
+    log = PeerReports(1.0)
+    log.publish([REPORT], 5.0)
     (known,) = log.since(0, 7.0)
     assert known.age_s == 2.0
     assert log.since(log.revision, 7.0) == ()
 
 
 def test_report_that_comes_back_is_not_new() -> None:
-    log = PartReportLog(1.0)
-    assert log.add([REPORT], 5.0) == [REPORT]
-    assert log.add([PartReport(REPORT.kind, REPORT.part_ids, age_s=0.4)], 5.4) == []
-    assert log.add([REPORT], 9.0) == [REPORT]
+    log = PeerReports(1.0)
+    learned: list[float] = []
+    log.learn_part = lambda report, now: learned.append(now)
+    log.publish([REPORT], 5.0)
+    log.receive([PartReport(REPORT.kind, REPORT.part_ids, age_s=0.4)], 5.4)
+    log.receive([REPORT], 9.0)
+    assert learned == [9.0]
 
 
 def test_reports_of_a_restarted_reader_are_new() -> None:
-    before = PartReportLog(1.0)
+    before = PeerReports(1.0)
     for number in range(50):
-        before.add([PartReport(ReportKind.SOUND, frozenset({str(number)}))], 1.0)
-    after = PartReportLog(2.0)
-    after.add([REPORT], 3.0)
+        before.publish([PartReport(ReportKind.SOUND, frozenset({str(number)}))], 1.0)
+    after = PeerReports(2.0)
+    after.publish([REPORT], 3.0)
     assert len(after.since(before.revision, 3.0)) == 1
 
 
 def test_log_is_bounded() -> None:
-    log = PartReportLog(1.0)
-    log.add([PartReport(ReportKind.SOUND, frozenset({str(n)})) for n in range(1000)], 1.0)
+    log = PeerReports(1.0)
+    log.publish([PartReport(ReportKind.SOUND, frozenset({str(n)})) for n in range(1000)], 1.0)
     assert len(log.since(0, 1.0)) == MAX_KEPT_REPORTS
 
 
 async def test_report_is_sent_again_to_the_reader_that_replaces_a_silent_one() -> None:
     sent: list[str] = []
 
-    async def send(address: str, reports: tuple[PartReport, ...]) -> None:
+    async def send(address: str, reports: tuple[Report, ...]) -> None:
         if address == "silent":
             raise PeerError("no answer")
         sent.append(address)
 
     readers = [["silent", "first"], ["second", "first"]]
-    sender = PartReportSender(lambda now: readers.pop(0) if len(readers) > 1 else readers[0], send)
+    sender = ReportSender(lambda now: readers.pop(0) if len(readers) > 1 else readers[0], send)
     sender.submit([REPORT], asyncio.get_running_loop().time())
     async with asyncio.timeout(5):
         while "second" not in sent:
@@ -67,12 +70,12 @@
         for daemon in harness.daemons:
             now = asyncio.get_running_loop().time()
             report = PartReport(ReportKind.BLOCKED, frozenset({f"bad-{id(daemon)}"}))
-            daemon._parts._publish([report], now)
+            daemon._reports.publish([report], now)
             async with asyncio.timeout(BOUNDS.contact_s):
                 while not all(_has(d, report) for d in harness.daemons):
                     await asyncio.sleep(0.01)
 
 
 def _has(daemon: object, report: PartReport) -> bool:
-    entries = daemon._parts.reports._entries  # type: ignore[attr-defined]
+    entries = daemon._reports._entries  # type: ignore[attr-defined]
     return any(known.part_ids == report.part_ids for _, _, known in entries)
