Keep sessions on their version at all daemons while a roll-out begins

Daemons now tell each other, through the readers, which of their sessions began on a replaced version and would move with the first share: once when they see the order, and for each such session that begins until then. These stay where they are until the share grows. The first share comes into force 1 s after the roll-out's start by the store's clock, at all daemons at the same moment, so that the reports are there before. Sessions to tell of are few: the first share of those under way.

The test failed before ([v2, v2, v1] for one session at three daemons). test_slow_version_is_rolled_back_while_its_streams_run sent all its sessions in the first 3 s after the start; it now waits for the first share to be in force, and asks for the same.

--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -18,6 +18,7 @@
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
 from comfreyhatch.decisions.isolation import should_report_unready
+from comfreyhatch.decisions.version_trial import canary_share
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.exchange import Job
 from comfreyhatch.domain.instance import Address
@@ -40,6 +41,7 @@
 from comfreyhatch.exchange.router import ExchangeRouter
 from comfreyhatch.exchange.scheduler import EndpointScheduler
 from comfreyhatch.exchange.sender import Sender
+from comfreyhatch.exchange.session_pins import SessionPins
 from comfreyhatch.exchange.stream_proxy import StreamProxy
 from comfreyhatch.exchange.telemetry import RequestTelemetry
 from comfreyhatch.exchange.unary_proxy import UnaryProxy
@@ -60,6 +62,9 @@
 START_CHECK_INTERVAL_S = 0.01
 # `Bounds.retry_slack` is divided among the known daemons, but among at least this many.
 MIN_DAEMONS_SHARING_SLACK = 6
+# Time for which a session is pinned after its last request began, in `Bounds.session_s`: its answer
+# may take as long as the pause after it.
+PIN_LIFE_SESSIONS = 2.0
 METRICS_TYPE = "text/plain; version=0.0.4"
 
 log = logging.getLogger("comfreyhatch.daemon")
@@ -91,15 +96,21 @@
         self.view = FleetView()
         evidence = EvidenceCollector(deployment.instance, self.view)
         self._rollouts = RolloutController(deployment, directory, self.view, evidence)
+        self._reports = PeerReports(monotonic())
+        self._pins = SessionPins(
+            self.view,
+            self._reports,
+            canary_share(deployment.bounds.expose_share),
+            PIN_LIFE_SESSIONS * deployment.bounds.session_s,
+        )
         self._scheduler = EndpointScheduler(
-            deployment, self.view, rng, self._rollouts.is_bad_version
+            deployment, self.view, rng, self._rollouts.is_bad_version, self._pins
         )
         self._client = HttpClient(connect_timeout_s=ENDPOINT_CONNECT_TIMEOUT_S)
         telemetry = RequestTelemetry(self.registry)
         memory = AnswerMemory(deployment.memory_mb)
         sender = Sender(self._client, codec, telemetry.count_attempt, memory)
         self._billing = Billing(deployment.instance, started_ms, directory)
-        self._reports = PeerReports(monotonic())
         self._parts = PartGuard(
             deployment.instance,
             self.view.daemons,
@@ -297,6 +308,7 @@
         """
         if self.view.generation is not None:
             self._recovery.note_generation(self.view.generation)
+        self._pins.note_orders(asyncio.get_running_loop().time())
         catalog = self.view.catalog
         if catalog and catalog.limits:
             limits = self._callers.limits
--- a/comfreyhatch/exchange/eligibility.py
+++ b/comfreyhatch/exchange/eligibility.py
@@ -9,9 +9,9 @@
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.exchange import Job
 from comfreyhatch.domain.operations import RolloutOrder, RolloutState
+from comfreyhatch.exchange.session_pins import SessionPins
 from comfreyhatch.exchange.view import FleetView
 
-MAX_PINNED_SESSIONS = 20000
 # From this share of the target version on, requests for a replaced version without endpoints are
 # sent to the target version.
 MIN_SHARE_FOR_FALLBACK = 0.5
@@ -19,35 +19,32 @@
 
 
 class EndpointEligibility:
-    """Filters endpoints by registration, zone and version; keeps the version pins of sessions."""
+    """Filters endpoints by registration, zone and version."""
 
     def __init__(
         self,
         deployment: Deployment,
         view: FleetView,
         is_bad_version: Callable[[RolloutOrder], bool],
+        pins: SessionPins,
     ) -> None:
-        """Create it without pinned sessions.
+        """Create it.
 
         Args:
             deployment: Settings.
             view: Current state of the fleet.
             is_bad_version: Returns whether this daemon considers an order's target version bad.
+            pins: Versions of the sessions.
         """
         self._deployment = deployment
         self._view = view
         self._is_bad_version = is_bad_version
         self._canary = canary_share(deployment.bounds.expose_share)
-        self._pin_by_session: dict[str, tuple[str, float]] = {}
+        self._pins = pins
 
     def pin_session(self, job: Job, version: str, now: float) -> None:
-        """Pin the session of a request to a version; the oldest pins are evicted."""
-        if not job.exchange.session:
-            return
-        self._pin_by_session.pop(job.exchange.session, None)
-        self._pin_by_session[job.exchange.session] = (version, now)
-        while len(self._pin_by_session) > MAX_PINNED_SESSIONS:
-            self._pin_by_session.pop(next(iter(self._pin_by_session)))
+        """Pin the session of a request to a version."""
+        self._pins.pin(job, version, now)
 
     def endpoints_for(
         self, job: Job, excluded: frozenset[str], now: float
@@ -97,7 +94,7 @@
         if trial is not None and trial.state is RolloutState.ROLLED_BACK:
             return []
         if choice is VersionChoice.TARGET:
-            return in_service if self._pinned(job, now) != order.version else []
+            return in_service if self._pins.version(job, now) != order.version else []
         # Without a trial record the roll-out may be complete and the record not yet received;
         # then no endpoint of a replaced version is left.
         return in_service if trial is None or trial.share >= MIN_SHARE_FOR_FALLBACK else []
@@ -108,14 +105,11 @@
             self._view.trial(job.service),
             order is not None and self._is_bad_version(order),
             job.session_key,
-            self._pinned(job, now),
+            self._pins.version(job, now),
             self._canary,
+            self._view.store_ms(now),
         )
 
-    def _pinned(self, job: Job, now: float) -> str | None:
-        version, at = self._pin_by_session.get(job.exchange.session, ("", float("-inf")))
-        return version if now - at <= 2 * self._deployment.bounds.session_s else None
-
     def in_service(self, tracker: EndpointTracker, now: float) -> bool:
         """Return whether an endpoint is available and its zone has not been taken out."""
         return self._view.available(tracker, now) and not self._view.zone_out(tracker.record.zone)
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -18,6 +18,7 @@
 from comfreyhatch.domain.operations import RolloutOrder
 from comfreyhatch.errors import RefusedError
 from comfreyhatch.exchange.eligibility import EndpointEligibility
+from comfreyhatch.exchange.session_pins import SessionPins
 from comfreyhatch.exchange.view import FleetView
 
 MAX_QUEUED_PER_SERVICE = 256
@@ -78,7 +79,7 @@
 
 
 class EndpointScheduler:
-    """Assigns requests to endpoints; owns the queue of each service and the sessions' versions."""
+    """Assigns requests to endpoints; owns the queue of each service."""
 
     def __init__(
         self,
@@ -86,6 +87,7 @@
         view: FleetView,
         rng: Random,
         is_bad_version: Callable[[RolloutOrder], bool],
+        pins: SessionPins,
     ) -> None:
         """Create a scheduler with empty queues.
 
@@ -94,11 +96,12 @@
             view: Current orders, endpoints and roll-outs.
             rng: Seeded source of the jitter of retry times.
             is_bad_version: Returns whether this daemon found the version of an order to be bad.
+            pins: Versions of the sessions.
         """
         self._deployment = deployment
         self._view = view
         self._rng = rng
-        self._eligibility = EndpointEligibility(deployment, view, is_bad_version)
+        self._eligibility = EndpointEligibility(deployment, view, is_bad_version, pins)
         self._queue_by_service: dict[str, list[_QueuedRequest]] = {}
         self._service_time_by_service: dict[str, ServiceTime] = {}
         self._next_number = count()
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -8,6 +8,7 @@
 from msgspec.structs import replace
 
 from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.decisions.session_version import FIRST_SHARE_DELAY_MS
 from comfreyhatch.decisions.version_trial import MIN_ANSWERS_TO_GROW
 from comfreyhatch.domain.deployment import Bounds
 from comfreyhatch.errors import HttpError
@@ -607,6 +608,7 @@
     new.pause_s = lambda number: 0.1 * (number > 1)
     harness.store.put("op", "rollout/engines", {"service": "engines", "to": "v2", "over_s": 60})
     await harness.wait_until(lambda: harness.daemon.view.trial("engines"))
+    await asyncio.sleep(FIRST_SHARE_DELAY_MS / 1000)  # until sessions move to the new version
     drafts: set[asyncio.Task[object]] = set()
     for number in range(300):
         drafts.add(asyncio.create_task(harness.send_draft(session=f"s{number}")))
