Split the answers to peers and the rows of the store from their users

What a daemon answers to peers and takes from their answers is now in exchange/peer_updates.py, as functions of the view; rows and writes are in platform/rows.py. No change of behaviour; the whole test run is green.

--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -19,9 +19,9 @@
 from comfreyhatch.domain.operations import Operations
 from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import ComfreyhatchError, PeerError, PlatformError
-from comfreyhatch.exchange.catalog_changes import CatalogChanges, apply_catalog_changes
 from comfreyhatch.exchange.endpoint_changes import apply_changes
 from comfreyhatch.exchange.peer_reports import PeerReports, Report, ReportSender
+from comfreyhatch.exchange.peer_updates import has_newer, update_since, updated_operations
 from comfreyhatch.exchange.peers import MAX_QUERY_WAIT_S, PeerClient, PeerQuery, PeerUpdate
 from comfreyhatch.exchange.reader_selector import ReaderSelector
 from comfreyhatch.exchange.record_changes import apply_record_changes
@@ -141,51 +141,12 @@
         self._last_query_at = loop.time()
         self._receive_reports(query.reports)
         ends_at = self._last_query_at + min(query.wait_s, MAX_QUERY_WAIT_S)
-        while not self._has_newer(query) and loop.time() < ends_at:
+        while not has_newer(self._view, self._reports, query) and loop.time() < ends_at:
             changed = self._view_changed
             with suppress(TimeoutError):
                 async with asyncio.timeout_at(ends_at):
                     await changed.wait()
-        return self._update_since(query)
-
-    def _has_newer(self, query: PeerQuery) -> bool:
-        view = self._view
-        return (
-            view.operations_changed_position > query.operations
-            or view.endpoint_history.changed_position > query.endpoints
-            or view.record_history.changed_position > query.records
-            or self._has_newer_reports(query)
-        )
-
-    def _has_newer_reports(self, query: PeerQuery) -> bool:
-        if self._reports is None or query.reports_seen is None:
-            return False
-        return self._reports.revision != query.reports_seen
-
-    def _update_since(self, query: PeerQuery) -> PeerUpdate:
-        now = asyncio.get_running_loop().time()
-        view = self._view
-        operations_changed = view.operations_changed_position > query.operations
-        records_changed = view.record_history.changed_position > query.records
-        operations = view.listed_operations
-        known = view.endpoint_list is not None
-        changes: CatalogChanges | None = None
-        reports = self._reports
-        sent = operations if operations_changed else None
-        if sent is not None and query.catalog_version is not None:
-            changes = view.catalog_history.since(query.catalog_version)
-            sent = replace(sent, catalog=None)
-        return PeerUpdate(
-            sent,
-            view.operations_age_s(now),
-            view.endpoint_history.since(query.endpoints) if known else None,
-            view.endpoints_age_s(now),
-            view.record_history.since(query.records) if records_changed else None,
-            operations.position if operations else Position(),
-            changes,
-            reports.since(query.reports_seen or 0, now) if reports else (),
-            reports.revision if reports else 0,
-        )
+        return update_since(self._view, self._reports, query, loop.time())
 
     def _receive_reports(self, reports: tuple[Report, ...]) -> None:
         """Learn reports of other daemons, and wake the followers that wait for any."""
@@ -423,7 +384,7 @@
         """
         now = asyncio.get_running_loop().time()
         view = self._view
-        operations = self._updated_operations(update)
+        operations = updated_operations(view.listed_operations, update)
         if operations is not None:
             self._apply_operations(operations, now - update.operations_age_s, source)
         if update.endpoints is not None:
@@ -461,36 +422,6 @@
                 now - confirmed_at,
             )
 
-    def _updated_operations(self, update: PeerUpdate) -> Operations | None:
-        """Return the orders after an answer, with the configuration after its changes.
-
-        Returns:
-            None if nothing is known of them, or if the changes are of another configuration than
-            the held one, as after a read of the directory meanwhile.
-        """
-        operations, changes = update.operations, update.catalog_changes
-        if operations is None:
-            return self._confirmed_operations(update)
-        if operations.catalog is not None:
-            return operations
-        listed = self._view.listed_operations
-        held = listed.catalog if listed else None
-        if changes is not None and changes.applies_to(held):
-            return replace(operations, catalog=apply_catalog_changes(held, changes))
-        return operations if changes is None else None
-
-    def _confirmed_operations(self, update: PeerUpdate) -> Operations | None:
-        """Return the held orders at the position up to which a peer knows them to be unchanged.
-
-        Returns:
-            None if there are none, or if the peer speaks of another generation of the store.
-        """
-        held = self._view.listed_operations
-        if held is None or update.operations_position.generation != held.generation:
-            return None
-        revision = max(held.revision, update.operations_position.revision)
-        return replace(held, revision=revision)
-
     async def _poll_reader(self) -> None:
         """Query this daemon's reader, and stop polling the directory while the reader is current.
 
--- a/comfreyhatch/platform/directory.py
+++ b/comfreyhatch/platform/directory.py
@@ -20,14 +20,8 @@
 from comfreyhatch.domain.usage import UsageBatch
 from comfreyhatch.errors import PlatformError
 from comfreyhatch.platform.documents import decode_catalog, decode_endpoint, decode_order
-from comfreyhatch.platform.store import (
-    HistoryGoneError,
-    Row,
-    Rows,
-    StoreClient,
-    Write,
-    WriteResult,
-)
+from comfreyhatch.platform.rows import Row, Rows, Write, WriteResult
+from comfreyhatch.platform.store import HistoryGoneError, StoreClient
 
 OPERATOR_TABLE = "op"
 ENDPOINT_TABLE = "servers"
--- a/comfreyhatch/platform/documents.py
+++ b/comfreyhatch/platform/documents.py
@@ -24,7 +24,7 @@
 from comfreyhatch.domain.endpoint import EndpointRecord
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.domain.operations import RolloutOrder
-from comfreyhatch.platform.store import Row
+from comfreyhatch.platform.rows import Row
 
 MS_PER_S = 1000.0
 STATE_READY = "ready"
--- a/tests/test_store_generations.py
+++ b/tests/test_store_generations.py
@@ -9,7 +9,8 @@
 from comfreyhatch.domain.operations import RolloutRecord, RolloutState
 from comfreyhatch.errors import PlatformError
 from comfreyhatch.platform.directory import StoreDirectory
-from comfreyhatch.platform.store import LateAnswerError, StoreClient, Write, WriteResult
+from comfreyhatch.platform.rows import Write, WriteResult
+from comfreyhatch.platform.store import LateAnswerError, StoreClient
 from tests.platform_harness import PlatformHarness, config, running_harness
 from tests.platform_store import StandInStore
 
