Count an endpoint as crashed only if nothing listens at its address

A daemon behind a cut reaches no endpoint, so that answers which had just begun at several of them looked like crashes, and their parts would have been blamed.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -273,6 +273,15 @@
         self._keep(address, link)
         return True
 
+    async def is_refused(self, address: Address) -> bool:
+        """Return whether nothing listens at an address; not whether it can't be reached."""
+        try:
+            link = await self._link(address, fresh=True)
+        except ConnectError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        self._keep(address, link)
+        return False
+
     def close(self) -> None:
         """Close all idle connections."""
         for links in self._idle_by_address.values():
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -114,7 +114,7 @@
         self._parts = PartGuard(
             deployment.instance,
             self.view.daemons,
-            sender.refuses_connections,
+            sender.is_down,
             self.registry,
             self._reports,
         )
--- a/comfreyhatch/exchange/part_guard.py
+++ b/comfreyhatch/exchange/part_guard.py
@@ -31,7 +31,7 @@
         self,
         instance: str,
         known_daemons: Callable[[], set[str]],
-        refuses_connections: Probe,
+        is_down: Probe,
         registry: CollectorRegistry,
         reports: PeerReports,
     ) -> None:
@@ -40,13 +40,13 @@
         Args:
             instance: Name of this daemon.
             known_daemons: Returns the names of all known daemons.
-            refuses_connections: Returns whether an endpoint refuses new connections.
+            is_down: Returns whether the process of an endpoint has ended.
             registry: Registry of the metrics.
             reports: Carries reports to and from other daemons.
         """
         self._instance = instance
         self._known_daemons = known_daemons
-        self._refuses_connections = refuses_connections
+        self._is_down = is_down
         self._parts = CrashingParts()
         self._probes: dict[str, asyncio.Task[None]] = {}
         self._reports = reports
@@ -110,7 +110,7 @@
 
     async def _probe(self, endpoint: EndpointTracker, start: str, broke_at: float) -> None:
         try:
-            if await self._refuses_connections(endpoint):
+            if await self._is_down(endpoint):
                 self._note_crash(start, broke_at)
         finally:
             del self._probes[start]
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -199,6 +199,10 @@
         """Return whether an endpoint refuses a new connection."""
         return not await self._client.can_connect(endpoint.record.address)
 
+    async def is_down(self, endpoint: EndpointTracker) -> bool:
+        """Return whether an endpoint's process has ended: nothing listens at its address."""
+        return await self._client.is_refused(endpoint.record.address)
+
     async def fetch(
         self, job: Job, endpoint: EndpointTracker, dispatch: Dispatch, timeout_s: float
     ) -> BufferedAnswer:
