--- a/comfreyhatch/decisions/crashing_parts.py
+++ b/comfreyhatch/decisions/crashing_parts.py
@@ -79,7 +79,7 @@
         self._begun_by_attempt: OrderedDict[tuple[str, str], _Begun] = OrderedDict()
         self._crash_by_endpoint: OrderedDict[str, _Crash] = OrderedDict()
         self._sound_at_by_part: OrderedDict[str, float] = OrderedDict()
-        self._sound_reported_at: dict[str, float] = {}
+        self._sound_reported_at: OrderedDict[str, float] = OrderedDict()
         self._block_by_parts: dict[frozenset[str], _Block] = {}
 
     def note_begun(
@@ -103,11 +103,7 @@
     ) -> list[PartReport]:
         """Note that an answer has gone well for `SOUND_EVENTS` events; see `note_begun`."""
         self._begun_by_attempt.pop((request_id, endpoint), None)
-        for part_id in part_ids:
-            self._sound_at_by_part.pop(part_id, None)
-            self._sound_at_by_part[part_id] = now
-        while len(self._sound_at_by_part) > MAX_SOUND_PARTS:
-            self._sound_at_by_part.popitem(last=False)
+        self._add_sound(part_ids, now)
         self._drop_sound_blocks(now)
         return self._sound_reports(part_ids, now)
 
@@ -135,10 +131,8 @@
         """Learn from the report of another daemon."""
         at = now - report.age_s
         if report.kind is ReportKind.SOUND:
-            self._sound_reported_at.update(dict.fromkeys(report.part_ids, now))
-            for part_id in report.part_ids:
-                last_at = self._sound_at_by_part.get(part_id, at)
-                self._sound_at_by_part[part_id] = max(last_at, at)
+            self._note_sound_reported(report.part_ids, now)
+            self._add_sound(report.part_ids, at)
             self._drop_sound_blocks(now)
             return []
         if report.kind is ReportKind.CRASHED:
@@ -255,6 +249,20 @@
             if left:
                 self._block_by_parts.setdefault(left, block)
 
+    def _add_sound(self, part_ids: Collection[str], at: float) -> None:
+        for part_id in part_ids:
+            last_at = self._sound_at_by_part.pop(part_id, at)
+            self._sound_at_by_part[part_id] = max(last_at, at)
+        while len(self._sound_at_by_part) > MAX_SOUND_PARTS:
+            self._sound_at_by_part.popitem(last=False)
+
+    def _note_sound_reported(self, part_ids: Collection[str], now: float) -> None:
+        for part_id in part_ids:
+            self._sound_reported_at.pop(part_id, None)
+            self._sound_reported_at[part_id] = now
+        while len(self._sound_reported_at) > MAX_SOUND_PARTS:
+            self._sound_reported_at.popitem(last=False)
+
     def _is_sound(self, part_id: str, now: float) -> bool:
         at = self._sound_at_by_part.get(part_id)
         return at is not None and now - at <= SOUND_MEMORY_S
@@ -274,10 +282,5 @@
         ]
         if not found:
             return []
-        self._sound_reported_at = {
-            part_id: at
-            for part_id, at in self._sound_reported_at.items()
-            if now - at <= SOUND_REPORT_INTERVAL_S
-        }
-        self._sound_reported_at.update(dict.fromkeys(found, now))
+        self._note_sound_reported(found, now)
         return [PartReport(ReportKind.SOUND, frozenset(found))]
--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -60,6 +60,8 @@
 ROLLOUT_RECORDS_PAUSE_S = 0.5
 # Interval at which a daemon that follows no reader asks one for reports.
 REPORT_PULL_INTERVAL_S = 0.5
+# Peers whose last report is remembered; others send their reports once more.
+MAX_KNOWN_READERS = 64
 # Age of the orders from which a daemon that has lost the directory counts as cut off. It may then
 # fail its readiness check: in a cut-off zone one endpoint had all of the zone's work, with first
 # events after 0.9 s and gaps of 2.1 s between events.
@@ -397,10 +399,16 @@
         if changes is not None and changes.applies_to(view.records):
             view.apply_records(apply_record_changes(view.records, changes), now)
         if update.reports_revision:
-            self._reports_seen_by_address[source] = update.reports_revision
+            self._note_reports_seen(source, update.reports_revision)
         self._receive_reports(update.reports)
         self._notify_change()
 
+    def _note_reports_seen(self, address: str, revision: int) -> None:
+        self._reports_seen_by_address.pop(address, None)
+        self._reports_seen_by_address[address] = revision
+        while len(self._reports_seen_by_address) > MAX_KNOWN_READERS:
+            self._reports_seen_by_address.pop(next(iter(self._reports_seen_by_address)))
+
     def _apply_operations(self, found: Operations, confirmed_at: float, source: str) -> None:
         """Apply orders to the view, and log from whom a new configuration comes.
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -163,6 +163,8 @@
         parts.note_begun(f"r{number}", "e/1", [f"b{number}"], 1.0)
         parts.merge(PartReport(ReportKind.CRASHED, frozenset({f"c{number}"}), f"e{number}"), 1.0)
         parts.merge(PartReport(ReportKind.BLOCKED, frozenset({f"d{number}"})), 1.0)
+        parts.merge(PartReport(ReportKind.SOUND, frozenset({f"t{number}"})), 1.0)
+    assert len(parts._sound_reported_at) <= MAX_SOUND_PARTS
     assert len(parts._sound_at_by_part) <= MAX_SOUND_PARTS
     assert len(parts._begun_by_attempt) <= MAX_BEGUN
     assert len(parts._crash_by_endpoint) <= MAX_CRASHES
