Refuse requests that wait as soon as their part is found to crash engines

A request that waited for a slot was refused only once it had one, up to 3 s later. The new test failed to end within 0.5 s before.

--- a/comfreyhatch/decisions/crashing_parts.py
+++ b/comfreyhatch/decisions/crashing_parts.py
@@ -159,12 +159,17 @@
         for blocked, block in list(self._block_by_parts.items()):
             if now >= block.until:
                 del self._block_by_parts[blocked]
-            elif blocked <= shared:
-                if now < block.trial_at or not tries(blocked):
-                    return blocked
-                block.trial_at = now + TRIAL_AFTER_S
+            elif blocked <= shared and (now < block.trial_at or not tries(blocked)):
+                return blocked
         return None
 
+    def note_sent(self, part_ids: Collection[str], now: float) -> None:
+        """Note that a request is sent; if it has blocked parts, it is the trial."""
+        shared = frozenset(part_ids)
+        for blocked, block in self._block_by_parts.items():
+            if blocked <= shared:
+                block.trial_at = now + TRIAL_AFTER_S
+
     @property
     def blocks(self) -> list[frozenset[str]]:
         """The sets of parts that are blocked, ended blocks included."""
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -103,9 +103,6 @@
             canary_share(deployment.bounds.expose_share),
             PIN_LIFE_SESSIONS * deployment.bounds.session_s,
         )
-        self._scheduler = EndpointScheduler(
-            deployment, self.view, rng, self._rollouts.is_bad_version, self._pins
-        )
         self._client = HttpClient(connect_timeout_s=ENDPOINT_CONNECT_TIMEOUT_S)
         telemetry = RequestTelemetry(self.registry)
         memory = AnswerMemory(deployment.memory_mb)
@@ -118,6 +115,14 @@
             self.registry,
             self._reports,
         )
+        self._scheduler = EndpointScheduler(
+            deployment,
+            self.view,
+            rng,
+            self._rollouts.is_bad_version,
+            self._pins,
+            self._parts.refusal,
+        )
         self._sync = DirectorySync(
             deployment, directory, self.view, rng, self._on_view_change, self._reports
         )
--- a/comfreyhatch/exchange/part_guard.py
+++ b/comfreyhatch/exchange/part_guard.py
@@ -62,21 +62,21 @@
             registry=registry,
         )
 
-    def require_allowed(self, job: Job, now: float) -> None:
-        """Raise an error if a request has parts that crash endpoints.
-
-        Raises:
-            PromptBlockedError: If it has.
-        """
+    def refusal(self, job: Job, now: float) -> PromptBlockedError | None:
+        """Return the error for a request whose parts crash endpoints; None for others."""
         blocked = self._parts.blocked_parts(job.exchange.shared_part_ids, self._tries, now)
         if blocked is None:
-            return
+            return None
         self._refused.inc()
         self._publish(self._parts.note_refused(blocked, now), now)
-        raise PromptBlockedError(
+        return PromptBlockedError(
             f"endpoints crash on prompts with {_shown(blocked)}", retry_after_s=BLOCK_S
         )
 
+    def note_sent(self, job: Job, now: float) -> None:
+        """Note that a request is sent to an endpoint."""
+        self._parts.note_sent(job.exchange.shared_part_ids, now)
+
     def note_begun(self, job: Job, endpoint: EndpointTracker, now: float) -> None:
         """Note that the head of an answer has come."""
         parts = job.exchange.shared_part_ids
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -88,6 +88,7 @@
         rng: Random,
         is_bad_version: Callable[[RolloutOrder], bool],
         pins: SessionPins,
+        refusal: Callable[[Job, float], RefusedError | None],
     ) -> None:
         """Create a scheduler with empty queues.
 
@@ -97,10 +98,13 @@
             rng: Seeded source of the jitter of retry times.
             is_bad_version: Returns whether this daemon found the version of an order to be bad.
             pins: Versions of the sessions.
+            refusal: Returns the error for a request that has to be refused while it waits, called
+                with the present time; None if it may wait on.
         """
         self._deployment = deployment
         self._view = view
         self._rng = rng
+        self._refusal_while_queued = refusal
         self._eligibility = EndpointEligibility(deployment, view, is_bad_version, pins)
         self._queue_by_service: dict[str, list[_QueuedRequest]] = {}
         self._service_time_by_service: dict[str, ServiceTime] = {}
@@ -157,6 +161,11 @@
             if entry.lease.done():
                 queue.remove(entry)
                 continue
+            refusal = self._refusal_while_queued(entry.job, now)
+            if refusal is not None:
+                queue.remove(entry)
+                entry.lease.set_exception(refusal)
+                continue
             lease = self._try_acquire(entry.job, entry.excluded, entry.work_s, now)
             if lease is not None:
                 queue.remove(entry)
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -164,7 +164,9 @@
         """Send the request to one endpoint and return its answer once the head was read."""
         loop = asyncio.get_running_loop()
         job = stream.job
-        self._parts.require_allowed(job, loop.time())
+        refusal = self._parts.refusal(job, loop.time())
+        if refusal is not None:
+            raise refusal
         work_s = self._engine_times.first_event_s(stream.model, job.exchange.prompt_tokens)
         for excluded in (stream.excluded_ids, {stream.endpoint_id}, set()):
             # An endpoint that failed earlier may have recovered: if all are excluded, retry them.
@@ -174,12 +176,7 @@
         lease = await self._scheduler.acquire(
             job, frozenset(stream.excluded_ids), work_s, resumes=stream.head_sent
         )
-        try:
-            # Its parts may have been found to crash endpoints while it waited.
-            self._parts.require_allowed(job, loop.time())
-        except PromptBlockedError:
-            self._scheduler.release(lease)
-            raise
+        self._parts.note_sent(job, lease.started)
         stream.start_attempt(lease)
         endpoint = lease.endpoint
         self._scheduler.pin_session(job, endpoint.record.version, lease.started)
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -146,6 +146,7 @@
         now += BLOCK_S / 2
     assert parts.blocked_parts(["bad"], never, now) == {"bad"}
     assert parts.blocked_parts(["bad"], always, now) is None
+    parts.note_sent(["bad", "mid"], now)
     assert parts.blocked_parts(["bad"], always, now) == {"bad"}
 
 
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
+from comfreyhatch.domain.part_report import PartReport, ReportKind
 from comfreyhatch.errors import HttpError
 from tests.platform_harness import BOUNDS, PlatformHarness, running_harness
 from tests.platform_worker import StandInWorker, part_ids
@@ -121,3 +123,27 @@
     served = [ok for at, ok in traffic.sound if at > counted[-1] + 2 * BOUNDS.contact_s]
     assert len(served) >= 20
     assert sum(served) >= len(served) / 2
+
+
+async def test_request_that_waits_is_refused_once_its_part_is_found(
+    harness: PlatformHarness,
+) -> None:
+    # Every engine is busy, and the request waits for a slot of up to 3 s.
+    release = asyncio.Event()
+    for worker in harness.worker_by_id.values():
+        worker.hold = release
+    busy = [asyncio.create_task(_send(harness, n * DAEMONS, ["mid"])) for n in range(4 * ENGINES)]
+    await harness.wait_until(lambda: sum(t.in_flight for t in _trackers(harness)) == 4 * ENGINES)
+    waiting = asyncio.create_task(_send(harness, 999, ["mid", BAD_PART]))
+    daemon = harness.daemons[0]
+    await harness.wait_until(lambda: daemon._scheduler.queued)
+    report = PartReport(ReportKind.BLOCKED, frozenset({BAD_PART}))
+    daemon._reports.receive([report], asyncio.get_running_loop().time())
+    async with asyncio.timeout(0.5):
+        assert not await waiting
+    release.set()
+    await asyncio.gather(*busy)
+
+
+def _trackers(harness: PlatformHarness) -> list[EndpointTracker]:
+    return harness.daemons[0].view.trackers_by_service["engines"]
--- a/tests/test_part_guard.py
+++ b/tests/test_part_guard.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import pytest
 from msgspec.structs import replace
 from prometheus_client import CollectorRegistry
 
@@ -44,16 +43,15 @@
 async def test_prompts_under_which_endpoints_have_ended_are_refused() -> None:
     guard = _guard(down=True)
     await _break_answers(guard)
-    with pytest.raises(PromptBlockedError) as raised:
-        guard.require_allowed(_job("r9"), asyncio.get_running_loop().time())
-    assert raised.value.retry_after_s
+    refusal = guard.refusal(_job("r9"), asyncio.get_running_loop().time())
+    assert isinstance(refusal, PromptBlockedError) and refusal.retry_after_s
 
 
 async def test_answers_that_break_while_the_endpoint_goes_on_blame_nothing() -> None:
     # Behind a cut, or under a worker that loses answers, every part would be blamed.
     guard = _guard(down=False)
     await _break_answers(guard)
-    guard.require_allowed(_job("r9"), asyncio.get_running_loop().time())
+    assert guard.refusal(_job("r9"), asyncio.get_running_loop().time()) is None
 
 
 async def test_endpoint_is_down_only_if_nothing_listens_at_its_address() -> None:
