--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -9,6 +9,7 @@
 from random import Random
 
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.decisions.session_version import FIRST_SHARE_DELAY_MS
 from comfreyhatch.domain.deployment import Bounds, Deployment
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.exchange.daemon import ExchangeDaemon
@@ -25,6 +26,7 @@
 PORTS_PER_PROCESS = 700
 PORT_RANGES = 16
 MEMORY_MB = 256.0
+MS_PER_S = 1000.0
 BOUNDS = Bounds(grace_s=4.0, retry_ratio=1.0, retry_slack=200.0)
 
 
@@ -227,6 +229,13 @@
             while not condition():
                 await asyncio.sleep(0.01)
 
+    async def wait_for_first_share(self) -> None:
+        """Wait until a roll-out of the engines runs and new sessions get the new version."""
+        daemon = self.daemon
+        assert daemon is not None
+        await self.wait_until(lambda: daemon.view.trial("engines"))
+        await asyncio.sleep(FIRST_SHARE_DELAY_MS / MS_PER_S)
+
     async def close(self) -> None:
         self.client.close()
         for daemon in self.daemons:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -8,7 +8,6 @@
 from msgspec.structs import replace
 
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.decisions.session_version import FIRST_SHARE_DELAY_MS
 from comfreyhatch.decisions.version_trial import MIN_ANSWERS_TO_GROW
 from comfreyhatch.domain.deployment import Bounds
 from comfreyhatch.errors import HttpError
@@ -482,7 +481,7 @@
     new = await harness.add_worker("engine-3", "engines", "v2")
     new.status = 500
     harness.store.put("op", "rollout/engines", {"service": "engines", "to": "v2", "over_s": 60})
-    await _wait_for_first_share(harness)
+    await harness.wait_for_first_share()
     sessions = 0
     while harness.store.value("status", "rollout/engines")["state"] == "running" and sessions < 600:
         sessions += 1
@@ -494,12 +493,6 @@
     assert len(new.received) == before
 
 
-async def _wait_for_first_share(harness: PlatformHarness) -> None:
-    """Wait until a roll-out runs and new sessions get the new version."""
-    await harness.wait_until(lambda: harness.daemon.view.trial("engines"))
-    await asyncio.sleep(FIRST_SHARE_DELAY_MS / 1000)
-
-
 async def _send_sessions(harness: PlatformHarness) -> None:
     """Start new sessions one after the other until cancelled."""
     for number in count():
@@ -595,7 +588,7 @@
     new = await harness.add_worker("engine-3", "engines", "v2")
     new.pause_s = lambda number: 0.1
     harness.store.put("op", "rollout/engines", {"service": "engines", "to": "v2", "over_s": 60})
-    await _wait_for_first_share(harness)
+    await harness.wait_for_first_share()
     number = 0
     while harness.store.value("status", "rollout/engines")["state"] == "running" and number < 600:
         drafts = (harness.send_draft(session=f"s{number + n}") for n in range(3))
@@ -613,7 +606,7 @@
     new.events = 400
     new.pause_s = lambda number: 0.1 * (number > 1)
     harness.store.put("op", "rollout/engines", {"service": "engines", "to": "v2", "over_s": 60})
-    await _wait_for_first_share(harness)
+    await harness.wait_for_first_share()
     drafts: set[asyncio.Task[object]] = set()
     for number in range(300):
         drafts.add(asyncio.create_task(harness.send_draft(session=f"s{number}")))
--- a/tests/test_store_generations.py
+++ b/tests/test_store_generations.py
@@ -269,6 +269,7 @@
 
 
 async def roll_back(harness: PlatformHarness) -> None:
+    await harness.wait_for_first_share()
     number = 0
     while harness.store.value(*STATUS_ROW)["state"] == "running" and number < 600:
         number += 1
