Take only finite and sensible numbers from headers and settings

An endpoint that answered with an endless remaining time of its cold start counted as cold for ever; a load of 400 digits raised an error for each request of its service, and a caller's header of 5,000 digits an internal error, since Python refuses to convert it. Cause: float() and int() take what no arithmetic after them can bear. Such values now count as absent, in settings as errors.

8 of the 11 new cases failed before; an empty value, text and nan in settings passed.

--- a/comfreyhatch/platform/header_codec.py
+++ b/comfreyhatch/platform/header_codec.py
@@ -1,5 +1,7 @@
 """Codec for the platform's HTTP headers of callers and endpoints."""
 
+from math import isfinite
+
 from msgspec import Struct
 from msgspec.json import encode
 
@@ -20,6 +22,8 @@
 # Callers conclude from these statuses that their request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MIN_DEADLINE_MS = 1
+# Longer integers are no sensible counts, and Python refuses to convert those of 4,300 digits.
+MAX_INTEGER_DIGITS = 15
 
 _HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -93,7 +97,7 @@
             output_tokens=tokens[1] if len(tokens) > 1 else 0,
             parts=_parse_prompt_parts(request.header("prompt-prefix")),
             session=request.header("session"),
-            last_event_id=int(last_event) if last_event.isdecimal() else None,
+            last_event_id=int(last_event) if _is_integer(last_event) else None,
         )
 
     def dispatch_headers(self, exchange: Exchange, dispatch: Dispatch) -> Headers:
@@ -134,7 +138,7 @@
             encoded=b"content-encoding" in value_by_name,
             load=_parse_load(_header_text(value_by_name, b"server-load")),
             cold_s=_parse_ms(cold),
-            confidence=int(confidence) if confidence.isdecimal() else None,
+            confidence=int(confidence) if _is_integer(confidence) else None,
         )
 
     def refusal(self, error: ComfreyhatchError) -> HttpResponse:
@@ -170,23 +174,34 @@
     return value[len(_BEARER_PREFIX) :].strip() if value.lower().startswith(_BEARER_PREFIX) else ""
 
 
-def _parse_ms(value: str) -> float | None:
-    """Convert text in milliseconds to seconds, 0 or more; None if empty or not a number."""
+def _parse_number(value: str) -> float | None:
+    """Convert text to a finite number, 0 or more; None for anything else."""
     try:
-        return max(0.0, float(value)) / MS_PER_S if value else None
+        number = float(value)
     except ValueError:
         return None
+    return max(0.0, number) if isfinite(number) else None
+
+
+def _parse_ms(value: str) -> float | None:
+    """Convert text in milliseconds to seconds, 0 or more; None if it is no finite number."""
+    number = _parse_number(value)
+    return None if number is None else number / MS_PER_S
+
+
+def _is_integer(value: str) -> bool:
+    return value.isdecimal() and len(value) <= MAX_INTEGER_DIGITS
 
 
 def _parse_integers(value: str) -> list[int]:
     """Return the integers of a comma-separated list; other items are left out."""
-    return [int(part) for part in value.split(",") if part.strip().isdecimal()]
+    return [int(part) for part in value.split(",") if _is_integer(part.strip())]
 
 
 def _parse_prompt_parts(value: str) -> tuple[PromptPart, ...]:
     """Parse NAME:TOKENS,...; items without a number of tokens are left out."""
     pairs = [part.strip().partition(":") for part in value.split(",") if part]
-    return tuple(PromptPart(name, int(count)) for name, _, count in pairs if count.isdecimal())
+    return tuple(PromptPart(name, int(count)) for name, _, count in pairs if _is_integer(count))
 
 
 def _header_text(value_by_name: dict[bytes, bytes], name: bytes) -> str:
--- a/comfreyhatch/platform/settings.py
+++ b/comfreyhatch/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the settings file that the platform provides on each instance."""
 
+from math import isfinite
 from pathlib import Path
 
 from comfreyhatch.domain.deployment import Bounds, Deployment
@@ -56,7 +57,7 @@
             number = float(value)
         except ValueError:
             number = -1.0
-        if number >= 0:
+        if number >= 0 and isfinite(number):
             return number
         self._add_error(key, value, "a number, 0 or more")
         return default
--- a/tests/test_platform_header_codec.py
+++ b/tests/test_platform_header_codec.py
@@ -61,6 +61,27 @@
     assert exchange.last_event_id is None and exchange.api_key == ""
 
 
+@pytest.mark.parametrize("value", ["inf", "nan", "1e400", "-inf", "", "soon"])
+def test_time_that_is_no_finite_number_is_treated_as_absent(value: str) -> None:
+    # With "inf" an endpoint counted as cold for ever.
+    assert CODEC.read_head(200, [(b"cold-ms", value.encode())]).cold_s is None
+    assert CODEC.read_exchange(request(("Deadline-Ms", value))).timeout_s is None
+
+
+@pytest.mark.parametrize("digits", [400, 5000])
+def test_integer_of_many_digits_is_treated_as_absent(digits: int) -> None:
+    # 400 digits overflow where loads are divided; 5,000 cannot be converted at all.
+    number = "9" * digits
+    head = CODEC.read_head(200, [(b"server-load", f"{number},0,8".encode())])
+    assert head.load is None
+    found = CODEC.read_exchange(
+        request(
+            ("Token-Counts", number), ("Last-Event-Id", number), ("Prompt-Prefix", f"5c:{number}")
+        )
+    )
+    assert (found.prompt_tokens, found.last_event_id, found.parts) == (0, None, ())
+
+
 def test_router_and_hop_by_hop_headers_of_callers_are_not_forwarded() -> None:
     exchange = CODEC.read_exchange(
         request(
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -75,3 +75,9 @@
     (tmp_path / "bytes").write_bytes(b"\xff\xfe\x00")
     with pytest.raises(SettingsError, match="cannot be read"):
         load_deployment(tmp_path / "bytes")
+
+
+@pytest.mark.parametrize("value", ["inf", "nan", "1e400"])
+def test_number_that_is_not_finite_is_an_error(value: str) -> None:
+    with pytest.raises(SettingsError, match="limits.max_fds is"):
+        parse_deployment(TEXT.replace("max_fds=4100", f"max_fds={value}"))
