Add a failing test of endpoints that name a limit

Three daemons send 40 reads a second to three endpoints, two of which name limits of 1 and 2.8 requests a second in their answers. On this code the first gets 50 requests in 4 s, later than 3 s after it first named its limit; 11 are allowed.

--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -25,6 +25,8 @@
         events: Number of events of a complete stream.
         transform: Changes an answer before it is sent.
         received: Requests received so far.
+        received_at: Times of the event loop at which they came.
+        limit_per_s: Requests a second that it takes, named in its answers; None for no limit.
         cancelled: Number of requests that were cancelled.
         completed_streams: Number of streams that were sent completely.
         crashing_parts: Prompt parts on which it crashes as it begins to write a stream.
@@ -45,6 +47,8 @@
         self.events = EVENTS_PER_STREAM
         self.transform: Callable[[HttpResponse], HttpResponse] = lambda response: response
         self.received: list[HttpRequest] = []
+        self.received_at: list[float] = []
+        self.limit_per_s: float | None = None
         self.cancelled = 0
         self.completed_streams = 0
         self.crashing_parts: frozenset[str] = frozenset()
@@ -85,6 +89,7 @@
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         self.received.append(request)
+        self.received_at.append(asyncio.get_running_loop().time())
         try:
             if self.hold:
                 await self.hold.wait()
@@ -97,6 +102,8 @@
         headers = [(b"attempt-id", request.header("attempt-id").encode())]
         if request.header("expect-instance") != self.worker_id:
             return HttpResponse(421, headers=[(b"instance-id", self.worker_id.encode())])
+        if self.limit_per_s is not None:
+            headers.append((b"server-limit", f"{self.limit_per_s:g}".encode()))
         if self.refuses:
             return HttpResponse(503, headers=[*headers, (b"not-executed", b"1")])
         headers.append((b"server-stamp", f"stamp-of-{self.worker_id}".encode()))
