Keep the reports of each kind apart, and let none wait for a silent reader

Daemons kept 256 reports of all kinds together: of one report of a crash and 300 of sessions, as the start of a roll-out may bring, followers got the last 256 and never heard of the crash. The same held for reports that wait to be sent. Besides, a round of sending tried a silent reader for up to 2.8 s before it took up what had come since, nearly all of contact_ms.

Each kind has its own room now, for the latest report on each subject; readers that do not answer are tried again beside what comes later. A daemon that follows no reader asks two at a time. Reading since a revision stops at the first entry that is known, so that larger rooms cost no time.

Tests: one kind beside 10,000 reports of another, kept and unsent; a report after one to a silent reader arrives within 0.6 s.

--- a/comfreyhatch/domain/part_report.py
+++ b/comfreyhatch/domain/part_report.py
@@ -27,3 +27,8 @@
     part_ids: frozenset[str]
     endpoint: str = ""
     age_s: float = 0.0
+
+    @property
+    def subject(self) -> tuple[ReportKind, frozenset[str], str]:
+        """What it is about; a later report on the same replaces it."""
+        return (self.kind, self.part_ids, self.endpoint)
--- a/comfreyhatch/domain/session_report.py
+++ b/comfreyhatch/domain/session_report.py
@@ -17,3 +17,8 @@
     version: str
     session: str
     age_s: float = 0.0
+
+    @property
+    def subject(self) -> tuple[str, str, str]:
+        """What it is about; a later report on the same replaces it."""
+        return (self.service, self.version, self.session)
--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -60,6 +60,8 @@
 ROLLOUT_RECORDS_PAUSE_S = 0.5
 # Interval at which a daemon that follows no reader asks one for reports.
 REPORT_PULL_INTERVAL_S = 0.5
+# One of them may be silent.
+READERS_PER_REPORT_PULL = 2
 # Peers whose last report is remembered; others send their reports once more.
 MAX_KNOWN_READERS = 64
 # Age of the orders from which a daemon that has lost the directory counts as cut off. It may then
@@ -157,13 +159,13 @@
             self._wake_queries()
 
     async def _pull_reports(self) -> None:
-        """Ask a random reader for reports, unless this daemon follows one."""
+        """Ask random readers for reports, unless this daemon follows one."""
         await asyncio.sleep(REPORT_PULL_INTERVAL_S)
         if not self._reads_directory.is_set():
             return
         readers = self._selector.others(asyncio.get_running_loop().time())
-        if readers:
-            await self._query_once(self._rng.choice(readers))
+        chosen = self._rng.sample(readers, min(READERS_PER_REPORT_PULL, len(readers)))
+        await asyncio.gather(*(self._query_once(address) for address in chosen))
 
     def _submit_reports(self, reports: list[Report], now: float) -> None:
         """Send reports of this daemon to the readers, or to its followers if it is one."""
--- a/comfreyhatch/exchange/part_guard.py
+++ b/comfreyhatch/exchange/part_guard.py
@@ -50,7 +50,7 @@
         self._parts = CrashingParts()
         self._probes: dict[str, asyncio.Task[None]] = {}
         self._reports = reports
-        reports.learn_part = self.learn
+        reports.subscribe(PartReport, self.learn)
         self._refused = Counter(
             "comfreyhatch_prompts_blocked",
             "Requests refused for prompt parts that crash endpoints.",
--- a/comfreyhatch/exchange/peer_reports.py
+++ b/comfreyhatch/exchange/peer_reports.py
@@ -1,40 +1,53 @@
-"""Spreads reports between daemons: to the readers, and from these to their followers."""
+"""Spreads reports between daemons: to the readers, and from these to their followers.
+
+Reports of one kind never push out, nor hold up, those of another.
+"""
 
 import asyncio
 import logging
-from collections import deque
-from collections.abc import Awaitable, Callable, Iterable
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable, Hashable, Iterable
+from typing import Any, TypeVar
 
+from msgspec import Struct
 from msgspec.structs import replace
 
 from comfreyhatch.domain.part_report import PartReport
 from comfreyhatch.domain.session_report import SessionReport
 from comfreyhatch.errors import PeerError
 
-# Reports that a reader keeps for its followers.
-MAX_KEPT_REPORTS = 256
-# Reports that wait to be sent; older ones are dropped beyond this.
-MAX_UNSENT_REPORTS = 256
-# Times that reports are sent to the readers in force, until one has them.
+Report = PartReport | SessionReport
+# Reports of each kind that a daemon keeps for others, and that wait to be sent; older ones are
+# dropped beyond this. Sessions are told of all at once as a roll-out begins.
+MAX_REPORTS_BY_KIND: dict[type[Report], int] = {PartReport: 256, SessionReport: 4096}
+# Times that a report is sent to a reader that does not answer.
 MAX_SENDS = 4
 RESEND_PAUSE_S = 0.3
+# Rounds of sending again that may run at the same time.
+MAX_RESENDS = 8
 # Reports that say the same within this time are one, whichever way they came.
 SAME_REPORT_S = 1.0
 MS_PER_S = 1000.0
 
-Report = PartReport | SessionReport
+R = TypeVar("R", bound=Report)
 Send = Callable[[str, tuple[Report, ...]], Awaitable[None]]
 
 log = logging.getLogger("comfreyhatch.reports")
 
 
+class _Entry(Struct, frozen=True):
+    """A report with its number and the monotonic time at which what it says was seen."""
+
+    number: int
+    at: float
+    report: Report
+
+
 class PeerReports:
-    """Reports of this daemon and of others, in the order in which they came.
+    """Latest report on each subject, of this daemon and of others.
 
     Attributes:
         revision: Number of the last report.
-        learn_part: Called with a new report of another daemon on prompt parts, and the time.
-        learn_session: Called with a new report of another daemon on a session, and the time.
         send: Sends reports of this daemon to others, with the time.
     """
 
@@ -46,10 +59,15 @@
                 followers don't take the reports of a restarted reader for those they know.
         """
         self.revision = max(1, int(started_at * MS_PER_S))
-        self.learn_part: Callable[[PartReport, float], None] = lambda report, now: None
-        self.learn_session: Callable[[SessionReport, float], None] = lambda report, now: None
         self.send: Callable[[list[Report], float], None] = lambda reports, now: None
-        self._entries: deque[tuple[int, float, Report]] = deque(maxlen=MAX_KEPT_REPORTS)
+        self._learn_by_kind: dict[type[Any], Callable[[Any, float], None]] = {}
+        self._entries_by_kind: dict[type[Report], OrderedDict[Hashable, _Entry]] = {
+            kind: OrderedDict() for kind in MAX_REPORTS_BY_KIND
+        }
+
+    def subscribe(self, kind: type[R], learn: Callable[[R, float], None]) -> None:
+        """Call a function with each new report of one kind from other daemons, and the time."""
+        self._learn_by_kind[kind] = learn
 
     def publish(self, reports: Iterable[Report], now: float) -> None:
         """Tell other daemons what this one has seen."""
@@ -61,10 +79,9 @@
     def receive(self, reports: Iterable[Report], now: float) -> None:
         """Learn from reports of other daemons, and keep them for followers."""
         for report in self._add(reports, now):
-            if isinstance(report, PartReport):
-                self.learn_part(report, now)
-            else:
-                self.learn_session(report, now)
+            learn = self._learn_by_kind.get(type(report))
+            if learn is not None:
+                learn(report, now)
 
     def since(self, revision: int, now: float) -> tuple[Report, ...]:
         """Return the reports after a revision, with their ages; all if it is not of this start.
@@ -74,27 +91,33 @@
             now: Monotonic time in seconds.
         """
         known = revision if revision <= self.revision else 0
-        return tuple(
-            replace(report, age_s=now - at)
-            for number, at, report in self._entries
-            if number > known
-        )
+        found: list[_Entry] = []
+        for entries in self._entries_by_kind.values():
+            for entry in reversed(entries.values()):
+                if entry.number <= known:
+                    break
+                found.append(entry)
+        found.sort(key=lambda entry: entry.number)
+        return tuple(replace(entry.report, age_s=now - entry.at) for entry in found)
 
     def _add(self, reports: Iterable[Report], now: float) -> list[Report]:
         """Add reports, and return the new ones: each comes back from the readers it was sent to."""
-        new = [report for report in reports if not self._has(report, now)]
-        for report in new:
-            self.revision += 1
-            self._entries.append((self.revision, now - report.age_s, replace(report, age_s=0.0)))
-        return new
+        return [report for report in reports if self._add_if_new(report, now)]
 
-    def _has(self, report: Report, now: float) -> bool:
-        said = replace(report, age_s=0.0)
-        at = now - report.age_s
-        return any(
-            known == said and abs(known_at - at) < SAME_REPORT_S
-            for _, known_at, known in self._entries
-        )
+    def _add_if_new(self, report: Report, now: float) -> bool:
+        entries = self._entries_by_kind[type(report)]
+        at, said = now - report.age_s, replace(report, age_s=0.0)
+        known = entries.get(report.subject)
+        if known is not None and known.report == said and at - known.at < SAME_REPORT_S:
+            return False
+        if known is not None and at < known.at:
+            return False
+        self.revision += 1
+        entries[report.subject] = _Entry(self.revision, at, said)
+        entries.move_to_end(report.subject)
+        if len(entries) > MAX_REPORTS_BY_KIND[type(report)]:
+            entries.popitem(last=False)
+        return True
 
 
 class ReportSender:
@@ -109,42 +132,77 @@
         """
         self._readers = readers
         self._send = send
-        self._unsent: deque[tuple[float, Report]] = deque(maxlen=MAX_UNSENT_REPORTS)
+        self._unsent_by_kind: dict[type[Report], OrderedDict[Hashable, tuple[float, Report]]] = {
+            kind: OrderedDict() for kind in MAX_REPORTS_BY_KIND
+        }
         self._task: asyncio.Task[None] | None = None
+        self._resends: set[asyncio.Task[None]] = set()
 
     def submit(self, reports: Iterable[Report], now: float) -> None:
         """Send reports soon."""
-        self._unsent.extend((now - report.age_s, report) for report in reports)
-        if self._unsent and (self._task is None or self._task.done()):
+        for report in reports:
+            unsent = self._unsent_by_kind[type(report)]
+            unsent[report.subject] = (now - report.age_s, report)
+            if len(unsent) > MAX_REPORTS_BY_KIND[type(report)]:
+                unsent.popitem(last=False)
+        if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
         """Stop sending."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        tasks = [*self._resends, *([self._task] if self._task else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _run(self) -> None:
-        while self._unsent:
-            reports = tuple(self._unsent)
-            self._unsent.clear()
-            await self._send_to_readers(reports)
-
-    async def _send_to_readers(self, reports: tuple[tuple[float, Report], ...]) -> None:
-        """Send reports to all readers; those that fail are tried again, or replaced by others."""
-        loop = asyncio.get_running_loop()
-        reached: set[str] = set()
-        for _ in range(MAX_SENDS):
-            now = loop.time()
-            aged = tuple(replace(report, age_s=now - at) for at, report in reports)
-            missing = [address for address in self._readers(now) if address not in reached]
-            results = await asyncio.gather(*(self._try_send(a, aged) for a in missing))
-            reached |= {address for address, sent in zip(missing, results, strict=True) if sent}
-            if all(results):
-                return
+        while reports := self._take_unsent():
+            reached = await self._send_to_missing(reports, set())
+            if reached is not None:
+                self._resend(reports, reached)
+
+    def _take_unsent(self) -> tuple[tuple[float, Report], ...]:
+        found = tuple(r for unsent in self._unsent_by_kind.values() for r in unsent.values())
+        for unsent in self._unsent_by_kind.values():
+            unsent.clear()
+        return found
+
+    def _resend(self, reports: tuple[tuple[float, Report], ...], reached: set[str]) -> None:
+        """Send reports again to readers that did not answer, beside reports that come later."""
+        if len(self._resends) >= MAX_RESENDS:
+            log.warning("event=reports_not_sent count=%d", len(reports))
+            return
+        task = asyncio.create_task(self._send_again(reports, reached))
+        self._resends.add(task)
+        task.add_done_callback(self._resends.discard)
+
+    async def _send_again(
+        self, reports: tuple[tuple[float, Report], ...], reached: set[str]
+    ) -> None:
+        for _ in range(MAX_SENDS - 1):
             await asyncio.sleep(RESEND_PAUSE_S)
+            missing = await self._send_to_missing(reports, reached)
+            if missing is None:
+                return
+            reached = missing
         log.warning("event=reports_not_sent count=%d", len(reports))
 
+    async def _send_to_missing(
+        self, reports: tuple[tuple[float, Report], ...], reached: set[str]
+    ) -> set[str] | None:
+        """Send reports to the readers in force that don't have them.
+
+        Returns:
+            Addresses that have them by now; None if no reader is missing.
+        """
+        now = asyncio.get_running_loop().time()
+        aged = tuple(replace(report, age_s=now - at) for at, report in reports)
+        missing = [address for address in self._readers(now) if address not in reached]
+        results = await asyncio.gather(*(self._try_send(a, aged) for a in missing))
+        if all(results):
+            return None
+        return reached | {address for address, sent in zip(missing, results, strict=True) if sent}
+
     async def _try_send(self, address: str, reports: tuple[Report, ...]) -> bool:
         try:
             await self._send(address, reports)
--- a/comfreyhatch/exchange/session_pins.py
+++ b/comfreyhatch/exchange/session_pins.py
@@ -54,7 +54,7 @@
         self._pin_by_session: dict[str, _Pin] = {}
         self._held_back: dict[tuple[str, str, str], float] = {}
         self._told_order_by_service: dict[str, RolloutOrder] = {}
-        reports.learn_session = self.learn
+        reports.subscribe(SessionReport, self.learn)
 
     def pin(self, job: Job, version: str, now: float) -> None:
         """Pin the session of a request to a version; the oldest pins are dropped."""
--- a/tests/test_peer_reports.py
+++ b/tests/test_peer_reports.py
@@ -3,8 +3,14 @@
 import asyncio
 
 from comfreyhatch.domain.part_report import PartReport, ReportKind
+from comfreyhatch.domain.session_report import SessionReport
 from comfreyhatch.errors import PeerError
-from comfreyhatch.exchange.peer_reports import MAX_KEPT_REPORTS, PeerReports, Report, ReportSender
+from comfreyhatch.exchange.peer_reports import (
+    MAX_REPORTS_BY_KIND,
+    PeerReports,
+    Report,
+    ReportSender,
+)
 from tests.platform_harness import BOUNDS, running_harness
 
 REPORT = PartReport(ReportKind.BLOCKED, frozenset({"bad"}))
@@ -21,7 +27,7 @@
 def test_report_that_comes_back_is_not_new() -> None:
     log = PeerReports(1.0)
     learned: list[float] = []
-    log.learn_part = lambda report, now: learned.append(now)
+    log.subscribe(PartReport, lambda report, now: learned.append(now))
     log.publish([REPORT], 5.0)
     log.receive([PartReport(REPORT.kind, REPORT.part_ids, age_s=0.4)], 5.4)
     log.receive([REPORT], 9.0)
@@ -40,7 +46,65 @@
 def test_log_is_bounded() -> None:
     log = PeerReports(1.0)
     log.publish([PartReport(ReportKind.SOUND, frozenset({str(n)})) for n in range(1000)], 1.0)
-    assert len(log.since(0, 1.0)) == MAX_KEPT_REPORTS
+    assert len(log.since(0, 1.0)) == MAX_REPORTS_BY_KIND[PartReport]
+
+
+def test_reports_of_one_kind_do_not_push_out_another() -> None:
+    # Of one report of a crash and 300 of sessions, followers got the last 256.
+    log = PeerReports(1.0)
+    log.publish([REPORT], 1.0)
+    sessions = [SessionReport("s", "v2", str(n)) for n in range(10_000)]
+    log.publish(sessions, 1.0)
+    kept = log.since(0, 1.0)
+    assert kept[0] == REPORT
+    assert kept[-1] == sessions[-1]
+
+
+async def test_reports_of_one_kind_do_not_push_out_another_before_they_are_sent() -> None:
+    sent: list[Report] = []
+
+    async def send(address: str, reports: tuple[Report, ...]) -> None:
+        sent.extend(reports)
+
+    sender = ReportSender(lambda now: ["reader"], send)
+    now = asyncio.get_running_loop().time()
+    sender.submit([REPORT], now)
+    sender.submit([SessionReport("s", "v2", str(n)) for n in range(10_000)], now)
+    async with asyncio.timeout(5):
+        while not sent:
+            await asyncio.sleep(0.01)
+    await sender.stop()
+    assert any(isinstance(report, PartReport) for report in sent)
+
+
+async def test_reports_do_not_wait_for_a_reader_that_is_silent_to_earlier_ones() -> None:
+    # A round of sending tried a silent reader for up to 2.8 s before it took up the next report.
+    heard: list[str] = []
+
+    async def send(address: str, reports: tuple[Report, ...]) -> None:
+        if address == "silent":
+            await asyncio.sleep(0.2)
+            raise PeerError("no answer")
+        heard.extend(str(report.subject) for report in reports)
+
+    sender = ReportSender(lambda now: ["silent", "reader"], send)
+    now = asyncio.get_running_loop().time()
+    sender.submit([REPORT], now)
+    await asyncio.sleep(0.05)
+    later = SessionReport("s", "v2", "later")
+    sender.submit([later], now)
+    async with asyncio.timeout(0.6):
+        while str(later.subject) not in heard:
+            await asyncio.sleep(0.01)
+    await sender.stop()
+
+
+def test_older_report_on_a_subject_does_not_replace_a_later_one() -> None:
+    log = PeerReports(1.0)
+    log.receive([REPORT], 9.0)
+    before = log.revision
+    log.receive([PartReport(REPORT.kind, REPORT.part_ids, age_s=5.0)], 9.1)
+    assert log.revision == before
 
 
 async def test_report_is_sent_again_to_the_reader_that_replaces_a_silent_one() -> None:
@@ -77,5 +141,5 @@
 
 
 def _has(daemon: object, report: PartReport) -> bool:
-    entries = daemon._reports._entries  # type: ignore[attr-defined]
-    return any(known.part_ids == report.part_ids for _, _, known in entries)
+    reports: PeerReports = daemon._reports  # type: ignore[attr-defined]
+    return any(known.subject == report.subject for known in reports.since(0, 0.0))
