Read the limits that endpoints name, log them and tell all daemons

Neither logs nor metrics showed which limit an endpoint has named, from when to when, and whether a daemon knows of it. Answers' limits are read now (values that are no number, endless or negative are told from none), kept by endpoint and start, and told to all daemons by reports, their end too: a daemon that sends nothing there hears no answers. They bind nothing yet.

A limit holds from the first answer that names it until an answer to a later request names none; of two daemons' observations the later counts. It is told again every 5 s while it lasts, for daemons that start meanwhile, by whichever daemon gets an answer; at most 20 such reports a second in all.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -66,6 +66,11 @@
         self._delay_s = 0.0
         self._delay_at = now
 
+    @property
+    def start(self) -> str:
+        """The endpoint with its start; after a restart it is another one."""
+        return f"{self.record.endpoint_id}/{self.record.born_ms}"
+
     def update_record(self, record: EndpointRecord, now: float) -> None:
         """Replace the record; a restart of the endpoint resets its failures and its delay."""
         restarted = record.born_ms != self.record.born_ms
--- a/comfreyhatch/domain/exchange.py
+++ b/comfreyhatch/domain/exchange.py
@@ -129,6 +129,9 @@
         load: Load reported by the endpoint; None if not sent.
         cold_s: Remaining time of the endpoint's cold start, in seconds; None if not sent.
         confidence: The model's confidence in its answer, 0 to 100; None if not sent.
+        limit_per_s: Requests a second that the endpoint takes from all daemons together; None if it
+            names no limit.
+        limit_unreadable: Whether it names a limit that cannot be read.
     """
 
     status: int
@@ -142,6 +145,8 @@
     load: ReportedLoad | None = None
     cold_s: float | None = None
     confidence: int | None = None
+    limit_per_s: float | None = None
+    limit_unreadable: bool = False
 
     @property
     def success(self) -> bool:
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -25,6 +25,7 @@
 from comfreyhatch.domain.usage import UsageKey, UsageTotals, model_usage
 from comfreyhatch.exchange.billing import Billing
 from comfreyhatch.exchange.directory_sync import DirectorySync
+from comfreyhatch.exchange.endpoint_limits import EndpointLimits
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.header_codec import HeaderCodec
 from comfreyhatch.exchange.loop_lag import LoopLagMonitor
@@ -106,7 +107,8 @@
         self._client = HttpClient(connect_timeout_s=ENDPOINT_CONNECT_TIMEOUT_S)
         telemetry = RequestTelemetry(self.registry)
         memory = AnswerMemory(deployment.memory_mb)
-        sender = Sender(self._client, codec, telemetry.count_attempt, memory)
+        self._limits = EndpointLimits(self._reports, self.registry)
+        sender = Sender(self._client, codec, telemetry.count_attempt, memory, self._limits)
         self._billing = Billing(deployment.instance, started_ms, directory)
         self._parts = PartGuard(
             deployment.instance,
--- a/comfreyhatch/exchange/part_guard.py
+++ b/comfreyhatch/exchange/part_guard.py
@@ -80,17 +80,17 @@
     def note_begun(self, job: Job, endpoint: EndpointTracker, now: float) -> None:
         """Note that the head of an answer has come."""
         parts = job.exchange.shared_part_ids
-        self._parts.note_begun(job.exchange.request_id, _start_of(endpoint), parts, now)
+        self._parts.note_begun(job.exchange.request_id, endpoint.start, parts, now)
 
     def note_sound(self, job: Job, endpoint: EndpointTracker, now: float) -> None:
         """Note that an answer has gone well beyond its beginning."""
         parts = job.exchange.shared_part_ids
-        found = self._parts.note_sound(job.exchange.request_id, _start_of(endpoint), parts, now)
+        found = self._parts.note_sound(job.exchange.request_id, endpoint.start, parts, now)
         self._publish(found, now)
 
     def note_broken(self, endpoint: EndpointTracker, now: float) -> None:
         """Look whether an endpoint has crashed, after an attempt at it has failed."""
-        start = _start_of(endpoint)
+        start = endpoint.start
         if start in self._probes or not self._parts.has_candidates(start, now):
             return
         self._probes[start] = asyncio.create_task(self._probe(endpoint, start, now))
@@ -144,10 +144,5 @@
         return rendezvous_order("/".join(sorted(blocked)), daemons)[0] == self._instance
 
 
-def _start_of(endpoint: EndpointTracker) -> str:
-    """Return an endpoint with its start; after a restart it is another one."""
-    return f"{endpoint.record.endpoint_id}/{endpoint.record.born_ms}"
-
-
 def _shown(part_ids: Iterable[str]) -> str:
     return ",".join(sorted(part_ids)[:MAX_LOGGED_PARTS])
--- a/comfreyhatch/exchange/peer_reports.py
+++ b/comfreyhatch/exchange/peer_reports.py
@@ -12,14 +12,19 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
+from comfreyhatch.domain.limit_report import LimitReport
 from comfreyhatch.domain.part_report import PartReport
 from comfreyhatch.domain.session_report import SessionReport
 from comfreyhatch.errors import PeerError
 
-Report = PartReport | SessionReport
+Report = PartReport | SessionReport | LimitReport
 # Reports of each kind that a daemon keeps for others, and that wait to be sent; older ones are
 # dropped beyond this. Sessions are told of all at once as a roll-out begins.
-MAX_REPORTS_BY_KIND: dict[type[Report], int] = {PartReport: 256, SessionReport: 4096}
+MAX_REPORTS_BY_KIND: dict[type[Report], int] = {
+    PartReport: 256,
+    SessionReport: 4096,
+    LimitReport: 8192,
+}
 # Times that a report is sent to a reader that does not answer.
 MAX_SENDS = 4
 RESEND_PAUSE_S = 0.3
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -25,6 +25,7 @@
     ExchangeTimeoutError,
     HttpError,
 )
+from comfreyhatch.exchange.endpoint_limits import EndpointLimits
 from comfreyhatch.exchange.header_codec import HeaderCodec
 from comfreyhatch.exchange.health import note_lost_answer
 from comfreyhatch.exchange.telemetry import AttemptOutcome
@@ -133,6 +134,7 @@
         codec: HeaderCodec,
         count: Callable[[AttemptOutcome], None],
         memory: AnswerMemory,
+        limits: EndpointLimits,
     ) -> None:
         """Create a sender.
 
@@ -141,8 +143,10 @@
             codec: Codec of callers' and endpoints' headers.
             count: Counts an attempt by its outcome.
             memory: Limits the answers that are read whole.
+            limits: Learns the limits that endpoints name.
         """
         self._memory = memory
+        self._limits = limits
         self._client = client
         self._codec = codec
         self._count = count
@@ -164,6 +168,7 @@
         """
         loop = asyncio.get_running_loop()
         stack = AsyncExitStack()
+        sent_at = loop.time()
         try:
             reply = await stack.enter_async_context(
                 self._client.stream(
@@ -177,6 +182,8 @@
             )
             head = self._codec.read_head(reply.status, reply.headers)
             self._note_head(endpoint, head, loop.time())
+            if not head.misdirected and head.request_id in ("", job.exchange.request_id):
+                self._limits.note_answer(endpoint, head, sent_at, loop.time())
             await self._check(job, endpoint, head, reply)
         except HttpError as error:
             await stack.aclose()
--- a/comfreyhatch/platform/header_codec.py
+++ b/comfreyhatch/platform/header_codec.py
@@ -127,6 +127,7 @@
         dropped = _HOP_BY_HOP_HEADERS | _connection_options(headers)
         cold = _header_text(value_by_name, b"cold-ms")
         confidence = _header_text(value_by_name, b"confidence")
+        limits = [_parse_limit(value) for name, value in headers if name == b"server-limit"]
         return AnswerHead(
             status=status,
             headers=[(n, v) for n, v in headers if n not in dropped],
@@ -139,6 +140,8 @@
             load=_parse_load(_header_text(value_by_name, b"server-load")),
             cold_s=_parse_ms(cold),
             confidence=int(confidence) if _is_integer(confidence) else None,
+            limit_per_s=min((limit for limit in limits if limit is not None), default=None),
+            limit_unreadable=bool(limits) and limits.count(None) == len(limits),
         )
 
     def refusal(self, error: ComfreyhatchError) -> HttpResponse:
@@ -189,6 +192,12 @@
     return None if number is None else number / MS_PER_S
 
 
+def _parse_limit(value: bytes) -> float | None:
+    """Parse a rate, 0 or more; None for anything else, a negative number too."""
+    text = value.decode("latin-1").strip()
+    return None if text.startswith("-") else _parse_number(text)
+
+
 def _is_integer(value: str) -> bool:
     return value.isdecimal() and len(value) <= MAX_INTEGER_DIGITS
 
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -6,6 +6,7 @@
 import pytest
 
 from comfreyhatch.adapters.http_client import HttpReply
+from comfreyhatch.decisions.named_limits import MAX_LIMITS, REFRESH_S, TELL_PAUSE_S, NamedLimits
 from tests.platform_harness import BOUNDS, PlatformHarness, running_harness
 from tests.platform_worker import StandInWorker
 
@@ -16,6 +17,53 @@
 LIMIT_SLACK = 5.0
 
 
+def test_limit_holds_until_an_answer_to_a_later_request_names_none() -> None:
+    limits = NamedLimits()
+    assert limits.observe("e/1", 2.8, sent_at=9.0, now=10.0)
+    assert not limits.observe("e/1", None, sent_at=9.5, now=10.1)
+    assert limits.per_s("e/1") == 2.8
+    assert limits.observe("e/1", None, sent_at=10.5, now=10.6)
+    assert limits.per_s("e/1") is None
+
+
+def test_new_start_at_the_same_address_has_no_limit() -> None:
+    limits = NamedLimits()
+    limits.observe("e/1", 1.0, 9.0, 10.0)
+    assert limits.per_s("e/2") is None
+
+
+def test_another_limit_replaces_the_first_and_is_told() -> None:
+    limits = NamedLimits()
+    limits.observe("e/1", 1.0, 9.0, 10.0)
+    assert not limits.observe("e/1", 3.0, 9.0, 10.0 + TELL_PAUSE_S / 2)
+    assert limits.per_s("e/1") == 3.0
+    assert limits.observe("e/1", 3.0, 9.0, 10.0 + TELL_PAUSE_S)
+
+
+def test_limit_that_stays_is_told_again_from_time_to_time() -> None:
+    # A daemon that starts later, or whose reader has started anew, would not hear of it.
+    limits = NamedLimits()
+    told = [limits.observe("e/1", 1.0, 9.0, 10.0 + n / 10) for n in range(101)]
+    assert told.count(True) == 1 + int(10 / REFRESH_S)
+
+
+def test_later_observation_of_any_daemon_counts() -> None:
+    limits = NamedLimits()
+    assert limits.merge("e/1", 1.0, at=10.0, now=10.4)
+    assert not limits.merge("e/1", None, at=9.0, now=10.5)
+    assert limits.merge("e/1", None, at=11.0, now=11.1)
+    assert not limits.merge("e/1", 1.0, at=10.5, now=11.2)
+    assert limits.per_s("e/1") is None
+
+
+def test_limits_are_bounded() -> None:
+    limits = NamedLimits()
+    for number in range(MAX_LIMITS + 10):
+        limits.merge(f"e{number}/1", 1.0, 1.0 + number, 1.0 + number)
+    assert len(limits) == MAX_LIMITS
+    assert limits.per_s("e0/1") is None and limits.per_s(f"e{MAX_LIMITS + 9}/1") == 1.0
+
+
 @pytest.fixture
 async def harness() -> AsyncIterator[PlatformHarness]:
     async with running_harness() as running:
@@ -42,6 +90,12 @@
     return await asyncio.gather(*tasks)
 
 
+def limit_known(harness: PlatformHarness, daemon: int, worker_id: str) -> float | None:
+    """Return the limit of a worker as a daemon knows it."""
+    found = harness.daemons[daemon]
+    return found._limits.per_s(found.view.tracker_by_id[worker_id])
+
+
 def most_in_window(worker: StandInWorker, first_at: float) -> int:
     """Return the most requests that a worker got in a window that begins after a time."""
     times = [at for at in worker.received_at if at >= first_at]
@@ -52,6 +106,22 @@
     return LIMIT_FACTOR * per_s * WINDOW_S + LIMIT_SLACK
 
 
+async def test_all_daemons_know_a_limit_and_its_end_from_answers_of_one(
+    harness: PlatformHarness,
+) -> None:
+    worker = harness.worker_by_id["desk-1"]
+    worker.limit_per_s = 20.0
+    await send_reads(harness, [0], per_s=20.0, length_s=0.5)
+    async with asyncio.timeout(BOUNDS.contact_s):
+        while not all(limit_known(harness, n, "desk-1") == 20.0 for n in range(DAEMONS)):
+            await asyncio.sleep(0.01)
+    worker.limit_per_s = None
+    await send_reads(harness, [0], per_s=20.0, length_s=0.5)
+    async with asyncio.timeout(BOUNDS.contact_s):
+        while any(limit_known(harness, n, "desk-1") is not None for n in range(DAEMONS)):
+            await asyncio.sleep(0.01)
+
+
 async def test_endpoints_get_no_more_than_the_limits_that_they_name(
     harness: PlatformHarness,
 ) -> None:
--- a/tests/test_platform_header_codec.py
+++ b/tests/test_platform_header_codec.py
@@ -68,6 +68,29 @@
     assert CODEC.read_exchange(request(("Deadline-Ms", value))).timeout_s is None
 
 
+@pytest.mark.parametrize(
+    ("values", "limit"),
+    [
+        ([], None),
+        (["2.8"], 2.8),
+        ([" 40 "], 40.0),
+        (["0"], 0.0),
+        (["3", "1.5"], 1.5),
+        (["3", "many"], 3.0),
+        (["1e400", "7"], 7.0),
+    ],
+)
+def test_lowest_limit_of_an_endpoint_is_decoded(values: list[str], limit: float | None) -> None:
+    head = CODEC.read_head(200, [(b"server-limit", value.encode()) for value in values])
+    assert head.limit_per_s == limit and not head.limit_unreadable
+
+
+@pytest.mark.parametrize("value", ["", "-1", "nan", "inf", "1e400", "many", "1,2", "-0.5"])
+def test_limit_that_cannot_be_read_is_told_from_none(value: str) -> None:
+    head = CODEC.read_head(200, [(b"server-limit", value.encode())])
+    assert head.limit_per_s is None and head.limit_unreadable
+
+
 @pytest.mark.parametrize("digits", [400, 5000])
 def test_integer_of_many_digits_is_treated_as_absent(digits: int) -> None:
     # 400 digits overflow where loads are divided; 5,000 cannot be converted at all.
