Add failing tests of requests that crash whoever runs them

Three daemons and four workers; a request that crashes each worker which begins to run it comes ten times a second, at all daemons in turn, beside sound ones: repeatable, to be run once at most, and streamed without prompt parts. The set-up of workers that crash and come back is shared with the test of crashing prompts.

--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -9,6 +9,8 @@
 from comfreyhatch.errors import AnswerBrokenError
 
 EVENTS_PER_STREAM = 6
+# Time from the begin of a run to the crash that it causes.
+CRASH_DELAY_S = 0.03
 
 
 class StandInWorker:
@@ -30,6 +32,7 @@
         cancelled: Number of requests that were cancelled.
         completed_streams: Number of streams that were sent completely.
         crashing_parts: Prompt parts on which it crashes as it begins to write a stream.
+        crashing_paths: Paths of requests on which it crashes as it begins to run them.
         down_s: Time after a crash until it listens again, in seconds.
         crashes: Number of crashes so far.
         on_restart: Called when it listens again after a crash.
@@ -52,6 +55,7 @@
         self.cancelled = 0
         self.completed_streams = 0
         self.crashing_parts: frozenset[str] = frozenset()
+        self.crashing_paths: frozenset[str] = frozenset()
         self.down_s = 0.5
         self.crashes = 0
         self.on_restart: Callable[[], None] = lambda: None
@@ -96,6 +100,10 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        if request.target in self.crashing_paths:
+            await asyncio.sleep(CRASH_DELAY_S)
+            self.crash()
+            await asyncio.sleep(self.down_s)
         return self.transform(self._response(request))
 
     def _response(self, request: HttpRequest) -> HttpResponse:
@@ -119,12 +127,16 @@
 
     async def _crash(self) -> AsyncIterator[bytes]:
         """End all connections soon after the head of an answer, and listen again later."""
-        await asyncio.sleep(0.03)
+        await asyncio.sleep(CRASH_DELAY_S)
+        self.crash()
+        await asyncio.sleep(self.down_s)
+        yield b""
+
+    def crash(self) -> None:
+        """End all connections, and listen again later."""
         if self._crash_task is None or self._crash_task.done():
             self.crashes += 1
             self._crash_task = asyncio.create_task(self._restart_later())
-        await asyncio.sleep(self.down_s)
-        yield b""
 
     async def _restart_later(self) -> None:
         await self._server.stop(0.0)
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -9,8 +9,9 @@
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.part_report import PartReport, ReportKind
 from comfreyhatch.errors import HttpError
-from tests.platform_harness import BOUNDS, PlatformHarness, running_harness
-from tests.platform_worker import StandInWorker, part_ids
+from tests.crash_fleet import running_crash_fleet
+from tests.platform_harness import BOUNDS, PlatformHarness
+from tests.platform_worker import part_ids
 
 DAEMONS = 3
 ENGINES = 5
@@ -34,29 +35,12 @@
 
 @pytest.fixture
 async def harness() -> AsyncIterator[PlatformHarness]:
-    async with running_harness() as running:
-        for number in range(3, ENGINES + 1):
-            await running.add_worker(f"engine-{number}", "engines")
-        for _ in range(DAEMONS - 1):
-            await running.start_daemon(running.store.address)
-        await running.wait_until(lambda: all(d.ready() for d in running.daemons))
-        for worker_id, worker in running.worker_by_id.items():
+    async with running_crash_fleet(DAEMONS, "engine", ENGINES) as running:
+        for worker in running.worker_by_id.values():
             worker.crashing_parts = frozenset({BAD_PART})
-            worker.down_s = 0.8
-            worker.on_restart = _register(running, worker_id, worker)
         yield running
 
 
-def _register(harness: PlatformHarness, worker_id: str, worker: StandInWorker):  # type: ignore[no-untyped-def]
-    """Return a function that registers a restarted worker."""
-
-    def register() -> None:
-        record = {**worker.record("engines", "a"), "born": 1 + worker.crashes}
-        harness.store.put("servers", worker_id, record)
-
-    return register
-
-
 async def _send(harness: PlatformHarness, number: int, parts: list[str]) -> bool:
     """Send a request with shared parts and one of its own; return whether it was served."""
     prefix = ",".join(f"{part}:100" for part in [*parts, f"own{number}"])
