Log by what a request is known again, and where an attempt of a call failed

A caller repeats a request with another id, so that logs could not tell that two attempts which ended endpoints were of one request; and calls' failed attempts named no endpoint. No change of logic.

--- a/comfreyhatch/domain/exchange.py
+++ b/comfreyhatch/domain/exchange.py
@@ -69,6 +69,7 @@
         rank: Priority rank; 0 is the most urgent.
         arrived: Monotonic time at which it arrived, in seconds.
         deadline: Monotonic time by which its final answer is due, in seconds.
+        identity: Hash by which it is known again when the caller repeats it.
     """
 
     exchange: Exchange
@@ -78,6 +79,12 @@
     rank: int
     arrived: float
     deadline: float
+    identity: bytes = b""
+
+    @property
+    def identity_text(self) -> str:
+        """The identity as it stands in logs."""
+        return self.identity.hex()
 
     @property
     def session_key(self) -> str:
--- a/comfreyhatch/exchange/router.py
+++ b/comfreyhatch/exchange/router.py
@@ -8,6 +8,7 @@
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
 from comfreyhatch.decisions.placement import session_point
+from comfreyhatch.decisions.request_identity import request_identity
 from comfreyhatch.domain.catalog import Catalog, RequestKind, Route, Workspace
 from comfreyhatch.domain.exchange import Exchange, Job
 from comfreyhatch.errors import ComfreyhatchError, NotReadyError, RefusedError, RequestError
@@ -108,6 +109,7 @@
             rank=_rank(route, workspace),
             arrived=now,
             deadline=now + min(timeout_s, route.timeout_s),
+            identity=request_identity(exchange),
         )
         self._budget(job.service).record_request(now)
         return job
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -456,9 +456,10 @@
     def _log_failure(self, stream: StreamState, error: ComfreyhatchError, begun: bool) -> None:
         """Log a failed attempt; `begun` is whether the head of its answer was read."""
         log.info(
-            "event=attempt_failed id=%s endpoint=%s code=%d ran=%s begun=%s events=%s parts=%s"
-            " reason=%r",
+            "event=attempt_failed id=%s request=%s endpoint=%s code=%d ran=%s begun=%s events=%s"
+            " parts=%s reason=%r",
             stream.job.exchange.request_id,
+            stream.job.identity_text,
             stream.endpoint_id,
             error.code,
             error.ran.value,
--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -26,6 +26,8 @@
 
 # Reserved before the deadline to return the answer to the caller.
 DEADLINE_MARGIN_S = 0.01
+# Logged for an attempt that got no endpoint.
+NO_ENDPOINT_ID = "none"
 
 log = logging.getLogger("comfreyhatch.calls")
 
@@ -108,7 +110,11 @@
         """Send the request to one endpoint and return its answer."""
         loop = asyncio.get_running_loop()
         job = call.job
-        lease = await self._scheduler.acquire(job, frozenset(call.excluded_ids))
+        try:
+            lease = await self._scheduler.acquire(job, frozenset(call.excluded_ids))
+        except ComfreyhatchError as error:
+            _log_failure(job, NO_ENDPOINT_ID, error)
+            raise
         endpoint = lease.endpoint
         call.excluded_ids.add(endpoint.record.endpoint_id)
         started = loop.time()
@@ -116,6 +122,9 @@
         call.attempts += 1
         try:
             answer = await self._send(call, endpoint, started)
+        except ComfreyhatchError as error:
+            _log_failure(job, endpoint.record.endpoint_id, error)
+            raise
         finally:
             self._scheduler.release(lease)
         now = loop.time()
@@ -239,13 +248,18 @@
             call.answer = answer
         elif isinstance(error, ComfreyhatchError):
             call.error = error
-            log.info(
-                "event=attempt_failed id=%s code=%d ran=%s reason=%r",
-                call.job.exchange.request_id,
-                error.code,
-                error.ran.value,
-                str(error),
-            )
         else:
             raise error
     return None
+
+
+def _log_failure(job: Job, endpoint_id: str, error: ComfreyhatchError) -> None:
+    log.info(
+        "event=attempt_failed id=%s request=%s endpoint=%s code=%d ran=%s reason=%r",
+        job.exchange.request_id,
+        job.identity_text,
+        endpoint_id,
+        error.code,
+        error.ran.value,
+        str(error),
+    )
