Look at events without content together

A stream of blank lines as fast as its engine can send kept the event loop for 90 ms a piece of 64 KiB, as each of 32,768 blank events was looked at twice; with four such streams other requests missed their deadline of 1 s. One search over the events of a piece tells now whether any has content.

--- a/comfreyhatch/exchange/events.py
+++ b/comfreyhatch/exchange/events.py
@@ -1,8 +1,10 @@
 """Splits a server-sent event stream into events and reads their ids."""
 
+import re
+
 EVENT_TERMINATOR = b"\n\n"
 ID_FIELD = b"id:"
-CONTENT_FIELDS = (b"data", ID_FIELD)
+_find_content = re.compile(rb"(?:\A|\n)(?:data|id:)").search
 
 
 class EventSplitter:
@@ -34,7 +36,7 @@
 
 def has_content(event: bytes) -> bool:
     """Return whether an event has data or an id; comments and blank events have neither."""
-    return event.startswith(CONTENT_FIELDS) or b"\ndata" in event or b"\nid:" in event
+    return _find_content(event) is not None
 
 
 def event_id(event: bytes) -> int | None:
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -334,8 +334,12 @@
             stream, gap_limits(stream.job.route.gap_aim_s), answer.abort, loop.time()
         )
         async for piece in answer.pieces(stream.job.deadline):
-            events = [e for e in splitter.feed(piece) if stream.accept_event(e)]
-            count = sum(map(has_content, events))
+            events = splitter.feed(piece)
+            count = 0
+            # Thousands of blank events in a piece are not looked at one by one.
+            if has_content(b"".join(events)):
+                events = [event for event in events if stream.accept_event(event)]
+                count = sum(map(has_content, events))
             if count:
                 useless_bytes = 0
                 self._note_events(stream, answer, count, loop.time())
