Wait for daemons that were full a moment ago, instead of refusing for seconds

Reproduced: a daemon without endpoints of its own whose peers have all just refused another request for being full does not ask them for 0.25 s, finds no source, and takes that for a version that is out of service. The traffic of two zones that moves to one makes its daemons full.

A peer in hold-down for being full counts as full now, so that the request waits up to 1.5 s, as when a peer says so itself.

--- a/comfreyhatch/daemon/requests/router.py
+++ b/comfreyhatch/daemon/requests/router.py
@@ -36,6 +36,7 @@
 from comfreyhatch.domain.version import Version
 from comfreyhatch.errors import AbandonedError, ComfreyhatchError
 from comfreyhatch.ports.engine import Chunk, GenerateRequest
+from comfreyhatch.ports.peers import Member
 
 # Requests that may wait at a time for a retry after every source has refused them; others are
 # refused at once.
@@ -408,6 +409,8 @@
         deadlines are far away. The wait is here and not in the dispatcher's admission queue,
         where a daemon that holds no slots for good would keep requests until their deadlines.
         """
+        if self._any_peer_full(version_id):
+            refusal_retry.record_full()
         for source in self._sources(version_id)[:MAX_SOURCES_PER_ROUND]:
             yield source
         for wait_s in RETRY_DELAYS_S:
@@ -437,14 +440,25 @@
         return [*self._peer_sources(version_id), *([local] if serves else [])]
 
     def _peer_sources(self, version_id: str) -> list[Source]:
-        now, config = monotonic(), self._config()
-        holders = self._dispatcher.holders(version_id, config)
+        now = monotonic()
         return [
             Source(member.instance_id, self._forwarder.generate_via(member))
-            for member in self._forwarder.candidates(config, holders)
+            for member in self._peers_that_serve(version_id)
             if self._hold_down.may_forward_to(member.instance_id, version_id, now)
         ]
 
+    def _any_peer_full(self, version_id: str) -> bool:
+        """Return whether a daemon that serves a version is not asked, as it was full."""
+        now = monotonic()
+        return any(
+            self._hold_down.is_full(member.instance_id, version_id, now)
+            for member in self._peers_that_serve(version_id)
+        )
+
+    def _peers_that_serve(self, version_id: str) -> list[Member]:
+        config = self._config()
+        return self._forwarder.candidates(config, self._dispatcher.holders(version_id, config))
+
 
 def _tokens_only(chunk: Chunk) -> Chunk:
     """Return the last chunk of an answer without its finish reason, usage and load."""
--- a/comfreyhatch/decisions/refusal_retry.py
+++ b/comfreyhatch/decisions/refusal_retry.py
@@ -27,6 +27,10 @@
             self._not_retryable or error.code not in RETRYABLE_CODES or error.ran is not Ran.NO
         )
 
+    def record_full(self) -> None:
+        """Record that a source is not asked, as it was full a moment ago."""
+        self._any_overloaded = True
+
     def may_retry(self, delay_s: float, now: float) -> bool:
         """Return whether to offer the request to the sources again after a delay.
 
