Let a blocked request through less often after its first trial

The first trial, 5 s after the third crash, tells a sound request that was blocked by mistake. It comes after 80 s now.

--- a/comfreyhatch/decisions/crashing_requests.py
+++ b/comfreyhatch/decisions/crashing_requests.py
@@ -23,9 +23,10 @@
 BLAME_S = 2.0
 # Crashes and blocks are forgotten when the request has not come for this long.
 CRASH_MEMORY_S = 600.0
-# A blocked request is let through once after this time, and after each trial so much later.
+# A blocked request is let through once after this time, and after each trial so much later: each
+# costs an endpoint, and the first tells a request that was blocked by mistake.
 FIRST_TRIAL_S = 5.0
-TRIAL_FACTOR = 8.0
+TRIAL_FACTOR = 16.0
 # Daemons may make a due trial one after the other, as the first may get no such request.
 TRIAL_TURN_S = 2.0
 # Interval at which a daemon that refuses a request tells the others that it is blocked.
