Probe a crashed endpoint once, not for each attempt that fails there

The endpoint's crash is known by then, with all that it was running. Ten attempts that break together are one probe now. The tests share their guard.

--- a/comfreyhatch/exchange/crash_guard.py
+++ b/comfreyhatch/exchange/crash_guard.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from comfreyhatch.decisions.crashing_requests import Attempt
+from comfreyhatch.decisions.crashing_requests import SAME_CRASH_S, Attempt
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.exchange import Job
 from comfreyhatch.errors import (
@@ -57,6 +57,7 @@
         self._requests = requests
         self._is_down = is_down
         self._probes: dict[str, asyncio.Task[None]] = {}
+        self._crashed_at_by_start: dict[str, float] = {}
 
     def refusal(self, job: Job, now: float) -> RefusedError | None:
         """Return the error for a request that may not be sent; None for others."""
@@ -109,12 +110,19 @@
         start = endpoint.start
         probe = self._probes.get(start)
         if probe is None:
-            if not self._has_candidates(start, now):
+            if self._has_crashed(start, now) or not self._has_candidates(start, now):
                 return
             probe = asyncio.create_task(self._probe(endpoint, start, now))
             self._probes[start] = probe
         await asyncio.wait({probe}, timeout=PROBE_WAIT_S)
 
+    def _has_crashed(self, start: str, now: float) -> bool:
+        """Return whether an endpoint was found to have crashed, with all that it was running."""
+        for known, at in list(self._crashed_at_by_start.items()):
+            if now - at >= SAME_CRASH_S:
+                del self._crashed_at_by_start[known]
+        return start in self._crashed_at_by_start
+
     def _has_candidates(self, start: str, now: float) -> bool:
         return self._requests.has_candidates(start) or self._parts.has_candidates(start, now)
 
@@ -122,6 +130,7 @@
         try:
             if await self._is_down(endpoint):
                 now = asyncio.get_running_loop().time()
+                self._crashed_at_by_start[start] = now
                 self._parts.note_crash(start, broke_at, now)
                 self._requests.note_crash(start, broke_at, now)
         finally:
--- a/tests/exchange_values.py
+++ b/tests/exchange_values.py
@@ -1,9 +1,18 @@
-"""Factories of exchanges, jobs and endpoint records for tests."""
+"""Factories of exchanges, jobs, endpoint records and crash guards for tests."""
 
+from collections.abc import Awaitable, Callable
+
+from prometheus_client import CollectorRegistry
+
+from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.catalog import RequestKind, Route, ServiceShare
 from comfreyhatch.domain.endpoint import EndpointRecord
 from comfreyhatch.domain.exchange import Exchange, Job, PromptPart
 from comfreyhatch.domain.instance import Address
+from comfreyhatch.exchange.crash_guard import CrashGuard
+from comfreyhatch.exchange.part_guard import PartGuard
+from comfreyhatch.exchange.peer_reports import PeerReports
+from comfreyhatch.exchange.request_guard import RequestGuard
 
 TIMEOUT_S = 20.0
 
@@ -35,3 +44,19 @@
         "revision": 1,
     }
     return EndpointRecord(**{**values, **changes})  # type: ignore[arg-type]
+
+
+def crash_guard(is_down: Callable[[EndpointTracker], Awaitable[bool]]) -> CrashGuard:
+    """Return the guard of daemon "d1", which knows no other daemon."""
+    registry, reports = CollectorRegistry(), PeerReports(1.0)
+    parts = PartGuard("d1", set, registry, reports)
+    return CrashGuard(parts, RequestGuard("d1", set, registry, reports), is_down)
+
+
+def crash_probe(down: bool) -> Callable[[EndpointTracker], Awaitable[bool]]:
+    """Return a probe that finds each endpoint down, or none."""
+
+    async def is_down(endpoint: EndpointTracker) -> bool:
+        return down
+
+    return is_down
--- a/tests/test_part_guard.py
+++ b/tests/test_part_guard.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from msgspec.structs import replace
-from prometheus_client import CollectorRegistry
 
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.decisions.crashing_parts import MIN_CRASHES
@@ -12,10 +11,7 @@
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import AnswerBrokenError, PromptBlockedError
 from comfreyhatch.exchange.crash_guard import CrashGuard
-from comfreyhatch.exchange.part_guard import PartGuard
-from comfreyhatch.exchange.peer_reports import PeerReports
-from comfreyhatch.exchange.request_guard import RequestGuard
-from tests.exchange_values import job, record
+from tests.exchange_values import crash_guard, crash_probe, job, record
 from tests.platform_harness import free_port
 
 
@@ -25,15 +21,6 @@
     return replace(found, exchange=replace(found.exchange, parts=parts))
 
 
-def _guard(down: bool) -> CrashGuard:
-    async def is_down(endpoint: EndpointTracker) -> bool:
-        return down
-
-    registry, reports = CollectorRegistry(), PeerReports(1.0)
-    parts = PartGuard("d1", set, registry, reports)
-    return CrashGuard(parts, RequestGuard("d1", set, registry, reports), is_down)
-
-
 async def _break_answers(guard: CrashGuard) -> None:
     """Let answers of several endpoints break right after their heads."""
     for number in range(MIN_CRASHES):
@@ -45,7 +32,7 @@
 
 
 async def test_prompts_under_which_endpoints_have_ended_are_refused() -> None:
-    guard = _guard(down=True)
+    guard = crash_guard(crash_probe(down=True))
     await _break_answers(guard)
     refusal = guard.refusal(_job("r9"), asyncio.get_running_loop().time())
     assert isinstance(refusal, PromptBlockedError) and refusal.retry_after_s
@@ -53,7 +40,7 @@
 
 async def test_answers_that_break_while_the_endpoint_goes_on_blame_nothing() -> None:
     # Behind a cut, or under a worker that loses answers, every part would be blamed.
-    guard = _guard(down=False)
+    guard = crash_guard(crash_probe(down=False))
     await _break_answers(guard)
     assert guard.refusal(_job("r9"), asyncio.get_running_loop().time()) is None
 
--- a/tests/test_request_guard.py
+++ b/tests/test_request_guard.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import pytest
-from prometheus_client import CollectorRegistry
 
 from comfreyhatch.decisions.crashing_requests import (
     BLAME_S,
@@ -26,10 +25,7 @@
 from comfreyhatch.domain.request_report import RequestReport
 from comfreyhatch.errors import AnswerBrokenError, EndpointUnreachableError, RequestBlockedError
 from comfreyhatch.exchange.crash_guard import CrashGuard
-from comfreyhatch.exchange.part_guard import PartGuard
-from comfreyhatch.exchange.peer_reports import PeerReports
-from comfreyhatch.exchange.request_guard import RequestGuard
-from tests.exchange_values import job, record
+from tests.exchange_values import crash_guard, crash_probe, job, record
 
 BAD = b"bad"
 
@@ -199,15 +195,6 @@
     assert len(requests._attempts_by_start) == 1
 
 
-def _guard(down: bool) -> CrashGuard:
-    async def is_down(endpoint: EndpointTracker) -> bool:
-        return down
-
-    registry, reports = CollectorRegistry(), PeerReports(1.0)
-    parts = PartGuard("d1", set, registry, reports)
-    return CrashGuard(parts, RequestGuard("d1", set, registry, reports), is_down)
-
-
 async def _break_attempts(guard: CrashGuard, error: Exception) -> None:
     """Let attempts of one request at several endpoints fail."""
     for number in range(MIN_CRASHES):
@@ -218,13 +205,30 @@
 
 
 async def test_request_is_refused_as_soon_as_its_third_attempt_has_failed() -> None:
-    guard = _guard(down=True)
+    guard = crash_guard(crash_probe(down=True))
     await _break_attempts(guard, AnswerBrokenError("reset"))
     refusal = guard.refusal(job(), asyncio.get_running_loop().time())
     assert isinstance(refusal, RequestBlockedError) and refusal.retry_after_s
     assert guard.refusal(job(request_id="r2"), asyncio.get_running_loop().time()) is None
 
 
+async def test_endpoint_that_has_crashed_is_not_probed_by_each_attempt_that_fails_there() -> None:
+    probes = 0
+
+    async def is_down(endpoint: EndpointTracker) -> bool:
+        nonlocal probes
+        probes += 1
+        return True
+
+    guard = crash_guard(is_down)
+    endpoint = EndpointTracker(record("e1"), 0.0)
+    now = asyncio.get_running_loop().time()
+    running = [guard.begin(job(request_id=f"r{n}"), endpoint, now) for n in range(10)]
+    for attempt in running:
+        await guard.end_failed(attempt, AnswerBrokenError("reset"))
+    assert probes == 1
+
+
 @pytest.mark.parametrize(
     ("down", "error"),
     [(False, AnswerBrokenError("reset")), (True, EndpointUnreachableError("refused"))],
@@ -232,6 +236,6 @@
 async def test_attempts_that_crash_nothing_or_do_not_run_blame_nothing(
     down: bool, error: Exception
 ) -> None:
-    guard = _guard(down)
+    guard = crash_guard(crash_probe(down))
     await _break_attempts(guard, error)
     assert guard.refusal(job(), asyncio.get_running_loop().time()) is None
