--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -21,11 +21,12 @@
 from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import ComfreyhatchError, PeerError, PlatformError
 from comfreyhatch.exchange.endpoint_changes import apply_changes
-from comfreyhatch.exchange.peer_reports import PeerReports, Report, ReportSender
+from comfreyhatch.exchange.peer_reports import PeerReports, Report
 from comfreyhatch.exchange.peer_updates import has_newer, update_since, updated_operations
 from comfreyhatch.exchange.peers import MAX_QUERY_WAIT_S, PeerClient, PeerQuery, PeerUpdate
 from comfreyhatch.exchange.reader_selector import ReaderSelector
 from comfreyhatch.exchange.record_changes import apply_record_changes
+from comfreyhatch.exchange.report_relay import ReportRelay
 from comfreyhatch.exchange.view import FleetView
 from comfreyhatch.ports.directory import Directory
 
@@ -61,10 +62,6 @@
 ROLLOUT_RECORDS_PAUSE_S = 0.5
 # Interval at which a daemon that follows no reader asks one for reports.
 REPORT_PULL_INTERVAL_S = 0.5
-# One of them may be silent.
-READERS_PER_REPORT_PULL = 2
-# Peers whose last report is remembered; others send their reports once more.
-MAX_KNOWN_READERS = 64
 # Age of the orders from which a daemon that has lost the directory counts as cut off. It may then
 # fail its readiness check: in a cut-off zone one endpoint had all of the zone's work, with first
 # events after 0.9 s and gaps of 2.1 s between events.
@@ -104,7 +101,6 @@
         """
         self._answer_permit = answer_permit
         self._reports = reports
-        self._reports_seen_by_address: dict[str, int] = {}
         self._deployment = deployment
         self._directory = directory
         self._view = view
@@ -118,9 +114,11 @@
         self._reads_directory.set()
         self._reader: PeerClient | None = None
         self._selector = ReaderSelector(deployment, view)
-        self._report_sender = ReportSender(self._selector.others, self._send_reports)
+        self._relay: ReportRelay | None = None
         if reports is not None:
-            reports.send = self._submit_reports
+            self._relay = ReportRelay(
+                reports, self._selector.others, self._send_reports, self._wake_queries
+            )
         self._last_query_at = float("-inf")
 
     def start(self) -> None:
@@ -129,7 +127,7 @@
             self._tasks.append(asyncio.create_task(self._repeat(poll)))
         self._tasks.append(asyncio.create_task(self._repeat(self._query_peers)))
         self._tasks.append(asyncio.create_task(self._repeat(self._poll_reader)))
-        if self._reports is not None:
+        if self._relay is not None:
             self._tasks.append(asyncio.create_task(self._repeat(self._pull_reports)))
 
     async def stop(self) -> None:
@@ -137,7 +135,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._report_sender.stop()
+        if self._relay is not None:
+            await self._relay.stop()
         if self._reader:
             self._reader.close()
 
@@ -155,7 +154,8 @@
             permits = tuple(self._answer_permit(ask, loop.time()) for ask in query.permits)
             return PeerUpdate(None, 0.0, None, 0.0, None, Position(), permits=permits)
         self._last_query_at = loop.time()
-        self._receive_reports(query.reports)
+        if self._relay is not None:
+            self._relay.receive(query.reports)
         ends_at = self._last_query_at + min(query.wait_s, MAX_QUERY_WAIT_S)
         while not has_newer(self._view, self._reports, query) and loop.time() < ends_at:
             changed = self._view_changed
@@ -164,25 +164,11 @@
                     await changed.wait()
         return update_since(self._view, self._reports, query, loop.time())
 
-    def _receive_reports(self, reports: tuple[Report, ...]) -> None:
-        """Learn reports of other daemons, and wake the followers that wait for any."""
-        if self._reports is not None and reports:
-            self._reports.receive(reports, asyncio.get_running_loop().time())
-            self._wake_queries()
-
     async def _pull_reports(self) -> None:
-        """Ask random readers for reports, unless this daemon follows one."""
+        """Ask readers for reports, unless this daemon follows one."""
         await asyncio.sleep(REPORT_PULL_INTERVAL_S)
-        if not self._reads_directory.is_set():
-            return
-        readers = self._selector.others(asyncio.get_running_loop().time())
-        chosen = self._rng.sample(readers, min(READERS_PER_REPORT_PULL, len(readers)))
-        await asyncio.gather(*(self._query_once(address) for address in chosen))
-
-    def _submit_reports(self, reports: list[Report], now: float) -> None:
-        """Send reports of this daemon to the readers, or to its followers if it is one."""
-        self._report_sender.submit(reports, now)
-        self._wake_queries()
+        if self._relay is not None and self._reads_directory.is_set():
+            await self._relay.pull(self._rng, self._query_once)
 
     async def _send_reports(self, address: str, reports: tuple[Report, ...]) -> None:
         """Send reports over a new connection.
@@ -388,7 +374,7 @@
             view.records.position if view.records else Position(),
             wait_s,
             catalog.version if catalog else None,
-            reports_seen=self._reports_seen_by_address.get(address, 0) if self._reports else None,
+            reports_seen=self._relay.seen(address) if self._relay else None,
         )
 
     def apply_update(self, update: PeerUpdate, source: str) -> None:
@@ -412,21 +398,10 @@
         changes = update.record_changes
         if changes is not None and changes.applies_to(view.records):
             view.apply_records(apply_record_changes(view.records, changes), now)
-        if update.reports_revision:
-            self._note_reports_seen(source, update)
-        self._receive_reports(update.reports)
+        if self._relay is not None:
+            self._relay.apply(update, source)
         self._notify_change()
 
-    def _note_reports_seen(self, address: str, update: PeerUpdate) -> None:
-        """Note which reports of a peer are known; one that has started anew gets this daemon's."""
-        seen = self._reports_seen_by_address.pop(address, None)
-        self._reports_seen_by_address[address] = update.reports_revision
-        while len(self._reports_seen_by_address) > MAX_KNOWN_READERS:
-            self._reports_seen_by_address.pop(next(iter(self._reports_seen_by_address)))
-        if self._reports is not None and seen is not None and seen < update.reports_start:
-            now = asyncio.get_running_loop().time()
-            self._report_sender.hand_over(address, self._reports.since(0, now))
-
     def _apply_operations(self, found: Operations, confirmed_at: float, source: str) -> None:
         """Apply orders to the view, and log from whom a new configuration comes.
 
