--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -4,17 +4,14 @@
 import logging
 from collections.abc import AsyncIterator, Callable
 
-from comfreyhatch.adapters.http_link import AnswerPart
 from comfreyhatch.adapters.http_server import HttpResponse
-from comfreyhatch.codes import ResultCode
 from comfreyhatch.decisions.cascade import CascadeState, escalates
-from comfreyhatch.decisions.crashing_parts import SOUND_EVENTS
 from comfreyhatch.decisions.engine_priority import engine_priority
 from comfreyhatch.decisions.engine_time import EngineTimes
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
 from comfreyhatch.decisions.retries import SampleWindow
 from comfreyhatch.decisions.slowness import slowdown
-from comfreyhatch.decisions.stall import first_event_limits, gap_limits
+from comfreyhatch.decisions.stall import first_event_limits
 from comfreyhatch.domain.exchange import Dispatch, Job
 from comfreyhatch.errors import (
     AnswerBrokenError,
@@ -28,7 +25,7 @@
 )
 from comfreyhatch.exchange.attempts import final_error
 from comfreyhatch.exchange.crash_guard import CrashGuard
-from comfreyhatch.exchange.events import EventSplitter, has_content
+from comfreyhatch.exchange.event_relay import EventRelay, require_time
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.health import note_lost_answer
 from comfreyhatch.exchange.scheduler import EndpointScheduler, SlotLease
@@ -38,16 +35,8 @@
 
 # Quantile of recent times to the first event that the stall limits are computed from.
 FIRST_EVENT_QUANTILE = 0.95
-# Fewest event gaps whose median counts as evidence on the version.
-MIN_GAPS_OF_ENDED_STREAM = 3
-MIN_GAPS_OF_RUNNING_STREAM = 6
 # Pause between attempts to resume a stream while no endpoint takes it.
 RESUME_PAUSE_S = 0.25
-# Largest incomplete event; 100 streams with such events take a sixth of a daemon's 150 MB.
-MAX_EVENT_BYTES = 262144
-# Bytes without a new event with content, such as comments or events that the caller has. An engine
-# that resumes a stream from its start, in spite of the id it was told, passes up to this length.
-MAX_USELESS_BYTES = 1_048_576
 MAX_LOGGED_PARTS = 8
 
 log = logging.getLogger("comfreyhatch.streams")
@@ -88,6 +77,7 @@
         self._first_event_latencies: dict[tuple[str, str], SampleWindow] = {}
         self._engine_times = EngineTimes()
         self._watchdog = StallWatchdog(self._may_retry_stalled)
+        self._events = EventRelay(evidence, self._watchdog, crashes)
 
     async def run(self, job: Job) -> HttpResponse:
         """Return an answer whose body relays the events of endpoints.
@@ -275,14 +265,14 @@
         """Yield complete events; a broken stream is resumed on another endpoint."""
         while True:
             try:
-                async for events in self._new_events(stream, answer):
+                async for events in self._events.new_events(stream, answer):
                     yield events
                 self._end_complete(stream)
                 self._bill(stream.job, stream.model, stream.events_relayed)
-                self._record_event_gap(stream, answer, ended=True)
+                self._events.record_gap(stream, answer, ended=True)
                 return
             except AnswerBrokenError as error:
-                _require_time(stream, asyncio.get_running_loop().time())
+                require_time(stream, asyncio.get_running_loop().time())
                 stream.error = error
                 self._log_failure(stream, error, begun=True)
                 stream.broken_endpoints.append(answer.endpoint)
@@ -301,76 +291,6 @@
         if stream.attempt is not None:
             self._crashes.end_complete(stream.attempt, asyncio.get_running_loop().time())
 
-    def _record_event_gap(self, stream: StreamState, answer: StreamedAnswer, ended: bool) -> None:
-        """Record the median event gap as evidence once enough gaps are known.
-
-        Running streams are recorded too: until a slow stream ends, its version would get further
-        requests.
-        """
-        if stream.slow:
-            return
-        gap_s = stream.median_gap_s(
-            MIN_GAPS_OF_ENDED_STREAM if ended else MIN_GAPS_OF_RUNNING_STREAM
-        )
-        if gap_s is None:
-            return
-        now = asyncio.get_running_loop().time()
-        counted = stream.slow is not None
-        slow = self._evidence.record_event_gap(
-            stream.job, answer.endpoint, stream.model, gap_s, counted, ended, now
-        )
-        if slow is not None:
-            stream.slow = slow
-
-    async def _new_events(
-        self, stream: StreamState, answer: StreamedAnswer
-    ) -> AsyncIterator[bytes]:
-        """Yield the events of one answer that were not relayed before."""
-        splitter = EventSplitter()
-        useless_bytes = 0
-        loop = asyncio.get_running_loop()
-        stream.reset_attempt()
-        self._watchdog.watch(
-            stream, gap_limits(stream.job.route.gap_aim_s), answer.abort, loop.time()
-        )
-        async for piece in answer.pieces(stream.job.deadline):
-            events = splitter.feed(piece)
-            count = 0
-            # Thousands of blank events in a piece are not looked at one by one.
-            if has_content(b"".join(events)):
-                events = [event for event in events if stream.accept_event(event)]
-                count = sum(map(has_content, events))
-            if count:
-                useless_bytes = 0
-                self._note_events(stream, answer, count, loop.time())
-            else:
-                useless_bytes += len(piece)
-            if events:
-                yield b"".join(events)
-            if splitter.pending_bytes > MAX_EVENT_BYTES:
-                raise answer.too_large(AnswerPart.EVENT, f"{MAX_EVENT_BYTES} bytes")
-            if useless_bytes > MAX_USELESS_BYTES:
-                raise answer.too_large(AnswerPart.BETWEEN_EVENTS, f"{MAX_USELESS_BYTES} bytes")
-            _require_time(stream, loop.time())
-        if splitter.partial:
-            raise AnswerBrokenError("the stream ended inside an event")
-        if not answer.delimited and not stream.events_relayed and stream.last_event_id is None:
-            # A crash of the engine looks the same as the end of its answer.
-            raise AnswerBrokenError("the stream ended before its first event")
-        answer.endpoint.record_complete_answer()
-
-    def _note_events(
-        self, stream: StreamState, answer: StreamedAnswer, count: int, now: float
-    ) -> None:
-        """Note that new events with content have come; other bytes are no progress."""
-        stream.idle_since = now
-        answer.endpoint.last_received_at = now
-        proven = stream.attempt_events >= SOUND_EVENTS
-        stream.record_events(count, now)
-        if not proven and stream.attempt_events >= SOUND_EVENTS and stream.attempt is not None:
-            self._crashes.note_sound(stream.attempt, now)
-        self._record_event_gap(stream, answer, ended=False)
-
     def _take_escalation(self, stream: StreamState, answer: StreamedAnswer) -> bool:
         """Return whether to ask the largest model instead, and draw it from the budget."""
         job = stream.job
@@ -482,15 +402,3 @@
             ",".join(stream.job.exchange.shared_part_ids[:MAX_LOGGED_PARTS]) or "none",
             str(error),
         )
-
-
-def _require_time(stream: StreamState, now: float) -> None:
-    """Raise an error if the deadline of a stream that still makes progress has passed.
-
-    Its endpoint is not to blame for that; it is for a stream that has stalled.
-
-    Raises:
-        BackendError: If the deadline has passed.
-    """
-    if now >= stream.job.deadline and not stream.is_stalled(now):
-        raise BackendError("the deadline passed during the stream", ResultCode.DEADLINE_EXCEEDED)
