Ask daemons that can't give permits less often, and bound reports of crashes

A daemon of before answers a query without permits, and was asked six times for each request. Reports of crashes could take 20 MB at the most, as each names up to 256 requests and 1,024 were kept: 128 of 128 now, some 1.3 MB by calculation.

--- a/comfreyhatch/decisions/crashing_requests.py
+++ b/comfreyhatch/decisions/crashing_requests.py
@@ -32,7 +32,7 @@
 # Interval at which a daemon that refuses a request tells the others that it is blocked.
 BLOCK_REPORT_INTERVAL_S = 10.0
 MAX_ATTEMPTS = 16384
-MAX_CANDIDATES = 256
+MAX_CANDIDATES = 128
 MAX_SUSPECTS = 4096
 MAX_BLOCKS = 1024
 MAX_COMPLETE = 4096
--- a/comfreyhatch/exchange/endpoint_rates.py
+++ b/comfreyhatch/exchange/endpoint_rates.py
@@ -228,9 +228,7 @@
         rate = source.tracker.rate
         answer = await self._ask(source, within_s)
         now = asyncio.get_running_loop().time()
-        if answer is None:
-            return None
-        if answer.next_s is None:
+        if answer is None or answer.next_s is None:
             rate.note_next(source.sender, now + within_s + UNKNOWN_RETRY_S)
             return None
         if answer.delay_s is None:
--- a/comfreyhatch/exchange/peer_reports.py
+++ b/comfreyhatch/exchange/peer_reports.py
@@ -23,7 +23,9 @@
 # dropped beyond this. Sessions are told of all at once as a roll-out begins.
 MAX_REPORTS_BY_ROOM: dict[str, int] = {
     **{f"part-{kind.value}": 256 for kind in ReportKind},
-    **{f"request-{kind.value}": 1024 for kind in ReportKind},
+    f"request-{ReportKind.CRASHED.value}": 128,  # each of many requests
+    f"request-{ReportKind.SOUND.value}": 1024,
+    f"request-{ReportKind.BLOCKED.value}": 1024,
     "session": 4096,
     "limit": 8192,
 }
--- a/tests/test_endpoint_rates.py
+++ b/tests/test_endpoint_rates.py
@@ -149,3 +149,23 @@
     # The lowest limit allows no whole request in what is left.
     del fleet.sent_at["tenths"]
     assert_used(fleet, began_at, began_at + 3.0, share=0.7)
+
+
+async def test_daemon_that_cannot_give_permits_is_not_asked_again_at_once() -> None:
+    # A daemon of before answers the query, without permits.
+    fleet = Fleet(6)
+    asks = 0
+
+    class OldChannel(PermitChannel):
+        async def ask(self, asked: tuple[PermitAsk, ...]) -> tuple[PermitAnswer, ...]:
+            nonlocal asks
+            asks += 1
+            return ()
+
+    rates = fleet.rates_by_daemon["d0"]
+    rates._client = PermitClient(lambda daemon: OldChannel())
+    tracker = rates._view.tracker_by_id["many"]
+    for _ in range(20):
+        await rates.obtain([tracker], 0.01)
+    assert asks <= 5
+    await rates.stop()
