Ask fewer senders under overload, at random, and spread the times to come back

Besides, all refused callers were told to come back for the same permit.

A limit has three senders now, equal ones are asked at random, after a denial two, and none for up to 0.25 s; refused callers come back one after the other, at the rate that this daemon has had, or its even part. Bounds and selections of senders are cached.

--- a/comfreyhatch/decisions/shared_rate.py
+++ b/comfreyhatch/decisions/shared_rate.py
@@ -7,7 +7,8 @@
 senders for permits, which draw on their buckets; one busy daemon can so use the whole rate.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
+from functools import lru_cache
 from math import isfinite
 
 from msgspec import Struct
@@ -24,12 +25,17 @@
 NAMED_SLACK = 5.0
 # An endpoint that takes nothing still gets a request now and then, whose answer tells when it does.
 MIN_NAMED_PER_S = 0.1
+MAX_COLD_SENDERS = 8
 # More senders would each have so few tokens that a busy daemon has to ask many of them.
-MAX_SENDERS = 8
+MAX_NAMED_SENDERS = 3
 # A permit that was not used this long after the time for which it was given is void.
 PERMIT_LIFE_S = 0.3
 
 
+# Bounds are asked for with each request, for each endpoint.
+MAX_CACHED_BOUNDS = 1024
+
+
 class RateBound(Struct, frozen=True):
     """Rate that all daemons together may send to an endpoint.
 
@@ -42,6 +48,7 @@
     senders: int
 
 
+@lru_cache(maxsize=MAX_CACHED_BOUNDS)
 def cold_bound(per_s: float, overload_factor: float, slack: float) -> RateBound:
     """Return the bound of a cold endpoint.
 
@@ -52,25 +59,23 @@
     """
     # On top of the steady rate each sender can send one request at once from its full bucket.
     burst = (overload_factor - 1.0) * per_s + slack
-    return RateBound(per_s * SAFETY_FACTOR, _senders(burst))
+    return RateBound(per_s * SAFETY_FACTOR, _senders(burst, MAX_COLD_SENDERS))
 
 
+@lru_cache(maxsize=MAX_CACHED_BOUNDS)
 def named_bound(per_s: float) -> RateBound:
     """Return the bound of an endpoint that names a limit in requests a second."""
     burst = (NAMED_OVER - 1.0) * per_s * NAMED_WINDOW_S + NAMED_SLACK
-    return RateBound(max(MIN_NAMED_PER_S, per_s * NAMED_SHARE), _senders(burst))
+    return RateBound(max(MIN_NAMED_PER_S, per_s * NAMED_SHARE), _senders(burst, MAX_NAMED_SENDERS))
 
 
-def lower_bound(bounds: Iterable[RateBound | None]) -> RateBound | None:
-    """Return the bound that keeps all of some; None if there is none."""
-    found = [bound for bound in bounds if bound is not None]
-    if not found:
-        return None
-    return RateBound(min(b.per_s for b in found), min(b.senders for b in found))
+def lower_bound(one: RateBound, two: RateBound) -> RateBound:
+    """Return the bound that keeps both of two."""
+    return RateBound(min(one.per_s, two.per_s), min(one.senders, two.senders))
 
 
-def _senders(burst: float) -> int:
-    return max(1, int(min(burst * SAFETY_FACTOR, MAX_SENDERS)))
+def _senders(burst: float, most: int) -> int:
+    return max(1, int(min(burst * SAFETY_FACTOR, most)))
 
 
 def senders_of(endpoint_id: str, daemons: Collection[str], bound: RateBound) -> list[str]:
--- a/comfreyhatch/decisions/waiting.py
+++ b/comfreyhatch/decisions/waiting.py
@@ -117,3 +117,25 @@
     )
     base_s = min(max_s, max(MIN_RETRY_AFTER_S, expected_wait_s))
     return min(max_s, base_s * (1 + RETRY_AFTER_JITTER * rng.random()))
+
+
+class ReturnTimes:
+    """Times at which refused callers are told to come back, one after the other.
+
+    All at the same time would find what the first of them leaves.
+    """
+
+    def __init__(self) -> None:
+        self._booked_until = 0.0
+
+    def book(self, first_s: float, interval_s: float, now: float) -> float:
+        """Return the wait of another caller, in seconds.
+
+        Args:
+            first_s: Time until anything is free, in seconds.
+            interval_s: Time that what is free takes to serve one caller, in seconds.
+            now: Monotonic time in seconds.
+        """
+        at = max(now + first_s, self._booked_until)
+        self._booked_until = min(at + interval_s, now + MAX_RETRY_AFTER_S)
+        return at - now
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -125,6 +125,7 @@
             self._limits,
             PermitClient(self._connect_permits),
             self.registry,
+            rng,
             monotonic(),
         )
         self._scheduler = EndpointScheduler(
--- a/comfreyhatch/exchange/endpoint_rates.py
+++ b/comfreyhatch/exchange/endpoint_rates.py
@@ -7,7 +7,9 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Collection, Iterable
+from random import Random
 
 from msgspec import Struct
 from prometheus_client import CollectorRegistry, Counter
@@ -29,8 +31,15 @@
 ASSUMED_DAEMONS_PER_ZONE = 2
 # Time after this daemon's start in which daemons that have not registered yet are assumed.
 ASSUMED_S = 20.0
-# Most senders that are asked for one request.
+# Most senders that are asked for one request, and for one after another was denied.
 MAX_ASKS = 6
+MAX_ASKS_AFTER_DENIAL = 2
+# Longest time for which no sender is asked after a request was denied.
+DENIED_PAUSE_S = 0.25
+# Time for which the selection of senders is kept, unless a daemon does not answer.
+SENDERS_LIFE_S = 0.2
+# Time over which the permits of this daemon are counted.
+GRANTED_WINDOW_S = 4.0
 # A sender that does not know of the endpoint, or of its rate, is asked again after this time.
 UNKNOWN_RETRY_S = 0.5
 # Time after a denied permit for which a service counts as fully loaded.
@@ -57,6 +66,7 @@
         limits: EndpointLimits,
         client: PermitClient,
         registry: CollectorRegistry,
+        rng: Random,
         started_at: float,
     ) -> None:
         """Create it.
@@ -67,16 +77,22 @@
             limits: Limits that endpoints name.
             client: Asks other daemons for permits.
             registry: Registry of the metrics.
+            rng: Seeded source of the choice among equal senders.
             started_at: Monotonic time at which this daemon started, in seconds.
         """
         self._deployment = deployment
         self._view = view
         self._limits = limits
         self._client = client
+        self._rng = rng
         self._started_at = started_at
         self._denied_at_by_service: dict[str, float] = {}
+        self._paused_until_by_service: dict[str, float] = {}
+        self._sent_at_by_service: dict[str, deque[float]] = {}
         self._senders_by_endpoint: dict[tuple[str, RateBound], list[str]] = {}
         self._senders_among: frozenset[str] = frozenset()
+        self._senders_at = float("-inf")
+        self._failures_known = 0
         self._probes: dict[str, asyncio.Task[None]] = {}
         self._asked = Counter(
             "comfreyhatch_permits_asked",
@@ -103,7 +119,8 @@
         cold = self._cold_bound(tracker) if self._view.cold(tracker, now) else None
         if limit_per_s is None:
             return cold
-        return lower_bound((cold, named_bound(limit_per_s)))
+        named = named_bound(limit_per_s)
+        return named if cold is None else lower_bound(cold, named)
 
     def may_send(self, tracker: EndpointTracker, now: float) -> bool:
         """Return whether a request may be sent to an endpoint now."""
@@ -113,8 +130,13 @@
     def record(self, tracker: EndpointTracker, now: float) -> None:
         """Draw a request that is sent to an endpoint on its rate."""
         bound = self.bound(tracker, now)
-        if bound is not None:
-            tracker.rate.take(self._part_per_s(tracker, bound, now), now)
+        if bound is None:
+            return
+        tracker.rate.take(self._part_per_s(tracker, bound, now), now)
+        sent = self._sent_at_by_service.setdefault(tracker.record.service, deque())
+        sent.append(now)
+        while now - sent[0] > GRANTED_WINDOW_S:
+            sent.popleft()
 
     def bounded(self, trackers: Iterable[EndpointTracker], now: float) -> list[EndpointTracker]:
         """Return the endpoints whose rate is bounded."""
@@ -124,8 +146,10 @@
         """Return the number of permits that this daemon holds for endpoints, for now or later."""
         return sum(tracker.rate.permits(now) for tracker in trackers)
 
-    def is_open(self, trackers: Iterable[EndpointTracker], within_s: float, now: float) -> bool:
+    def is_open(self, trackers: Collection[EndpointTracker], within_s: float, now: float) -> bool:
         """Return whether any sender may have a permit for one of some endpoints within a time."""
+        if any(now < self._paused_until(tracker) for tracker in trackers):
+            return False
         return self._open_source(trackers, within_s, now) is not None
 
     def saturated(self, service: str, now: float) -> bool:
@@ -133,9 +157,21 @@
         return now - self._denied_at_by_service.get(service, float("-inf")) < SATURATED_S
 
     def next_s(self, trackers: Iterable[EndpointTracker], now: float) -> float:
-        """Return the time until any sender may have a permit for one of some endpoints."""
-        sources = self._sources(trackers, now)
-        return max(0.0, min((_next_at(source) - now for source in sources), default=0.0))
+        """Return the time until any sender may have a permit, as far as senders told."""
+        told = [at for source in self._sources(trackers, now) if (at := _next_at(source)) > 0]
+        return max(0.0, min(told, default=now) - now)
+
+    def interval_s(self, service: str, trackers: Iterable[EndpointTracker], now: float) -> float:
+        """Return the time that this daemon needs to send one request to some endpoints.
+
+        It may have more than an even part of their rates, if others have fewer requests.
+        """
+        bounds = [bound for t in trackers if (bound := self.bound(t, now)) is not None]
+        even_per_s = sum(bound.per_s for bound in bounds) / len(self.daemons(now))
+        sent_at = self._sent_at_by_service.get(service, ())
+        own_per_s = sum(now - at <= GRANTED_WINDOW_S for at in sent_at) / GRANTED_WINDOW_S
+        per_s = max(even_per_s, own_per_s)
+        return 1 / per_s if per_s > 0 else 0.0
 
     async def obtain(self, trackers: Collection[EndpointTracker], within_s: float) -> float | None:
         """Ask senders for a permit for one of some endpoints; the permit is kept with the endpoint.
@@ -148,15 +184,19 @@
             Time until the permit may be used, in seconds; None if no sender has any in time.
         """
         loop = asyncio.get_running_loop()
-        for _ in range(MAX_ASKS):
+        denied = any(self.saturated(t.record.service, loop.time()) for t in trackers)
+        for _ in range(MAX_ASKS_AFTER_DENIAL if denied else MAX_ASKS):
             source = self._open_source(trackers, within_s, loop.time())
             if source is None:
                 break
             delay_s = await self._obtain_from(source, within_s)
             if delay_s is not None:
                 return delay_s
-        for tracker in trackers:
-            self._denied_at_by_service[tracker.record.service] = loop.time()
+        now = loop.time()
+        pause_s = min(DENIED_PAUSE_S, within_s) * (0.5 + 0.5 * self._rng.random())
+        for service in {tracker.record.service for tracker in trackers}:
+            self._denied_at_by_service[service] = now
+            self._paused_until_by_service[service] = now + pause_s
         return None
 
     def answer(self, ask: PermitAsk, now: float) -> PermitAnswer:
@@ -181,6 +221,9 @@
         await asyncio.gather(*probes, return_exceptions=True)
         await self._client.stop()
 
+    def _paused_until(self, tracker: EndpointTracker) -> float:
+        return self._paused_until_by_service.get(tracker.record.service, 0.0)
+
     def _cold_bound(self, tracker: EndpointTracker) -> RateBound | None:
         catalog = self._view.catalog
         service = catalog.service_by_name.get(tracker.record.service) if catalog else None
@@ -191,18 +234,24 @@
 
     def _senders(self, tracker: EndpointTracker, bound: RateBound, now: float) -> list[str]:
         """Return the senders of an endpoint, without daemons that do not answer."""
-        silent = self._client.silent(now) - {self._deployment.instance}
-        daemons = frozenset(self.daemons(now) - silent)
-        if daemons != self._senders_among:
-            self._senders_among = daemons
-            self._senders_by_endpoint.clear()
+        if now - self._senders_at > SENDERS_LIFE_S or self._client.failures > self._failures_known:
+            self._update_daemons(now)
         key = (tracker.record.endpoint_id, bound)
         found = self._senders_by_endpoint.get(key)
         if found is None:
-            found = senders_of(tracker.record.endpoint_id, daemons, bound)
+            found = senders_of(tracker.record.endpoint_id, self._senders_among, bound)
             self._senders_by_endpoint[key] = found
         return found
 
+    def _update_daemons(self, now: float) -> None:
+        """Take note of the daemons that may be senders, and forget selections of others."""
+        silent = self._client.silent(now) - {self._deployment.instance}
+        daemons = frozenset(self.daemons(now) - silent)
+        self._senders_at, self._failures_known = now, self._client.failures
+        if daemons != self._senders_among:
+            self._senders_among = daemons
+            self._senders_by_endpoint.clear()
+
     def _part_per_s(self, tracker: EndpointTracker, bound: RateBound, now: float) -> float:
         senders = self._senders(tracker, bound, now)
         return bound.per_s / len(senders) if self._deployment.instance in senders else 0.0
@@ -218,10 +267,14 @@
     def _open_source(
         self, trackers: Iterable[EndpointTracker], within_s: float, now: float
     ) -> _Source | None:
-        """Return the source that may have the next permit; of equal ones, this daemon."""
+        """Return the source that may have the next permit; of equal ones this daemon, or any."""
         sources = [s for s in self._sources(trackers, now) if _next_at(s) <= now + within_s]
-        own = self._deployment.instance
-        return min(sources, key=lambda s: (max(now, _next_at(s)), s.sender != own), default=None)
+        if not sources:
+            return None
+        earliest = min(max(now, _next_at(source)) for source in sources)
+        equal = [source for source in sources if _next_at(source) <= earliest]
+        own = [source for source in equal if source.sender == self._deployment.instance]
+        return self._rng.choice(own or equal)
 
     async def _obtain_from(self, source: _Source, within_s: float) -> float | None:
         """Ask a source for a permit, and return the time until it may be used; None without one."""
--- a/comfreyhatch/exchange/permits.py
+++ b/comfreyhatch/exchange/permits.py
@@ -49,7 +49,11 @@
 
 
 class PermitClient:
-    """Connections to the daemons that are asked, and which of these do not answer."""
+    """Connections to the daemons that are asked, and which of these do not answer.
+
+    Attributes:
+        failures: Number of asks without an answer.
+    """
 
     def __init__(self, connect: Callable[[str], PermitChannel | None]) -> None:
         """Create it without connections.
@@ -60,6 +64,7 @@
         self._connect = connect
         self._pending_by_daemon: OrderedDict[str, _Pending] = OrderedDict()
         self._hold_down_by_daemon: dict[str, tuple[float, float]] = {}
+        self.failures = 0
 
     def silent(self, now: float) -> set[str]:
         """Return the daemons that do not answer."""
@@ -133,4 +138,5 @@
         last_s = self._hold_down_by_daemon.get(daemon, (0.0, FIRST_HOLD_DOWN_S / 2))[1]
         pause_s = min(MAX_HOLD_DOWN_S, 2 * last_s)
         self._hold_down_by_daemon[daemon] = (now + pause_s, pause_s)
+        self.failures += 1
         log.info("event=sender_silent peer=%s for_s=%.0f reason=%r", daemon, pause_s, reason)
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -13,6 +13,7 @@
 from comfreyhatch.decisions.isolation import ServiceReachability
 from comfreyhatch.decisions.placement import choose_endpoint
 from comfreyhatch.decisions.waiting import (
+    ReturnTimes,
     ServiceTime,
     Waiter,
     max_reserve_s,
@@ -120,6 +121,7 @@
         self._eligibility = EndpointEligibility(deployment, view, is_bad_version, pins)
         self._queue_by_service: dict[str, list[_QueuedRequest]] = {}
         self._service_time_by_service: dict[str, ServiceTime] = {}
+        self._returns_by_service: dict[str, ReturnTimes] = {}
         self._next_number = count()
         self._sweep_timer: asyncio.TimerHandle | None = None
 
@@ -372,8 +374,8 @@
             if self._eligibility.in_service(tracker, now)
         ]
         expected_s = self._expected_wait_s(job.service, len(queue) + 1, now)
-        if len(self._rates.bounded(in_service, now)) == len(in_service):
-            expected_s = max(expected_s, self._rates.next_s(in_service, now))
+        if in_service and len(self._rates.bounded(in_service, now)) == len(in_service):
+            expected_s = max(expected_s, self._return_s(job.service, in_service, now))
         after_s = retry_after_s(
             expected_s if in_service else max(expected_s, NO_ENDPOINT_RETRY_S),
             job.deadline - now,
@@ -387,6 +389,14 @@
             )
         return RefusedError(f"all endpoints of {job.service} are busy", retry_after_s=after_s)
 
+    def _return_s(self, service: str, trackers: list[EndpointTracker], now: float) -> float:
+        """Return when to come back for endpoints whose rates are used up, in seconds."""
+        first_s = self._rates.next_s(trackers, now)
+        interval_s = self._rates.interval_s(service, trackers, now)
+        return self._returns_by_service.setdefault(service, ReturnTimes()).book(
+            first_s, interval_s, now
+        )
+
     def _service_time(self, service: str) -> ServiceTime:
         return self._service_time_by_service.setdefault(service, ServiceTime())
 
--- a/tests/test_endpoint_rates.py
+++ b/tests/test_endpoint_rates.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from random import Random
 
 import pytest
 from prometheus_client import CollectorRegistry
@@ -57,7 +58,9 @@
         for endpoint, per_s in LIMITS.items():
             limits.learn(LimitReport(f"{endpoint}/1", per_s), now)
         client = PermitClient(lambda daemon: FleetChannel(self, daemon))
-        return EndpointRates(deployment, view, limits, client, registry, now - ASSUMED_S - 1)
+        return EndpointRates(
+            deployment, view, limits, client, registry, Random(name), now - ASSUMED_S - 1
+        )
 
     async def send_greedily(self, daemon: str, endpoint: str, until: float) -> None:
         """Send as many requests to an endpoint as its rate allows, two at a time."""
--- a/tests/test_shared_rate.py
+++ b/tests/test_shared_rate.py
@@ -65,8 +65,7 @@
 
 
 def test_lower_of_two_bounds_counts() -> None:
-    assert lower_bound((RateBound(2.0, 4), None, RateBound(9.0, 3))) == RateBound(2.0, 3)
-    assert lower_bound((None, None)) is None
+    assert lower_bound(RateBound(2.0, 4), RateBound(9.0, 3)) == RateBound(2.0, 3)
 
 
 def test_only_a_few_daemons_of_a_large_fleet_send_to_a_cold_endpoint() -> None:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -2,7 +2,16 @@
 
 from random import Random
 
-from comfreyhatch.decisions.waiting import ServiceTime, Waiter, max_wait_s, retry_after_s
+import pytest
+
+from comfreyhatch.decisions.waiting import (
+    MAX_RETRY_AFTER_S,
+    ReturnTimes,
+    ServiceTime,
+    Waiter,
+    max_wait_s,
+    retry_after_s,
+)
 from tests.exchange_values import job
 
 NOW = 100.0
@@ -53,3 +62,14 @@
     assert min(times) >= 1.0 and max(times) <= 1.5
     assert len({round(t, 2) for t in times}) > 20
     assert max(retry_after_s(60.0, 1.0, rng) for _ in range(50)) <= 0.3
+
+
+def test_refused_callers_come_back_one_after_the_other() -> None:
+    returns = ReturnTimes()
+    assert [returns.book(0.5, 0.2, 10.0) for _ in range(3)] == pytest.approx([0.5, 0.7, 0.9])
+    assert returns.book(0.5, 0.2, 20.0) == pytest.approx(0.5)
+
+
+def test_times_to_come_back_are_bounded() -> None:
+    returns = ReturnTimes()
+    assert max(returns.book(0.0, 1.0, 10.0) for _ in range(1000)) <= MAX_RETRY_AFTER_S
