Let urgent requests ask for permits while less urgent ones are denied them

Found by reading: the pause after a denied permit held for all requests of a service. The least urgent ones reserve a third of a second ahead and are denied first; an urgent one, which may reserve a second ahead, was refused in that pause without being asked for. And a request that is denied a permit as soon as it reserves was refused though one was free before its wait was over.

A pause holds for permits that are needed as soon as the denied one. A request waits on for a permit that comes in time, unless another was denied one within a second: then what all endpoints take is used up, and it is refused at once.

--- a/comfreyhatch/exchange/endpoint_rates.py
+++ b/comfreyhatch/exchange/endpoint_rates.py
@@ -31,9 +31,9 @@
 ASSUMED_DAEMONS_PER_ZONE = 2
 # Time after this daemon's start in which daemons that have not registered yet are assumed.
 ASSUMED_S = 20.0
-# Most senders that are asked for one request, and for one after another was denied.
+# Most senders that are asked for one request, usually and under overload.
 MAX_ASKS = 6
-MAX_ASKS_AFTER_DENIAL = 2
+MAX_ASKS_OVERLOADED = 2
 # Longest time for which no sender is asked after a request was denied.
 DENIED_PAUSE_S = 0.25
 # Time for which the selection of senders is kept, unless a daemon does not answer.
@@ -42,8 +42,8 @@
 GRANTED_WINDOW_S = 4.0
 # A sender that does not know of the endpoint, or of its rate, is asked again after this time.
 UNKNOWN_RETRY_S = 0.5
-# Time after a denied permit for which a service counts as fully loaded.
-SATURATED_S = 1.0
+# A service is overloaded for this time after the first of two denied permits.
+OVERLOADED_S = 1.0
 MAX_SILENT_TOLD = 8
 
 log = logging.getLogger("comfreyhatch.rates")
@@ -56,6 +56,13 @@
     sender: str
 
 
+class _Pause(Struct, frozen=True):
+    """A time in which no sender is asked for permits that are needed as soon as a denied one."""
+
+    until: float
+    within_s: float
+
+
 class EndpointRates:
     """Decides whether a request may be sent to an endpoint with a bounded rate."""
 
@@ -86,8 +93,8 @@
         self._client = client
         self._rng = rng
         self._started_at = started_at
-        self._denied_at_by_service: dict[str, float] = {}
-        self._paused_until_by_service: dict[str, float] = {}
+        self._denied_at_by_service: dict[str, deque[float]] = {}
+        self._pause_by_service: dict[str, _Pause] = {}
         self._sent_at_by_service: dict[str, deque[float]] = {}
         self._senders_by_endpoint: dict[tuple[str, RateBound], list[str]] = {}
         self._senders_among: frozenset[str] = frozenset()
@@ -148,13 +155,16 @@
 
     def is_open(self, trackers: Collection[EndpointTracker], within_s: float, now: float) -> bool:
         """Return whether any sender may have a permit for one of some endpoints within a time."""
-        if any(now < self._paused_until(tracker) for tracker in trackers):
+        if any(self._is_paused(tracker.record.service, within_s, now) for tracker in trackers):
             return False
         return self._open_source(trackers, within_s, now) is not None
 
-    def saturated(self, service: str, now: float) -> bool:
-        """Return whether a request of a service was denied a permit a short time ago."""
-        return now - self._denied_at_by_service.get(service, float("-inf")) < SATURATED_S
+    def overloaded(self, service: str, now: float) -> bool:
+        """Return whether two requests of a service were denied permits a short time ago."""
+        denied_at = self._denied_at_by_service.get(service)
+        if denied_at is None or len(denied_at) < 2:
+            return False
+        return now - denied_at[0] < OVERLOADED_S
 
     def next_s(self, trackers: Iterable[EndpointTracker], now: float) -> float:
         """Return the time until any sender may have a permit, as far as senders told."""
@@ -184,19 +194,16 @@
             Time until the permit may be used, in seconds; None if no sender has any in time.
         """
         loop = asyncio.get_running_loop()
-        denied = any(self.saturated(t.record.service, loop.time()) for t in trackers)
-        for _ in range(MAX_ASKS_AFTER_DENIAL if denied else MAX_ASKS):
+        overloaded = any(self.overloaded(t.record.service, loop.time()) for t in trackers)
+        for _ in range(MAX_ASKS_OVERLOADED if overloaded else MAX_ASKS):
             source = self._open_source(trackers, within_s, loop.time())
             if source is None:
                 break
             delay_s = await self._obtain_from(source, within_s)
             if delay_s is not None:
                 return delay_s
-        now = loop.time()
-        pause_s = min(DENIED_PAUSE_S, within_s) * (0.5 + 0.5 * self._rng.random())
         for service in {tracker.record.service for tracker in trackers}:
-            self._denied_at_by_service[service] = now
-            self._paused_until_by_service[service] = now + pause_s
+            self._note_denied(service, within_s, loop.time())
         return None
 
     def answer(self, ask: PermitAsk, now: float) -> PermitAnswer:
@@ -221,8 +228,16 @@
         await asyncio.gather(*probes, return_exceptions=True)
         await self._client.stop()
 
-    def _paused_until(self, tracker: EndpointTracker) -> float:
-        return self._paused_until_by_service.get(tracker.record.service, 0.0)
+    def _note_denied(self, service: str, within_s: float, now: float) -> None:
+        self._denied_at_by_service.setdefault(service, deque(maxlen=2)).append(now)
+        if not self._is_paused(service, within_s, now):
+            pause_s = min(DENIED_PAUSE_S, within_s) * (0.5 + 0.5 * self._rng.random())
+            self._pause_by_service[service] = _Pause(now + pause_s, within_s)
+
+    def _is_paused(self, service: str, within_s: float, now: float) -> bool:
+        """Return whether a permit is not asked for; one that may come later still is."""
+        pause = self._pause_by_service.get(service)
+        return pause is not None and now < pause.until and within_s <= pause.within_s
 
     def _cold_bound(self, tracker: EndpointTracker) -> RateBound | None:
         catalog = self._view.catalog
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -205,7 +205,7 @@
 
         A service without slots, or whose endpoints' rates are used up, has load 1.
         """
-        if self._rates.saturated(service, now):
+        if self._rates.overloaded(service, now):
             return 1.0
         trackers = [
             tracker
@@ -301,8 +301,8 @@
             now: Monotonic time in seconds.
 
         Returns:
-            The error to refuse it with at once, if all its endpoints have bounded rates and no
-            sender has a permit in time.
+            The error to refuse it with at once, if all its endpoints have bounded rates, and no
+            sender has a permit in time or others were denied one too.
         """
         bounded = self._rates.bounded(eligible, now)
         if not bounded or entry.ask is not None or ahead < self._rates.permits(bounded, now):
@@ -313,7 +313,12 @@
             entry.ask = asyncio.create_task(self._rates.obtain(free, within_s))
             entry.ask.add_done_callback(lambda task: self._end_ask(entry, task))
             return None
-        return self._refusal(entry.job, now) if free and len(bounded) == len(eligible) else None
+        if not free or len(bounded) < len(eligible):
+            return None
+        in_time = now + self._rates.next_s(bounded, now) < entry.waiter.refuse_at
+        if in_time and not self._rates.overloaded(entry.job.service, now):
+            return None
+        return self._refusal(entry.job, now)
 
     def _end_ask(self, entry: _QueuedRequest, task: "asyncio.Task[float | None]") -> None:
         """Use a permit that was obtained, as soon as it may be used."""
--- a/tests/test_endpoint_rates.py
+++ b/tests/test_endpoint_rates.py
@@ -172,3 +172,19 @@
         await rates.obtain([tracker], 0.01)
     assert asks <= 5
     await rates.stop()
+
+
+async def test_denied_permit_pauses_no_ask_for_one_that_may_come_later() -> None:
+    # The most urgent requests reserve further ahead, and would wait behind the least urgent.
+    fleet = Fleet(6)
+    rates = fleet.rates_by_daemon["d0"]
+    tracker = rates._view.tracker_by_id["tenths"]
+    while await rates.obtain([tracker], 0.01) is not None:
+        pass
+    now = asyncio.get_running_loop().time()
+    assert not rates.is_open([tracker], 0.01, now)
+    assert rates.is_open([tracker], 20.0, now)
+    assert not rates.overloaded(tracker.record.service, now)
+    await rates.obtain([tracker], 0.01)
+    assert rates.overloaded(tracker.record.service, now)
+    await rates.stop()
