Take an answer only if it names the request under way, a refusal above all

Reported by operators of similar systems: a faulty worker wrote an earlier refusal once more on a kept connection. It can happen here. Cause: the sender believed "not run" before it compared the request's id, so that a late copy of a refusal let a request run at a second worker, or told its caller that it had not run. The copy's load, health and limit were taken as well.

The id is compared before anything of an answer is believed; a refusal that names no request counts as an answer to another one.

--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -181,10 +181,11 @@
                 )
             )
             head = self._codec.read_head(reply.status, reply.headers)
+            _require_own_answer(job, head)
             self._note_head(endpoint, head, loop.time())
-            if not head.misdirected and head.request_id in ("", job.exchange.request_id):
+            if not head.misdirected:
                 self._limits.note_answer(endpoint, head, sent_at, loop.time())
-            await self._check(job, endpoint, head, reply)
+            await self._check(endpoint, head, reply)
         except HttpError as error:
             await stack.aclose()
             note_lost_answer(endpoint, error, loop.time())
@@ -238,7 +239,7 @@
         return BufferedAnswer(answer.head, body, endpoint)
 
     async def _check(
-        self, job: Job, endpoint: EndpointTracker, head: AnswerHead, reply: StreamedReply
+        self, endpoint: EndpointTracker, head: AnswerHead, reply: StreamedReply
     ) -> None:
         """Raise an error unless the answer may be forwarded to the caller."""
         if head.refused:
@@ -251,8 +252,6 @@
             # Forwarded, this status would tell the caller that its request did not run.
             endpoint.record_complete_answer()
             raise BackendError(f"status {head.status} without confirmation that nothing ran")
-        if head.request_id and head.request_id != job.exchange.request_id:
-            raise AnswerBrokenError(f"the answer belongs to another request, {head.request_id}")
         if head.success and (not head.has_receipt or head.encoded):
             raise AnswerBrokenError("the answer has no receipt or is encoded")
 
@@ -268,6 +267,17 @@
             endpoint.record_failed_answer()
 
 
+def _require_own_answer(job: Job, head: AnswerHead) -> None:
+    """Raise an error if an answer belongs to another request.
+
+    An endpoint may send an answer once more, late, when the connection carries the next request. A
+    refusal that names no request may be such a copy, and says nothing of the request under way.
+    """
+    own = job.exchange.request_id
+    if head.request_id != own and (head.request_id or head.refused):
+        raise AnswerBrokenError(f"the answer belongs to another request: {head.request_id!r}")
+
+
 async def _read_out(reply: StreamedReply, endpoint: EndpointTracker) -> None:
     """Read the rest of a refusal, so that its connection can be reused.
 
--- a/tests/platform_raw_worker.py
+++ b/tests/platform_raw_worker.py
@@ -21,9 +21,15 @@
 
 def answer_head(head: bytes, status: bytes, *headers: bytes) -> bytes:
     """Return the head of an answer to a request with a status line's end and headers."""
+    own = b"attempt-id: " + request_id(head)
+    return b"\r\n".join([b"HTTP/1.1 " + status, own, *headers, b"", b""])
+
+
+def request_id(head: bytes) -> bytes:
+    """Return the id that the head of a request names."""
     found = re.search(rb"\r\nattempt-id: *([^\r]+)", head, re.IGNORECASE)
     assert found
-    return b"\r\n".join([b"HTTP/1.1 " + status, b"attempt-id: " + found[1], *headers, b"", b""])
+    return found[1]
 
 
 async def replace_worker(harness: PlatformHarness, worker_id: str, endpoint: RawEndpoint) -> None:
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -113,7 +113,7 @@
     def _response(self, request: HttpRequest) -> HttpResponse:
         headers = [(b"attempt-id", request.header("attempt-id").encode())]
         if request.header("expect-instance") != self.worker_id:
-            return HttpResponse(421, headers=[(b"instance-id", self.worker_id.encode())])
+            return HttpResponse(421, headers=[*headers, (b"instance-id", self.worker_id.encode())])
         if self.limit_per_s is not None:
             headers.append((b"server-limit", f"{self.limit_per_s:g}".encode()))
         if self.refuses:
--- /dev/null
+++ b/tests/test_repeated_answers.py
@@ -0,0 +1,78 @@
+"""The request path with workers that send an earlier answer once more on a kept connection."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import pytest
+
+from tests.platform_harness import PlatformHarness, running_harness
+from tests.platform_raw_worker import refusal_head, replace_worker, request_id, success_head
+from tests.raw_endpoint import RawEndpoint, listening
+
+# Statuses from which callers conclude that their request has not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+NO_BODY = b"content-length: 0"
+Answer = Callable[[bytes], bytes]
+
+
+@pytest.fixture
+async def harness() -> AsyncIterator[PlatformHarness]:
+    async with running_harness() as running:
+        yield running
+
+
+def refusal(head: bytes) -> bytes:
+    return refusal_head(head, NO_BODY)
+
+
+def refusal_without_id(head: bytes) -> bytes:
+    return b"\r\n".join([b"HTTP/1.1 503 Busy", b"not-executed: 1", NO_BODY, b"", b""])
+
+
+def success(head: bytes) -> bytes:
+    return success_head(head, NO_BODY)
+
+
+def earlier(answer: Answer) -> Answer:
+    """Return answers to the first request and then, to each, the answer to the one before."""
+    heads: list[bytes] = []
+
+    def answer_earlier(head: bytes) -> bytes:
+        heads.append(head)
+        return answer(heads[max(0, len(heads) - 2)])
+
+    return answer_earlier
+
+
+@asynccontextmanager
+async def desks(harness: PlatformHarness, answer: Answer) -> AsyncIterator[list[RawEndpoint]]:
+    """Replace both workers of the desk by endpoints that send earlier answers."""
+    async with AsyncExitStack() as stack:
+        endpoints = []
+        for worker_id in ("desk-1", "desk-2"):
+            endpoint = await stack.enter_async_context(listening(earlier(answer)))
+            await replace_worker(harness, worker_id, endpoint)
+            endpoints.append(endpoint)
+        yield endpoints
+
+
+@pytest.mark.parametrize("answer", [refusal, refusal_without_id], ids=["other_id", "no_id"])
+async def test_earlier_refusal_is_not_taken_for_one_of_the_request_under_way(
+    harness: PlatformHarness, answer: Answer
+) -> None:
+    async with desks(harness, answer) as endpoints:
+        replies = [await harness.send("/pay/x", attempt_id=f"pay-{n}") for n in range(6)]
+        # An endpoint runs each request but its first one, which it has refused.
+        runs = [request_id(head) for endpoint in endpoints for head in endpoint.requests[1:]]
+        assert len(runs) == len(set(runs))
+        not_run = {b"pay-%d" % n for n, r in enumerate(replies) if r.status in NOT_RUN_STATUSES}
+        assert not not_run & set(runs)
+
+
+async def test_earlier_answer_is_not_taken_for_one_of_the_request_under_way(
+    harness: PlatformHarness,
+) -> None:
+    async with desks(harness, success) as endpoints:
+        statuses = [(await harness.send("/pay/x")).status for _ in range(6)]
+        used = sum(bool(endpoint.requests) for endpoint in endpoints)
+        assert sorted(statuses) == [200] * used + [502] * (6 - used)
