Send a further attempt at the same engine over a connection of its own

All attempts of a request have its id. If all engines have been tried, a stream is sent to one of them again; a late copy of the earlier refusal on the kept connection was then taken for the new attempt's, which went on running while a further attempt began (TWICE), or whose caller was told that it had not run (REFUSED).

Shown by a test that fails without the change: one engine that refuses once more on the first connection got attempt after attempt, and the caller a 503.

--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -152,7 +152,12 @@
         self._count = count
 
     async def open(
-        self, job: Job, endpoint: EndpointTracker, dispatch: Dispatch, head_timeout_s: float
+        self,
+        job: Job,
+        endpoint: EndpointTracker,
+        dispatch: Dispatch,
+        head_timeout_s: float,
+        fresh_connection: bool = False,
     ) -> StreamedAnswer:
         """Send a request and read the head of its answer.
 
@@ -161,6 +166,7 @@
             endpoint: Endpoint to send to; its health and load are updated.
             dispatch: Values of the headers for the endpoint.
             head_timeout_s: Longest wait for the head, in seconds.
+            fresh_connection: Whether to open a new connection.
 
         Raises:
             BackendRefusedError: If the endpoint did not run the request.
@@ -178,6 +184,7 @@
                     job.exchange.body,
                     self._codec.dispatch_headers(job.exchange, dispatch),
                     head_timeout_s,
+                    fresh_connection,
                 )
             )
             head = self._codec.read_head(reply.status, reply.headers)
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -216,7 +216,9 @@
             engine_priority(job.rank, stream.head_sent),
         )
         opening = asyncio.create_task(
-            self._sender.open(job, lease.endpoint, dispatch, max(0.0, left_s))
+            self._sender.open(
+                job, lease.endpoint, dispatch, max(0.0, left_s), stream.fresh_connection
+            )
         )
         usual_s = self._latency_window(stream).quantile(FIRST_EVENT_QUANTILE)
         limits = first_event_limits(job.route.aim_s, usual_s)
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -24,6 +24,7 @@
         job: The request.
         excluded_ids: Endpoints that the next attempt leaves out.
         attempt: The current attempt, as it is followed for crashes; None before the first.
+        attempted_ids: Endpoints of all attempts.
         attempts: Number of attempts, refused ones included.
         possible_runs: Number of attempts that may have run, wherever.
         counted_runs: The same without those whose endpoint has stopped since, as the route's limit
@@ -39,6 +40,8 @@
         broken_endpoints: Endpoints of broken attempts that have not been probed since.
         slow: Whether the current attempt was counted as slow; None while it was not compared.
         endpoint_id: Endpoint of the current attempt.
+        fresh_connection: Whether the current attempt needs a new connection, since an earlier one
+            was sent to its endpoint. A late copy of that attempt's answer has the same id.
         lease: Slot of the current attempt; None once its answer was closed.
         error: Error of the last failed attempt; None if that attempt got an answer.
         stall_limits: Longest waits for the next event.
@@ -49,6 +52,7 @@
     __slots__ = (
         "attempt",
         "attempt_events",
+        "attempted_ids",
         "attempts",
         "broken_endpoints",
         "counted_runs",
@@ -56,6 +60,7 @@
         "error",
         "events_relayed",
         "excluded_ids",
+        "fresh_connection",
         "gaps_s",
         "head_sent",
         "idle_since",
@@ -75,6 +80,7 @@
         self.job = job
         self.excluded_ids: set[str] = set()
         self.attempt: GuardedAttempt | None = None
+        self.attempted_ids: set[str] = set()
         self.attempts = 0
         self.possible_runs = 0
         self.counted_runs = 0
@@ -89,6 +95,7 @@
         self.last_events_at: float | None = None
         self.slow: bool | None = None
         self.endpoint_id = ""
+        self.fresh_connection = False
         self.lease: SlotLease | None = None
         self.error: ComfreyhatchError | None = None
         self.stall_limits = StallLimits(float("inf"), float("inf"))
@@ -106,6 +113,8 @@
         self.lease = lease
         self.attempt = attempt
         self.endpoint_id = lease.endpoint.record.endpoint_id
+        self.fresh_connection = self.endpoint_id in self.attempted_ids
+        self.attempted_ids.add(self.endpoint_id)
         self.excluded_ids.add(self.endpoint_id)
         self.attempts += 1
         self.possible_runs += 1
--- a/tests/raw_endpoint.py
+++ b/tests/raw_endpoint.py
@@ -20,6 +20,7 @@
         pause_s: Pause before each unit, in seconds.
         closes: Whether it closes the connection after the start.
         requests: Heads of the requests so far.
+        connections: Number of connections so far.
         sent_bytes: Bytes handed to connections so far.
         resets: Number of connections that the client has closed or reset.
         address: Where it listens, once started.
@@ -33,6 +34,7 @@
         self.pause_s = pause_s
         self.closes = False
         self.requests: list[bytes] = []
+        self.connections = 0
         self.sent_bytes = 0
         self.resets = 0
         self.address = Address("", 0)
@@ -53,6 +55,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
+        self.connections += 1
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -12,6 +12,7 @@
 # Statuses from which callers conclude that their request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 NO_BODY = b"content-length: 0"
+EVENT = b"id: 1\ndata: one\n\n"
 Answer = Callable[[bytes], bytes]
 
 
@@ -33,6 +34,10 @@
     return success_head(head, NO_BODY)
 
 
+def stream(head: bytes) -> bytes:
+    return success_head(head, b"content-length: %d" % len(EVENT)) + EVENT
+
+
 def earlier(answer: Answer) -> Answer:
     """Return answers to the first request and then, to each, the answer to the one before."""
     heads: list[bytes] = []
@@ -76,3 +81,23 @@
         statuses = [(await harness.send("/pay/x")).status for _ in range(6)]
         used = sum(bool(endpoint.requests) for endpoint in endpoints)
         assert sorted(statuses) == [200] * used + [502] * (6 - used)
+
+
+async def test_refusal_of_an_attempt_is_not_taken_for_one_of_the_next_at_the_same_endpoint(
+    harness: PlatformHarness,
+) -> None:
+    # Both attempts have the same id, so that only a connection of its own tells their answers apart.
+    harness.store.remove("servers", "engine-2")
+    engine = RawEndpoint(lambda head: answer(head))
+
+    def answer(head: bytes) -> bytes:
+        return refusal(head) if engine.connections == 1 else stream(head)
+
+    await engine.listen()
+    try:
+        await replace_worker(harness, "engine-1", engine)
+        reply = await harness.send_draft()
+        assert (reply.status, reply.body) == (200, EVENT)
+        assert len(engine.requests) == 2
+    finally:
+        await engine.stop()
