Resume a stream only with an answer that goes on behind its last event

Reported by operators of similar systems: a stream broke off, and its caller found the next worker's error in the middle of it, or a stream that looked complete. Errors and redirects were kept out here, but other answers with status 200 were not.

Status and media type have to be those of the first answer; a resumed stream begins with the event after the last one, if ids were consecutive so far.

--- a/comfreyhatch/domain/exchange.py
+++ b/comfreyhatch/domain/exchange.py
@@ -159,3 +159,9 @@
     def success(self) -> bool:
         """Whether the status is in the range 200 to 299."""
         return 200 <= self.status < 300
+
+    @property
+    def media_type(self) -> bytes:
+        """Media type of the body in lower case, without parameters; empty if not sent."""
+        value = next((value for name, value in self.headers if name == b"content-type"), b"")
+        return value.partition(b";")[0].strip().lower()
--- a/comfreyhatch/exchange/event_relay.py
+++ b/comfreyhatch/exchange/event_relay.py
@@ -72,7 +72,7 @@
             require_time(stream, loop.time())
         if splitter.partial:
             raise AnswerBrokenError("the stream ended inside an event")
-        if not answer.delimited and not stream.events_relayed and stream.last_event_id is None:
+        if not answer.delimited and not stream.attempt_events:
             # A crash of the engine looks the same as the end of its answer.
             raise AnswerBrokenError("the stream ended before its first event")
         answer.endpoint.record_complete_answer()
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -90,7 +90,7 @@
         answer = await self._open_cascade(stream)
         if not answer.head.success:
             return await self._failed_response(stream, answer)
-        stream.head_sent = True
+        stream.head = answer.head
         return HttpResponse(
             answer.head.status, headers=answer.head.headers, stream=self._relay(stream, answer)
         )
@@ -132,7 +132,7 @@
                 stream.error = error
                 self._log_failure(stream, error, begun=False)
             else:
-                if answer.head.success:
+                if answer.head.success and stream.may_follow(answer.head):
                     return answer
                 if not stream.head_sent:
                     stream.error = None
@@ -145,7 +145,8 @@
                 answer.endpoint.record_complete_answer()
                 await self._close(stream, answer)
                 stream.error = AnswerBrokenError(
-                    f"the stream could not be resumed: status {answer.head.status}"
+                    f"the stream could not be resumed: status {answer.head.status},"
+                    f" media type {answer.head.media_type.decode('latin-1')!r}"
                 )
             if not await self._take_retry(stream):
                 assert stream.error is not None
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -5,11 +5,11 @@
 
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.stall import StallLimits, stalled
-from comfreyhatch.domain.exchange import Job
-from comfreyhatch.errors import ComfreyhatchError
+from comfreyhatch.domain.exchange import AnswerHead, Job
+from comfreyhatch.errors import AnswerBrokenError, ComfreyhatchError
 from comfreyhatch.exchange.attempts import MAX_REFUSED_ATTEMPTS, MAX_UNREACHABLE_ATTEMPTS
 from comfreyhatch.exchange.crash_guard import GuardedAttempt
-from comfreyhatch.exchange.events import event_id
+from comfreyhatch.exchange.events import event_id, has_content
 from comfreyhatch.exchange.scheduler import SlotLease
 
 MAX_GAPS = 40
@@ -32,7 +32,10 @@
         unreachable_attempts: Number of attempts whose connection could not be opened.
         model_index: Index of the requested model among the route's models.
         last_event_id: Id of the last event that the caller has received; None before the first.
-        head_sent: Whether the head of the answer was returned to the caller.
+        consecutive: Whether each event so far had the id after the one before.
+        resumable: Whether an engine can be told where to go on: no event without an id was relayed.
+        attempt_relayed: Whether an event of the current attempt was relayed.
+        head: Head of the answer that was returned to the caller; None before.
         events_relayed: Number of events with content relayed to the caller.
         attempt_events: Number of those from the current attempt.
         gaps_s: Gaps between the events of the current attempt, in seconds.
@@ -52,9 +55,11 @@
     __slots__ = (
         "attempt",
         "attempt_events",
+        "attempt_relayed",
         "attempted_ids",
         "attempts",
         "broken_endpoints",
+        "consecutive",
         "counted_runs",
         "endpoint_id",
         "error",
@@ -62,7 +67,7 @@
         "excluded_ids",
         "fresh_connection",
         "gaps_s",
-        "head_sent",
+        "head",
         "idle_since",
         "interrupt",
         "job",
@@ -71,6 +76,7 @@
         "lease",
         "model_index",
         "possible_runs",
+        "resumable",
         "slow",
         "stall_limits",
         "unreachable_attempts",
@@ -87,7 +93,10 @@
         self.unreachable_attempts = 0
         self.model_index = 0
         self.last_event_id = job.exchange.last_event_id
-        self.head_sent = False
+        self.consecutive = True
+        self.resumable = True
+        self.attempt_relayed = False
+        self.head: AnswerHead | None = None
         self.broken_endpoints: list[EndpointTracker] = []
         self.events_relayed = 0
         self.attempt_events = 0
@@ -108,6 +117,17 @@
         models = self.job.route.models
         return models[self.model_index] if models else ""
 
+    @property
+    def head_sent(self) -> bool:
+        """Whether the head of the answer was returned to the caller."""
+        return self.head is not None
+
+    def may_follow(self, head: AnswerHead) -> bool:
+        """Return whether an answer may go on with the one that the caller has part of, if any."""
+        if self.head is None:
+            return True
+        return (head.status, head.media_type) == (self.head.status, self.head.media_type)
+
     def start_attempt(self, lease: SlotLease, attempt: GuardedAttempt) -> None:
         """Count an attempt at the endpoint of a lease."""
         self.lease = lease
@@ -125,6 +145,7 @@
         self.gaps_s.clear()
         self.last_events_at = None
         self.attempt_events = 0
+        self.attempt_relayed = False
 
     def record_events(self, count: int, now: float) -> None:
         """Count events that were received together; they share the gap before them."""
@@ -151,7 +172,7 @@
         route = self.job.route
         if now >= self.job.deadline - DEADLINE_MARGIN_S:
             return False
-        if self.possible_runs and not route.repeatable:
+        if self.possible_runs and not (route.repeatable and self.resumable):
             return False
         if self.counted_runs >= route.max_attempts:
             return False
@@ -177,14 +198,37 @@
         """Return whether to relay an event, and remember its id.
 
         An event whose id the caller has already received is a duplicate. Events without an id are
-        always relayed.
+        relayed, but a resumed stream does not begin with one: it may be an error of the engine.
+
+        Raises:
+            AnswerBrokenError: If a resumed stream does not go on behind the last event.
         """
         number = event_id(event)
         if number is None:
-            return True
-        if self.last_event_id is not None and number <= self.last_event_id:
+            return self._accept_without_id(event)
+        last = self.last_event_id
+        if last is not None and number <= last:
             return False
+        follows = last is None or number == last + 1
+        if self._is_resuming and self.consecutive and not follows:
+            raise AnswerBrokenError(f"the stream goes on with event {number} behind {last}")
+        self.consecutive = self.consecutive and follows
         self.last_event_id = number
+        self.attempt_relayed = True
+        return True
+
+    @property
+    def _is_resuming(self) -> bool:
+        """Whether the current attempt has yet to show that it goes on behind the last event."""
+        return self.last_event_id is not None and not self.attempt_relayed
+
+    def _accept_without_id(self, event: bytes) -> bool:
+        if not has_content(event):
+            return True
+        if self._is_resuming:
+            raise AnswerBrokenError("the stream goes on with an event without an id")
+        self.resumable = False
+        self.attempt_relayed = True
         return True
 
 
--- a/tests/platform_raw_worker.py
+++ b/tests/platform_raw_worker.py
@@ -14,6 +14,11 @@
     return answer_head(head, b"200 OK", b"server-stamp: s", *headers)
 
 
+def stream_head(head: bytes, *headers: bytes) -> bytes:
+    """Return the head of an answer to a request whose body is a stream of events."""
+    return success_head(head, b"content-type: text/event-stream", *headers)
+
+
 def refusal_head(head: bytes, *headers: bytes) -> bytes:
     """Return the head of an answer that says that the request did not run."""
     return answer_head(head, b"503 Busy", b"not-executed: 1", *headers)
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -124,6 +124,7 @@
             headers.append((b"confidence", b"%d" % self.confidence_by_model[model]))
         if not model or self.status != 200:
             return HttpResponse(self.status, f"from {self.worker_id}".encode(), headers=headers)
+        headers.append((b"content-type", b"text/event-stream"))
         first = int(request.header("last-event-id", "0")) + 1
         if self.crashing_parts & set(part_ids(request)):
             return HttpResponse(200, headers=headers, stream=self._crash())
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -6,7 +6,13 @@
 import pytest
 
 from tests.platform_harness import PlatformHarness, running_harness
-from tests.platform_raw_worker import refusal_head, replace_worker, request_id, success_head
+from tests.platform_raw_worker import (
+    refusal_head,
+    replace_worker,
+    request_id,
+    stream_head,
+    success_head,
+)
 from tests.raw_endpoint import RawEndpoint, listening
 
 # Statuses from which callers conclude that their request has not run.
@@ -35,7 +41,7 @@
 
 
 def stream(head: bytes) -> bytes:
-    return success_head(head, b"content-length: %d" % len(EVENT)) + EVENT
+    return stream_head(head, b"content-length: %d" % len(EVENT)) + EVENT
 
 
 def earlier(answer: Answer) -> Answer:
@@ -86,18 +92,11 @@
 async def test_refusal_of_an_attempt_is_not_taken_for_one_of_the_next_at_the_same_endpoint(
     harness: PlatformHarness,
 ) -> None:
-    # Both attempts have the same id, so that only a connection of its own tells their answers apart.
+    # Both attempts have the same id: only a connection of its own tells their answers apart.
     harness.store.remove("servers", "engine-2")
-    engine = RawEndpoint(lambda head: answer(head))
-
-    def answer(head: bytes) -> bytes:
-        return refusal(head) if engine.connections == 1 else stream(head)
-
-    await engine.listen()
-    try:
+    async with listening(refusal) as engine:
+        engine.start = lambda head: refusal(head) if engine.connections == 1 else stream(head)
         await replace_worker(harness, "engine-1", engine)
         reply = await harness.send_draft()
         assert (reply.status, reply.body) == (200, EVENT)
         assert len(engine.requests) == 2
-    finally:
-        await engine.stop()
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -10,7 +10,13 @@
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.errors import HttpError
 from tests.platform_harness import PlatformHarness, running_harness
-from tests.platform_raw_worker import answer_head, raw_workers, refusal_head, success_head
+from tests.platform_raw_worker import (
+    answer_head,
+    raw_workers,
+    refusal_head,
+    stream_head,
+    success_head,
+)
 from tests.raw_endpoint import RawEndpoint
 
 FILL = b"x" * 65536
@@ -94,7 +100,7 @@
 ) -> None:
     # The head of each such answer ended the count of failures in a row.
     def start(head: bytes) -> bytes:
-        return success_head(head) if unit else success_head(head, b"transfer-encoding: chunked")
+        return stream_head(head, *([] if unit else [b"transfer-encoding: chunked"]))
 
     caplog.set_level("INFO")
     ejected = f"event=endpoint_ejected endpoint={worker_id}"
--- a/tests/test_stream_proxy.py
+++ b/tests/test_stream_proxy.py
@@ -7,7 +7,7 @@
 
 from comfreyhatch.errors import HttpError
 from tests.platform_harness import PlatformHarness, config, running_harness
-from tests.platform_raw_worker import raw_workers, success_head
+from tests.platform_raw_worker import raw_workers, stream_head
 from tests.platform_worker import EVENTS_PER_STREAM
 
 EVENTS = [b"id: %d\ndata: small\n\n" % n for n in range(1, EVENTS_PER_STREAM + 1)]
@@ -21,7 +21,7 @@
 
 
 def one_event_head(head: bytes) -> bytes:
-    return success_head(head) + EVENTS[0]
+    return stream_head(head) + EVENTS[0]
 
 
 USELESS = {
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -6,7 +6,7 @@
 
 from comfreyhatch.errors import HttpError
 from tests.platform_harness import PlatformHarness, running_harness
-from tests.platform_raw_worker import raw_workers, success_head
+from tests.platform_raw_worker import raw_workers, stream_head, success_head
 from tests.platform_worker import EVENTS_PER_STREAM
 
 EVENTS = [b"id: %d\ndata: small\n\n" % n for n in range(1, EVENTS_PER_STREAM + 1)]
@@ -31,7 +31,7 @@
 
 async def test_stream_without_length_or_chunks_is_passed_on_whole(harness: PlatformHarness) -> None:
     def whole(head: bytes) -> bytes:
-        return success_head(head) + b"".join(EVENTS)
+        return stream_head(head) + b"".join(EVENTS)
 
     async with raw_workers(harness, ("engine-1", "engine-2"), whole, b"") as endpoints:
         for endpoint in endpoints:
@@ -43,7 +43,7 @@
 
 async def test_stream_that_ends_inside_an_event_is_resumed(harness: PlatformHarness) -> None:
     def cut(head: bytes) -> bytes:
-        return success_head(head) + EVENTS[0] + EVENTS[1][:9]
+        return stream_head(head) + EVENTS[0] + EVENTS[1][:9]
 
     async with raw_workers(harness, ("engine-1",), cut, b"") as (endpoint,):
         endpoint.closes = True
@@ -56,7 +56,7 @@
     harness: PlatformHarness,
 ) -> None:
     def cut(head: bytes) -> bytes:
-        return success_head(head) + EVENTS[0] + EVENTS[1][:9]
+        return stream_head(head) + EVENTS[0] + EVENTS[1][:9]
 
     async with raw_workers(harness, ("engine-1", "engine-2"), cut, b"") as endpoints:
         for endpoint in endpoints:
@@ -69,7 +69,7 @@
     harness: PlatformHarness,
 ) -> None:
     # An engine that crashes as it begins to write closes its connection like one that is done.
-    async with raw_workers(harness, ("engine-1",), success_head, b"") as (endpoint,):
+    async with raw_workers(harness, ("engine-1",), stream_head, b"") as (endpoint,):
         endpoint.closes = True
         while not endpoint.requests:
             reply = await harness.send_draft()
