Forget the stamps of forwarded requests by the monotonic clock

Found by going through the places that read the time of day. A time of day that jumps forward by more than a minute made the guard forget the stamps it had accepted; when it jumped back, a copy of a request sent before was fresh again and would have run twice. The test fails without the change.

--- a/comfreyhatch/daemon/requests/forwarding.py
+++ b/comfreyhatch/daemon/requests/forwarding.py
@@ -4,6 +4,7 @@
 path, hop, stamp and body, so that a request can't be altered, sent to another daemon or replayed.
 """
 
+import asyncio
 import hmac
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable, Mapping, Set
 from contextlib import _AsyncGeneratorContextManager, aclosing
@@ -301,7 +302,7 @@
         expected = [sign(key, envelope, request.body).encode() for key in self._keys]
         if not any(hmac.compare_digest(signature, each) for each in expected):
             return error_response(PeerError("the signature is invalid"))
-        if not self._replay_guard.accept(stamp, time()):
+        if not self._replay_guard.accept(stamp, time(), asyncio.get_running_loop().time()):
             return error_response(PeerError("the stamp is expired or was used before"))
         last_hop = not hop.isdecimal() or int(hop) >= MAX_HOPS
         try:
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -24,7 +24,7 @@
         sent.append(stamp(now - age, nonce))
         for each in sent:
             fresh = abs(now - int(each.split(".")[0]) / 1000) <= MAX_AGE_S
-            taken = guard.accept(each, now)
+            taken = guard.accept(each, now, now)
             assert taken == (fresh and each not in accepted)
             if taken:
                 accepted.add(each)
@@ -32,11 +32,19 @@
 
 @pytest.mark.parametrize("text", ["", "12", "x.y", f"{int(NOW * 1000)}.", stamp(NOW, "w" * 99)])
 def test_malformed_stamps_are_refused(text: str) -> None:
-    assert not ReplayGuard().accept(text, NOW)
+    assert not ReplayGuard().accept(text, NOW, 0.0)
 
 
 def test_memory_is_bounded_and_expired_stamps_are_dropped() -> None:
     guard = ReplayGuard(limit=2)
-    assert [guard.accept(stamp(NOW, nonce), NOW) for nonce in "abc"] == [True, True, False]
+    assert [guard.accept(stamp(NOW, nonce), NOW, 0.0) for nonce in "abc"] == [True, True, False]
     later = NOW + 2 * MAX_AGE_S + 1
-    assert guard.accept(stamp(later, "c"), later)
+    assert guard.accept(stamp(later, "c"), later, later - NOW)
+
+
+def test_stamp_is_not_accepted_again_after_the_time_of_day_jumped_forward_and_back() -> None:
+    guard = ReplayGuard()
+    assert guard.accept(stamp(NOW, "a"), NOW, 0.0)
+    ahead = NOW + 3 * MAX_AGE_S
+    assert guard.accept(stamp(ahead, "b"), ahead, 1.0)
+    assert not guard.accept(stamp(NOW, "a"), NOW + 2.0, 2.0)
