Tell the runs of a process apart by a random number, not by the time of day

Batches of usage are inserted only if absent, under daemon, start in milliseconds and sequence. A time of day that was set back comes a second time: a start in the same millisecond would have taken its new batches for stored ones, and their usage would be lost.

The stored field keeps its name.

--- a/comfreyhatch/domain/usage.py
+++ b/comfreyhatch/domain/usage.py
@@ -1,12 +1,15 @@
 """Billed usage: totals by workspace, service and model, and the batches that are stored."""
 
-from msgspec import Struct
+from secrets import randbits
+
+from msgspec import Struct, field
 
 # Prompt tokens that are billed like one generated token.
 PROMPT_TOKENS_PER_BILLED_TOKEN = 4
 MICROS_PER_UNIT = 1_000_000
 # Prices are per this number of tokens.
 TOKENS_PER_PRICE = 1000
+RUN_BITS = 53
 
 
 class UsageKey(Struct, frozen=True, order=True):
@@ -47,17 +50,26 @@
 
     Attributes:
         daemon: Instance name of the daemon.
-        started_ms: Unix time of the daemon's start, in milliseconds; identifies the run.
+        run: Number of the run of the daemon's process, as `new_run` returns it; stored as
+            `started_ms`, which it was once.
         sequence: Number of the batch, from 1.
         lines: Usage totals by key.
     """
 
     daemon: str
-    started_ms: int
+    run: int = field(name="started_ms")
     sequence: int
     lines: tuple[UsageLine, ...]
 
 
+def new_run() -> int:
+    """Return a random number that tells the batches of this run of a process from all others.
+
+    The time of the start would not: a time of day that was set back comes a second time.
+    """
+    return randbits(RUN_BITS)
+
+
 def model_usage(prompt_tokens: int, output_tokens: int, cost_per_thousand: float) -> UsageTotals:
     """Return the usage of one answer of a model; prompt tokens are billed at a reduced price.
 
--- a/comfreyhatch/exchange/billing.py
+++ b/comfreyhatch/exchange/billing.py
@@ -26,16 +26,16 @@
     store has come back from an older copy, the batches acknowledged last are inserted again.
     """
 
-    def __init__(self, daemon: str, started_ms: int, directory: Directory) -> None:
+    def __init__(self, daemon: str, run: int, directory: Directory) -> None:
         """Create it without any usage.
 
         Args:
             daemon: Name of this daemon.
-            started_ms: Unix time of the daemon's start in milliseconds; part of the batch key.
+            run: Number of this run of the process; part of the batch key.
             directory: Stores the batches.
         """
         self._daemon = daemon
-        self._started_ms = started_ms
+        self._run = run
         self._directory = directory
         self._usage_by_key: dict[UsageKey, UsageTotals] = {}
         self._unstored: list[UsageBatch] = []
@@ -96,6 +96,6 @@
             return
         self._sequence += 1
         lines = tuple(UsageLine(key, usage) for key, usage in sorted(self._usage_by_key.items()))
-        batch = UsageBatch(self._daemon, self._started_ms, self._sequence, lines)
+        batch = UsageBatch(self._daemon, self._run, self._sequence, lines)
         self._usage_by_key = {}
         self._unstored.append(batch)
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -84,7 +84,7 @@
         directory: Directory,
         codec: HeaderCodec,
         rng: Random,
-        started_ms: int,
+        run: int,
     ) -> None:
         """Create a daemon; nothing is opened yet.
 
@@ -93,7 +93,7 @@
             directory: Source of orders, endpoints and the daemons' records.
             codec: Codec of callers' and endpoints' headers.
             rng: Seeded source of jitter and random choices.
-            started_ms: Unix time of the start, in milliseconds; identifies this start.
+            run: Number of this run of the process, for its usage.
         """
         self._deployment = deployment
         self._budget_by_service: dict[str, ExtraRequestBudget] = {}
@@ -113,7 +113,7 @@
         memory = AnswerMemory(deployment.memory_mb)
         self._limits = EndpointLimits(self._reports, self.registry)
         sender = Sender(self._client, codec, telemetry.count_attempt, memory, self._limits)
-        self._billing = Billing(deployment.instance, started_ms, directory)
+        self._billing = Billing(deployment.instance, run, directory)
         self._crashes = CrashGuard(
             PartGuard(deployment.instance, self.view.daemons, self.registry, self._reports),
             RequestGuard(deployment.instance, self.view.daemons, self.registry, self._reports),
--- a/comfreyhatch/platform/directory.py
+++ b/comfreyhatch/platform/directory.py
@@ -124,7 +124,7 @@
 
     async def put_usage(self, batch: UsageBatch) -> bool:
         """Store a batch of usage if absent; return whether it is stored."""
-        key = f"{batch.daemon}/{batch.started_ms}/{batch.sequence}"
+        key = f"{batch.daemon}/{batch.run}/{batch.sequence}"
         result = await self._store.write([Write(USAGE_TABLE, key, encode(batch), 0)])
         # A conflict means that the row exists: the answer to an earlier write was lost.
         return result in (WriteResult.DONE, WriteResult.CONFLICT)
--- a/comfreyhatch/platform/main.py
+++ b/comfreyhatch/platform/main.py
@@ -7,13 +7,14 @@
 import sys
 from pathlib import Path
 from random import Random
-from time import monotonic, time
+from time import monotonic
 
 from comfreyhatch.adapters.log_output import NonBlockingOutput, VolumeLimit
 from comfreyhatch.adapters.logs import ROOT_LOGGER, set_up_logs
 from comfreyhatch.adapters.metrics import add_gauge
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.instance import Address
+from comfreyhatch.domain.usage import new_run
 from comfreyhatch.errors import ListenError, SettingsError
 from comfreyhatch.exchange.daemon import ExchangeDaemon
 from comfreyhatch.platform.directory import StoreDirectory
@@ -23,7 +24,6 @@
 from comfreyhatch.platform.store import StoreClient
 
 METRICS_PORT = 9464
-MS_PER_S = 1000
 # Events that explain failed requests; the volume limit of the log never drops them.
 ALWAYS_LOGGED = frozenset({"refused", "stream_cut", "attempt_failed", "abandoned"})
 EXIT_INVALID_SETTINGS = 2
@@ -45,8 +45,7 @@
     store = StoreClient(deployment.store)
     directory = StoreDirectory(store)
     rng = Random(deployment.instance)
-    started_ms = int(time() * MS_PER_S)
-    daemon = ExchangeDaemon(deployment, directory, PlatformHeaderCodec(), rng, started_ms)
+    daemon = ExchangeDaemon(deployment, directory, PlatformHeaderCodec(), rng, new_run())
     add_gauge(daemon.registry, "store_calls", "Calls to the store.", lambda: store.calls)
     add_gauge(
         daemon.registry, "store_bytes_read", "Bytes of its answers.", lambda: store.bytes_read
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -191,7 +191,7 @@
         self._store_clients.append(store_client)
         directory = StoreDirectory(store_client)
         self.daemon = ExchangeDaemon(
-            self.deployment, directory, PlatformHeaderCodec(), Random(1), started_ms=1
+            self.deployment, directory, PlatformHeaderCodec(), Random(1), run=1
         )
         self.metrics = Address("127.0.0.1", free_port())
         self.daemons.append(self.daemon)
