Send a daemon each report once, and those that come together in one answer

A daemon that told the readers of a crash got all reports of each reader in return (twelve readers at 195 daemons), a reader answered its follower for each report alone, and readers that pulled reports got each from all other readers in the end.

A query that carries reports is answered by the start of the reader alone. Reports wait 0.1 s for others; orders, endpoints and records don't. The test asks for less than two lengths of a report, and no more than a tenth of growth when 100 daemons become 200; it fails without the change.

--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -13,8 +13,6 @@
 from random import Random
 from typing import Any
 
-from msgspec.structs import replace
-
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.operations import Operations
 from comfreyhatch.domain.permit import PermitAnswer, PermitAsk
@@ -22,7 +20,13 @@
 from comfreyhatch.errors import ComfreyhatchError, PeerError, PlatformError
 from comfreyhatch.exchange.endpoint_changes import apply_changes
 from comfreyhatch.exchange.peer_reports import PeerReports, Report
-from comfreyhatch.exchange.peer_updates import has_newer, update_since, updated_operations
+from comfreyhatch.exchange.peer_updates import (
+    has_newer_reports,
+    has_newer_state,
+    receipt,
+    update_since,
+    updated_operations,
+)
 from comfreyhatch.exchange.peers import MAX_QUERY_WAIT_S, PeerClient, PeerQuery, PeerUpdate
 from comfreyhatch.exchange.reader_selector import ReaderSelector
 from comfreyhatch.exchange.record_changes import apply_record_changes
@@ -39,6 +43,8 @@
 PEER_QUERY_VALID_S = 30.0
 # Longest time that a reader holds a follower's query while it has nothing newer.
 READER_QUERY_WAIT_S = 0.4
+# Time for which reports to a follower wait for others: hundreds of daemons may see one crash.
+REPORTS_DELAY_S = 0.1
 # Oldest data that a follower accepts from a reader, as a share of `Bounds.config_s`, the time after
 # which a configuration is in force.
 READER_MAX_AGE_SHARE = 0.6
@@ -87,6 +93,7 @@
         on_change: Callable[[], None],
         reports: PeerReports | None = None,
         answer_permit: Callable[[PermitAsk, float], PermitAnswer] = _no_permit,
+        connect: Callable[[str], PeerClient] = PeerClient,
     ) -> None:
         """Create the sync; no task runs yet.
 
@@ -98,7 +105,9 @@
             on_change: Called after the view has changed.
             reports: Reports to pass on between daemons; None for none.
             answer_permit: Answers a peer that asks for a permit, at a monotonic time.
+            connect: Returns a connection to the peer at an address.
         """
+        self._connect = connect
         self._answer_permit = answer_permit
         self._reports = reports
         self._deployment = deployment
@@ -153,22 +162,39 @@
         if query.permits:
             permits = tuple(self._answer_permit(ask, loop.time()) for ask in query.permits)
             return PeerUpdate(None, 0.0, None, 0.0, None, Position(), permits=permits)
-        self._last_query_at = loop.time()
         if self._relay is not None:
             self._relay.receive(query.reports)
-        ends_at = self._last_query_at + min(query.wait_s, MAX_QUERY_WAIT_S)
-        while not has_newer(self._view, self._reports, query) and loop.time() < ends_at:
+        if query.only_reports:
+            return receipt(self._reports)
+        self._last_query_at = loop.time()
+        await self._wait_for_newer(query, loop.time() + min(query.wait_s, MAX_QUERY_WAIT_S))
+        return update_since(self._view, self._reports, query, loop.time())
+
+    async def _wait_for_newer(self, query: PeerQuery, ends_at: float) -> None:
+        """Wait until anything is newer than what a peer has; reports wait for others to go along.
+
+        Args:
+            query: What the peer has.
+            ends_at: Monotonic time at which the wait ends, in seconds.
+        """
+        loop = asyncio.get_running_loop()
+        has_reports = False
+        while not has_newer_state(self._view, query):
+            if not has_reports and has_newer_reports(self._reports, query):
+                has_reports = True
+                ends_at = min(ends_at, loop.time() + REPORTS_DELAY_S)
+            if loop.time() >= ends_at:
+                return
             changed = self._view_changed
             with suppress(TimeoutError):
                 async with asyncio.timeout_at(ends_at):
                     await changed.wait()
-        return update_since(self._view, self._reports, query, loop.time())
 
     async def _pull_reports(self) -> None:
         """Ask readers for reports, unless this daemon follows one."""
         await asyncio.sleep(REPORT_PULL_INTERVAL_S)
         if self._relay is not None and self._reads_directory.is_set():
-            await self._relay.pull(self._rng, self._query_once)
+            await self._relay.pull(str(self._deployment.control), self._query_once)
 
     async def _send_reports(self, address: str, reports: tuple[Report, ...]) -> None:
         """Send reports over a new connection.
@@ -176,12 +202,13 @@
         Raises:
             PeerError: If the peer does not answer.
         """
-        peer = PeerClient(address)
+        peer = self._connect(address)
         try:
-            update = await peer.query(replace(self.query(0.0, address), reports=reports))
+            update = await peer.query(PeerQuery(reports=reports, only_reports=True))
         finally:
             peer.close()
-        self.apply_update(update, address)
+        if self._relay is not None:
+            self._relay.note_start(address, update.reports_start)
 
     def _notify_change(self) -> None:
         """Wake the long polls of peers and call `on_change`."""
@@ -349,15 +376,21 @@
         known.discard(str(self._deployment.control))
         return sorted(known)
 
-    async def _query_once(self, address: str) -> None:
-        """Query a peer over a new connection, so that one to a silent peer is not used again."""
-        peer = PeerClient(address)
+    async def _query_once(self, address: str) -> bool:
+        """Query a peer over a new connection, so that one to a silent peer is not used again.
+
+        Returns:
+            Whether it has answered.
+        """
+        peer = self._connect(address)
         try:
             self.apply_update(await peer.query(self.query(0.0, address)), address)
         except PeerError as error:
             log.debug("event=peer_silent peer=%s reason=%r", address, str(error))
+            return False
         finally:
             peer.close()
+        return True
 
     def query(self, wait_s: float, address: str = "") -> PeerQuery:
         """Return a query for what is newer than the view.
@@ -454,7 +487,7 @@
     def _connect_reader(self, address: str) -> None:
         if self._reader:
             self._reader.close()
-        self._reader = PeerClient(address)
+        self._reader = self._connect(address)
         log.info("event=reader_chosen peer=%s", address)
 
     def _drop_reader(self, address: str, reason: str) -> None:
--- a/comfreyhatch/exchange/peer_updates.py
+++ b/comfreyhatch/exchange/peer_updates.py
@@ -10,16 +10,22 @@
 from comfreyhatch.exchange.view import FleetView
 
 
-def has_newer(view: FleetView, reports: PeerReports | None, query: PeerQuery) -> bool:
-    """Return whether anything is newer than what a peer has."""
+def has_newer_state(view: FleetView, query: PeerQuery) -> bool:
+    """Return whether orders, endpoints or records are newer than what a peer has."""
     return (
         view.operations_changed_position > query.operations
         or view.endpoint_history.changed_position > query.endpoints
         or view.record_history.changed_position > query.records
-        or _has_newer_reports(reports, query)
     )
 
 
+def has_newer_reports(reports: PeerReports | None, query: PeerQuery) -> bool:
+    """Return whether a peer lacks reports that it can take."""
+    if reports is None or query.reports_seen is None:
+        return False
+    return reports.revision != query.reports_seen
+
+
 def update_since(
     view: FleetView, reports: PeerReports | None, query: PeerQuery, now: float
 ) -> PeerUpdate:
@@ -52,6 +58,12 @@
     )
 
 
+def receipt(reports: PeerReports | None) -> PeerUpdate:
+    """Return the answer to a query that only carries reports: which start has received them."""
+    start = reports.start if reports else 0
+    return PeerUpdate(None, 0.0, None, 0.0, None, Position(), reports_start=start)
+
+
 def updated_operations(held: Operations | None, update: PeerUpdate) -> Operations | None:
     """Return the orders after a peer's answer, with the configuration after its changes.
 
@@ -84,9 +96,3 @@
         return None
     revision = max(held.revision, update.operations_position.revision)
     return replace(held, revision=revision)
-
-
-def _has_newer_reports(reports: PeerReports | None, query: PeerQuery) -> bool:
-    if reports is None or query.reports_seen is None:
-        return False
-    return reports.revision != query.reports_seen
--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -55,6 +55,8 @@
         reports_seen: Revision of the peer's reports that the daemon has; None from daemons that
             can't take any.
         permits: Permits that are asked for; such a query gets nothing else.
+        only_reports: Whether the query only carries reports to the peer; daemons that don't know
+            this answer it like any other.
     """
 
     operations: Position = Position()
@@ -65,6 +67,7 @@
     reports: tuple[Report, ...] = ()
     reports_seen: int | None = None
     permits: tuple[PermitAsk, ...] = ()
+    only_reports: bool = False
 
 
 class PeerUpdate(Struct, frozen=True):
--- a/comfreyhatch/exchange/report_relay.py
+++ b/comfreyhatch/exchange/report_relay.py
@@ -1,8 +1,8 @@
 """Carries reports between this daemon and its peers, with the queries that they make anyway."""
 
 import asyncio
+from bisect import bisect
 from collections.abc import Awaitable, Callable
-from random import Random
 
 from comfreyhatch.exchange.peer_reports import PeerReports, Report, ReportSender
 from comfreyhatch.exchange.peers import PeerUpdate
@@ -39,6 +39,8 @@
         self._wake = wake
         self._sender = ReportSender(readers, send)
         self._seen_by_address: dict[str, int] = {}
+        self._passed_over = 0
+        self._start_by_address: dict[str, int] = {}
         reports.send = self._submit
 
     def seen(self, address: str) -> int:
@@ -53,23 +55,42 @@
 
     def apply(self, update: PeerUpdate, address: str) -> None:
         """Take the reports of a peer's answer; a peer that has started anew gets this daemon's."""
+        self.note_start(address, update.reports_start)
         if update.reports_revision:
-            seen = self._note_seen(address, update.reports_revision)
-            if seen is not None and seen < update.reports_start:
-                now = asyncio.get_running_loop().time()
-                self._sender.hand_over(address, self._reports.since(0, now))
+            _remember(self._seen_by_address, address, update.reports_revision)
         self.receive(update.reports)
 
-    async def pull(self, rng: Random, query: Callable[[str], Awaitable[None]]) -> None:
-        """Ask random readers for reports.
+    def note_start(self, address: str, start: int) -> None:
+        """Note which start of a peer has answered; one that has started anew gets the reports.
 
         Args:
-            rng: Source of the choice.
-            query: Queries a peer and applies its answer.
+            address: Address of the peer.
+            start: Revision of the peer's reports at its start; 0 if it keeps none.
         """
-        readers = self._readers(asyncio.get_running_loop().time())
-        chosen = rng.sample(readers, min(READERS_PER_PULL, len(readers)))
-        await asyncio.gather(*(query(address) for address in chosen))
+        if not start:
+            return
+        known = self._start_by_address.get(address, start)
+        _remember(self._start_by_address, address, start)
+        if known < start:
+            now = asyncio.get_running_loop().time()
+            self._sender.hand_over(address, self._reports.since(0, now))
+
+    async def pull(self, own_address: str, query: Callable[[str], Awaitable[bool]]) -> None:
+        """Ask the readers that follow this daemon in the order of addresses for reports.
+
+        Each reader gets a report from two others, however many there are. Those that do not answer
+        are passed over the next time.
+
+        Args:
+            own_address: Control address of this daemon.
+            query: Queries a peer, applies its answer and returns whether there was one.
+        """
+        readers = sorted(self._readers(asyncio.get_running_loop().time()))
+        first = bisect(readers, own_address) + self._passed_over
+        count = min(READERS_PER_PULL, len(readers))
+        chosen = [readers[(first + n) % len(readers)] for n in range(count)]
+        answered = await asyncio.gather(*(query(address) for address in chosen))
+        self._passed_over = (self._passed_over + answered.count(False)) if any(answered) else 0
 
     async def stop(self) -> None:
         """Stop sending."""
@@ -80,10 +101,10 @@
         self._sender.submit(reports, now)
         self._wake()
 
-    def _note_seen(self, address: str, revision: int) -> int | None:
-        """Note up to which revision a peer's reports are known; return the one of before."""
-        before = self._seen_by_address.pop(address, None)
-        self._seen_by_address[address] = revision
-        while len(self._seen_by_address) > MAX_KNOWN_READERS:
-            self._seen_by_address.pop(next(iter(self._seen_by_address)))
-        return before
+
+def _remember(value_by_address: dict[str, int], address: str, value: int) -> None:
+    """Set the value of a peer; the peers heard of longest ago are forgotten."""
+    value_by_address.pop(address, None)
+    value_by_address[address] = value
+    while len(value_by_address) > MAX_KNOWN_READERS:
+        value_by_address.pop(next(iter(value_by_address)))
--- /dev/null
+++ b/tests/test_fleet_size.py
@@ -0,0 +1,50 @@
+"""What daemons send each other: the cost of each stays while the fleet doubles."""
+
+import asyncio
+
+from msgspec.msgpack import encode
+
+from comfreyhatch.domain.part_report import ReportKind
+from comfreyhatch.domain.request_report import RequestReport
+from tests.simulated_fleet import SimulatedFleet, run_simulated
+
+SMALL = 100
+LARGE = 200
+CRASHES = 60
+
+
+def crash_report(number: int) -> RequestReport:
+    requests = frozenset(b"%08d-%07d" % (number, n) for n in range(3))
+    return RequestReport(ReportKind.CRASHED, requests, "engine-1/1")
+
+
+async def bytes_per_daemon_and_report(size: int, reports: int) -> float:
+    """Return what daemons sent for reports that come within a second, each from another daemon."""
+    fleet = SimulatedFleet(size)
+    await fleet.start()
+    await asyncio.sleep(4.0)
+    idle_bytes = fleet.bytes_sent.total()
+    fleet.reset()
+    sources = list(fleet.reports_by_address.values())
+    for number in range(reports):
+        sources[number].publish([crash_report(number)], asyncio.get_running_loop().time())
+        await asyncio.sleep(1.0 / reports)
+    await asyncio.sleep(3.0)
+    missing = [len(r.since(0, 0.0)) for r in sources if len(r.since(0, 0.0)) < reports]
+    assert not missing
+    await fleet.stop()
+    return (fleet.bytes_sent.total() - idle_bytes) / size / reports
+
+
+def test_reports_cost_a_daemon_no_more_in_a_larger_fleet() -> None:
+    # Each daemon got all reports from each reader to which it sent its own, and answers of readers
+    # told of one report at a time.
+    cost_by_size: dict[int, float] = {}
+
+    async def main() -> None:
+        for size in (SMALL, LARGE):
+            cost_by_size[size] = await bytes_per_daemon_and_report(size, CRASHES)
+
+    run_simulated(main)
+    assert cost_by_size[LARGE] < 1.1 * cost_by_size[SMALL]
+    assert cost_by_size[LARGE] < 2 * len(encode(crash_report(0)))
