Blame no request for a zone whose endpoints all refuse connections

Cause: a crash was taken for shown when nothing listened at an endpoint's address; a network that is cut may answer in the same way for a whole zone, and a request that is retried at three endpoints there was blocked.

After such an answer up to three other endpoints of the zone are tried; if none can be reached, the zone can't be (zone_unreachable in the logs). The only endpoint of a zone counts as before. The test over sockets stops all workers of a zone under running requests: endpoint_crashed was logged before, and is not now.

--- a/comfreyhatch/exchange/crash_guard.py
+++ b/comfreyhatch/exchange/crash_guard.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 from comfreyhatch.decisions.crashing_requests import SAME_CRASH_S, Attempt
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
@@ -16,14 +15,13 @@
     EndpointUnreachableError,
     RefusedError,
 )
+from comfreyhatch.exchange.crash_probe import Probe
 from comfreyhatch.exchange.part_guard import PartGuard
 from comfreyhatch.exchange.request_guard import RequestGuard
 
 # Longest wait for a probe before a request is tried again; it goes on behind that.
 PROBE_WAIT_S = 0.1
 
-Probe = Callable[[EndpointTracker], Awaitable[bool]]
-
 
 class GuardedAttempt:
     """An attempt at an endpoint that is followed to its end.
--- /dev/null
+++ b/comfreyhatch/exchange/crash_probe.py
@@ -0,0 +1,64 @@
+"""Finds out whether an endpoint has crashed, or only cannot be reached."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
+from comfreyhatch.exchange.view import FleetView
+
+# Other endpoints of a zone that are tried.
+MAX_WITNESSES = 3
+
+Probe = Callable[[EndpointTracker], Awaitable[bool]]
+
+log = logging.getLogger("comfreyhatch.crashes")
+
+
+class CrashProbe:
+    """Probes endpoints by new connections.
+
+    A network may refuse the connections to a zone that is cut off, like endpoints whose processes
+    have ended. While no endpoint of a zone can be reached, none of them counts as crashed: a
+    request that is tried at several of them would be blamed for all.
+    """
+
+    def __init__(
+        self, view: FleetView, is_down: Probe, refuses_connections: Probe, rng: Random
+    ) -> None:
+        """Create a probe.
+
+        Args:
+            view: Current state of the fleet.
+            is_down: Returns whether nothing listens at an endpoint's address.
+            refuses_connections: Returns whether no connection to an endpoint can be opened.
+            rng: Seeded source of the choice of other endpoints.
+        """
+        self._view = view
+        self._is_down = is_down
+        self._refuses_connections = refuses_connections
+        self._rng = rng
+
+    async def has_crashed(self, endpoint: EndpointTracker) -> bool:
+        """Return whether an endpoint's process has ended."""
+        if not await self._is_down(endpoint):
+            return False
+        witnesses = self._witnesses(endpoint)
+        if not witnesses:
+            return True
+        refused = await asyncio.gather(*map(self._refuses_connections, witnesses))
+        if all(refused):
+            log.info("event=zone_unreachable zone=%s", endpoint.record.zone)
+        return not all(refused)
+
+    def _witnesses(self, endpoint: EndpointTracker) -> list[EndpointTracker]:
+        """Return some other endpoints of an endpoint's zone."""
+        others = [
+            tracker
+            for tracker in self._view.tracker_by_id.values()
+            if tracker.record.zone == endpoint.record.zone
+            and tracker is not endpoint
+            and tracker.removed_at is None
+        ]
+        return self._rng.sample(others, min(MAX_WITNESSES, len(others)))
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -25,6 +25,7 @@
 from comfreyhatch.domain.usage import UsageKey, UsageTotals, model_usage
 from comfreyhatch.exchange.billing import Billing
 from comfreyhatch.exchange.crash_guard import CrashGuard
+from comfreyhatch.exchange.crash_probe import CrashProbe
 from comfreyhatch.exchange.directory_sync import DirectorySync
 from comfreyhatch.exchange.endpoint_limits import EndpointLimits
 from comfreyhatch.exchange.endpoint_rates import EndpointRates
@@ -114,10 +115,11 @@
         self._limits = EndpointLimits(self._reports, self.registry)
         sender = Sender(self._client, codec, telemetry.count_attempt, memory, self._limits)
         self._billing = Billing(deployment.instance, run, directory)
+        probe = CrashProbe(self.view, sender.is_down, sender.refuses_connections, rng)
         self._crashes = CrashGuard(
             PartGuard(deployment.instance, self.view.daemons, self.registry, self._reports, rng),
             RequestGuard(deployment.instance, self.view.daemons, self.registry, self._reports, rng),
-            sender.is_down,
+            probe.has_crashed,
         )
         self._rates = EndpointRates(
             deployment,
