Answer requests that come at the moment of a stop

Cause: a stop closed connections without a running request, though a request had come on them and was not read yet; connections that waited to be accepted were reset with the listener, or left open without an answer if it closed as it accepted them; and a connection that is closed with bytes unread is reset, which destroys the answer under way behind a pipelined request or a refused body.

A stop first accepts what waits and reads what has come, for 0.1 s in all; a connection on which bytes came is not idle; after its last answer a connection is half closed and read for up to 0.5 s more.

--- a/comfreyhatch/adapters/http_connection.py
+++ b/comfreyhatch/adapters/http_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import AsyncIterator, Callable
+from contextlib import suppress
 from typing import Annotated
 from urllib.parse import parse_qsl, urlsplit
 
@@ -20,6 +21,9 @@
 from comfreyhatch.errors import ComfreyhatchError, RequestError
 
 READ_SIZE_BYTES = 65536
+# Time for which what a caller sends after its last answer is read and dropped. A connection that is
+# closed with bytes unread is reset, and the reset destroys an answer that is still on its way.
+LINGER_S = 0.5
 
 Size = Annotated[int, Meta(ge=1)]
 Wait = Annotated[float, Meta(gt=0)]
@@ -87,6 +91,10 @@
         if self.busy:
             task.cancel()
 
+    def note_input(self) -> None:
+        """Note that bytes have come, which begin a request unless one is being read or answered."""
+        self._reading = self._reading or not self.busy
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or answered."""
         if not self.busy and not self._reading:
@@ -103,6 +111,12 @@
             TimeoutError: If the caller did not take the answer in time.
             h11.ProtocolError: If the caller broke the protocol.
         """
+        await self._serve_requests(is_closing)
+        if not self._left:
+            await self._linger()
+
+    async def _serve_requests(self, is_closing: Callable[[], bool]) -> None:
+        """Answer requests until no further one is to be read."""
         while True:
             request = await self._read_or_refuse()
             if request is None or self._left:
@@ -119,6 +133,16 @@
                 return
             self._protocol.start_next_cycle()
 
+    async def _linger(self) -> None:
+        """Send the end of the answers, and drop what the caller still sends for a short time."""
+        if self._protocol.our_state is h11.IDLE or self._writer.transport.is_closing():
+            return
+        self._writer.write_eof()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LINGER_S):
+                while await self._reader.read(READ_SIZE_BYTES):
+                    pass
+
     async def _read_or_refuse(self) -> HttpRequest | None:
         try:
             return await self._read_request()
--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -14,6 +14,9 @@
 
 __all__ = ["HttpRequest", "HttpResponse", "HttpServer"]
 
+# Time at a stop to accept connections, and for a request that has come on them to be read.
+SETTLE_S = 0.05
+
 log = logging.getLogger("comfreyhatch.http")
 
 
@@ -68,10 +71,15 @@
         self._draining = True
 
     async def stop(self, grace_s: float) -> None:
-        """Close the listener, let running requests end, then close what is left."""
+        """Close the listener, let requests that have come end, then close what is left.
+
+        Args:
+            grace_s: Time for these requests, in seconds; with none, they are cut at once.
+        """
+        if grace_s > 0:
+            await self._stop_accepting()
+        self.close_listener()
         self._closing = True
-        if self._server:
-            self._server.close()
         for connection in list(self._task_by_connection):
             connection.close_if_idle()
         tasks = list(self._task_by_connection.values())
@@ -81,6 +89,17 @@
                 task.cancel()
             await asyncio.gather(*late, return_exceptions=True)
 
+    async def _stop_accepting(self) -> None:
+        """Accept the connections that wait, and no later ones, and read what has come on them.
+
+        A listener that is closed as it accepts a connection leaves it open without an answer.
+        """
+        await asyncio.sleep(SETTLE_S)
+        loop = asyncio.get_running_loop()
+        for listener in self._server.sockets if self._server else ():
+            loop.remove_reader(listener.fileno())
+        await asyncio.sleep(SETTLE_S)
+
     @property
     def busy(self) -> int:
         """Number of requests being answered."""
@@ -108,9 +127,10 @@
         task = asyncio.current_task()
         assert task is not None
         self._task_by_connection[connection] = task
+        protocol = writer.transport.get_protocol()
+        assert isinstance(protocol, _CallerProtocol)
+        protocol.on_input = connection.note_input
         if self._cancel_on_disconnect:
-            protocol = writer.transport.get_protocol()
-            assert isinstance(protocol, _CallerProtocol)
             protocol.on_gone = lambda: connection.caller_left(task)
         try:
             await connection.serve(lambda: self._closing or self._draining)
@@ -125,10 +145,17 @@
 
 
 class _CallerProtocol(asyncio.StreamReaderProtocol):
-    """Tells when the caller closes its connection, also while its request is being answered."""
+    """Tells when bytes come, and when the caller closes its connection while it is answered."""
 
+    on_input: Callable[[], object] | None = None
     on_gone: Callable[[], object] | None = None
 
+    def data_received(self, data: bytes) -> None:
+        """Note that bytes have come."""
+        super().data_received(data)
+        if self.on_input:
+            self.on_input()
+
     def eof_received(self) -> bool | None:
         """Note that the caller sends no more."""
         keep = super().eof_received()
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -247,7 +247,6 @@
         self._callers.drain()
         await asyncio.sleep(BALANCER_DRAIN_S)
         self._router.stopping = True
-        self._callers.close_listener()
         await self._callers.stop(max(0.0, ends_at - loop.time()))
         await self.close()
         log.info("event=stopped")
