Let a reader serve 32 followers, and poll as seldom as its followers allow

A reader polled each 0.6 s whatever the deployment's bound, and one in seventeen daemons read.

Answers at a time go with it: 64, as the hash gives a reader up to 44 followers. Changes reach readers as before, with the next answer.

--- a/comfreyhatch/decisions/readers.py
+++ b/comfreyhatch/decisions/readers.py
@@ -9,7 +9,11 @@
 
 from comfreyhatch.decisions.rendezvous import rendezvous_order
 
-FOLLOWERS_PER_READER = 16
+FOLLOWERS_PER_READER = 32
+# Longest wait of a reader's long poll, as a share of the time after which a configuration is in
+# force, and in any case: followers drop a reader whose data is older than they allow.
+POLL_WAIT_SHARE = 0.3
+MAX_POLL_WAIT_S = 1.6
 # A link counts as wide from this share of the widest one of the region on.
 WIDE_LINK_SHARE = 0.5
 
@@ -35,6 +39,15 @@
     return rendezvous_order(daemon, readers)[0]
 
 
+def poll_wait_s(config_s: float) -> float:
+    """Return how long a reader waits for anything newer in one poll of the directory, in seconds.
+
+    Args:
+        config_s: Time after which a configuration is in force, in seconds.
+    """
+    return min(MAX_POLL_WAIT_S, POLL_WAIT_SHARE * config_s)
+
+
 def readers_of(
     group: Collection[str],
     held_down: Collection[str],
--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -13,6 +13,7 @@
 from random import Random
 from typing import Any
 
+from comfreyhatch.decisions.readers import MAX_POLL_WAIT_S, poll_wait_s
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.operations import Operations
 from comfreyhatch.domain.permit import PermitAnswer, PermitAsk
@@ -35,11 +36,8 @@
 from comfreyhatch.ports.directory import Directory
 
 # Longest wait of a long poll for orders and endpoints, and for records during a roll-out.
-LONG_POLL_WAIT_S = 1.6
-# Replaces LONG_POLL_WAIT_S while peers query this daemon: followers drop a reader whose data is
-# older than READER_MAX_AGE_SHARE allows, and the age grows for as long as a long poll waits.
-READER_LONG_POLL_WAIT_S = 0.6
-# Time after the last query of a peer for which the shorter long polls are used.
+LONG_POLL_WAIT_S = MAX_POLL_WAIT_S
+# Time after the last query of a peer for which this daemon polls as a reader; see `poll_wait_s`.
 PEER_QUERY_VALID_S = 30.0
 # Longest time that a reader holds a follower's query while it has nothing newer.
 READER_QUERY_WAIT_S = 0.4
@@ -350,7 +348,7 @@
         """Return the wait of a long poll, in seconds; shorter while followers query this daemon."""
         now = asyncio.get_running_loop().time()
         return (
-            READER_LONG_POLL_WAIT_S
+            poll_wait_s(self._deployment.bounds.config_s)
             if now - self._last_query_at < PEER_QUERY_VALID_S
             else LONG_POLL_WAIT_S
         )
--- a/comfreyhatch/exchange/peers.py
+++ b/comfreyhatch/exchange/peers.py
@@ -26,8 +26,8 @@
 ANSWER_TIMEOUT_S = 0.4
 # Time after which a query is answered even if it asks for a longer wait.
 MAX_QUERY_WAIT_S = 2.0
-# The hash gives a reader up to 27 followers in simulated fleets of 420 daemons.
-MAX_CONCURRENT_QUERIES = 32
+# The hash gives a reader up to 44 followers in fleets of 420 daemons.
+MAX_CONCURRENT_QUERIES = 64
 # Fastest level: a change of the configuration is sent to all followers at once.
 COMPRESSION_LEVEL = 1
 # Time for the answering tasks to end once their sockets are closed.
