--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -171,7 +171,11 @@
         self.store.put("servers", worker_id, record)
 
     async def start_daemon(
-        self, address: Address, bounds: Bounds = BOUNDS, memory_mb: float = MEMORY_MB
+        self,
+        address: Address,
+        bounds: Bounds = BOUNDS,
+        memory_mb: float = MEMORY_MB,
+        seeds: tuple[Address, ...] = (),
     ) -> ExchangeDaemon:
         self.deployment = Deployment(
             instance=f"front-{len(self.daemons) + 1}",
@@ -180,7 +184,7 @@
             callers=Address("127.0.0.1", free_port()),
             readiness=Address("127.0.0.1", free_port()),
             control=Address("127.0.0.1", free_port()),
-            seeds=(),
+            seeds=seeds,
             store=address,
             heartbeat_s=0.3,
             memory_mb=memory_mb,
@@ -199,6 +203,12 @@
         await self.daemon.start(self.metrics)
         return self.daemon
 
+    def cut_from_store(self, daemon: int) -> None:
+        """Let a daemon's calls to the store fail from now on, by its number from 0."""
+        client = self._store_clients[daemon]
+        client.close()
+        client._address = Address("127.0.0.1", free_port())
+
     async def send(self, path: str, daemon: int = -1, **headers: str) -> HttpReply:
         """Send a request with a valid API key and return its answer.
 
--- /dev/null
+++ b/tests/test_silent_endpoints.py
@@ -0,0 +1,61 @@
+"""Endpoints that are only silent, or slow to report, keep the work that they have begun."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from comfreyhatch.exchange.view import LAPSE_GRACE_S
+from tests.platform_harness import PlatformHarness, config, running_harness
+from tests.platform_worker import EVENTS_PER_STREAM
+
+TIMEOUT_MS = 8000
+
+
+@pytest.fixture
+async def harness() -> AsyncIterator[PlatformHarness]:
+    async with running_harness() as running:
+        running.store.put("op", "config", config(2, timeout_ms=TIMEOUT_MS, gap_aim_ms=TIMEOUT_MS))
+        await running.wait_until(lambda: running.daemon.view.catalog.version == 2)
+        yield running
+
+
+async def await_lapse(harness: PlatformHarness) -> None:
+    """Let the records of all workers lapse, and wait until none is listed."""
+    for worker_id in harness.worker_by_id:
+        harness.store.remove("servers", worker_id)
+    await harness.wait_until(lambda: not harness.daemon.view.endpoint_list.record_by_id)
+    await asyncio.sleep(LAPSE_GRACE_S + 0.5)
+
+
+@pytest.mark.parametrize("path", ["/pay/x", "/read/x"])
+async def test_request_that_runs_at_an_endpoint_whose_record_lapses_is_not_run_elsewhere(
+    harness: PlatformHarness, path: str
+) -> None:
+    desks = [harness.worker_by_id[name] for name in ("desk-1", "desk-2")]
+    for desk in desks:
+        desk.hold = asyncio.Event()
+    sending = asyncio.create_task(harness.send(path, deadline_ms=str(TIMEOUT_MS)))
+    await harness.wait_until(lambda: any(desk.received for desk in desks))
+    # A request that may be repeated is hedged while its endpoint is listed.
+    hedged = 2 if path.startswith("/read/") else 1
+    await await_lapse(harness)
+    assert sum(len(desk.received) for desk in desks) <= hedged
+    for desk in desks:
+        desk.hold.set()
+    assert (await sending).status == 200
+    assert sum(desk.cancelled for desk in desks) < hedged
+
+
+async def test_slow_stream_of_an_endpoint_whose_record_lapses_goes_on_there(
+    harness: PlatformHarness,
+) -> None:
+    engines = [harness.worker_by_id[name] for name in ("engine-1", "engine-2")]
+    for engine in engines:
+        engine.pause_s = lambda number: 0.7 if number > 1 else 0.0
+    sending = asyncio.create_task(harness.send_draft(deadline_ms=str(TIMEOUT_MS)))
+    await harness.wait_until(lambda: any(engine.received for engine in engines))
+    await await_lapse(harness)
+    reply = await sending
+    assert reply.body.count(b"id: ") == EVENTS_PER_STREAM
+    assert sum(len(engine.received) for engine in engines) == 1
