--- a/tests/test_restart_beside_old_peers.py
+++ b/tests/test_restart_beside_old_peers.py
@@ -14,7 +14,7 @@
 
 @pytest.fixture
 async def harness() -> AsyncIterator[PlatformHarness]:
-    """Yield an old daemon, cut off before an endpoint and a key were withdrawn, and a current one."""
+    """Yield an old daemon, cut off before an endpoint and a key went, and a current one."""
     async with running_harness() as running:
         running.cut_from_store(0)
         lost = running.daemon._sync._lost_since_by_source
