--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -9,7 +9,6 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 from random import Random
 from typing import Any
 
@@ -20,15 +19,10 @@
 from comfreyhatch.domain.position import Position
 from comfreyhatch.errors import ComfreyhatchError, PeerError, PlatformError
 from comfreyhatch.exchange.endpoint_changes import apply_changes
+from comfreyhatch.exchange.peer_answers import PeerAnswers, no_permit
 from comfreyhatch.exchange.peer_reports import PeerReports, Report
-from comfreyhatch.exchange.peer_updates import (
-    has_newer_reports,
-    has_newer_state,
-    receipt,
-    update_since,
-    updated_operations,
-)
-from comfreyhatch.exchange.peers import MAX_QUERY_WAIT_S, PeerClient, PeerQuery, PeerUpdate
+from comfreyhatch.exchange.peer_updates import updated_operations
+from comfreyhatch.exchange.peers import PeerClient, PeerQuery, PeerUpdate
 from comfreyhatch.exchange.reader_selector import ReaderSelector
 from comfreyhatch.exchange.record_changes import apply_record_changes
 from comfreyhatch.exchange.report_relay import ReportRelay
@@ -41,8 +35,6 @@
 PEER_QUERY_VALID_S = 30.0
 # Longest time that a reader holds a follower's query while it has nothing newer.
 READER_QUERY_WAIT_S = 0.4
-# Time for which reports to a follower wait for others: hundreds of daemons may see one crash.
-REPORTS_DELAY_S = 0.1
 # Oldest data that a follower accepts from a reader, as a share of `Bounds.config_s`, the time after
 # which a configuration is in force.
 READER_MAX_AGE_SHARE = 0.6
@@ -74,11 +66,6 @@
 log = logging.getLogger("comfreyhatch.news")
 
 
-def _no_permit(ask: PermitAsk, now: float) -> PermitAnswer:
-    """Answer a peer that asks for a permit, at a daemon that has none."""
-    return PermitAnswer()
-
-
 class DirectorySync:
     """Tasks that keep a `FleetView` current with orders, endpoints and the daemons' records."""
 
@@ -90,7 +77,7 @@
         rng: Random,
         on_change: Callable[[], None],
         reports: PeerReports | None = None,
-        answer_permit: Callable[[PermitAsk, float], PermitAnswer] = _no_permit,
+        answer_permit: Callable[[PermitAsk, float], PermitAnswer] = no_permit,
         connect: Callable[[str], PeerClient] = PeerClient,
     ) -> None:
         """Create the sync; no task runs yet.
@@ -106,8 +93,6 @@
             connect: Returns a connection to the peer at an address.
         """
         self._connect = connect
-        self._answer_permit = answer_permit
-        self._reports = reports
         self._deployment = deployment
         self._directory = directory
         self._view = view
@@ -116,17 +101,17 @@
         self._lost_since_by_source: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._control_published = False
-        self._view_changed = asyncio.Event()
         self._reads_directory = asyncio.Event()
         self._reads_directory.set()
         self._reader: PeerClient | None = None
         self._selector = ReaderSelector(deployment, view)
+        self._answers = PeerAnswers(view, reports, answer_permit)
         self._relay: ReportRelay | None = None
         if reports is not None:
             self._relay = ReportRelay(
-                reports, self._selector.others, self._send_reports, self._wake_queries
+                reports, self._selector.others, self._send_reports, self._answers.wake
             )
-        self._last_query_at = float("-inf")
+            self._answers.receive_reports = self._relay.receive
 
     def start(self) -> None:
         """Start the tasks."""
@@ -148,45 +133,8 @@
             self._reader.close()
 
     async def answer(self, query: PeerQuery) -> PeerUpdate:
-        """Answer a peer's long poll.
-
-        Args:
-            query: Revisions that the peer holds, and its longest wait.
-
-        Returns:
-            What is newer than those revisions, once anything is or the wait is over.
-        """
-        loop = asyncio.get_running_loop()
-        if query.permits:
-            permits = tuple(self._answer_permit(ask, loop.time()) for ask in query.permits)
-            return PeerUpdate(None, 0.0, None, 0.0, None, Position(), permits=permits)
-        if self._relay is not None:
-            self._relay.receive(query.reports)
-        if query.only_reports:
-            return receipt(self._reports)
-        self._last_query_at = loop.time()
-        await self._wait_for_newer(query, loop.time() + min(query.wait_s, MAX_QUERY_WAIT_S))
-        return update_since(self._view, self._reports, query, loop.time())
-
-    async def _wait_for_newer(self, query: PeerQuery, ends_at: float) -> None:
-        """Wait until anything is newer than what a peer has; reports wait for others to go along.
-
-        Args:
-            query: What the peer has.
-            ends_at: Monotonic time at which the wait ends, in seconds.
-        """
-        loop = asyncio.get_running_loop()
-        has_reports = False
-        while not has_newer_state(self._view, query):
-            if not has_reports and has_newer_reports(self._reports, query):
-                has_reports = True
-                ends_at = min(ends_at, loop.time() + REPORTS_DELAY_S)
-            if loop.time() >= ends_at:
-                return
-            changed = self._view_changed
-            with suppress(TimeoutError):
-                async with asyncio.timeout_at(ends_at):
-                    await changed.wait()
+        """Answer a query of a peer; see `PeerAnswers.answer`."""
+        return await self._answers.answer(query)
 
     async def _pull_reports(self) -> None:
         """Ask readers for reports, unless this daemon follows one."""
@@ -210,13 +158,9 @@
 
     def _notify_change(self) -> None:
         """Wake the long polls of peers and call `on_change`."""
-        self._wake_queries()
+        self._answers.wake()
         self._on_change()
 
-    def _wake_queries(self) -> None:
-        self._view_changed.set()
-        self._view_changed = asyncio.Event()
-
     async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
         """Run a step for ever; an unexpected error is logged and does not end the loop."""
         while True:
@@ -349,7 +293,7 @@
         now = asyncio.get_running_loop().time()
         return (
             poll_wait_s(self._deployment.bounds.config_s)
-            if now - self._last_query_at < PEER_QUERY_VALID_S
+            if now - self._answers.last_query_at < PEER_QUERY_VALID_S
             else LONG_POLL_WAIT_S
         )
 
