Compare the id that a service's refusal names, in the own fleet too

The same cause as on the users' platform: a plain service's refusal was believed before its id was compared, so that a late copy on a kept connection said "not run" of a call under way. Calls with an idempotency key have a connection of their own, so that only calls that may be repeated could meet it. A refusal without an id is taken as before. The test fails without the change.

--- a/comfreyhatch/adapters/engine_http.py
+++ b/comfreyhatch/adapters/engine_http.py
@@ -198,9 +198,11 @@
             raise _unreachable(endpoint, error) from error
         except HttpError as error:
             raise BackendError(f"endpoint {endpoint.instance_id}: {error}") from error
-        if reply.status in REFUSING_STATUSES:
+        refused = reply.status in REFUSING_STATUSES
+        if not refused or REQUEST_ID_HEADER in reply.header_by_name:
+            _check_echo(endpoint, request, reply)
+        if refused:
             _raise_for_status(endpoint, reply)
-        _check_echo(endpoint, request, reply)
         content_type = reply.header_by_name.get("content-type", JSON_TYPE)
         return ServiceAnswer(reply.status, content_type, reply.body)
 
--- a/tests/test_engine_http.py
+++ b/tests/test_engine_http.py
@@ -276,3 +276,19 @@
         with pytest.raises(BackendError):
             await HttpEngine(HttpClient()).load(instance)
         assert endpoint.sent_bytes < 8 * 1024 * 1024
+
+
+@pytest.mark.parametrize("key", ["", "k-1"])
+async def test_refusal_of_an_earlier_call_is_not_taken_for_one_of_the_call_under_way(
+    key: str,
+) -> None:
+    # A service wrote its refusal of an earlier call once more on a kept connection.
+    body = b'{"error": {"ran": "no"}}'
+    head = b"HTTP/1.1 503 Busy\r\nx-request-id: r-0\r\ncontent-length: %d\r\n\r\n" % len(body)
+    async with listening(head + body) as endpoint:
+        instance = Instance("s-1", Role.SERVICE, "z1", endpoint.address)
+        with pytest.raises(BackendError) as failure:
+            await HttpPlainService(HttpClient()).call(
+                instance, replace(WRITE, idempotency_key=key), 1
+            )
+        assert failure.value.ran is Ran.UNKNOWN
