--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -16,6 +16,12 @@
 SMALL = 100
 LARGE = 200
 CRASHES = 60
+# Size in two years, and what control may cost then: bytes a second and daemon, and calls to the
+# store a second by all daemons together.
+DAEMONS_IN_TWO_YEARS = 420
+CONTROL_BYTES_PER_S = 2048
+STORE_CALLS_PER_S = 40
+MEASURED_S = 4.0
 
 
 def crash_report(number: int) -> RequestReport:
@@ -88,3 +94,30 @@
     run_simulated(main)
     assert 1 <= found[SMALL] <= SMALL / 10
     assert 1 <= found[LARGE] <= LARGE / 10
+
+
+async def idle_cost(size: int) -> tuple[float, float]:
+    """Return bytes a second and daemon, and calls to the directory a second in all."""
+    fleet = SimulatedFleet(size)
+    await fleet.start()
+    await asyncio.sleep(MEASURED_S)
+    fleet.reset()
+    calls = fleet.directory.calls
+    await asyncio.sleep(MEASURED_S)
+    await fleet.stop()
+    per_s = (fleet.directory.calls - calls) / MEASURED_S
+    return fleet.bytes_sent.total() / MEASURED_S / size, per_s
+
+
+def test_idle_daemons_stay_within_what_control_may_cost_at_any_size() -> None:
+    bytes_by_size: dict[int, float] = {}
+    calls_by_size: dict[int, float] = {}
+
+    async def main() -> None:
+        for size in (SMALL, LARGE, DAEMONS_IN_TWO_YEARS):
+            bytes_by_size[size], calls_by_size[size] = await idle_cost(size)
+
+    run_simulated(main)
+    assert bytes_by_size[LARGE] < 1.1 * bytes_by_size[SMALL]
+    assert max(bytes_by_size.values()) < CONTROL_BYTES_PER_S
+    assert max(calls_by_size.values()) < STORE_CALLS_PER_S
