--- a/comfreyhatch/exchange/crash_probe.py
+++ b/comfreyhatch/exchange/crash_probe.py
@@ -8,8 +8,8 @@
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.exchange.view import FleetView
 
-# Other endpoints of a zone that are tried.
-MAX_WITNESSES = 3
+# Other endpoints of the zone that are tried.
+MAX_ZONE_PROBES = 3
 
 Probe = Callable[[EndpointTracker], Awaitable[bool]]
 
@@ -44,15 +44,15 @@
         """Return whether an endpoint's process has ended."""
         if not await self._is_down(endpoint):
             return False
-        witnesses = self._witnesses(endpoint)
-        if not witnesses:
+        others = self._others_of_zone(endpoint)
+        if not others:
             return True
-        refused = await asyncio.gather(*map(self._refuses_connections, witnesses))
+        refused = await asyncio.gather(*map(self._refuses_connections, others))
         if all(refused):
             log.info("event=zone_unreachable zone=%s", endpoint.record.zone)
         return not all(refused)
 
-    def _witnesses(self, endpoint: EndpointTracker) -> list[EndpointTracker]:
+    def _others_of_zone(self, endpoint: EndpointTracker) -> list[EndpointTracker]:
         """Return some other endpoints of an endpoint's zone."""
         others = [
             tracker
@@ -61,4 +61,4 @@
             and tracker is not endpoint
             and tracker.removed_at is None
         ]
-        return self._rng.sample(others, min(MAX_WITNESSES, len(others)))
+        return self._rng.sample(others, min(MAX_ZONE_PROBES, len(others)))
--- a/comfreyhatch/exchange/peer_answers.py
+++ b/comfreyhatch/exchange/peer_answers.py
@@ -8,9 +8,9 @@
 from comfreyhatch.domain.position import Position
 from comfreyhatch.exchange.peer_reports import PeerReports, Report
 from comfreyhatch.exchange.peer_updates import (
+    acknowledgement,
     has_newer_reports,
     has_newer_state,
-    receipt,
     update_since,
 )
 from comfreyhatch.exchange.peers import MAX_QUERY_WAIT_S, PeerQuery, PeerUpdate
@@ -73,7 +73,7 @@
             return PeerUpdate(None, 0.0, None, 0.0, None, Position(), permits=permits)
         self.receive_reports(query.reports)
         if query.only_reports:
-            return receipt(self._reports)
+            return acknowledgement(self._reports)
         self.last_query_at = loop.time()
         await self._wait_for_newer(query, loop.time() + min(query.wait_s, MAX_QUERY_WAIT_S))
         return update_since(self._view, self._reports, query, loop.time())
--- a/comfreyhatch/exchange/peer_updates.py
+++ b/comfreyhatch/exchange/peer_updates.py
@@ -58,7 +58,7 @@
     )
 
 
-def receipt(reports: PeerReports | None) -> PeerUpdate:
+def acknowledgement(reports: PeerReports | None) -> PeerUpdate:
     """Return the answer to a query that only carries reports: which start has received them."""
     start = reports.start if reports else 0
     return PeerUpdate(None, 0.0, None, 0.0, None, Position(), reports_start=start)
