--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -76,7 +76,6 @@
     Attributes:
         directory: The directory.
         reports_by_address: Reports that each daemon has, by its control address.
-        messages: Queries answered so far, by the address of the daemon that answered.
         bytes_sent: Bytes of queries and answers so far, by the address of their sender.
         published: Rounds of reports that each daemon has published so far.
     """
@@ -87,7 +86,6 @@
             current_endpoints=EndpointList(1, {f"e{n}": record(f"e{n}") for n in range(20)}),
         )
         self.reports_by_address: dict[str, PeerReports] = {}
-        self.messages: Counter[str] = Counter()
         self.bytes_sent: Counter[str] = Counter()
         self.published: Counter[str] = Counter()
         self._sync_by_address: dict[str, DirectorySync] = {}
@@ -107,7 +105,6 @@
 
     def reset(self) -> None:
         """Begin to count anew."""
-        self.messages.clear()
         self.bytes_sent.clear()
         self.published.clear()
 
@@ -160,7 +157,6 @@
         await asyncio.sleep(LINK_DELAY_S)
         self.bytes_sent[sender] += len(encode(query))
         update = await self._sync_by_address[to].answer(query)
-        self.messages[to] += 1
         self.bytes_sent[to] += len(encode(update))
         await asyncio.sleep(LINK_DELAY_S)
         return update
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -36,6 +36,10 @@
         return self.now
 
 
+NOW_MS = 1_000_000_000
+JUMP_MS = 60_000
+
+
 def member(number: int, zone: str = "a", incarnation: str = "1") -> Member:
     address = Address("127.0.0.1", 5000 + number)
     return Member(f"{zone}{number}", incarnation, zone, address, address)
@@ -251,3 +255,10 @@
     await unknown.send("a0", Bye())
     await zones.run(1)
     assert node.view == view and node.acknowledged(5) == frozenset()
+
+
+def test_zone_report_is_taken_after_the_time_of_day_of_its_maker_was_set_back() -> None:
+    roster = Roster(member(0), TIMING)
+    ahead_ms, true_ms = NOW_MS + JUMP_MS, NOW_MS + 1000
+    assert roster.merge_report(ZoneReport("b", ahead_ms, (member(1, "b"), member(2, "b"))), 0.0)
+    assert roster.merge_report(ZoneReport("b", true_ms, (member(1, "b"),)), 1.0)
