Test an engine of the own fleet whose load reports stay away while it answers

The report of a machine that is only silent, on the fleet of our own: the request goes on there, each run once. No code of the product changed; the stand-in can delay its load reports.

--- a/comfreyhatch/standins/engine.py
+++ b/comfreyhatch/standins/engine.py
@@ -62,6 +62,7 @@
         double_next: Number of next answers in which a piece comes twice.
         fault_by_version: Versions that are bad.
         load_lag_s: Age of the figures in load reports.
+        load_delay_s: Time that a load report takes.
         event_lag_s: Delay of cache events.
         event_gap_rate: Share of cache events that are never published.
         order_s: Time that an order takes.
@@ -79,6 +80,7 @@
     double_next: int = 0
     fault_by_version: dict[str, VersionFault] = field(default_factory=dict)
     load_lag_s: float = 0.05
+    load_delay_s: float = 0.0
     event_lag_s: float = 0.1
     event_gap_rate: float = 0.05
     order_s: float = 0.02
@@ -212,6 +214,7 @@
             case ("POST", "/generate"):
                 return self._generate(decode_body(request, GenerateRequest))
             case ("GET", "/load"):
+                await asyncio.sleep(self.faults.load_delay_s)
                 return json_response(self._lagging_report())
             case ("POST", "/cancel"):
                 self._cancel(decode_body(request, CancelRequest).request_id)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -233,3 +233,14 @@
     assert error["ran"] == "unknown"
     await fleet.until(lambda: engine.witness.in_flight == 0)
     assert len(engine.witness.run_count_by_id) == 1
+
+
+async def test_request_goes_on_at_an_engine_whose_load_reports_stay_away(
+    fleet: LocalFleet, engine: EngineStandin, client: HttpClient
+) -> None:
+    engine.faults.late_s = 3.0
+    engine.faults.load_delay_s = 60.0
+    reply = await chat(client, fleet.callers("entry-a0"), max_tokens=TOKENS)
+    assert reply.status == 200
+    assert content(reply) in expected_answers(reply)
+    assert set(engine.witness.run_count_by_id.values()) == {1}
