Pull reports from the next readers when both neighbours are silent

Found by reading the change anew: when neither of the two readers answered, a daemon began again with the same two, and got no reports by pulling until one of them was back. The test fails without the change.

--- a/comfreyhatch/exchange/report_relay.py
+++ b/comfreyhatch/exchange/report_relay.py
@@ -90,7 +90,7 @@
         count = min(READERS_PER_PULL, len(readers))
         chosen = [readers[(first + n) % len(readers)] for n in range(count)]
         answered = await asyncio.gather(*(query(address) for address in chosen))
-        self._passed_over = (self._passed_over + answered.count(False)) if any(answered) else 0
+        self._passed_over += answered.count(False)
 
     async def stop(self) -> None:
         """Stop sending."""
--- a/tests/test_peer_reports.py
+++ b/tests/test_peer_reports.py
@@ -11,6 +11,7 @@
     Report,
     ReportSender,
 )
+from comfreyhatch.exchange.report_relay import ReportRelay
 from tests.platform_harness import BOUNDS, running_harness
 
 REPORT = PartReport(ReportKind.BLOCKED, frozenset({"bad"}))
@@ -143,3 +144,19 @@
 def _has(daemon: object, report: PartReport) -> bool:
     reports: PeerReports = daemon._reports  # type: ignore[attr-defined]
     return any(known.subject == report.subject for known in reports.since(0, 0.0))
+
+
+async def test_daemon_pulls_from_the_next_readers_while_those_behind_it_are_silent() -> None:
+    asked: list[str] = []
+
+    async def send(address: str, reports: tuple[Report, ...]) -> None:
+        """Send nothing."""
+
+    async def query(address: str) -> bool:
+        asked.append(address)
+        return address not in ("r2", "r3")
+
+    relay = ReportRelay(PeerReports(1.0), lambda now: ["r0", "r2", "r3", "r4"], send, lambda: None)
+    for _ in range(3):
+        await relay.pull("r1", query)
+    assert asked == ["r2", "r3", "r4", "r0", "r4", "r0"]
