--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -298,6 +298,14 @@
                 link.idle = False
                 return link
             link.close()
+        return await self._connect(address)
+
+    async def _connect(self, address: Address) -> HttpLink:
+        """Open a new connection.
+
+        Raises:
+            ConnectError: If it cannot be opened in time.
+        """
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, link = await asyncio.get_running_loop().create_connection(
