Log which endpoints and services a daemon has lost its paths to, and count them

The logs of the incident of lost paths don't tell one lost endpoint from a service that is lost as a whole, nor for how long: an ejection ends by time, tried or not. A path is lost from the first connection that can't be opened until a head comes or the endpoint starts anew. Nothing is decided by it yet.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -30,6 +30,7 @@
         removed_at: Time at which its record left the registry; None while it is listed.
         misdirected: Whether another endpoint answered at its address.
         rate: This daemon's part of the endpoint's rate while that is bounded.
+        lost_at: Time at which connections to it began to fail; None while they can be opened.
     """
 
     __slots__ = (
@@ -44,6 +45,7 @@
         "removed_at",
         "in_flight",
         "last_received_at",
+        "lost_at",
         "misdirected",
         "pending_s",
         "rate",
@@ -61,6 +63,7 @@
         self.removed_at: float | None = None
         self.misdirected = False
         self.rate = EndpointRate()
+        self.lost_at: float | None = None
         self._other_load = 0.0
         self._other_load_at = 0.0
         self._consecutive_failures = 0
@@ -81,6 +84,7 @@
         if restarted or record.cold_left_s > 0:
             self.cold_until = now + record.cold_left_s
         if restarted:
+            self.lost_at = None
             self.ejected_until = 0.0
             self._consecutive_failures = 0
             self.failure_share = 0.0
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -28,6 +28,7 @@
 from comfreyhatch.exchange.crash_probe import CrashProbe
 from comfreyhatch.exchange.directory_sync import DirectorySync
 from comfreyhatch.exchange.endpoint_limits import EndpointLimits
+from comfreyhatch.exchange.endpoint_paths import EndpointPaths
 from comfreyhatch.exchange.endpoint_rates import EndpointRates
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.header_codec import HeaderCodec
@@ -113,7 +114,10 @@
         telemetry = RequestTelemetry(self.registry)
         memory = AnswerMemory(deployment.memory_mb)
         self._limits = EndpointLimits(self._reports, self.registry)
-        sender = Sender(self._client, codec, telemetry.count_attempt, memory, self._limits)
+        self._paths = EndpointPaths(self.view, self.registry)
+        sender = Sender(
+            self._client, codec, telemetry.count_attempt, memory, self._limits, self._paths
+        )
         self._billing = Billing(deployment.instance, run, directory)
         probe = CrashProbe(self.view, sender.is_down, sender.refuses_connections, rng)
         self._crashes = CrashGuard(
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -26,6 +26,7 @@
     HttpError,
 )
 from comfreyhatch.exchange.endpoint_limits import EndpointLimits
+from comfreyhatch.exchange.endpoint_paths import EndpointPaths
 from comfreyhatch.exchange.header_codec import HeaderCodec
 from comfreyhatch.exchange.health import note_lost_answer
 from comfreyhatch.exchange.telemetry import AttemptOutcome
@@ -135,6 +136,7 @@
         count: Callable[[AttemptOutcome], None],
         memory: AnswerMemory,
         limits: EndpointLimits,
+        paths: EndpointPaths,
     ) -> None:
         """Create a sender.
 
@@ -144,7 +146,9 @@
             count: Counts an attempt by its outcome.
             memory: Limits the answers that are read whole.
             limits: Learns the limits that endpoints name.
+            paths: Notes which endpoints are within reach.
         """
+        self._paths = paths
         self._memory = memory
         self._limits = limits
         self._client = client
@@ -190,6 +194,7 @@
             head = self._codec.read_head(reply.status, reply.headers)
             _require_own_answer(job, head)
             self._note_head(endpoint, head, loop.time())
+            self._paths.note_reached(endpoint, loop.time())
             if not head.misdirected:
                 self._limits.note_answer(endpoint, head, sent_at, loop.time())
             await self._check(endpoint, head, reply)
@@ -197,6 +202,8 @@
             await stack.aclose()
             note_lost_answer(endpoint, error, loop.time())
             unreachable = isinstance(error, ConnectError)
+            if unreachable:
+                self._paths.note_unreachable(endpoint, loop.time())
             self._count(AttemptOutcome.UNREACHABLE if unreachable else AttemptOutcome.LOST)
             raise _backend_error(error) from error
         except BackendError as error:
