Send requests by way of other daemons while the own paths to endpoints are lost

What callers saw: 503 at once, or no answer until their deadlines, at daemons that had lost their paths to all endpoints while callers, store and peers still reached them.

Cause: such a daemon had no other way than its own connections, and took silent ones for slow endpoints until the deadline of each request. The class is the partial network partition.

Change: paths are lost and regained by connections that can be opened or not; a silent service is probed; while all paths of a service are lost, each attempt is sent over the connection of a daemon that has a path, in one hop. All decisions and counts stay with the daemon that the caller asked.

Why it works: a daemon that peers reach can use any path that one of them has.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -73,6 +73,16 @@
         """Whether the head tells how the body ends; otherwise it ends with the connection."""
         return self._declared_bytes is not None or "transfer-encoding" in self.header_by_name
 
+    def without_framing(self, marker: bytes) -> "StreamedReply":
+        """Return the answer as one that only the end of its connection ends.
+
+        Args:
+            marker: Header that is left out too.
+        """
+        dropped = (b"transfer-encoding", b"content-length", marker)
+        headers = [(name, value) for name, value in self.headers if name not in dropped]
+        return StreamedReply(self.status, headers, self._link, None)
+
     def abort(self) -> None:
         """Reset the connection; whoever reads the body sees it break."""
         self._link.abort()
@@ -273,6 +283,11 @@
         self._keep(address, link)
         return True
 
+    def drop_idle(self, address: Address) -> None:
+        """Close the idle connections to an address."""
+        for link in self._idle_by_address.pop(address, []):
+            link.abort()
+
     async def is_refused(self, address: Address) -> bool:
         """Return whether nothing listens at an address; not whether it can't be reached."""
         try:
--- a/comfreyhatch/adapters/http_message.py
+++ b/comfreyhatch/adapters/http_message.py
@@ -13,6 +13,23 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+# Headers that concern one connection only, in lower case.
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
 
 class HttpRequest(Struct):
     """A request; header names are in lower case.
--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -10,6 +10,8 @@
 # Without this bound 2**doublings overflows after about 2,000 failures in a row.
 MAX_EJECTION_DOUBLINGS = 3
 FAILURES_TO_EJECT = 2
+# Time until this daemon should have read itself that an endpoint is withdrawn.
+WITHDRAWN_EJECTION_S = 2.0
 # Weight of the newest answer in the moving share of failed answers.
 FAILURE_SMOOTHING = 0.1
 LOAD_REPORT_MAX_AGE_S = 1.5
@@ -30,6 +32,7 @@
         removed_at: Time at which its record left the registry; None while it is listed.
         misdirected: Whether another endpoint answered at its address.
         rate: This daemon's part of the endpoint's rate while that is bounded.
+        busy_since: Time from which at least one of this daemon's requests has run on it.
         lost_at: Time at which connections to it began to fail; None while they can be opened.
     """
 
@@ -39,6 +42,7 @@
         "_other_load",
         "_other_load_at",
         "_consecutive_failures",
+        "busy_since",
         "cold_until",
         "ejected_until",
         "failure_share",
@@ -63,6 +67,7 @@
         self.removed_at: float | None = None
         self.misdirected = False
         self.rate = EndpointRate()
+        self.busy_since = now
         self.lost_at: float | None = None
         self._other_load = 0.0
         self._other_load_at = 0.0
@@ -144,6 +149,16 @@
             doublings = min(excess // FAILURES_TO_EJECT, MAX_EJECTION_DOUBLINGS)
             self.ejected_until = now + FIRST_EJECTION_S * 2**doublings
 
+    def record_withdrawn(self, now: float) -> None:
+        """Give the endpoint no requests for a time, as another daemon knows that it is leaving."""
+        self.ejected_until = max(self.ejected_until, now + WITHDRAWN_EJECTION_S)
+
+    def silent_s(self, now: float) -> float:
+        """Return for how long nothing has come while requests run on it, in seconds; 0 if none."""
+        if not self.in_flight:
+            return 0.0
+        return now - max(self.last_received_at, self.busy_since)
+
     def is_cold(self, now: float) -> bool:
         """Return whether the endpoint is in cold start."""
         return now < self.cold_until
--- a/comfreyhatch/domain/deployment.py
+++ b/comfreyhatch/domain/deployment.py
@@ -59,6 +59,7 @@
         max_fds: Largest number of file descriptors that the process may open.
         bounds: Limits to guarantee.
         link_mbps: Bandwidth of the instance's link, in megabits a second; 0 if unknown.
+        relay: Address of the listener for requests of other daemons; None if it takes none.
     """
 
     instance: str
@@ -75,3 +76,4 @@
     bounds: Bounds
     region: str = ""
     link_mbps: float = 0.0
+    relay: Address | None = None
--- a/comfreyhatch/domain/operations.py
+++ b/comfreyhatch/domain/operations.py
@@ -6,6 +6,7 @@
 
 from comfreyhatch.domain.catalog import Catalog
 from comfreyhatch.domain.position import Position
+from comfreyhatch.domain.relay import RelayAddress
 
 
 class RolloutState(Enum):
@@ -126,6 +127,7 @@
         control_by_daemon: Control address of each daemon, as host:port.
         region_by_daemon: Region of each daemon.
         link_by_daemon: Bandwidth of the link of each daemon, in megabits a second.
+        relay_by_daemon: Where each daemon takes requests of other daemons.
         generation: Generation of the store to which the revision belongs.
     """
 
@@ -137,6 +139,7 @@
     region_by_daemon: dict[str, str] = {}
     generation: int = 0
     link_by_daemon: dict[str, float] = {}
+    relay_by_daemon: dict[str, RelayAddress] = {}
 
     @property
     def position(self) -> Position:
--- /dev/null
+++ b/comfreyhatch/domain/relay.py
@@ -0,0 +1,48 @@
+"""Requests that one daemon relays for another that has lost its own path to an endpoint."""
+
+from enum import Enum
+
+from msgspec import Struct
+
+RELAY_PATH = "/relay"
+
+
+class RelayAddress(Struct, frozen=True):
+    """Where a daemon takes requests of other daemons.
+
+    Attributes:
+        address: HOST:PORT of its listener.
+        zone: Its availability zone.
+    """
+
+    address: str
+    zone: str
+
+
+class RelayedRequest(Struct, frozen=True):
+    """A request to be sent to one endpoint for another daemon, which has decided on it.
+
+    Attributes:
+        start: The endpoint, with its start; no other one may get the request.
+        method: HTTP method.
+        target: Path with query.
+        headers: Headers for the endpoint.
+        body: Body.
+        timeout_s: Time that is left for the whole answer, in seconds.
+    """
+
+    start: str
+    method: str
+    target: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    timeout_s: float
+
+
+class RelayFailure(Enum):
+    """Why a daemon has no answer of an endpoint for another daemon."""
+
+    UNREACHABLE = "unreachable"  # not sent: it doesn't reach the endpoint either
+    WITHDRAWN = "withdrawn"  # not sent: it knows that the endpoint gets no more requests
+    BUSY = "busy"  # not sent: it relays too many requests, or is shutting down
+    BROKEN = "broken"  # sent: it may have run
--- a/comfreyhatch/errors.py
+++ b/comfreyhatch/errors.py
@@ -105,6 +105,22 @@
     """The peer did not answer in time."""
 
 
+class RelayError(HttpError):
+    """Another daemon that sent a request for this one broke off; its endpoint is not to blame."""
+
+
+class NoRelayError(RelayError):
+    """No other daemon could send a request for this one; nothing was sent."""
+
+    ran = Ran.NO
+
+
+class EndpointWithdrawnError(RelayError):
+    """Another daemon knows that an endpoint gets no more requests; nothing was sent."""
+
+    ran = Ran.NO
+
+
 class AnswerMemoryError(HttpError):
     """There is no memory left for an answer; its peer is not to blame."""
 
--- a/comfreyhatch/exchange/carry_over.py
+++ b/comfreyhatch/exchange/carry_over.py
@@ -19,6 +19,7 @@
     RolloutState,
     SharedRecords,
 )
+from comfreyhatch.domain.relay import RelayAddress
 
 # Endpoints write their records again within about 2 s of the store's return, and the platform
 # stretches the bounds of operators' orders by 5 s at most after an outage.
@@ -216,6 +217,7 @@
         control_by_daemon: Control addresses that were held.
         region_by_daemon: Regions that were held.
         link_by_daemon: Bandwidths of links that were held.
+        relay_by_daemon: Listeners for requests of daemons that were held.
     """
 
     def __init__(self) -> None:
@@ -223,6 +225,7 @@
         self.control_by_daemon: dict[str, str] = {}
         self.region_by_daemon: dict[str, str] = {}
         self.link_by_daemon: dict[str, float] = {}
+        self.relay_by_daemon: dict[str, RelayAddress] = {}
 
     def begin(self, held: SharedRecords) -> None:
         """Carry over the last records of a generation."""
@@ -235,6 +238,7 @@
         self.control_by_daemon.update(held.control_by_daemon)
         self.region_by_daemon.update(held.region_by_daemon)
         self.link_by_daemon.update(held.link_by_daemon)
+        self.relay_by_daemon.update(held.relay_by_daemon)
 
 
 def _order_of(trial: RolloutRecord) -> tuple[str, int]:
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -8,6 +8,7 @@
 from random import Random
 from time import monotonic
 
+from msgspec.structs import replace
 from prometheus_client import CollectorRegistry, generate_latest
 
 from comfreyhatch.adapters.http_client import HttpClient
@@ -18,6 +19,8 @@
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
 from comfreyhatch.decisions.isolation import should_report_unready
+from comfreyhatch.decisions.path_probes import PathProbes
+from comfreyhatch.decisions.relay_choice import RelayChoice
 from comfreyhatch.decisions.version_trial import canary_share
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.exchange import Job
@@ -34,6 +37,7 @@
 from comfreyhatch.exchange.header_codec import HeaderCodec
 from comfreyhatch.exchange.loop_lag import LoopLagMonitor
 from comfreyhatch.exchange.part_guard import PartGuard
+from comfreyhatch.exchange.path_monitor import PathMonitor
 from comfreyhatch.exchange.peer_reports import PeerReports
 from comfreyhatch.exchange.peers import PeerListener, PeerPermitChannel
 from comfreyhatch.exchange.permits import PermitClient
@@ -43,6 +47,8 @@
     LostRows,
     StoreRecovery,
 )
+from comfreyhatch.exchange.relay_client import RelayClient
+from comfreyhatch.exchange.relay_listener import RelayListener
 from comfreyhatch.exchange.request_guard import RequestGuard
 from comfreyhatch.exchange.rollouts import RolloutController
 from comfreyhatch.exchange.router import ExchangeRouter
@@ -56,6 +62,9 @@
 from comfreyhatch.ports.directory import Directory
 
 ENDPOINT_CONNECT_TIMEOUT_S = 0.3
+PEER_CONNECT_TIMEOUT_S = 0.2
+# Room for the headers of a request that another daemon wants sent.
+RELAY_MARGIN_BYTES = 65536
 # Time between the first failing readiness check and the close of the callers' listener, for the
 # balancer to stop sending connections.
 BALANCER_DRAIN_S = 2.4
@@ -114,10 +123,28 @@
         telemetry = RequestTelemetry(self.registry)
         memory = AnswerMemory(deployment.memory_mb)
         self._limits = EndpointLimits(self._reports, self.registry)
-        self._paths = EndpointPaths(self.view, self.registry)
+        self._paths = EndpointPaths(self.view, self._client, self.registry)
+        self._path_monitor = PathMonitor(self.view, self._client, self._paths, PathProbes(rng))
+        self._relays = RelayClient(
+            deployment.instance,
+            HttpClient(connect_timeout_s=PEER_CONNECT_TIMEOUT_S),
+            lambda: self.view.relay_by_daemon,
+            RelayChoice(rng),
+            self.registry,
+        )
         sender = Sender(
-            self._client, codec, telemetry.count_attempt, memory, self._limits, self._paths
+            self._client,
+            codec,
+            telemetry.count_attempt,
+            memory,
+            self._limits,
+            self._paths,
+            self._relays,
         )
+        self._relay_listener = RelayListener(
+            self.view, self._client, self._paths, sender.note_relayed_head, self.registry
+        )
+        self._relay_server = HttpServer(self._relay_listener.handle, None, True)
         self._billing = Billing(deployment.instance, run, directory)
         probe = CrashProbe(self.view, sender.is_down, sender.refuses_connections, rng)
         self._crashes = CrashGuard(
@@ -208,6 +235,7 @@
         if self._peers:
             self._peers.start()
         self._sync.start()
+        self._path_monitor.start()
         self._rollouts.start()
         self._billing.start()
         await self._wait_for_directory()
@@ -216,6 +244,8 @@
         else:
             await self._listen(self._callers, self._deployment.callers)
         await self._listen(self._readiness, self._deployment.readiness)
+        if self._deployment.relay:
+            await self._listen(self._relay_server, self._deployment.relay)
         if metrics:
             await self._listen(self._metrics, metrics)
         log.info(
@@ -251,7 +281,11 @@
         self._callers.drain()
         await asyncio.sleep(BALANCER_DRAIN_S)
         self._router.stopping = True
-        await self._callers.stop(max(0.0, ends_at - loop.time()))
+        self._relay_listener.stopping = True
+        await asyncio.gather(
+            self._callers.stop(max(0.0, ends_at - loop.time())),
+            self._relay_server.stop(max(0.0, ends_at - loop.time())),
+        )
         await self.close()
         log.info("event=stopped")
 
@@ -259,6 +293,8 @@
         """Close all listeners, tasks and connections; running requests are cut."""
         self._loop_lag.stop()
         await self._callers.stop(0.0)
+        await self._relay_server.stop(0.0)
+        await self._path_monitor.stop()
         await self._recovery.stop()
         await self._billing.stop()
         await self._rollouts.stop()
@@ -270,6 +306,7 @@
         await self._readiness.stop(0.0)
         await self._metrics.stop(0.0)
         self._client.close()
+        self._relays.close()
 
     def _add_gauges(self) -> None:
         """Register the gauges of this daemon's current state."""
@@ -360,6 +397,11 @@
                 header_timeout_s=max(0.1, catalog.limits.header_timeout_s),
                 idle_timeout_s=max(0.1, catalog.limits.idle_timeout_s),
             )
+            self._relay_server.limits = replace(
+                self._callers.limits,
+                connections=limits.connections,
+                body_bytes=self._callers.limits.body_bytes + RELAY_MARGIN_BYTES,
+            )
         for service in list(self.view.trackers_by_service):
             self._scheduler.serve_queue(service)
 
--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -17,6 +17,7 @@
 from comfreyhatch.domain.operations import Operations
 from comfreyhatch.domain.permit import PermitAnswer, PermitAsk
 from comfreyhatch.domain.position import Position
+from comfreyhatch.domain.relay import RelayAddress
 from comfreyhatch.errors import ComfreyhatchError, PeerError, PlatformError
 from comfreyhatch.exchange.endpoint_changes import apply_changes
 from comfreyhatch.exchange.peer_answers import PeerAnswers, no_permit
@@ -254,9 +255,17 @@
         address = str(self._deployment.control)
         deployment = self._deployment
         self._control_published = await self._directory.put_control(
-            deployment.instance, address, deployment.region, deployment.link_mbps
+            deployment.instance,
+            address,
+            deployment.region,
+            deployment.link_mbps,
+            self._relay_address(),
         )
 
+    def _relay_address(self) -> RelayAddress | None:
+        relay = self._deployment.relay
+        return RelayAddress(str(relay), self._deployment.zone) if relay else None
+
     async def _read(
         self,
         name: str,
--- a/comfreyhatch/exchange/endpoint_paths.py
+++ b/comfreyhatch/exchange/endpoint_paths.py
@@ -4,24 +4,31 @@
 
 from prometheus_client import CollectorRegistry
 
+from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.metrics import add_gauge
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.exchange.view import FleetView
 
+# Time after a service's last relayed request in which requests for lost endpoints are relayed.
+RELAYED_LIFE_S = 3.0
+
 log = logging.getLogger("comfreyhatch.paths")
 
 
 class EndpointPaths:
     """Notes which endpoints no connection can be opened to."""
 
-    def __init__(self, view: FleetView, registry: CollectorRegistry) -> None:
+    def __init__(self, view: FleetView, client: HttpClient, registry: CollectorRegistry) -> None:
         """Create it; all endpoints count as within reach.
 
         Args:
             view: Current state of the fleet.
+            client: Holds the connections to endpoints.
             registry: Registry of the metrics.
         """
         self._view = view
+        self._client = client
+        self._relayed_at_by_service: dict[str, float] = {}
         self._lost_since_by_service: dict[str, float] = {}
         add_gauge(registry, "endpoints_lost", "Endpoints out of reach.", self._count_lost)
         add_gauge(
@@ -35,10 +42,39 @@
         """Return whether all endpoints of a service are out of reach."""
         return service in self._lost_since_by_service
 
+    def is_relayed(self, endpoint: EndpointTracker, now: float) -> bool:
+        """Return whether to send requests for an endpoint by way of other daemons.
+
+        So it is while its path is lost like those to all endpoints of its service, or while others
+        of them are reached again one by one. One lost endpoint alone is most likely down.
+        """
+        service = endpoint.record.service
+        if endpoint.lost_at is None:
+            return False
+        relayed_at = self._relayed_at_by_service.get(service, float("-inf"))
+        return self.is_lost(service) or now - relayed_at < RELAYED_LIFE_S
+
+    def note_relayed(self, endpoint: EndpointTracker, now: float) -> None:
+        """Note that another daemon has reached an endpoint."""
+        self._relayed_at_by_service[endpoint.record.service] = now
+
+    def note_answer(self, endpoint: EndpointTracker, sent_at: float, now: float) -> None:
+        """Note an answer over this daemon's own path.
+
+        One to an earlier request says nothing of a path that was lost since: connections that are
+        open may live on while new ones are refused.
+        """
+        if endpoint.lost_at is not None and sent_at > endpoint.lost_at:
+            self.note_reached(endpoint, now)
+
     def note_unreachable(self, endpoint: EndpointTracker, now: float) -> None:
-        """Note that no connection to an endpoint could be opened."""
+        """Note that no connection to an endpoint could be opened.
+
+        Idle ones are closed: they may be silent, and would each take a request.
+        """
         if endpoint.lost_at is None:
             endpoint.lost_at = now
+            self._client.drop_idle(endpoint.record.address)
             log.info("event=path_lost endpoint=%s", endpoint.record.endpoint_id)
         self._update_service(endpoint.record.service, now)
 
@@ -52,6 +88,11 @@
             )
         self._update_service(endpoint.record.service, now)
 
+    def update(self, now: float) -> None:
+        """Find out again which services are lost, as endpoints come and go."""
+        for service in list(self._view.trackers_by_service):
+            self._update_service(service, now)
+
     def _update_service(self, service: str, now: float) -> None:
         trackers = self._view.trackers_by_service.get(service, ())
         listed = [tracker for tracker in trackers if tracker.removed_at is None]
@@ -59,6 +100,9 @@
         since = self._lost_since_by_service.get(service)
         if lost and since is None:
             self._lost_since_by_service[service] = now
+            for tracker in listed:
+                # They may be reached by way of other daemons.
+                tracker.ejected_until = 0.0
             log.warning("event=service_lost service=%s endpoints=%d", service, len(listed))
         elif not lost and since is not None:
             del self._lost_since_by_service[service]
--- /dev/null
+++ b/comfreyhatch/exchange/path_monitor.py
@@ -0,0 +1,79 @@
+"""Finds lost and regained paths to endpoints, by connections that carry no request."""
+
+import asyncio
+import logging
+from collections.abc import Sequence
+
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
+from comfreyhatch.decisions.path_probes import PathProbes
+from comfreyhatch.exchange.endpoint_paths import EndpointPaths
+from comfreyhatch.exchange.periodic import PeriodicTask
+from comfreyhatch.exchange.view import FleetView
+
+CHECK_INTERVAL_S = 0.25
+
+log = logging.getLogger("comfreyhatch.paths")
+
+
+class PathMonitor:
+    """A task that probes silent services and lost endpoints."""
+
+    def __init__(
+        self, view: FleetView, client: HttpClient, paths: EndpointPaths, probes: PathProbes
+    ) -> None:
+        """Create it; the task is not started.
+
+        Args:
+            view: Current state of the fleet.
+            client: Opens the connections, and keeps those that can be opened.
+            paths: Which endpoints are within reach; updated.
+            probes: Selects the endpoints to probe.
+        """
+        self._view = view
+        self._client = client
+        self._paths = paths
+        self._probes = probes
+        self._task = PeriodicTask("paths", CHECK_INTERVAL_S, self._check)
+
+    def start(self) -> None:
+        """Start the task."""
+        self._task.start()
+
+    async def stop(self) -> None:
+        """Stop the task."""
+        await self._task.stop()
+
+    async def _check(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self._paths.update(now)
+        found = [t for t in self._view.tracker_by_id.values() if t.lost_at is not None]
+        self._probes.forget(tracker.start for tracker in found)
+        checks = []
+        for service, trackers in self._view.trackers_by_service.items():
+            listed = [tracker for tracker in trackers if tracker.removed_at is None]
+            if self._probes.silent(service, listed, now):
+                checks.append(self._probe_silent(service, listed, now))
+            due = self._probes.due(listed, self._paths.is_lost(service), now)
+            checks += [self._probe(tracker) for tracker in due]
+        await asyncio.gather(*checks)
+
+    async def _probe_silent(
+        self, service: str, listed: Sequence[EndpointTracker], now: float
+    ) -> None:
+        """Probe some endpoints of a silent service; if none is reached, all of them are lost."""
+        sample = self._probes.sample(service, listed, now)
+        log.info("event=service_silent service=%s probed=%d", service, len(sample))
+        await asyncio.gather(*(self._probe(tracker) for tracker in sample))
+        if all(tracker.lost_at is not None for tracker in sample):
+            ended = asyncio.get_running_loop().time()
+            for tracker in listed:
+                self._paths.note_unreachable(tracker, ended)
+
+    async def _probe(self, endpoint: EndpointTracker) -> None:
+        reached = await self._client.can_connect(endpoint.record.address)
+        now = asyncio.get_running_loop().time()
+        if reached:
+            self._paths.note_reached(endpoint, now)
+        else:
+            self._paths.note_unreachable(endpoint, now)
--- a/comfreyhatch/exchange/record_changes.py
+++ b/comfreyhatch/exchange/record_changes.py
@@ -7,6 +7,7 @@
 
 from comfreyhatch.domain.operations import Evidence, RolloutRecord, SharedRecords
 from comfreyhatch.domain.position import Position
+from comfreyhatch.domain.relay import RelayAddress
 
 V = TypeVar("V")
 
@@ -17,6 +18,7 @@
     "control_by_daemon",
     "region_by_daemon",
     "link_by_daemon",
+    "relay_by_daemon",
 )
 
 
@@ -33,6 +35,7 @@
         whole: Whether these are all records, which replace the held ones.
         generation: Generation of the store to which the revision belongs.
         link_by_daemon: Bandwidths of links that were added or changed.
+        relay_by_daemon: Listeners for requests of daemons that were added or changed.
     """
 
     revision: int
@@ -44,6 +47,7 @@
     whole: bool = False
     generation: int = 0
     link_by_daemon: dict[str, float] = {}
+    relay_by_daemon: dict[str, RelayAddress] = {}
 
     def applies_to(self, held: SharedRecords | None) -> bool:
         """Return whether the records after these changes follow from the held ones."""
@@ -96,6 +100,7 @@
             whole,
             held.generation,
             self._changed("link_by_daemon", held.link_by_daemon, after),
+            self._changed("relay_by_daemon", held.relay_by_daemon, after),
         )
 
     def _restart(self, found: SharedRecords) -> None:
@@ -143,4 +148,5 @@
         {**held.region_by_daemon, **changes.region_by_daemon},
         changes.generation,
         {**held.link_by_daemon, **changes.link_by_daemon},
+        {**held.relay_by_daemon, **changes.relay_by_daemon},
     )
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -54,6 +54,8 @@
         self.job = job
         self.started = now
         self._pending_s = work_s
+        if not endpoint.in_flight:
+            endpoint.busy_since = now
         endpoint.in_flight += 1
         endpoint.pending_s += work_s
 
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, asynccontextmanager
 from math import inf
 
 from msgspec import Struct
@@ -14,6 +14,7 @@
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.exchange import AnswerHead, Dispatch, Job
+from comfreyhatch.domain.relay import RelayedRequest
 from comfreyhatch.errors import (
     AnswerBrokenError,
     AnswerMemoryError,
@@ -22,13 +23,17 @@
     BackendRefusedError,
     ConnectError,
     EndpointUnreachableError,
+    EndpointWithdrawnError,
     ExchangeTimeoutError,
     HttpError,
+    NoRelayError,
+    RelayError,
 )
 from comfreyhatch.exchange.endpoint_limits import EndpointLimits
 from comfreyhatch.exchange.endpoint_paths import EndpointPaths
 from comfreyhatch.exchange.header_codec import HeaderCodec
 from comfreyhatch.exchange.health import note_lost_answer
+from comfreyhatch.exchange.relay_client import RelayClient
 from comfreyhatch.exchange.telemetry import AttemptOutcome
 
 # Limits on the rest of a refusal, which is read for its connection to be reused.
@@ -137,6 +142,7 @@
         memory: AnswerMemory,
         limits: EndpointLimits,
         paths: EndpointPaths,
+        relays: RelayClient | None = None,
     ) -> None:
         """Create a sender.
 
@@ -147,8 +153,10 @@
             memory: Limits the answers that are read whole.
             limits: Learns the limits that endpoints name.
             paths: Notes which endpoints are within reach.
+            relays: Sends requests by way of other daemons; None for no such way.
         """
         self._paths = paths
+        self._relays = relays
         self._memory = memory
         self._limits = limits
         self._client = client
@@ -179,31 +187,31 @@
         loop = asyncio.get_running_loop()
         stack = AsyncExitStack()
         sent_at = loop.time()
+        request = RelayedRequest(
+            endpoint.start,
+            job.exchange.method,
+            job.exchange.target,
+            self._codec.dispatch_headers(job.exchange, dispatch),
+            job.exchange.body,
+            head_timeout_s,
+        )
         try:
             reply = await stack.enter_async_context(
-                self._client.stream(
-                    endpoint.record.address,
-                    job.exchange.method,
-                    job.exchange.target,
-                    job.exchange.body,
-                    self._codec.dispatch_headers(job.exchange, dispatch),
-                    head_timeout_s,
-                    fresh_connection,
-                )
+                self._exchange(endpoint, request, fresh_connection)
             )
             head = self._codec.read_head(reply.status, reply.headers)
             _require_own_answer(job, head)
             self._note_head(endpoint, head, loop.time())
-            self._paths.note_reached(endpoint, loop.time())
             if not head.misdirected:
                 self._limits.note_answer(endpoint, head, sent_at, loop.time())
             await self._check(endpoint, head, reply)
         except HttpError as error:
             await stack.aclose()
-            note_lost_answer(endpoint, error, loop.time())
+            if isinstance(error, EndpointWithdrawnError):
+                endpoint.record_withdrawn(loop.time())
+            elif not isinstance(error, RelayError):
+                note_lost_answer(endpoint, error, loop.time())
             unreachable = isinstance(error, ConnectError)
-            if unreachable:
-                self._paths.note_unreachable(endpoint, loop.time())
             self._count(AttemptOutcome.UNREACHABLE if unreachable else AttemptOutcome.LOST)
             raise _backend_error(error) from error
         except BackendError as error:
@@ -217,6 +225,67 @@
         self._count(AttemptOutcome.ANSWERED if head.success else AttemptOutcome.FAILED)
         return StreamedAnswer(head, endpoint, reply, stack, self._memory)
 
+    @asynccontextmanager
+    async def _exchange(
+        self, endpoint: EndpointTracker, request: RelayedRequest, fresh_connection: bool
+    ) -> AsyncIterator[StreamedReply]:
+        """Send a request over this daemon's path, or by way of another daemon if that is lost."""
+        loop = asyncio.get_running_loop()
+        async with AsyncExitStack() as stack:
+            if self._relays is not None and self._paths.is_relayed(endpoint, loop.time()):
+                try:
+                    reply = await stack.enter_async_context(self._relays.stream(endpoint, request))
+                except NoRelayError as error:
+                    log.info("event=not_relayed reason=%r", str(error))
+                else:
+                    self._paths.note_relayed(endpoint, loop.time())
+                    yield reply
+                    return
+            yield await self._send_directly(stack, endpoint, request, fresh_connection)
+
+    async def _send_directly(
+        self,
+        stack: AsyncExitStack,
+        endpoint: EndpointTracker,
+        request: RelayedRequest,
+        fresh_connection: bool,
+    ) -> StreamedReply:
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        try:
+            reply = await stack.enter_async_context(
+                self._client.stream(
+                    endpoint.record.address,
+                    request.method,
+                    request.target,
+                    request.body,
+                    request.headers,
+                    request.timeout_s,
+                    fresh_connection,
+                )
+            )
+        except ConnectError:
+            self._paths.note_unreachable(endpoint, loop.time())
+            raise
+        self._paths.note_answer(endpoint, sent_at, loop.time())
+        return reply
+
+    def note_relayed_head(
+        self, endpoint: EndpointTracker, reply: StreamedReply, sent_at: float
+    ) -> None:
+        """Learn from the head of an answer that this daemon relays for another one.
+
+        Args:
+            endpoint: The endpoint.
+            reply: Its answer.
+            sent_at: Monotonic time at which the request was sent, in seconds.
+        """
+        now = asyncio.get_running_loop().time()
+        head = self._codec.read_head(reply.status, reply.headers)
+        self._note_head(endpoint, head, now)
+        if not head.misdirected:
+            self._limits.note_answer(endpoint, head, sent_at, now)
+
     async def refuses_connections(self, endpoint: EndpointTracker) -> bool:
         """Return whether an endpoint refuses a new connection."""
         return not await self._client.can_connect(endpoint.record.address)
@@ -313,6 +382,6 @@
         return EndpointUnreachableError(str(error))
     if error.ran is Ran.NO:
         return BackendRefusedError(str(error))
-    if isinstance(error, ExchangeTimeoutError):
+    if isinstance(error, ExchangeTimeoutError | RelayError):
         return BackendError(str(error))
     return AnswerBrokenError(str(error))
--- a/comfreyhatch/exchange/view.py
+++ b/comfreyhatch/exchange/view.py
@@ -19,6 +19,7 @@
     SharedRecords,
 )
 from comfreyhatch.domain.position import Position
+from comfreyhatch.domain.relay import RelayAddress
 from comfreyhatch.exchange.carry_over import (
     EndpointCarryOver,
     OrderCarryOver,
@@ -114,6 +115,12 @@
         listed = self.records.link_by_daemon if self.records else {}
         return {**self._carried_records.link_by_daemon, **listed}
 
+    @property
+    def relay_by_daemon(self) -> dict[str, RelayAddress]:
+        """Where daemons take requests of others, those from before a return of the store too."""
+        listed = self.records.relay_by_daemon if self.records else {}
+        return {**self._carried_records.relay_by_daemon, **listed}
+
     def ready(self) -> bool:
         """Return whether a configuration and a list of endpoints are known."""
         return self.catalog is not None and self.endpoint_list is not None
--- a/comfreyhatch/platform/directory.py
+++ b/comfreyhatch/platform/directory.py
@@ -17,6 +17,7 @@
     SharedRecords,
 )
 from comfreyhatch.domain.position import Position
+from comfreyhatch.domain.relay import RelayAddress
 from comfreyhatch.domain.usage import UsageBatch
 from comfreyhatch.errors import PlatformError
 from comfreyhatch.platform.documents import decode_catalog, decode_endpoint, decode_order
@@ -55,11 +56,13 @@
         control: Control address, as host:port.
         region: Region.
         link_mbps: Bandwidth of its link, in megabits a second; 0 if unknown.
+        relay: Where it takes requests of other daemons; None if it takes none.
     """
 
     control: str
     region: str = ""
     link_mbps: float = 0.0
+    relay: RelayAddress | None = None
 
 
 class StoreDirectory:
@@ -89,9 +92,16 @@
         )
         return _apply_records(held, rows, is_full)
 
-    async def put_control(self, daemon: str, address: str, region: str, link_mbps: float) -> bool:
-        """Publish this daemon's address, region and link; return whether they are stored."""
-        value = encode(_DaemonAddress(address, region, link_mbps))
+    async def put_control(
+        self,
+        daemon: str,
+        address: str,
+        region: str,
+        link_mbps: float,
+        relay: RelayAddress | None = None,
+    ) -> bool:
+        """Publish this daemon's addresses, region and link; return whether they are stored."""
+        value = encode(_DaemonAddress(address, region, link_mbps, relay))
         return await self._put([Write(DAEMON_TABLE, DAEMON_PREFIX + daemon, value)])
 
     async def put_evidence(self, evidence: Evidence) -> bool:
@@ -239,6 +249,7 @@
     controls = dict(held.control_by_daemon) if held and not is_full else {}
     regions = dict(held.region_by_daemon) if held and not is_full else {}
     links = dict(held.link_by_daemon) if held and not is_full else {}
+    relays = dict(held.relay_by_daemon) if held and not is_full else {}
     for row in rows.rows:
         if row.key.startswith(ROLLOUT_RECORD_PREFIX):
             _update_value(rollouts, row, row.key.removeprefix(ROLLOUT_RECORD_PREFIX), RolloutRecord)
@@ -251,8 +262,18 @@
                 controls[daemon] = address.control
                 regions[daemon] = address.region
                 links[daemon] = address.link_mbps
+                if address.relay is not None:
+                    relays[daemon] = address.relay
     return SharedRecords(
-        rows.revision, rows.store_ms, rollouts, evidence, controls, regions, rows.generation, links
+        rows.revision,
+        rows.store_ms,
+        rollouts,
+        evidence,
+        controls,
+        regions,
+        rows.generation,
+        links,
+        relays,
     )
 
 
--- a/comfreyhatch/platform/header_codec.py
+++ b/comfreyhatch/platform/header_codec.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 from msgspec.json import encode
 
+from comfreyhatch.adapters.http_message import HOP_BY_HOP_HEADERS
 from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse
 from comfreyhatch.codes import Ran, ResultCode, http_status
 from comfreyhatch.domain.exchange import (
@@ -25,21 +26,6 @@
 # Longer integers are no sensible counts, and Python refuses to convert those of 4,300 digits.
 MAX_INTEGER_DIGITS = 15
 
-_HOP_BY_HOP_HEADERS = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    }
-)
 # Headers that only the router may set or that are addressed to it; not forwarded from callers.
 _ROUTER_HEADERS = frozenset(
     {
@@ -79,7 +65,7 @@
     def read_exchange(self, request: HttpRequest) -> Exchange:
         """Decode the request of a caller."""
         connection_options = _connection_options(request.headers)
-        dropped = _HOP_BY_HOP_HEADERS | _ROUTER_HEADERS | connection_options
+        dropped = HOP_BY_HOP_HEADERS | _ROUTER_HEADERS | connection_options
         tokens = _parse_integers(request.header("token-counts"))
         last_event = request.header("last-event-id").strip()
         return Exchange(
@@ -124,7 +110,7 @@
     def read_head(self, status: int, headers: Headers) -> AnswerHead:
         """Decode status and headers of an endpoint's answer."""
         value_by_name = dict(headers)
-        dropped = _HOP_BY_HOP_HEADERS | _connection_options(headers)
+        dropped = HOP_BY_HOP_HEADERS | _connection_options(headers)
         cold = _header_text(value_by_name, b"cold-ms")
         confidence = _header_text(value_by_name, b"confidence")
         limits = [_parse_limit(value) for name, value in headers if name == b"server-limit"]
--- a/comfreyhatch/platform/settings.py
+++ b/comfreyhatch/platform/settings.py
@@ -74,6 +74,13 @@
         found = [self._address(key, value) for value in values]
         return tuple(address for address in found if address)
 
+    def port_of_range(self, host_key: str, range_key: str) -> Address | None:
+        """Return a host with the first port of a range; None if either is not set."""
+        host, ports = self._value_by_key.get(host_key, ""), self._value_by_key.get(range_key, "")
+        if not host or not ports:
+            return None
+        return self._address(range_key, f"{host}:{ports.partition(',')[0]}")
+
     def suffixes(self, prefix: str) -> tuple[str, ...]:
         """Return the rest of each key that starts with a prefix."""
         return tuple(k.removeprefix(prefix) for k in self._value_by_key if k.startswith(prefix))
@@ -129,6 +136,7 @@
         max_fds=int(reader.number("limits.max_fds", DEFAULT_MAX_FDS)),
         bounds=_bounds(reader),
         link_mbps=reader.number("limits.link_mbps", 0.0),
+        relay=reader.port_of_range("ip", "port_range"),
     )
     if reader.errors:
         raise SettingsError("\n".join(reader.errors))
--- a/comfreyhatch/ports/directory.py
+++ b/comfreyhatch/ports/directory.py
@@ -13,6 +13,7 @@
 
 from comfreyhatch.domain.endpoint import EndpointList
 from comfreyhatch.domain.operations import Evidence, Operations, RolloutRecord, SharedRecords
+from comfreyhatch.domain.relay import RelayAddress
 from comfreyhatch.domain.usage import UsageBatch
 from comfreyhatch.errors import PlatformError
 
@@ -37,8 +38,15 @@
     async def records(self, held: SharedRecords | None, wait_s: float) -> SharedRecords:
         """Return the records that daemons have published."""
 
-    async def put_control(self, daemon: str, address: str, region: str, link_mbps: float) -> bool:
-        """Publish this daemon's address, region and link; return whether they are stored."""
+    async def put_control(
+        self,
+        daemon: str,
+        address: str,
+        region: str,
+        link_mbps: float,
+        relay: RelayAddress | None = None,
+    ) -> bool:
+        """Publish this daemon's addresses, region and link; return whether they are stored."""
 
     async def put_evidence(self, evidence: Evidence) -> bool:
         """Publish the answer counts of this daemon; return whether they are stored."""
@@ -96,13 +104,22 @@
         await self._check()
         return self.current_records
 
-    async def put_control(self, daemon: str, address: str, region: str, link_mbps: float) -> bool:
-        """Store a control address, a region and the bandwidth of a link."""
+    async def put_control(
+        self,
+        daemon: str,
+        address: str,
+        region: str,
+        link_mbps: float,
+        relay: RelayAddress | None = None,
+    ) -> bool:
+        """Store a daemon's addresses, its region and the bandwidth of its link."""
         if not self.available:
             return False
         self.current_records.control_by_daemon[daemon] = address
         self.current_records.region_by_daemon[daemon] = region
         self.current_records.link_by_daemon[daemon] = link_mbps
+        if relay is not None:
+            self.current_records.relay_by_daemon[daemon] = relay
         return True
 
     async def put_evidence(self, evidence: Evidence) -> bool:
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -190,6 +190,7 @@
             memory_mb=memory_mb,
             max_fds=1024,
             bounds=bounds,
+            relay=Address("127.0.0.1", free_port()),
         )
         store_client = StoreClient(address)
         self._store_clients.append(store_client)
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -21,7 +21,9 @@
         for _ in range(2):
             started = await running.start_daemon(running.deployment.store)
             await running.wait_until(started.ready)
-        await running.wait_until(lambda: all(len(d.view.daemons()) == 3 for d in running.daemons))
+        await running.wait_until(
+            lambda: all(len(d.view.relay_by_daemon) == 3 for d in running.daemons)
+        )
         yield running
 
 
