Take no lone endpoint of a zone for crashed by a daemon that reaches no endpoint

Found by looking for the same cause elsewhere: the probe of crashes compared an endpoint with others of its zone, and an endpoint that is alone there with none, so that a daemon whose connections are all refused reported its crash, and the requests it had there as suspects, to all others. It is compared with endpoints of other zones now. The test fails on the code before.

--- a/comfreyhatch/exchange/crash_probe.py
+++ b/comfreyhatch/exchange/crash_probe.py
@@ -44,7 +44,7 @@
         """Return whether an endpoint's process has ended."""
         if not await self._is_down(endpoint):
             return False
-        others = self._others_of_zone(endpoint)
+        others = self._others(endpoint)
         if not others:
             return True
         refused = await asyncio.gather(*map(self._refuses_connections, others))
@@ -52,13 +52,16 @@
             log.info("event=zone_unreachable zone=%s", endpoint.record.zone)
         return not all(refused)
 
-    def _others_of_zone(self, endpoint: EndpointTracker) -> list[EndpointTracker]:
-        """Return some other endpoints of an endpoint's zone."""
-        others = [
+    def _others(self, endpoint: EndpointTracker) -> list[EndpointTracker]:
+        """Return some other endpoints of an endpoint's zone, or of any zone if there are none.
+
+        This daemon may have lost its paths to all of them.
+        """
+        listed = [
             tracker
             for tracker in self._view.tracker_by_id.values()
-            if tracker.record.zone == endpoint.record.zone
-            and tracker is not endpoint
-            and tracker.removed_at is None
+            if tracker is not endpoint and tracker.removed_at is None
         ]
+        of_zone = [tracker for tracker in listed if tracker.record.zone == endpoint.record.zone]
+        others = of_zone or listed
         return self._rng.sample(others, min(MAX_ZONE_PROBES, len(others)))
--- a/tests/test_crash_probe.py
+++ b/tests/test_crash_probe.py
@@ -47,6 +47,11 @@
     assert await found.has_crashed(view.tracker_by_id["e4"])
 
 
+async def test_only_endpoint_of_a_zone_has_not_crashed_if_no_endpoint_can_be_reached() -> None:
+    found, view = probe({"e1", "e4"}, {"e1": "a", "e4": "b"})
+    assert not await found.has_crashed(view.tracker_by_id["e4"])
+
+
 async def test_requests_are_not_blamed_for_a_zone_that_refuses_all_connections(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
