--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -29,6 +29,8 @@
         transform: Changes an answer before it is sent.
         received: Requests received so far.
         received_at: Times of the event loop at which they came.
+        leaving: Whether its answers say that it is leaving.
+        retry_after: Value of the header retry-after of its refusals; empty for none.
         limit_per_s: Requests a second that it takes, named in its answers; None for no limit.
         cancelled: Number of requests that were cancelled.
         completed_streams: Number of streams that were sent completely.
@@ -53,6 +55,8 @@
         self.transform: Callable[[HttpResponse], HttpResponse] = lambda response: response
         self.received: list[HttpRequest] = []
         self.received_at: list[float] = []
+        self.leaving = False
+        self.retry_after = ""
         self.limit_per_s: float | None = None
         self.cancelled = 0
         self.completed_streams = 0
@@ -116,7 +120,11 @@
             return HttpResponse(421, headers=[*headers, (b"instance-id", self.worker_id.encode())])
         if self.limit_per_s is not None:
             headers.append((b"server-limit", f"{self.limit_per_s:g}".encode()))
+        if self.leaving:
+            headers.append((b"server-leaving", b"1"))
         if self.refuses:
+            if self.retry_after:
+                headers.append((b"retry-after", self.retry_after.encode()))
             return HttpResponse(503, headers=[*headers, (b"not-executed", b"1")])
         headers.append((b"server-stamp", f"stamp-of-{self.worker_id}".encode()))
         model = request.header("model")
