Give endpoints that say that they are leaving no more requests, and tell other daemons

Cause: nothing read the notice in the answers; a leaving endpoint was known by its record only. Change: a notice in any own answer of an endpoint, refusals included, takes it out of the choice, for requests that wait, repeat, resume or are relayed too; other daemons are told by a report; it may still be used if there is no other, until half a second before its drain time is over. A new start under the same id begins without it.

Why it works: the bound counts from an answer that was passed on, and each is read before that.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -33,6 +33,7 @@
         misdirected: Whether another endpoint answered at its address.
         rate: This daemon's part of the endpoint's rate while that is bounded.
         busy_since: Time from which at least one of this daemon's requests has run on it.
+        leaving_since: Time at which it said that it is leaving; None if it has not.
         lost_at: Time at which connections to it began to fail; None while they can be opened.
     """
 
@@ -49,6 +50,7 @@
         "removed_at",
         "in_flight",
         "last_received_at",
+        "leaving_since",
         "lost_at",
         "misdirected",
         "pending_s",
@@ -68,6 +70,7 @@
         self.misdirected = False
         self.rate = EndpointRate()
         self.busy_since = now
+        self.leaving_since: float | None = None
         self.lost_at: float | None = None
         self._other_load = 0.0
         self._other_load_at = 0.0
@@ -90,6 +93,7 @@
             self.cold_until = now + record.cold_left_s
         if restarted:
             self.lost_at = None
+            self.leaving_since = None
             self.ejected_until = 0.0
             self._consecutive_failures = 0
             self.failure_share = 0.0
--- a/comfreyhatch/domain/exchange.py
+++ b/comfreyhatch/domain/exchange.py
@@ -139,6 +139,7 @@
         limit_per_s: Requests a second that the endpoint takes from all daemons together; None if it
             names no limit.
         limit_unreadable: Whether it names a limit that cannot be read.
+        leaving: Whether the endpoint says that it is leaving.
     """
 
     status: int
@@ -154,6 +155,7 @@
     confidence: int | None = None
     limit_per_s: float | None = None
     limit_unreadable: bool = False
+    leaving: bool = False
 
     @property
     def success(self) -> bool:
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -31,6 +31,7 @@
 from comfreyhatch.exchange.crash_probe import CrashProbe
 from comfreyhatch.exchange.directory_sync import DirectorySync
 from comfreyhatch.exchange.endpoint_limits import EndpointLimits
+from comfreyhatch.exchange.endpoint_notices import EndpointNotices
 from comfreyhatch.exchange.endpoint_paths import EndpointPaths
 from comfreyhatch.exchange.endpoint_rates import EndpointRates
 from comfreyhatch.exchange.evidence import EvidenceCollector
@@ -140,11 +141,8 @@
             self._limits,
             self._paths,
             self._relays,
+            EndpointNotices(self.view, self._reports),
         )
-        self._relay_listener = RelayListener(
-            self.view, self._client, self._paths, sender.note_relayed_head, self.registry
-        )
-        self._relay_server = HttpServer(self._relay_listener.handle, None, True)
         self._billing = Billing(deployment.instance, run, directory)
         probe = CrashProbe(self.view, sender.is_down, sender.refuses_connections, rng)
         self._crashes = CrashGuard(
@@ -170,6 +168,15 @@
             self._rates,
             self._crashes.refusal,
         )
+        self._relay_listener = RelayListener(
+            self.view,
+            self._client,
+            self._paths,
+            sender.note_relayed_head,
+            self._scheduler.in_service,
+            self.registry,
+        )
+        self._relay_server = HttpServer(self._relay_listener.handle, None, True)
         self._sync = DirectorySync(
             deployment,
             directory,
--- a/comfreyhatch/exchange/eligibility.py
+++ b/comfreyhatch/exchange/eligibility.py
@@ -15,6 +15,9 @@
 # sent to the target version.
 MIN_SHARE_FOR_FALLBACK = 0.5
 
+# A leaving endpoint gets no request in the last part of its drain time.
+LEAVING_MARGIN_S = 0.5
+
 
 class EndpointEligibility:
     """Filters endpoints by registration, zone and version."""
@@ -47,7 +50,7 @@
     def endpoints_for(
         self, job: Job, excluded: frozenset[str], now: float
     ) -> list[EndpointTracker]:
-        """Return the eligible endpoints; ejected ones only if all are ejected.
+        """Return the eligible endpoints; ejected and leaving ones only if there are no others.
 
         Args:
             job: The request.
@@ -69,7 +72,8 @@
                 t for t in eligible if self._view.past_hold_down(job.service, t.record.version, now)
             ]
             eligible = past_hold_down or eligible
-        return [t for t in eligible if now >= t.ejected_until] or eligible
+        usable = [t for t in eligible if now >= t.ejected_until] or eligible
+        return [t for t in usable if t.leaving_since is None] or usable
 
     def _version_fallback(
         self,
@@ -109,5 +113,12 @@
         )
 
     def in_service(self, tracker: EndpointTracker, now: float) -> bool:
-        """Return whether an endpoint is available and its zone has not been taken out."""
+        """Return whether an endpoint is available and its zone has not been taken out.
+
+        One that is leaving is available for a short time after its notice, as the last resort.
+        """
+        if tracker.leaving_since is not None:
+            drain_s = self._deployment.bounds.drain_s
+            if now >= tracker.leaving_since + max(0.0, drain_s - LEAVING_MARGIN_S):
+                return False
         return self._view.available(tracker, now) and not self._view.zone_out(tracker.record.zone)
--- /dev/null
+++ b/comfreyhatch/exchange/endpoint_notices.py
@@ -0,0 +1,44 @@
+"""What endpoints announce of themselves in their answers: that they are leaving."""
+
+import logging
+
+from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
+from comfreyhatch.domain.exchange import AnswerHead
+from comfreyhatch.domain.leaving_report import LeavingReport
+from comfreyhatch.exchange.peer_reports import PeerReports
+from comfreyhatch.exchange.view import FleetView
+
+log = logging.getLogger("comfreyhatch.notices")
+
+
+class EndpointNotices:
+    """Notes announcements of endpoints, and tells other daemons which are leaving."""
+
+    def __init__(self, view: FleetView, reports: PeerReports) -> None:
+        """Create it.
+
+        Args:
+            view: Current state of the fleet.
+            reports: Carries reports to and from other daemons.
+        """
+        self._view = view
+        self._reports = reports
+        reports.subscribe(LeavingReport, self.learn)
+
+    def note_answer(self, endpoint: EndpointTracker, head: AnswerHead, now: float) -> None:
+        """Learn from the head of an endpoint's own answer."""
+        if head.leaving and endpoint.leaving_since is None:
+            self._note_leaving(endpoint, now, "answer")
+            self._reports.publish([LeavingReport(endpoint.start)], now)
+
+    def learn(self, report: LeavingReport, now: float) -> None:
+        """Learn from a report of another daemon; nothing if the endpoint has started anew."""
+        endpoint = self._view.tracker_by_id.get(report.start.rpartition("/")[0])
+        if endpoint is None or endpoint.start != report.start:
+            return
+        if endpoint.leaving_since is None:
+            self._note_leaving(endpoint, now - report.age_s, "report")
+
+    def _note_leaving(self, endpoint: EndpointTracker, since: float, source: str) -> None:
+        endpoint.leaving_since = since
+        log.info("event=endpoint_leaving endpoint=%s source=%s", endpoint.start, source)
--- a/comfreyhatch/exchange/relay_listener.py
+++ b/comfreyhatch/exchange/relay_listener.py
@@ -57,6 +57,7 @@
         client: HttpClient,
         paths: EndpointPaths,
         note_head: NoteHead,
+        may_use: Callable[[EndpointTracker, float], bool],
         registry: CollectorRegistry,
     ) -> None:
         """Create it.
@@ -66,12 +67,14 @@
             client: Holds the connections to endpoints.
             paths: Which endpoints this daemon reaches.
             note_head: Learns from the head of an endpoint's answer to a request sent at a time.
+            may_use: Returns whether any request may be sent to an endpoint at a time.
             registry: Registry of the metrics.
         """
         self._view = view
         self._client = client
         self._paths = paths
         self._note_head = note_head
+        self._may_use = may_use
         self._running = 0
         self.stopping = False
         self._relayed = Counter(
@@ -103,9 +106,7 @@
             return RelayFailure.BUSY
         if endpoint is None or endpoint.start != start:
             return RelayFailure.UNREACHABLE
-        if self._view.zone_out(endpoint.record.zone):
-            return RelayFailure.WITHDRAWN
-        if not self._view.available(endpoint, monotonic()):
+        if not self._may_use(endpoint, monotonic()):
             return RelayFailure.WITHDRAWN
         return RelayFailure.UNREACHABLE if endpoint.lost_at is not None else None
 
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -198,6 +198,10 @@
         entry.lease.set_exception(refusal)
         return True
 
+    def in_service(self, tracker: EndpointTracker, now: float) -> bool:
+        """Return whether any request may be sent to an endpoint."""
+        return self._eligibility.in_service(tracker, now)
+
     def pin_session(self, job: Job, version: str, now: float) -> None:
         """Pin the session of a request to a version."""
         self._eligibility.pin_session(job, version, now)
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -30,6 +30,7 @@
     RelayError,
 )
 from comfreyhatch.exchange.endpoint_limits import EndpointLimits
+from comfreyhatch.exchange.endpoint_notices import EndpointNotices
 from comfreyhatch.exchange.endpoint_paths import EndpointPaths
 from comfreyhatch.exchange.header_codec import HeaderCodec
 from comfreyhatch.exchange.health import note_lost_answer
@@ -142,7 +143,8 @@
         memory: AnswerMemory,
         limits: EndpointLimits,
         paths: EndpointPaths,
-        relays: RelayClient | None = None,
+        relays: RelayClient,
+        notices: EndpointNotices,
     ) -> None:
         """Create a sender.
 
@@ -153,10 +155,12 @@
             memory: Limits the answers that are read whole.
             limits: Learns the limits that endpoints name.
             paths: Notes which endpoints are within reach.
-            relays: Sends requests by way of other daemons; None for no such way.
+            relays: Sends requests by way of other daemons.
+            notices: Learns what endpoints announce of themselves.
         """
         self._paths = paths
         self._relays = relays
+        self._notices = notices
         self._memory = memory
         self._limits = limits
         self._client = client
@@ -201,9 +205,7 @@
             )
             head = self._codec.read_head(reply.status, reply.headers)
             _require_own_answer(job, head)
-            self._note_head(endpoint, head, loop.time())
-            if not head.misdirected:
-                self._limits.note_answer(endpoint, head, sent_at, loop.time())
+            self._note_head(endpoint, head, sent_at, loop.time())
             await self._check(endpoint, head, reply)
         except HttpError as error:
             await stack.aclose()
@@ -232,7 +234,7 @@
         """Send a request over this daemon's path, or by way of another daemon if that is lost."""
         loop = asyncio.get_running_loop()
         async with AsyncExitStack() as stack:
-            if self._relays is not None and self._paths.is_relayed(endpoint, loop.time()):
+            if self._paths.is_relayed(endpoint, loop.time()):
                 try:
                     reply = await stack.enter_async_context(self._relays.stream(endpoint, request))
                 except NoRelayError as error:
@@ -282,9 +284,7 @@
         """
         now = asyncio.get_running_loop().time()
         head = self._codec.read_head(reply.status, reply.headers)
-        self._note_head(endpoint, head, now)
-        if not head.misdirected:
-            self._limits.note_answer(endpoint, head, sent_at, now)
+        self._note_head(endpoint, head, sent_at, now)
 
     async def refuses_connections(self, endpoint: EndpointTracker) -> bool:
         """Return whether an endpoint refuses a new connection."""
@@ -338,8 +338,13 @@
         if head.success and (not head.has_receipt or head.encoded):
             raise AnswerBrokenError("the answer has no receipt or is encoded")
 
-    def _note_head(self, endpoint: EndpointTracker, head: AnswerHead, now: float) -> None:
+    def _note_head(
+        self, endpoint: EndpointTracker, head: AnswerHead, sent_at: float, now: float
+    ) -> None:
         endpoint.last_received_at = now
+        if not head.misdirected:
+            self._limits.note_answer(endpoint, head, sent_at, now)
+            self._notices.note_answer(endpoint, head, now)
         if head.load is not None:
             endpoint.record_load(head.load, now)
         if head.cold_s:
--- a/comfreyhatch/platform/header_codec.py
+++ b/comfreyhatch/platform/header_codec.py
@@ -128,6 +128,7 @@
             confidence=int(confidence) if _is_integer(confidence) else None,
             limit_per_s=min((limit for limit in limits if limit is not None), default=None),
             limit_unreadable=bool(limits) and limits.count(None) == len(limits),
+            leaving=_header_text(value_by_name, b"server-leaving") == "1",
         )
 
     def refusal(self, error: ComfreyhatchError) -> HttpResponse:
