Send nothing to an endpoint that has refused with a time to come back, until then

Cause: nothing read the Retry-After of an endpoint; a refusal only moved the load that it reports. Change: such an endpoint is in no choice until its time is over, whatever sends the request: first attempt, retry, hedge, resumed stream, relay. If all of them rest, a request waits if the rest ends within its wait; otherwise it is refused at once with the end of the rest, in the order in which the endpoints can serve them. Only finite positive numbers in a 503 count, at most an hour; a new start of the endpoint ends it.

Why it works: the time is kept with the endpoint before the refused attempt ends.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -29,6 +29,7 @@
         failure_share: Moving share of failures among its answers.
         pending_s: Engine time of this daemon's requests that wait for their first event.
         last_received_at: Time of the last head or new event received from the endpoint.
+        resting_until: Time until which it wants no requests from this daemon.
         removed_at: Time at which its record left the registry; None while it is listed.
         misdirected: Whether another endpoint answered at its address.
         rate: This daemon's part of the endpoint's rate while that is bounded.
@@ -48,6 +49,7 @@
         "ejected_until",
         "failure_share",
         "removed_at",
+        "resting_until",
         "in_flight",
         "last_received_at",
         "leaving_since",
@@ -71,6 +73,7 @@
         self.rate = EndpointRate()
         self.busy_since = now
         self.leaving_since: float | None = None
+        self.resting_until = 0.0
         self.lost_at: float | None = None
         self._other_load = 0.0
         self._other_load_at = 0.0
@@ -94,6 +97,7 @@
         if restarted:
             self.lost_at = None
             self.leaving_since = None
+            self.resting_until = 0.0
             self.ejected_until = 0.0
             self._consecutive_failures = 0
             self.failure_share = 0.0
@@ -153,6 +157,10 @@
             doublings = min(excess // FAILURES_TO_EJECT, MAX_EJECTION_DOUBLINGS)
             self.ejected_until = now + FIRST_EJECTION_S * 2**doublings
 
+    def record_rest(self, rest_s: float, now: float) -> None:
+        """Give the endpoint no requests for a time that it has named, in seconds."""
+        self.resting_until = max(self.resting_until, now + rest_s)
+
     def record_withdrawn(self, now: float) -> None:
         """Give the endpoint no requests for a time, as another daemon knows that it is leaving."""
         self.ejected_until = max(self.ejected_until, now + WITHDRAWN_EJECTION_S)
--- a/comfreyhatch/domain/exchange.py
+++ b/comfreyhatch/domain/exchange.py
@@ -140,6 +140,8 @@
             names no limit.
         limit_unreadable: Whether it names a limit that cannot be read.
         leaving: Whether the endpoint says that it is leaving.
+        rest_s: Time for which the endpoint wants no requests from this daemon, in seconds; None if
+            it names none.
     """
 
     status: int
@@ -156,6 +158,7 @@
     limit_per_s: float | None = None
     limit_unreadable: bool = False
     leaving: bool = False
+    rest_s: float | None = None
 
     @property
     def success(self) -> bool:
--- a/comfreyhatch/exchange/eligibility.py
+++ b/comfreyhatch/exchange/eligibility.py
@@ -113,10 +113,14 @@
         )
 
     def in_service(self, tracker: EndpointTracker, now: float) -> bool:
-        """Return whether an endpoint is available and its zone has not been taken out.
+        """Return whether an endpoint is available, not resting, and its zone not taken out.
 
         One that is leaving is available for a short time after its notice, as the last resort.
         """
+        return now >= tracker.resting_until and self.would_serve(tracker, now)
+
+    def would_serve(self, tracker: EndpointTracker, now: float) -> bool:
+        """Return whether an endpoint is in service, or will be once its rest is over."""
         if tracker.leaving_since is not None:
             drain_s = self._deployment.bounds.drain_s
             if now >= tracker.leaving_since + max(0.0, drain_s - LEAVING_MARGIN_S):
--- a/comfreyhatch/exchange/endpoint_notices.py
+++ b/comfreyhatch/exchange/endpoint_notices.py
@@ -1,4 +1,4 @@
-"""What endpoints announce of themselves in their answers: that they are leaving."""
+"""What endpoints announce in their answers: that they are leaving, or want to rest."""
 
 import logging
 
@@ -31,6 +31,10 @@
             self._note_leaving(endpoint, now, "answer")
             self._reports.publish([LeavingReport(endpoint.start)], now)
 
+        if head.rest_s is not None:
+            endpoint.record_rest(head.rest_s, now)
+            log.info("event=endpoint_resting endpoint=%s for_s=%.2f", endpoint.start, head.rest_s)
+
     def learn(self, report: LeavingReport, now: float) -> None:
         """Learn from a report of another daemon; nothing if the endpoint has started anew."""
         endpoint = self._view.tracker_by_id.get(report.start.rpartition("/")[0])
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Callable
 from itertools import count
+from math import inf
 from random import Random
 
 from msgspec import Struct
@@ -261,7 +262,8 @@
     ) -> SlotLease:
         queue = self._queue_by_service.setdefault(job.service, [])
         wait_s = max_wait_s(job, resumes, now)
-        if not eligible or len(queue) >= MAX_QUEUED_PER_SERVICE:
+        rests = not eligible and self._rest_s(job.service, now) <= wait_s
+        if not (eligible or rests) or len(queue) >= MAX_QUEUED_PER_SERVICE:
             raise self._refusal(job, now)
         waiter = Waiter(
             number=next(self._next_number),
@@ -387,6 +389,11 @@
         expected_s = self._expected_wait_s(job.service, len(queue) + 1, now)
         if in_service and len(self._rates.bounded(in_service, now)) == len(in_service):
             expected_s = max(expected_s, self._return_s(job.service, in_service, now))
+        if not in_service and self._rest_s(job.service, now) < inf:
+            return RefusedError(
+                f"all endpoints of {job.service} want no requests for a time",
+                retry_after_s=self._rested_return_s(job.service, now),
+            )
         after_s = retry_after_s(
             expected_s if in_service else max(expected_s, NO_ENDPOINT_RETRY_S),
             job.deadline - now,
@@ -408,6 +415,29 @@
             first_s, interval_s, now
         )
 
+    def _rest_s(self, service: str, now: float) -> float:
+        """Return the time until a resting endpoint takes requests again, in seconds; inf if none.
+
+        Only of use while no endpoint of the service is in service.
+        """
+        trackers = self._view.trackers_by_service.get(service, ())
+        return min(
+            (
+                tracker.resting_until - now
+                for tracker in trackers
+                if now < tracker.resting_until and self._eligibility.would_serve(tracker, now)
+            ),
+            default=inf,
+        )
+
+    def _rested_return_s(self, service: str, now: float) -> float:
+        """Return when to come back for endpoints that rest, in seconds; not all at once."""
+        slots = sum(t.record.slots for t in self._view.trackers_by_service.get(service, ()))
+        own_slots = max(1, slots // len(self._rates.daemons(now)))
+        interval_s = self._service_time(service).mean_s / own_slots
+        returns = self._returns_by_service.setdefault(service, ReturnTimes())
+        return self._rest_s(service, now) + returns.book(0.0, interval_s, now)
+
     def _service_time(self, service: str) -> ServiceTime:
         return self._service_time_by_service.setdefault(service, ServiceTime())
 
--- a/comfreyhatch/platform/header_codec.py
+++ b/comfreyhatch/platform/header_codec.py
@@ -20,6 +20,9 @@
 
 MS_PER_S = 1000.0
 HTTP_MISDIRECTED_REQUEST = 421
+HTTP_SERVICE_UNAVAILABLE = 503
+# Longest time for which an endpoint can keep requests away by one answer.
+MAX_REST_S = 3600.0
 # Callers conclude from these statuses that their request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MIN_DEADLINE_MS = 1
@@ -128,6 +131,7 @@
             confidence=int(confidence) if _is_integer(confidence) else None,
             limit_per_s=min((limit for limit in limits if limit is not None), default=None),
             limit_unreadable=bool(limits) and limits.count(None) == len(limits),
+            rest_s=_parse_rest(status, _header_text(value_by_name, b"retry-after")),
             leaving=_header_text(value_by_name, b"server-leaving") == "1",
         )
 
@@ -179,6 +183,17 @@
     return None if number is None else number / MS_PER_S
 
 
+def _parse_rest(status: int, value: str) -> float | None:
+    """Parse the time for which an endpoint that refuses wants no requests, in seconds.
+
+    Returns:
+        The time, at most `MAX_REST_S`; None for a date, anything else that is no positive number,
+        and any other status.
+    """
+    number = _parse_number(value) if status == HTTP_SERVICE_UNAVAILABLE else None
+    return min(number, MAX_REST_S) if number else None
+
+
 def _parse_limit(value: bytes) -> float | None:
     """Parse a rate, 0 or more; None for anything else, a negative number too."""
     text = value.decode("latin-1").strip()
--- a/tests/test_platform_header_codec.py
+++ b/tests/test_platform_header_codec.py
@@ -175,3 +175,34 @@
     response = CODEC.refusal(RefusedError("busy", retry_after_s=0.25))
     assert response.status == 503
     assert (b"retry-after", b"0.25") in response.headers
+
+
+@pytest.mark.parametrize(
+    ("value", "rest_s"),
+    [
+        ("2", 2.0),
+        ("0.75", 0.75),
+        ("0", None),
+        ("-3", None),
+        ("soon", None),
+        ("nan", None),
+        ("inf", None),
+        ("1e400", None),
+        ("9" * 5000, None),
+        ("1e12", 3600.0),
+        ("Wed, 21 Oct 2026 07:28:00 GMT", None),
+    ],
+)
+def test_time_for_which_an_endpoint_wants_no_requests_is_decoded(
+    value: str, rest_s: float | None
+) -> None:
+    assert CODEC.read_head(503, [(b"retry-after", value.encode())]).rest_s == rest_s
+
+
+def test_time_to_come_back_counts_in_refusals_only() -> None:
+    assert CODEC.read_head(200, [(b"retry-after", b"2")]).rest_s is None
+
+
+@pytest.mark.parametrize(("value", "leaving"), [("1", True), ("0", False), ("", False)])
+def test_notice_of_a_leaving_endpoint_is_decoded(value: str, leaving: bool) -> None:
+    assert CODEC.read_head(200, [(b"server-leaving", value.encode())]).leaving == leaving
--- a/tests/test_resting_endpoints.py
+++ b/tests/test_resting_endpoints.py
@@ -45,3 +45,52 @@
         await asyncio.sleep(0.05)
     late = [at for at in resting.received_at if at > refused_at + SLACK_S]
     assert len(late) <= MAX_REQUESTS
+
+
+async def rest_all(harness: PlatformHarness, retry_after: str) -> float:
+    """Let both desks refuse with a time to come back; return when the first one did."""
+    desks = [harness.worker_by_id[name] for name in ("desk-1", "desk-2")]
+    for desk in desks:
+        desk.refuses = True
+        desk.retry_after = retry_after
+    for _ in range(10):
+        await harness.send("/read/x")
+        if all(desk.received_at for desk in desks):
+            return min(desk.received_at[-1] for desk in desks)
+    raise AssertionError("an endpoint was not asked")
+
+
+async def test_callers_are_refused_at_once_and_come_back_when_endpoints_have_rested(
+    harness: PlatformHarness,
+) -> None:
+    await rest_all(harness, f"{REST_S:g}")
+    loop = asyncio.get_running_loop()
+    sent_at = loop.time()
+    replies = await asyncio.gather(
+        *(harness.send("/pay/x", deadline_ms="30000") for _ in range(20))
+    )
+    assert loop.time() - sent_at < 0.2
+    assert {reply.status for reply in replies} == {503}
+    times = [float(reply.header_by_name["retry-after"]) for reply in replies]
+    assert min(times) > REST_S - 1.0
+    assert len(set(times)) > 1
+
+
+async def test_short_rest_of_all_endpoints_is_waited_for(harness: PlatformHarness) -> None:
+    await harness.send("/pay/x")
+    started = asyncio.get_running_loop().time()
+    for name in ("desk-1", "desk-2"):
+        harness.daemon.view.tracker_by_id[name].record_rest(0.1, started)
+    assert (await harness.send("/pay/x")).status == 200
+    assert 0.1 <= asyncio.get_running_loop().time() - started < 0.5
+
+
+async def test_restarted_endpoint_does_not_rest(harness: PlatformHarness) -> None:
+    tracker = harness.daemon.view.tracker_by_id["desk-1"]
+    tracker.record_rest(60.0, asyncio.get_running_loop().time())
+    worker = harness.worker_by_id["desk-1"]
+    harness.store.put("servers", "desk-1", {**worker.record("desk", "a"), "born": 2})
+    await harness.wait_until(lambda: tracker.resting_until == 0.0)
+    for _ in range(10):
+        await harness.send("/read/x")
+    assert worker.received
