Follow the lists of endpoints and instances beside one odd entry of another writer

What callers saw: with an entry of 100,000 nested objects, or a port of 5,000 digits, the list of endpoints was not followed any more (each read ended in an error that nothing handled); with a capacity of 400 digits, or a host that is none, requests ended with 500. In the own fleet one entry that can't be decoded hid the whole instance list, and ports out of range were connected to.

Cause: decoders raise more than their own errors, and numbers without a bound reach what can't take them. Change: nesting errors count as unreadable entries; ports, capacities, times and starts have bounds; the instance list is decoded entry by entry if it can't be as a whole; an address that is none counts as one that can't be connected to.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -328,7 +328,8 @@
                     address.host,
                     address.port,
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, OverflowError, ValueError) as error:
+            # The last two are raised for an address that is none.
             raise ConnectError(f"cannot connect to {address}: {error!r}", ran=Ran.NO) from error
         self.connections_opened += 1
         return link
--- a/comfreyhatch/adapters/platform_http.py
+++ b/comfreyhatch/adapters/platform_http.py
@@ -1,5 +1,7 @@
 """The platform's instance list, rating service and weight store over HTTP."""
 
+import logging
+import re
 from typing import TypeVar
 
 from msgspec import DecodeError, Struct, ValidationError
@@ -14,8 +16,15 @@
 PLATFORM_TIMEOUT_S = 2.0
 NOT_MODIFIED_STATUS = 304
 
+MAX_PORT = 65535
+
+# Strings, and the characters outside of them that begin, divide and end lists and objects.
+_STRUCTURE = re.compile(rb'"(?:[^"\\]|\\.)*"|[][{},]', re.DOTALL)
+
 T = TypeVar("T")
 
+log = logging.getLogger("comfreyhatch.platform")
+
 
 class RatingReply(Struct, frozen=True):
     """A rating from 0 to 1."""
@@ -61,7 +70,7 @@
             return self._rows
         if reply.status != 200:
             raise PlatformError(f"platform at {self._address} answered {reply.status}")
-        self._rows = _decoded(reply.body, list[Instance])
+        self._rows = decode_instances(reply.body)
         self._etag = reply.header_by_name.get("etag", "")
         return self._rows
 
@@ -133,6 +142,59 @@
     return reply.body
 
 
+def decode_instances(body: bytes) -> list[Instance]:
+    """Decode an instance list; entries that can't be decoded or used are logged and left out.
+
+    Raises:
+        PlatformError: If the body is no list.
+    """
+    try:
+        found = decode_json(body, type=list[Instance])
+    except (DecodeError, ValidationError, RecursionError):
+        found = [i for i in map(_decode_instance, list_entries(body)) if i is not None]
+    return [instance for instance in found if _is_usable(instance)]
+
+
+def _decode_instance(entry: bytes) -> Instance | None:
+    try:
+        return decode_json(entry, type=Instance)
+    except (DecodeError, ValidationError, RecursionError) as error:
+        log.warning("event=instance_unreadable entry=%r reason=%r", entry[:80], str(error))
+        return None
+
+
+def _is_usable(instance: Instance) -> bool:
+    addresses = [instance.address, *([instance.control] if instance.control else [])]
+    if all(0 < address.port <= MAX_PORT for address in addresses):
+        return True
+    log.warning("event=instance_unusable instance=%r", instance.instance_id)
+    return False
+
+
+def list_entries(body: bytes) -> list[bytes]:
+    """Return the encoded entries of a JSON list, however deeply nested one of them is.
+
+    Raises:
+        PlatformError: If the body is no list.
+    """
+    entries = []
+    depth = start = lists = 0
+    for token in _STRUCTURE.finditer(body):
+        char = token[0][:1]
+        if char in b"]}":
+            depth -= 1
+        lists += char == b"]" and depth == 0
+        if (char == b"," and depth == 1) or (char == b"]" and depth == 0):
+            entries.append(body[start : token.start()])
+            start = token.end()
+        if char in b"[{":
+            depth += 1
+            start = token.end() if depth == 1 else start
+    if not body.lstrip().startswith(b"[") or depth or lists != 1 or body[start:].strip():
+        raise PlatformError("the platform's answer is malformed: it is no list")
+    return entries
+
+
 def _decoded(body: bytes, kind: type[T]) -> T:
     try:
         return decode_json(body, type=kind)
--- a/comfreyhatch/platform/documents.py
+++ b/comfreyhatch/platform/documents.py
@@ -4,9 +4,10 @@
 """
 
 import logging
-from typing import Any
+import re
+from typing import Annotated, Any
 
-from msgspec import DecodeError, Struct, ValidationError, convert, field
+from msgspec import DecodeError, Meta, Struct, ValidationError, convert
 from msgspec.json import decode
 
 from comfreyhatch.domain.catalog import (
@@ -30,6 +31,12 @@
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
 MAX_PORT = 65535
+# Larger numbers can't be told to peers, or be divided by, and are no sensible counts or times.
+MAX_COUNT = 2**31 - 1
+MAX_TIME_MS = 2**53
+
+_HOST = re.compile(r"[A-Za-z0-9.:_\-\[\]]{1,255}")
+_PORT = re.compile(r"[0-9]{1,5}")
 
 _KIND_BY_NAME = {
     "idempotent": RequestKind.IDEMPOTENT,
@@ -114,10 +121,11 @@
     address: str
     zone: str
     version: str
-    capacity: int
+    capacity: Annotated[int, Meta(le=MAX_COUNT)]
     state: str
-    cold_left_ms: float = 0.0
-    born: int = field(default=0)  # Unix time of its start, in milliseconds
+    cold_left_ms: Annotated[float, Meta(le=MAX_TIME_MS)] = 0.0
+    # Unix time of its start, in milliseconds.
+    born: Annotated[int, Meta(ge=0, le=MAX_TIME_MS)] = 0
 
 
 def decode_catalog(value: bytes) -> Catalog | None:
@@ -174,7 +182,7 @@
 def _parse_address(text: str) -> Address | None:
     """Parse HOST:PORT; return None if it is malformed or the port is out of range."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+    if not _HOST.fullmatch(host) or not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
         return None
     return Address(host, int(port))
 
@@ -183,7 +191,7 @@
     """Decode JSON into a struct; log a warning and return None if it is malformed."""
     try:
         return convert(decode(value), struct_type, strict=True)
-    except (DecodeError, ValidationError, UnicodeDecodeError) as error:
+    except (DecodeError, ValidationError, UnicodeDecodeError, RecursionError) as error:
         log.warning("event=document_unreadable what=%r reason=%r", what, str(error))
         return None
 
