Relay the very request that finds the last path of a service lost

The first request after a cut was tried at each endpoint directly, and had none left once all were known to be lost: it was refused with 503, though not run. Its last attempt goes by way of another daemon now. test_first_request_after_the_paths_are_lost_is_served; found by the test of heads that break off behind another daemon, which got 503 before.

--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -234,16 +234,33 @@
         """Send a request over this daemon's path, or by way of another daemon if that is lost."""
         loop = asyncio.get_running_loop()
         async with AsyncExitStack() as stack:
-            if self._paths.is_relayed(endpoint, loop.time()):
-                try:
-                    reply = await stack.enter_async_context(self._relays.stream(endpoint, request))
-                except NoRelayError as error:
-                    log.info("event=not_relayed reason=%r", str(error))
-                else:
-                    self._paths.note_relayed(endpoint, loop.time())
-                    yield reply
-                    return
-            yield await self._send_directly(stack, endpoint, request, fresh_connection)
+            reply = None
+            relayed = self._paths.is_relayed(endpoint, loop.time())
+            if relayed:
+                reply = await self._send_by_relay(stack, endpoint, request)
+            try:
+                if reply is None:
+                    reply = await self._send_directly(stack, endpoint, request, fresh_connection)
+            except ConnectError:
+                # The last path of the service may have been lost just now.
+                if relayed or not self._paths.is_relayed(endpoint, loop.time()):
+                    raise
+                reply = await self._send_by_relay(stack, endpoint, request)
+                if reply is None:
+                    raise
+            yield reply
+
+    async def _send_by_relay(
+        self, stack: AsyncExitStack, endpoint: EndpointTracker, request: RelayedRequest
+    ) -> StreamedReply | None:
+        """Return the answer by way of another daemon; None if none could send the request."""
+        try:
+            reply = await stack.enter_async_context(self._relays.stream(endpoint, request))
+        except NoRelayError as error:
+            log.info("event=not_relayed reason=%r", str(error))
+            return None
+        self._paths.note_relayed(endpoint, asyncio.get_running_loop().time())
+        return reply
 
     async def _send_directly(
         self,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -181,3 +181,11 @@
     reply = await harness.client.request(relay, "POST", "/relay", b"\xc1")
     assert reply.status == 400
     assert (await harness.client.request(relay, "GET", "/other")).status == 404
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/pay/x"])
+async def test_first_request_after_the_paths_are_lost_is_served(
+    harness: PlatformHarness, path: str
+) -> None:
+    LostPaths(harness.daemons[0]).cut(Loss.RESET)
+    assert (await harness.send(path, 0)).status == 200
