Answer requests that still run at the end of a planned stop's grace

Late requests are not taken here (the test passes on the code before), but those that still ran at the end saw their connections closed without an answer. They get a 502 that says that they may have run. An answer that another daemon relays carries a mark, so that such a 502 of its own is not taken for the endpoint's.

Three of the tests fail with the listener of before; both paths use it.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Callable, Iterable, Mapping
+from collections.abc import AsyncIterator, Callable, Collection, Iterable, Mapping
 from contextlib import asynccontextmanager
 from functools import partial
 from math import inf
@@ -73,15 +73,14 @@
         """Whether the head tells how the body ends; otherwise it ends with the connection."""
         return self._declared_bytes is not None or "transfer-encoding" in self.header_by_name
 
-    def without_framing(self, marker: bytes) -> "StreamedReply":
-        """Return the answer as one that only the end of its connection ends.
+    def without(self, names: Collection[bytes]) -> "StreamedReply":
+        """Return the answer without some headers; without those that frame it, its end is unknown.
 
         Args:
-            marker: Header that is left out too.
+            names: Names in lower case.
         """
-        dropped = (b"transfer-encoding", b"content-length", marker)
-        headers = [(name, value) for name, value in self.headers if name not in dropped]
-        return StreamedReply(self.status, headers, self._link, None)
+        headers = [(name, value) for name, value in self.headers if name not in names]
+        return StreamedReply(self.status, headers, self._link, _declared_bytes(headers))
 
     def abort(self) -> None:
         """Reset the connection; whoever reads the body sees it break."""
--- a/comfreyhatch/adapters/http_connection.py
+++ b/comfreyhatch/adapters/http_connection.py
@@ -18,7 +18,7 @@
     error_response,
 )
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.errors import ComfreyhatchError, RequestError
+from comfreyhatch.errors import BackendError, ComfreyhatchError, RequestError
 
 READ_SIZE_BYTES = 65536
 # Time for which what a caller sends after its last answer is read and dropped. A connection that is
@@ -83,6 +83,7 @@
         self.busy = False
         self._reading = False
         self._left = False
+        self._cut = False
         writer.transport.set_write_buffer_limits(high=limits.buffer_bytes)
 
     def caller_left(self, task: asyncio.Task[None]) -> None:
@@ -91,6 +92,11 @@
         if self.busy:
             task.cancel()
 
+    def cut(self, task: asyncio.Task[None]) -> None:
+        """End the request that is being answered; its caller is told that it may have run."""
+        self._cut = True
+        task.cancel()
+
     def note_input(self) -> None:
         """Note that bytes have come, which begin a request unless one is being read or answered."""
         self._reading = self._reading or not self.busy
@@ -112,7 +118,7 @@
             h11.ProtocolError: If the caller broke the protocol.
         """
         await self._serve_requests(is_closing)
-        if not self._left:
+        if not (self._left or self._cut):
             await self._linger()
 
     async def _serve_requests(self, is_closing: Callable[[], bool]) -> None:
@@ -220,6 +226,12 @@
             response = await self._handler(request)
         except ComfreyhatchError as error:
             response = error_response(error)
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is None or not self._cut or self._left:
+                raise
+            task.uncancel()
+            response = error_response(BackendError("the instance has stopped"))
         except Exception:
             log.exception("event=handler_failed path=%s", request.path)
             response = error_response(ComfreyhatchError("internal error; see the log"))
--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -74,7 +74,8 @@
         """Close the listener, let requests that have come end, then close what is left.
 
         Args:
-            grace_s: Time for these requests, in seconds; with none, they are cut at once.
+            grace_s: Time for these requests, in seconds, after which their callers are told that
+                they may have run; with none, they are cut at once.
         """
         if grace_s > 0:
             await self._stop_accepting()
@@ -85,10 +86,16 @@
         tasks = list(self._task_by_connection.values())
         if tasks:
             _, late = await asyncio.wait(tasks, timeout=grace_s)
-            for task in late:
-                task.cancel()
+            self._cut(late, grace_s > 0)
             await asyncio.gather(*late, return_exceptions=True)
 
+    def _cut(self, late: "set[asyncio.Task[None]]", answers: bool) -> None:
+        for connection, task in self._task_by_connection.items():
+            if task in late and answers and connection.busy:
+                connection.cut(task)
+            elif task in late:
+                task.cancel()
+
     async def _stop_accepting(self) -> None:
         """Accept the connections that wait, and no later ones, and read what has come on them.
 
--- a/comfreyhatch/exchange/relay_client.py
+++ b/comfreyhatch/exchange/relay_client.py
@@ -20,7 +20,13 @@
     NoRelayError,
     RelayError,
 )
-from comfreyhatch.exchange.relay_listener import FAILURE_HEADER, UNDELIMITED_HEADER
+from comfreyhatch.exchange.relay_listener import (
+    ANSWER_HEADER,
+    FAILURE_HEADER,
+    UNDELIMITED_HEADER,
+)
+
+FRAMING_HEADERS = (b"transfer-encoding", b"content-length")
 
 log = logging.getLogger("comfreyhatch.relay")
 
@@ -87,13 +93,15 @@
             attempt = await stack.enter_async_context(AsyncExitStack())
             reply = await self._ask(attempt, daemon, relays[daemon], request.timeout_s, body)
             failure = _failure_of(reply) if reply is not None else None
-            if reply is not None and failure is None:
+            if reply is not None and _is_answer(reply):
                 self._choice.note_reached(daemon, service)
                 self._relayed.labels("answered").inc()
                 return _endpoint_reply(reply)
             await attempt.aclose()
             if failure is not None:
                 self._note_failure(daemon, service, failure, loop.time())
+            elif reply is not None:
+                raise RelayError(f"daemon {daemon} has not ended its work: {reply.status}")
         raise NoRelayError(f"no other daemon reaches {endpoint.record.endpoint_id}")
 
     async def _ask(
@@ -153,7 +161,12 @@
         return RelayFailure.BROKEN
 
 
+def _is_answer(reply: StreamedReply) -> bool:
+    return any(name == ANSWER_HEADER for name, _ in reply.headers)
+
+
 def _endpoint_reply(reply: StreamedReply) -> StreamedReply:
     """Return an answer as the endpoint framed it."""
     undelimited = any(name == UNDELIMITED_HEADER for name, _ in reply.headers)
-    return reply.without_framing(UNDELIMITED_HEADER) if undelimited else reply
+    own = [ANSWER_HEADER, UNDELIMITED_HEADER]
+    return reply.without([*own, *(FRAMING_HEADERS if undelimited else ())])
--- a/comfreyhatch/exchange/relay_listener.py
+++ b/comfreyhatch/exchange/relay_listener.py
@@ -35,9 +35,11 @@
 MAX_RELAYED = 64
 HTTP_SERVICE_UNAVAILABLE = 503
 FAILURE_HEADER = b"x-relay-failure"
+# Set for an answer of the endpoint; any other one is of a daemon that could not end its work.
+ANSWER_HEADER = b"x-relay-answer"
 # Set for an answer whose end only the end of the endpoint's connection tells.
 UNDELIMITED_HEADER = b"x-relay-undelimited"
-_OWN_HEADERS = frozenset({FAILURE_HEADER, UNDELIMITED_HEADER})
+_OWN_HEADERS = frozenset({FAILURE_HEADER, ANSWER_HEADER, UNDELIMITED_HEADER})
 
 NoteHead = Callable[[EndpointTracker, StreamedReply, float], None]
 
@@ -158,6 +160,7 @@
 def _answer_headers(reply: StreamedReply) -> Headers:
     dropped = HOP_BY_HOP_HEADERS | _OWN_HEADERS
     headers = [(name, value) for name, value in reply.headers if name not in dropped]
+    headers.append((ANSWER_HEADER, b"1"))
     if not reply.delimited:
         headers.append((UNDELIMITED_HEADER, b"1"))
     return headers
