Share the slots of brittle endpoints, and leave them alone after a refusal

Change: while an endpoint says so, each daemon has at most its even share of the slots there; a refusal takes the endpoint out of all daemons' choices for a pause that follows from what it names and from the number of daemons.

With more daemons than slots an endpoint may still refuse up to one request of each in the time that a report takes; then all pause.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -33,6 +33,7 @@
         removed_at: Time at which its record left the registry; None while it is listed.
         misdirected: Whether another endpoint answered at its address.
         rate: This daemon's part of the endpoint's rate while that is bounded.
+        brittle_per_s: Refusals in a second beyond which it falls over; None if it is not brittle.
         busy_since: Time from which at least one of this daemon's requests has run on it.
         leaving_since: Time at which it said that it is leaving; None if it has not.
         lost_at: Time at which connections to it began to fail; None while they can be opened.
@@ -44,6 +45,7 @@
         "_other_load",
         "_other_load_at",
         "_consecutive_failures",
+        "brittle_per_s",
         "busy_since",
         "cold_until",
         "ejected_until",
@@ -74,6 +76,7 @@
         self.busy_since = now
         self.leaving_since: float | None = None
         self.resting_until = 0.0
+        self.brittle_per_s: float | None = None
         self.lost_at: float | None = None
         self._other_load = 0.0
         self._other_load_at = 0.0
@@ -98,6 +101,7 @@
             self.lost_at = None
             self.leaving_since = None
             self.resting_until = 0.0
+            self.brittle_per_s = None
             self.ejected_until = 0.0
             self._consecutive_failures = 0
             self.failure_share = 0.0
--- a/comfreyhatch/domain/exchange.py
+++ b/comfreyhatch/domain/exchange.py
@@ -140,6 +140,8 @@
             names no limit.
         limit_unreadable: Whether it names a limit that cannot be read.
         leaving: Whether the endpoint says that it is leaving.
+        brittle_per_s: Refusals in a second beyond which the endpoint falls over; None if it is not
+            brittle.
         rest_s: Time for which the endpoint wants no requests from this daemon, in seconds; None if
             it names none.
     """
@@ -159,6 +161,7 @@
     limit_unreadable: bool = False
     leaving: bool = False
     rest_s: float | None = None
+    brittle_per_s: float | None = None
 
     @property
     def success(self) -> bool:
--- a/comfreyhatch/exchange/endpoint_notices.py
+++ b/comfreyhatch/exchange/endpoint_notices.py
@@ -2,8 +2,10 @@
 
 import logging
 
+from comfreyhatch.decisions.brittle import refused_pause_s
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.exchange import AnswerHead
+from comfreyhatch.domain.full_report import FullReport
 from comfreyhatch.domain.leaving_report import LeavingReport
 from comfreyhatch.exchange.peer_reports import PeerReports
 from comfreyhatch.exchange.view import FleetView
@@ -24,6 +26,7 @@
         self._view = view
         self._reports = reports
         reports.subscribe(LeavingReport, self.learn)
+        reports.subscribe(FullReport, self.learn_full)
 
     def note_answer(self, endpoint: EndpointTracker, head: AnswerHead, now: float) -> None:
         """Learn from the head of an endpoint's own answer."""
@@ -31,10 +34,32 @@
             self._note_leaving(endpoint, now, "answer")
             self._reports.publish([LeavingReport(endpoint.start)], now)
 
+        if head.brittle_per_s is not None or head.has_receipt:
+            self._note_brittle(endpoint, head.brittle_per_s)
+        if head.brittle_per_s is not None and head.refused:
+            self._note_full(endpoint, head.brittle_per_s, now)
         if head.rest_s is not None:
             endpoint.record_rest(head.rest_s, now)
             log.info("event=endpoint_resting endpoint=%s for_s=%.2f", endpoint.start, head.rest_s)
 
+    def learn_full(self, report: FullReport, now: float) -> None:
+        """Learn from a report of another daemon that a brittle endpoint has no room."""
+        endpoint = self._view.tracker_by_id.get(report.start.rpartition("/")[0])
+        if endpoint is not None and endpoint.start == report.start:
+            endpoint.record_rest(report.pause_s - report.age_s, now)
+
+    def _note_brittle(self, endpoint: EndpointTracker, per_s: float | None) -> None:
+        if endpoint.brittle_per_s != per_s:
+            endpoint.brittle_per_s = per_s
+            shown = "none" if per_s is None else f"{per_s:g}"
+            log.info("event=endpoint_brittle endpoint=%s refusals_per_s=%s", endpoint.start, shown)
+
+    def _note_full(self, endpoint: EndpointTracker, per_s: float, now: float) -> None:
+        pause_s = refused_pause_s(per_s, max(1, len(self._view.daemons())))
+        if now >= endpoint.resting_until:
+            self._reports.publish([FullReport(endpoint.start, pause_s)], now)
+        endpoint.record_rest(pause_s, now)
+
     def learn(self, report: LeavingReport, now: float) -> None:
         """Learn from a report of another daemon; nothing if the endpoint has started anew."""
         endpoint = self._view.tracker_by_id.get(report.start.rpartition("/")[0])
--- a/comfreyhatch/exchange/peer_reports.py
+++ b/comfreyhatch/exchange/peer_reports.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
+from comfreyhatch.domain.full_report import FullReport
 from comfreyhatch.domain.leaving_report import LeavingReport
 from comfreyhatch.domain.limit_report import LimitReport
 from comfreyhatch.domain.part_report import PartReport, ReportKind
@@ -19,7 +20,7 @@
 from comfreyhatch.domain.session_report import SessionReport
 from comfreyhatch.errors import PeerError
 
-Report = PartReport | RequestReport | SessionReport | LimitReport | LeavingReport
+Report = PartReport | RequestReport | SessionReport | LimitReport | LeavingReport | FullReport
 # Reports that a daemon keeps for others in each room, and that wait to be sent; older ones are
 # dropped beyond this. Sessions are told of all at once as a roll-out begins.
 MAX_REPORTS_BY_ROOM: dict[str, int] = {
@@ -30,6 +31,7 @@
     "session": 4096,
     "limit": 8192,
     "leaving": 8192,
+    "full": 1024,
 }
 # Times that a report is sent to a reader that does not answer.
 MAX_SENDS = 4
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -10,6 +10,7 @@
 from msgspec import Struct
 
 from comfreyhatch.codes import ResultCode
+from comfreyhatch.decisions.brittle import slots_share
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.isolation import ServiceReachability
 from comfreyhatch.decisions.placement import choose_endpoint
@@ -371,6 +372,10 @@
         return SlotLease(tracker, job, work_s if job.route.models else 0.0, now)
 
     def _has_free_slot(self, tracker: EndpointTracker, now: float) -> bool:
+        if tracker.brittle_per_s is not None:
+            share = slots_share(tracker.record.slots, len(self._rates.daemons(now)))
+            if tracker.in_flight >= share:
+                return False
         return tracker.running(now) < tracker.record.slots and self._rates.may_send(tracker, now)
 
     def _expected_wait_s(self, service: str, ahead: int, now: float) -> float:
--- a/comfreyhatch/platform/header_codec.py
+++ b/comfreyhatch/platform/header_codec.py
@@ -132,6 +132,7 @@
             limit_per_s=min((limit for limit in limits if limit is not None), default=None),
             limit_unreadable=bool(limits) and limits.count(None) == len(limits),
             rest_s=_parse_rest(status, _header_text(value_by_name, b"retry-after")),
+            brittle_per_s=_parse_limit(value_by_name.get(b"server-brittle", b"")),
             leaving=_header_text(value_by_name, b"server-leaving") == "1",
         )
 
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -30,6 +30,10 @@
         received: Requests received so far.
         received_at: Times of the event loop at which they came.
         leaving: Whether its answers say that it is leaving.
+        brittle_per_s: Refusals a second beyond which it falls over, named in its answers; None if
+            it is not brittle.
+        room: Requests that it takes at once; more are refused. None for no bound.
+        refused_at: Times of the event loop at which it refused requests for want of room.
         retry_after: Value of the header retry-after of its refusals; empty for none.
         limit_per_s: Requests a second that it takes, named in its answers; None for no limit.
         cancelled: Number of requests that were cancelled.
@@ -57,6 +61,10 @@
         self.received_at: list[float] = []
         self.leaving = False
         self.retry_after = ""
+        self.brittle_per_s: int | None = None
+        self.room: int | None = None
+        self.refused_at: list[float] = []
+        self._running = 0
         self.limit_per_s: float | None = None
         self.cancelled = 0
         self.completed_streams = 0
@@ -100,6 +108,27 @@
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         self.received.append(request)
         self.received_at.append(asyncio.get_running_loop().time())
+        if self.room is not None and self._running >= self.room:
+            self.refused_at.append(asyncio.get_running_loop().time())
+            return self._refusal(request)
+        self._running += 1
+        try:
+            return await self._run(request)
+        finally:
+            self._running -= 1
+
+    def _refusal(self, request: HttpRequest) -> HttpResponse:
+        headers = [(b"attempt-id", request.header("attempt-id").encode()), (b"not-executed", b"1")]
+        return HttpResponse(503, headers=[*headers, *self._notices()])
+
+    def _notices(self) -> list[tuple[bytes, bytes]]:
+        """Return what each answer says of the worker."""
+        notices = [(b"server-leaving", b"1")] if self.leaving else []
+        if self.brittle_per_s is not None:
+            notices.append((b"server-brittle", b"%d" % self.brittle_per_s))
+        return notices
+
+    async def _run(self, request: HttpRequest) -> HttpResponse:
         try:
             if self.hold:
                 await self.hold.wait()
@@ -120,8 +149,7 @@
             return HttpResponse(421, headers=[*headers, (b"instance-id", self.worker_id.encode())])
         if self.limit_per_s is not None:
             headers.append((b"server-limit", f"{self.limit_per_s:g}".encode()))
-        if self.leaving:
-            headers.append((b"server-leaving", b"1"))
+        headers += self._notices()
         if self.refuses:
             if self.retry_after:
                 headers.append((b"retry-after", self.retry_after.encode()))
