--- a/comfreyhatch/decisions/brittle.py
+++ b/comfreyhatch/decisions/brittle.py
@@ -1,8 +1,8 @@
 """How much is sent to endpoints that fall over when they have to refuse too much in a second.
 
-Daemons share the slots of such an endpoint evenly, so that it need not refuse. One that refuses all
-the same gets nothing from any daemon for a pause, so long that refusals stay below what it has named
-even if no daemon hears of the others'.
+Daemons share the slots of such an endpoint evenly, so that it need not refuse. After a refusal no
+daemon sends it anything for a pause, so long that refusals stay below what it has named even if no
+daemon hears of the others'.
 """
 
 # Share of the refusals that an endpoint names which all daemons together cause at most.
