Probe one endpoint of a silent service first, and close idle connections only of lost services

Reading the change anew: four new connections a second for a service that is only slow are a price that one can tell; a single connection that fails (a lost packet) closed up to 64 sound idle ones; the share of reachable endpoints in the readiness check counted lost ones that are not ejected; a further attempt at the same engine by way of another daemon had no connection of its own.

--- a/comfreyhatch/decisions/path_probes.py
+++ b/comfreyhatch/decisions/path_probes.py
@@ -52,10 +52,12 @@
     def sample(
         self, service: str, listed: Iterable[EndpointTracker], now: float
     ) -> list[EndpointTracker]:
-        """Return the endpoints to probe for a silent service."""
+        """Return the endpoints to probe for a silent service, the one silent longest first."""
         self._probed_at_by_service[service] = now
         reachable = [tracker for tracker in listed if tracker.lost_at is None]
-        return self._rng.sample(reachable, min(MAX_SILENT_PROBES, len(reachable)))
+        first = max(reachable, key=lambda tracker: tracker.silent_s(now))
+        others = [tracker for tracker in reachable if tracker is not first]
+        return [first, *self._rng.sample(others, min(MAX_SILENT_PROBES - 1, len(others)))]
 
     def due(
         self, listed: Iterable[EndpointTracker], service_lost: bool, now: float
--- a/comfreyhatch/domain/relay.py
+++ b/comfreyhatch/domain/relay.py
@@ -29,6 +29,7 @@
         headers: Headers for the endpoint.
         body: Body.
         timeout_s: Time that is left for the whole answer, in seconds.
+        fresh_connection: Whether it needs a connection of its own.
     """
 
     start: str
@@ -37,6 +38,7 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     timeout_s: float
+    fresh_connection: bool = False
 
 
 class RelayFailure(Enum):
--- a/comfreyhatch/exchange/endpoint_paths.py
+++ b/comfreyhatch/exchange/endpoint_paths.py
@@ -68,13 +68,9 @@
             self.note_reached(endpoint, now)
 
     def note_unreachable(self, endpoint: EndpointTracker, now: float) -> None:
-        """Note that no connection to an endpoint could be opened.
-
-        Idle ones are closed: they may be silent, and would each take a request.
-        """
+        """Note that no connection to an endpoint could be opened."""
         if endpoint.lost_at is None:
             endpoint.lost_at = now
-            self._client.drop_idle(endpoint.record.address)
             log.info("event=path_lost endpoint=%s", endpoint.record.endpoint_id)
         self._update_service(endpoint.record.service, now)
 
@@ -101,8 +97,10 @@
         if lost and since is None:
             self._lost_since_by_service[service] = now
             for tracker in listed:
-                # They may be reached by way of other daemons.
+                # It may be reached by way of other daemons, and its idle connections may be silent:
+                # each of them would take a request.
                 tracker.ejected_until = 0.0
+                self._client.drop_idle(tracker.record.address)
             log.warning("event=service_lost service=%s endpoints=%d", service, len(listed))
         elif not lost and since is not None:
             del self._lost_since_by_service[service]
--- a/comfreyhatch/exchange/path_monitor.py
+++ b/comfreyhatch/exchange/path_monitor.py
@@ -61,10 +61,16 @@
     async def _probe_silent(
         self, service: str, listed: Sequence[EndpointTracker], now: float
     ) -> None:
-        """Probe some endpoints of a silent service; if none is reached, all of them are lost."""
+        """Probe some endpoints of a silent service; if none is reached, all of them are lost.
+
+        One of them that can be reached is only slow; the others are not probed then.
+        """
         sample = self._probes.sample(service, listed, now)
+        await self._probe(sample[0])
+        if sample[0].lost_at is None:
+            return
         log.info("event=service_silent service=%s probed=%d", service, len(sample))
-        await asyncio.gather(*(self._probe(tracker) for tracker in sample))
+        await asyncio.gather(*(self._probe(tracker) for tracker in sample[1:]))
         if all(tracker.lost_at is not None for tracker in sample):
             ended = asyncio.get_running_loop().time()
             for tracker in listed:
--- a/comfreyhatch/exchange/relay_listener.py
+++ b/comfreyhatch/exchange/relay_listener.py
@@ -126,6 +126,7 @@
                     relayed.body,
                     relayed.headers,
                     relayed.timeout_s,
+                    relayed.fresh_connection,
                 )
             )
         except ConnectError:
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -244,7 +244,7 @@
     def _service_reach(self, service: str, now: float) -> ServiceReachability:
         trackers = self._view.trackers_by_service[service]
         usable = [tracker for tracker in trackers if self._eligibility.in_service(tracker, now)]
-        reachable = [tracker for tracker in usable if now >= tracker.ejected_until]
+        reachable = [t for t in usable if now >= t.ejected_until and t.lost_at is None]
         delays = sorted(tracker.delay_s(now) for tracker in reachable)
         return ServiceReachability(
             unreachable=1 - len(reachable) / len(usable) if usable else 0.0,
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -198,11 +198,10 @@
             self._codec.dispatch_headers(job.exchange, dispatch),
             job.exchange.body,
             head_timeout_s,
+            fresh_connection,
         )
         try:
-            reply = await stack.enter_async_context(
-                self._exchange(endpoint, request, fresh_connection)
-            )
+            reply = await stack.enter_async_context(self._exchange(endpoint, request))
             head = self._codec.read_head(reply.status, reply.headers)
             _require_own_answer(job, head)
             self._note_head(endpoint, head, sent_at, loop.time())
@@ -229,7 +228,7 @@
 
     @asynccontextmanager
     async def _exchange(
-        self, endpoint: EndpointTracker, request: RelayedRequest, fresh_connection: bool
+        self, endpoint: EndpointTracker, request: RelayedRequest
     ) -> AsyncIterator[StreamedReply]:
         """Send a request over this daemon's path, or by way of another daemon if that is lost."""
         loop = asyncio.get_running_loop()
@@ -240,7 +239,7 @@
                 reply = await self._send_by_relay(stack, endpoint, request)
             try:
                 if reply is None:
-                    reply = await self._send_directly(stack, endpoint, request, fresh_connection)
+                    reply = await self._send_directly(stack, endpoint, request)
             except ConnectError:
                 # The last path of the service may have been lost just now.
                 if relayed or not self._paths.is_relayed(endpoint, loop.time()):
@@ -267,7 +266,6 @@
         stack: AsyncExitStack,
         endpoint: EndpointTracker,
         request: RelayedRequest,
-        fresh_connection: bool,
     ) -> StreamedReply:
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
@@ -280,7 +278,7 @@
                     request.body,
                     request.headers,
                     request.timeout_s,
-                    fresh_connection,
+                    request.fresh_connection,
                 )
             )
         except ConnectError:
--- a/tests/test_path_probes.py
+++ b/tests/test_path_probes.py
@@ -61,3 +61,11 @@
         tracker.lost_at = 0.0
     probes.due(found, True, 0.0)
     assert len(probes.due(found, True, 1.0)) == MAX_LOST_PROBES
+
+
+def test_endpoint_that_is_silent_longest_is_probed_first() -> None:
+    probes, found = PathProbes(Random(1)), trackers(10)
+    for number, tracker in enumerate(found[:5]):
+        tracker.in_flight = 1
+        tracker.last_received_at = tracker.busy_since = 0.1 * (5 - number)
+    assert probes.sample("desk", found, 5.0)[0] is found[4]
