--- a/comfreyhatch/domain/operations.py
+++ b/comfreyhatch/domain/operations.py
@@ -116,6 +116,22 @@
     other_by_route: dict[str, VersionOutcomes]
 
 
+class DaemonAddresses(Struct, frozen=True):
+    """Where a daemon is reached, as other daemons know it.
+
+    Attributes:
+        control: Control address, as host:port.
+        region: Region.
+        link_mbps: Bandwidth of its link, in megabits a second; 0 if unknown.
+        relay: Where it takes requests of other daemons; None if it takes none.
+    """
+
+    control: str
+    region: str = ""
+    link_mbps: float = 0.0
+    relay: RelayAddress | None = None
+
+
 class SharedRecords(Struct, frozen=True):
     """Records that daemons share through the store, at one position.
 
--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -14,7 +14,7 @@
 
 from comfreyhatch.decisions.readers import MAX_POLL_WAIT_S, poll_wait_s
 from comfreyhatch.domain.deployment import Deployment
-from comfreyhatch.domain.operations import Operations
+from comfreyhatch.domain.operations import DaemonAddresses, Operations
 from comfreyhatch.domain.permit import PermitAnswer, PermitAsk
 from comfreyhatch.domain.position import Position
 from comfreyhatch.domain.relay import RelayAddress
@@ -252,14 +252,12 @@
     async def _publish(self) -> None:
         if self._deployment.control is None:
             return
-        address = str(self._deployment.control)
         deployment = self._deployment
-        self._control_published = await self._directory.put_control(
-            deployment.instance,
-            address,
-            deployment.region,
-            deployment.link_mbps,
-            self._relay_address(),
+        addresses = DaemonAddresses(
+            str(deployment.control), deployment.region, deployment.link_mbps, self._relay_address()
+        )
+        self._control_published = await self._directory.put_addresses(
+            deployment.instance, addresses
         )
 
     def _relay_address(self) -> RelayAddress | None:
--- a/comfreyhatch/platform/directory.py
+++ b/comfreyhatch/platform/directory.py
@@ -10,6 +10,7 @@
 from comfreyhatch.domain.catalog import Catalog
 from comfreyhatch.domain.endpoint import EndpointList, EndpointRecord
 from comfreyhatch.domain.operations import (
+    DaemonAddresses,
     Evidence,
     Operations,
     RolloutOrder,
@@ -17,7 +18,6 @@
     SharedRecords,
 )
 from comfreyhatch.domain.position import Position
-from comfreyhatch.domain.relay import RelayAddress
 from comfreyhatch.domain.usage import UsageBatch
 from comfreyhatch.errors import PlatformError
 from comfreyhatch.platform.documents import decode_catalog, decode_endpoint, decode_order
@@ -49,22 +49,6 @@
     to: str  # target version
 
 
-class _DaemonAddress(Struct):
-    """What other daemons know of a daemon.
-
-    Attributes:
-        control: Control address, as host:port.
-        region: Region.
-        link_mbps: Bandwidth of its link, in megabits a second; 0 if unknown.
-        relay: Where it takes requests of other daemons; None if it takes none.
-    """
-
-    control: str
-    region: str = ""
-    link_mbps: float = 0.0
-    relay: RelayAddress | None = None
-
-
 class StoreDirectory:
     """Directory whose records are rows of the platform's store; see `ports.directory.Directory`."""
 
@@ -92,17 +76,9 @@
         )
         return _apply_records(held, rows, is_full)
 
-    async def put_control(
-        self,
-        daemon: str,
-        address: str,
-        region: str,
-        link_mbps: float,
-        relay: RelayAddress | None = None,
-    ) -> bool:
-        """Publish this daemon's addresses, region and link; return whether they are stored."""
-        value = encode(_DaemonAddress(address, region, link_mbps, relay))
-        return await self._put([Write(DAEMON_TABLE, DAEMON_PREFIX + daemon, value)])
+    async def put_addresses(self, daemon: str, addresses: DaemonAddresses) -> bool:
+        """Publish where this daemon is reached; return whether it is stored."""
+        return await self._put([Write(DAEMON_TABLE, DAEMON_PREFIX + daemon, encode(addresses))])
 
     async def put_evidence(self, evidence: Evidence) -> bool:
         """Publish the answer counts of this daemon; return whether they are stored."""
@@ -256,14 +232,14 @@
         elif row.key.startswith(EVIDENCE_PREFIX):
             _update_value(evidence, row, row.key.removeprefix(EVIDENCE_PREFIX), Evidence)
         elif row.key.startswith(DAEMON_PREFIX):
-            address = _decode(row, _DaemonAddress)
-            if address:
+            found = _decode(row, DaemonAddresses)
+            if found:
                 daemon = row.key.removeprefix(DAEMON_PREFIX)
-                controls[daemon] = address.control
-                regions[daemon] = address.region
-                links[daemon] = address.link_mbps
-                if address.relay is not None:
-                    relays[daemon] = address.relay
+                controls[daemon] = found.control
+                regions[daemon] = found.region
+                links[daemon] = found.link_mbps
+                if found.relay is not None:
+                    relays[daemon] = found.relay
     return SharedRecords(
         rows.revision,
         rows.store_ms,
--- a/comfreyhatch/ports/directory.py
+++ b/comfreyhatch/ports/directory.py
@@ -12,8 +12,13 @@
 from msgspec.structs import replace
 
 from comfreyhatch.domain.endpoint import EndpointList
-from comfreyhatch.domain.operations import Evidence, Operations, RolloutRecord, SharedRecords
-from comfreyhatch.domain.relay import RelayAddress
+from comfreyhatch.domain.operations import (
+    DaemonAddresses,
+    Evidence,
+    Operations,
+    RolloutRecord,
+    SharedRecords,
+)
 from comfreyhatch.domain.usage import UsageBatch
 from comfreyhatch.errors import PlatformError
 
@@ -38,15 +43,8 @@
     async def records(self, held: SharedRecords | None, wait_s: float) -> SharedRecords:
         """Return the records that daemons have published."""
 
-    async def put_control(
-        self,
-        daemon: str,
-        address: str,
-        region: str,
-        link_mbps: float,
-        relay: RelayAddress | None = None,
-    ) -> bool:
-        """Publish this daemon's addresses, region and link; return whether they are stored."""
+    async def put_addresses(self, daemon: str, addresses: DaemonAddresses) -> bool:
+        """Publish where this daemon is reached; return whether it is stored."""
 
     async def put_evidence(self, evidence: Evidence) -> bool:
         """Publish the answer counts of this daemon; return whether they are stored."""
@@ -104,22 +102,16 @@
         await self._check()
         return self.current_records
 
-    async def put_control(
-        self,
-        daemon: str,
-        address: str,
-        region: str,
-        link_mbps: float,
-        relay: RelayAddress | None = None,
-    ) -> bool:
-        """Store a daemon's addresses, its region and the bandwidth of its link."""
+    async def put_addresses(self, daemon: str, addresses: DaemonAddresses) -> bool:
+        """Store where a daemon is reached."""
         if not self.available:
             return False
-        self.current_records.control_by_daemon[daemon] = address
-        self.current_records.region_by_daemon[daemon] = region
-        self.current_records.link_by_daemon[daemon] = link_mbps
-        if relay is not None:
-            self.current_records.relay_by_daemon[daemon] = relay
+        records = self.current_records
+        records.control_by_daemon[daemon] = addresses.control
+        records.region_by_daemon[daemon] = addresses.region
+        records.link_by_daemon[daemon] = addresses.link_mbps
+        if addresses.relay is not None:
+            records.relay_by_daemon[daemon] = addresses.relay
         return True
 
     async def put_evidence(self, evidence: Evidence) -> bool:
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager
+from functools import partial
 from itertools import cycle
 from random import Random
 
@@ -235,6 +236,24 @@
     async def send_draft(self, daemon: int = -1, **headers: str) -> HttpReply:
         return await self.send("/draft/one", daemon, model="*", token_counts="1000,60", **headers)
 
+    async def send_kind(self, path: str, daemon: int = -1, **headers: str) -> HttpReply:
+        """Send a request to any route; those of streams get the headers of a prompt."""
+        send_draft = path.startswith("/draft/")
+        return await (self.send_draft if send_draft else partial(self.send, path))(
+            daemon=daemon, **headers
+        )
+
+    async def add_daemons(self, count: int) -> None:
+        """Start more daemons, and wait until all daemons know each other."""
+        assert self.deployment is not None
+        for _ in range(count):
+            started = await self.start_daemon(self.deployment.store)
+            await self.wait_until(started.ready)
+        known = len(self.daemons)
+        await self.wait_until(
+            lambda: all(len(each.view.relay_by_daemon) == known for each in self.daemons)
+        )
+
     async def wait_until(self, condition: Callable[[], object]) -> None:
         """Wait until a condition holds, for `WAIT_TIMEOUT_S` at most."""
         async with asyncio.timeout(WAIT_TIMEOUT_S):
--- a/tests/test_brittle_endpoints.py
+++ b/tests/test_brittle_endpoints.py
@@ -19,9 +19,7 @@
 @pytest.fixture
 async def harness() -> AsyncIterator[PlatformHarness]:
     async with running_harness() as running:
-        for _ in range(2):
-            started = await running.start_daemon(running.deployment.store)
-            await running.wait_until(started.ready)
+        await running.add_daemons(2)
         yield running
 
 
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -63,9 +63,7 @@
 async def test_head_that_breaks_off_behind_another_daemon_is_no_answer(
     harness: PlatformHarness,
 ) -> None:
-    second = await harness.start_daemon(harness.deployment.store)
-    await harness.wait_until(second.ready)
-    await harness.wait_until(lambda: len(harness.daemons[0].view.relay_by_daemon) == 2)
+    await harness.add_daemons(1)
 
     def cut(head: bytes) -> bytes:
         return success_head(head)[:-2]
--- a/tests/test_leaving_endpoints.py
+++ b/tests/test_leaving_endpoints.py
@@ -14,11 +14,6 @@
         yield running
 
 
-async def send(harness: PlatformHarness, path: str) -> int:
-    reply = await (harness.send_draft() if path.startswith("/draft/") else harness.send(path))
-    return reply.status
-
-
 @pytest.mark.parametrize(
     ("path", "worker_id"),
     [("/read/x", "desk-1"), ("/pay/x", "desk-1"), ("/draft/x", "engine-1")],
@@ -33,20 +28,15 @@
     for _ in range(20):
         if leaving.received:
             break
-        assert await send(harness, path) == 200
+        assert (await harness.send_kind(path)).status == 200
     assert leaving.received
     await asyncio.sleep(BOUNDS.drain_s)
     before = len(leaving.received)
-    assert [await send(harness, path) for _ in range(20)] == [200] * 20
+    replies = [await harness.send_kind(path) for _ in range(20)]
+    assert {reply.status for reply in replies} == {200}
     assert len(leaving.received) == before
 
 
-async def start_second(harness: PlatformHarness) -> None:
-    second = await harness.start_daemon(harness.deployment.store)
-    await harness.wait_until(second.ready)
-    await harness.wait_until(lambda: all(len(d.view.daemons()) == 2 for d in harness.daemons))
-
-
 async def send_until_noticed(harness: PlatformHarness, worker_id: str, daemon: int = -1) -> None:
     tracker = harness.daemons[daemon].view.tracker_by_id[worker_id]
     for _ in range(20):
@@ -57,7 +47,7 @@
 
 
 async def test_other_daemons_are_told_of_a_leaving_endpoint(harness: PlatformHarness) -> None:
-    await start_second(harness)
+    await harness.add_daemons(1)
     harness.worker_by_id["desk-1"].leaving = True
     await send_until_noticed(harness, "desk-1", 1)
     other = harness.daemons[0].view.tracker_by_id["desk-1"]
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -18,12 +18,7 @@
 @pytest.fixture
 async def harness() -> AsyncIterator[PlatformHarness]:
     async with running_harness() as running:
-        for _ in range(2):
-            started = await running.start_daemon(running.deployment.store)
-            await running.wait_until(started.ready)
-        await running.wait_until(
-            lambda: all(len(d.view.relay_by_daemon) == 3 for d in running.daemons)
-        )
+        await running.add_daemons(2)
         yield running
 
 
--- a/tests/test_platform_directory.py
+++ b/tests/test_platform_directory.py
@@ -7,6 +7,7 @@
 from msgspec.structs import replace
 
 from comfreyhatch.domain.operations import (
+    DaemonAddresses,
     Evidence,
     RolloutRecord,
     RolloutState,
@@ -141,7 +142,7 @@
     store: StandInStore, directory: StoreDirectory
 ) -> None:
     evidence = Evidence("engines", 5, "d1", {"r": VersionOutcomes(3, 1, 0)}, {})
-    assert await directory.put_control("d1", "10.0.0.1:80", "north", 5.0)
+    assert await directory.put_addresses("d1", DaemonAddresses("10.0.0.1:80", "north", 5.0))
     assert await directory.put_evidence(evidence)
     assert await directory.put_rollout(ROLLOUT)
     records = await directory.records(None, 0.0)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -14,12 +14,7 @@
 async def harness() -> AsyncIterator[PlatformHarness]:
     """Yield a harness with three daemons that know each other."""
     async with running_harness() as running:
-        for _ in range(2):
-            started = await running.start_daemon(running.deployment.store)
-            await running.wait_until(started.ready)
-        await running.wait_until(
-            lambda: all(len(daemon.view.relay_by_daemon) == 3 for daemon in running.daemons)
-        )
+        await running.add_daemons(2)
         yield running
 
 
--- a/tests/test_resting_endpoints.py
+++ b/tests/test_resting_endpoints.py
@@ -19,11 +19,6 @@
         yield running
 
 
-async def send(harness: PlatformHarness, path: str) -> int:
-    reply = await (harness.send_draft() if path.startswith("/draft/") else harness.send(path))
-    return reply.status
-
-
 @pytest.mark.parametrize(
     ("path", "worker_id"),
     [("/read/x", "desk-1"), ("/pay/x", "desk-1"), ("/draft/x", "engine-1")],
@@ -38,10 +33,10 @@
     for _ in range(20):
         if resting.received_at:
             break
-        await send(harness, path)
+        await harness.send_kind(path)
     refused_at = resting.received_at[0]
     while asyncio.get_running_loop().time() < refused_at + REST_S - 0.2:
-        assert await send(harness, path) == 200
+        assert (await harness.send_kind(path)).status == 200
         await asyncio.sleep(0.05)
     late = [at for at in resting.received_at if at > refused_at + SLACK_S]
     assert len(late) <= MAX_REQUESTS
