Test a zone of daemons without paths at 195 daemons, and most of three daemons without them

No fault: no request of the zone's 14 daemons fails after the first second, and no other daemon gets three times its even part of their requests.

--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -61,3 +61,22 @@
     failed = len(cut) - served(cut)
     assert served(cut) >= served(others) * 2 / 3
     assert failed <= 1 + len(cut) / 50
+
+
+async def test_most_daemons_without_paths_are_served_by_the_one_that_has_them(
+    harness: PlatformHarness,
+) -> None:
+    for daemon in harness.daemons[:2]:
+        LostPaths(daemon).cut(Loss.RESET)
+    await asyncio.gather(send_each(harness, 0), send_each(harness, 1))
+    found = await asyncio.gather(*(send_rounds(harness, daemon) for daemon in (0, 1, 2)))
+    assert [served(replies) for replies in found] == [len(replies) for replies in found]
+
+
+async def test_daemon_without_paths_stays_ready_and_reports_no_crash(
+    harness: PlatformHarness, caplog: pytest.LogCaptureFixture
+) -> None:
+    LostPaths(harness.daemons[0]).cut(Loss.RESET)
+    await send_rounds(harness, 0)
+    assert harness.daemons[0].ready()
+    assert "event=endpoint_crashed" not in caplog.text
--- a/tests/test_relay_choice.py
+++ b/tests/test_relay_choice.py
@@ -67,3 +67,26 @@
             asked += 1
             choice.note_unreachable(daemon, "desk", now)
     assert asked < 60
+
+
+def test_daemons_of_a_zone_that_lost_its_paths_together_are_served_by_all_others() -> None:
+    relays = {f"d{n}": RelayAddress(f"10.0.0.{n}:1", f"z{n % 14}") for n in range(195)}
+    cut = {daemon for daemon, relay in relays.items() if relay.zone == "z0"}
+    choice_by_daemon = {daemon: RelayChoice(Random(daemon)) for daemon in sorted(cut)}
+    relayed: dict[str, int] = dict.fromkeys(relays, 0)
+    late_failures = 0
+    for turn in range(300):
+        now = turn / 100
+        for daemon, choice in choice_by_daemon.items():
+            others = {name: relay for name, relay in relays.items() if name != daemon}
+            for asked in choice.candidates(others, "desk", f"z{turn % 14}", now):
+                if asked not in cut:
+                    relayed[asked] += 1
+                    choice.note_reached(asked, "desk")
+                    break
+                choice.note_unreachable(asked, "desk", now)
+            else:
+                late_failures += now > 1.0
+    total = sum(relayed.values())
+    assert late_failures == 0
+    assert max(relayed.values()) < 3 * total / (len(relays) - len(cut))
