Ask a daemon again that has relayed to a slow endpoint, and name the request by what it is

Found by reading the change anew: an answer of an endpoint that did not come in time held the relaying daemon down like one that had broken off; with two daemons the next requests would have been refused. Its idle connections are closed instead, so that a silent daemon is found by the next one. The address of a daemon's listener is a type of its own kind, so that an odd record can't end a request.

--- a/comfreyhatch/domain/relay.py
+++ b/comfreyhatch/domain/relay.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from comfreyhatch.domain.instance import Address
+
 RELAY_PATH = "/relay"
 
 
@@ -11,16 +13,16 @@
     """Where a daemon takes requests of other daemons.
 
     Attributes:
-        address: HOST:PORT of its listener.
+        address: Address of its listener.
         zone: Its availability zone.
     """
 
-    address: str
+    address: Address
     zone: str
 
 
-class RelayedRequest(Struct, frozen=True):
-    """A request to be sent to one endpoint for another daemon, which has decided on it.
+class EndpointRequest(Struct, frozen=True):
+    """A request to one endpoint, to be sent by the daemon that has decided on it or by another one.
 
     Attributes:
         start: The endpoint, with its start; no other one may get the request.
--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -262,7 +262,7 @@
 
     def _relay_address(self) -> RelayAddress | None:
         relay = self._deployment.relay
-        return RelayAddress(str(relay), self._deployment.zone) if relay else None
+        return RelayAddress(relay, self._deployment.zone) if relay else None
 
     async def _read(
         self,
--- a/comfreyhatch/exchange/relay_client.py
+++ b/comfreyhatch/exchange/relay_client.py
@@ -11,11 +11,11 @@
 from comfreyhatch.adapters.http_client import HttpClient, StreamedReply
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.relay_choice import RelayChoice
-from comfreyhatch.domain.instance import Address
-from comfreyhatch.domain.relay import RELAY_PATH, RelayAddress, RelayedRequest, RelayFailure
+from comfreyhatch.domain.relay import RELAY_PATH, EndpointRequest, RelayAddress, RelayFailure
 from comfreyhatch.errors import (
     ConnectError,
     EndpointWithdrawnError,
+    ExchangeTimeoutError,
     HttpError,
     NoRelayError,
     RelayError,
@@ -64,7 +64,7 @@
 
     @asynccontextmanager
     async def stream(
-        self, endpoint: EndpointTracker, request: RelayedRequest
+        self, endpoint: EndpointTracker, request: EndpointRequest
     ) -> AsyncIterator[StreamedReply]:
         """Send a request by way of another daemon and give the endpoint's answer piece by piece.
 
@@ -82,7 +82,7 @@
         self._client.close()
 
     async def _open(
-        self, stack: AsyncExitStack, endpoint: EndpointTracker, request: RelayedRequest
+        self, stack: AsyncExitStack, endpoint: EndpointTracker, request: EndpointRequest
     ) -> StreamedReply:
         """Return the answer by the first daemon that sends the request."""
         loop = asyncio.get_running_loop()
@@ -113,16 +113,17 @@
         body: bytes,
     ) -> StreamedReply | None:
         """Return what a daemon answers; None if it could not be asked."""
-        host, _, port = relay.address.rpartition(":")
         try:
             return await attempt.enter_async_context(
-                self._client.stream(
-                    Address(host, int(port)), "POST", RELAY_PATH, body, [], timeout_s
-                )
+                self._client.stream(relay.address, "POST", RELAY_PATH, body, [], timeout_s)
             )
         except ConnectError as error:
             self._note_lost(daemon, error)
             return None
+        except ExchangeTimeoutError:
+            # The endpoint is slow, or the daemon silent: then no new connection can be opened.
+            self._client.drop_idle(relay.address)
+            raise
         except HttpError as error:
             self._note_lost(daemon, error)
             raise RelayError(f"daemon {daemon} broke off: {error}") from error
--- a/comfreyhatch/exchange/relay_listener.py
+++ b/comfreyhatch/exchange/relay_listener.py
@@ -26,7 +26,7 @@
 from comfreyhatch.adapters.metrics import add_gauge
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
-from comfreyhatch.domain.relay import RELAY_PATH, RelayedRequest, RelayFailure
+from comfreyhatch.domain.relay import RELAY_PATH, EndpointRequest, RelayFailure
 from comfreyhatch.errors import AnswerBrokenError, ConnectError, HttpError, RequestError
 from comfreyhatch.exchange.endpoint_paths import EndpointPaths
 from comfreyhatch.exchange.view import FleetView
@@ -92,7 +92,7 @@
         if request.path != RELAY_PATH:
             return error_response(RequestError("no such resource", ResultCode.NOT_FOUND))
         try:
-            relayed = decode(request.body, type=RelayedRequest)
+            relayed = decode(request.body, type=EndpointRequest)
         except MsgspecError as error:
             return error_response(RequestError(str(error)))
         endpoint = self._view.tracker_by_id.get(relayed.start.rpartition("/")[0])
@@ -112,7 +112,7 @@
             return RelayFailure.WITHDRAWN
         return RelayFailure.UNREACHABLE if endpoint.lost_at is not None else None
 
-    async def _send(self, endpoint: EndpointTracker, relayed: RelayedRequest) -> HttpResponse:
+    async def _send(self, endpoint: EndpointTracker, relayed: EndpointRequest) -> HttpResponse:
         stack = AsyncExitStack()
         stack.callback(self._end)
         self._running += 1
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -14,7 +14,7 @@
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.exchange import AnswerHead, Dispatch, Job
-from comfreyhatch.domain.relay import RelayedRequest
+from comfreyhatch.domain.relay import EndpointRequest
 from comfreyhatch.errors import (
     AnswerBrokenError,
     AnswerMemoryError,
@@ -191,7 +191,7 @@
         loop = asyncio.get_running_loop()
         stack = AsyncExitStack()
         sent_at = loop.time()
-        request = RelayedRequest(
+        request = EndpointRequest(
             endpoint.start,
             job.exchange.method,
             job.exchange.target,
@@ -228,7 +228,7 @@
 
     @asynccontextmanager
     async def _exchange(
-        self, endpoint: EndpointTracker, request: RelayedRequest
+        self, endpoint: EndpointTracker, request: EndpointRequest
     ) -> AsyncIterator[StreamedReply]:
         """Send a request over this daemon's path, or by way of another daemon if that is lost."""
         loop = asyncio.get_running_loop()
@@ -250,23 +250,21 @@
             yield reply
 
     async def _send_by_relay(
-        self, stack: AsyncExitStack, endpoint: EndpointTracker, request: RelayedRequest
+        self, stack: AsyncExitStack, endpoint: EndpointTracker, request: EndpointRequest
     ) -> StreamedReply | None:
         """Return the answer by way of another daemon; None if none could send the request."""
         try:
             reply = await stack.enter_async_context(self._relays.stream(endpoint, request))
         except NoRelayError as error:
-            log.info("event=not_relayed reason=%r", str(error))
+            log.debug("event=not_relayed reason=%r", str(error))
             return None
         self._paths.note_relayed(endpoint, asyncio.get_running_loop().time())
         return reply
 
     async def _send_directly(
-        self,
-        stack: AsyncExitStack,
-        endpoint: EndpointTracker,
-        request: RelayedRequest,
+        self, stack: AsyncExitStack, endpoint: EndpointTracker, request: EndpointRequest
     ) -> StreamedReply:
+        """Return the answer over this daemon's own path."""
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
         try:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -184,3 +184,23 @@
 ) -> None:
     LostPaths(harness.daemons[0]).cut(Loss.RESET)
     assert (await harness.send(path, 0)).status == 200
+
+
+async def test_daemon_that_relays_to_a_slow_endpoint_is_asked_again(
+    harness: PlatformHarness, paths: LostPaths
+) -> None:
+    for name in ("desk-1", "desk-2"):
+        harness.worker_by_id[name].hold = asyncio.Event()
+    assert (await harness.send("/pay/x", 0)).status in (502, 504)
+    for name in ("desk-1", "desk-2"):
+        harness.worker_by_id[name].hold.set()
+    assert (await harness.send("/pay/x", 0)).status == 200
+    assert metric(harness, 0, "relayed_total", outcome="lost") == 0
+
+
+async def test_silent_daemon_is_not_asked_again(harness: PlatformHarness, paths: LostPaths) -> None:
+    silent = harness.deployments[1].relay
+    assert silent is not None
+    await harness.daemons[1]._relay_server.stop(0.0)
+    replies = [await harness.send("/pay/x", 0) for _ in range(8)]
+    assert [reply.status for reply in replies].count(200) >= 7
--- a/tests/test_relay_choice.py
+++ b/tests/test_relay_choice.py
@@ -10,9 +10,10 @@
     UNREACHABLE_HOLD_DOWN_S,
     RelayChoice,
 )
+from comfreyhatch.domain.instance import Address
 from comfreyhatch.domain.relay import RelayAddress
 
-RELAYS = {f"d{n}": RelayAddress(f"10.0.0.{n}:1", "ab"[n % 2]) for n in range(20)}
+RELAYS = {f"d{n}": RelayAddress(Address(f"10.0.0.{n}", 1), "ab"[n % 2]) for n in range(20)}
 
 
 def test_daemon_of_the_endpoints_zone_comes_first() -> None:
@@ -59,7 +60,7 @@
 
 def test_asks_for_a_service_that_is_down_stay_few() -> None:
     choice = RelayChoice(Random(1))
-    relays = {f"d{n}": RelayAddress(f"10.0.0.{n}:1", "a") for n in range(420)}
+    relays = {f"d{n}": RelayAddress(Address(f"10.0.0.{n}", 1), "a") for n in range(420)}
     asked = 0
     for turn in range(3000):
         now = turn / 100
@@ -70,7 +71,7 @@
 
 
 def test_daemons_of_a_zone_that_lost_its_paths_together_are_served_by_all_others() -> None:
-    relays = {f"d{n}": RelayAddress(f"10.0.0.{n}:1", f"z{n % 14}") for n in range(195)}
+    relays = {f"d{n}": RelayAddress(Address(f"10.0.0.{n}", 1), f"z{n % 14}") for n in range(195)}
     cut = {daemon for daemon, relay in relays.items() if relay.zone == "z0"}
     choice_by_daemon = {daemon: RelayChoice(Random(daemon)) for daemon in sorted(cut)}
     relayed: dict[str, int] = dict.fromkeys(relays, 0)
