Relay requests within a region only

Found by reading the users' rule on homes beside the new design: a body may be bound to its region, and a daemon of another one must not get it.

--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -129,7 +129,7 @@
         self._relays = RelayClient(
             deployment.instance,
             HttpClient(connect_timeout_s=PEER_CONNECT_TIMEOUT_S),
-            lambda: self.view.relay_by_daemon,
+            lambda: self.view.relays_in(deployment.region),
             RelayChoice(rng),
             self.registry,
         )
--- a/comfreyhatch/exchange/relay_client.py
+++ b/comfreyhatch/exchange/relay_client.py
@@ -47,7 +47,7 @@
         Args:
             instance: Name of this daemon.
             client: Holds the connections to other daemons.
-            relay_by_daemon: Returns the listeners of all known daemons.
+            relay_by_daemon: Returns the listeners of the daemons that may be asked.
             choice: Chooses the daemons that are asked.
             registry: Registry of the metrics.
         """
--- a/comfreyhatch/exchange/view.py
+++ b/comfreyhatch/exchange/view.py
@@ -115,12 +115,6 @@
         listed = self.records.link_by_daemon if self.records else {}
         return {**self._carried_records.link_by_daemon, **listed}
 
-    @property
-    def relay_by_daemon(self) -> dict[str, RelayAddress]:
-        """Where daemons take requests of others, those from before a return of the store too."""
-        listed = self.records.relay_by_daemon if self.records else {}
-        return {**self._carried_records.relay_by_daemon, **listed}
-
     def ready(self) -> bool:
         """Return whether a configuration and a list of endpoints are known."""
         return self.catalog is not None and self.endpoint_list is not None
@@ -230,6 +224,17 @@
         self.records = found
         self.record_history.update(found)
 
+    def relays_in(self, region: str) -> dict[str, RelayAddress]:
+        """Return where the daemons of a region take requests of others.
+
+        Those from before a return of the store are included. Bodies may be bound to their region,
+        so that no daemon of another one is asked.
+        """
+        listed = self.records.relay_by_daemon if self.records else {}
+        known = {**self._carried_records.relay_by_daemon, **listed}
+        regions = self.region_by_daemon
+        return {daemon: relay for daemon, relay in known.items() if regions.get(daemon) == region}
+
     def daemons_in(self, region: str) -> list[str]:
         """Return the daemons whose records name a region."""
         return [d for d, found in self.region_by_daemon.items() if found == region]
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -251,7 +251,7 @@
             await self.wait_until(started.ready)
         known = len(self.daemons)
         await self.wait_until(
-            lambda: all(len(each.view.relay_by_daemon) == known for each in self.daemons)
+            lambda: all(len(each.view.relays_in("")) == known for each in self.daemons)
         )
 
     async def wait_until(self, condition: Callable[[], object]) -> None:
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -5,7 +5,9 @@
 
 from comfreyhatch.domain.catalog import Catalog
 from comfreyhatch.domain.endpoint import EndpointList
+from comfreyhatch.domain.instance import Address
 from comfreyhatch.domain.operations import Operations, SharedRecords
+from comfreyhatch.domain.relay import RelayAddress
 from comfreyhatch.exchange.view import FleetView
 from tests.exchange_values import record
 
@@ -118,3 +120,21 @@
     assert not view.available(tracker, 1.0)
     view.apply_endpoints(listed(2, "e1", "e2"), 1.0)
     assert view.available(tracker, 1.0)
+
+
+def test_only_daemons_of_the_same_region_relay() -> None:
+    view = FleetView()
+    relay = RelayAddress(Address("10.0.0.1", 1), "a")
+    view.apply_records(
+        SharedRecords(
+            1,
+            0,
+            {},
+            {},
+            {},
+            region_by_daemon={"d1": "north", "d2": "south"},
+            relay_by_daemon={"d1": relay, "d2": relay, "d3": relay},
+        ),
+        0.0,
+    )
+    assert view.relays_in("north") == {"d1": relay}
