--- a/comfreyhatch/exchange/endpoint_paths.py
+++ b/comfreyhatch/exchange/endpoint_paths.py
@@ -72,7 +72,7 @@
         if endpoint.lost_at is None:
             endpoint.lost_at = now
             log.info("event=path_lost endpoint=%s", endpoint.record.endpoint_id)
-        self._update_service(endpoint.record.service, now)
+        self.update(endpoint.record.service, now)
 
     def note_reached(self, endpoint: EndpointTracker, now: float) -> None:
         """Note that a connection to an endpoint is open."""
@@ -82,14 +82,15 @@
             log.info(
                 "event=path_regained endpoint=%s lost_s=%.1f", endpoint.record.endpoint_id, lost_s
             )
-        self._update_service(endpoint.record.service, now)
+        self.update(endpoint.record.service, now)
 
-    def update(self, now: float) -> None:
-        """Find out again which services are lost, as endpoints come and go."""
-        for service in list(self._view.trackers_by_service):
-            self._update_service(service, now)
+    @property
+    def lost_services(self) -> set[str]:
+        """Services all of whose endpoints are out of reach."""
+        return set(self._lost_since_by_service)
 
-    def _update_service(self, service: str, now: float) -> None:
+    def update(self, service: str, now: float) -> None:
+        """Find out again whether a service is lost, as its paths or its endpoints have changed."""
         trackers = self._view.trackers_by_service.get(service, ())
         listed = [tracker for tracker in trackers if tracker.removed_at is None]
         lost = bool(listed) and all(tracker.lost_at is not None for tracker in listed)
--- a/comfreyhatch/exchange/path_monitor.py
+++ b/comfreyhatch/exchange/path_monitor.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Sequence
+from collections.abc import Coroutine, Iterable, Sequence
 
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
@@ -45,18 +45,29 @@
         await self._task.stop()
 
     async def _check(self) -> None:
+        """Probe what has to be; costs little for the endpoints that are idle and within reach."""
         now = asyncio.get_running_loop().time()
-        self._paths.update(now)
-        found = [t for t in self._view.tracker_by_id.values() if t.lost_at is not None]
-        self._probes.forget(tracker.start for tracker in found)
+        await asyncio.gather(*self._silence_checks(now), *self._loss_checks(now))
+
+    def _silence_checks(self, now: float) -> list[Coroutine[None, None, None]]:
         checks = []
         for service, trackers in self._view.trackers_by_service.items():
-            listed = [tracker for tracker in trackers if tracker.removed_at is None]
-            if self._probes.silent(service, listed, now):
-                checks.append(self._probe_silent(service, listed, now))
+            if any(tracker.in_flight for tracker in trackers):
+                listed = _listed(trackers)
+                if self._probes.silent(service, listed, now):
+                    checks.append(self._probe_silent(service, listed, now))
+        return checks
+
+    def _loss_checks(self, now: float) -> list[Coroutine[None, None, None]]:
+        lost = [t for t in self._view.tracker_by_id.values() if t.lost_at is not None]
+        self._probes.forget(tracker.start for tracker in lost)
+        checks = []
+        for service in {tracker.record.service for tracker in lost} | self._paths.lost_services:
+            self._paths.update(service, now)
+            listed = _listed(self._view.trackers_by_service.get(service, ()))
             due = self._probes.due(listed, self._paths.is_lost(service), now)
             checks += [self._probe(tracker) for tracker in due]
-        await asyncio.gather(*checks)
+        return checks
 
     async def _probe_silent(
         self, service: str, listed: Sequence[EndpointTracker], now: float
@@ -83,3 +94,7 @@
             self._paths.note_reached(endpoint, now)
         else:
             self._paths.note_unreachable(endpoint, now)
+
+
+def _listed(trackers: Iterable[EndpointTracker]) -> list[EndpointTracker]:
+    return [tracker for tracker in trackers if tracker.removed_at is None]
