--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -4,38 +4,28 @@
 import logging
 from collections.abc import Callable
 from itertools import count
-from math import inf
 from random import Random
 
 from msgspec import Struct
 
-from comfreyhatch.codes import ResultCode
 from comfreyhatch.decisions.brittle import slots_share
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.isolation import ServiceReachability
 from comfreyhatch.decisions.placement import choose_endpoint
-from comfreyhatch.decisions.waiting import (
-    ReturnTimes,
-    ServiceTime,
-    Waiter,
-    max_reserve_s,
-    max_wait_s,
-    retry_after_s,
-)
+from comfreyhatch.decisions.waiting import Waiter, max_reserve_s, max_wait_s
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.exchange import Job
 from comfreyhatch.domain.operations import RolloutOrder
 from comfreyhatch.errors import ComfreyhatchError, RefusedError
 from comfreyhatch.exchange.eligibility import EndpointEligibility
 from comfreyhatch.exchange.endpoint_rates import EndpointRates
+from comfreyhatch.exchange.expected_waits import ExpectedWaits
 from comfreyhatch.exchange.session_pins import SessionPins
 from comfreyhatch.exchange.view import FleetView
 
 MAX_QUEUED_PER_SERVICE = 256
 # Interval at which non-empty queues are served, also to refuse requests whose wait is over.
 SWEEP_INTERVAL_S = 0.1
-# While a service has no endpoint, retry-after times are computed from at least this wait.
-NO_ENDPOINT_RETRY_S = 1.0
 
 log = logging.getLogger("comfreyhatch.pool")
 
@@ -119,13 +109,11 @@
         """
         self._deployment = deployment
         self._view = view
-        self._rng = rng
         self._rates = rates
         self._refusal_while_queued = refusal
         self._eligibility = EndpointEligibility(deployment, view, is_bad_version, pins)
         self._queue_by_service: dict[str, list[_QueuedRequest]] = {}
-        self._service_time_by_service: dict[str, ServiceTime] = {}
-        self._returns_by_service: dict[str, ReturnTimes] = {}
+        self._waits = ExpectedWaits(view, self._eligibility, rates, rng)
         self._next_number = count()
         self._sweep_timer: asyncio.TimerHandle | None = None
 
@@ -166,7 +154,7 @@
         """Release a slot, and give it to the next queued request."""
         lease.free()
         now = asyncio.get_running_loop().time()
-        self._service_time(lease.job.service).add(now - lease.started)
+        self._waits.service_time(lease.job.service).add(now - lease.started)
         self.serve_queue(lease.job.service)
 
     def serve_queue(self, service: str) -> None:
@@ -263,7 +251,7 @@
     ) -> SlotLease:
         queue = self._queue_by_service.setdefault(job.service, [])
         wait_s = max_wait_s(job, resumes, now)
-        rests = not eligible and self._rest_s(job.service, now) <= wait_s
+        rests = not eligible and self._waits.rest_s(job.service, now) <= wait_s
         if not (eligible or rests) or len(queue) >= MAX_QUEUED_PER_SERVICE:
             raise self._refusal(job, now)
         waiter = Waiter(
@@ -275,7 +263,7 @@
             refuse_at=now + wait_s,
         )
         ahead = sum(1 for entry in queue if entry.waiter.sort_key(now) < waiter.sort_key(now))
-        if wait_s <= 0 or self._expected_wait_s(job.service, ahead, now) > wait_s:
+        if wait_s <= 0 or self._waits.wait_s(job.service, ahead, now) > wait_s:
             raise self._refusal(job, now)
         loop = asyncio.get_running_loop()
         entry = _QueuedRequest(waiter, job, excluded, work_s, loop.create_future())
@@ -351,7 +339,7 @@
         self, job: Job, eligible: list[EndpointTracker], work_s: float, now: float
     ) -> SlotLease | None:
         candidates = [tracker for tracker in eligible if self._has_free_slot(tracker, now)]
-        work_s = work_s or self._service_time(job.service).mean_s
+        work_s = work_s or self._waits.service_time(job.service).mean_s
         zone = self._deployment.zone
         tracker = choose_endpoint(job.exchange, candidates, zone, work_s, now)
         if tracker is None:
@@ -378,73 +366,9 @@
                 return False
         return tracker.running(now) < tracker.record.slots and self._rates.may_send(tracker, now)
 
-    def _expected_wait_s(self, service: str, ahead: int, now: float) -> float:
-        trackers = self._view.trackers_by_service.get(service, ())
-        slots = sum(t.record.slots for t in trackers if self._eligibility.in_service(t, now))
-        daemons = len(self._rates.daemons(now))
-        return self._service_time(service).expected_wait_s(ahead, max(1, slots // daemons))
-
     def _refusal(self, job: Job, now: float) -> RefusedError:
-        queue = self._queue_by_service.get(job.service, [])
-        in_service = [
-            tracker
-            for tracker in self._view.trackers_by_service.get(job.service, ())
-            if self._eligibility.in_service(tracker, now)
-        ]
-        expected_s = self._expected_wait_s(job.service, len(queue) + 1, now)
-        if in_service and len(self._rates.bounded(in_service, now)) == len(in_service):
-            expected_s = max(expected_s, self._return_s(job.service, in_service, now))
-        if not in_service and self._rest_s(job.service, now) < inf:
-            return RefusedError(
-                f"all endpoints of {job.service} want no requests for a time",
-                retry_after_s=self._rested_return_s(job.service, now),
-            )
-        after_s = retry_after_s(
-            expected_s if in_service else max(expected_s, NO_ENDPOINT_RETRY_S),
-            job.deadline - now,
-            self._rng,
-        )
-        if not in_service:
-            return RefusedError(
-                f"no endpoint of {job.service} is in service",
-                ResultCode.NO_ENDPOINT,
-                retry_after_s=after_s,
-            )
-        return RefusedError(f"all endpoints of {job.service} are busy", retry_after_s=after_s)
-
-    def _return_s(self, service: str, trackers: list[EndpointTracker], now: float) -> float:
-        """Return when to come back for endpoints whose rates are used up, in seconds."""
-        first_s = self._rates.next_s(trackers, now)
-        interval_s = self._rates.interval_s(service, trackers, now)
-        return self._returns_by_service.setdefault(service, ReturnTimes()).book(
-            first_s, interval_s, now
-        )
-
-    def _rest_s(self, service: str, now: float) -> float:
-        """Return the time until a resting endpoint takes requests again, in seconds; inf if none.
-
-        Only of use while no endpoint of the service is in service.
-        """
-        trackers = self._view.trackers_by_service.get(service, ())
-        return min(
-            (
-                tracker.resting_until - now
-                for tracker in trackers
-                if now < tracker.resting_until and self._eligibility.would_serve(tracker, now)
-            ),
-            default=inf,
-        )
-
-    def _rested_return_s(self, service: str, now: float) -> float:
-        """Return when to come back for endpoints that rest, in seconds; not all at once."""
-        slots = sum(t.record.slots for t in self._view.trackers_by_service.get(service, ()))
-        own_slots = max(1, slots // len(self._rates.daemons(now)))
-        interval_s = self._service_time(service).mean_s / own_slots
-        returns = self._returns_by_service.setdefault(service, ReturnTimes())
-        return self._rest_s(service, now) + returns.book(0.0, interval_s, now)
-
-    def _service_time(self, service: str) -> ServiceTime:
-        return self._service_time_by_service.setdefault(service, ServiceTime())
+        queued = len(self._queue_by_service.get(job.service, ()))
+        return self._waits.refusal(job, queued, now)
 
     def _schedule_sweep(self) -> None:
         if self._sweep_timer is None:
