--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.adapters.http_message import HttpRequest
 from comfreyhatch.decisions.session_version import FIRST_SHARE_DELAY_MS
 from comfreyhatch.domain.deployment import Bounds, Deployment
 from comfreyhatch.domain.instance import Address
@@ -278,6 +279,16 @@
         await self.store.stop()
 
 
+def workers(harness: PlatformHarness, service: str) -> list[StandInWorker]:
+    """Return both workers of a service, by the beginning of their ids."""
+    return [harness.worker_by_id[f"{service}-{number}"] for number in (1, 2)]
+
+
+def sent_to(harness: PlatformHarness, service: str) -> list[HttpRequest]:
+    """Return the requests that both workers of a service have received."""
+    return [request for worker in workers(harness, service) for request in worker.received]
+
+
 @asynccontextmanager
 async def running_harness(
     daemon: bool = True, bounds: Bounds = BOUNDS, memory_mb: float = MEMORY_MB
