--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -661,12 +661,15 @@
 
     async def run() -> int:
         rig = Rig(folder)
+        own = asyncio.current_task()
+        assert own is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, own.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 broken = await case(rig)
             rig.record.note("the rule was broken" if broken else "the rule held")
             return BROKEN if broken else HELD
-        except (CaseError, OSError, TimeoutError) as error:
+        except (CaseError, OSError, TimeoutError, asyncio.CancelledError) as error:
             rig.record.note(f"the case could not run: {error!r}")
             return NOT_RUN
         finally:
