--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -26,6 +26,7 @@
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 HOST = "svc.example"
 HEARTBEAT_S = 1.2
+PIECE_BYTES = 65536
 
 BOUNDS = {
     "seed_lag_s": "3",
@@ -377,9 +378,16 @@
         return cls(*await asyncio.open_connection(host, int(port)))
 
     async def send(
-        self, method: str, target: str, attempt: str, key: str, body: bytes = b"", wait_s: float = 5
+        self,
+        method: str,
+        target: str,
+        attempt: str,
+        key: str,
+        body: bytes = b"",
+        wait_s: float = 5,
+        upload_s: float = 0.0,
     ) -> Reply:
-        """Send a request and return its answer."""
+        """Send a request, its body evenly over a time, and return its answer."""
         lines = [
             f"{method} {target} HTTP/1.1",
             f"Host: {HOST}",
@@ -389,9 +397,9 @@
         ]
         if body:
             lines.append(f"Content-Length: {len(body)}")
-        self._writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
         try:
-            await self._writer.drain()
+            self._writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+            await self._send_body(body, upload_s)
             found = await read_head(self._reader)
             if found is None:
                 return Reply(0, {}, b"")
@@ -401,6 +409,15 @@
             return Reply(0, {}, b"")
         return Reply(int(first.split(" ")[1]), headers, content)
 
+    async def _send_body(self, body: bytes, upload_s: float) -> None:
+        started = time.monotonic()
+        for start in range(0, len(body), PIECE_BYTES):
+            due_at = started + upload_s * start / len(body)
+            if (left_s := due_at - time.monotonic()) > 0:
+                await asyncio.sleep(left_s)
+            self._writer.write(body[start : start + PIECE_BYTES])
+            await self._writer.drain()
+
     def close(self) -> None:
         self._writer.close()
 
