--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -190,7 +190,7 @@
             rng,
             self.registry,
             (
-                LostRows("control", SHARED_SPREAD_S, self._sync.publish_again),
+                LostRows("control", SHARED_SPREAD_S, self._sync.addresses.publish_again),
                 LostRows("evidence", SHARED_SPREAD_S, self._rollouts.store_evidence_again),
                 LostRows("rollouts", 0.0, self._rollouts.await_lost_steps),
                 LostRows("usage", USAGE_SPREAD_S, self._billing.store_again),
--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -14,11 +14,11 @@
 
 from comfreyhatch.decisions.readers import MAX_POLL_WAIT_S, poll_wait_s
 from comfreyhatch.domain.deployment import Deployment
-from comfreyhatch.domain.operations import DaemonAddresses, Operations
+from comfreyhatch.domain.operations import Operations
 from comfreyhatch.domain.permit import PermitAnswer, PermitAsk
 from comfreyhatch.domain.position import Position
-from comfreyhatch.domain.relay import RelayAddress
 from comfreyhatch.errors import ComfreyhatchError, PeerError, PlatformError
+from comfreyhatch.exchange.address_publisher import AddressPublisher
 from comfreyhatch.exchange.endpoint_changes import apply_changes
 from comfreyhatch.exchange.peer_answers import PeerAnswers, no_permit
 from comfreyhatch.exchange.peer_reports import PeerReports, Report
@@ -68,7 +68,11 @@
 
 
 class DirectorySync:
-    """Tasks that keep a `FleetView` current with orders, endpoints and the daemons' records."""
+    """Tasks that keep a `FleetView` current with orders, endpoints and the daemons' records.
+
+    Attributes:
+        addresses: Publishes this daemon's addresses.
+    """
 
     def __init__(
         self,
@@ -101,7 +105,7 @@
         self._on_change = on_change
         self._lost_since_by_source: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
-        self._control_published = False
+        self.addresses = AddressPublisher(deployment, directory, view)
         self._reads_directory = asyncio.Event()
         self._reads_directory.set()
         self._reader: PeerClient | None = None
@@ -193,8 +197,8 @@
     async def _poll_records(self) -> None:
         loop = asyncio.get_running_loop()
         await self._reads_directory.wait()
-        if not self._control_published:
-            await self._publish()
+        if not self.addresses.published:
+            await self.addresses.publish()
         first = self._view.records is None
         wait_s = LONG_POLL_WAIT_S if self._rollout_running() else 0.0
         found = await self._read("records", self._directory.records, self._view.records, wait_s)
@@ -230,40 +234,6 @@
         services = operations.order_by_service if operations else ()
         return any(self._view.final_state(service) is None for service in services)
 
-    async def publish_again(self) -> int | None:
-        """Publish the control address again if the store has lost it.
-
-        Returns:
-            Number of rows written; None if the records of the store's generation are not known yet
-            or the write was not acknowledged.
-        """
-        deployment, records = self._deployment, self._view.records
-        if deployment.control is None:
-            return 0
-        if records is None or self._records_outdated():
-            return None
-        listed = records.control_by_daemon.get(deployment.instance)
-        region = records.region_by_daemon.get(deployment.instance)
-        if (listed, region) == (str(deployment.control), deployment.region):
-            return 0
-        await self._publish()
-        return 1 if self._control_published else None
-
-    async def _publish(self) -> None:
-        if self._deployment.control is None:
-            return
-        deployment = self._deployment
-        addresses = DaemonAddresses(
-            str(deployment.control), deployment.region, deployment.link_mbps, self._relay_address()
-        )
-        self._control_published = await self._directory.put_addresses(
-            deployment.instance, addresses
-        )
-
-    def _relay_address(self) -> RelayAddress | None:
-        relay = self._deployment.relay
-        return RelayAddress(relay, self._deployment.zone) if relay else None
-
     async def _read(
         self,
         name: str,
@@ -411,7 +381,7 @@
         Without a reader, or while the directory is lost, the daemon polls the directory itself.
         """
         now = asyncio.get_running_loop().time()
-        address = self._selector.address(now) if self._control_published else None
+        address = self._selector.address(now) if self.addresses.published else None
         if address is None or self._lost_since_by_source:
             self._reads_directory.set()
             await asyncio.sleep(READER_CHECK_INTERVAL_S)
