Drop the idle connections to the store once a call on one of them has fallen silent

Cause: a call that got no answer in time was given up, and the next one was sent on another idle connection, which was as silent; each cost a further time limit.

Evidence: test_one_call_at_most_is_lost_to_connections_that_fell_silent failed before (the second call timed out as well).

Fix: the idle connections are closed as the call is given up, so that the next call opens a new one. A store that is only slow costs a few new connections.

--- a/comfreyhatch/platform/store.py
+++ b/comfreyhatch/platform/store.py
@@ -274,6 +274,8 @@
             call.cancel()
             raise
         self._keep_late_call(call)
+        # Other connections may be as silent, while new ones work.
+        self._client.drop_idle(self._address)
         raise ExchangeTimeoutError(
             f"no answer from {self._address} began within {wait_s + timeout_s:g} s"
         )
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,13 +1,18 @@
-"""Reading tables of the platform's store that take several pages."""
+"""Calls to the platform's store: tables of several pages, connections that fall silent."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import pytest
 
+from comfreyhatch.errors import PlatformError
 from comfreyhatch.platform import store as store_module
 from comfreyhatch.platform.store import StoreClient
 from tests.platform_store import StandInStore
+from tests.thin_link import ThinLink
+
+LINK_BYTES_PER_S = 1e9
 
 
 def after_first_call(
@@ -47,3 +52,18 @@
     client.close()
     await store.stop()
     assert [(row.key, row.removed) for row in changed.rows] == [("a", True)]
+
+
+async def test_one_call_at_most_is_lost_to_connections_that_fell_silent() -> None:
+    # Each idle connection took a further call, and its time limit, while new ones worked.
+    store = StandInStore()
+    link = ThinLink(LINK_BYTES_PER_S)
+    client = StoreClient(await link.open(await store.start()))
+    await asyncio.gather(*(client.read("t") for _ in range(3)))
+    link.silence_open()
+    with pytest.raises(PlatformError):
+        await client.read("t")
+    await client.read("t")
+    client.close()
+    await link.close()
+    await store.stop()
--- a/tests/thin_link.py
+++ b/tests/thin_link.py
@@ -20,6 +20,7 @@
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self.bytes_passed = 0
+        self._silences = 0
 
     async def open(self, target: Address) -> Address:
         """Return an address whose connections are forwarded to a target."""
@@ -41,6 +42,10 @@
         host, port = server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
+    def silence_open(self) -> None:
+        """Drop all that is sent on the connections that are open now, without closing them."""
+        self._silences += 1
+
     async def close(self) -> None:
         for server in self._servers:
             server.close()
@@ -67,7 +72,10 @@
     async def _pump(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, narrow: bool
     ) -> None:
+        silences = self._silences
         while data := await reader.read(PIECE_BYTES):
+            if silences != self._silences:
+                continue
             if narrow:
                 await self._pass(len(data))
             writer.write(data)
