Count an attempt from its decision on, so that a hedge doesn't exceed the route's attempts

Endpoints saw: a request on a route with max_attempts 2 ran at three of them. Its first attempt was answered with a failure, the retry waited for a slot, the hedge was drawn meanwhile, and both were sent. With max_attempts 3 the retry and the hedge that waited together were both sent to the same endpoint, though a third one that had not had the request could serve it.

Cause: UnaryProxy compared the route's limit with `possible_runs`, which rose only as an attempt was sent; one that waited in the queue of the scheduler counted nowhere. Nor did it exclude its endpoint for the other one: each took a copy of the excluded ids when it began to wait.

Evidence: tests/test_attempt_limits.py, real daemon and three stand-in desks.

Mend: AttemptAccount in comfreyhatch/decisions, pure. It rises as an attempt is decided and falls only when that attempt surely did not run: no slot, no connection, or the endpoint's word. It also answers whether a request may have run, for the error that the caller gets, and holds the limits on refused and failed connections, which were in exchange/attempts.py. Attempts of a request that wait in the scheduler share one set of excluded endpoints, and a lease adds its endpoint at once, before the next entry of the queue is served.

--- a/comfreyhatch/exchange/attempts.py
+++ b/comfreyhatch/exchange/attempts.py
@@ -1,13 +1,8 @@
-"""Limits on the attempts of one request, and its error when no attempt is left."""
+"""Error of a request when no attempt is left."""
 
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.errors import BackendError, BackendRefusedError, ComfreyhatchError, RefusedError
 
-# A request is not retried after more than this many attempts that reached an endpoint; a stream not
-# after more than this plus the route's attempts.
-MAX_REFUSED_ATTEMPTS = 4
-# Failed connections draw nothing from the budget of extra requests, so they have a limit here.
-MAX_UNREACHABLE_ATTEMPTS = 8
 REFUSED_RETRY_AFTER_S = 0.3
 
 
--- a/comfreyhatch/exchange/eligibility.py
+++ b/comfreyhatch/exchange/eligibility.py
@@ -47,9 +47,7 @@
         """Pin the session of a request to a version."""
         self._pins.pin(job, version, now)
 
-    def endpoints_for(
-        self, job: Job, excluded: frozenset[str], now: float
-    ) -> list[EndpointTracker]:
+    def endpoints_for(self, job: Job, excluded: set[str], now: float) -> list[EndpointTracker]:
         """Return the eligible endpoints; ejected and leaving ones only if there are no others.
 
         Args:
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -68,7 +68,7 @@
     Attributes:
         waiter: Its place in the order of the queue.
         job: The request.
-        excluded: Ids of endpoints that it must not get.
+        excluded: Ids of endpoints that it must not get; they may become more while it waits.
         work_s: Time that an idle endpoint needs for it, in seconds; 0 for the mean service time.
         lease: Future of its lease, or of its refusal.
         ask: Asks other daemons for a permit; None while it does not.
@@ -76,7 +76,7 @@
 
     waiter: Waiter
     job: Job
-    excluded: frozenset[str]
+    excluded: set[str]
     work_s: float
     lease: "asyncio.Future[SlotLease]"
     ask: "asyncio.Task[float | None] | None" = None
@@ -125,7 +125,7 @@
     async def acquire(
         self,
         job: Job,
-        excluded: frozenset[str] = frozenset(),
+        excluded: set[str],
         work_s: float = 0.0,
         resumes: bool = False,
     ) -> SlotLease:
@@ -135,7 +135,8 @@
 
         Args:
             job: The request.
-            excluded: Ids of endpoints that it must not get.
+            excluded: Ids of endpoints that it must not get. The endpoint of the lease is added at
+                once, for other attempts of the request that wait with the same set.
             work_s: Time that an idle endpoint needs for it, in seconds; 0 for the mean service
                 time.
             resumes: Whether its caller already holds part of the answer.
@@ -147,6 +148,7 @@
         eligible = self._eligibility.endpoints_for(job, excluded, now)
         lease = self._try_acquire(job, eligible, work_s, now)
         if lease is not None:
+            excluded.add(lease.endpoint.record.endpoint_id)
             return lease
         return await self._enqueue(job, excluded, eligible, work_s, resumes, now)
 
@@ -177,6 +179,7 @@
             eligible = self._eligibility.endpoints_for(entry.job, entry.excluded, now)
             lease = self._try_acquire(entry.job, eligible, entry.work_s, now)
             if lease is not None:
+                entry.excluded.add(lease.endpoint.record.endpoint_id)
                 entry.lease.set_result(lease)
                 return True
             if now >= entry.waiter.refuse_at:
@@ -221,7 +224,7 @@
         )
         return delays[len(delays) // 2] if delays else 0.0
 
-    def has_candidates(self, job: Job, excluded: frozenset[str], now: float) -> bool:
+    def has_candidates(self, job: Job, excluded: set[str], now: float) -> bool:
         """Return whether any endpoint may serve a request once it has a free slot."""
         return bool(self._eligibility.endpoints_for(job, excluded, now))
 
@@ -243,7 +246,7 @@
     async def _enqueue(
         self,
         job: Job,
-        excluded: frozenset[str],
+        excluded: set[str],
         eligible: list[EndpointTracker],
         work_s: float,
         resumes: bool,
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -163,10 +163,10 @@
         for excluded in (stream.excluded_ids, {stream.endpoint_id}, set()):
             # An endpoint that failed earlier may have recovered: if all are excluded, retry them.
             stream.excluded_ids = set(excluded)
-            if self._scheduler.has_candidates(job, frozenset(excluded), loop.time()):
+            if self._scheduler.has_candidates(job, stream.excluded_ids, loop.time()):
                 break
         lease = await self._scheduler.acquire(
-            job, frozenset(stream.excluded_ids), work_s, resumes=stream.head_sent
+            job, stream.excluded_ids, work_s, resumes=stream.head_sent
         )
         endpoint = lease.endpoint
         attempt = self._crashes.begin(job, endpoint, lease.started)
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 from statistics import median
 
+from comfreyhatch.decisions.attempt_account import MAX_REFUSED_ATTEMPTS, MAX_UNREACHABLE_ATTEMPTS
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.stall import StallLimits, stalled
 from comfreyhatch.domain.exchange import AnswerHead, Job
 from comfreyhatch.errors import AnswerBrokenError, ComfreyhatchError
-from comfreyhatch.exchange.attempts import MAX_REFUSED_ATTEMPTS, MAX_UNREACHABLE_ATTEMPTS
 from comfreyhatch.exchange.crash_guard import GuardedAttempt
 from comfreyhatch.exchange.events import event_id, has_content
 from comfreyhatch.exchange.scheduler import SlotLease
@@ -135,7 +135,6 @@
         self.endpoint_id = lease.endpoint.record.endpoint_id
         self.fresh_connection = self.endpoint_id in self.attempted_ids
         self.attempted_ids.add(self.endpoint_id)
-        self.excluded_ids.add(self.endpoint_id)
         self.attempts += 1
         self.possible_runs += 1
         self.counted_runs += 1
--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -5,6 +5,11 @@
 from collections.abc import Callable
 
 from comfreyhatch.adapters.http_message import HttpResponse
+from comfreyhatch.decisions.attempt_account import (
+    MAX_REFUSED_ATTEMPTS,
+    AttemptAccount,
+    CountedAttempt,
+)
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
 from comfreyhatch.decisions.retries import SampleWindow, hedge_delay_s
@@ -15,11 +20,7 @@
     ComfreyhatchError,
     EndpointUnreachableError,
 )
-from comfreyhatch.exchange.attempts import (
-    MAX_REFUSED_ATTEMPTS,
-    MAX_UNREACHABLE_ATTEMPTS,
-    final_error,
-)
+from comfreyhatch.exchange.attempts import final_error
 from comfreyhatch.exchange.crash_guard import CrashGuard
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.scheduler import EndpointScheduler, SlotLease
@@ -108,26 +109,26 @@
                 task.cancel()
 
     def _start_attempt(self, call: "_UnaryCall") -> "asyncio.Task[BufferedAnswer]":
-        return asyncio.create_task(self._attempt(call))
+        return asyncio.create_task(self._attempt(call, call.account.decide()))
 
-    async def _attempt(self, call: "_UnaryCall") -> BufferedAnswer:
+    async def _attempt(self, call: "_UnaryCall", counted: CountedAttempt) -> BufferedAnswer:
         """Send the request to one endpoint and return its answer."""
         loop = asyncio.get_running_loop()
         job = call.job
         try:
             lease = await self._acquire(call, loop.time())
         except ComfreyhatchError as error:
+            call.account.end_not_run(counted)
             _log_failure(job, NO_ENDPOINT_ID, error)
             raise
         endpoint = lease.endpoint
-        call.excluded_ids.add(endpoint.record.endpoint_id)
         started = loop.time()
-        # A refused attempt has reached an endpoint too, so its retry draws on the budget.
-        call.attempts += 1
+        call.account.note_placed()
         attempt = self._crashes.begin(job, endpoint, started)
         try:
             answer = await self._send_and_release(call, lease, started)
         except ComfreyhatchError as error:
+            _count_end(call.account, counted, error)
             _log_failure(job, endpoint.record.endpoint_id, error)
             await self._crashes.end_failed(attempt, error)
             raise
@@ -148,7 +149,7 @@
         refusal = self._crashes.refusal(call.job, now)
         if refusal is not None:
             raise refusal
-        return await self._scheduler.acquire(call.job, frozenset(call.excluded_ids))
+        return await self._scheduler.acquire(call.job, call.tried_ids)
 
     async def _send_and_release(
         self, call: "_UnaryCall", lease: SlotLease, now: float
@@ -165,19 +166,16 @@
         left_s = job.deadline - now - DEADLINE_MARGIN_S
         dispatch = Dispatch(endpoint.record.endpoint_id, left_s, job.workspace)
         self._scheduler.pin_session(job, endpoint.record.version, now)
-        call.possible_runs += 1
-        try:
-            answer = await self._sender.fetch(job, endpoint, dispatch, max(0.0, left_s))
-        except BackendRefusedError as error:
-            call.possible_runs -= 1
-            call.unreachable_attempts += isinstance(error, EndpointUnreachableError)
-            raise
-        return answer
+        return await self._sender.fetch(job, endpoint, dispatch, max(0.0, left_s))
 
     def _take_hedge(self, call: "_UnaryCall") -> bool:
         """Return whether to send a hedged attempt, and draw it from the budget."""
         job = call.job
-        if not job.route.repeatable or call.possible_runs >= job.route.max_attempts or call.hedged:
+        if (
+            not job.route.repeatable
+            or call.hedged
+            or not call.account.allows_another(repeatable=True)
+        ):
             return False
         if self._crashes.suspects(job):
             return False
@@ -191,17 +189,11 @@
             return False
         if now >= job.deadline - DEADLINE_MARGIN_S:
             return False
-        if (
-            call.unreachable_attempts > MAX_UNREACHABLE_ATTEMPTS
-            or call.attempts - call.unreachable_attempts > MAX_REFUSED_ATTEMPTS
-        ):
-            return False
-        refused = call.possible_runs == 0
-        if not refused and not job.route.repeatable:
+        account = call.account
+        if account.failed_often or not account.allows_another(job.route.repeatable):
             return False
-        if call.possible_runs >= job.route.max_attempts:
-            return False
-        # An attempt without a connection reached no endpoint, so its retry needs no budget.
+        # An attempt without a connection reached no endpoint, so its retry needs no budget; a
+        # refused one has.
         unreachable = isinstance(call.error, EndpointUnreachableError) and call.answer is None
         return unreachable or self._budget(job.service).take(now)
 
@@ -226,32 +218,19 @@
 
     Attributes:
         job: The request.
-        excluded_ids: Endpoints that were tried already.
-        attempts: Number of attempts, refused ones included.
-        unreachable_attempts: Number of attempts whose connection could not be opened.
-        possible_runs: Number of attempts that may have run.
+        account: Counts the attempts.
+        tried_ids: Endpoints that an attempt was given a slot of.
         hedged: Whether a hedged attempt was sent or denied; there is one at most.
         answer: Last failed answer of an endpoint.
         error: Error of the last attempt without an answer.
     """
 
-    __slots__ = (
-        "answer",
-        "attempts",
-        "error",
-        "excluded_ids",
-        "hedged",
-        "job",
-        "possible_runs",
-        "unreachable_attempts",
-    )
+    __slots__ = ("account", "answer", "error", "hedged", "job", "tried_ids")
 
     def __init__(self, job: Job) -> None:
         self.job = job
-        self.excluded_ids: set[str] = set()
-        self.attempts = 0
-        self.unreachable_attempts = 0
-        self.possible_runs = 0
+        self.account = AttemptAccount(job.route.max_attempts, MAX_REFUSED_ATTEMPTS)
+        self.tried_ids: set[str] = set()
         self.hedged = False
         self.answer: BufferedAnswer | None = None
         self.error: ComfreyhatchError | None = None
@@ -261,7 +240,7 @@
         if self.answer is not None:
             return self.answer
         assert self.error is not None
-        raise final_error(self.error, self.possible_runs > 0) from self.error
+        raise final_error(self.error, self.account.may_have_run) from self.error
 
 
 def _best_answer(
@@ -282,6 +261,14 @@
     return None
 
 
+def _count_end(account: AttemptAccount, counted: CountedAttempt, error: ComfreyhatchError) -> None:
+    """Take an attempt that was given a slot off the account if it surely did not run."""
+    if isinstance(error, EndpointUnreachableError):
+        account.end_unreachable(counted)
+    elif isinstance(error, BackendRefusedError):
+        account.end_not_run(counted)
+
+
 def _log_failure(job: Job, endpoint_id: str, error: ComfreyhatchError) -> None:
     log.info(
         "event=attempt_failed id=%s request=%s endpoint=%s code=%d ran=%s reason=%r",
--- /dev/null
+++ b/tests/test_attempt_limits.py
@@ -0,0 +1,128 @@
+"""A request has no more attempts under way than its route allows."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from comfreyhatch.adapters.http_client import HttpReply
+from tests.platform_harness import PlatformHarness, config, running_harness
+from tests.platform_worker import StandInWorker
+
+TIMEOUT_MS = 4000
+GOAL_MS = 2000
+# Answers after which the delay before a hedge follows from their times, far below the goal.
+FAST_ANSWERS = 24
+# Longer than that delay, and shorter than the longest wait for a slot.
+QUEUED_S = 0.5
+
+
+@pytest.fixture
+async def harness() -> AsyncIterator[PlatformHarness]:
+    async with running_harness() as running:
+        await running.add_worker("desk-3", "desk")
+        yield running
+
+
+def desks(harness: PlatformHarness) -> list[StandInWorker]:
+    return [harness.worker_by_id[f"desk-{number}"] for number in (1, 2, 3)]
+
+
+def reads(worker: StandInWorker) -> int:
+    """Return the number of requests for /read/last that a worker has received."""
+    return sum(request.target == "/read/last" for request in worker.received)
+
+
+async def limit_attempts(harness: PlatformHarness, max_attempts: int) -> None:
+    """Set the attempts of all routes, and let hedges begin early."""
+    changes = {"timeout_ms": TIMEOUT_MS, "goal_ms": GOAL_MS, "max_attempts": max_attempts}
+    harness.store.put("op", "config", config(2, **changes))
+    await harness.wait_until(lambda: harness.daemon.view.catalog.version == 2)
+    for _ in range(FAST_ANSWERS):
+        assert (await harness.send("/read/x")).status == 200
+
+
+async def set_slots(harness: PlatformHarness, slots: tuple[int, ...]) -> None:
+    """Set the slots of the desks, and wait until the daemon knows."""
+    trackers = harness.daemon.view.tracker_by_id
+    for desk, count in zip(desks(harness), slots, strict=True):
+        record = {**desk.record("desk", "a"), "capacity": count, "sequence": 2}
+        harness.store.put("servers", desk.worker_id, record)
+    await harness.wait_until(
+        lambda: all(
+            trackers[desk.worker_id].record.slots == count
+            for desk, count in zip(desks(harness), slots, strict=True)
+        )
+    )
+
+
+@asynccontextmanager
+async def full_desks(
+    harness: PlatformHarness, slots: tuple[int, ...]
+) -> AsyncIterator[list[asyncio.Event]]:
+    """Fill the slots of the desks, and yield the events that end what runs at each."""
+    await set_slots(harness, slots)
+    ends = [asyncio.Event() for _ in slots]
+    for desk, end in zip(desks(harness), ends, strict=True):
+        desk.hold = end
+        desk.received.clear()
+    running = [asyncio.create_task(harness.send("/pay/x")) for _ in range(sum(slots))]
+    await harness.wait_until(lambda: [len(desk.received) for desk in desks(harness)] == list(slots))
+    try:
+        yield ends
+    finally:
+        for end in ends:
+            end.set()
+        await asyncio.gather(*running)
+
+
+async def retry_that_waits(
+    harness: PlatformHarness, end_first: asyncio.Event
+) -> "asyncio.Task[HttpReply]":
+    """Return a request whose first answer is a failure and whose retry waits for a slot."""
+    first = desks(harness)[0]
+    first.status, first.hold = 500, None
+    end_first.set()
+    trackers = harness.daemon.view.tracker_by_id
+    await harness.wait_until(lambda: not trackers["desk-1"].in_flight)
+    sending = asyncio.create_task(harness.send("/read/last"))
+    await harness.wait_until(lambda: reads(first))
+    await asyncio.sleep(QUEUED_S)
+    return sending
+
+
+async def test_no_hedge_is_sent_beyond_the_attempts_while_the_retry_waits_for_a_slot(
+    harness: PlatformHarness,
+) -> None:
+    await limit_attempts(harness, 2)
+    async with full_desks(harness, (1, 1, 1)) as ends:
+        sending = await retry_that_waits(harness, ends[0])
+        for desk, end in zip(desks(harness)[1:], ends[1:], strict=True):
+            desk.hold = asyncio.Event()
+            end.set()
+        await harness.wait_until(lambda: sum(map(reads, desks(harness))) >= 2)
+        await asyncio.sleep(QUEUED_S)
+        assert sum(map(reads, desks(harness))) == 2
+        for desk in desks(harness)[1:]:
+            desk.hold.set()
+        assert (await sending).status == 200
+
+
+async def test_retry_and_hedge_that_wait_together_do_not_get_the_same_worker(
+    harness: PlatformHarness,
+) -> None:
+    await limit_attempts(harness, 3)
+    async with full_desks(harness, (1, 2, 1)) as ends:
+        sending = await retry_that_waits(harness, ends[0])
+        _, second, third = desks(harness)
+        second.hold = asyncio.Event()
+        ends[1].set()
+        await harness.wait_until(lambda: reads(second))
+        third.hold = asyncio.Event()
+        ends[2].set()
+        await harness.wait_until(lambda: reads(third) or reads(second) > 1)
+        assert (reads(second), reads(third)) == (1, 1)
+        second.hold.set()
+        assert (await sending).status == 200
+        third.hold.set()
