Count a run at an endpoint that can't be reached in time

Endpoints saw: a stream on a route with max_attempts 2 ran at three of them. The first fell silent and accepted no connections, as a stopped process does once its accept queue is full; the second broke the stream off; a third one got it, while the first would have gone on.

Cause: StreamProxy._take_retry took the attempts off the limit whose endpoint "refuses connections", which was `not can_connect`: a connection that isn't opened in time gave the same as one that is refused.

Evidence: tests/test_attempt_limits.py, test_silent_worker_that_accepts_no_connection_counts_as_one_that_runs: three stand-in engines, the first stops accepting in the middle of its stream and its queue of connections is filled.

Mend: only an endpoint whose address refuses (`Sender.is_down`) is taken off. Streams use AttemptAccount in place of four counters, so the limits, and what the caller is told, come from the same account as with buffered answers. `refuses_connections` is renamed to `is_unreachable`; the crash probe alone asks it, of the other endpoints of a zone, where not knowing leads to no blame.

Why it works: a refusal is given by a host on whose port nobody listens, so the run has ended; a stopped process keeps its listener, and gives a connection or none, but no refusal. The case that the exception was made for stays (test_run_on_a_stopped_worker_does_not_count_as_an_attempt).

--- a/comfreyhatch/exchange/crash_probe.py
+++ b/comfreyhatch/exchange/crash_probe.py
@@ -24,20 +24,18 @@
     request that is tried at several of them would be blamed for all.
     """
 
-    def __init__(
-        self, view: FleetView, is_down: Probe, refuses_connections: Probe, rng: Random
-    ) -> None:
+    def __init__(self, view: FleetView, is_down: Probe, is_unreachable: Probe, rng: Random) -> None:
         """Create a probe.
 
         Args:
             view: Current state of the fleet.
             is_down: Returns whether nothing listens at an endpoint's address.
-            refuses_connections: Returns whether no connection to an endpoint can be opened.
+            is_unreachable: Returns whether no connection to an endpoint can be opened.
             rng: Seeded source of the choice of other endpoints.
         """
         self._view = view
         self._is_down = is_down
-        self._refuses_connections = refuses_connections
+        self._is_unreachable = is_unreachable
         self._rng = rng
 
     async def has_crashed(self, endpoint: EndpointTracker) -> bool:
@@ -47,7 +45,7 @@
         others = self._others(endpoint)
         if not others:
             return True
-        refused = await asyncio.gather(*map(self._refuses_connections, others))
+        refused = await asyncio.gather(*map(self._is_unreachable, others))
         if all(refused):
             log.info("event=zone_unreachable zone=%s", endpoint.record.zone)
         return not all(refused)
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -144,7 +144,7 @@
             EndpointNotices(self.view, self._reports),
         )
         self._billing = Billing(deployment.instance, run, directory)
-        probe = CrashProbe(self.view, sender.is_down, sender.refuses_connections, rng)
+        probe = CrashProbe(self.view, sender.is_down, sender.is_unreachable, rng)
         self._crashes = CrashGuard(
             PartGuard(deployment.instance, self.view.daemons, self.registry, self._reports, rng),
             RequestGuard(deployment.instance, self.view.daemons, self.registry, self._reports, rng),
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -299,8 +299,8 @@
         head = self._codec.read_head(reply.status, reply.headers)
         self._note_head(endpoint, head, sent_at, now)
 
-    async def refuses_connections(self, endpoint: EndpointTracker) -> bool:
-        """Return whether an endpoint refuses a new connection."""
+    async def is_unreachable(self, endpoint: EndpointTracker) -> bool:
+        """Return whether no connection to an endpoint can be opened in time; it may be running."""
         return not await self._client.can_connect(endpoint.record.address)
 
     async def is_down(self, endpoint: EndpointTracker) -> bool:
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -16,7 +16,6 @@
 from comfreyhatch.errors import (
     AnswerBrokenError,
     BackendError,
-    BackendRefusedError,
     ComfreyhatchError,
     EndpointUnreachableError,
     PromptBlockedError,
@@ -119,13 +118,13 @@
             try:
                 answer = await self._attempt(stream)
             except (PromptBlockedError, RequestBlockedError) as error:
-                if stream.possible_runs:
+                if stream.account.may_have_run:
                     raise BackendError(str(error)) from error
                 raise
             except RefusedError as error:
                 if await self._pause_before_resume(stream, str(error)):
                     continue
-                if stream.possible_runs:
+                if stream.account.may_have_run:
                     raise BackendError(str(error)) from error
                 raise
             except BackendError as error:
@@ -150,24 +149,14 @@
                 )
             if not await self._take_retry(stream):
                 assert stream.error is not None
-                raise final_error(stream.error, stream.possible_runs > 0)
+                raise final_error(stream.error, stream.account.may_have_run)
 
     async def _attempt(self, stream: StreamState) -> StreamedAnswer:
         """Send the request to one endpoint and return its answer once the head was read."""
         loop = asyncio.get_running_loop()
         job = stream.job
-        refusal = self._crashes.refusal(job, loop.time())
-        if refusal is not None:
-            raise refusal
         work_s = self._engine_times.first_event_s(stream.model, job.exchange.prompt_tokens)
-        for excluded in (stream.excluded_ids, {stream.endpoint_id}, set()):
-            # An endpoint that failed earlier may have recovered: if all are excluded, retry them.
-            stream.excluded_ids = set(excluded)
-            if self._scheduler.has_candidates(job, stream.excluded_ids, loop.time()):
-                break
-        lease = await self._scheduler.acquire(
-            job, stream.excluded_ids, work_s, resumes=stream.head_sent
-        )
+        lease = await self._place(stream, work_s)
         endpoint = lease.endpoint
         attempt = self._crashes.begin(job, endpoint, lease.started)
         stream.start_attempt(lease, attempt)
@@ -175,13 +164,7 @@
         try:
             answer = await self._open_watched(stream, lease)
         except BaseException as error:
-            unreachable = isinstance(error, EndpointUnreachableError)
-            if isinstance(error, BackendRefusedError):
-                stream.possible_runs -= 1
-                stream.counted_runs -= 1
-                stream.unreachable_attempts += unreachable
-            else:
-                stream.broken_endpoints.append(endpoint)
+            stream.count_failure(endpoint, error)
             self._scheduler.release(lease)
             await self._crashes.end_failed(attempt, error)
             raise
@@ -200,6 +183,36 @@
             endpoint.record_delay(took_s - work_s, now)
         return answer
 
+    async def _place(self, stream: StreamState, work_s: float) -> SlotLease:
+        """Decide on an attempt and return the slot for it.
+
+        Raises:
+            RefusedError: If the request may not be sent, or gets no slot in time.
+        """
+        counted = stream.account.decide()
+        try:
+            lease = await self._acquire(stream, work_s)
+        except ComfreyhatchError:
+            stream.account.end_not_run(counted)
+            raise
+        stream.counted = counted
+        return lease
+
+    async def _acquire(self, stream: StreamState, work_s: float) -> SlotLease:
+        job = stream.job
+        now = asyncio.get_running_loop().time()
+        refusal = self._crashes.refusal(job, now)
+        if refusal is not None:
+            raise refusal
+        for excluded in (stream.excluded_ids, {stream.endpoint_id}, set()):
+            # An endpoint that failed earlier may have recovered: if all are excluded, retry them.
+            stream.excluded_ids = set(excluded)
+            if self._scheduler.has_candidates(job, stream.excluded_ids, now):
+                break
+        return await self._scheduler.acquire(
+            job, stream.excluded_ids, work_s, resumes=stream.head_sent
+        )
+
     async def _open_watched(self, stream: StreamState, lease: SlotLease) -> StreamedAnswer:
         """Return the answer once its head was read.
 
@@ -278,7 +291,7 @@
                 require_time(stream, asyncio.get_running_loop().time())
                 stream.error = error
                 self._log_failure(stream, error, begun=True)
-                stream.broken_endpoints.append(answer.endpoint)
+                stream.count_failure(answer.endpoint, error)
                 now = asyncio.get_running_loop().time()
                 note_lost_answer(answer.endpoint, error, now)
             finally:
@@ -287,7 +300,7 @@
                 await self._crashes.end_failed(stream.attempt, stream.error)
             if not await self._take_retry(stream):
                 assert stream.error is not None
-                raise final_error(stream.error, stream.possible_runs > 0)
+                raise final_error(stream.error, stream.account.may_have_run)
             answer = await self._open(stream)
 
     def _end_complete(self, stream: StreamState) -> None:
@@ -300,7 +313,7 @@
         now = asyncio.get_running_loop().time()
         if stream.model_index >= len(job.route.models) - 1 or stream.last_event_id is not None:
             return False
-        if stream.counted_runs >= job.route.max_attempts:
+        if stream.account.used_up:
             return False
         budget = self._budget(job.service)
         tokens = job.exchange.prompt_tokens
@@ -335,17 +348,15 @@
         """Return whether to retry a failed attempt, and draw the retry from the budget.
 
         If the route's attempts are used up, broken endpoints are probed first: an attempt whose
-        endpoint has stopped does not count. Otherwise two crashes at nearly the same time would cut
+        endpoint has ended does not count. Otherwise two crashes at nearly the same time would cut
         a stream that has used its other attempts for the cascade.
         """
-        if stream.counted_runs >= stream.job.route.max_attempts:
-            for endpoint in stream.broken_endpoints:
-                stream.counted_runs -= await self._sender.refuses_connections(endpoint)
-            stream.broken_endpoints.clear()
+        if stream.account.used_up:
+            await self._probe_broken(stream)
         now = asyncio.get_running_loop().time()
         if not stream.may_attempt(now):
             return False
-        if stream.head_sent and stream.failed_often:
+        if stream.head_sent and stream.account.failed_often:
             if not stream.may_attempt(now + RESUME_PAUSE_S):
                 return False
             await asyncio.sleep(RESUME_PAUSE_S)
@@ -354,6 +365,16 @@
                 return False
         return True
 
+    async def _probe_broken(self, stream: StreamState) -> None:
+        """Take the broken attempts whose endpoints have ended off the limit of the route.
+
+        An endpoint to which no connection can be opened in time may be running its attempt.
+        """
+        for counted, endpoint in stream.endpoint_by_broken.items():
+            if await self._sender.is_down(endpoint):
+                stream.account.note_endpoint_ended(counted)
+        stream.endpoint_by_broken.clear()
+
     def _pay_retry(self, stream: StreamState) -> bool:
         """Draw a retry from the budget; return whether the budget allows it."""
         # An attempt without a connection reached no endpoint, so its retry needs no budget.
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -3,11 +3,20 @@
 from collections.abc import Callable
 from statistics import median
 
-from comfreyhatch.decisions.attempt_account import MAX_REFUSED_ATTEMPTS, MAX_UNREACHABLE_ATTEMPTS
+from comfreyhatch.decisions.attempt_account import (
+    MAX_REFUSED_ATTEMPTS,
+    AttemptAccount,
+    CountedAttempt,
+)
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.stall import StallLimits, stalled
 from comfreyhatch.domain.exchange import AnswerHead, Job
-from comfreyhatch.errors import AnswerBrokenError, ComfreyhatchError
+from comfreyhatch.errors import (
+    AnswerBrokenError,
+    BackendRefusedError,
+    ComfreyhatchError,
+    EndpointUnreachableError,
+)
 from comfreyhatch.exchange.crash_guard import GuardedAttempt
 from comfreyhatch.exchange.events import event_id, has_content
 from comfreyhatch.exchange.scheduler import SlotLease
@@ -22,14 +31,11 @@
 
     Attributes:
         job: The request.
+        account: Counts the attempts.
+        counted: The current attempt in that account; None before the first.
         excluded_ids: Endpoints that the next attempt leaves out.
         attempt: The current attempt, as it is followed for crashes; None before the first.
         attempted_ids: Endpoints of all attempts.
-        attempts: Number of attempts, refused ones included.
-        possible_runs: Number of attempts that may have run, wherever.
-        counted_runs: The same without those whose endpoint has stopped since, as the route's limit
-            counts them.
-        unreachable_attempts: Number of attempts whose connection could not be opened.
         model_index: Index of the requested model among the route's models.
         last_event_id: Id of the last event that the caller has received; None before the first.
         consecutive: Whether each event so far had the id after the one before.
@@ -40,7 +46,7 @@
         attempt_events: Number of those from the current attempt.
         gaps_s: Gaps between the events of the current attempt, in seconds.
         last_events_at: Monotonic time of the current attempt's last events; None before the first.
-        broken_endpoints: Endpoints of broken attempts that have not been probed since.
+        endpoint_by_broken: Endpoints of broken attempts that have not been probed since.
         slow: Whether the current attempt was counted as slow; None while it was not compared.
         endpoint_id: Endpoint of the current attempt.
         fresh_connection: Whether the current attempt needs a new connection, since an earlier one
@@ -53,14 +59,14 @@
     """
 
     __slots__ = (
+        "account",
         "attempt",
         "attempt_events",
         "attempt_relayed",
         "attempted_ids",
-        "attempts",
-        "broken_endpoints",
         "consecutive",
-        "counted_runs",
+        "counted",
+        "endpoint_by_broken",
         "endpoint_id",
         "error",
         "events_relayed",
@@ -75,29 +81,26 @@
         "last_events_at",
         "lease",
         "model_index",
-        "possible_runs",
         "resumable",
         "slow",
         "stall_limits",
-        "unreachable_attempts",
     )
 
     def __init__(self, job: Job) -> None:
+        max_attempts = job.route.max_attempts
         self.job = job
+        self.account = AttemptAccount(max_attempts, max_attempts + MAX_REFUSED_ATTEMPTS)
+        self.counted: CountedAttempt | None = None
         self.excluded_ids: set[str] = set()
         self.attempt: GuardedAttempt | None = None
         self.attempted_ids: set[str] = set()
-        self.attempts = 0
-        self.possible_runs = 0
-        self.counted_runs = 0
-        self.unreachable_attempts = 0
         self.model_index = 0
         self.last_event_id = job.exchange.last_event_id
         self.consecutive = True
         self.resumable = True
         self.attempt_relayed = False
         self.head: AnswerHead | None = None
-        self.broken_endpoints: list[EndpointTracker] = []
+        self.endpoint_by_broken: dict[CountedAttempt, EndpointTracker] = {}
         self.events_relayed = 0
         self.attempt_events = 0
         self.gaps_s: list[float] = []
@@ -135,9 +138,17 @@
         self.endpoint_id = lease.endpoint.record.endpoint_id
         self.fresh_connection = self.endpoint_id in self.attempted_ids
         self.attempted_ids.add(self.endpoint_id)
-        self.attempts += 1
-        self.possible_runs += 1
-        self.counted_runs += 1
+        self.account.note_placed()
+
+    def count_failure(self, endpoint: EndpointTracker, error: BaseException) -> None:
+        """Take the current attempt off the account, or keep it as one that may have run."""
+        assert self.counted is not None
+        if isinstance(error, EndpointUnreachableError):
+            self.account.end_unreachable(self.counted)
+        elif isinstance(error, BackendRefusedError):
+            self.account.end_not_run(self.counted)
+        else:
+            self.endpoint_by_broken[self.counted] = endpoint
 
     def reset_attempt(self) -> None:
         """Discard the event count and gaps of the previous attempt."""
@@ -168,23 +179,11 @@
         Attempts that did not run count only until the caller has part of the answer: from then on,
         only the deadline ends the stream.
         """
-        route = self.job.route
         if now >= self.job.deadline - DEADLINE_MARGIN_S:
             return False
-        if self.possible_runs and not (route.repeatable and self.resumable):
+        if not self.account.allows_another(self.job.route.repeatable and self.resumable):
             return False
-        if self.counted_runs >= route.max_attempts:
-            return False
-        return self.head_sent or not self.failed_often
-
-    @property
-    def failed_often(self) -> bool:
-        """Whether more attempts than usual could not connect or were refused."""
-        refused_limit = self.job.route.max_attempts + MAX_REFUSED_ATTEMPTS
-        return (
-            self.unreachable_attempts > MAX_UNREACHABLE_ATTEMPTS
-            or self.attempts - self.unreachable_attempts > refused_limit
-        )
+        return self.head_sent or not self.account.failed_often
 
     def is_stalled(self, now: float) -> bool:
         """Return whether the current attempt exceeds its stall limits."""
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -1,6 +1,8 @@
 """A stand-in for the platform's workers (plain services and engines) with injectable faults."""
 
 import asyncio
+import os
+import socket
 from collections.abc import AsyncIterator, Callable
 
 from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
@@ -11,6 +13,8 @@
 EVENTS_PER_STREAM = 6
 # Time from the begin of a run to the crash that it causes.
 CRASH_DELAY_S = 0.03
+# Time after which a connection to a local listener counts as one that waits in vain.
+FULL_QUEUE_TIMEOUT_S = 0.2
 
 
 class StandInWorker:
@@ -74,6 +78,7 @@
         self.crashes = 0
         self.on_restart: Callable[[], None] = lambda: None
         self._crash_task: asyncio.Task[None] | None = None
+        self._queued: list[socket.socket] = []
         self._server = HttpServer(self._answer, cancel_on_disconnect=True)
         self.address = Address("", 0)
 
@@ -84,6 +89,8 @@
     async def stop(self) -> None:
         if self._crash_task is not None:
             self._crash_task.cancel()
+        for queued in self._queued:
+            queued.close()
         await self._server.stop(0.0)
 
     async def restart(self) -> None:
@@ -91,6 +98,31 @@
         self._server = HttpServer(self._answer, cancel_on_disconnect=True)
         await self._server.start(self.address.host, self.address.port)
 
+    def stop_accepting(self) -> None:
+        """Leave new connections waiting, and fill the queue in which they wait.
+
+        Those that are open go on.
+        """
+        loop = asyncio.get_running_loop()
+        assert self._server._server is not None
+        for listener in self._server._server.sockets:
+            loop.remove_reader(listener.fileno())
+            with socket.socket(fileno=os.dup(listener.fileno())) as own:
+                own.listen(0)
+        while self._connects():
+            pass
+
+    def _connects(self) -> bool:
+        """Return whether a new connection can be opened; it stays open until the worker stops."""
+        queued = socket.socket()
+        queued.settimeout(FULL_QUEUE_TIMEOUT_S)
+        self._queued.append(queued)
+        try:
+            queued.connect((self.address.host, self.address.port))
+        except TimeoutError:
+            return False
+        return True
+
     def record(self, service: str, zone: str, version: str = "v1") -> dict[str, object]:
         """Return the row that the worker registers in the store."""
         return {
--- a/tests/test_attempt_limits.py
+++ b/tests/test_attempt_limits.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from functools import partial
 
 import pytest
 
 from comfreyhatch.adapters.http_client import HttpReply
+from comfreyhatch.errors import HttpError
 from tests.platform_harness import PlatformHarness, config, running_harness
 from tests.platform_worker import StandInWorker
 
@@ -126,3 +128,41 @@
         second.hold.set()
         assert (await sending).status == 200
         third.hold.set()
+
+
+@pytest.fixture
+async def engines(harness: PlatformHarness) -> list[StandInWorker]:
+    """Three engines on a route with two attempts."""
+    await harness.add_worker("engine-3", "engines")
+    harness.store.put("op", "config", config(2, timeout_ms=TIMEOUT_MS, max_attempts=2))
+    found = [harness.worker_by_id[f"engine-{number}"] for number in (1, 2, 3)]
+    await harness.wait_until(lambda: harness.daemon.view.catalog.version == 2)
+    await harness.wait_until(lambda: "engine-3" in harness.daemon.view.tracker_by_id)
+    return found
+
+
+def begin_in_turn(engines: list[StandInWorker]) -> None:
+    """Let the first stream fall silent, the second break off and others go on."""
+    begun: list[StandInWorker] = []
+
+    def pause_s(engine: StandInWorker, number: int) -> float:
+        if engine not in begun:
+            begun.append(engine)
+        if engine is begun[0] and number > 2:
+            engine.stop_accepting()
+            return TIMEOUT_MS / 1000
+        engine.break_after = 3 if begun.index(engine) == 1 else None
+        return 0.0
+
+    for engine in engines:
+        engine.pause_s = partial(pause_s, engine)
+
+
+async def test_silent_worker_that_accepts_no_connection_counts_as_one_that_runs(
+    harness: PlatformHarness, engines: list[StandInWorker]
+) -> None:
+    begin_in_turn(engines)
+    sending = harness.send_draft(deadline_ms="3000")
+    (result,) = await asyncio.gather(sending, return_exceptions=True)
+    assert sum(len(engine.received) for engine in engines) == 2
+    assert isinstance(result, HttpError)
