Tell an answer that broke midway and can't be resumed as possibly run

Callers saw code 3004 or 3005 with ran: no for a request of which the engine had already sent tokens, and the record of the request said so too.

Cause: a stream that breaks after its first token is resumed at the same endpoint. When that endpoint refused the resumption (503, ran: no) or its connection was refused, this answer about the resumption was passed on as the answer about the whole request. Only a refusal by this daemon was translated.

Fix: a refusal after the first token ends the answer as broken, as a refusal by this daemon does; the attempt, the record and the caller get ran: unknown. Before the first token nothing changes: the refusal is true there and other sources are asked.

--- a/comfreyhatch/daemon/dispatch/dispatcher.py
+++ b/comfreyhatch/daemon/dispatch/dispatcher.py
@@ -354,7 +354,10 @@
 
         Raises:
             AnswerBrokenError: If the stream breaks before its first token or too often, or if
-                it has to be resumed while this daemon may not send requests.
+                it has to be resumed while the endpoint refuses requests or can't be reached, or
+                while this daemon may not send requests.
+            BackendRefusedError: If the endpoint refused the request or couldn't be reached; only
+                before the first token.
             RefusedError: If this daemon may not send requests, because its configuration has to
                 be confirmed first; only before the first token.
         """
@@ -367,7 +370,7 @@
                         yield chunk
                         offset = chunk.offset + len(chunk.tokens)
                 return
-            except RefusedError as error:
+            except (RefusedError, BackendRefusedError) as error:
                 if offset == request.resume_offset:
                     raise
                 raise AnswerBrokenError(f"the answer cannot be resumed: {error}") from error
--- a/comfreyhatch/standins/engine.py
+++ b/comfreyhatch/standins/engine.py
@@ -199,6 +199,10 @@
         if self._task:
             self._task.cancel()
 
+    def close_listener(self) -> None:
+        """Refuse new connections; answers that run go on."""
+        self._server.close_listener()
+
     @property
     def bears_now(self) -> int:
         """Requests that it bears at once now."""
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -183,6 +183,32 @@
     assert sum(engine.witness.run_count_by_id.values()) == 1
 
 
+@pytest.mark.parametrize("fault", ["full", "gone"])
+async def test_request_whose_engine_takes_no_resumption_is_not_reported_as_not_run(
+    fleet: LocalFleet, engine: EngineStandin, client: HttpClient, fault: str
+) -> None:
+    slow = VersionFault(slowdown=10.0)
+    engine.faults.fault_by_version = {SMALL.version_id: slow, LARGE.version_id: slow}
+    engine.faults.cut_next, engine.faults.cut_after_tokens = 1, 3
+    headers = {"x-critical": "true"}
+    asking = asyncio.create_task(
+        chat(client, fleet.callers("entry-a0"), headers, max_tokens=TOKENS)
+    )
+    await fleet.until(lambda: engine.witness.in_flight == 1)
+    if fault == "full":
+        engine.faults.cold, engine.faults.cold_bears = True, 0
+    else:
+        engine.close_listener()
+    reply = await asking
+    error = error_of(reply)
+    assert (error["code"], error["ran"]) == (ResultCode.ANSWER_BROKEN, "unknown")
+    operators = fleet.addresses_by_id["entry-a0"].operators
+    request_id = reply.header_by_name["x-request-id"]
+    record = decode((await client.request(operators, "GET", f"/explain/{request_id}")).body)
+    assert record["ran"] == "unknown"
+    assert list(engine.witness.run_count_by_id.values()) == [1]
+
+
 @pytest.mark.parametrize(
     ("change", "code"),
     [
