Don't tell a read as not run when an earlier attempt of it may have run

Callers of plain services got ran: no for a safe call whose connection had broken at one source, or that had stayed without an answer there, when a later source refused it; and for a hedged call of which one attempt was refused and the other broke. Its record said ran: unknown at the same time.

Cause: the error of the last source, or of the first of two hedged attempts, was passed on with its own ran. Only the path of chat requests looked at earlier attempts, and there only inside the loop over plans.

Fix: where a request's error leaves its router, its ran takes in all attempts of the draft, for services and chat requests alike. Decisions on retries still look at each attempt's own ran. By reading, this also covers a chat request whose second plan can't be made after a cascade's first step may have run.

Calls with a key and unsafe calls are not touched: they end at the first attempt that may have run.

--- a/comfreyhatch/daemon/requests/refusals.py
+++ b/comfreyhatch/daemon/requests/refusals.py
@@ -1,8 +1,10 @@
 """Refusals that the routers of chat requests and of plain services have in common."""
 
+from collections.abc import Iterable
 from random import Random
 
-from comfreyhatch.codes import ResultCode
+from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.domain.record import Attempt
 from comfreyhatch.errors import ComfreyhatchError, RefusedError
 
 # Retry-After of a request that no endpoint serves; jitter adds up to as much again.
@@ -48,3 +50,14 @@
     if last is not None and error.code is ResultCode.NO_ENDPOINT:
         return last
     return error
+
+
+def include_earlier_attempts(error: ComfreyhatchError, attempts: Iterable[Attempt]) -> None:
+    """Set the `ran` of a refusal to UNKNOWN if its request may have run in an earlier attempt.
+
+    Args:
+        error: Error to report to the caller.
+        attempts: Attempts of the request that have ended.
+    """
+    if error.ran is Ran.NO and any(attempt.ran is not Ran.NO for attempt in attempts):
+        error.ran = Ran.UNKNOWN
--- a/comfreyhatch/daemon/requests/router.py
+++ b/comfreyhatch/daemon/requests/router.py
@@ -19,6 +19,7 @@
 from comfreyhatch.daemon.requests.member_hold_down import MemberHoldDown
 from comfreyhatch.daemon.requests.refusals import (
     check_deadline,
+    include_earlier_attempts,
     more_specific_error,
     no_endpoint_error,
 )
@@ -154,6 +155,7 @@
                     yield chunk
         except ComfreyhatchError as error:
             code = error.code
+            include_earlier_attempts(error, draft.attempts)
             raise
         except (GeneratorExit, CancelledError):
             code = ResultCode.ABANDONED
@@ -236,10 +238,6 @@
             except ComfreyhatchError as error:
                 may_replan = error.code in REPLAN_CODES and error.ran is Ran.NO
                 if any_chunk_sent or call.kept or not may_replan or len(excluded) >= MAX_REPLANS:
-                    if any(attempt.ran is not Ran.NO for attempt in draft.attempts):
-                        # An earlier attempt, such as the first step of a cascade, may have run
-                        # even if the last one was refused.
-                        error.ran = Ran.YES if error.ran is Ran.YES else Ran.UNKNOWN
                     raise
                 excluded.add(draft.served_version)
             finally:
--- a/comfreyhatch/daemon/requests/services.py
+++ b/comfreyhatch/daemon/requests/services.py
@@ -16,6 +16,7 @@
 from comfreyhatch.daemon.requests.hedging import hedged
 from comfreyhatch.daemon.requests.refusals import (
     check_deadline,
+    include_earlier_attempts,
     more_specific_error,
     no_endpoint_error,
 )
@@ -99,6 +100,7 @@
             return answer
         except ComfreyhatchError as error:
             code = error.code
+            include_earlier_attempts(error, draft.attempts)
             raise
         finally:
             await self._records.commit(draft.record(monotonic(), code))
