Don't dispatch a forwarded request that its sender has given up

Endpoints of plain services got calls, safe and unsafe ones without a key alike, whose sender had timed out or had its answer elsewhere: when a stopped daemon went on, it ran all that had come for it meanwhile; and a hedged call that had lost, and still waited for a slot at another daemon, was sent when the slot got free. A sender that gave up had ended its attempt for itself alone.

Cause: the listener for forwarded requests did not look at its connections while it answered; a sender that had closed its own was found only by the next write of a stream. An answer to a call is written once, at the end.

Calls under a minted key run on in their own task, as before.

--- a/comfreyhatch/daemon/components.py
+++ b/comfreyhatch/daemon/components.py
@@ -288,7 +288,9 @@
         )
         self._forwarded.run_minted = services.run_minted
         self._caller_server = HttpServer(callers.handle, self._settings.limits)
-        self._peer_server = HttpServer(self._forwarded.handle, HttpLimits())
+        self._peer_server = HttpServer(
+            self._forwarded.handle, HttpLimits(), cancel_on_disconnect=True
+        )
 
     def _forwarder(self, hop: int) -> Forwarder:
         return Forwarder(
--- a/comfreyhatch/daemon/requests/forwarding.py
+++ b/comfreyhatch/daemon/requests/forwarding.py
@@ -295,7 +295,10 @@
         self.run_minted: Callable[[ForwardedMintedCall], Awaitable[ServiceAnswer]] | None = None
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Serve a forwarded request; a forged, replayed or expired one is refused."""
+        """Serve a forwarded request; a forged, replayed or expired one is refused.
+
+        To be cancelled when the sender leaves, so that what it gave up is not dispatched.
+        """
         hop, stamp = request.header(HOP_HEADER), request.header(STAMP_HEADER)
         envelope = Envelope(str(self.address), request.path, hop, stamp)
         signature = request.header(SIGNATURE_HEADER).encode()
@@ -305,6 +308,8 @@
         if not self._replay_guard.accept(stamp, time(), asyncio.get_running_loop().time()):
             return error_response(PeerError("the stamp is expired or was used before"))
         last_hop = not hop.isdecimal() or int(hop) >= MAX_HOPS
+        # One turn of the event loop, in which a sender that has left already is noticed.
+        await asyncio.sleep(0)
         try:
             if request.path == GENERATE_PATH:
                 return await self._generate(decode(request.body, type=GenerateRequest), last_hop)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,5 +1,6 @@
 """Forwarded requests: authentication, the hop limit, and errors that keep code and `ran`."""
 
+import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator
 from random import Random
 from typing import Any
@@ -36,6 +37,7 @@
     ServiceRequest,
 )
 from comfreyhatch.ports.peers import Member, MembershipView
+from comfreyhatch.standins.fleet import FLEET_KEY, FleetPlan, LocalFleet
 
 KEY = b"fleet key"
 REQUEST = GenerateRequest("r1", "coach@1", (ChatMessage("user", "hi"),), 2, 5)
@@ -215,3 +217,30 @@
     assert (caught.value.code, caught.value.ran) == (ResultCode.OVERLOADED, Ran.NO)
     assert caught.value.retry_after_s == 2
     await server.stop(0)
+
+
+async def test_call_that_its_sender_gave_up_while_it_waited_for_a_slot_is_not_sent() -> None:
+    plan = FleetPlan(zones=("b",), engine_zones=(), service_zones=("b",))
+    async with LocalFleet(plan) as fleet:
+        daemon, service = fleet.daemon_by_id["entry-b0"], fleet.service_by_id["service-b0"]
+        member = daemon.membership.own
+        service.faults.cold, service.faults.cold_bears = True, 1
+        await fleet.until(lambda: daemon.dispatcher._service_slots("booking") == 1)
+        service.faults.slow_s = 1.0
+        view = MembershipView({member.instance_id: member})
+        forwarder = Forwarder("caller", "a", FLEET_KEY, lambda: view, Random(1))
+
+        def send(number: int) -> asyncio.Task[tuple[ServiceAnswer, AnswerOrigin | None]]:
+            request = ServiceRequest(f"r{number}", "GET", "/accounts", b"")
+            return asyncio.create_task(forwarder.call(member, "booking", request, 20.0))
+
+        arrivals = service.witness.arrival_times_s
+        running = send(1)
+        await fleet.until(lambda: len(arrivals) == 1)
+        given_up = send(2)
+        queue = daemon.dispatcher._service_controller("booking")
+        await fleet.until(lambda: queue.waiting == 1)
+        given_up.cancel()
+        last = send(3)
+        assert [(await task)[0].status for task in (running, last)] == [200, 200]
+        assert len(arrivals) == 2
