Test calls at a stopped endpoint while the configuration changes

Unsafe calls with and without a key wait at an endpoint process that is stopped for 1.2 s, while the contract loses the service, its time is cut to 0.5 s, or the endpoint is taken out of service, and a second daemon gets a repeat of one key.

The stand-in of a plain service runs in a process of its own for this (tests/processes.py).

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,4 +1,4 @@
-"""Daemons in separate processes, for tests that kill, suspend and resume them."""
+"""Daemons and endpoints in separate processes, for tests that kill, suspend and resume them."""
 
 import asyncio
 import os
@@ -7,8 +7,12 @@
 import sys
 from pathlib import Path
 
-from comfreyhatch.domain.instance import Address
+from msgspec.json import decode
+
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.domain.instance import Address, Instance, Role
 from comfreyhatch.standins.fleet import FLEET_KEY
+from comfreyhatch.standins.service import ServiceWitness
 
 KEY_ENV = "COMFREYHATCH_FLEET_KEY"
 START_TIMEOUT_S = 30.0
@@ -84,6 +88,65 @@
     return daemon
 
 
+class ServiceProcess:
+    """The stand-in of a plain service in a process of its own; its witness is read over HTTP.
+
+    Attributes:
+        process: The process.
+        instance: Its row of the instance list.
+    """
+
+    def __init__(
+        self, process: asyncio.subprocess.Process, instance: Instance, switches: Address
+    ) -> None:
+        self.process = process
+        self.instance = instance
+        self._switches = switches
+
+    def signal(self, number: signal.Signals) -> None:
+        self.process.send_signal(number)
+
+    async def witness(self) -> ServiceWitness:
+        """Return what the service saw; it has to run."""
+        client = HttpClient()
+        try:
+            reply = await client.request(self._switches, "GET", "/witness")
+        finally:
+            client.close()
+        return decode(reply.body, type=ServiceWitness)
+
+    async def kill(self) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+
+async def start_service_process(name: str, zone: str) -> ServiceProcess:
+    """Start an endpoint of a plain service on free ports and wait until it listens.
+
+    Args:
+        name: Name of the plain service.
+        zone: Zone of the endpoint.
+    """
+    arguments = ("--versions", "unused@1", "--engine-zone", zone, "--service", f"{name}:{zone}")
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "comfreyhatch.standins.main",
+        *arguments,
+        "--port",
+        "0",
+        stdout=asyncio.subprocess.PIPE,
+    )
+    instance_id = f"service-{zone}0"
+    assert process.stdout is not None
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while not (line := (await process.stdout.readline()).decode()).startswith(instance_id):
+            assert line, "the stand-ins have ended"
+    instance = Instance(instance_id, Role.SERVICE, zone, _address(line, instance_id), service=name)
+    return ServiceProcess(process, instance, _address(line, "switches"))
+
+
 def _address(line: str, name: str) -> Address:
     host, port = re.search(rf"{name}=([\d.]+):(\d+)", line).groups()  # type: ignore[union-attr]
     return Address(host, int(port))
--- a/tests/test_paused_processes.py
+++ b/tests/test_paused_processes.py
@@ -6,17 +6,28 @@
 from contextlib import suppress
 from pathlib import Path
 from random import Random
+from time import monotonic
 
 import pytest
+from msgspec.structs import replace
 
+from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.daemon.requests.forwarding import Forwarder
+from comfreyhatch.domain.change import Change, SetContract, SetEndpoint
 from comfreyhatch.errors import ComfreyhatchError, HttpError
 from comfreyhatch.ports.engine import ServiceRequest
 from comfreyhatch.ports.peers import Member
-from comfreyhatch.standins.fleet import FLEET_KEY, FleetPlan, LocalFleet
-from tests.processes import DaemonProcess, start_daemon_process
+from comfreyhatch.standins.fleet import CONTRACT, FLEET_KEY, FleetPlan, LocalFleet
+from tests.calls import book, error_of
+from tests.processes import (
+    DaemonProcess,
+    ServiceProcess,
+    start_daemon_process,
+    start_service_process,
+)
 
 GIVE_UP_S = 0.3
+PAUSE_S = 1.2
 
 
 @pytest.fixture
@@ -63,3 +74,55 @@
     process.signal(signal.SIGCONT)
     await call(fleet, member, "last", method, 5.0)
     assert len(witness.arrival_times_s) == before + 1
+
+
+@pytest.fixture
+async def service() -> AsyncIterator[ServiceProcess]:
+    started = await start_service_process("booking", "a")
+    yield started
+    await started.kill()
+
+
+CHANGES = {
+    "the service": SetContract(replace(CONTRACT, services=())),
+    "the time": SetContract(replace(CONTRACT, default_deadline_s=0.5)),
+    "the endpoint": SetEndpoint("service-a0", out=True),
+}
+
+
+@pytest.mark.parametrize("change", CHANGES.values(), ids=list(CHANGES))
+async def test_calls_at_a_stopped_endpoint_run_once_while_the_configuration_changes(
+    service: ServiceProcess, change: Change
+) -> None:
+    plan = FleetPlan(zones=("a", "a"), engine_zones=(), service_zones=())
+    clients = [HttpClient() for _ in range(6)]
+    async with LocalFleet(plan) as fleet:
+        fleet.platform.put_instance(service.instance)
+        daemons = fleet.daemon_by_id.values()
+        await fleet.until(
+            lambda: all(
+                d.pool.has_slots("booking", d.config_sync.config, monotonic()) for d in daemons
+            )
+        )
+        holder, other = (fleet.callers(name) for name in fleet.daemon_by_id)
+        service.signal(signal.SIGSTOP)
+        calls = [
+            asyncio.create_task(book(client, holder, key))
+            for client, key in zip(clients, ("k1", "k2", "", ""), strict=False)
+        ]
+        running = fleet.daemon_by_id["entry-a0"].pool._running_by_id
+        await fleet.until(lambda: sum(running.values()) == len(calls))
+        again = await book(clients[4], other, "k1")
+        assert error_of(again)["ran"] == "unknown"
+        await fleet.apply(change)
+        await asyncio.sleep(PAUSE_S)
+        service.signal(signal.SIGCONT)
+        replies = await asyncio.gather(*calls)
+        assert [reply.status for reply in replies] == [200] * len(calls)
+        repeated = await book(clients[4], other, "k1")
+        assert repeated.status != 200 or repeated.body == replies[0].body
+        witness = await service.witness()
+        assert {"k1", "k2"} <= witness.run_count_by_key.keys()
+        assert list(witness.run_count_by_key.values()) == [1] * len(calls)
+    for client in clients:
+        client.close()
