Reset the connection of a request that was given up

Endpoints saw an ordinary end of file where a daemon had given a request up (a timeout, a stall, the loser of a hedge, a caller that left, a relayed request). An end of file may be a half-close, so an endpoint that reads the request only later, for example one whose process was stopped, cannot tell that nobody waits for its answer.

Cause: `HttpLink.abort` promised a reset, but `transport.abort()` drops what is unsent and closes the socket in the ordinary way. Links that time out did the same.

Now an abandoned attempt sets SO_LINGER (on, 0 s) just before the close. `HttpLink.end` decides at the end of each request by the state of the protocol: a request that was written and whose answer is not complete is reset; one that was answered, or of which nothing was sent, is closed as before. `drop_idle`, stray bytes on an idle connection, aged and surplus connections and the stop of a client close without a reset (`drop`, `close`). The callers' side is unchanged.

A reset does not take back what the endpoint has not read: on this kernel (6.18) it is delivered before the reset. A request that was written still counts as one that may have run.

A daemon that relays for another one needs nothing of its own: a reset or an end of file of the asker cancels its handler, and this ends its own attempt by a reset.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -252,7 +252,8 @@
     ) -> AsyncIterator[StreamedReply]:
         """Send a request and give its answer piece by piece.
 
-        The connection is closed unless the answer was read to its end.
+        The connection is kept if the answer was read to its end and it may be, and reset if the
+        request was given up.
 
         Raises:
             ConnectError: If nothing was sent.
@@ -274,7 +275,7 @@
             if kept:
                 self._keep(address, link)
             else:
-                link.abort()
+                link.end()
 
     async def can_connect(self, address: Address) -> bool:
         """Return whether a new connection can be opened; it is kept for later requests."""
@@ -288,7 +289,7 @@
     def drop_idle(self, address: Address) -> None:
         """Close the idle connections to an address."""
         for link in self._idle_by_address.pop(address, []):
-            link.abort()
+            link.drop()
 
     async def is_refused(self, address: Address) -> bool:
         """Return whether nothing listens at an address; not whether it can't be reached."""
--- a/comfreyhatch/adapters/http_link.py
+++ b/comfreyhatch/adapters/http_link.py
@@ -2,7 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from enum import Enum
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
 
 import h11
 
@@ -17,6 +20,10 @@
 # Status that h11 suggests when its buffer is full.
 TOO_LARGE_HINT = 431
 IDLE_LIFE_S = 20.0
+# Value of SO_LINGER (on, 0 s) with which a close sends a reset in place of an end of file.
+RESET_AT_CLOSE = pack("ii", 1, 0)
+# States of the peer in which it has sent its whole answer.
+ANSWERED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
 
 class AnswerPart(Enum):
@@ -67,7 +74,7 @@
         """Hand bytes to the parser; bytes on an idle connection belong to no request."""
         if self.idle:
             self._report(AnswerPart.AFTER_END, "0 bytes")
-            self.transport.abort()
+            self.drop()
             return
         self.protocol.receive_data(bytes(memoryview(self._read_buffer)[:nbytes]))
         self._unread_bytes += nbytes
@@ -144,17 +151,36 @@
         return True
 
     def close(self) -> None:
-        """Close the connection."""
-        if self._timer is not None:
-            self._timer.cancel()
+        """Close the connection once what is unsent has been sent."""
+        self._cancel_timer()
         self.transport.close()
 
+    def drop(self) -> None:
+        """Close the connection at once, without a reset; what is unsent is dropped."""
+        self._cancel_timer()
+        self.transport.abort()
+
     def abort(self) -> None:
-        """Reset the connection, so that the peer stops its work at once."""
-        if self._timer is not None:
-            self._timer.cancel()
+        """Reset the connection, which tells the peer that its request was given up.
+
+        An end of file would not tell it: the peer may take that for a half-close, and go on. What
+        the peer has not read yet may still reach it before the reset.
+        """
+        self._cancel_timer()
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            # The socket may be closed already.
+            with suppress(OSError):
+                sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_AT_CLOSE)
         self.transport.abort()
 
+    def end(self) -> None:
+        """End the connection after its last request; with a reset if that was given up."""
+        if self.protocol.our_state is h11.IDLE or self.protocol.their_state in ANSWERED_STATES:
+            self.drop()
+        else:
+            self.abort()
+
     def fresh(self, now: float) -> bool:
         """Return whether an idle connection is likely to be open still."""
         closed = bool(self._loss) or self.transport.is_closing()
@@ -193,9 +219,12 @@
             self.transport.resume_reading()
         self._unread_bytes = 0
 
-    def _arm(self, loop: asyncio.AbstractEventLoop, when: float) -> None:
+    def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
+
+    def _arm(self, loop: asyncio.AbstractEventLoop, when: float) -> None:
+        self._cancel_timer()
         self._timer = loop.call_at(when, self._expire, loop)
 
     def _expire(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -206,7 +235,7 @@
             self._arm(loop, self._read_until)
             return
         self._timed_out = True
-        self.transport.abort()
+        self.abort()
         self._wake()
 
 
