Interrupt a stalled stream only for an extra request reserved for it

Callers saw streams of sound endpoints that fell silent for a second cut, or failed with 502 ANSWER_BROKEN. The watchdog looked at the budget of extra requests and took nothing from it. When the endpoints fall silent, their streams stall in the same check: each saw the one extra request that was left, each was interrupted, one got the retry. The others failed (no event yet), or waited without an endpoint until their deadline.

The interrupt now reserves the extra request; the retry that follows uses it and pays nothing more. A reserved one counts in the budget however long it waits, and takes its place in the window when the attempt begins, so what waits for a slot can't be sent on top of a later window's part (retries of broken streams and of failed answers are reserved and counted in the same way). It is given back if no attempt used it: the answer went on at the same moment, the caller left, the deadline passed. A request that was interrupted waits for a slot, for the budget or past refusals until its deadline, like a stream that its caller has part of.

The test harness started further daemons with its default bounds instead of those of the first. Test-only: workers can fall silent (StandInWorker.awake).

--- a/comfreyhatch/decisions/extra_requests.py
+++ b/comfreyhatch/decisions/extra_requests.py
@@ -12,7 +12,11 @@
 
 
 class ExtraRequestBudget:
-    """Counts requests of callers and extra requests to one service in a sliding window."""
+    """Counts requests of callers and extra requests to one service in a sliding window.
+
+    An extra request that can't be sent at once is reserved: it counts from then on, and takes its
+    place in the window when it is sent.
+    """
 
     def __init__(self, window_s: float, ratio: float, slack: float) -> None:
         """Create a budget.
@@ -27,6 +31,7 @@
         self.slack = slack
         self._requests: deque[float] = deque()
         self._extra: deque[float] = deque()
+        self._reserved = 0
 
     def record_request(self, now: float) -> None:
         """Count a caller's request."""
@@ -35,12 +40,12 @@
     def remaining(self, now: float) -> float:
         """Return how many extra requests are allowed now."""
         self._expire(now)
-        return self._ratio * len(self._requests) + self.slack * SAFETY_FACTOR - len(self._extra)
+        return self._ratio * len(self._requests) + self.slack * SAFETY_FACTOR - self._taken
 
     def remaining_share(self, now: float) -> float:
         """Return the unspent share of the window's budget, 0 to 1."""
         remaining = self.remaining(now)
-        total = remaining + len(self._extra)
+        total = remaining + self._taken
         return max(0.0, remaining / total) if total > 0 else 0.0
 
     def take(self, now: float) -> bool:
@@ -50,6 +55,26 @@
         self._extra.append(now)
         return True
 
+    def reserve(self, now: float) -> bool:
+        """Reserve one extra request if the budget allows it; return whether it does."""
+        if self.remaining(now) < 1:
+            return False
+        self._reserved += 1
+        return True
+
+    def spend_reserved(self, now: float) -> None:
+        """Count a reserved extra request that is sent now."""
+        self._reserved -= 1
+        self._extra.append(now)
+
+    def return_reserved(self) -> None:
+        """Give back a reserved extra request that is not sent."""
+        self._reserved -= 1
+
+    @property
+    def _taken(self) -> int:
+        return len(self._extra) + self._reserved
+
     def _expire(self, now: float) -> None:
         oldest = now - self._window_s
         while self._requests and self._requests[0] < oldest:
--- a/comfreyhatch/exchange/stall_watchdog.py
+++ b/comfreyhatch/exchange/stall_watchdog.py
@@ -15,14 +15,14 @@
 class StallWatchdog:
     """Interrupts streams that have stalled and that another endpoint may serve."""
 
-    def __init__(self, may_retry: Callable[[StreamState, float], bool]) -> None:
+    def __init__(self, reserve_retry: Callable[[StreamState, float], bool]) -> None:
         """Create a watchdog.
 
         Args:
-            may_retry: Returns whether a stalled request may be retried on another endpoint; called
-                with its stream and the monotonic time in seconds.
+            reserve_retry: Reserves the retry of a stalled request on another endpoint, and returns
+                whether it may be retried; called with its stream and the monotonic time in seconds.
         """
-        self._may_retry = may_retry
+        self._reserve_retry = reserve_retry
         self._streams: set[StreamState] = set()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -52,7 +52,7 @@
         loop = asyncio.get_running_loop()
         now = loop.time()
         for stream in list(self._streams):
-            if stream.is_stalled(now) and self._may_retry(stream, now):
+            if stream.is_stalled(now) and self._reserve_retry(stream, now):
                 self._streams.discard(stream)
                 self._log_stalled(stream, now)
                 stream.interrupt()
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -27,6 +27,7 @@
 from comfreyhatch.exchange.event_relay import EventRelay, require_time
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.health import note_lost_answer
+from comfreyhatch.exchange.reservations import RetryReservations
 from comfreyhatch.exchange.scheduler import EndpointScheduler, SlotLease
 from comfreyhatch.exchange.sender import Sender, StreamedAnswer
 from comfreyhatch.exchange.stall_watchdog import StallWatchdog
@@ -72,10 +73,11 @@
         self._scheduler = scheduler
         self._sender = sender
         self._budget = budget
+        self._reservations = RetryReservations(budget)
         self._evidence = evidence
         self._first_event_latencies: dict[tuple[str, str], SampleWindow] = {}
         self._engine_times = EngineTimes()
-        self._watchdog = StallWatchdog(self._may_retry_stalled)
+        self._watchdog = StallWatchdog(self._reserve_stalled_retry)
         self._events = EventRelay(evidence, self._watchdog, crashes)
 
     async def run(self, job: Job) -> HttpResponse:
@@ -86,9 +88,12 @@
             BackendError: If it may have run and there is no answer.
         """
         stream = StreamState(job)
-        answer = await self._open_cascade(stream)
-        if not answer.head.success:
-            return await self._failed_response(stream, answer)
+        try:
+            answer = await self._open_cascade(stream)
+            if not answer.head.success:
+                return await self._failed_response(stream, answer)
+        finally:
+            self._reservations.give_back(stream)
         stream.head = answer.head
         return HttpResponse(
             answer.head.status, headers=answer.head.headers, stream=self._relay(stream, answer)
@@ -160,6 +165,7 @@
         endpoint = lease.endpoint
         attempt = self._crashes.begin(job, endpoint, lease.started)
         stream.start_attempt(lease, attempt)
+        self._reservations.spend(stream, lease.started)
         self._scheduler.pin_session(job, endpoint.record.version, lease.started)
         try:
             answer = await self._open_watched(stream, lease)
@@ -169,6 +175,7 @@
             await self._crashes.end_failed(attempt, error)
             raise
         lease.note_answer_started()
+        stream.is_replacing = False
         now = loop.time()
         took_s = now - lease.started
         stream.slow = self._evidence.record_answer(
@@ -210,7 +217,7 @@
             if self._scheduler.has_candidates(job, stream.excluded_ids, now):
                 break
         return await self._scheduler.acquire(
-            job, stream.excluded_ids, work_s, resumes=stream.head_sent
+            job, stream.excluded_ids, work_s, resumes=stream.waits_until_deadline
         )
 
     async def _open_watched(self, stream: StreamState, lease: SlotLease) -> StreamedAnswer:
@@ -279,29 +286,50 @@
 
     async def _relay(self, stream: StreamState, answer: StreamedAnswer) -> AsyncIterator[bytes]:
         """Yield complete events; a broken stream is resumed on another endpoint."""
-        while True:
-            try:
-                async for events in self._events.new_events(stream, answer):
-                    yield events
-                self._end_complete(stream)
-                self._bill(stream.job, stream.model, stream.events_relayed)
-                self._events.record_gap(stream, answer, ended=True)
-                return
-            except AnswerBrokenError as error:
-                require_time(stream, asyncio.get_running_loop().time())
-                stream.error = error
-                self._log_failure(stream, error, begun=True)
-                stream.count_failure(answer.endpoint, error)
-                now = asyncio.get_running_loop().time()
-                note_lost_answer(answer.endpoint, error, now)
-            finally:
-                await self._close(stream, answer)
-            if stream.attempt is not None and stream.error is not None:
-                await self._crashes.end_failed(stream.attempt, stream.error)
-            if not await self._take_retry(stream):
-                assert stream.error is not None
-                raise final_error(stream.error, stream.account.may_have_run)
-            answer = await self._open(stream)
+        try:
+            while True:
+                try:
+                    async for events in self._events.new_events(stream, answer):
+                        yield events
+                    self._end_complete(stream)
+                    self._bill(stream.job, stream.model, stream.events_relayed)
+                    self._events.record_gap(stream, answer, ended=True)
+                    return
+                except AnswerBrokenError as error:
+                    self._note_broken(stream, answer, error)
+                finally:
+                    await self._close(stream, answer)
+                answer = await self._reopen(stream)
+        finally:
+            self._reservations.give_back(stream)
+
+    def _note_broken(
+        self, stream: StreamState, answer: StreamedAnswer, error: AnswerBrokenError
+    ) -> None:
+        """Note that an answer broke off that its caller has part of.
+
+        Raises:
+            BackendError: If the deadline has passed.
+        """
+        now = asyncio.get_running_loop().time()
+        require_time(stream, now)
+        stream.error = error
+        self._log_failure(stream, error, begun=True)
+        stream.count_failure(answer.endpoint, error)
+        note_lost_answer(answer.endpoint, error, now)
+
+    async def _reopen(self, stream: StreamState) -> StreamedAnswer:
+        """Return an answer that goes on with a broken stream.
+
+        Raises:
+            ComfreyhatchError: If there is none.
+        """
+        assert stream.error is not None
+        if stream.attempt is not None:
+            await self._crashes.end_failed(stream.attempt, stream.error)
+        if not await self._take_retry(stream):
+            raise final_error(stream.error, stream.account.may_have_run)
+        return await self._open(stream)
 
     def _end_complete(self, stream: StreamState) -> None:
         if stream.attempt is not None:
@@ -356,7 +384,7 @@
         now = asyncio.get_running_loop().time()
         if not stream.may_attempt(now):
             return False
-        if stream.head_sent and stream.account.failed_often:
+        if stream.waits_until_deadline and stream.account.failed_often:
             if not stream.may_attempt(now + RESUME_PAUSE_S):
                 return False
             await asyncio.sleep(RESUME_PAUSE_S)
@@ -376,20 +404,20 @@
         stream.endpoint_by_broken.clear()
 
     def _pay_retry(self, stream: StreamState) -> bool:
-        """Draw a retry from the budget; return whether the budget allows it."""
+        """Reserve a retry, unless one is; return whether the budget allows it."""
         # An attempt without a connection reached no endpoint, so its retry needs no budget.
         if isinstance(stream.error, EndpointUnreachableError):
             return True
-        return self._budget(stream.job.service).take(asyncio.get_running_loop().time())
+        return self._reservations.reserve(stream, asyncio.get_running_loop().time())
 
     async def _pause_before_resume(self, stream: StreamState, reason: str) -> bool:
-        """Pause a stream that its caller has part of; return whether it may then be resumed.
+        """Pause a stream that waits until its deadline; return whether it may then be resumed.
 
         Returns:
-            False at once if the caller has nothing yet, or if no attempt or time is left.
+            False at once for other streams, or if no attempt or time is left.
         """
         now = asyncio.get_running_loop().time()
-        if not stream.head_sent or not stream.may_attempt(now + RESUME_PAUSE_S):
+        if not stream.waits_until_deadline or not stream.may_attempt(now + RESUME_PAUSE_S):
             return False
         log.info(
             "event=resume_delayed id=%s events=%s reason=%r",
@@ -400,11 +428,14 @@
         await asyncio.sleep(RESUME_PAUSE_S)
         return True
 
-    def _may_retry_stalled(self, stream: StreamState, now: float) -> bool:
-        """Return whether a stalled request may be retried; otherwise it keeps waiting."""
-        if not stream.job.route.repeatable or not stream.may_attempt(now):
+    def _reserve_stalled_retry(self, stream: StreamState, now: float) -> bool:
+        """Reserve the retry of a stalled request; return False if it has to keep waiting."""
+        if not stream.job.route.repeatable or not stream.may_attempt(now + RESUME_PAUSE_S):
+            return False
+        if not self._reservations.reserve(stream, now):
             return False
-        return self._budget(stream.job.service).remaining(now) >= 1
+        stream.is_replacing = True
+        return True
 
     def _latency_window(self, stream: StreamState) -> SampleWindow:
         """Return the times to the first event for the stream's route and model."""
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -52,6 +52,9 @@
         fresh_connection: Whether the current attempt needs a new connection, since an earlier one
             was sent to its endpoint. A late copy of that attempt's answer has the same id.
         lease: Slot of the current attempt; None once its answer was closed.
+        retry_reserved: Whether an extra request is reserved for the next attempt.
+        is_replacing: Whether an attempt that might have been answered was given up for the next
+            one, and no endpoint has answered since.
         error: Error of the last failed attempt; None if that attempt got an answer.
         stall_limits: Longest waits for the next event.
         interrupt: Ends the current wait.
@@ -76,12 +79,14 @@
         "head",
         "idle_since",
         "interrupt",
+        "is_replacing",
         "job",
         "last_event_id",
         "last_events_at",
         "lease",
         "model_index",
         "resumable",
+        "retry_reserved",
         "slow",
         "stall_limits",
     )
@@ -109,6 +114,8 @@
         self.endpoint_id = ""
         self.fresh_connection = False
         self.lease: SlotLease | None = None
+        self.retry_reserved = False
+        self.is_replacing = False
         self.error: ComfreyhatchError | None = None
         self.stall_limits = StallLimits(float("inf"), float("inf"))
         self.interrupt: Callable[[], object] = _no_interrupt
@@ -125,6 +132,14 @@
         """Whether the head of the answer was returned to the caller."""
         return self.head is not None
 
+    @property
+    def waits_until_deadline(self) -> bool:
+        """Whether the request waits for an endpoint until its deadline, rather than being refused.
+
+        Its caller has part of the answer, or an answer was given up on its behalf.
+        """
+        return self.head_sent or self.is_replacing
+
     def may_follow(self, head: AnswerHead) -> bool:
         """Return whether an answer may go on with the one that the caller has part of, if any."""
         if self.head is None:
@@ -176,14 +191,14 @@
     def may_attempt(self, now: float) -> bool:
         """Return whether deadline and attempt limits allow another attempt.
 
-        Attempts that did not run count only until the caller has part of the answer: from then on,
-        only the deadline ends the stream.
+        Attempts that did not run count only until the stream waits until its deadline: from then
+        on, they don't end it.
         """
         if now >= self.job.deadline - DEADLINE_MARGIN_S:
             return False
         if not self.account.allows_another(self.job.route.repeatable and self.resumable):
             return False
-        return self.head_sent or not self.account.failed_often
+        return self.waits_until_deadline or not self.account.failed_often
 
     def is_stalled(self, now: float) -> bool:
         """Return whether the current attempt exceeds its stall limits."""
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -248,7 +248,7 @@
         """Start more daemons, and wait until all daemons know each other."""
         assert self.deployment is not None
         for _ in range(count):
-            started = await self.start_daemon(self.deployment.store)
+            started = await self.start_daemon(self.deployment.store, self.deployment.bounds)
             await self.wait_until(started.ready)
         known = len(self.daemons)
         await self.wait_until(
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -28,6 +28,7 @@
         break_after: Number of events after which a stream breaks inside an event; None for never.
         pause_s: Returns the pause before an event in seconds, by the event's number.
         hold: Event that requests wait for before they are answered; None for no wait.
+        awake: Event that is cleared while the worker sends nothing at all.
         answer_delay_s: Time that each request takes, in seconds.
         events: Number of events of a complete stream.
         transform: Changes an answer before it is sent.
@@ -58,6 +59,8 @@
         self.break_after: int | None = None
         self.pause_s: Callable[[int], float] = lambda number: 0.0
         self.hold: asyncio.Event | None = None
+        self.awake = asyncio.Event()
+        self.awake.set()
         self.answer_delay_s = 0.0
         self.events = EVENTS_PER_STREAM
         self.transform: Callable[[HttpResponse], HttpResponse] = lambda response: response
@@ -166,6 +169,7 @@
                 await self.hold.wait()
             if self.answer_delay_s:
                 await asyncio.sleep(self.answer_delay_s)
+            await self.awake.wait()
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
@@ -221,6 +225,7 @@
         try:
             for number in range(first, self.events + 1):
                 await asyncio.sleep(self.pause_s(number))
+                await self.awake.wait()
                 if self.break_after is not None and number == self.break_after + 1:
                     yield b"id: %d\nda" % number
                     # Give the peer time to read the event: a reset discards unread data.
--- a/tests/test_extra_requests.py
+++ b/tests/test_extra_requests.py
@@ -34,6 +34,23 @@
     assert len(shares) == int(100 * RATIO * 0.85)
 
 
+def test_reserved_extra_request_counts_however_long_it_waits() -> None:
+    budget = ExtraRequestBudget(WINDOW_S, RATIO, 2.0)
+    assert budget.reserve(0.0)
+    assert not budget.take(2 * WINDOW_S)
+    budget.spend_reserved(2 * WINDOW_S)
+    assert not budget.take(2.5 * WINDOW_S)
+    assert budget.take(3.1 * WINDOW_S)
+
+
+def test_extra_request_that_was_given_back_can_be_taken() -> None:
+    budget = ExtraRequestBudget(WINDOW_S, RATIO, 2.0)
+    assert budget.reserve(0.0)
+    budget.return_reserved()
+    assert budget.take(0.0)
+    assert not budget.reserve(0.0)
+
+
 @given(
     st.lists(
         st.tuples(
@@ -60,3 +77,33 @@
         counted = sum(end - WINDOW_S <= at <= end for at in extra)
         allowed = RATIO * sum(end - WINDOW_S <= at <= end for at in requests) + SLACK
         assert counted <= allowed
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, DAEMONS - 1),
+            st.floats(0.0, 4.0, allow_nan=False),
+            st.integers(0, 30),
+            st.integers(0, 30),
+        ),
+        max_size=60,
+    )
+)
+def test_fleet_stays_within_its_limit_with_reserved_extra_requests(
+    steps: list[tuple[int, float, int, int]],
+) -> None:
+    budgets = [ExtraRequestBudget(WINDOW_S, RATIO, SLACK / DAEMONS) for _ in range(DAEMONS)]
+    reserved = [0] * DAEMONS
+    now = 0.0
+    extra: list[float] = []
+    for daemon, gap_s, wanted, sent in steps:
+        now += gap_s
+        budget = budgets[daemon]
+        reserved[daemon] += sum(budget.reserve(now) for _ in range(wanted))
+        for _ in range(min(sent, reserved[daemon])):
+            reserved[daemon] -= 1
+            budget.spend_reserved(now)
+            extra.append(now)
+    for end in extra:
+        assert sum(end - WINDOW_S <= at <= end for at in extra) <= SLACK
