--- /dev/null
+++ b/tests/endpoint_process.py
@@ -0,0 +1,179 @@
+"""A stand-in of the platform's workers as a process of its own, which logs what it sees.
+
+Run as `python -m tests.endpoint_process ID LOG OPTIONS`. The log has one JSON object a line, with
+the monotonic time `t` that all processes of the machine share.
+"""
+
+import asyncio
+import socket
+import sys
+import time
+from collections.abc import AsyncIterator, Callable
+from contextvars import ContextVar
+from random import Random
+
+from msgspec import Struct
+from msgspec.json import decode, encode
+
+from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
+from comfreyhatch.adapters.http_server import HttpServer, _CallerProtocol
+from comfreyhatch.domain.instance import Address
+from tests.platform_worker import StandInWorker
+
+EVENTS = 14
+EVENT_GAP_S = 0.05
+# Pauses after each of the first events of a stream, one of which is drawn for it.
+EARLY_PAUSES_S = (0.0, 0.0, 0.45)
+EARLY_EVENTS = 3
+SHORTEST_RUN_S = 0.03
+LONGEST_RUN_S = 0.3
+# Confidences of the small model, the lower of which escalates.
+CONFIDENCES = (20, 95)
+
+Log = Callable[..., None]
+
+peer_port: ContextVar[int] = ContextVar("peer_port", default=0)
+
+
+class EndpointOptions(Struct):
+    """How an endpoint behaves.
+
+    Attributes:
+        backlog: Connections that may wait to be accepted.
+        capacity: Requests that it takes at once; more are refused.
+        idle_s: Time that a connection may stay idle, in seconds.
+        half_close: Whether a request goes on after the end of file of its connection; it never
+            does after a reset.
+    """
+
+    backlog: int = 5
+    capacity: int = 6
+    idle_s: float = 75.0
+    half_close: bool = False
+
+
+class _LoggedProtocol(_CallerProtocol):
+    """Logs how a connection was closed."""
+
+    log: Log
+    half_close = False
+    _port = 0
+    _saw_end = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._port = transport.get_extra_info("peername")[1]
+        super().connection_made(transport)
+
+    def eof_received(self) -> bool | None:
+        self._saw_end = True
+        self.log("end_of_file", port=self._port)
+        if self.half_close:
+            return asyncio.StreamReaderProtocol.eof_received(self)
+        return super().eof_received()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        how = "end_of_file" if self._saw_end else "itself"
+        self.log("closed", port=self._port, how=repr(exc) if exc else how)
+        super().connection_lost(exc)
+
+
+class _LoggedServer(HttpServer):
+    log: Log
+    half_close = False
+
+    def _protocol(self) -> _LoggedProtocol:
+        loop = asyncio.get_running_loop()
+        protocol = _LoggedProtocol(asyncio.StreamReader(loop=loop), self._accept, loop=loop)
+        protocol.log, protocol.half_close = self.log, self.half_close
+        return protocol
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        peer_port.set(writer.get_extra_info("peername")[1])
+        await super()._accept(reader, writer)
+
+
+class LoggedWorker(StandInWorker):
+    """Logs the arrival, begin and end of each request."""
+
+    def __init__(self, worker_id: str, log: Log, options: EndpointOptions) -> None:
+        super().__init__(worker_id)
+        self._log = log
+        limits = HttpLimits(idle_timeout_s=options.idle_s)
+        self._server = _LoggedServer(self._answer, limits, cancel_on_disconnect=True)
+        self._server.log, self._server.half_close = log, options.half_close
+        self.room = options.capacity
+        self.events = EVENTS
+        self.pause_s = lambda number: EVENT_GAP_S
+
+    async def listen(self, backlog: int) -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        await self._server.start_on(listener)
+        listener.listen(backlog)
+        self.address = Address(*listener.getsockname())
+        self._log("listening", port=self.address.port)
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        self._note("arrived", request)
+        return await super()._answer(request)
+
+    async def _run(self, request: HttpRequest) -> HttpResponse:
+        if request.header("expect-instance") != self.worker_id:
+            return await super()._run(request)
+        rng = Random(request.header("attempt-id"))
+        self.answer_delay_s = rng.uniform(SHORTEST_RUN_S, LONGEST_RUN_S)
+        self.confidence_by_model = {"small": rng.choice(CONFIDENCES), "large": CONFIDENCES[1]}
+        self._note("began", request)
+        try:
+            response = await super()._run(request)
+        except asyncio.CancelledError:
+            self._note("ended", request, how="cancelled")
+            raise
+        if response.stream is None:
+            self._note("ended", request, how="complete")
+        else:
+            response.stream = self._logged(request, response.stream)
+        return response
+
+    async def _logged(
+        self, request: HttpRequest, events: AsyncIterator[bytes]
+    ) -> AsyncIterator[bytes]:
+        how = "cut"
+        pause_s = Random(request.header("attempt-id")).choice(EARLY_PAUSES_S)
+        left = EARLY_EVENTS
+        try:
+            async for event in events:
+                yield event
+                left -= 1
+                await asyncio.sleep(pause_s if left >= 0 else 0.0)
+            how = "complete"
+        finally:
+            self._note("ended", request, how=how)
+
+    def _note(self, event: str, request: HttpRequest, how: str = "") -> None:
+        self._log(
+            event,
+            id=request.header("attempt-id"),
+            method=request.method,
+            model=request.header("model"),
+            last=request.header("last-event-id"),
+            deadline_ms=request.header("deadline-ms"),
+            port=peer_port.get(),
+            how=how,
+        )
+
+
+async def main(worker_id: str, log_path: str, options: EndpointOptions) -> None:
+    """Listen and answer until the process is ended."""
+    with open(log_path, "ab", buffering=0) as file:
+
+        def log(event: str, **values: object) -> None:
+            file.write(encode({"t": time.monotonic(), "event": event, **values}) + b"\n")
+
+        await LoggedWorker(worker_id, log, options).listen(options.backlog)
+        await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(sys.argv[1], sys.argv[2], decode(sys.argv[3], type=EndpointOptions)))
