Give an endpoint the time that is left when a request is relayed, not when it got its slot

Endpoints saw: Deadline-Ms 989 of 1000 on a request that was passed on 0.6 s after it had got its slot; one that is sent once more so late ends later than the first and the caller's own time.

Cause: the headers for the endpoint, and the time limit for another daemon that sends the request, were computed once, before this daemon's own connection was tried (up to 0.3 s) and up to three other daemons were asked in turn (their connection up to 0.2 s, theirs to the endpoint 0.3 s each).

Evidence: tests/test_relay.py, test_deadline_of_a_request_that_was_relayed_late_is_not_longer_than_what_is_left: the first daemon that is asked answers "unreachable" after 0.6 s, the second sends the request. It failed with 989 <= 400.

Mend: the sender makes the request for each sending, by its time. What one daemon sends to another is unchanged on the wire.

What remains: the connection itself, 0.3 s on the own path, and 0.2 s + 0.3 s by way of another daemon, lies between the computing and the arrival.

--- a/comfreyhatch/domain/relay.py
+++ b/comfreyhatch/domain/relay.py
@@ -1,5 +1,6 @@
 """Requests that one daemon relays for another that has lost its own path to an endpoint."""
 
+from collections.abc import Callable
 from enum import Enum
 
 from msgspec import Struct
@@ -43,6 +44,10 @@
     fresh_connection: bool = False
 
 
+# Returns a request to be sent at a monotonic time in seconds, with the time that is left then.
+RequestAt = Callable[[float], EndpointRequest]
+
+
 class RelayFailure(Enum):
     """Why a daemon has no answer of an endpoint for another daemon."""
 
--- a/comfreyhatch/exchange/relay_client.py
+++ b/comfreyhatch/exchange/relay_client.py
@@ -11,7 +11,13 @@
 from comfreyhatch.adapters.http_client import HttpClient, StreamedReply
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.relay_choice import RelayChoice
-from comfreyhatch.domain.relay import RELAY_PATH, EndpointRequest, RelayAddress, RelayFailure
+from comfreyhatch.domain.relay import (
+    RELAY_PATH,
+    EndpointRequest,
+    RelayAddress,
+    RelayFailure,
+    RequestAt,
+)
 from comfreyhatch.errors import (
     ConnectError,
     EndpointWithdrawnError,
@@ -64,10 +70,14 @@
 
     @asynccontextmanager
     async def stream(
-        self, endpoint: EndpointTracker, request: EndpointRequest
+        self, endpoint: EndpointTracker, request_at: RequestAt
     ) -> AsyncIterator[StreamedReply]:
         """Send a request by way of another daemon and give the endpoint's answer piece by piece.
 
+        Args:
+            endpoint: The endpoint.
+            request_at: Returns the request for each daemon that is asked.
+
         Raises:
             NoRelayError: If no daemon that was asked could send it.
             EndpointWithdrawnError: If another daemon knows that the endpoint gets no more requests.
@@ -75,23 +85,22 @@
             HttpError: If the endpoint broke off or did not answer in time; the same.
         """
         async with AsyncExitStack() as stack:
-            yield await self._open(stack, endpoint, request)
+            yield await self._open(stack, endpoint, request_at)
 
     def close(self) -> None:
         """Close the connections to other daemons."""
         self._client.close()
 
     async def _open(
-        self, stack: AsyncExitStack, endpoint: EndpointTracker, request: EndpointRequest
+        self, stack: AsyncExitStack, endpoint: EndpointTracker, request_at: RequestAt
     ) -> StreamedReply:
         """Return the answer by the first daemon that sends the request."""
         loop = asyncio.get_running_loop()
         service, zone = endpoint.record.service, endpoint.record.zone
         relays = {d: r for d, r in self._relay_by_daemon().items() if d != self._instance}
-        body = encode(request)
         for daemon in self._choice.candidates(relays, service, zone, loop.time()):
             attempt = await stack.enter_async_context(AsyncExitStack())
-            reply = await self._ask(attempt, daemon, relays[daemon], request.timeout_s, body)
+            reply = await self._ask(attempt, daemon, relays[daemon], request_at(loop.time()))
             failure = _failure_of(reply) if reply is not None else None
             if reply is not None and _is_answer(reply):
                 self._choice.note_reached(daemon, service)
@@ -109,13 +118,13 @@
         attempt: AsyncExitStack,
         daemon: str,
         relay: RelayAddress,
-        timeout_s: float,
-        body: bytes,
+        request: EndpointRequest,
     ) -> StreamedReply | None:
         """Return what a daemon answers; None if it could not be asked."""
+        body = encode(request)
         try:
             return await attempt.enter_async_context(
-                self._client.stream(relay.address, "POST", RELAY_PATH, body, [], timeout_s)
+                self._client.stream(relay.address, "POST", RELAY_PATH, body, [], request.timeout_s)
             )
         except ConnectError as error:
             self._note_lost(daemon, error)
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -7,6 +7,7 @@
 from math import inf
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from comfreyhatch.adapters.http_client import HttpClient, StreamedReply
 from comfreyhatch.adapters.http_link import AnswerPart
@@ -14,7 +15,7 @@
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.exchange import AnswerHead, Dispatch, Job
-from comfreyhatch.domain.relay import EndpointRequest
+from comfreyhatch.domain.relay import EndpointRequest, RequestAt
 from comfreyhatch.errors import (
     AnswerBrokenError,
     AnswerMemoryError,
@@ -191,17 +192,22 @@
         loop = asyncio.get_running_loop()
         stack = AsyncExitStack()
         sent_at = loop.time()
-        request = EndpointRequest(
-            endpoint.start,
-            job.exchange.method,
-            job.exchange.target,
-            self._codec.dispatch_headers(job.exchange, dispatch),
-            job.exchange.body,
-            head_timeout_s,
-            fresh_connection,
-        )
+
+        def request_at(now: float) -> EndpointRequest:
+            waited_s = now - sent_at
+            left = replace(dispatch, time_left_s=dispatch.time_left_s - waited_s)
+            return EndpointRequest(
+                endpoint.start,
+                job.exchange.method,
+                job.exchange.target,
+                self._codec.dispatch_headers(job.exchange, left),
+                job.exchange.body,
+                max(0.0, head_timeout_s - waited_s),
+                fresh_connection,
+            )
+
         try:
-            reply = await stack.enter_async_context(self._exchange(endpoint, request))
+            reply = await stack.enter_async_context(self._exchange(endpoint, request_at))
             head = self._codec.read_head(reply.status, reply.headers)
             _require_own_answer(job, head)
             self._note_head(endpoint, head, sent_at, loop.time())
@@ -228,7 +234,7 @@
 
     @asynccontextmanager
     async def _exchange(
-        self, endpoint: EndpointTracker, request: EndpointRequest
+        self, endpoint: EndpointTracker, request_at: RequestAt
     ) -> AsyncIterator[StreamedReply]:
         """Send a request over this daemon's path, or by way of another daemon if that is lost."""
         loop = asyncio.get_running_loop()
@@ -236,25 +242,25 @@
             reply = None
             relayed = self._paths.is_relayed(endpoint, loop.time())
             if relayed:
-                reply = await self._send_by_relay(stack, endpoint, request)
+                reply = await self._send_by_relay(stack, endpoint, request_at)
             try:
                 if reply is None:
-                    reply = await self._send_directly(stack, endpoint, request)
+                    reply = await self._send_directly(stack, endpoint, request_at(loop.time()))
             except ConnectError:
                 # The last path of the service may have been lost just now.
                 if relayed or not self._paths.is_relayed(endpoint, loop.time()):
                     raise
-                reply = await self._send_by_relay(stack, endpoint, request)
+                reply = await self._send_by_relay(stack, endpoint, request_at)
                 if reply is None:
                     raise
             yield reply
 
     async def _send_by_relay(
-        self, stack: AsyncExitStack, endpoint: EndpointTracker, request: EndpointRequest
+        self, stack: AsyncExitStack, endpoint: EndpointTracker, request_at: RequestAt
     ) -> StreamedReply | None:
         """Return the answer by way of another daemon; None if none could send the request."""
         try:
-            reply = await stack.enter_async_context(self._relays.stream(endpoint, request))
+            reply = await stack.enter_async_context(self._relays.stream(endpoint, request_at))
         except NoRelayError as error:
             log.debug("event=not_relayed reason=%r", str(error))
             return None
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,13 +2,20 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from functools import partial
 
 import pytest
 
+from comfreyhatch.adapters.http_message import HttpResponse
+from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
+from comfreyhatch.domain.relay import EndpointRequest, RelayFailure
+from comfreyhatch.exchange.relay_listener import RelayListener
 from tests.lost_paths import Loss, LostPaths
-from tests.platform_harness import PlatformHarness, running_harness
+from tests.platform_harness import MS_PER_S, PlatformHarness, running_harness, workers
 from tests.platform_worker import EVENTS_PER_STREAM
 
+LATE_S = 0.6
+
 
 @pytest.fixture
 async def harness() -> AsyncIterator[PlatformHarness]:
@@ -47,6 +54,29 @@
     assert metric(harness, 0, "relayed_total", outcome="answered") >= 1
 
 
+async def test_deadline_of_a_request_that_was_relayed_late_is_not_longer_than_what_is_left(
+    harness: PlatformHarness, paths: LostPaths, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    asked: list[RelayListener] = []
+
+    async def send(
+        listener: RelayListener, endpoint: EndpointTracker, relayed: EndpointRequest
+    ) -> HttpResponse:
+        asked.append(listener)
+        if len(asked) > 1:
+            return await RelayListener._send(listener, endpoint, relayed)
+        await asyncio.sleep(LATE_S)
+        return listener._fail(RelayFailure.UNREACHABLE)
+
+    for daemon in harness.daemons[1:]:
+        listener = daemon._relay_listener
+        monkeypatch.setattr(listener, "_send", partial(send, listener))
+    assert (await harness.send("/pay/x", 0, deadline_ms="1000")).status == 200
+    assert len(asked) == 2
+    (request,) = [r for w in workers(harness, "desk") for r in w.received if r.target == "/pay/x"]
+    assert int(request.header("deadline-ms")) <= 1000 - LATE_S * MS_PER_S
+
+
 async def test_relayed_stream_is_whole(harness: PlatformHarness, paths: LostPaths) -> None:
     reply = await harness.send_draft(0)
     assert reply.body.count(b"id: ") == EVENTS_PER_STREAM
