Apply changed limits of the configuration to open connections

Cause: a connection held the limits that the listener had as it was accepted.

Each request now has the limits in force as its first byte is there. The parser bounds a head that comes in pieces itself, so it is replaced between requests when that bound has changed. A wait, for the next request or for the rest of one, is extended when its limit is raised meanwhile; while it is lowered, the longer limit is kept until the wait ends, as the caller may count on it.

A wait could also end in the moment in which bytes had come: when the event loop finds both the bytes and the end of the time, the timer cancels the read first. A request was then taken for an idle connection and closed, or refused with 408. What has come by the end of the wait is now read. Nothing later is, so that a caller that trickles is refused as before.

--- a/comfreyhatch/adapters/http_connection.py
+++ b/comfreyhatch/adapters/http_connection.py
@@ -53,6 +53,29 @@
     buffer_bytes: Size = 65536
 
 
+class _Wait:
+    """A wait for a caller to send; extended when its limit is raised meanwhile.
+
+    A limit that is lowered applies from the next wait on: the caller may count on the longer one.
+
+    Attributes:
+        over: Whether the time was over.
+    """
+
+    __slots__ = ("_began_at", "_limit_s", "_longest_s", "over")
+
+    def __init__(self, limit_s: Callable[[], float], now: float) -> None:
+        self._began_at = now
+        self._limit_s = limit_s
+        self._longest_s = limit_s()
+        self.over = False
+
+    def until(self) -> float:
+        """Return the monotonic time in seconds at which the wait ends as things are."""
+        self._longest_s = max(self._longest_s, self._limit_s())
+        return self._began_at + self._longest_s
+
+
 class HttpConnection:
     """One caller's connection; serves one request at a time.
 
@@ -63,7 +86,7 @@
     def __init__(
         self,
         handler: HttpHandler,
-        limits: HttpLimits,
+        limits_in_force: Callable[[], HttpLimits],
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
@@ -71,20 +94,22 @@
 
         Args:
             handler: Answers requests.
-            limits: Limits of the listener.
+            limits_in_force: Returns the present limits of the listener; each request has those that
+                are in force as it begins.
             reader: What the caller sends.
             writer: What is sent to the caller.
         """
         self._handler = handler
-        self._limits = limits
+        self._limits_in_force = limits_in_force
+        self._limits = limits_in_force()
         self._reader = reader
         self._writer = writer
-        self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        self._protocol = _parser(self._limits.header_bytes)
         self.busy = False
         self._reading = False
         self._left = False
         self._cut = False
-        writer.transport.set_write_buffer_limits(high=limits.buffer_bytes)
+        writer.transport.set_write_buffer_limits(high=self._limits.buffer_bytes)
 
     def caller_left(self, task: asyncio.Task[None]) -> None:
         """Cancel the request that is being answered, or will not be."""
@@ -169,18 +194,19 @@
         if not await self._await_first_byte():
             return None
         self._reading = True
+        self._take_limits()
+        wait = self._wait(lambda: self._limits_in_force().header_timeout_s)
         body = bytearray()
-        async with _RequestTimeout(self._limits.header_timeout_s):
-            first = await self._next_event()
-            if not isinstance(first, h11.Request):
-                return None
-            self._check_head(first)
-            event = await self._next_event()
-            while isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self._limits.body_bytes:
-                    raise RequestError("the body is too large", ResultCode.BODY_TOO_LARGE)
-                event = await self._next_event()
+        first = await self._next_event(wait)
+        if not isinstance(first, h11.Request):
+            return None
+        self._check_head(first)
+        event = await self._next_event(wait)
+        while isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > self._limits.body_bytes:
+                raise RequestError("the body is too large", ResultCode.BODY_TOO_LARGE)
+            event = await self._next_event(wait)
         if not isinstance(event, h11.EndOfMessage):
             return None
         return _request_of(first, bytes(body))
@@ -189,15 +215,44 @@
         """Return whether a request begins; False when the connection closed or stayed idle."""
         if self._protocol.trailing_data[0]:
             return True
-        try:
-            async with asyncio.timeout(self._limits.idle_timeout_s):
-                data = await self._reader.read(READ_SIZE_BYTES)
-        except TimeoutError:
-            return False
+        data = await self._read(self._wait(lambda: self._limits_in_force().idle_timeout_s))
         if data:
             self._protocol.receive_data(data)
         return bool(data)
 
+    def _take_limits(self) -> None:
+        """Apply the limits in force to the request that begins."""
+        before = self._limits
+        self._limits = self._limits_in_force()
+        if self._limits.header_bytes != before.header_bytes:
+            begun = self._protocol.trailing_data[0]
+            self._protocol = _parser(self._limits.header_bytes)
+            self._protocol.receive_data(begun)
+
+    def _wait(self, limit_s: Callable[[], float]) -> _Wait:
+        return _Wait(limit_s, asyncio.get_running_loop().time())
+
+    async def _read(self, wait: _Wait) -> bytes | None:
+        """Return bytes of the caller, none at their end; None if the time is over.
+
+        Bytes that have come as the time ends are returned still.
+        """
+        while not wait.over:
+            try:
+                async with asyncio.timeout_at(wait.until()) as timeout:
+                    return await self._reader.read(READ_SIZE_BYTES)
+            except TimeoutError:
+                if not timeout.expired():
+                    raise
+                wait.over = wait.until() <= asyncio.get_running_loop().time()
+        try:
+            async with asyncio.timeout(0) as timeout:
+                return await self._reader.read(READ_SIZE_BYTES)
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            return None
+
     def _check_head(self, request: h11.Request) -> None:
         # h11 bounds only a header section that is incomplete after a read.
         size = len(request.target) + sum(len(n) + len(v) + 4 for n, v in request.headers)
@@ -211,15 +266,22 @@
         if int(length) > self._limits.body_bytes:
             raise RequestError("the body is too large", ResultCode.BODY_TOO_LARGE)
 
-    async def _next_event(self) -> object:
-        """Return the next event of the request."""
+    async def _next_event(self, wait: _Wait) -> object:
+        """Return the next event of the request.
+
+        Raises:
+            RequestError: If it did not come in time.
+        """
         while True:
             event = self._protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
             if self._protocol.they_are_waiting_for_100_continue:
                 self._send(h11.InformationalResponse(status_code=100, headers=[]))
-            self._protocol.receive_data(await self._reader.read(READ_SIZE_BYTES))
+            data = await self._read(wait)
+            if data is None:
+                raise RequestError("the request was not sent in time", ResultCode.REQUEST_TIMEOUT)
+            self._protocol.receive_data(data)
 
     async def _answer(self, request: HttpRequest, is_closing: Callable[[], bool]) -> None:
         try:
@@ -285,6 +347,10 @@
             await self._writer.drain()
 
 
+def _parser(header_bytes: int) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
+
+
 def _response_headers(response: HttpResponse) -> Headers:
     if response.headers is not None:
         return list(response.headers)
@@ -306,21 +372,3 @@
         target=first.target.decode("latin-1"),
         headers=list(first.headers),
     )
-
-
-class _RequestTimeout:
-    """Turns a timeout while a request is read into a refusal."""
-
-    def __init__(self, timeout_s: float) -> None:
-        self._timeout = asyncio.timeout(timeout_s)
-
-    async def __aenter__(self) -> None:
-        await self._timeout.__aenter__()
-
-    async def __aexit__(self, kind: object, error: object, trace: object) -> None:
-        try:
-            await self._timeout.__aexit__(kind, error, trace)  # type: ignore[arg-type]
-        except TimeoutError:
-            raise RequestError(
-                "the request was not sent in time", ResultCode.REQUEST_TIMEOUT
-            ) from None
--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -130,7 +130,7 @@
         if self._closing or len(self._task_by_connection) >= self.limits.connections:
             writer.close()
             return
-        connection = HttpConnection(self._handler, self.limits, reader, writer)
+        connection = HttpConnection(self._handler, lambda: self.limits, reader, writer)
         task = asyncio.current_task()
         assert task is not None
         self._task_by_connection[connection] = task
