Log attempts that were given up, denied for lack of budget, or taken off the count

The logs could not tell some hypotheses on silent endpoints apart: an attempt that lost to another one left no line though it may run on at its endpoint, a retry that the budget denied looked like one that the route doesn't allow, and an attempt that was taken off the count, since its endpoint took no connection afterwards, was only to be guessed from a later one. Three events tell them: attempt_abandoned, retry_denied, attempt_not_counted. No decision changes.

--- a/comfreyhatch/decisions/attempt_account.py
+++ b/comfreyhatch/decisions/attempt_account.py
@@ -57,11 +57,15 @@
         """Whether any attempt may have run, or may run yet."""
         return any(attempt.state is not AttemptState.NOT_RUN for attempt in self._attempts)
 
+    @property
+    def counted(self) -> int:
+        """Number of attempts that count against the route's limit."""
+        return sum(attempt.state is AttemptState.POSSIBLE_RUN for attempt in self._attempts)
+
     @property
     def used_up(self) -> bool:
         """Whether no further attempt may run by the route's limit."""
-        counted = sum(attempt.state is AttemptState.POSSIBLE_RUN for attempt in self._attempts)
-        return counted >= self._max_attempts
+        return self.counted >= self._max_attempts
 
     @property
     def failed_often(self) -> bool:
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -6,6 +6,7 @@
 
 from comfreyhatch.adapters.http_server import HttpResponse
 from comfreyhatch.decisions.cascade import CascadeState, escalates
+from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.engine_priority import engine_priority
 from comfreyhatch.decisions.engine_time import EngineTimes
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
@@ -401,6 +402,7 @@
         for counted, endpoint in stream.endpoint_by_broken.items():
             if await self._sender.is_down(endpoint):
                 stream.account.note_endpoint_ended(counted)
+                self._log_not_counted(stream, endpoint)
         stream.endpoint_by_broken.clear()
 
     def _pay_retry(self, stream: StreamState) -> bool:
@@ -442,6 +444,16 @@
         key = (stream.job.route.name, stream.model)
         return self._first_event_latencies.setdefault(key, SampleWindow())
 
+    def _log_not_counted(self, stream: StreamState, endpoint: EndpointTracker) -> None:
+        """Log an attempt that leaves room for another one, as its endpoint has ended."""
+        log.info(
+            "event=attempt_not_counted id=%s endpoint=%s counted=%d of=%d",
+            stream.job.exchange.request_id,
+            endpoint.record.endpoint_id,
+            stream.account.counted,
+            stream.job.route.max_attempts,
+        )
+
     def _log_failure(self, stream: StreamState, error: ComfreyhatchError, begun: bool) -> None:
         """Log a failed attempt; `begun` is whether the head of its answer was read."""
         log.info(
--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -133,6 +133,7 @@
             await self._crashes.end_failed(attempt, error)
             raise
         except asyncio.CancelledError:
+            _log_abandoned(job, endpoint.record.endpoint_id, loop.time() - started)
             self._crashes.end_unknown(attempt, loop.time())
             raise
         now = loop.time()
@@ -195,7 +196,10 @@
         # An attempt without a connection reached no endpoint, so its retry needs no budget; a
         # refused one has.
         unreachable = isinstance(call.error, EndpointUnreachableError) and call.answer is None
-        return unreachable or self._budget(job.service).take(now)
+        if unreachable or self._budget(job.service).take(now):
+            return True
+        _log_denied(job, call.account.counted)
+        return False
 
     def _hedge_delay_s(self, call: "_UnaryCall") -> float | None:
         """Return the wait before a hedged attempt; None if there is none."""
@@ -279,3 +283,22 @@
         error.ran.value,
         str(error),
     )
+
+
+def _log_abandoned(job: Job, endpoint_id: str, took_s: float) -> None:
+    """Log an attempt whose answer is no longer wanted; it may run on."""
+    log.info(
+        "event=attempt_abandoned id=%s endpoint=%s took_s=%.3f",
+        job.exchange.request_id,
+        endpoint_id,
+        took_s,
+    )
+
+
+def _log_denied(job: Job, attempts: int) -> None:
+    log.info(
+        "event=retry_denied id=%s service=%s attempts=%d reason='the budget is spent'",
+        job.exchange.request_id,
+        job.service,
+        attempts,
+    )
--- a/comfreyhatch/porcelain/log_story.py
+++ b/comfreyhatch/porcelain/log_story.py
@@ -17,6 +17,10 @@
     "model_judged": "model {model} answered with confidence {confidence}; delay {delay_s} s, load"
     " {load}, budget left {budget}: asked again of the largest model: {escalates}",
     "attempt_failed": "the attempt failed with code {code}, ran: {ran}: {reason}",
+    "attempt_abandoned": "the attempt at {endpoint} was given up after {took_s} s",
+    "attempt_not_counted": "the attempt at {endpoint} isn't counted, as that has ended:"
+    " {counted} of {of}",
+    "retry_denied": "not sent again after {attempts} attempts: {reason}",
     "refused": "refused with code {code} after {took_s} s, ran: {ran}: {reason}",
     "stream_cut": "its stream was cut with code {code} after {took_s} s and {pieces} pieces:"
     " {reason}",
