Move a stream off a silent endpoint only to one that responds

When all endpoints of a service fell silent for a second, their streams moved from one silent endpoint to the other: each move dropped a sound answer, reached an endpoint that would read it on waking beside all others, and took from the budget of extra requests. Endpoints saw up to twice as many arrivals as there were requests. The cause: a stall was judged by the stream's own endpoint alone, and the next attempt went to the least loaded one, silent or not.

A stream that has stalled at a silent endpoint now moves only if another eligible endpoint responds: it is within reach, not ejected, and nothing of ours runs there or something has come from it lately. The next attempt avoids silent endpoints while there are others, also while it waits for a slot, and may go back to one that was tried before rather than to a silent one. Lately is half the limit by which the stream stalls: endpoints that pause together have sent their last events at different moments, and by the whole limit the one that was last would take the streams of the others. If all are silent, streams stay; once one answers, the streams of the still silent ones move to it.

Unchanged: a stream that hangs at an endpoint that sends to others; one whose own endpoint is out of reach (lost_at), which moves or is relayed as before; endpoints that end or break answers.

tests/test_silent_streams.py, on the code before this commit: seven of its cases failed (8 arrivals for 4 streams with both endpoints silent; a stream went to the silent endpoint although a third one answered; streams did not wait for the one that answers again). Now all pass. test_relay holds the move by way of another daemon for silent and refused paths too (it passed before).

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -175,6 +175,17 @@
             return 0.0
         return now - max(self.last_received_at, self.busy_since)
 
+    def responds(self, max_silent_s: float, now: float) -> bool:
+        """Return whether the endpoint is within reach, not ejected and not silent.
+
+        Args:
+            max_silent_s: Silence from which it counts as silent, in seconds.
+            now: Monotonic time, in seconds.
+        """
+        if self.lost_at is not None or now < self.ejected_until:
+            return False
+        return self.silent_s(now) < max_silent_s
+
     def is_cold(self, now: float) -> bool:
         """Return whether the endpoint is in cold start."""
         return now < self.cold_until
--- a/comfreyhatch/decisions/stall.py
+++ b/comfreyhatch/decisions/stall.py
@@ -3,6 +3,10 @@
 A stream stalls when its endpoint falls silent or when its request hangs. A loaded engine answers
 late but still sends to other requests; a retry would then only repeat the same work elsewhere.
 Therefore an endpoint that still sends has much longer limits than a silent one.
+
+A stream leaves a silent endpoint only for one that responds; a silent one wins nothing.
+Those that pause together have sent their last events at different moments, so an endpoint responds
+only while it is silent for a part of that limit.
 """
 
 from msgspec import Struct
@@ -16,6 +20,8 @@
 MIN_GAP_LIMIT_S = 0.4
 GAP_SILENT_AIM_FACTOR = 0.65
 GAP_ALIVE_AIM_FACTOR = 2.0
+# Share of the limit for silent endpoints up to which an endpoint counts as one that responds.
+RESPONSIVE_SHARE = 0.5
 
 
 class StallLimits(Struct, frozen=True):
@@ -29,6 +35,11 @@
     silent_s: float
     alive_s: float
 
+    @property
+    def responsive_s(self) -> float:
+        """Silence from which an endpoint doesn't count as one that responds, in seconds."""
+        return RESPONSIVE_SHARE * self.silent_s
+
 
 def first_event_limits(aim_s: float, typical_s: float | None) -> StallLimits:
     """Return the limits for the first event of an answer.
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -69,6 +69,7 @@
         waiter: Its place in the order of the queue.
         job: The request.
         excluded: Ids of endpoints that it must not get; they may become more while it waits.
+        max_silent_s: Silence from which endpoints are avoided, in seconds; None for no bound.
         work_s: Time that an idle endpoint needs for it, in seconds; 0 for the mean service time.
         lease: Future of its lease, or of its refusal.
         ask: Asks other daemons for a permit; None while it does not.
@@ -77,6 +78,7 @@
     waiter: Waiter
     job: Job
     excluded: set[str]
+    max_silent_s: float | None
     work_s: float
     lease: "asyncio.Future[SlotLease]"
     ask: "asyncio.Task[float | None] | None" = None
@@ -128,6 +130,7 @@
         excluded: set[str],
         work_s: float = 0.0,
         resumes: bool = False,
+        max_silent_s: float | None = None,
     ) -> SlotLease:
         """Return the lease of a slot, queueing the request while none is free.
 
@@ -140,17 +143,23 @@
             work_s: Time that an idle endpoint needs for it, in seconds; 0 for the mean service
                 time.
             resumes: Whether its caller already holds part of the answer.
+            max_silent_s: Silence from which endpoints are avoided while there are others, in
+                seconds; None for no bound.
 
         Raises:
             RefusedError: If no slot is expected to be free in time; has a retry-after time.
         """
         now = asyncio.get_running_loop().time()
-        eligible = self._eligibility.endpoints_for(job, excluded, now)
+        eligible = self._preferred(job, excluded, max_silent_s, now)
         lease = self._try_acquire(job, eligible, work_s, now)
         if lease is not None:
             excluded.add(lease.endpoint.record.endpoint_id)
             return lease
-        return await self._enqueue(job, excluded, eligible, work_s, resumes, now)
+        future = asyncio.get_running_loop().create_future()
+        entry = _QueuedRequest(
+            self._waiter(job, resumes, now), job, excluded, max_silent_s, work_s, future
+        )
+        return await self._enqueue(entry, eligible, now)
 
     def release(self, lease: SlotLease) -> None:
         """Release a slot, and give it to the next queued request."""
@@ -176,7 +185,7 @@
         """Give a slot to a queued request, or refuse it; return False if it has to wait on."""
         refusal: ComfreyhatchError | None = self._refusal_while_queued(entry.job, now)
         if refusal is None:
-            eligible = self._eligibility.endpoints_for(entry.job, entry.excluded, now)
+            eligible = self._preferred(entry.job, entry.excluded, entry.max_silent_s, now)
             lease = self._try_acquire(entry.job, eligible, entry.work_s, now)
             if lease is not None:
                 entry.excluded.add(lease.endpoint.record.endpoint_id)
@@ -228,6 +237,27 @@
         """Return whether any endpoint may serve a request once it has a free slot."""
         return bool(self._eligibility.endpoints_for(job, excluded, now))
 
+    def has_responsive(self, job: Job, excluded: set[str], max_silent_s: float, now: float) -> bool:
+        """Return whether any endpoint that is not silent may serve a request.
+
+        Args:
+            job: The request.
+            excluded: Ids of endpoints to leave out.
+            max_silent_s: Silence from which an endpoint counts as silent, in seconds.
+            now: Monotonic time in seconds.
+        """
+        eligible = self._eligibility.endpoints_for(job, excluded, now)
+        return any(tracker.responds(max_silent_s, now) for tracker in eligible)
+
+    def _preferred(
+        self, job: Job, excluded: set[str], max_silent_s: float | None, now: float
+    ) -> list[EndpointTracker]:
+        """Return the eligible endpoints; silent ones only if there are no others."""
+        eligible = self._eligibility.endpoints_for(job, excluded, now)
+        if max_silent_s is None:
+            return eligible
+        return [t for t in eligible if t.responds(max_silent_s, now)] or eligible
+
     def reachability(self, now: float) -> list[ServiceReachability]:
         """Return the reachable part and the load of each service."""
         return [self._service_reach(service, now) for service in self._view.trackers_by_service]
@@ -243,33 +273,36 @@
             load=self.load(service, now),
         )
 
-    async def _enqueue(
-        self,
-        job: Job,
-        excluded: set[str],
-        eligible: list[EndpointTracker],
-        work_s: float,
-        resumes: bool,
-        now: float,
-    ) -> SlotLease:
-        queue = self._queue_by_service.setdefault(job.service, [])
-        wait_s = max_wait_s(job, resumes, now)
-        rests = not eligible and self._waits.rest_s(job.service, now) <= wait_s
-        if not (eligible or rests) or len(queue) >= MAX_QUEUED_PER_SERVICE:
-            raise self._refusal(job, now)
-        waiter = Waiter(
+    def _waiter(self, job: Job, resumes: bool, now: float) -> Waiter:
+        return Waiter(
             number=next(self._next_number),
             resumes=resumes,
             rank=job.rank,
             route_rank=job.route.rank,
             due_at=job.arrived + job.route.aim_s,
-            refuse_at=now + wait_s,
+            refuse_at=now + max_wait_s(job, resumes, now),
         )
-        ahead = sum(1 for entry in queue if entry.waiter.sort_key(now) < waiter.sort_key(now))
+
+    async def _enqueue(
+        self, entry: _QueuedRequest, eligible: list[EndpointTracker], now: float
+    ) -> SlotLease:
+        """Return the lease of a request that has to wait for it.
+
+        Args:
+            entry: The request.
+            eligible: Endpoints that it may get.
+            now: Monotonic time in seconds.
+        """
+        job = entry.job
+        waiter = entry.waiter
+        queue = self._queue_by_service.setdefault(job.service, [])
+        wait_s = waiter.refuse_at - now
+        rests = not eligible and self._waits.rest_s(job.service, now) <= wait_s
+        if not (eligible or rests) or len(queue) >= MAX_QUEUED_PER_SERVICE:
+            raise self._refusal(job, now)
+        ahead = sum(1 for other in queue if other.waiter.sort_key(now) < waiter.sort_key(now))
         if wait_s <= 0 or self._waits.wait_s(job.service, ahead, now) > wait_s:
             raise self._refusal(job, now)
-        loop = asyncio.get_running_loop()
-        entry = _QueuedRequest(waiter, job, excluded, work_s, loop.create_future())
         refusal = self._seek_permit(entry, eligible, ahead, now)
         if refusal is not None:
             raise refusal
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -176,7 +176,7 @@
             await self._crashes.end_failed(attempt, error)
             raise
         lease.note_answer_started()
-        stream.is_replacing = False
+        stream.note_answered()
         now = loop.time()
         took_s = now - lease.started
         stream.slow = self._evidence.record_answer(
@@ -212,15 +212,32 @@
         refusal = self._crashes.refusal(job, now)
         if refusal is not None:
             raise refusal
-        for excluded in (stream.excluded_ids, {stream.endpoint_id}, set()):
-            # An endpoint that failed earlier may have recovered: if all are excluded, retry them.
-            stream.excluded_ids = set(excluded)
-            if self._scheduler.has_candidates(job, stream.excluded_ids, now):
-                break
+        stream.excluded_ids = self._excluded(stream, now)
         return await self._scheduler.acquire(
-            job, stream.excluded_ids, work_s, resumes=stream.waits_until_deadline
+            job,
+            stream.excluded_ids,
+            work_s,
+            resumes=stream.waits_until_deadline,
+            max_silent_s=stream.max_silent_s,
         )
 
+    def _excluded(self, stream: StreamState, now: float) -> set[str]:
+        """Return the ids of the endpoints that the next attempt leaves out.
+
+        An endpoint that failed earlier may have recovered: if all are excluded, or the others are
+        silent, it is tried again.
+        """
+        tried = set(stream.excluded_ids)
+        last = {stream.endpoint_id}
+        if stream.max_silent_s is not None:
+            for excluded in (tried, last):
+                if self._scheduler.has_responsive(stream.job, excluded, stream.max_silent_s, now):
+                    return excluded
+        for excluded in (tried, last):
+            if self._scheduler.has_candidates(stream.job, excluded, now):
+                return excluded
+        return set()
+
     async def _open_watched(self, stream: StreamState, lease: SlotLease) -> StreamedAnswer:
         """Return the answer once its head was read.
 
@@ -434,9 +451,15 @@
         """Reserve the retry of a stalled request; return False if it has to keep waiting."""
         if not stream.job.route.repeatable or not stream.may_attempt(now + RESUME_PAUSE_S):
             return False
+        max_silent_s = None
+        if stream.endpoint_is_silent(now):
+            max_silent_s = stream.stall_limits.responsive_s
+            last = {stream.endpoint_id}
+            if not self._scheduler.has_responsive(stream.job, last, max_silent_s, now):
+                return False
         if not self._reservations.reserve(stream, now):
             return False
-        stream.is_replacing = True
+        stream.give_up_attempt(max_silent_s)
         return True
 
     def _latency_window(self, stream: StreamState) -> SampleWindow:
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -55,6 +55,8 @@
         retry_reserved: Whether an extra request is reserved for the next attempt.
         is_replacing: Whether an attempt that might have been answered was given up for the next
             one, and no endpoint has answered since.
+        max_silent_s: Silence from which endpoints are avoided until one answers, in seconds; None
+            unless an attempt was given up because its endpoint was silent.
         error: Error of the last failed attempt; None if that attempt got an answer.
         stall_limits: Longest waits for the next event.
         interrupt: Ends the current wait.
@@ -84,6 +86,7 @@
         "last_event_id",
         "last_events_at",
         "lease",
+        "max_silent_s",
         "model_index",
         "resumable",
         "retry_reserved",
@@ -116,6 +119,7 @@
         self.lease: SlotLease | None = None
         self.retry_reserved = False
         self.is_replacing = False
+        self.max_silent_s: float | None = None
         self.error: ComfreyhatchError | None = None
         self.stall_limits = StallLimits(float("inf"), float("inf"))
         self.interrupt: Callable[[], object] = _no_interrupt
@@ -207,6 +211,26 @@
         silent_s = now - self.lease.endpoint.last_received_at
         return stalled(self.stall_limits, now - self.idle_since, silent_s)
 
+    def endpoint_is_silent(self, now: float) -> bool:
+        """Return whether the current attempt's endpoint is silent, over a path that isn't lost."""
+        if self.lease is None or self.lease.endpoint.lost_at is not None:
+            return False
+        return now - self.lease.endpoint.last_received_at >= self.stall_limits.silent_s
+
+    def give_up_attempt(self, max_silent_s: float | None) -> None:
+        """Note that an attempt that might have been answered is given up for the next one.
+
+        Args:
+            max_silent_s: Silence from which endpoints are avoided, in seconds; None for no bound.
+        """
+        self.is_replacing = True
+        self.max_silent_s = max_silent_s
+
+    def note_answered(self) -> None:
+        """Note that an endpoint has answered the current attempt."""
+        self.is_replacing = False
+        self.max_silent_s = None
+
     def accept_event(self, event: bytes) -> bool:
         """Return whether to relay an event, and remember its id.
 
--- a/tests/test_endpoint_tracker.py
+++ b/tests/test_endpoint_tracker.py
@@ -59,3 +59,24 @@
     tracker = EndpointTracker(record("e"), NOW)
     tracker.update_record(replace(tracker.record, cold_left_s=2.0, revision=2), NOW)
     assert tracker.is_cold(NOW + 1.9)
+
+
+def test_endpoint_responds_until_nothing_has_come_for_too_long_while_requests_run() -> None:
+    tracker = EndpointTracker(record("e"), NOW)
+    assert tracker.responds(0.5, NOW + 9.0)
+    tracker.in_flight = 1
+    tracker.busy_since = NOW + 9.0
+    assert tracker.responds(0.5, NOW + 9.4)
+    assert not tracker.responds(0.5, NOW + 9.5)
+    tracker.last_received_at = NOW + 9.5
+    assert tracker.responds(0.5, NOW + 9.9)
+
+
+def test_ejected_endpoint_or_one_out_of_reach_does_not_respond() -> None:
+    tracker = EndpointTracker(record("e"), NOW)
+    tracker.lost_at = NOW
+    assert not tracker.responds(0.5, NOW)
+    tracker.lost_at = None
+    tracker.record_connection_failure(NOW, unreachable=True)
+    assert not tracker.responds(0.5, NOW)
+    assert tracker.responds(0.5, tracker.ejected_until)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -82,15 +82,16 @@
     assert reply.body.count(b"id: ") == EVENTS_PER_STREAM
 
 
+@pytest.mark.parametrize("loss", [Loss.RESET, Loss.SILENT, Loss.REFUSED])
 async def test_stream_goes_on_by_way_of_another_daemon_when_its_path_is_lost(
-    harness: PlatformHarness,
+    harness: PlatformHarness, loss: Loss
 ) -> None:
     for name in ("engine-1", "engine-2"):
         harness.worker_by_id[name].pause_s = lambda number: 0.2
     paths = LostPaths(harness.daemons[0])
     sending = asyncio.create_task(harness.send_draft(0))
     await asyncio.sleep(0.5)
-    paths.cut(Loss.RESET)
+    paths.cut(loss)
     reply = await sending
     assert reply.body.count(b"id: ") == EVENTS_PER_STREAM
     assert len(set(reply.body.split(b"\n\n"))) == EVENTS_PER_STREAM + 1
--- a/tests/test_silent_streams.py
+++ b/tests/test_silent_streams.py
@@ -8,6 +8,7 @@
 
 from comfreyhatch.adapters.http_client import HttpReply
 from comfreyhatch.decisions.extra_requests import SAFETY_FACTOR
+from comfreyhatch.decisions.stall import gap_limits
 from comfreyhatch.domain.deployment import Bounds
 from comfreyhatch.domain.exchange import ReportedLoad
 from comfreyhatch.exchange.daemon import MIN_DAEMONS_SHARING_SLACK
@@ -23,6 +24,7 @@
 
 COMPLETE_BODY = b"".join(b"id: %d\ndata: small\n\n" % n for n in range(1, EVENTS_PER_STREAM + 1))
 STREAMS = 4
+GAP_AIM_S = 0.4
 ALL_SLOTS = 4
 # Time in which the watchdog looks at each stream several times.
 CHECKS_S = 0.6
@@ -103,6 +105,11 @@
     return list(proxy._watchdog._streams)
 
 
+def bodies(replies: list[HttpReply | BaseException]) -> list[bytes | str]:
+    """Return the bodies of replies; what failed as a text."""
+    return [r.body if isinstance(r, HttpReply) else repr(r) for r in replies]
+
+
 def cancelled(harness: PlatformHarness) -> int:
     return sum(worker.cancelled for worker in workers(harness, "engine"))
 
@@ -117,7 +124,7 @@
         await asyncio.sleep(CHECKS_S)
         wake(harness)
         replies = await asyncio.gather(*streams, return_exceptions=True)
-        assert [getattr(reply, "body", reply) for reply in replies] == [COMPLETE_BODY] * STREAMS
+        assert bodies(replies) == [COMPLETE_BODY] * STREAMS
         assert len(sound.received) == 1
         assert len(sent_to(harness, "engine")) == STREAMS
         assert cancelled(harness) == 1
@@ -156,7 +163,7 @@
         await harness.wait_until(lambda: sound.completed_streams)
         wake(harness)
         replies = await asyncio.gather(*streams, return_exceptions=True)
-        assert [getattr(reply, "body", reply) for reply in replies] == [COMPLETE_BODY] * STREAMS
+        assert bodies(replies) == [COMPLETE_BODY] * STREAMS
         assert len(sound.received) == cancelled(harness) == 1
 
 
@@ -194,3 +201,75 @@
         assert complete == [True] * len(streams)
         extra = len(sound.received) + len(sent_to(harness, "engine")) - len(streams)
         assert extra <= bounds.retry_ratio * len(streams) + bounds.retry_slack
+        assert extra == len(sound.received)
+
+
+@pytest.mark.parametrize(("begun", "silent_s"), [(False, 2.4), (True, 1.3)])
+async def test_streams_stay_while_all_endpoints_are_silent(begun: bool, silent_s: float) -> None:
+    # They moved from one silent worker to the other; each move cost a run and won nothing.
+    async with running_harness() as harness:
+        streams = await begin_streams(harness, begun)
+        await asyncio.sleep(silent_s)
+        wake(harness)
+        replies = await asyncio.gather(*streams, return_exceptions=True)
+        assert bodies(replies) == [COMPLETE_BODY] * STREAMS
+        assert len(sent_to(harness, "engine")) == STREAMS
+        assert cancelled(harness) == 0
+
+
+async def test_streams_stay_though_the_last_events_of_silent_endpoints_lie_apart() -> None:
+    # The worker whose last event was the latest took the streams of the other one.
+    async with running_harness() as harness:
+        streams = await begin_streams(harness, begun=True)
+        latest = harness.daemon.view.tracker_by_id["engine-2"]
+        latest.last_received_at += 0.6 * gap_limits(GAP_AIM_S).silent_s
+        await asyncio.sleep(CHECKS_S)
+        assert cancelled(harness) == 0
+        wake(harness)
+        replies = await asyncio.gather(*streams)
+        assert [reply.body for reply in replies] == [COMPLETE_BODY] * STREAMS
+
+
+@pytest.mark.parametrize("begun", [False, True])
+async def test_streams_of_a_silent_endpoint_go_on_at_one_that_answers_again(begun: bool) -> None:
+    async with running_harness() as harness:
+        streams = await begin_streams(harness, begun)
+        silent, answering = workers(harness, "engine")
+        await asyncio.sleep(2.0 if not begun else 1.0)
+        assert cancelled(harness) == 0
+        answering.awake.set()
+        replies = await asyncio.gather(*streams, return_exceptions=True)
+        assert bodies(replies) == [COMPLETE_BODY] * STREAMS
+        assert silent.cancelled == len(silent.received) == STREAMS / 2
+        assert len(answering.received) == STREAMS
+
+
+@pytest.mark.parametrize("begun", [False, True])
+async def test_stream_of_a_silent_endpoint_does_not_move_to_another_silent_one(
+    begun: bool,
+) -> None:
+    # The silent worker had more free slots than the one that answered.
+    async with running_harness() as harness:
+        streams = await begin_streams(harness, begun)
+        sound = await add_sound_worker(harness)
+        occupy(harness, sound, ALL_SLOTS - 1)
+        replies = await asyncio.gather(*streams, return_exceptions=True)
+        assert bodies(replies) == [COMPLETE_BODY] * STREAMS
+        assert len(sound.received) == STREAMS
+        assert len(sent_to(harness, "engine")) == STREAMS
+
+
+async def test_hanging_stream_leaves_an_endpoint_that_sends_to_others() -> None:
+    async with running_harness() as harness:
+        engine, other = workers(harness, "engine")
+        occupy(harness, other, ALL_SLOTS)
+        engine.events = 12
+        hangs = iter([True])
+        engine.pause_s = lambda number: 9.0 if number == 3 and next(hangs, False) else 0.1
+        streams = [asyncio.create_task(harness.send_draft()) for _ in range(2)]
+        await harness.wait_until(lambda: len(engine.received) == 2)
+        occupy(harness, other, 0)
+        replies = await asyncio.gather(*streams)
+        counts = sorted(reply.body.count(b"id: ") for reply in replies)
+        assert counts == [other.events, engine.events]
+        assert len(engine.received) == 2 and len(other.received) == 1
