Count an extra request from its decision until the window has passed since it was sent

Endpoints saw: retries that had been paid for at different times arrived together, more of them in a window than the budget of extra requests allows.

Cause: the budget was drawn as a retry, hedge or cascade was decided, and the payment expired one window later, sent or not. A stream that its caller has part of waits for an endpoint, up to its deadline; meanwhile its payment expired and others could pay. When an endpoint came back, all were sent at once. A payment for an attempt that got no slot was lost.

Evidence: tests/test_attempt_limits.py, test_retries_that_wait_for_longer_than_the_window_are_not_sent_together: a daemon whose part is one extra request a second, two streams that break 1.5 s apart while no engine is listed, then an engine that joins.

Mend: ExtraRequestBudget.reserve gives an ExtraRequest, which counts until `note_sent`, and from then on for one window; `release` gives it back if it was not sent. Unary attempts release it as their task ends, streams as they leave the wait for an endpoint. `take` is the same for a request that is sent at once.

Why it works: at each sending, all that were sent in the window before and all that may still be sent are counted.

The time of sending is that of the lease; the request arrives up to the time for a connection later.

--- a/comfreyhatch/decisions/extra_requests.py
+++ b/comfreyhatch/decisions/extra_requests.py
@@ -3,6 +3,9 @@
 The budget bounds the load that repeated requests add to a failing service, which would
 otherwise cause further failures and further retries. Each daemon spends its own part; the parts
 add up to the budget of the fleet without coordination between daemons.
+
+An extra request is reserved as it is decided and counts until the window has passed since it was
+sent. Those that waited for a slot would otherwise be sent together with as many later ones.
 """
 
 from collections import deque
@@ -11,6 +14,27 @@
 SAFETY_FACTOR = 0.85
 
 
+class ExtraRequest:
+    """An extra request that is reserved in a budget until it is sent or given back."""
+
+    __slots__ = ("_budget",)
+
+    def __init__(self, budget: "ExtraRequestBudget") -> None:
+        self._budget: ExtraRequestBudget | None = budget
+
+    def note_sent(self, now: float) -> None:
+        """Count the request in the window from now on."""
+        if self._budget is not None:
+            self._budget.end_reserved(now)
+            self._budget = None
+
+    def release(self) -> None:
+        """Give the request back, unless it was sent."""
+        if self._budget is not None:
+            self._budget.end_reserved(None)
+            self._budget = None
+
+
 class ExtraRequestBudget:
     """Counts requests of callers and extra requests to one service in a sliding window.
 
@@ -40,40 +64,38 @@
     def remaining(self, now: float) -> float:
         """Return how many extra requests are allowed now."""
         self._expire(now)
-        return self._ratio * len(self._requests) + self.slack * SAFETY_FACTOR - self._taken
+        allowed = self._ratio * len(self._requests) + self.slack * SAFETY_FACTOR
+        return allowed - len(self._extra) - self._reserved
 
     def remaining_share(self, now: float) -> float:
         """Return the unspent share of the window's budget, 0 to 1."""
         remaining = self.remaining(now)
-        total = remaining + self._taken
+        total = remaining + len(self._extra) + self._reserved
         return max(0.0, remaining / total) if total > 0 else 0.0
 
-    def take(self, now: float) -> bool:
-        """Spend one extra request if the budget allows it; return whether it does."""
-        if self.remaining(now) < 1:
-            return False
-        self._extra.append(now)
-        return True
-
-    def reserve(self, now: float) -> bool:
-        """Reserve one extra request if the budget allows it; return whether it does."""
+    def reserve(self, now: float) -> ExtraRequest | None:
+        """Return an extra request that is going to be sent; None if the budget allows none."""
         if self.remaining(now) < 1:
-            return False
+            return None
         self._reserved += 1
-        return True
+        return ExtraRequest(self)
 
-    def spend_reserved(self, now: float) -> None:
-        """Count a reserved extra request that is sent now."""
-        self._reserved -= 1
-        self._extra.append(now)
+    def take(self, now: float) -> bool:
+        """Spend one extra request that is sent at once; return whether the budget allows it."""
+        extra = self.reserve(now)
+        if extra is not None:
+            extra.note_sent(now)
+        return extra is not None
 
-    def return_reserved(self) -> None:
-        """Give back a reserved extra request that is not sent."""
-        self._reserved -= 1
+    def end_reserved(self, sent_at: float | None) -> None:
+        """End a reservation; called by the extra request itself.
 
-    @property
-    def _taken(self) -> int:
-        return len(self._extra) + self._reserved
+        Args:
+            sent_at: Monotonic time in seconds at which it was sent; None if it was not.
+        """
+        self._reserved -= 1
+        if sent_at is not None:
+            self._extra.append(sent_at)
 
     def _expire(self, now: float) -> None:
         oldest = now - self._window_s
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -28,7 +28,6 @@
 from comfreyhatch.exchange.event_relay import EventRelay, require_time
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.health import note_lost_answer
-from comfreyhatch.exchange.reservations import RetryReservations
 from comfreyhatch.exchange.scheduler import EndpointScheduler, SlotLease
 from comfreyhatch.exchange.sender import Sender, StreamedAnswer
 from comfreyhatch.exchange.stall_watchdog import StallWatchdog
@@ -74,7 +73,6 @@
         self._scheduler = scheduler
         self._sender = sender
         self._budget = budget
-        self._reservations = RetryReservations(budget)
         self._evidence = evidence
         self._first_event_latencies: dict[tuple[str, str], SampleWindow] = {}
         self._engine_times = EngineTimes()
@@ -94,7 +92,7 @@
             if not answer.head.success:
                 return await self._failed_response(stream, answer)
         finally:
-            self._reservations.give_back(stream)
+            stream.release_extra()
         stream.head = answer.head
         return HttpResponse(
             answer.head.status, headers=answer.head.headers, stream=self._relay(stream, answer)
@@ -166,7 +164,6 @@
         endpoint = lease.endpoint
         attempt = self._crashes.begin(job, endpoint, lease.started)
         stream.start_attempt(lease, attempt)
-        self._reservations.spend(stream, lease.started)
         self._scheduler.pin_session(job, endpoint.record.version, lease.started)
         try:
             answer = await self._open_watched(stream, lease)
@@ -319,7 +316,7 @@
                     await self._close(stream, answer)
                 answer = await self._reopen(stream)
         finally:
-            self._reservations.give_back(stream)
+            stream.release_extra()
 
     def _note_broken(
         self, stream: StreamState, answer: StreamedAnswer, error: AnswerBrokenError
@@ -354,7 +351,7 @@
             self._crashes.end_complete(stream.attempt, asyncio.get_running_loop().time())
 
     def _take_escalation(self, stream: StreamState, answer: StreamedAnswer) -> bool:
-        """Return whether to ask the largest model instead, and draw it from the budget."""
+        """Return whether to ask the largest model instead, and reserve that in the budget."""
         job = stream.job
         now = asyncio.get_running_loop().time()
         if stream.model_index >= len(job.route.models) - 1 or stream.last_event_id is not None:
@@ -386,12 +383,12 @@
             state.budget_left,
             wanted,
         )
-        dropped = wanted and budget.take(now)
+        dropped = wanted and self._reserve(stream, now)
         self._count_cascade_answer(dropped)
         return dropped
 
     async def _take_retry(self, stream: StreamState) -> bool:
-        """Return whether to retry a failed attempt, and draw the retry from the budget.
+        """Return whether to retry a failed attempt, and reserve the retry in the budget.
 
         If the route's attempts are used up, broken endpoints are probed first: an attempt whose
         endpoint has ended does not count. Otherwise two crashes at nearly the same time would cut
@@ -427,7 +424,13 @@
         # An attempt without a connection reached no endpoint, so its retry needs no budget.
         if isinstance(stream.error, EndpointUnreachableError):
             return True
-        return self._reservations.reserve(stream, asyncio.get_running_loop().time())
+        return self._reserve(stream, asyncio.get_running_loop().time())
+
+    def _reserve(self, stream: StreamState, now: float) -> bool:
+        """Reserve an extra request for the next attempt, unless one is; return whether one is."""
+        if stream.extra is None:
+            stream.extra = self._budget(stream.job.service).reserve(now)
+        return stream.extra is not None
 
     async def _pause_before_resume(self, stream: StreamState, reason: str) -> bool:
         """Pause a stream that waits until its deadline; return whether it may then be resumed.
@@ -457,7 +460,7 @@
             last = {stream.endpoint_id}
             if not self._scheduler.has_responsive(stream.job, last, max_silent_s, now):
                 return False
-        if not self._reservations.reserve(stream, now):
+        if not self._reserve(stream, now):
             return False
         stream.give_up_attempt(max_silent_s)
         return True
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -9,6 +9,7 @@
     CountedAttempt,
 )
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
+from comfreyhatch.decisions.extra_requests import ExtraRequest
 from comfreyhatch.decisions.stall import StallLimits, stalled
 from comfreyhatch.domain.exchange import AnswerHead, Job
 from comfreyhatch.errors import (
@@ -33,6 +34,7 @@
         job: The request.
         account: Counts the attempts.
         counted: The current attempt in that account; None before the first.
+        extra: Extra request reserved for the next attempt; None if it needs none.
         excluded_ids: Endpoints that the next attempt leaves out.
         attempt: The current attempt, as it is followed for crashes; None before the first.
         attempted_ids: Endpoints of all attempts.
@@ -52,7 +54,6 @@
         fresh_connection: Whether the current attempt needs a new connection, since an earlier one
             was sent to its endpoint. A late copy of that attempt's answer has the same id.
         lease: Slot of the current attempt; None once its answer was closed.
-        retry_reserved: Whether an extra request is reserved for the next attempt.
         is_replacing: Whether an attempt that might have been answered was given up for the next
             one, and no endpoint has answered since.
         max_silent_s: Silence from which endpoints are avoided until one answers, in seconds; None
@@ -76,6 +77,7 @@
         "error",
         "events_relayed",
         "excluded_ids",
+        "extra",
         "fresh_connection",
         "gaps_s",
         "head",
@@ -89,7 +91,6 @@
         "max_silent_s",
         "model_index",
         "resumable",
-        "retry_reserved",
         "slow",
         "stall_limits",
     )
@@ -99,6 +100,7 @@
         self.job = job
         self.account = AttemptAccount(max_attempts, max_attempts + MAX_REFUSED_ATTEMPTS)
         self.counted: CountedAttempt | None = None
+        self.extra: ExtraRequest | None = None
         self.excluded_ids: set[str] = set()
         self.attempt: GuardedAttempt | None = None
         self.attempted_ids: set[str] = set()
@@ -117,7 +119,6 @@
         self.endpoint_id = ""
         self.fresh_connection = False
         self.lease: SlotLease | None = None
-        self.retry_reserved = False
         self.is_replacing = False
         self.max_silent_s: float | None = None
         self.error: ComfreyhatchError | None = None
@@ -158,6 +159,15 @@
         self.fresh_connection = self.endpoint_id in self.attempted_ids
         self.attempted_ids.add(self.endpoint_id)
         self.account.note_placed()
+        if self.extra is not None:
+            self.extra.note_sent(lease.started)
+            self.extra = None
+
+    def release_extra(self) -> None:
+        """Give back an extra request whose attempt was not sent."""
+        if self.extra is not None:
+            self.extra.release()
+            self.extra = None
 
     def count_failure(self, endpoint: EndpointTracker, error: BaseException) -> None:
         """Take the current attempt off the account, or keep it as one that may have run."""
--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from functools import partial
 
 from comfreyhatch.adapters.http_message import HttpResponse
 from comfreyhatch.decisions.attempt_account import (
@@ -11,7 +12,7 @@
     CountedAttempt,
 )
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
-from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
+from comfreyhatch.decisions.extra_requests import ExtraRequest, ExtraRequestBudget
 from comfreyhatch.decisions.retries import SampleWindow, hedge_delay_s
 from comfreyhatch.domain.exchange import Dispatch, Job
 from comfreyhatch.errors import (
@@ -109,9 +110,15 @@
                 task.cancel()
 
     def _start_attempt(self, call: "_UnaryCall") -> "asyncio.Task[BufferedAnswer]":
-        return asyncio.create_task(self._attempt(call, call.account.decide()))
-
-    async def _attempt(self, call: "_UnaryCall", counted: CountedAttempt) -> BufferedAnswer:
+        """Start an attempt, by the extra request that was reserved for it, if any."""
+        extra, call.extra = call.extra, None
+        task = asyncio.create_task(self._attempt(call, call.account.decide(), extra))
+        task.add_done_callback(partial(_release, extra))
+        return task
+
+    async def _attempt(
+        self, call: "_UnaryCall", counted: CountedAttempt, extra: ExtraRequest | None
+    ) -> BufferedAnswer:
         """Send the request to one endpoint and return its answer."""
         loop = asyncio.get_running_loop()
         job = call.job
@@ -124,6 +131,8 @@
         endpoint = lease.endpoint
         started = loop.time()
         call.account.note_placed()
+        if extra is not None:
+            extra.note_sent(started)
         attempt = self._crashes.begin(job, endpoint, started)
         try:
             answer = await self._send_and_release(call, lease, started)
@@ -170,7 +179,7 @@
         return await self._sender.fetch(job, endpoint, dispatch, max(0.0, left_s))
 
     def _take_hedge(self, call: "_UnaryCall") -> bool:
-        """Return whether to send a hedged attempt, and draw it from the budget."""
+        """Return whether to send a hedged attempt, and reserve it in the budget."""
         job = call.job
         if (
             not job.route.repeatable
@@ -180,10 +189,10 @@
             return False
         if self._crashes.suspects(job):
             return False
-        return self._budget(job.service).take(asyncio.get_running_loop().time())
+        return self._reserve(call, asyncio.get_running_loop().time())
 
     def _take_retry(self, call: "_UnaryCall") -> bool:
-        """Return whether to retry after the last attempt failed, and draw it from the budget."""
+        """Return whether to retry after the last attempt failed, and reserve it in the budget."""
         now = asyncio.get_running_loop().time()
         job = call.job
         if not isinstance(call.error, BackendError) and call.answer is None:
@@ -196,11 +205,16 @@
         # An attempt without a connection reached no endpoint, so its retry needs no budget; a
         # refused one has.
         unreachable = isinstance(call.error, EndpointUnreachableError) and call.answer is None
-        if unreachable or self._budget(job.service).take(now):
+        if unreachable or self._reserve(call, now):
             return True
         _log_denied(job, call.account.counted)
         return False
 
+    def _reserve(self, call: "_UnaryCall", now: float) -> bool:
+        """Reserve an extra request for the next attempt; return whether the budget allows it."""
+        call.extra = self._budget(call.job.service).reserve(now)
+        return call.extra is not None
+
     def _hedge_delay_s(self, call: "_UnaryCall") -> float | None:
         """Return the wait before a hedged attempt; None if there is none."""
         job = call.job
@@ -224,17 +238,19 @@
         job: The request.
         account: Counts the attempts.
         tried_ids: Endpoints that an attempt was given a slot of.
+        extra: Extra request reserved for the next attempt; None if it needs none.
         hedged: Whether a hedged attempt was sent or denied; there is one at most.
         answer: Last failed answer of an endpoint.
         error: Error of the last attempt without an answer.
     """
 
-    __slots__ = ("account", "answer", "error", "hedged", "job", "tried_ids")
+    __slots__ = ("account", "answer", "error", "extra", "hedged", "job", "tried_ids")
 
     def __init__(self, job: Job) -> None:
         self.job = job
         self.account = AttemptAccount(job.route.max_attempts, MAX_REFUSED_ATTEMPTS)
         self.tried_ids: set[str] = set()
+        self.extra: ExtraRequest | None = None
         self.hedged = False
         self.answer: BufferedAnswer | None = None
         self.error: ComfreyhatchError | None = None
@@ -265,6 +281,12 @@
     return None
 
 
+def _release(extra: ExtraRequest | None, _: "asyncio.Task[BufferedAnswer]") -> None:
+    """Give back the extra request of an attempt that has ended, unless it was sent."""
+    if extra is not None:
+        extra.release()
+
+
 def _count_end(account: AttemptAccount, counted: CountedAttempt, error: ComfreyhatchError) -> None:
     """Take an attempt that was given a slot off the account if it surely did not run."""
     if isinstance(error, EndpointUnreachableError):
--- a/tests/test_attempt_limits.py
+++ b/tests/test_attempt_limits.py
@@ -8,9 +8,11 @@
 import pytest
 
 from comfreyhatch.adapters.http_client import HttpReply
+from comfreyhatch.domain.deployment import Bounds
 from comfreyhatch.errors import HttpError
-from tests.platform_harness import PlatformHarness, config, running_harness
-from tests.platform_worker import StandInWorker
+from comfreyhatch.exchange.daemon import ENDPOINT_CONNECT_TIMEOUT_S
+from tests.platform_harness import PlatformHarness, config, running_harness, sent_to, workers
+from tests.platform_worker import EVENTS_PER_STREAM, StandInWorker
 
 TIMEOUT_MS = 4000
 GOAL_MS = 2000
@@ -18,6 +20,10 @@
 FAST_ANSWERS = 24
 # Longer than that delay, and shorter than the longest wait for a slot.
 QUEUED_S = 0.5
+# Slack of which a daemon's part is one extra request in a window.
+ONE_EXTRA_SLACK = 10.0
+WINDOW_S = 1.0
+LONG_TIMEOUT_MS = 8000
 
 
 @pytest.fixture
@@ -166,3 +172,30 @@
     (result,) = await asyncio.gather(sending, return_exceptions=True)
     assert sum(len(engine.received) for engine in engines) == 2
     assert isinstance(result, HttpError)
+
+
+async def test_retries_that_wait_for_longer_than_the_window_are_not_sent_together() -> None:
+    bounds = Bounds(retry_ratio=0.0, retry_slack=ONE_EXTRA_SLACK, retry_window_s=WINDOW_S)
+    async with running_harness(bounds=bounds) as harness:
+        changes = {"timeout_ms": LONG_TIMEOUT_MS, "gap_aim_ms": LONG_TIMEOUT_MS}
+        harness.store.put("op", "config", config(2, **changes))
+        await harness.wait_until(lambda: harness.daemon.view.catalog.version == 2)
+        pauses = iter((0.3, 0.3 + 1.5 * WINDOW_S))
+        for engine in workers(harness, "engine"):
+            engine.break_after = 2
+            engine.pause_s = lambda number: next(pauses) if number == 3 else 0.0
+        deadline_ms = str(LONG_TIMEOUT_MS)
+        sending = [harness.send_draft(deadline_ms=deadline_ms) for _ in range(2)]
+        replies = asyncio.gather(*sending)
+        await harness.wait_until(lambda: len(sent_to(harness, "engine")) == 2)
+        trackers = harness.daemon.view.trackers_by_service["engines"]
+        for engine in workers(harness, "engine"):
+            harness.store.remove("servers", engine.worker_id)
+        await harness.wait_until(lambda: all(t.removed_at is not None for t in trackers))
+        await harness.wait_until(lambda: not any(t.in_flight for t in trackers))
+        third = await harness.add_worker("engine-3", "engines")
+        for reply in await replies:
+            assert reply.body.count(b"id: ") == EVENTS_PER_STREAM
+        first_at, second_at = third.received_at
+        # A request arrives up to the time for a connection after the begin of its attempt.
+        assert second_at - first_at >= WINDOW_S - ENDPOINT_CONNECT_TIMEOUT_S
