Count an extra request until the window has passed since its endpoint has answered

Endpoints saw: what daemons had sent to them over 1.2 s while they were stopped arrived in one moment when they went on, beside what was sent then. No daemon had exceeded its part by its own count.

Cause: the budget counts at the time of sending, endpoints and users at that of the arrival. A silence moves the ones of one window into the next.

Evidence: test_extra_request_that_a_silent_worker_has_yet_to_answer_still_counts failed before with 4 arrivals where 3 are allowed.

Fix: a reservation lasts until the answer has begun (of a buffered one: ended), or the attempt was given up, and the window begins then. Whatever arrives in a window was counted all through it. Not covered: an attempt that is given up and read later still; fewer are since streams don't move to silent endpoints.

--- a/comfreyhatch/decisions/extra_requests.py
+++ b/comfreyhatch/decisions/extra_requests.py
@@ -4,8 +4,9 @@
 otherwise cause further failures and further retries. Each daemon spends its own part; the parts
 add up to the budget of the fleet without coordination between daemons.
 
-An extra request is reserved as it is decided and counts until the window has passed since it was
-sent. Those that waited for a slot would otherwise be sent together with as many later ones.
+An extra request is reserved as it is decided, and counts until the window has passed since its
+answer began or it was given up. Those that wait for a slot, or for a silent endpoint, would
+otherwise arrive together with as many later ones.
 """
 
 from collections import deque
@@ -15,21 +16,21 @@
 
 
 class ExtraRequest:
-    """An extra request that is reserved in a budget until it is sent or given back."""
+    """An extra request that is reserved in a budget until it has arrived or is given back."""
 
     __slots__ = ("_budget",)
 
     def __init__(self, budget: "ExtraRequestBudget") -> None:
         self._budget: ExtraRequestBudget | None = budget
 
-    def note_sent(self, now: float) -> None:
-        """Count the request in the window from now on."""
+    def note_arrived(self, now: float) -> None:
+        """Count the request in the window from now on, as no later arrival is expected."""
         if self._budget is not None:
             self._budget.end_reserved(now)
             self._budget = None
 
     def release(self) -> None:
-        """Give the request back, unless it was sent."""
+        """Give the request back, unless it has arrived."""
         if self._budget is not None:
             self._budget.end_reserved(None)
             self._budget = None
@@ -38,8 +39,8 @@
 class ExtraRequestBudget:
     """Counts requests of callers and extra requests to one service in a sliding window.
 
-    An extra request that can't be sent at once is reserved: it counts from then on, and takes its
-    place in the window when it is sent.
+    An extra request is reserved: it counts from then on, and takes its place in the window when it
+    has arrived.
     """
 
     def __init__(self, window_s: float, ratio: float, slack: float) -> None:
@@ -84,18 +85,18 @@
         """Spend one extra request that is sent at once; return whether the budget allows it."""
         extra = self.reserve(now)
         if extra is not None:
-            extra.note_sent(now)
+            extra.note_arrived(now)
         return extra is not None
 
-    def end_reserved(self, sent_at: float | None) -> None:
+    def end_reserved(self, arrived_at: float | None) -> None:
         """End a reservation; called by the extra request itself.
 
         Args:
-            sent_at: Monotonic time in seconds at which it was sent; None if it was not.
+            arrived_at: Monotonic time in seconds by which it has arrived; None if it was not sent.
         """
         self._reserved -= 1
-        if sent_at is not None:
-            self._extra.append(sent_at)
+        if arrived_at is not None:
+            self._extra.append(arrived_at)
 
     def _expire(self, now: float) -> None:
         oldest = now - self._window_s
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -167,7 +167,9 @@
         self._scheduler.pin_session(job, endpoint.record.version, lease.started)
         try:
             answer = await self._open_watched(stream, lease)
+            stream.note_arrived(loop.time())
         except BaseException as error:
+            stream.note_arrived(loop.time())
             stream.count_failure(endpoint, error)
             self._scheduler.release(lease)
             await self._crashes.end_failed(attempt, error)
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -35,6 +35,7 @@
         account: Counts the attempts.
         counted: The current attempt in that account; None before the first.
         extra: Extra request reserved for the next attempt; None if it needs none.
+        sent_extra: Extra request of the current attempt until it has arrived; None for none.
         excluded_ids: Endpoints that the next attempt leaves out.
         attempt: The current attempt, as it is followed for crashes; None before the first.
         attempted_ids: Endpoints of all attempts.
@@ -91,6 +92,7 @@
         "max_silent_s",
         "model_index",
         "resumable",
+        "sent_extra",
         "slow",
         "stall_limits",
     )
@@ -101,6 +103,7 @@
         self.account = AttemptAccount(max_attempts, max_attempts + MAX_REFUSED_ATTEMPTS)
         self.counted: CountedAttempt | None = None
         self.extra: ExtraRequest | None = None
+        self.sent_extra: ExtraRequest | None = None
         self.excluded_ids: set[str] = set()
         self.attempt: GuardedAttempt | None = None
         self.attempted_ids: set[str] = set()
@@ -159,9 +162,14 @@
         self.fresh_connection = self.endpoint_id in self.attempted_ids
         self.attempted_ids.add(self.endpoint_id)
         self.account.note_placed()
-        if self.extra is not None:
-            self.extra.note_sent(lease.started)
-            self.extra = None
+        self.sent_extra = self.extra
+        self.extra = None
+
+    def note_arrived(self, now: float) -> None:
+        """Note that the current attempt has arrived at its endpoint, or was given up."""
+        if self.sent_extra is not None:
+            self.sent_extra.note_arrived(now)
+            self.sent_extra = None
 
     def release_extra(self) -> None:
         """Give back an extra request whose attempt was not sent."""
--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -131,11 +131,9 @@
         endpoint = lease.endpoint
         started = loop.time()
         call.account.note_placed()
-        if extra is not None:
-            extra.note_sent(started)
         attempt = self._crashes.begin(job, endpoint, started)
         try:
-            answer = await self._send_and_release(call, lease, started)
+            answer = await self._send_and_release(call, lease, extra, started)
         except ComfreyhatchError as error:
             _count_end(call.account, counted, error)
             _log_failure(job, endpoint.record.endpoint_id, error)
@@ -162,12 +160,14 @@
         return await self._scheduler.acquire(call.job, call.tried_ids)
 
     async def _send_and_release(
-        self, call: "_UnaryCall", lease: SlotLease, now: float
+        self, call: "_UnaryCall", lease: SlotLease, extra: ExtraRequest | None, now: float
     ) -> BufferedAnswer:
         try:
             return await self._send(call, lease.endpoint, now)
         finally:
             self._scheduler.release(lease)
+            if extra is not None:
+                extra.note_arrived(asyncio.get_running_loop().time())
 
     async def _send(
         self, call: "_UnaryCall", endpoint: EndpointTracker, now: float
--- a/tests/test_attempt_limits.py
+++ b/tests/test_attempt_limits.py
@@ -199,3 +199,23 @@
         first_at, second_at = third.received_at
         # A request arrives up to the time for a connection after the begin of its attempt.
         assert second_at - first_at >= WINDOW_S - ENDPOINT_CONNECT_TIMEOUT_S
+
+
+async def test_extra_request_that_a_silent_worker_has_yet_to_answer_still_counts() -> None:
+    # Endpoints read what came while they were silent at once, beside what is sent then.
+    bounds = Bounds(retry_ratio=0.0, retry_slack=ONE_EXTRA_SLACK, retry_window_s=WINDOW_S)
+    async with running_harness(bounds=bounds) as harness:
+        harness.store.put("op", "config", config(2, timeout_ms=LONG_TIMEOUT_MS))
+        await harness.wait_until(lambda: harness.daemon.view.catalog.version == 2)
+        failing, silent = workers(harness, "desk")
+        failing.status = 500
+        silent.hold = asyncio.Event()
+        deadline_ms = str(LONG_TIMEOUT_MS)
+        sending = []
+        for _ in range(2):
+            send = harness.send("/read/x", deadline_ms=deadline_ms)
+            sending.append(asyncio.create_task(send))
+            await asyncio.sleep(1.5 * WINDOW_S)
+        assert len(sent_to(harness, "desk")) <= len(sending) + 1
+        silent.hold.set()
+        await asyncio.gather(*sending)
--- a/tests/test_extra_requests.py
+++ b/tests/test_extra_requests.py
@@ -86,7 +86,7 @@
         found = (budget.reserve(now) for _ in range(wanted))
         reserved[daemon] += [request for request in found if request is not None]
         for _ in range(min(sent, len(reserved[daemon]))):
-            reserved[daemon].pop().note_sent(now)
+            reserved[daemon].pop().note_arrived(now)
             extra.append(now)
     for end in extra:
         assert sum(end - WINDOW_S <= at <= end for at in extra) <= SLACK
@@ -97,7 +97,7 @@
     waiting = budget.reserve(0.0)
     assert waiting is not None
     assert budget.reserve(WINDOW_S + 1.0) is None
-    waiting.note_sent(WINDOW_S + 1.0)
+    waiting.note_arrived(WINDOW_S + 1.0)
     assert not budget.take(2 * WINDOW_S)
     assert budget.take(2 * WINDOW_S + 1.1)
 
@@ -137,7 +137,7 @@
             reserved = budget.reserve(now)
             waiting += [reserved] if reserved else []
         elif waiting and event == "send":
-            waiting.pop().note_sent(now)
+            waiting.pop().note_arrived(now)
             sent.append(now)
         elif waiting:
             waiting.pop().release()
