Notice a caller that has left before its request is passed on, also by a reset

A sender that gives up now resets its connection, and a daemon that was stopped learns of the reset one turn of the event loop later than of an end of file.

The turn that forwarded requests waited moves to the connection, where each request waits one, and where a connection that is closing counts as left: the transport knows of a reset before its protocol does.

--- a/comfreyhatch/adapters/http_connection.py
+++ b/comfreyhatch/adapters/http_connection.py
@@ -150,7 +150,9 @@
         """Answer requests until no further one is to be read."""
         while True:
             request = await self._read_or_refuse()
-            if request is None or self._left:
+            # One turn of the event loop, in which a caller that has left already is noticed.
+            await asyncio.sleep(0)
+            if request is None or self._left or self._writer.transport.is_closing():
                 return
             self.busy = True
             self._reading = False
--- a/comfreyhatch/daemon/requests/forwarding.py
+++ b/comfreyhatch/daemon/requests/forwarding.py
@@ -308,8 +308,6 @@
         if not self._replay_guard.accept(stamp, time(), asyncio.get_running_loop().time()):
             return error_response(PeerError("the stamp is expired or was used before"))
         last_hop = not hop.isdecimal() or int(hop) >= MAX_HOPS
-        # One turn of the event loop, in which a sender that has left already is noticed.
-        await asyncio.sleep(0)
         try:
             if request.path == GENERATE_PATH:
                 return await self._generate(decode(request.body, type=GenerateRequest), last_hop)
