Leave the slack of the extra requests to an earlier run of the daemon's process for one window

Endpoints may see more extra requests in a window than the fleet's limit while daemons restart.

Cause: each daemon counts its extra requests in memory. One that starts again has forgotten those of the window before, and used its part of the slack once more.

By arithmetic six daemons that use their part up and restart within the window send 84 or more of 52.

Mend: the slack is allowed from one window after the start of the process; until then the budget follows from the ratio alone, of the requests that this run has taken itself. test_daemon_whose_process_has_just_started_uses_no_slack shows it at a daemon.

Why it works: a run uses its part of the slack only once nothing that an earlier run sent is in the window, and the parts of the ratio add up whichever run took the requests.

--- a/comfreyhatch/decisions/extra_requests.py
+++ b/comfreyhatch/decisions/extra_requests.py
@@ -10,6 +10,7 @@
 """
 
 from collections import deque
+from math import inf
 
 # Share of the configured ratio and slack that a daemon uses.
 SAFETY_FACTOR = 0.85
@@ -43,17 +44,22 @@
     has arrived.
     """
 
-    def __init__(self, window_s: float, ratio: float, slack: float) -> None:
+    def __init__(
+        self, window_s: float, ratio: float, slack: float, slack_from: float = -inf
+    ) -> None:
         """Create a budget.
 
         Args:
             window_s: Length of the window, in seconds.
             ratio: Extra requests allowed for each caller's request in the window.
             slack: Extra requests allowed in addition, for this daemon alone.
+            slack_from: Monotonic time in seconds from which these are allowed: an earlier run of
+                this daemon's process may have used them up to a window before.
         """
         self._window_s = window_s
         self._ratio = ratio * SAFETY_FACTOR
         self.slack = slack
+        self._slack_from = slack_from
         self._requests: deque[float] = deque()
         self._extra: deque[float] = deque()
         self._reserved = 0
@@ -65,7 +71,8 @@
     def remaining(self, now: float) -> float:
         """Return how many extra requests are allowed now."""
         self._expire(now)
-        allowed = self._ratio * len(self._requests) + self.slack * SAFETY_FACTOR
+        slack = self.slack * SAFETY_FACTOR if now >= self._slack_from else 0.0
+        allowed = self._ratio * len(self._requests) + slack
         return allowed - len(self._extra) - self._reserved
 
     def remaining_share(self, now: float) -> float:
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -97,6 +97,7 @@
         codec: HeaderCodec,
         rng: Random,
         run: int,
+        slack_from: float = 0.0,
     ) -> None:
         """Create a daemon; nothing is opened yet.
 
@@ -106,8 +107,11 @@
             codec: Codec of callers' and endpoints' headers.
             rng: Seeded source of jitter and random choices.
             run: Number of this run of the process, for its usage.
+            slack_from: Monotonic time in seconds from which it uses its part of
+                `Bounds.retry_slack`.
         """
         self._deployment = deployment
+        self._slack_from = slack_from
         self._budget_by_service: dict[str, ExtraRequestBudget] = {}
         self.registry = CollectorRegistry()
         self.view = FleetView()
@@ -376,7 +380,10 @@
         if budget is None:
             bounds = self._deployment.bounds
             budget = ExtraRequestBudget(
-                bounds.retry_window_s, bounds.retry_ratio, self._extra_request_slack()
+                bounds.retry_window_s,
+                bounds.retry_ratio,
+                self._extra_request_slack(),
+                self._slack_from,
             )
             self._budget_by_service[service] = budget
         budget.slack = self._extra_request_slack()
--- a/comfreyhatch/platform/main.py
+++ b/comfreyhatch/platform/main.py
@@ -45,7 +45,11 @@
     store = StoreClient(deployment.store)
     directory = StoreDirectory(store)
     rng = Random(deployment.instance)
-    daemon = ExchangeDaemon(deployment, directory, PlatformHeaderCodec(), rng, new_run())
+    # An earlier run may have used this daemon's slack until just now.
+    slack_from = monotonic() + deployment.bounds.retry_window_s
+    daemon = ExchangeDaemon(
+        deployment, directory, PlatformHeaderCodec(), rng, new_run(), slack_from
+    )
     add_gauge(daemon.registry, "store_calls", "Calls to the store.", lambda: store.calls)
     add_gauge(
         daemon.registry, "store_bytes_read", "Bytes of its answers.", lambda: store.bytes_read
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -178,6 +178,7 @@
         bounds: Bounds = BOUNDS,
         memory_mb: float = MEMORY_MB,
         seeds: tuple[Address, ...] = (),
+        slack_from: float = 0.0,
     ) -> ExchangeDaemon:
         self.deployment = Deployment(
             instance=f"front-{len(self.daemons) + 1}",
@@ -198,7 +199,12 @@
         self._store_clients.append(store_client)
         directory = StoreDirectory(store_client)
         self.daemon = ExchangeDaemon(
-            self.deployment, directory, PlatformHeaderCodec(), Random(1), run=1
+            self.deployment,
+            directory,
+            PlatformHeaderCodec(),
+            Random(1),
+            run=1,
+            slack_from=slack_from,
         )
         self.metrics = Address("127.0.0.1", free_port())
         self.daemons.append(self.daemon)
--- a/tests/test_attempt_limits.py
+++ b/tests/test_attempt_limits.py
@@ -219,3 +219,18 @@
         assert len(sent_to(harness, "desk")) <= len(sending) + 1
         silent.hold.set()
         await asyncio.gather(*sending)
+
+
+@pytest.mark.parametrize(("slack_in_s", "sent"), [(0.0, 2), (60.0, 1)])
+async def test_daemon_whose_process_has_just_started_uses_no_slack(
+    slack_in_s: float, sent: int
+) -> None:
+    bounds = Bounds(retry_ratio=0.0, retry_slack=ONE_EXTRA_SLACK)
+    slack_from = asyncio.get_running_loop().time() + slack_in_s
+    async with running_harness(daemon=False) as harness:
+        daemon = await harness.start_daemon(harness.store.address, bounds, slack_from=slack_from)
+        await harness.wait_until(daemon.ready)
+        for desk in workers(harness, "desk"):
+            desk.status = 500
+        assert (await harness.send("/read/x")).status == 500
+        assert len(sent_to(harness, "desk")) == sent
--- a/tests/test_extra_requests.py
+++ b/tests/test_extra_requests.py
@@ -142,3 +142,43 @@
         elif waiting:
             waiting.pop().release()
         assert sum(now - WINDOW_S < at <= now for at in sent) <= 4
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, DAEMONS - 1),
+            st.floats(0.0, 1.0, allow_nan=False),
+            st.integers(0, 20),
+            st.booleans(),
+        ),
+        max_size=100,
+    )
+)
+def test_fleet_stays_within_its_limit_while_daemons_restart(
+    steps: list[tuple[int, float, int, bool]],
+) -> None:
+    budgets = [restarted_budget(0.0) for _ in range(DAEMONS)]
+    now = 0.0
+    requests: list[float] = []
+    extra: list[float] = []
+    for daemon, gap_s, wanted, restarts in steps:
+        now += gap_s
+        if restarts:
+            budgets[daemon] = restarted_budget(now)
+        budgets[daemon].record_request(now)
+        requests.append(now)
+        extra += [now for _ in range(wanted) if budgets[daemon].take(now)]
+        counted = sum(now - WINDOW_S < at for at in extra)
+        assert counted <= RATIO * sum(now - WINDOW_S < at for at in requests) + SLACK
+
+
+def restarted_budget(now: float) -> ExtraRequestBudget:
+    """Return the budget of a daemon whose process has started now."""
+    return ExtraRequestBudget(WINDOW_S, RATIO, SLACK / DAEMONS, now + WINDOW_S)
+
+
+def test_slack_is_allowed_from_its_time_on() -> None:
+    budget = ExtraRequestBudget(WINDOW_S, RATIO, 2.0, 5.0)
+    assert not budget.take(4.9)
+    assert budget.take(5.0)
