Cancel a chat request at a silent engine when its caller leaves

An engine that was silent, or slow to its first token, kept the request of a caller that had closed its connection until the request's deadline (30 s by default), was told nothing, and its slot at the daemon stayed taken. An engine process that goes on after a pause would then run all such requests.

Cause: the callers' listener didn't look at a connection while it answered; that its caller had left was found only by the next write of a stream, and a silent engine gives nothing to write. A whole answer is written only at its end.

Fix: the callers' listener cancels a chat request whose connection the caller has closed, as the listener of the users' platform does; the dispatcher then frees the slot and cancels the request at the engine.

Changed: a chat caller that closes only its sending side gets no answer any more, as on the platform's listener. Looked at for safety under cancellation: the confirmation of the configuration is shielded; a slice of a budget is found again by its sequence number; a waiting request leaves the queue.

--- a/comfreyhatch/adapters/http_connection.py
+++ b/comfreyhatch/adapters/http_connection.py
@@ -89,6 +89,7 @@
         limits_in_force: Callable[[], HttpLimits],
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        outlives_caller: Callable[[HttpRequest], bool] = lambda _: False,
     ) -> None:
         """Take a connection over; nothing is read yet.
 
@@ -98,7 +99,10 @@
                 are in force as it begins.
             reader: What the caller sends.
             writer: What is sent to the caller.
+            outlives_caller: Whether a request is handled to its end after its caller has left.
         """
+        self._outlives_caller = outlives_caller
+        self._cancellable = True
         self._handler = handler
         self._limits_in_force = limits_in_force
         self._limits = limits_in_force()
@@ -112,9 +116,9 @@
         writer.transport.set_write_buffer_limits(high=self._limits.buffer_bytes)
 
     def caller_left(self, task: asyncio.Task[None]) -> None:
-        """Cancel the request that is being answered, or will not be."""
+        """Cancel the request that is being answered or read, unless it outlives its caller."""
         self._left = True
-        if self.busy:
+        if self.busy and self._cancellable:
             task.cancel()
 
     def cut(self, task: asyncio.Task[None]) -> None:
@@ -150,9 +154,12 @@
         """Answer requests until no further one is to be read."""
         while True:
             request = await self._read_or_refuse()
+            if request is None:
+                return
             # One turn of the event loop, in which a caller that has left already is noticed.
             await asyncio.sleep(0)
-            if request is None or self._left or self._writer.transport.is_closing():
+            self._cancellable = not self._outlives_caller(request)
+            if self._cancellable and (self._left or self._writer.transport.is_closing()):
                 return
             self.busy = True
             self._reading = False
--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -28,6 +28,7 @@
         handler: HttpHandler,
         limits: HttpLimits | None = None,
         cancel_on_disconnect: bool = False,
+        outlives_caller: Callable[[HttpRequest], bool] = lambda _: False,
     ) -> None:
         """Create a server.
 
@@ -35,7 +36,9 @@
             handler: Answers requests.
             limits: Limits of the listener.
             cancel_on_disconnect: Whether the handler is cancelled when its caller goes away.
+            outlives_caller: Whether a request is an exception and handled to its end.
         """
+        self._outlives_caller = outlives_caller
         self._handler = handler
         self.limits = limits or HttpLimits()
         self._cancel_on_disconnect = cancel_on_disconnect
@@ -130,7 +133,9 @@
         if self._closing or len(self._task_by_connection) >= self.limits.connections:
             writer.close()
             return
-        connection = HttpConnection(self._handler, lambda: self.limits, reader, writer)
+        connection = HttpConnection(
+            self._handler, lambda: self.limits, reader, writer, self._outlives_caller
+        )
         task = asyncio.current_task()
         assert task is not None
         self._task_by_connection[connection] = task
--- a/comfreyhatch/daemon/components.py
+++ b/comfreyhatch/daemon/components.py
@@ -43,7 +43,7 @@
 from comfreyhatch.daemon.members.list_feed import ListFeed
 from comfreyhatch.daemon.members.membership import Membership
 from comfreyhatch.daemon.operators import OperatorHandler
-from comfreyhatch.daemon.requests.callers import CallerHandler
+from comfreyhatch.daemon.requests.callers import CallerHandler, outlives_caller
 from comfreyhatch.daemon.requests.forwarding import MAX_HOPS, ForwardedRequestHandler, Forwarder
 from comfreyhatch.daemon.requests.router import Router
 from comfreyhatch.daemon.requests.services import ServiceRouter
@@ -287,7 +287,12 @@
             self.dispatcher, self._keys, self._forwarder(hop=MAX_HOPS)
         )
         self._forwarded.run_minted = services.run_minted
-        self._caller_server = HttpServer(callers.handle, self._settings.limits)
+        self._caller_server = HttpServer(
+            callers.handle,
+            self._settings.limits,
+            cancel_on_disconnect=True,
+            outlives_caller=outlives_caller,
+        )
         self._peer_server = HttpServer(
             self._forwarded.handle, HttpLimits(), cancel_on_disconnect=True
         )
--- a/comfreyhatch/daemon/requests/callers.py
+++ b/comfreyhatch/daemon/requests/callers.py
@@ -175,6 +175,14 @@
         )
 
 
+def outlives_caller(request: HttpRequest) -> bool:
+    """Return whether a request is handled to its end after its caller has left.
+
+    A call to a plain service is, as its endpoint may go on with it.
+    """
+    return request.path.startswith(SERVICES_PREFIX)
+
+
 def _require_method(request: HttpRequest, methods: tuple[str, ...]) -> None:
     if request.method not in methods:
         raise RequestError(
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -141,6 +141,38 @@
     assert record["cost_micros"] > 0
 
 
+@pytest.mark.parametrize("stream", [False, True])
+async def test_request_is_cancelled_at_a_silent_engine_when_its_caller_disconnects(
+    fleet: LocalFleet, engine: EngineStandin, client: HttpClient, stream: bool
+) -> None:
+    slow = VersionFault(slowdown=1e6)
+    engine.faults.fault_by_version = {SMALL.version_id: slow, LARGE.version_id: slow}
+    caller = asyncio.create_task(
+        chat(client, fleet.callers("entry-a0"), stream=stream, max_tokens=1000)
+    )
+    await fleet.until(lambda: engine.witness.in_flight == 1)
+    caller.cancel()
+    await fleet.until(lambda: engine.witness.in_flight == 0, timeout_s=10.0)
+    assert fleet.daemon_by_id["entry-a0"].dispatcher.has_free_slot()
+
+
+async def test_call_whose_caller_disconnects_runs_to_its_end(
+    fleet: LocalFleet, client: HttpClient
+) -> None:
+    service = fleet.service_by_id["service-a0"]
+    service.faults.slow_s = 0.5
+    caller = asyncio.create_task(book(client, fleet.callers("entry-a0"), ""))
+    await fleet.until(lambda: service.witness.in_flight == 1)
+    caller.cancel()
+    await fleet.until(lambda: service.witness.in_flight == 0)
+    (request_id,) = service.witness.run_count_by_id
+    daemon = fleet.daemon_by_id["entry-a0"]
+    await fleet.until(lambda: not daemon.pool._running_by_id)
+    operators = fleet.addresses_by_id["entry-a0"].operators
+    record = decode((await client.request(operators, "GET", f"/explain/{request_id}")).body)
+    assert (len(record["attempts"]), record["ran"]) == (1, "yes")
+
+
 async def test_service_answer_to_another_request_never_reaches_the_caller(
     fleet: LocalFleet, client: HttpClient
 ) -> None:
