Take from the retry budget only for a retry that follows

Reads were not retried although earlier ones had left budget for it: a read that had used up its attempts, or its time at a silent endpoint, took a token for a retry that was then not made, and waited for its back-off in vain. With all endpoints of a service silent past the deadlines, a few reads emptied the budget of their daemon without one extra request.

Cause: the budget was asked before the number of attempts and before the deadline. In the path of chat requests it was asked before the number of attempts.

Evidence: tests/test_services.py, test_retry_that_may_not_follow_takes_nothing_from_the_budget and test_reads_past_their_deadlines_take_nothing_from_the_budget failed before: the next read with a broken first attempt got its error in place of a retry.

Fix: attempts and deadline are looked at first, the budget last. The chat path has the same order now, by reading; it has no test of its own. A deadline that passes during the back-off still costs its token.

The tests of the file have four sources in place of three, since the limit of failed attempts is three.

--- a/comfreyhatch/daemon/requests/router.py
+++ b/comfreyhatch/daemon/requests/router.py
@@ -332,10 +332,10 @@
         async for source in self._sources_with_retries(version_id, refusal_retry):
             started_at = monotonic()
             check_deadline(call.deadline, started_at)
-            if last_error and last_error.ran is not Ran.NO and not self._retry_budget.take():
-                raise last_error
             if last_error and failed_attempts >= MAX_FAILED_ATTEMPTS:
                 break
+            if last_error and last_error.ran is not Ran.NO and not self._retry_budget.take():
+                raise last_error
             request = _generate_request(call, version, run_id, started_at)
             trace = self._outcome_recorder.start_trace(call, contract, version, started_at)
             try:
--- a/comfreyhatch/daemon/requests/services.py
+++ b/comfreyhatch/daemon/requests/services.py
@@ -171,12 +171,13 @@
         last_error: ComfreyhatchError | None = None
         failed_attempts = 0
         for source in sources:
+            check_deadline(deadline, monotonic())
+            if last_error and failed_attempts >= MAX_FAILED_ATTEMPTS:
+                raise last_error
             if last_error and last_error.ran is not Ran.NO:
                 if not self._retry_budget.take():
                     raise last_error
                 await sleep(backoff_s(failed_attempts, self._rng))
-            if last_error and failed_attempts >= MAX_FAILED_ATTEMPTS:
-                raise last_error
             try:
                 return await self._attempt(source, request, deadline, draft)()
             except ComfreyhatchError as error:
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -10,8 +10,8 @@
 
 from comfreyhatch.codes import Ran
 from comfreyhatch.daemon.requests.draft import RecordDraft
-from comfreyhatch.daemon.requests.services import ServiceRouter
-from comfreyhatch.decisions.retries import MIN_QUANTILE_SAMPLES
+from comfreyhatch.daemon.requests.services import MAX_FAILED_ATTEMPTS, ServiceRouter
+from comfreyhatch.decisions.retries import MIN_QUANTILE_SAMPLES, RETRY_BURST
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.domain.record import RequestRecord
@@ -21,12 +21,13 @@
 
 READ = ServiceRequest("r1", "GET", "/accounts", b"")
 DEADLINE_S = 20.0
+SHORT_DEADLINE_S = 0.02
 
 Outcome = Callable[[], Awaitable[ServiceAnswer]]
 
 
 class Sources:
-    """A daemon's dispatcher and two peers; each attempt takes the next outcome.
+    """A daemon's dispatcher and three peers; each attempt takes the next outcome.
 
     Attributes:
         started: Attempts so far.
@@ -52,7 +53,7 @@
 
     def candidates(self, config: FleetConfig, holders: set[str]) -> list[Member]:
         nowhere = Address("", 0)
-        return [Member(name, "1", "a", nowhere, nowhere) for name in ("x", "y")]
+        return [Member(name, "1", "a", nowhere, nowhere) for name in ("x", "y", "z")]
 
     async def call(self, *arguments: object) -> tuple[ServiceAnswer, AnswerOrigin | None]:
         self.started += 1
@@ -74,9 +75,9 @@
     return ServiceAnswer(200, "text/plain", b"done")
 
 
-async def silent() -> ServiceAnswer:
-    await asyncio.sleep(DEADLINE_S)
-    raise AssertionError
+async def broken_late() -> ServiceAnswer:
+    await asyncio.sleep(SHORT_DEADLINE_S)
+    raise BackendError("no answer in time")
 
 
 async def read(router: ServiceRouter, deadline_s: float = DEADLINE_S) -> ServiceAnswer:
@@ -87,9 +88,9 @@
     return await router.answer("booking", READ, now + deadline_s, draft)
 
 
-async def error_of_read(router: ServiceRouter) -> ComfreyhatchError:
+async def error_of_read(router: ServiceRouter, deadline_s: float = DEADLINE_S) -> ComfreyhatchError:
     with pytest.raises(ComfreyhatchError) as caught:
-        await read(router)
+        await read(router, deadline_s)
     return caught.value
 
 
@@ -102,7 +103,7 @@
 
 
 async def test_refusal_after_a_broken_attempt_is_not_told_as_not_run() -> None:
-    sources = Sources([broken, refused, refused])
+    sources = Sources([broken, refused, refused, refused])
     error = await error_of_read(sources.router())
     assert (error.ran, sources.records[-1].ran) == (Ran.UNKNOWN, Ran.UNKNOWN)
 
@@ -115,6 +116,24 @@
 
 
 async def test_call_that_every_source_refused_is_told_as_not_run() -> None:
-    sources = Sources([refused, refused, refused])
+    sources = Sources([refused, refused, refused, refused])
     assert (await error_of_read(sources.router())).ran is Ran.NO
     assert sources.started == 3
+
+
+async def test_retry_that_may_not_follow_takes_nothing_from_the_budget() -> None:
+    sources = Sources([broken] * MAX_FAILED_ATTEMPTS + [broken, answered])
+    router = sources.router()
+    await error_of_read(router)
+    assert sources.started == MAX_FAILED_ATTEMPTS
+    assert (await read(router)).status == 200
+
+
+async def test_reads_past_their_deadlines_take_nothing_from_the_budget() -> None:
+    reads = int(RETRY_BURST) + 1
+    sources = Sources([broken_late] * reads + [broken, answered])
+    router = sources.router()
+    for _ in range(reads):
+        await error_of_read(router, SHORT_DEADLINE_S)
+    assert sources.started == reads
+    assert (await read(router)).status == 200
