Try an endpoint again whose trial request ended without a result

An endpoint that had failed five times in a row, as one that was silent for a while may, got no requests any more when the one trial request after that was cancelled (a hedged request that lost, a caller that left) or refused as the endpoint was full: it stayed passed over for good, at up to half of a service's endpoints.

Cause: the circuit breaker leaves its half-open state by a success or a failure. A trial that ends otherwise left it there, and an endpoint in a trial is passed over, so no further request ended the trial.

Evidence: tests/test_dispatcher.py, test_endpoint_whose_trial_ends_undecided_is_tried_again[cancelled, refused], failed before: still unhealthy 600 s later, ten times the longest time that a circuit is open.

Fix: the end of each request ends a trial; without a result, the next request is a trial again.

--- a/comfreyhatch/daemon/dispatch/dispatcher.py
+++ b/comfreyhatch/daemon/dispatch/dispatcher.py
@@ -166,6 +166,7 @@
                 self._circuits.record_failure(endpoint_id, version_id, monotonic())
             raise
         finally:
+            self._circuits.end_trial(endpoint_id, version_id)
             if not finished:
                 self._cancel(slot.endpoint, request.request_id)
 
@@ -211,6 +212,8 @@
             if counts_as_endpoint_failure(error):
                 self._circuits.record_failure(endpoint_id, name, monotonic())
             raise
+        finally:
+            self._circuits.end_trial(endpoint_id, name)
         self._circuits.record_success(endpoint_id, name)
         return answer
 
--- a/comfreyhatch/decisions/endpoint_choice.py
+++ b/comfreyhatch/decisions/endpoint_choice.py
@@ -169,6 +169,12 @@
         if circuit and circuit.opened and now >= circuit.open_until:
             circuit.trial = True
 
+    def end_trial(self, endpoint_id: str, version_id: str) -> None:
+        """Record the end of a request; after a trial without a result, the next is a trial."""
+        circuit = self._circuit_by_pair.get((endpoint_id, version_id))
+        if circuit:
+            circuit.trial = False
+
     def unhealthy(self, endpoint_ids: list[str], version_id: str, now: float) -> frozenset[str]:
         """Return the endpoints to pass over, at most half of a pool.
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from time import monotonic
 
 import pytest
 from msgspec.json import decode
@@ -9,10 +10,11 @@
 
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply
 from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.decisions.endpoint_choice import FAILURES_TO_OPEN, FIRST_OPEN_S, MAX_OPEN_S
 from comfreyhatch.domain.change import Change, SetContract, WithdrawVersion
 from comfreyhatch.domain.request import ChatMessage
 from comfreyhatch.errors import RefusedError
-from comfreyhatch.ports.engine import GenerateRequest
+from comfreyhatch.ports.engine import GenerateRequest, ServiceRequest
 from comfreyhatch.standins.engine import EngineStandin, VersionFault
 from comfreyhatch.standins.fleet import API_KEY, CONTRACT, LARGE, SMALL, FleetPlan, LocalFleet
 from comfreyhatch.standins.text import token
@@ -173,6 +175,28 @@
     assert (len(record["attempts"]), record["ran"]) == (1, "yes")
 
 
+@pytest.mark.parametrize("end", ["cancelled", "refused"])
+async def test_endpoint_whose_trial_ends_undecided_is_tried_again(
+    fleet: LocalFleet, end: str
+) -> None:
+    service, dispatcher = (
+        fleet.service_by_id["service-a0"],
+        fleet.daemon_by_id["entry-a0"].dispatcher,
+    )
+    circuits, opened_at = dispatcher._circuits, monotonic() - 2 * FIRST_OPEN_S
+    for _ in range(FAILURES_TO_OPEN):
+        circuits.record_failure("service-a0", "booking", opened_at)
+    service.faults.slow_s, service.faults.refuse_next = 1.0, int(end == "refused")
+    request = ServiceRequest("r-1", "GET", "/accounts", b"")
+    trial = asyncio.create_task(dispatcher.call("booking", request, 5.0))
+    await fleet.until(lambda: bool(service.witness.arrival_times_s))
+    if end == "cancelled":
+        trial.cancel()
+    await asyncio.gather(trial, return_exceptions=True)
+    later = monotonic() + 10 * MAX_OPEN_S
+    assert not circuits.unhealthy(["service-a0", "service-a1"], "booking", later)
+
+
 async def test_service_answer_to_another_request_never_reaches_the_caller(
     fleet: LocalFleet, client: HttpClient
 ) -> None:
