Don't count a daemon's own refusal as a failure of its endpoint

A daemon that may not send requests until its configuration is confirmed, as after a pause, refuses them just before their first byte. Five such refusals in a row opened the circuit of an endpoint that had got none of them: half of a service's endpoints were passed over for 5 s and more, by the silence of the daemon itself.

Cause: counts_as_endpoint_failure took each error but ENDPOINT_REFUSED for one of the endpoint.

Evidence: tests/test_dispatcher.py, test_refusal_by_the_daemon_itself_is_no_failure_of_the_endpoint failed before: the endpoint was unhealthy after five calls that were refused with ran: no. Not shown with a paused process; test_configuration_processes.py passes.

Fix: a RefusedError, which only this daemon raises, is no failure of an endpoint.

Measured: tests of dispatcher, endpoint_choice, services, configuration_processes, promises and architecture pass.

--- a/comfreyhatch/daemon/dispatch/dispatcher.py
+++ b/comfreyhatch/daemon/dispatch/dispatcher.py
@@ -431,9 +431,10 @@
 def counts_as_endpoint_failure(error: ComfreyhatchError) -> bool:
     """Return whether the circuit breaker counts an error as a failure of the endpoint.
 
-    A refusal by a full endpoint does not count.
+    A refusal by a full endpoint or by this daemon itself does not count.
     """
-    return error.code is not ResultCode.ENDPOINT_REFUSED
+    own_refusal = isinstance(error, RefusedError)
+    return not own_refusal and error.code is not ResultCode.ENDPOINT_REFUSED
 
 
 async def _with_deadline(
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -197,6 +197,22 @@
     assert not circuits.unhealthy(["service-a0", "service-a1"], "booking", later)
 
 
+async def test_refusal_by_the_daemon_itself_is_no_failure_of_the_endpoint(
+    fleet: LocalFleet, client: HttpClient
+) -> None:
+    daemon = fleet.daemon_by_id["entry-a0"]
+
+    def refuse(now: float) -> None:
+        raise RefusedError("the configuration has to be confirmed first", ResultCode.CUT_OFF)
+
+    daemon.config_sync.require_fresh = refuse  # type: ignore[method-assign]
+    daemon.dispatcher._confirm_config = lambda _: asyncio.sleep(0, daemon.config_sync.config)
+    for _ in range(FAILURES_TO_OPEN):
+        assert error_of(await book(client, fleet.callers("entry-a0"), ""))["ran"] == "no"
+    endpoints = ["service-a0", "service-a1"]
+    assert not daemon.dispatcher._circuits.unhealthy(endpoints, "booking", monotonic())
+
+
 async def test_service_answer_to_another_request_never_reaches_the_caller(
     fleet: LocalFleet, client: HttpClient
 ) -> None:
