Bound the resumptions of broken answers by a retry budget

When the connections to an engine broke again and again, it got up to three requests for one of a caller: each answer that broke after its first token was resumed at once, twice, whatever the others did. An engine that falls over under its load got the load threefold.

Cause: retries and hedged requests take from a budget, resumptions did not.

Evidence: tests/test_dispatcher.py, test_resumptions_of_answers_that_all_break_stay_within_the_retry_budget, failed before: 60 requests at the engine for 20 of callers, where the budget allows 25.

Fix: the dispatcher has a retry budget of its own, which each request that it streams fills and each resumption drains (one in ten, and a burst of three). Without a token the answer ends as broken, as after its second resumption. Single breaks are resumed as before. It is a budget beside those of the two routers, so that the sum over a daemon is theirs and this one.

Measured: tests of dispatcher, router, callers, retries, last_tokens, recovery, promises and architecture pass.

--- a/comfreyhatch/daemon/dispatch/dispatcher.py
+++ b/comfreyhatch/daemon/dispatch/dispatcher.py
@@ -25,6 +25,7 @@
     EndpointSnapshot,
     choose_endpoint,
 )
+from comfreyhatch.decisions.retries import RetryBudget
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.instance import Instance
 from comfreyhatch.domain.policy import PolicySettings
@@ -104,6 +105,7 @@
         self._policy = policy
         self._quarantined = quarantined
         self._circuits = CircuitBreakers()
+        self._resume_budget = RetryBudget()
         self._chat_controller = AdmissionController(
             self._chat_slots, policy.queue, policy.reserved_percent, rng
         )
@@ -356,15 +358,16 @@
         """Stream an answer; resume a broken stream at the offset reached.
 
         Raises:
-            AnswerBrokenError: If the stream breaks before its first token or too often, or if
-                it has to be resumed while the endpoint refuses requests or can't be reached, or
-                while this daemon may not send requests.
+            AnswerBrokenError: If the stream breaks before its first token, too often or while the
+                retry budget allows no resumption, or if it has to be resumed while the endpoint
+                refuses requests or can't be reached, or while this daemon may not send requests.
             BackendRefusedError: If the endpoint refused the request or couldn't be reached; only
                 before the first token.
             RefusedError: If this daemon may not send requests, because its configuration has to
                 be confirmed first; only before the first token.
         """
         offset = request.resume_offset
+        self._resume_budget.request_started()
         for resume in range(MAX_RESUMES_PER_ANSWER + 1):
             try:
                 rest = replace(request, resume_offset=offset)
@@ -380,6 +383,8 @@
             except AnswerBrokenError as error:
                 if offset == request.resume_offset or resume == MAX_RESUMES_PER_ANSWER:
                     raise
+                if not self._resume_budget.take():
+                    raise
                 log.info(
                     "event=answer_cut request=%s endpoint=%s offset=%d reason=%r; resuming",
                     request.request_id,
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -11,6 +11,7 @@
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.decisions.endpoint_choice import FAILURES_TO_OPEN, FIRST_OPEN_S, MAX_OPEN_S
+from comfreyhatch.decisions.retries import RETRY_BURST, RETRY_SHARE
 from comfreyhatch.domain.change import Change, SetContract, WithdrawVersion
 from comfreyhatch.domain.request import ChatMessage
 from comfreyhatch.errors import RefusedError
@@ -74,6 +75,18 @@
     assert record["attempts"][-1]["usage"]["output_tokens"] == TOKENS
 
 
+async def test_resumptions_of_answers_that_all_break_stay_within_the_retry_budget(
+    fleet: LocalFleet, engine: EngineStandin, client: HttpClient
+) -> None:
+    count = 20
+    engine.faults.cut_next, engine.faults.cut_after_tokens = 10 * count, 1
+    critical = {"x-critical": "true"}
+    asking = (chat(client, fleet.callers("entry-a0"), critical) for _ in range(count))
+    replies = await asyncio.gather(*asking)
+    assert {error_of(reply)["ran"] for reply in replies} == {"unknown"}
+    assert count < len(engine.witness.arrivals) <= count + RETRY_BURST + RETRY_SHARE * count
+
+
 async def test_stream_that_cannot_be_resumed_ends_without_its_last_chunk(
     fleet: LocalFleet, engine: EngineStandin, client: HttpClient
 ) -> None:
