Hand a resumed answer's endpoint only the time that is left

An engine to which a broken answer's rest was asked for got the time that the request had had at its first dispatch, though its caller's deadline was nearer.

Cause: the resumption sent the first request again with another offset only.

Evidence: tests/test_dispatcher.py, test_resumed_request_has_only_the_time_that_is_left failed before: 29.9965 s for both, where the answer had run for 0.1 s between them.

--- a/comfreyhatch/daemon/dispatch/dispatcher.py
+++ b/comfreyhatch/daemon/dispatch/dispatcher.py
@@ -50,6 +50,8 @@
 )
 
 MAX_RESUMES_PER_ANSWER = 2
+# Time handed to an endpoint at the deadline.
+MIN_TIME_S = 0.001
 # Jitter adds up to as much again.
 FULL_ENDPOINTS_RETRY_AFTER_S = 1.0
 # Calls of plain services by these methods may run more than once.
@@ -156,7 +158,7 @@
         finished = False
         self._circuits.record_dispatch(endpoint_id, version_id, monotonic())
         try:
-            request = replace(request, deadline_s=max(0.001, deadline - monotonic()))
+            request = replace(request, deadline_s=max(MIN_TIME_S, deadline - monotonic()))
             async with aclosing(self._stream_with_resumes(slot.endpoint, request)) as chunks:
                 async for chunk in _with_deadline(chunks, deadline):
                     slot.record_chunk(chunk.load, monotonic())
@@ -197,7 +199,7 @@
         admission = await controller.acquire(False, Priority.NORMAL, deadline)
         try:
             with self._slot(name, await self._confirm_config(intent)) as slot:
-                remaining_s = max(0.001, deadline - monotonic())
+                remaining_s = max(MIN_TIME_S, deadline - monotonic())
                 answer = await self._call_endpoint(slot, name, request, remaining_s)
                 return answer, self._served(slot)
         finally:
@@ -367,10 +369,12 @@
                 be confirmed first; only before the first token.
         """
         offset = request.resume_offset
+        deadline = monotonic() + request.deadline_s
         self._resume_budget.request_started()
         for resume in range(MAX_RESUMES_PER_ANSWER + 1):
             try:
-                rest = replace(request, resume_offset=offset)
+                remaining_s = max(MIN_TIME_S, deadline - monotonic())
+                rest = replace(request, resume_offset=offset, deadline_s=remaining_s)
                 async with aclosing(self._engine.generate(endpoint, rest)) as chunks:
                     async for chunk in chunks:
                         yield chunk
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,21 +1,23 @@
 """Tests of the dispatcher against engines that break, mix up, repeat or delay their answers."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from time import monotonic
 
 import pytest
 from msgspec.json import decode
 from msgspec.structs import replace
 
+from comfreyhatch.adapters.engine_http import HttpEngine
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.decisions.endpoint_choice import FAILURES_TO_OPEN, FIRST_OPEN_S, MAX_OPEN_S
 from comfreyhatch.decisions.retries import RETRY_BURST, RETRY_SHARE
 from comfreyhatch.domain.change import Change, SetContract, WithdrawVersion
+from comfreyhatch.domain.instance import Instance
 from comfreyhatch.domain.request import ChatMessage
 from comfreyhatch.errors import RefusedError
-from comfreyhatch.ports.engine import GenerateRequest, ServiceRequest
+from comfreyhatch.ports.engine import Chunk, GenerateRequest, ServiceRequest
 from comfreyhatch.standins.engine import EngineStandin, VersionFault
 from comfreyhatch.standins.fleet import API_KEY, CONTRACT, LARGE, SMALL, FleetPlan, LocalFleet
 from comfreyhatch.standins.text import token
@@ -87,6 +89,28 @@
     assert count < len(engine.witness.arrivals) <= count + RETRY_BURST + RETRY_SHARE * count
 
 
+async def test_resumed_request_has_only_the_time_that_is_left(
+    fleet: LocalFleet, engine: EngineStandin, client: HttpClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    sent_s: list[float] = []
+    generate = HttpEngine.generate
+
+    def note_and_generate(
+        self: HttpEngine, endpoint: Instance, request: GenerateRequest
+    ) -> AsyncGenerator[Chunk, None]:
+        sent_s.append(request.deadline_s)
+        return generate(self, endpoint, request)
+
+    monkeypatch.setattr(HttpEngine, "generate", note_and_generate)
+    engine.faults.cut_next, engine.faults.cut_after_tokens = 1, 3
+    slow = VersionFault(slowdown=10.0)
+    engine.faults.fault_by_version = {SMALL.version_id: slow, LARGE.version_id: slow}
+    critical = {"x-critical": "true"}
+    assert (await chat(client, fleet.callers("entry-a0"), critical)).status == 200
+    first_s, resumed_s = sent_s
+    assert 0 < resumed_s < first_s
+
+
 async def test_stream_that_cannot_be_resumed_ends_without_its_last_chunk(
     fleet: LocalFleet, engine: EngineStandin, client: HttpClient
 ) -> None:
