Bind other daemons by no time limits of callers' connections

Daemons kept connections to each other's relay listener for 20 s, but that listener took the idle and header times from the configuration, which names them for callers. With a short idle time it closed connections that the daemon on the other side still counted on: a relayed request that crosses the close ends as one that may have run, and its caller gets 502 where it may not be repeated.

Cause: the relay listener's limits were the callers' limits with a larger body. Only the body depends on them, as it carries a caller's request.

tests/test_configuration_limits.py::test_connection_between_daemons_outlives_the_idle_limit_of_callers opened two connections in place of one before, and one now. A request lost in the crossing itself was not seen in a run; that is read from the code.

--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -8,7 +8,6 @@
 from random import Random
 from time import monotonic
 
-from msgspec.structs import replace
 from prometheus_client import CollectorRegistry, generate_latest
 
 from comfreyhatch.adapters.http_client import HttpClient
@@ -414,11 +413,7 @@
                 header_timeout_s=max(0.1, catalog.limits.header_timeout_s),
                 idle_timeout_s=max(0.1, catalog.limits.idle_timeout_s),
             )
-            self._relay_server.limits = replace(
-                self._callers.limits,
-                connections=limits.connections,
-                body_bytes=self._callers.limits.body_bytes + RELAY_MARGIN_BYTES,
-            )
+            self._relay_server.limits = _relay_limits(self._callers.limits)
         for service in list(self.view.trackers_by_service):
             self._scheduler.serve_queue(service)
 
@@ -431,3 +426,10 @@
 
 def _limits(deployment: Deployment) -> HttpLimits:
     return HttpLimits(connections=max(1, (deployment.max_fds - RESERVED_FDS) * 2 // 3))
+
+
+def _relay_limits(callers: HttpLimits) -> HttpLimits:
+    """Return the limits for other daemons, whose requests carry those of callers as bodies."""
+    return HttpLimits(
+        connections=callers.connections, body_bytes=callers.body_bytes + RELAY_MARGIN_BYTES
+    )
--- a/tests/test_configuration_limits.py
+++ b/tests/test_configuration_limits.py
@@ -203,3 +203,14 @@
     await change_limits(harness, 3, max_body_bytes=4000)
     assert await pay(b"x" * 3000) == 200
     assert harness.client.connections_opened == 1
+
+
+async def test_connection_between_daemons_outlives_the_idle_limit_of_callers(
+    harness: PlatformHarness,
+) -> None:
+    await change_limits(harness, 2, idle_timeout_ms=200)
+    assert harness.deployment and harness.deployment.relay
+    for _ in range(2):
+        await harness.client.request(harness.deployment.relay, "GET", "/other")
+        await asyncio.sleep(2 * SHORT_S)
+    assert harness.client.connections_opened == 1
