Use an endpoint again as soon as it accepts connections

A sound endpoint that is stopped for a moment with its accept queue full gives no answer to new connections. Its path was noted as regained as soon as a connection opened again, but it got no requests for up to 4 s more (3.4 s in three runs of the test), while the others of its service had to take them.

Cause: each connection that failed doubled the ejection, also those that failed together in one moment, so that one short silence of an endpoint counted like a long series of failures; and nothing but a complete answer ended the ejection.

Now the end of a lost path ends the ejection. One for an endpoint that another daemon knows to be withdrawn stays. While the path is lost, nothing changes: the probes of lost paths have their own growing pauses, and the next failure ejects as long as before.

tests/test_silent_endpoints.py::test_paused_endpoint_gets_requests_again_once_it_accepts_connections (an endpoint process stopped by SIGSTOP, backlog 2, full) failed three runs of three without the change and passed three of three with it.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -45,6 +45,7 @@
         "_other_load",
         "_other_load_at",
         "_consecutive_failures",
+        "_withdrawn_until",
         "brittle_per_s",
         "busy_since",
         "cold_until",
@@ -81,6 +82,7 @@
         self._other_load = 0.0
         self._other_load_at = 0.0
         self._consecutive_failures = 0
+        self._withdrawn_until = 0.0
         self._delay_s = 0.0
         self._delay_at = now
 
@@ -103,6 +105,7 @@
             self.resting_until = 0.0
             self.brittle_per_s = None
             self.ejected_until = 0.0
+            self._withdrawn_until = 0.0
             self._consecutive_failures = 0
             self.failure_share = 0.0
             self._delay_s = 0.0
@@ -161,13 +164,21 @@
             doublings = min(excess // FAILURES_TO_EJECT, MAX_EJECTION_DOUBLINGS)
             self.ejected_until = now + FIRST_EJECTION_S * 2**doublings
 
+    def record_reached(self) -> None:
+        """End an ejection after failures, as its lost path is back; not one as withdrawn.
+
+        Many connections may have failed in one moment, each of which has prolonged the ejection.
+        """
+        self.ejected_until = self._withdrawn_until
+
     def record_rest(self, rest_s: float, now: float) -> None:
         """Give the endpoint no requests for a time that it has named, in seconds."""
         self.resting_until = max(self.resting_until, now + rest_s)
 
     def record_withdrawn(self, now: float) -> None:
         """Give the endpoint no requests for a time, as another daemon knows that it is leaving."""
-        self.ejected_until = max(self.ejected_until, now + WITHDRAWN_EJECTION_S)
+        self._withdrawn_until = now + WITHDRAWN_EJECTION_S
+        self.ejected_until = max(self.ejected_until, self._withdrawn_until)
 
     def silent_s(self, now: float) -> float:
         """Return for how long nothing has come while requests run on it, in seconds; 0 if none."""
--- a/comfreyhatch/exchange/endpoint_paths.py
+++ b/comfreyhatch/exchange/endpoint_paths.py
@@ -79,6 +79,7 @@
         if endpoint.lost_at is not None:
             lost_s = now - endpoint.lost_at
             endpoint.lost_at = None
+            endpoint.record_reached()
             log.info(
                 "event=path_regained endpoint=%s lost_s=%.1f", endpoint.record.endpoint_id, lost_s
             )
--- a/tests/other_side.py
+++ b/tests/other_side.py
@@ -76,9 +76,9 @@
 
 
 @asynccontextmanager
-async def endpoint_process() -> AsyncIterator[OtherSide]:
+async def endpoint_process(backlog: int = 128) -> AsyncIterator[OtherSide]:
     """Yield an endpoint that listens."""
-    async with _process("endpoint") as endpoint:
+    async with _process("endpoint", str(backlog)) as endpoint:
         await endpoint.wait_until(lambda: endpoint.address.port)
         yield endpoint
 
@@ -108,7 +108,7 @@
 
 
 def _listen() -> None:
-    with socket.create_server(("127.0.0.1", 0), backlog=128) as listener:
+    with socket.create_server(("127.0.0.1", 0), backlog=int(sys.argv[2])) as listener:
         _log("listens", listener.getsockname()[1])
         while True:
             connection, _ = listener.accept()
--- a/tests/test_endpoint_tracker.py
+++ b/tests/test_endpoint_tracker.py
@@ -2,7 +2,7 @@
 
 from msgspec.structs import replace
 
-from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
+from comfreyhatch.decisions.endpoint_tracker import WITHDRAWN_EJECTION_S, EndpointTracker
 from tests.exchange_values import record
 
 NOW = 10.0
@@ -80,3 +80,21 @@
     tracker.record_connection_failure(NOW, unreachable=True)
     assert not tracker.responds(0.5, NOW)
     assert tracker.responds(0.5, tracker.ejected_until)
+
+
+def test_endpoint_that_is_reached_again_is_not_ejected_for_connections_that_failed_together() -> (
+    None
+):
+    tracker = EndpointTracker(record("e"), NOW)
+    for _ in range(6):
+        tracker.record_connection_failure(NOW, unreachable=True)
+    tracker.record_reached()
+    assert tracker.ejected_until <= NOW
+
+
+def test_withdrawn_endpoint_that_is_reached_again_gets_no_requests() -> None:
+    tracker = EndpointTracker(record("e"), NOW)
+    tracker.record_withdrawn(NOW)
+    tracker.record_connection_failure(NOW, unreachable=True)
+    tracker.record_reached()
+    assert tracker.ejected_until == NOW + WITHDRAWN_EJECTION_S
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -2,14 +2,19 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from contextlib import ExitStack
+from socket import socket
 
 import pytest
 
 from comfreyhatch.exchange.view import LAPSE_GRACE_S
+from tests.other_side import OtherSide, endpoint_process
 from tests.platform_harness import PlatformHarness, config, running_harness
+from tests.platform_raw_worker import replace_worker
 from tests.platform_worker import EVENTS_PER_STREAM
 
 TIMEOUT_MS = 8000
+SHORT_BACKLOG = 2
 
 
 @pytest.fixture
@@ -59,3 +64,27 @@
     reply = await sending
     assert reply.body.count(b"id: ") == EVENTS_PER_STREAM
     assert sum(len(engine.received) for engine in engines) == 1
+
+
+def fill_backlog(stack: ExitStack, endpoint: OtherSide) -> None:
+    """Open connections that the paused endpoint doesn't accept, until no further one opens."""
+    for _ in range(4 * SHORT_BACKLOG):
+        waiting = stack.enter_context(socket())
+        waiting.setblocking(False)
+        waiting.connect_ex((endpoint.address.host, endpoint.address.port))
+
+
+async def test_paused_endpoint_gets_requests_again_once_it_accepts_connections() -> None:
+    async with endpoint_process(SHORT_BACKLOG) as endpoint, running_harness() as harness:
+        await replace_worker(harness, "desk-1", endpoint)
+        tracker = harness.daemon.view.tracker_by_id["desk-1"]
+        with ExitStack() as stack:
+            endpoint.pause()
+            fill_backlog(stack, endpoint)
+            # Several connections fail together.
+            replies = await asyncio.gather(*(harness.send("/pay/whole") for _ in range(12)))
+            assert 200 in {reply.status for reply in replies}
+            assert tracker.lost_at is not None
+            endpoint.resume()
+        await harness.wait_until(lambda: tracker.lost_at is None)
+        assert tracker.ejected_until <= asyncio.get_running_loop().time()
