Tell a refused connection from one that gets no answer in time

A process that is stopped with its accept queue full, and a path that drops packets, give no answer to a new connection; only a refusal tells that nothing listens. The client returned one False for both, besides a second method that opened connections in the same way for the difference.

`HttpClient.try_connect` returns the three results, and both methods use it. The path monitor logs which of them made it take a path for lost (`event=probe_failed`), as no log could tell them apart. No decision changes with it: a daemon can't tell a stopped endpoint from a cut path by connections, so both still count as out of reach, as tests/test_lost_paths.py asks. Only what says that a process has ended (`is_refused`) may be taken for an end, and was so before.

tests/test_silent_endpoints.py::test_endpoint_that_has_ended_is_told_from_one_that_is_paused: an endpoint process that is open, then stopped with a full queue, then ended. It needs the new method.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import AsyncIterator, Callable, Collection, Iterable, Mapping
 from contextlib import asynccontextmanager
+from enum import Enum
 from functools import partial
 from math import inf
 
@@ -39,6 +40,18 @@
 log = logging.getLogger("comfreyhatch.client")
 
 
+class ConnectResult(Enum):
+    """What came of an attempt to open a connection.
+
+    A process that is stopped, and a path that drops packets, both give no answer: only a refusal
+    tells that nothing listens.
+    """
+
+    OPEN = "open"
+    REFUSED = "refused"
+    NO_ANSWER = "no answer"
+
+
 class HttpReply(Struct):
     """An answer with its whole body; header names are in lower case."""
 
@@ -277,14 +290,19 @@
             else:
                 link.end()
 
-    async def can_connect(self, address: Address) -> bool:
-        """Return whether a new connection can be opened; it is kept for later requests."""
+    async def try_connect(self, address: Address) -> ConnectResult:
+        """Open a new connection, which is kept for later requests, and return what came of it."""
         try:
             link = await self._link(address, fresh=True)
-        except ConnectError:
-            return False
+        except ConnectError as error:
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            return ConnectResult.REFUSED if refused else ConnectResult.NO_ANSWER
         self._keep(address, link)
-        return True
+        return ConnectResult.OPEN
+
+    async def can_connect(self, address: Address) -> bool:
+        """Return whether a new connection can be opened; it is kept for later requests."""
+        return await self.try_connect(address) is ConnectResult.OPEN
 
     def drop_idle(self, address: Address) -> None:
         """Close the idle connections to an address."""
@@ -293,12 +311,7 @@
 
     async def is_refused(self, address: Address) -> bool:
         """Return whether nothing listens at an address; not whether it can't be reached."""
-        try:
-            link = await self._link(address, fresh=True)
-        except ConnectError as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
-        self._keep(address, link)
-        return False
+        return await self.try_connect(address) is ConnectResult.REFUSED
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/comfreyhatch/exchange/path_monitor.py
+++ b/comfreyhatch/exchange/path_monitor.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Coroutine, Iterable, Sequence
 
-from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_client import ConnectResult, HttpClient
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.path_probes import PathProbes
 from comfreyhatch.exchange.endpoint_paths import EndpointPaths
@@ -88,12 +88,15 @@
                 self._paths.note_unreachable(tracker, ended)
 
     async def _probe(self, endpoint: EndpointTracker) -> None:
-        reached = await self._client.can_connect(endpoint.record.address)
+        result = await self._client.try_connect(endpoint.record.address)
         now = asyncio.get_running_loop().time()
-        if reached:
+        if result is ConnectResult.OPEN:
             self._paths.note_reached(endpoint, now)
-        else:
-            self._paths.note_unreachable(endpoint, now)
+            return
+        if endpoint.lost_at is None:
+            name = endpoint.record.endpoint_id
+            log.info("event=probe_failed endpoint=%s result=%r", name, result.value)
+        self._paths.note_unreachable(endpoint, now)
 
 
 def _listed(trackers: Iterable[EndpointTracker]) -> list[EndpointTracker]:
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from comfreyhatch.adapters.http_client import ConnectResult, HttpClient
 from comfreyhatch.exchange.view import LAPSE_GRACE_S
 from tests.other_side import OtherSide, endpoint_process
 from tests.platform_harness import PlatformHarness, config, running_harness
@@ -88,3 +89,17 @@
             endpoint.resume()
         await harness.wait_until(lambda: tracker.lost_at is None)
         assert tracker.ejected_until <= asyncio.get_running_loop().time()
+
+
+async def test_endpoint_that_has_ended_is_told_from_one_that_is_paused() -> None:
+    client = HttpClient(connect_timeout_s=0.2)
+    async with endpoint_process(SHORT_BACKLOG) as endpoint:
+        assert await client.try_connect(endpoint.address) is ConnectResult.OPEN
+        with ExitStack() as stack:
+            endpoint.pause()
+            fill_backlog(stack, endpoint)
+            assert await client.try_connect(endpoint.address) is ConnectResult.NO_ANSWER
+            assert not await client.is_refused(endpoint.address)
+            endpoint.resume()
+    assert await client.try_connect(endpoint.address) is ConnectResult.REFUSED
+    client.close()
