Let a request whose small answer was dropped wait for the larger model

Callers got a failure although an engine had answered. The cascade closes the small model's answer and asks the larger model; that attempt was treated as a first one: without a slot it was refused, after a few refusals of busy engines or with the budget spent it ended at once (502), with most of its time left.

The larger model's request is now reserved in the budget when the small answer is dropped, and counted when it is sent, as for a stalled stream; from then on the request waits for slot, budget and past refusals until its deadline, until an endpoint answers.

tests/test_silent_streams.py: both cases (engines that refuse the larger model for a while, with much budget and with one extra request) failed before (502; no further attempt) and pass now.

Ruled out by test (it passed before): a begun or waiting stream of a silent endpoint is not ended by a catalog without its route; it stays or moves by the route with which it was admitted.

--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -106,6 +106,7 @@
                 return answer
             answer.endpoint.record_complete_answer()
             await self._close(stream, answer)
+            stream.give_up_attempt(max_silent_s=None)
             stream.model_index = len(stream.job.route.models) - 1
             stream.excluded_ids.clear()
 
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -24,6 +24,7 @@
         worker_id: Id that requests have to expect; others are answered with 421.
         status: Status of its answers.
         refuses: Whether it refuses requests with the header not-executed.
+        refuses_model: Model for which it refuses requests; empty for none.
         confidence_by_model: Confidence that its answers report, by model.
         break_after: Number of events after which a stream breaks inside an event; None for never.
         pause_s: Returns the pause before an event in seconds, by the event's number.
@@ -55,6 +56,7 @@
         self.worker_id = worker_id
         self.status = 200
         self.refuses = False
+        self.refuses_model = ""
         self.confidence_by_model: dict[str, int] = {}
         self.break_after: int | None = None
         self.pause_s: Callable[[int], float] = lambda number: 0.0
@@ -186,7 +188,7 @@
         if self.limit_per_s is not None:
             headers.append((b"server-limit", f"{self.limit_per_s:g}".encode()))
         headers += self._notices()
-        if self.refuses:
+        if self.refuses or (self.refuses_model and self.refuses_model == request.header("model")):
             if self.retry_after:
                 headers.append((b"retry-after", self.retry_after.encode()))
             return HttpResponse(503, headers=[*headers, (b"not-executed", b"1")])
--- a/tests/test_silent_streams.py
+++ b/tests/test_silent_streams.py
@@ -16,6 +16,7 @@
 from tests.platform_harness import (
     WAIT_TIMEOUT_S,
     PlatformHarness,
+    config,
     running_harness,
     sent_to,
     workers,
@@ -273,3 +274,49 @@
         counts = sorted(reply.body.count(b"id: ") for reply in replies)
         assert counts == [other.events, engine.events]
         assert len(engine.received) == 2 and len(other.received) == 1
+
+
+async def test_request_whose_small_answer_was_dropped_waits_for_the_larger_model() -> None:
+    # It failed after a few refusals of busy workers, with most of its time left.
+    async with running_harness() as harness:
+        engines = workers(harness, "engine")
+        for engine in engines:
+            engine.confidence_by_model = {"small": 5, "large": 99}
+            engine.refuses_model = "large"
+        sending = asyncio.create_task(harness.send_draft(deadline_ms="4000"))
+        await harness.wait_until(lambda: len(sent_to(harness, "engine")) > 8)
+        for engine in engines:
+            engine.refuses_model = ""
+        assert (await sending).body == COMPLETE_BODY.replace(b"small", b"large")
+
+
+async def test_request_whose_small_answer_was_dropped_waits_for_the_budget() -> None:
+    # The budget had one extra request left, for the larger model, whose worker refused it.
+    async with harness_with_budget(1) as harness:
+        engines = workers(harness, "engine")
+        for engine in engines:
+            engine.confidence_by_model = {"small": 5, "large": 99}
+            engine.refuses_model = "large"
+        sending = asyncio.create_task(harness.send_draft(deadline_ms="4000"))
+        await harness.wait_until(lambda: len(sent_to(harness, "engine")) == 2)
+        for engine in engines:
+            engine.refuses_model = ""
+        await asyncio.sleep(CHECKS_S)
+        assert len(sent_to(harness, "engine")) == 2
+        harness.daemon._extra_request_budget("engines")._extra.clear()
+        assert (await sending).body == COMPLETE_BODY.replace(b"small", b"large")
+
+
+@pytest.mark.parametrize("begun", [False, True])
+async def test_silent_stream_outlasts_a_catalog_without_its_route(begun: bool) -> None:
+    async with harness_with_budget(2) as harness:
+        streams = await begin_streams(harness, begun)
+        changed = config(2, max_attempts=1, resumable=False)
+        changed["routes"] = [route for route in changed["routes"] if route["name"] != "draft"]
+        harness.store.put("op", "config", changed)
+        await harness.wait_until(lambda: harness.daemon.view.catalog.version == 2)
+        sound = await add_sound_worker(harness)
+        await harness.wait_until(lambda: sound.completed_streams == 2)
+        wake(harness)
+        replies = await asyncio.gather(*streams, return_exceptions=True)
+        assert bodies(replies) == [COMPLETE_BODY] * STREAMS
