Keep an answer whose next attempt the crash guard would refuse

Callers of sound, silent endpoints saw their streams end (cut, or 502 "endpoints crash on prompts with ...") once a part of their prompt was found to crash endpoints: the watchdog interrupted them, and the crash guard then refused the next attempt. The cascade dropped a small model's sound answer in the same way.

Both now ask the guard first, without counting a refusal, and keep the answer if it would refuse.

tests/test_silent_streams.py: three cases (stalled before the first event, between events, cascade) failed before (502, cut, 502) and pass now.

--- a/comfreyhatch/exchange/crash_guard.py
+++ b/comfreyhatch/exchange/crash_guard.py
@@ -61,6 +61,10 @@
         """Return the error for a request that may not be sent; None for others."""
         return self._requests.refusal(job, now) or self._parts.refusal(job, now)
 
+    def blocks(self, job: Job, now: float) -> bool:
+        """Return whether a request would be refused, without counting a refusal."""
+        return self._requests.blocks(job, now) or self._parts.blocks(job, now)
+
     def suspects(self, job: Job) -> bool:
         """Return whether an endpoint has crashed that may have been running a request."""
         return self._requests.suspects(job)
--- a/comfreyhatch/exchange/part_guard.py
+++ b/comfreyhatch/exchange/part_guard.py
@@ -62,7 +62,7 @@
 
     def refusal(self, job: Job, now: float) -> PromptBlockedError | None:
         """Return the error for a request whose parts crash endpoints; None for others."""
-        blocked = self._parts.blocked_parts(job.exchange.shared_part_ids, self._tries, now)
+        blocked = self._blocked_parts(job, now)
         if blocked is None:
             return None
         self._refused.inc()
@@ -71,6 +71,13 @@
             f"endpoints crash on prompts with {_shown(blocked)}", retry_after_s=BLOCK_S
         )
 
+    def blocks(self, job: Job, now: float) -> bool:
+        """Return whether a request would be refused."""
+        return self._blocked_parts(job, now) is not None
+
+    def _blocked_parts(self, job: Job, now: float) -> frozenset[str] | None:
+        return self._parts.blocked_parts(job.exchange.shared_part_ids, self._tries, now)
+
     def note_sent(self, job: Job, now: float) -> None:
         """Note that a request is sent to an endpoint."""
         self._parts.note_sent(job.exchange.shared_part_ids, now)
--- a/comfreyhatch/exchange/request_guard.py
+++ b/comfreyhatch/exchange/request_guard.py
@@ -60,7 +60,7 @@
 
     def refusal(self, job: Job, now: float) -> RequestBlockedError | None:
         """Return the error for a request that crashes endpoints; None for others."""
-        if not self._requests.is_blocked(job.identity, self._turn, now):
+        if not self.blocks(job, now):
             return None
         self._refused.inc()
         self._publish(self._requests.note_refused(job.identity, now), now)
@@ -69,6 +69,10 @@
             retry_after_s=BLOCKED_RETRY_AFTER_S,
         )
 
+    def blocks(self, job: Job, now: float) -> bool:
+        """Return whether a request would be refused."""
+        return self._requests.is_blocked(job.identity, self._turn, now)
+
     def suspects(self, job: Job) -> bool:
         """Return whether an endpoint has crashed that may have been running a request."""
         return self._requests.crashes(job.identity) > 0
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -359,7 +359,7 @@
         now = asyncio.get_running_loop().time()
         if stream.model_index >= len(job.route.models) - 1 or stream.last_event_id is not None:
             return False
-        if stream.account.used_up:
+        if stream.account.used_up or self._crashes.blocks(job, now):
             return False
         budget = self._budget(job.service)
         tokens = job.exchange.prompt_tokens
@@ -457,6 +457,8 @@
         """Reserve the retry of a stalled request; return False if it has to keep waiting."""
         if not stream.job.route.repeatable or not stream.may_attempt(now + RESUME_PAUSE_S):
             return False
+        if self._crashes.blocks(stream.job, now):
+            return False
         max_silent_s = None
         if stream.endpoint_is_silent(now):
             max_silent_s = stream.stall_limits.responsive_s
--- a/tests/test_silent_streams.py
+++ b/tests/test_silent_streams.py
@@ -320,3 +320,31 @@
         wake(harness)
         replies = await asyncio.gather(*streams, return_exceptions=True)
         assert bodies(replies) == [COMPLETE_BODY] * STREAMS
+
+
+@pytest.mark.parametrize("begun", [False, True])
+async def test_stream_whose_prompt_is_blocked_stays_at_its_silent_endpoint(begun: bool) -> None:
+    # It was interrupted, and ended, as its next attempt was refused.
+    async with running_harness() as harness:
+        streams = await begin_streams(harness, begun)
+        sound = await add_sound_worker(harness)
+        parts = harness.daemon._crashes._parts._parts
+        parts.blocked_parts = lambda ids, tries, now: frozenset({"part"})
+        await asyncio.sleep(2.0 if not begun else 1.0)
+        wake(harness)
+        replies = await asyncio.gather(*streams, return_exceptions=True)
+        assert bodies(replies) == [COMPLETE_BODY] * STREAMS
+        assert not sound.received
+
+
+async def test_small_answer_is_kept_if_the_larger_model_would_be_refused() -> None:
+    async with running_harness() as harness:
+        for engine in workers(harness, "engine"):
+            engine.confidence_by_model = {"small": 5, "large": 99}
+            engine.awake.clear()
+        sending = asyncio.create_task(harness.send_draft())
+        await harness.wait_until(lambda: sent_to(harness, "engine"))
+        parts = harness.daemon._crashes._parts._parts
+        parts.blocked_parts = lambda ids, tries, now: frozenset({"part"})
+        wake(harness)
+        assert (await sending).body == COMPLETE_BODY
