Let more streams of the process run meet a silence, and fewer of them escalate

Cascades took most of the budget of repeats in the run, so that the bursts of repeats after a silence stayed small. One stream in five escalates now in place of one in two, endpoints take 10 requests at once instead of 6, and there are more streams and fewer reads. The long form begins its silences after 7 s, when a window of the budget is full. The checks and their bounds are the same.

--- a/tests/endpoint_process.py
+++ b/tests/endpoint_process.py
@@ -28,8 +28,8 @@
 EARLY_EVENTS = 3
 SHORTEST_RUN_S = 0.03
 LONGEST_RUN_S = 0.3
-# Confidences of the small model, the lower of which escalates.
-CONFIDENCES = (20, 95)
+# Confidences of the small model, one of which is drawn; the low one escalates.
+CONFIDENCES = (20, 95, 95, 95, 95)
 
 Log = Callable[..., None]
 
@@ -48,7 +48,7 @@
     """
 
     backlog: int = 5
-    capacity: int = 6
+    capacity: int = 10
     idle_s: float = 75.0
     half_close: bool = False
 
@@ -123,7 +123,7 @@
             return await super()._run(request)
         rng = Random(request.header("attempt-id"))
         self.answer_delay_s = rng.uniform(SHORTEST_RUN_S, LONGEST_RUN_S)
-        self.confidence_by_model = {"small": rng.choice(CONFIDENCES), "large": CONFIDENCES[1]}
+        self.confidence_by_model = {"small": rng.choice(CONFIDENCES), "large": CONFIDENCES[-1]}
         self._note("began", request)
         try:
             response = await super()._run(request)
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -33,9 +33,11 @@
 WINDOW_S = 6.0
 # From one silence to the next, which lets what one delays fall together with the next.
 PERIOD_S = 6.0
+# Load from the begin of the last silence.
+TAIL_S = 3.0
 DEADLINE_S = 5.0
 KEPT_SHARE = 0.8
-RATES = {"stream": 18.0, "read": 40.0, "pay": 15.0}
+RATES = {"stream": 24.0, "read": 30.0, "pay": 12.0}
 PATH_BY_KIND = {"stream": "/draft/one", "read": "/read/one", "pay": "/pay/one"}
 SERVICE_BY_KIND = {"stream": "engines", "read": "desk", "pay": "desk"}
 MAX_ATTEMPTS_BY_KIND = {"stream": 3, "read": 2, "pay": 1}
@@ -301,14 +303,15 @@
         await fleet.close()
 
 
-async def play(fleet: Fleet, rounds: int) -> None:
+async def play(fleet: Fleet, rounds: int, first_s: float) -> None:
     """Send requests while all endpoints of a service, then 0.6 of them, and so on, fall silent.
 
-    Each silence begins just after a new configuration.
+    Each silence begins just after a new configuration, the first one after `first_s`.
     """
-    load = asyncio.create_task(fleet.load(rounds * PERIOD_S + 2.0))
+    load_s = first_s + (rounds - 1) * PERIOD_S + TAIL_S
+    load = asyncio.create_task(fleet.load(load_s))
     service = fleet.rng.choice(list(SIZE_BY_SERVICE))
-    first_at = monotonic() + 2.0
+    first_at = monotonic() + first_s
     for number in range(rounds):
         silent_at = first_at + number * PERIOD_S + fleet.rng.uniform(0.0, 0.3)
         await asyncio.sleep(silent_at - fleet.rng.uniform(0.1, 0.6) - monotonic())
--- a/tests/test_silent_processes.py
+++ b/tests/test_silent_processes.py
@@ -28,6 +28,8 @@
 
 ROUNDS = 2
 LONG_ROUNDS = 4
+FIRST_S = 2.0
+LONG_FIRST_S = 7.0
 SEED = 1
 SHOWN = 12
 Check = Callable[[Fleet], list[str]]
@@ -48,7 +50,7 @@
     async def run() -> Fleet:
         options = EndpointOptions(half_close=True)
         async with running_fleet(tmp_path_factory.mktemp("fleet"), SEED, options) as fleet:
-            await play(fleet, ROUNDS)
+            await play(fleet, ROUNDS, FIRST_S)
         return fleet
 
     return asyncio.run(run())
@@ -78,7 +80,7 @@
 async def main(folder: Path, options: EndpointOptions, seed: int) -> None:
     folder.mkdir(parents=True, exist_ok=True)
     async with running_fleet(folder, seed, options) as fleet:
-        await play(fleet, LONG_ROUNDS)
+        await play(fleet, LONG_ROUNDS, LONG_FIRST_S)
     print(f"== seed {seed}\n{summary(fleet)}", flush=True)
 
 
