Start endpoint processes of tests in sessions of their own

A long form that was started in the background ended with ProcessLookupError: all five engines were gone as they were to go on. They had been stopped when the shell that had started the run ended. The kernel sends SIGHUP to a process group that has stopped members and loses its last parent outside of it.

--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -95,7 +95,10 @@
         """Start the process; return the row that it registers in the store."""
         self.log_path.touch()
         command = ("tests.endpoint_process", self.worker_id, str(self.log_path), encode(options))
-        process = await asyncio.create_subprocess_exec(sys.executable, "-m", *command)
+        # Stopped processes get SIGHUP when their group's last parent outside of it ends.
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", *command, start_new_session=True
+        )
         self._process = DaemonProcess(process, self.log_path)
         async with asyncio.timeout(START_TIMEOUT_S):
             while not (found := self.events()):
