Don't move streams to idle endpoints while the whole service may be silent

A stream that had stalled at a silent endpoint moved to one on which no request of its daemon ran, though that was as silent as all others: it got the request beside all others when it went on, the sound answer was dropped, and the budget was drawn.

Cause: an endpoint without requests counted as one that responds. With many endpoints and few streams a daemon always has such ones, and of them it knows nothing.

Evidence: test_streams_stay_while_the_whole_service_is_silent_though_an_endpoint_is_idle failed before, with a stream at the idle, silent endpoint.

Fix: a stream moves at once to an endpoint that has sent something lately. One without requests is trusted if the stream's own endpoint is the only silent one, or once the stream has waited for the longer limit. The next attempt prefers those in that order. A lone endpoint that hangs is left as soon as before.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -186,8 +186,19 @@
             return 0.0
         return now - max(self.last_received_at, self.busy_since)
 
+    def was_heard(self, max_silent_s: float, now: float) -> bool:
+        """Return whether the endpoint is usable, and something has come from it lately.
+
+        Args:
+            max_silent_s: Silence from which it counts as silent, in seconds.
+            now: Monotonic time, in seconds.
+        """
+        return self.responds(max_silent_s, now) and now - self.last_received_at < max_silent_s
+
     def responds(self, max_silent_s: float, now: float) -> bool:
-        """Return whether the endpoint is within reach, not ejected and not silent.
+        """Return whether the endpoint is within reach, not ejected and not known to be silent.
+
+        Nothing is known of an endpoint on which no request of this daemon runs.
 
         Args:
             max_silent_s: Silence from which it counts as silent, in seconds.
--- a/comfreyhatch/decisions/stall.py
+++ b/comfreyhatch/decisions/stall.py
@@ -4,8 +4,9 @@
 late but still sends to other requests; a retry would then only repeat the same work elsewhere.
 Therefore an endpoint that still sends has much longer limits than a silent one.
 
-A stream leaves a silent endpoint only for one that responds; a silent one wins nothing.
-Those that pause together have sent their last events at different moments, so an endpoint responds
+A stream leaves a silent endpoint only for one that responds; a silent one wins nothing. While
+others are silent too, an idle one is trusted only once the stream exceeds the longer limit. Those
+that pause together have sent their last events at different moments, so an endpoint responds
 only while it is silent for a part of that limit.
 """
 
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -237,26 +237,50 @@
         """Return whether any endpoint may serve a request once it has a free slot."""
         return bool(self._eligibility.endpoints_for(job, excluded, now))
 
-    def has_responsive(self, job: Job, excluded: set[str], max_silent_s: float, now: float) -> bool:
+    def has_responsive(
+        self, job: Job, excluded: set[str], max_silent_s: float, trusts_idle: bool, now: float
+    ) -> bool:
         """Return whether any endpoint that is not silent may serve a request.
 
+        While several endpoints with requests are silent, the whole service may be. Then one without
+        requests, of which nothing is known, is as likely to be silent.
+
         Args:
             job: The request.
             excluded: Ids of endpoints to leave out.
             max_silent_s: Silence from which an endpoint counts as silent, in seconds.
+            trusts_idle: Whether endpoints without requests count even then.
             now: Monotonic time in seconds.
         """
         eligible = self._eligibility.endpoints_for(job, excluded, now)
+        if any(tracker.was_heard(max_silent_s, now) for tracker in eligible):
+            return True
+        if not trusts_idle and self._others_silent(job.service, excluded, max_silent_s, now):
+            return False
         return any(tracker.responds(max_silent_s, now) for tracker in eligible)
 
+    def _others_silent(
+        self, service: str, excluded: set[str], max_silent_s: float, now: float
+    ) -> bool:
+        """Return whether an endpoint that is not excluded has requests and is silent."""
+        return any(
+            tracker.silent_s(now) >= max_silent_s
+            for tracker in self._view.trackers_by_service.get(service, ())
+            if tracker.record.endpoint_id not in excluded
+        )
+
     def _preferred(
         self, job: Job, excluded: set[str], max_silent_s: float | None, now: float
     ) -> list[EndpointTracker]:
-        """Return the eligible endpoints; silent ones only if there are no others."""
+        """Return the eligible endpoints from which something has come lately.
+
+        If there is none, those that are not known to be silent, and else all of them.
+        """
         eligible = self._eligibility.endpoints_for(job, excluded, now)
         if max_silent_s is None:
             return eligible
-        return [t for t in eligible if t.responds(max_silent_s, now)] or eligible
+        heard = [t for t in eligible if t.was_heard(max_silent_s, now)]
+        return heard or [t for t in eligible if t.responds(max_silent_s, now)] or eligible
 
     def reachability(self, now: float) -> list[ServiceReachability]:
         """Return the reachable part and the load of each service."""
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -231,7 +231,9 @@
         last = {stream.endpoint_id}
         if stream.max_silent_s is not None:
             for excluded in (tried, last):
-                if self._scheduler.has_responsive(stream.job, excluded, stream.max_silent_s, now):
+                if self._scheduler.has_responsive(
+                    stream.job, excluded, stream.max_silent_s, True, now
+                ):
                     return excluded
         for excluded in (tried, last):
             if self._scheduler.has_candidates(stream.job, excluded, now):
@@ -463,7 +465,8 @@
         if stream.endpoint_is_silent(now):
             max_silent_s = stream.stall_limits.responsive_s
             last = {stream.endpoint_id}
-            if not self._scheduler.has_responsive(stream.job, last, max_silent_s, now):
+            hangs = stream.waited_s(now) >= stream.stall_limits.alive_s
+            if not self._scheduler.has_responsive(stream.job, last, max_silent_s, hangs, now):
                 return False
         if not self._reserve(stream, now):
             return False
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -227,7 +227,11 @@
         if self.lease is None:
             return False
         silent_s = now - self.lease.endpoint.last_received_at
-        return stalled(self.stall_limits, now - self.idle_since, silent_s)
+        return stalled(self.stall_limits, self.waited_s(now), silent_s)
+
+    def waited_s(self, now: float) -> float:
+        """Return the time since the last new event came or the wait began, in seconds."""
+        return now - self.idle_since
 
     def endpoint_is_silent(self, now: float) -> bool:
         """Return whether the current attempt's endpoint is silent, over a path that isn't lost."""
--- a/tests/test_silent_streams.py
+++ b/tests/test_silent_streams.py
@@ -218,6 +218,22 @@
         assert cancelled(harness) == 0
 
 
+async def test_streams_stay_while_the_whole_service_is_silent_though_an_endpoint_is_idle() -> None:
+    # Of an idle endpoint nothing is known; streams moved to it while it was as silent.
+    async with running_harness() as harness:
+        idle = await add_sound_worker(harness)
+        idle.awake.clear()
+        occupy(harness, idle, ALL_SLOTS)
+        streams = await begin_streams(harness, begun=True)
+        occupy(harness, idle, 0)
+        await asyncio.sleep(CHECKS_S)
+        assert not idle.received
+        wake(harness)
+        replies = await asyncio.gather(*streams)
+        assert [reply.body for reply in replies] == [COMPLETE_BODY] * STREAMS
+        assert len(sent_to(harness, "engine")) == STREAMS
+
+
 async def test_streams_stay_though_the_last_events_of_silent_endpoints_lie_apart() -> None:
     # The worker whose last event was the latest took the streams of the other one.
     async with running_harness() as harness:
