Show repeats beyond the budget in the short run of silent processes

Escalations took most of the budget before each silence, so a burst of repeats stayed small. The share of streams that escalate is now an option of the endpoints, 0 in the short form, and the first silence comes once the budget has the requests of a whole window (6.5 s). Long forms keep one in five.

--- a/tests/endpoint_process.py
+++ b/tests/endpoint_process.py
@@ -28,8 +28,8 @@
 EARLY_EVENTS = 3
 SHORTEST_RUN_S = 0.03
 LONGEST_RUN_S = 0.3
-# Confidences of the small model, one of which is drawn; the low one escalates.
-CONFIDENCES = (20, 95, 95, 95, 95)
+LOW_CONFIDENCE = 20
+HIGH_CONFIDENCE = 95
 
 Log = Callable[..., None]
 
@@ -45,12 +45,14 @@
         idle_s: Time that a connection may stay idle, in seconds.
         half_close: Whether a request goes on after the end of file of its connection; it never
             does after a reset.
+        escalating: Share of the streams of which the small model is not confident.
     """
 
     backlog: int = 5
     capacity: int = 10
     idle_s: float = 75.0
     half_close: bool = False
+    escalating: float = 0.2
 
 
 class _LoggedProtocol(_CallerProtocol):
@@ -103,6 +105,7 @@
         self._server = _LoggedServer(self._answer, limits, cancel_on_disconnect=True)
         self._server.log, self._server.half_close = log, options.half_close
         self.room = options.capacity
+        self._escalating = options.escalating
         self.events = EVENTS
         self.pause_s = lambda number: EVENT_GAP_S
 
@@ -123,7 +126,9 @@
             return await super()._run(request)
         rng = Random(request.header("attempt-id"))
         self.answer_delay_s = rng.uniform(SHORTEST_RUN_S, LONGEST_RUN_S)
-        self.confidence_by_model = {"small": rng.choice(CONFIDENCES), "large": CONFIDENCES[-1]}
+        is_low = rng.random() < self._escalating
+        small = LOW_CONFIDENCE if is_low else HIGH_CONFIDENCE
+        self.confidence_by_model = {"small": small, "large": HIGH_CONFIDENCE}
         self._note("began", request)
         try:
             response = await super()._run(request)
--- a/tests/test_silent_processes.py
+++ b/tests/test_silent_processes.py
@@ -28,8 +28,8 @@
 
 ROUNDS = 2
 LONG_ROUNDS = 4
-FIRST_S = 2.0
-LONG_FIRST_S = 7.0
+# By then, the budget of repeats has the requests of a whole window.
+FIRST_S = 6.5
 SEED = 1
 SHOWN = 12
 Check = Callable[[Fleet], list[str]]
@@ -45,10 +45,14 @@
 
 @pytest.fixture(scope="module")
 def played(tmp_path_factory: pytest.TempPathFactory) -> Fleet:
-    """Return a fleet after a short run; its endpoints notice a reset, but no end of file."""
+    """Return a fleet after a short run.
+
+    Its endpoints notice a reset, but no end of file. No stream escalates, so that the whole budget
+    of repeats is left for the silences.
+    """
 
     async def run() -> Fleet:
-        options = EndpointOptions(half_close=True)
+        options = EndpointOptions(half_close=True, escalating=0.0)
         async with running_fleet(tmp_path_factory.mktemp("fleet"), SEED, options) as fleet:
             await play(fleet, ROUNDS, FIRST_S)
         return fleet
@@ -80,7 +84,7 @@
 async def main(folder: Path, options: EndpointOptions, seed: int) -> None:
     folder.mkdir(parents=True, exist_ok=True)
     async with running_fleet(folder, seed, options) as fleet:
-        await play(fleet, LONG_ROUNDS, LONG_FIRST_S)
+        await play(fleet, LONG_ROUNDS, FIRST_S)
     print(f"== seed {seed}\n{summary(fleet)}", flush=True)
 
 
