Keep requests from a withdrawn endpoint for the whole time

An endpoint that another daemon knows to be withdrawn gets no requests for 2 s, until this daemon should have read so itself. A connection to it that failed, an answer to an earlier request, or the loss of its service's paths ended or shortened that time: requests were offered to it again. Daemons that relay refuse them; over a path of its own that is back the daemon would have sent them.

Cause: one field held the ejections for both reasons.

tests/test_endpoint_tracker.py:: test_withdrawn_endpoint_gets_no_requests_after_an_answer_or_a_failure_of_an_earlier_one failed before (ejected until 10.5 in place of 12.0) and passes now. Seen in this test only, not in a run of daemons.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -133,7 +133,7 @@
         A head alone does not: an endpoint in trouble may send good heads and no complete answer.
         """
         self._consecutive_failures = 0
-        self.ejected_until = 0.0
+        self.end_ejection()
 
     def record_delay(self, delay_s: float, now: float) -> None:
         """Record how long a request queued at the endpoint, in seconds."""
@@ -162,13 +162,11 @@
         excess = self._consecutive_failures - FAILURES_TO_EJECT
         if excess >= 0:
             doublings = min(excess // FAILURES_TO_EJECT, MAX_EJECTION_DOUBLINGS)
-            self.ejected_until = now + FIRST_EJECTION_S * 2**doublings
-
-    def record_reached(self) -> None:
-        """End an ejection after failures, as its lost path is back; not one as withdrawn.
+            until = now + FIRST_EJECTION_S * 2**doublings
+            self.ejected_until = max(until, self._withdrawn_until)
 
-        Many connections may have failed in one moment, each of which has prolonged the ejection.
-        """
+    def end_ejection(self) -> None:
+        """End an ejection after failures, but not that of a withdrawn endpoint."""
         self.ejected_until = self._withdrawn_until
 
     def record_rest(self, rest_s: float, now: float) -> None:
--- a/comfreyhatch/exchange/endpoint_paths.py
+++ b/comfreyhatch/exchange/endpoint_paths.py
@@ -79,7 +79,8 @@
         if endpoint.lost_at is not None:
             lost_s = now - endpoint.lost_at
             endpoint.lost_at = None
-            endpoint.record_reached()
+            # Each of the connections that failed together has prolonged it.
+            endpoint.end_ejection()
             log.info(
                 "event=path_regained endpoint=%s lost_s=%.1f", endpoint.record.endpoint_id, lost_s
             )
@@ -101,7 +102,7 @@
             for tracker in listed:
                 # It may be reached by way of other daemons, and its idle connections may be silent:
                 # each of them would take a request.
-                tracker.ejected_until = 0.0
+                tracker.end_ejection()
                 self._client.drop_idle(tracker.record.address)
             log.warning("event=service_lost service=%s endpoints=%d", service, len(listed))
         elif not lost and since is not None:
--- a/tests/test_endpoint_tracker.py
+++ b/tests/test_endpoint_tracker.py
@@ -88,7 +88,7 @@
     tracker = EndpointTracker(record("e"), NOW)
     for _ in range(6):
         tracker.record_connection_failure(NOW, unreachable=True)
-    tracker.record_reached()
+    tracker.end_ejection()
     assert tracker.ejected_until <= NOW
 
 
@@ -96,5 +96,16 @@
     tracker = EndpointTracker(record("e"), NOW)
     tracker.record_withdrawn(NOW)
     tracker.record_connection_failure(NOW, unreachable=True)
-    tracker.record_reached()
+    tracker.end_ejection()
+    assert tracker.ejected_until == NOW + WITHDRAWN_EJECTION_S
+
+
+def test_withdrawn_endpoint_gets_no_requests_after_an_answer_or_a_failure_of_an_earlier_one() -> (
+    None
+):
+    tracker = EndpointTracker(record("e"), NOW)
+    tracker.record_withdrawn(NOW)
+    tracker.record_connection_failure(NOW, unreachable=True)
+    assert tracker.ejected_until == NOW + WITHDRAWN_EJECTION_S
+    tracker.record_complete_answer()
     assert tracker.ejected_until == NOW + WITHDRAWN_EJECTION_S
