Split the decisions on further attempts of streams from their proxy

What allows and pays for a further attempt, and the pause before it, is StreamRetries now. No change of behaviour.

--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -6,7 +6,6 @@
 
 from comfreyhatch.adapters.http_server import HttpResponse
 from comfreyhatch.decisions.cascade import CascadeState, escalates
-from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.engine_priority import engine_priority
 from comfreyhatch.decisions.engine_time import EngineTimes
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
@@ -18,7 +17,6 @@
     AnswerBrokenError,
     BackendError,
     ComfreyhatchError,
-    EndpointUnreachableError,
     PromptBlockedError,
     RefusedError,
     RequestBlockedError,
@@ -31,12 +29,11 @@
 from comfreyhatch.exchange.scheduler import EndpointScheduler, SlotLease
 from comfreyhatch.exchange.sender import Sender, StreamedAnswer
 from comfreyhatch.exchange.stall_watchdog import StallWatchdog
+from comfreyhatch.exchange.stream_retries import StreamRetries
 from comfreyhatch.exchange.stream_state import DEADLINE_MARGIN_S, StreamState
 
 # Quantile of recent times to the first event that the stall limits are computed from.
 FIRST_EVENT_QUANTILE = 0.95
-# Pause between attempts to resume a stream while no endpoint takes it.
-RESUME_PAUSE_S = 0.25
 MAX_LOGGED_PARTS = 8
 
 log = logging.getLogger("comfreyhatch.streams")
@@ -76,7 +73,8 @@
         self._evidence = evidence
         self._first_event_latencies: dict[tuple[str, str], SampleWindow] = {}
         self._engine_times = EngineTimes()
-        self._watchdog = StallWatchdog(self._reserve_stalled_retry)
+        self._retries = StreamRetries(scheduler, sender, budget, crashes)
+        self._watchdog = StallWatchdog(self._retries.reserve_stalled)
         self._events = EventRelay(evidence, self._watchdog, crashes)
 
     async def run(self, job: Job) -> HttpResponse:
@@ -127,7 +125,7 @@
                     raise BackendError(str(error)) from error
                 raise
             except RefusedError as error:
-                if await self._pause_before_resume(stream, str(error)):
+                if await self._retries.pause_before_resume(stream, str(error)):
                     continue
                 if stream.account.may_have_run:
                     raise BackendError(str(error)) from error
@@ -140,7 +138,7 @@
                     return answer
                 if not stream.head_sent:
                     stream.error = None
-                    if not await self._take_retry(stream):
+                    if not await self._retries.take(stream):
                         return answer
                     answer.endpoint.record_complete_answer()
                     await self._close(stream, answer)
@@ -152,7 +150,7 @@
                     f"the stream could not be resumed: status {answer.head.status},"
                     f" media type {answer.head.media_type.decode('latin-1')!r}"
                 )
-            if not await self._take_retry(stream):
+            if not await self._retries.take(stream):
                 assert stream.error is not None
                 raise final_error(stream.error, stream.account.may_have_run)
 
@@ -347,7 +345,7 @@
         assert stream.error is not None
         if stream.attempt is not None:
             await self._crashes.end_failed(stream.attempt, stream.error)
-        if not await self._take_retry(stream):
+        if not await self._retries.take(stream):
             raise final_error(stream.error, stream.account.may_have_run)
         return await self._open(stream)
 
@@ -388,106 +386,15 @@
             state.budget_left,
             wanted,
         )
-        dropped = wanted and self._reserve(stream, now)
+        dropped = wanted and self._retries.reserve(stream, now)
         self._count_cascade_answer(dropped)
         return dropped
 
-    async def _take_retry(self, stream: StreamState) -> bool:
-        """Return whether to retry a failed attempt, and reserve the retry in the budget.
-
-        If the route's attempts are used up, broken endpoints are probed first: an attempt whose
-        endpoint has ended does not count. Otherwise two crashes at nearly the same time would cut
-        a stream that has used its other attempts for the cascade.
-        """
-        if stream.account.used_up:
-            await self._probe_broken(stream)
-        now = asyncio.get_running_loop().time()
-        if not stream.may_attempt(now):
-            return False
-        if stream.waits_until_deadline and stream.account.failed_often:
-            if not stream.may_attempt(now + RESUME_PAUSE_S):
-                return False
-            await asyncio.sleep(RESUME_PAUSE_S)
-        while not self._pay_retry(stream):
-            if not await self._pause_before_resume(stream, "the budget of extra requests is spent"):
-                return False
-        return True
-
-    async def _probe_broken(self, stream: StreamState) -> None:
-        """Take the broken attempts whose endpoints have ended off the limit of the route.
-
-        An endpoint to which no connection can be opened in time may be running its attempt.
-        """
-        for counted, endpoint in stream.endpoint_by_broken.items():
-            if await self._sender.is_down(endpoint):
-                stream.account.note_endpoint_ended(counted)
-                self._log_not_counted(stream, endpoint)
-        stream.endpoint_by_broken.clear()
-
-    def _pay_retry(self, stream: StreamState) -> bool:
-        """Reserve a retry, unless one is; return whether the budget allows it."""
-        # An attempt without a connection reached no endpoint, so its retry needs no budget.
-        if isinstance(stream.error, EndpointUnreachableError):
-            return True
-        return self._reserve(stream, asyncio.get_running_loop().time())
-
-    def _reserve(self, stream: StreamState, now: float) -> bool:
-        """Reserve an extra request for the next attempt, unless one is; return whether one is."""
-        if stream.extra is None:
-            stream.extra = self._budget(stream.job.service).reserve(now)
-        return stream.extra is not None
-
-    async def _pause_before_resume(self, stream: StreamState, reason: str) -> bool:
-        """Pause a stream that waits until its deadline; return whether it may then be resumed.
-
-        Returns:
-            False at once for other streams, or if no attempt or time is left.
-        """
-        now = asyncio.get_running_loop().time()
-        if not stream.waits_until_deadline or not stream.may_attempt(now + RESUME_PAUSE_S):
-            return False
-        log.info(
-            "event=resume_delayed id=%s events=%s reason=%r",
-            stream.job.exchange.request_id,
-            stream.last_event_id,
-            reason,
-        )
-        await asyncio.sleep(RESUME_PAUSE_S)
-        return True
-
-    def _reserve_stalled_retry(self, stream: StreamState, now: float) -> bool:
-        """Reserve the retry of a stalled request; return False if it has to keep waiting."""
-        if not stream.job.route.repeatable or not stream.may_attempt(now + RESUME_PAUSE_S):
-            return False
-        if self._crashes.blocks(stream.job, now):
-            return False
-        max_silent_s = None
-        if stream.endpoint_is_silent(now):
-            max_silent_s = stream.stall_limits.responsive_s
-            last = {stream.endpoint_id}
-            hangs = stream.waited_s(now) >= stream.stall_limits.alive_s
-            if not self._scheduler.has_responsive(stream.job, last, max_silent_s, hangs, now):
-                return False
-        if not self._reserve(stream, now):
-            return False
-        stream.give_up_attempt(max_silent_s)
-        return True
-
     def _latency_window(self, stream: StreamState) -> SampleWindow:
         """Return the times to the first event for the stream's route and model."""
         key = (stream.job.route.name, stream.model)
         return self._first_event_latencies.setdefault(key, SampleWindow())
 
-    def _log_not_counted(self, stream: StreamState, endpoint: EndpointTracker) -> None:
-        """Log an attempt that leaves room for another one, as its endpoint has ended."""
-        log.info(
-            "event=attempt_not_counted id=%s endpoint=%s counted=%d of=%d",
-            stream.job.exchange.request_id,
-            endpoint.record.endpoint_id,
-            stream.account.counted,
-            stream.job.route.max_attempts,
-        )
-
     def _log_failure(self, stream: StreamState, error: ComfreyhatchError, begun: bool) -> None:
         """Log a failed attempt; `begun` is whether the head of its answer was read."""
         log.info(
--- /dev/null
+++ b/comfreyhatch/exchange/stream_retries.py
@@ -0,0 +1,134 @@
+"""Decides on the further attempts of streamed requests, and pays for them."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
+from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
+from comfreyhatch.errors import EndpointUnreachableError
+from comfreyhatch.exchange.crash_guard import CrashGuard
+from comfreyhatch.exchange.scheduler import EndpointScheduler
+from comfreyhatch.exchange.sender import Sender
+from comfreyhatch.exchange.stream_state import StreamState
+
+# Pause between attempts to resume a stream while no endpoint takes it.
+RESUME_PAUSE_S = 0.25
+
+log = logging.getLogger("comfreyhatch.streams")
+
+
+class StreamRetries:
+    """Allows further attempts of streams by their routes, their deadlines and the budget."""
+
+    def __init__(
+        self,
+        scheduler: EndpointScheduler,
+        sender: Sender,
+        budget: Callable[[str], ExtraRequestBudget],
+        crashes: CrashGuard,
+    ) -> None:
+        """Create it.
+
+        Args:
+            scheduler: Knows the endpoints that may serve a request.
+            sender: Finds out whether endpoints have ended.
+            budget: Returns the budget of extra requests of a service.
+            crashes: Knows which requests and prompts crash endpoints.
+        """
+        self._scheduler = scheduler
+        self._sender = sender
+        self._budget = budget
+        self._crashes = crashes
+
+    async def take(self, stream: StreamState) -> bool:
+        """Return whether to retry a failed attempt, and reserve the retry in the budget.
+
+        If the route's attempts are used up, broken endpoints are probed first: an attempt whose
+        endpoint has ended does not count. Otherwise two crashes at nearly the same time would cut
+        a stream that has used its other attempts for the cascade.
+        """
+        if stream.account.used_up:
+            await self._probe_broken(stream)
+        now = asyncio.get_running_loop().time()
+        if not stream.may_attempt(now):
+            return False
+        if stream.waits_until_deadline and stream.account.failed_often:
+            if not stream.may_attempt(now + RESUME_PAUSE_S):
+                return False
+            await asyncio.sleep(RESUME_PAUSE_S)
+        while not self._pay(stream):
+            if not await self.pause_before_resume(stream, "the budget of extra requests is spent"):
+                return False
+        return True
+
+    async def _probe_broken(self, stream: StreamState) -> None:
+        """Take the broken attempts whose endpoints have ended off the limit of the route.
+
+        An endpoint to which no connection can be opened in time may be running its attempt.
+        """
+        for counted, endpoint in stream.endpoint_by_broken.items():
+            if await self._sender.is_down(endpoint):
+                stream.account.note_endpoint_ended(counted)
+                _log_not_counted(stream, endpoint)
+        stream.endpoint_by_broken.clear()
+
+    def _pay(self, stream: StreamState) -> bool:
+        """Reserve a retry, unless one is; return whether the budget allows it."""
+        # An attempt without a connection reached no endpoint, so its retry needs no budget.
+        if isinstance(stream.error, EndpointUnreachableError):
+            return True
+        return self.reserve(stream, asyncio.get_running_loop().time())
+
+    def reserve(self, stream: StreamState, now: float) -> bool:
+        """Reserve an extra request for the next attempt, unless one is; return whether one is."""
+        if stream.extra is None:
+            stream.extra = self._budget(stream.job.service).reserve(now)
+        return stream.extra is not None
+
+    async def pause_before_resume(self, stream: StreamState, reason: str) -> bool:
+        """Pause a stream that waits until its deadline; return whether it may then be resumed.
+
+        Returns:
+            False at once for other streams, or if no attempt or time is left.
+        """
+        now = asyncio.get_running_loop().time()
+        if not stream.waits_until_deadline or not stream.may_attempt(now + RESUME_PAUSE_S):
+            return False
+        log.info(
+            "event=resume_delayed id=%s events=%s reason=%r",
+            stream.job.exchange.request_id,
+            stream.last_event_id,
+            reason,
+        )
+        await asyncio.sleep(RESUME_PAUSE_S)
+        return True
+
+    def reserve_stalled(self, stream: StreamState, now: float) -> bool:
+        """Reserve the retry of a stalled request; return False if it has to keep waiting."""
+        if not stream.job.route.repeatable or not stream.may_attempt(now + RESUME_PAUSE_S):
+            return False
+        if self._crashes.blocks(stream.job, now):
+            return False
+        max_silent_s = None
+        if stream.endpoint_is_silent(now):
+            max_silent_s = stream.stall_limits.responsive_s
+            last = {stream.endpoint_id}
+            hangs = stream.waited_s(now) >= stream.stall_limits.alive_s
+            if not self._scheduler.has_responsive(stream.job, last, max_silent_s, hangs, now):
+                return False
+        if not self.reserve(stream, now):
+            return False
+        stream.give_up_attempt(max_silent_s)
+        return True
+
+
+def _log_not_counted(stream: StreamState, endpoint: EndpointTracker) -> None:
+    """Log an attempt that leaves room for another one, as its endpoint has ended."""
+    log.info(
+        "event=attempt_not_counted id=%s endpoint=%s counted=%d of=%d",
+        stream.job.exchange.request_id,
+        endpoint.record.endpoint_id,
+        stream.account.counted,
+        stream.job.route.max_attempts,
+    )
