Return a failed answer at once when no other endpoint takes the request

A caller whose request had got a failed answer (500) from the only endpoint got it 0.84 to 0.99 s later, at its deadline; meanwhile its daemon made attempts in a loop without a pause: 2,199 log lines of attempts without an endpoint for one request in 0.99 s, at the cost of all others of the daemon.

Cause: a retry that gets no slot ends at once, and is taken off the account of attempts and off the budget, as it should be, so that nothing bounded the next one.

Fix: after an attempt without a slot there is no retry: the scheduler has refused it, for want of an endpoint or of a slot in time. The failed answer, if there is one, is returned. The error of an attempt is forgotten once a later one got an answer, as that one is the last then.

tests/test_attempt_limits.py::test_failed_answer_is_returned_at_once_when_no_other_worker_is_left failed before (0.99 s) and passes now.

--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -195,7 +195,7 @@
         """Return whether to retry after the last attempt failed, and reserve it in the budget."""
         now = asyncio.get_running_loop().time()
         job = call.job
-        if not isinstance(call.error, BackendError) and call.answer is None:
+        if call.error is not None and not isinstance(call.error, BackendError):
             return False
         if now >= job.deadline - DEADLINE_MARGIN_S:
             return False
@@ -241,7 +241,7 @@
         extra: Extra request reserved for the next attempt; None if it needs none.
         hedged: Whether a hedged attempt was sent or denied; there is one at most.
         answer: Last failed answer of an endpoint.
-        error: Error of the last attempt without an answer.
+        error: Error of the last attempt; None if it got an answer.
     """
 
     __slots__ = ("account", "answer", "error", "extra", "hedged", "job", "tried_ids")
@@ -273,7 +273,7 @@
             answer = task.result()
             if answer.head.success:
                 return answer
-            call.answer = answer
+            call.answer, call.error = answer, None
         elif isinstance(error, ComfreyhatchError):
             call.error = error
         else:
--- a/tests/test_attempt_limits.py
+++ b/tests/test_attempt_limits.py
@@ -11,6 +11,7 @@
 from comfreyhatch.domain.deployment import Bounds
 from comfreyhatch.errors import HttpError
 from comfreyhatch.exchange.daemon import ENDPOINT_CONNECT_TIMEOUT_S
+from comfreyhatch.exchange.view import LAPSE_GRACE_S
 from tests.platform_harness import PlatformHarness, config, running_harness, sent_to, workers
 from tests.platform_worker import EVENTS_PER_STREAM, StandInWorker
 
@@ -136,6 +137,26 @@
         third.hold.set()
 
 
+async def test_failed_answer_is_returned_at_once_when_no_other_worker_is_left(
+    harness: PlatformHarness,
+) -> None:
+    # Attempts without a slot were repeated without a pause until the deadline.
+    only, *others = desks(harness)
+    for desk in others:
+        harness.store.remove("servers", desk.worker_id)
+    view = harness.daemon.view
+    await harness.wait_until(
+        lambda: not {desk.worker_id for desk in others} & view.endpoint_list.record_by_id.keys()
+    )
+    await asyncio.sleep(LAPSE_GRACE_S + 0.5)
+    only.status = 500
+    began = asyncio.get_running_loop().time()
+    reply = await harness.send("/read/last", deadline_ms="4000")
+    assert reply.status == 500
+    assert asyncio.get_running_loop().time() - began < QUEUED_S
+    assert reads(only) == 1
+
+
 @pytest.fixture
 async def engines(harness: PlatformHarness) -> list[StandInWorker]:
     """Three engines on a route with two attempts."""
