Count an endpoint that was left as silent as silent until something comes

Fix: the endpoint remembers that a request was given up there for its silence, until a head or an event comes from it, whatever runs on it meanwhile. Requests that don't come from a silent endpoint are placed as before, so that it is found to be back.

test_endpoint_that_was_left_as_silent_is_silent_until_something_comes fails without the memory.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -1,6 +1,6 @@
 """One endpoint as this daemon sees it: load, ejection after failures and cold start."""
 
-from math import pow
+from math import inf, pow
 
 from comfreyhatch.decisions.shared_rate import EndpointRate
 from comfreyhatch.domain.endpoint import EndpointRecord
@@ -36,6 +36,7 @@
         brittle_per_s: Refusals in a second beyond which it falls over; None if it is not brittle.
         busy_since: Time from which at least one of this daemon's requests has run on it.
         leaving_since: Time at which it said that it is leaving; None if it has not.
+        left_silent_at: Time at which a request was last given up there since nothing came.
         lost_at: Time at which connections to it began to fail; None while they can be opened.
     """
 
@@ -56,6 +57,7 @@
         "in_flight",
         "last_received_at",
         "leaving_since",
+        "left_silent_at",
         "lost_at",
         "misdirected",
         "pending_s",
@@ -78,6 +80,7 @@
         self.leaving_since: float | None = None
         self.resting_until = 0.0
         self.brittle_per_s: float | None = None
+        self.left_silent_at = -inf
         self.lost_at: float | None = None
         self._other_load = 0.0
         self._other_load_at = 0.0
@@ -100,6 +103,7 @@
         if restarted or record.cold_left_s > 0:
             self.cold_until = now + record.cold_left_s
         if restarted:
+            self.left_silent_at = -inf
             self.lost_at = None
             self.leaving_since = None
             self.resting_until = 0.0
@@ -179,7 +183,12 @@
         self.ejected_until = max(self.ejected_until, self._withdrawn_until)
 
     def silent_s(self, now: float) -> float:
-        """Return for how long nothing has come while requests run on it, in seconds; 0 if none."""
+        """Return for how long nothing has come while requests run on it, in seconds; 0 if none.
+
+        Once a request was given up there for silence, it counts as silent until something comes.
+        """
+        if self.left_silent_at > self.last_received_at:
+            return now - self.last_received_at
         if not self.in_flight:
             return 0.0
         return now - max(self.last_received_at, self.busy_since)
--- a/comfreyhatch/exchange/stream_retries.py
+++ b/comfreyhatch/exchange/stream_retries.py
@@ -119,6 +119,8 @@
                 return False
         if not self.reserve(stream, now):
             return False
+        if max_silent_s is not None:
+            stream.note_left_silent(now)
         stream.give_up_attempt(max_silent_s)
         return True
 
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -239,6 +239,11 @@
             return False
         return now - self.lease.endpoint.last_received_at >= self.stall_limits.silent_s
 
+    def note_left_silent(self, now: float) -> None:
+        """Note that the current attempt is given up as its endpoint is silent."""
+        if self.lease is not None:
+            self.lease.endpoint.left_silent_at = now
+
     def give_up_attempt(self, max_silent_s: float | None) -> None:
         """Note that an attempt that might have been answered is given up for the next one.
 
--- a/tests/test_endpoint_tracker.py
+++ b/tests/test_endpoint_tracker.py
@@ -72,6 +72,18 @@
     assert tracker.responds(0.5, NOW + 9.9)
 
 
+def test_endpoint_that_was_left_as_silent_is_silent_until_something_comes() -> None:
+    # Without a request it counted as one that responds, and got the streams of others.
+    tracker = EndpointTracker(record("e"), NOW)
+    tracker.left_silent_at = NOW + 1.0
+    assert not tracker.responds(0.5, NOW + 1.1)
+    tracker.in_flight = 1
+    tracker.busy_since = NOW + 1.1
+    assert not tracker.responds(0.5, NOW + 1.2)
+    tracker.last_received_at = NOW + 1.3
+    assert tracker.responds(0.5, NOW + 1.4)
+
+
 def test_ejected_endpoint_or_one_out_of_reach_does_not_respond() -> None:
     tracker = EndpointTracker(record("e"), NOW)
     tracker.lost_at = NOW
