Leave endpoints that hang also for one that is ejected, if no other responds

So how soon a hung endpoint was left depended on the ejection of others.

Fix: once a stream has waited for the longer limit, an ejected endpoint that is not known to be silent counts too; a stream that leaves a silent endpoint prefers it to a silent one.

test_streams_leave_hung_endpoints_for_the_only_other_one_though_that_is_ejected failed before in both cases.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -203,7 +203,11 @@
         return self.responds(max_silent_s, now) and now - self.last_received_at < max_silent_s
 
     def responds(self, max_silent_s: float, now: float) -> bool:
-        """Return whether the endpoint is within reach, not ejected and not known to be silent.
+        """Return whether the endpoint is not ejected, and may respond; see `may_respond`."""
+        return now >= self.ejected_until and self.may_respond(max_silent_s, now)
+
+    def may_respond(self, max_silent_s: float, now: float) -> bool:
+        """Return whether the endpoint is within reach and not known to be silent.
 
         Nothing is known of an endpoint on which no request of this daemon runs.
 
@@ -211,9 +215,7 @@
             max_silent_s: Silence from which it counts as silent, in seconds.
             now: Monotonic time, in seconds.
         """
-        if self.lost_at is not None or now < self.ejected_until:
-            return False
-        return self.silent_s(now) < max_silent_s
+        return self.lost_at is None and self.silent_s(now) < max_silent_s
 
     def is_cold(self, now: float) -> bool:
         """Return whether the endpoint is in cold start."""
--- a/comfreyhatch/exchange/eligibility.py
+++ b/comfreyhatch/exchange/eligibility.py
@@ -47,13 +47,16 @@
         """Pin the session of a request to a version."""
         self._pins.pin(job, version, now)
 
-    def endpoints_for(self, job: Job, excluded: set[str], now: float) -> list[EndpointTracker]:
+    def endpoints_for(
+        self, job: Job, excluded: set[str], now: float, includes_ejected: bool = False
+    ) -> list[EndpointTracker]:
         """Return the eligible endpoints; ejected and leaving ones only if there are no others.
 
         Args:
             job: The request.
             excluded: Ids of endpoints to leave out.
             now: Monotonic time in seconds.
+            includes_ejected: Whether ejected ones are returned beside others.
         """
         order = self._view.order(job.service)
         choice = self._choice(job, order, now)
@@ -70,7 +73,7 @@
                 t for t in eligible if self._view.past_hold_down(job.service, t.record.version, now)
             ]
             eligible = past_hold_down or eligible
-        usable = [t for t in eligible if now >= t.ejected_until] or eligible
+        usable = [t for t in eligible if includes_ejected or now >= t.ejected_until] or eligible
         return [t for t in usable if t.leaving_since is None] or usable
 
     def _version_fallback(
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -249,13 +249,15 @@
             job: The request.
             excluded: Ids of endpoints to leave out.
             max_silent_s: Silence from which an endpoint counts as silent, in seconds.
-            trusts_idle: Whether endpoints without requests count even then.
+            trusts_idle: Whether endpoints without requests count even then, and ejected ones.
             now: Monotonic time in seconds.
         """
-        eligible = self._eligibility.endpoints_for(job, excluded, now)
+        eligible = self._eligibility.endpoints_for(job, excluded, now, includes_ejected=True)
         if any(tracker.was_heard(max_silent_s, now) for tracker in eligible):
             return True
-        if not trusts_idle and self._others_silent(job.service, excluded, max_silent_s, now):
+        if trusts_idle:
+            return any(tracker.may_respond(max_silent_s, now) for tracker in eligible)
+        if self._others_silent(job.service, excluded, max_silent_s, now):
             return False
         return any(tracker.responds(max_silent_s, now) for tracker in eligible)
 
@@ -272,15 +274,22 @@
     def _preferred(
         self, job: Job, excluded: set[str], max_silent_s: float | None, now: float
     ) -> list[EndpointTracker]:
-        """Return the eligible endpoints from which something has come lately.
+        """Return the eligible endpoints, those that are not silent if there are any.
 
-        If there is none, those that are not known to be silent, and else all of them.
+        Of these the ones from which something has come lately come first, and ejected ones last.
         """
-        eligible = self._eligibility.endpoints_for(job, excluded, now)
         if max_silent_s is None:
-            return eligible
-        heard = [t for t in eligible if t.was_heard(max_silent_s, now)]
-        return heard or [t for t in eligible if t.responds(max_silent_s, now)] or eligible
+            return self._eligibility.endpoints_for(job, excluded, now)
+        eligible = self._eligibility.endpoints_for(job, excluded, now, includes_ejected=True)
+        for is_preferred in (
+            EndpointTracker.was_heard,
+            EndpointTracker.responds,
+            EndpointTracker.may_respond,
+        ):
+            preferred = [t for t in eligible if is_preferred(t, max_silent_s, now)]
+            if preferred:
+                return preferred
+        return self._eligibility.endpoints_for(job, excluded, now)
 
     def reachability(self, now: float) -> list[ServiceReachability]:
         """Return the reachable part and the load of each service."""
--- a/tests/test_silent_streams.py
+++ b/tests/test_silent_streams.py
@@ -276,6 +276,19 @@
         assert len(sent_to(harness, "engine")) == STREAMS
 
 
+@pytest.mark.parametrize("begun", [False, True])
+async def test_streams_leave_hung_endpoints_for_the_only_other_one_though_that_is_ejected(
+    begun: bool,
+) -> None:
+    async with running_harness() as harness:
+        streams = await begin_streams(harness, begun)
+        sound = await add_sound_worker(harness)
+        tracker = harness.daemon.view.tracker_by_id[sound.worker_id]
+        tracker.ejected_until = asyncio.get_running_loop().time() + WAIT_TIMEOUT_S
+        replies = await asyncio.gather(*streams, return_exceptions=True)
+        assert bodies(replies) == [COMPLETE_BODY] * STREAMS
+
+
 async def test_hanging_stream_leaves_an_endpoint_that_sends_to_others() -> None:
     async with running_harness() as harness:
         engine, other = workers(harness, "engine")
