Prefer endpoints that respond also for streams whose endpoint is out of reach

Fix: such a stream may still move without an endpoint that responds, since another daemon may reach its own one, but prefers those that respond.

test_stream_of_a_silent_endpoint_out_of_reach_goes_to_one_that_responds failed before (2 requests at the silent endpoint in place of 1). What remains: while all endpoints are silent with full accept queues, which a daemon can't tell from cut paths, streams are still given up, within the budget.

--- a/comfreyhatch/exchange/stream_retries.py
+++ b/comfreyhatch/exchange/stream_retries.py
@@ -113,9 +113,8 @@
         max_silent_s = None
         if stream.endpoint_is_silent(now):
             max_silent_s = stream.stall_limits.responsive_s
-            last = {stream.endpoint_id}
-            hangs = stream.waited_s(now) >= stream.stall_limits.alive_s
-            if not self._scheduler.has_responsive(stream.job, last, max_silent_s, hangs, now):
+            # Over a lost path, another daemon may reach the endpoint.
+            if not (stream.path_is_lost or self._has_responsive(stream, max_silent_s, now)):
                 return False
         if not self.reserve(stream, now):
             return False
@@ -124,6 +123,12 @@
         stream.give_up_attempt(max_silent_s)
         return True
 
+    def _has_responsive(self, stream: StreamState, max_silent_s: float, now: float) -> bool:
+        """Return whether another endpoint than the current one may respond."""
+        last = {stream.endpoint_id}
+        hangs = stream.waited_s(now) >= stream.stall_limits.alive_s
+        return self._scheduler.has_responsive(stream.job, last, max_silent_s, hangs, now)
+
 
 def _log_not_counted(stream: StreamState, endpoint: EndpointTracker) -> None:
     """Log an attempt that leaves room for another one, as its endpoint has ended."""
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -234,11 +234,16 @@
         return now - self.idle_since
 
     def endpoint_is_silent(self, now: float) -> bool:
-        """Return whether the current attempt's endpoint is silent, over a path that isn't lost."""
-        if self.lease is None or self.lease.endpoint.lost_at is not None:
+        """Return whether the current attempt's endpoint is silent."""
+        if self.lease is None:
             return False
         return now - self.lease.endpoint.last_received_at >= self.stall_limits.silent_s
 
+    @property
+    def path_is_lost(self) -> bool:
+        """Whether the current attempt's endpoint accepts no new connection."""
+        return self.lease is not None and self.lease.endpoint.lost_at is not None
+
     def note_left_silent(self, now: float) -> None:
         """Note that the current attempt is given up as its endpoint is silent."""
         if self.lease is not None:
--- a/tests/test_silent_streams.py
+++ b/tests/test_silent_streams.py
@@ -96,6 +96,23 @@
         occupy(harness, harness.worker_by_id[worker_id], ALL_SLOTS)
 
 
+@asynccontextmanager
+async def path_kept_lost(harness: PlatformHarness, worker: StandInWorker) -> AsyncIterator[None]:
+    """Let the daemon believe that a worker accepts no new connection, whatever its probes tell."""
+    tracker = harness.daemon.view.tracker_by_id[worker.worker_id]
+
+    async def keep_lost() -> None:
+        while True:
+            tracker.lost_at = tracker.lost_at or asyncio.get_running_loop().time()
+            await asyncio.sleep(0.001)
+
+    keeping = asyncio.create_task(keep_lost())
+    try:
+        yield
+    finally:
+        keeping.cancel()
+
+
 def wake(harness: PlatformHarness) -> None:
     for worker in harness.worker_by_id.values():
         worker.awake.set()
@@ -276,6 +293,21 @@
         assert len(sent_to(harness, "engine")) == STREAMS
 
 
+async def test_stream_of_a_silent_endpoint_out_of_reach_goes_to_one_that_responds() -> None:
+    # The silent worker had more free slots than the one that answered.
+    async with running_harness() as harness:
+        streams = await begin_streams(harness, begun=True, count=2)
+        unreachable, silent = workers(harness, "engine")
+        sound = await add_sound_worker(harness)
+        occupy(harness, sound, ALL_SLOTS - 2)
+        async with path_kept_lost(harness, unreachable):
+            await harness.wait_until(lambda: unreachable.cancelled)
+            replies = await asyncio.gather(*streams)
+        assert bodies(replies) == [COMPLETE_BODY] * 2
+        assert len(silent.received) == 1
+        assert len(sound.received) == 2
+
+
 @pytest.mark.parametrize("begun", [False, True])
 async def test_streams_leave_hung_endpoints_for_the_only_other_one_though_that_is_ejected(
     begun: bool,
