Retrieve the error of an attempt that ends beside another one

asyncio logged 'Task exception was never retrieved' (ERROR, with a traceback) for an attempt that failed as the other one of its request ended; seen in a whole run, in test_brittle_endpoints. The attempt's own line in the log stays.

--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -113,7 +113,7 @@
         """Start an attempt, by the extra request that was reserved for it, if any."""
         extra, call.extra = call.extra, None
         task = asyncio.create_task(self._attempt(call, call.account.decide(), extra))
-        task.add_done_callback(partial(_release, extra))
+        task.add_done_callback(partial(_end_attempt, extra))
         return task
 
     async def _attempt(
@@ -281,10 +281,14 @@
     return None
 
 
-def _release(extra: ExtraRequest | None, _: "asyncio.Task[BufferedAnswer]") -> None:
+def _end_attempt(extra: ExtraRequest | None, task: "asyncio.Task[BufferedAnswer]") -> None:
     """Give back the extra request of an attempt that has ended, unless it was sent."""
     if extra is not None:
         extra.release()
+    if not task.cancelled():
+        # Retrieve the error, which was logged: asyncio logs one that is never retrieved, as when
+        # the other attempt ends at the same moment.
+        task.exception()
 
 
 def _count_end(account: AttemptAccount, counted: CountedAttempt, error: ComfreyhatchError) -> None:
