--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,13 @@
-"""Hypothesis settings, and expected failures of the tests listed in KNOWN-RED.txt."""
+"""Hypothesis settings, shared fixtures, expected failures of the tests in KNOWN-RED.txt."""
 
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import pytest
 from hypothesis import HealthCheck, settings
 
+from tests.platform_harness import PlatformHarness, running_harness
+
 settings.register_profile(
     "ci",
     derandomize=True,
@@ -31,3 +34,10 @@
         reason = reason_by_id.get(item.nodeid)
         if reason is not None:
             item.add_marker(pytest.mark.xfail(reason=f"KNOWN-RED: {reason}", strict=False))
+
+
+@pytest.fixture
+async def harness() -> AsyncIterator[PlatformHarness]:
+    """Yield a store, two workers of each service and a ready daemon on the users' platform."""
+    async with running_harness() as running:
+        yield running
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -10,7 +10,7 @@
 from comfreyhatch.platform.directory import StoreDirectory
 from comfreyhatch.platform.store import StoreClient
 from comfreyhatch.ports.directory import MemoryDirectory
-from tests.platform_harness import PlatformHarness, running_harness
+from tests.platform_harness import PlatformHarness
 from tests.platform_store import StandInStore
 
 USAGE_KEY = UsageKey("club", "engines", "small")
@@ -68,12 +68,6 @@
     await store.stop()
 
 
-@pytest.fixture
-async def harness() -> AsyncIterator[PlatformHarness]:
-    async with running_harness() as running:
-        yield running
-
-
 async def test_only_successful_answers_are_billed(harness: PlatformHarness) -> None:
     for number in (1, 2):
         harness.worker_by_id[f"engine-{number}"].confidence_by_model = {"small": 1, "large": 99}
--- a/tests/test_configuration_limits.py
+++ b/tests/test_configuration_limits.py
@@ -13,7 +13,7 @@
 from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
 from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.domain.instance import Address
-from tests.platform_harness import API_KEY, HOST, PlatformHarness, config, running_harness
+from tests.platform_harness import API_KEY, HOST, PlatformHarness, config
 
 SHORT_S = 0.3
 LONG_S = 30.0
@@ -173,12 +173,6 @@
         trickling.cancel()
 
 
-@pytest.fixture
-async def harness() -> AsyncIterator[PlatformHarness]:
-    async with running_harness() as running:
-        yield running
-
-
 async def change_limits(harness: PlatformHarness, version: int, **changes: int) -> None:
     found = config(version)
     limits = found["limits"]
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -1,7 +1,6 @@
 """An answer whose head breaks off is none, whatever has come of it."""
 
 import asyncio
-from collections.abc import AsyncIterator
 
 import pytest
 
@@ -12,7 +11,7 @@
 from comfreyhatch.errors import BackendError
 from comfreyhatch.ports.engine import ServiceRequest
 from tests.lost_paths import Loss, LostPaths
-from tests.platform_harness import PlatformHarness, running_harness
+from tests.platform_harness import PlatformHarness
 from tests.platform_raw_worker import raw_workers, stream_head, success_head
 from tests.raw_endpoint import listening
 
@@ -20,12 +19,6 @@
 PAY = ServiceRequest("r-1", "POST", "/orders", b"{}", idempotency_key="k-1")
 
 
-@pytest.fixture
-async def harness() -> AsyncIterator[PlatformHarness]:
-    async with running_harness() as running:
-        yield running
-
-
 def cuts() -> list[int]:
     """Return lengths from one byte to the whole head less its last byte."""
     sample = success_head(b"\r\nattempt-id: 0000000000000001\r\n", *WHOLE_HEADERS)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,7 +1,6 @@
 """The request path from caller to worker, against stand-ins of the platform's store and workers."""
 
 import asyncio
-from collections.abc import AsyncIterator
 from itertools import count
 
 import pytest
@@ -24,12 +23,6 @@
 COMPLETE_BODY = b"".join(b"id: %d\ndata: small\n\n" % n for n in range(1, EVENTS_PER_STREAM + 1))
 
 
-@pytest.fixture
-async def harness() -> AsyncIterator[PlatformHarness]:
-    async with running_harness() as running:
-        yield running
-
-
 async def test_answer_is_returned_unchanged(harness: PlatformHarness) -> None:
     reply = await harness.send("/pay/two?x=1")
     (request,) = sent_to(harness, "desk")
--- a/tests/test_exchange_streams.py
+++ b/tests/test_exchange_streams.py
@@ -1,7 +1,6 @@
 """Streamed answers on the path from caller to worker: relayed, resumed, cancelled."""
 
 import asyncio
-from collections.abc import AsyncIterator
 
 import pytest
 
@@ -19,12 +18,6 @@
 COMPLETE_BODY = b"".join(b"id: %d\ndata: small\n\n" % n for n in range(1, EVENTS_PER_STREAM + 1))
 
 
-@pytest.fixture
-async def harness() -> AsyncIterator[PlatformHarness]:
-    async with running_harness() as running:
-        yield running
-
-
 async def test_stream_is_relayed_from_the_smallest_model(harness: PlatformHarness) -> None:
     reply = await harness.send_draft()
     assert reply.body == COMPLETE_BODY
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -1,7 +1,6 @@
 """Changes of the configuration end no connection on which a request was passed on."""
 
 import asyncio
-from collections.abc import AsyncIterator
 
 import pytest
 
@@ -10,7 +9,6 @@
     HOST,
     PlatformHarness,
     config,
-    running_harness,
     sent_to,
     workers,
 )
@@ -27,12 +25,6 @@
 }
 
 
-@pytest.fixture
-async def harness() -> AsyncIterator[PlatformHarness]:
-    async with running_harness() as running:
-        yield running
-
-
 def changed(kind: str) -> dict[str, object]:
     """Return a second configuration that differs in one kind of setting."""
     match kind:
--- a/tests/test_leaving_endpoints.py
+++ b/tests/test_leaving_endpoints.py
@@ -1,17 +1,10 @@
 """Endpoints that say in their answers that they are leaving get no more requests."""
 
 import asyncio
-from collections.abc import AsyncIterator
 
 import pytest
 
-from tests.platform_harness import BOUNDS, PlatformHarness, running_harness
-
-
-@pytest.fixture
-async def harness() -> AsyncIterator[PlatformHarness]:
-    async with running_harness() as running:
-        yield running
+from tests.platform_harness import BOUNDS, PlatformHarness
 
 
 @pytest.mark.parametrize(
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.platform_harness import PlatformHarness, running_harness
+from tests.platform_harness import PlatformHarness
 from tests.platform_raw_worker import (
     refusal_head,
     replace_worker,
@@ -22,12 +22,6 @@
 Answer = Callable[[bytes], bytes]
 
 
-@pytest.fixture
-async def harness() -> AsyncIterator[PlatformHarness]:
-    async with running_harness() as running:
-        yield running
-
-
 def refusal(head: bytes) -> bytes:
     return refusal_head(head, NO_BODY)
 
--- a/tests/test_resting_endpoints.py
+++ b/tests/test_resting_endpoints.py
@@ -1,11 +1,10 @@
 """Endpoints that say when they want requests again get none before."""
 
 import asyncio
-from collections.abc import AsyncIterator
 
 import pytest
 
-from tests.platform_harness import PlatformHarness, running_harness
+from tests.platform_harness import PlatformHarness
 
 REST_S = 2.5
 # Time after a refusal within which requests may still reach the endpoint, and how many may later.
@@ -13,12 +12,6 @@
 MAX_REQUESTS = 2
 
 
-@pytest.fixture
-async def harness() -> AsyncIterator[PlatformHarness]:
-    async with running_harness() as running:
-        yield running
-
-
 @pytest.mark.parametrize(
     ("path", "worker_id"),
     [("/read/x", "desk-1"), ("/pay/x", "desk-1"), ("/draft/x", "engine-1")],
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -1,11 +1,11 @@
 """Streams that break off, and what the next engine may answer when it is asked to go on."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
 import pytest
 
 from comfreyhatch.errors import HttpError
-from tests.platform_harness import API_KEY, HOST, PlatformHarness, running_harness
+from tests.platform_harness import API_KEY, HOST, PlatformHarness
 from tests.platform_raw_worker import answer_head, raw_workers, stream_head, success_head
 from tests.platform_worker import EVENTS_PER_STREAM
 
@@ -22,12 +22,6 @@
 Answer = Callable[[bytes], bytes]
 
 
-@pytest.fixture
-async def harness() -> AsyncIterator[PlatformHarness]:
-    async with running_harness() as running:
-        yield running
-
-
 def server_error(head: bytes) -> bytes:
     return answer_head(head, b"500 Failed", b"server-stamp: s", b"content-length: 6") + b"failed"
 
--- a/tests/test_stream_proxy.py
+++ b/tests/test_stream_proxy.py
@@ -1,12 +1,11 @@
 """Streams of workers that send bytes without end, but no further event."""
 
 import asyncio
-from collections.abc import AsyncIterator
 
 import pytest
 
 from comfreyhatch.errors import HttpError
-from tests.platform_harness import PlatformHarness, config, running_harness
+from tests.platform_harness import PlatformHarness, config
 from tests.platform_raw_worker import raw_workers, stream_head
 from tests.platform_worker import EVENTS_PER_STREAM
 
@@ -14,12 +13,6 @@
 FILL = b"x" * 65536
 
 
-@pytest.fixture
-async def harness() -> AsyncIterator[PlatformHarness]:
-    async with running_harness() as running:
-        yield running
-
-
 def one_event_head(head: bytes) -> bytes:
     return stream_head(head) + EVENTS[0]
 
--- a/tests/test_undecided_rollouts.py
+++ b/tests/test_undecided_rollouts.py
@@ -2,25 +2,18 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator
 
 import pytest
 
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.exchange.rollouts import SERVICE_CHECK_INTERVAL_S
-from tests.platform_harness import PlatformHarness, running_harness
+from tests.platform_harness import PlatformHarness
 from tests.platform_worker import StandInWorker
 
 OVER_S = 3
 Counts = dict[str, dict[str, int]]
 
 
-@pytest.fixture
-async def harness() -> AsyncIterator[PlatformHarness]:
-    async with running_harness() as running:
-        yield running
-
-
 async def start_rollout(harness: PlatformHarness) -> tuple[int, StandInWorker]:
     """Order a roll-out and wait until it runs; return the order's revision and a new endpoint."""
     new = await harness.add_worker("engine-3", "engines", "v2")
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -1,23 +1,15 @@
 """Answers with neither a length nor chunks, which end with their connection."""
 
-from collections.abc import AsyncIterator
-
 import pytest
 
 from comfreyhatch.errors import HttpError
-from tests.platform_harness import PlatformHarness, running_harness
+from tests.platform_harness import PlatformHarness
 from tests.platform_raw_worker import raw_workers, stream_head, success_head
 from tests.platform_worker import EVENTS_PER_STREAM
 
 EVENTS = [b"id: %d\ndata: small\n\n" % n for n in range(1, EVENTS_PER_STREAM + 1)]
 
 
-@pytest.fixture
-async def harness() -> AsyncIterator[PlatformHarness]:
-    async with running_harness() as running:
-        yield running
-
-
 async def test_answer_without_length_or_chunks_is_passed_on_whole(harness: PlatformHarness) -> None:
     def whole(head: bytes) -> bytes:
         return success_head(head) + b"booked"
