--- a/comfreyhatch/decisions/waiting.py
+++ b/comfreyhatch/decisions/waiting.py
@@ -32,7 +32,7 @@
 
     Attributes:
         number: Unique number in order of arrival.
-        resumes: Whether its caller already holds part of the answer.
+        resumes: Whether an earlier answer of it was begun or given up.
         rank: Urgency of the workspace, or of the route if it has none; 0 is the most urgent.
         route_rank: Urgency of the route.
         due_at: Monotonic time until which an answer is on time, in seconds.
@@ -61,7 +61,7 @@
 
     Args:
         job: The request.
-        resumes: Whether its caller already holds part of the answer.
+        resumes: Whether an earlier answer of it was begun or given up.
         now: Monotonic time in seconds.
     """
     if resumes:
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -142,7 +142,7 @@
                 once, for other attempts of the request that wait with the same set.
             work_s: Time that an idle endpoint needs for it, in seconds; 0 for the mean service
                 time.
-            resumes: Whether its caller already holds part of the answer.
+            resumes: Whether an earlier answer of it was begun or given up.
             max_silent_s: Silence from which endpoints are avoided while there are others, in
                 seconds; None for no bound.
 
--- a/comfreyhatch/exchange/stream_retries.py
+++ b/comfreyhatch/exchange/stream_retries.py
@@ -1,4 +1,4 @@
-"""Decides on the further attempts of streamed requests, and pays for them."""
+"""Decides on further attempts of streamed requests, and reserves the extra requests for them."""
 
 import asyncio
 import logging
@@ -57,7 +57,7 @@
             if not stream.may_attempt(now + RESUME_PAUSE_S):
                 return False
             await asyncio.sleep(RESUME_PAUSE_S)
-        while not self._pay(stream):
+        while not self._reserve_retry(stream):
             if not await self.pause_before_resume(stream, "the budget of extra requests is spent"):
                 return False
         return True
@@ -73,7 +73,7 @@
                 _log_not_counted(stream, endpoint)
         stream.endpoint_by_broken.clear()
 
-    def _pay(self, stream: StreamState) -> bool:
+    def _reserve_retry(self, stream: StreamState) -> bool:
         """Reserve a retry, unless one is; return whether the budget allows it."""
         # An attempt without a connection reached no endpoint, so its retry needs no budget.
         if isinstance(stream.error, EndpointUnreachableError):
