--- a/comfreyhatch/adapters/http_connection.py
+++ b/comfreyhatch/adapters/http_connection.py
@@ -99,7 +99,7 @@
                 are in force as it begins.
             reader: What the caller sends.
             writer: What is sent to the caller.
-            outlives_caller: Whether a request is handled to its end after its caller has left.
+            outlives_caller: Returns whether a request is handled to its end after its caller left.
         """
         self._outlives_caller = outlives_caller
         self._cancellable = True
--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -36,7 +36,7 @@
             handler: Answers requests.
             limits: Limits of the listener.
             cancel_on_disconnect: Whether the handler is cancelled when its caller goes away.
-            outlives_caller: Whether a request is an exception and handled to its end.
+            outlives_caller: Returns whether a request is handled to its end all the same.
         """
         self._outlives_caller = outlives_caller
         self._handler = handler
