--- a/tests/endpoint_logs.py
+++ b/tests/endpoint_logs.py
@@ -5,15 +5,7 @@
 
 from msgspec import Struct
 
-from tests.platform_processes import (
-    DEADLINE_S,
-    MAX_ATTEMPTS_BY_KIND,
-    RATIO,
-    SERVICE_BY_KIND,
-    SLACK,
-    WINDOW_S,
-    Fleet,
-)
+from tests.platform_processes import MAX_ATTEMPTS_BY_KIND, SERVICE_BY_KIND, Call, Fleet
 
 # Time that a request may stay at work at an endpoint after it went on at another one.
 TWICE_SLACK_S = 0.4
@@ -38,7 +30,7 @@
 
 
 class Window(Struct):
-    """A span of `WINDOW_S` and the repeats that a service got in it."""
+    """A span of the budget and the repeats that a service got in it."""
 
     service: str
     start: float
@@ -63,7 +55,10 @@
 def too_many_endpoints(fleet: Fleet) -> list[str]:
     """BUDGET: requests that ran at more endpoints than their route's attempts."""
     runs = runs_by_id(fleet)
-    at_by_id = {call.id: {run.endpoint for run in runs[call.id]} for call in fleet.calls}
+    at_by_id = {
+        call.id: {run.endpoint for run in runs[call.id] if not _was_killed(fleet, run, call)}
+        for call in fleet.calls
+    }
     return [
         f"{call.id} ran at {sorted(at_by_id[call.id])}"
         for call in fleet.calls
@@ -71,6 +66,12 @@
     ]
 
 
+def _was_killed(fleet: Fleet, run: Run, call: Call) -> bool:
+    """Return whether the endpoint of a run was killed before its request ended."""
+    kills = fleet.endpoint_by_id[run.endpoint].kills
+    return any(run.began <= killed <= call.ended for killed in kills)
+
+
 def repeats_beyond_budget(fleet: Fleet) -> list[str]:
     """BUDGET: the windows in which a service got more repeats than its budget allows."""
     return [str(window) for window in repeat_windows(fleet) if window.repeats > window.allowed]
@@ -79,27 +80,27 @@
 def repeat_windows(fleet: Fleet) -> list[Window]:
     """Return the windows that begin with a repeat."""
     found = []
+    plan = fleet.plan
+    shifts = (0.0, plan.window_s / 2, plan.window_s)
     for service in sorted(set(SERVICE_BY_KIND.values())):
         sent, repeats = _arrivals(fleet, service)
         for start in repeats:
-            extra = sum(start <= t < start + WINDOW_S for t in repeats)
-            shifts = (0.0, WINDOW_S / 2, WINDOW_S)
-            counts = [sum(start <= t + s < start + WINDOW_S for t in sent) for s in shifts]
-            found.append(Window(service, start, extra, RATIO * max(counts) + SLACK))
+            extra = sum(start <= t < start + plan.window_s for t in repeats)
+            counts = [sum(start <= t + s < start + plan.window_s for t in sent) for s in shifts]
+            found.append(Window(service, start, extra, plan.ratio * max(counts) + plan.slack))
     return found
 
 
 def _arrivals(fleet: Fleet, service: str) -> tuple[list[float], list[float]]:
     """Return when requests for a service were sent, and when others than their firsts arrived."""
-    arrived = [event for event in fleet.events() if event.event == "arrived"]
+    arrived = [event for event in fleet.events() if event.event == "read"]
     mine = [e for e in arrived if fleet.endpoint_by_id[e.endpoint].service == service]
     first_by_id = {event.id: event for event in reversed(mine)}
     anywhere = {event.id for event in arrived}
     sent = [
         call.sent
         for call in fleet.calls
-        if call.id in first_by_id
-        or (call.id not in anywhere and SERVICE_BY_KIND[call.kind] == service)
+        if call.id in first_by_id or (call.id not in anywhere and fleet.routed_to(call) == service)
     ]
     return sent, [event.t for event in mine if event is not first_by_id[event.id]]
 
@@ -108,12 +109,19 @@
     """LOST: requests that reached an endpoint and ended early without a complete answer."""
     reached = {event.id for event in fleet.events() if event.event == "arrived"}
     return [
-        f"{call.id} {call.kind} {call.outcome} kept={call.kept} at {call.used_share:.2f}"
+        f"{call.id} {call.kind} {call.outcome} kept={call.kept} at {_used_share(fleet, call):.2f}"
         for call in fleet.calls
-        if call.id in reached and call.outcome != "complete" and call.used_share < LATE_SHARE
+        if call.id in reached
+        and call.outcome != "complete"
+        and _used_share(fleet, call) < LATE_SHARE
     ]
 
 
+def _used_share(fleet: Fleet, call: Call) -> float:
+    """Return the share of its time that a request had used as it ended."""
+    return (call.ended - call.sent) / fleet.plan.deadline_s
+
+
 def cut_and_left(fleet: Fleet) -> list[str]:
     """LOST: broken answers whose last run had been ended early, at an endpoint that is sound."""
     runs = runs_by_id(fleet)
@@ -121,7 +129,7 @@
         f"{call.id} sent {call.sent:.2f}, broken {call.ended:.2f}, last {runs[call.id][-1]}"
         for call in fleet.calls
         if call.outcome == "broken"
-        and runs[call.id][-1].ended - call.sent < LATE_SHARE * DEADLINE_S
+        and runs[call.id][-1].ended - call.sent < LATE_SHARE * fleet.plan.deadline_s
     ]
 
 
--- a/tests/endpoint_process.py
+++ b/tests/endpoint_process.py
@@ -1,10 +1,13 @@
 """A stand-in of the platform's workers as a process of its own, which logs what it sees.
 
 Run as `python -m tests.endpoint_process ID LOG OPTIONS`. The log has one JSON object a line, with
-the monotonic time `t` that all processes of the machine share.
+the monotonic time `t` that all processes of the machine share. It refuses requests from SIGUSR1
+until SIGUSR2.
 """
 
 import asyncio
+import re
+import signal
 import socket
 import sys
 import time
@@ -31,6 +34,9 @@
 LOW_CONFIDENCE = 20
 HIGH_CONFIDENCE = 95
 
+METHODS = (b"GET ", b"POST ")
+_HEADER = re.compile(rb"\r\n([a-z-]+): *([^\r]*)")
+
 Log = Callable[..., None]
 
 peer_port: ContextVar[int] = ContextVar("peer_port", default=0)
@@ -67,6 +73,14 @@
         self._port = transport.get_extra_info("peername")[1]
         super().connection_made(transport)
 
+    def data_received(self, data: bytes) -> None:
+        # Logged here, as the server drops a request whose connection has been reset by the time
+        # at which it is parsed, while other programs run it.
+        if data.startswith(METHODS):
+            values = dict(_HEADER.findall(data.lower()))
+            self.log("read", port=self._port, id=values.get(b"attempt-id", b"").decode())
+        super().data_received(data)
+
     def eof_received(self) -> bool | None:
         self._saw_end = True
         self.log("end_of_file", port=self._port)
@@ -176,7 +190,11 @@
         def log(event: str, **values: object) -> None:
             file.write(encode({"t": time.monotonic(), "event": event, **values}) + b"\n")
 
-        await LoggedWorker(worker_id, log, options).listen(options.backlog)
+        worker = LoggedWorker(worker_id, log, options)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGUSR1, setattr, worker, "room", 0)
+        loop.add_signal_handler(signal.SIGUSR2, setattr, worker, "room", options.capacity)
+        await worker.listen(options.backlog)
         await asyncio.Event().wait()
 
 
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -2,40 +2,40 @@
 
 import asyncio
 import os
-import signal
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
 from random import Random
 from time import monotonic
 
-from msgspec import Struct
-from msgspec.json import decode, encode
+from msgspec import Struct, field
 
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import HttpError
 from tests.endpoint_process import EndpointOptions
+from tests.endpoint_processes import START_TIMEOUT_S, EndpointEvent, EndpointProcess
 from tests.platform_harness import API_KEY, HOST, config
 from tests.platform_store import StandInStore
-from tests.platform_worker import StandInWorker
 from tests.processes import DaemonProcess
 
-START_TIMEOUT_S = 20.0
 POLL_S = 0.05
 SIZE_BY_SERVICE = {"engines": 5, "desk": 3}
-DAEMONS = 2
 # First of four ports of each daemon, which has a loopback address of its own.
 PORT = 21001
-RATIO = 0.15
-SLACK = 6
-WINDOW_S = 6.0
 # From one silence to the next, which lets what one delays fall together with the next.
 PERIOD_S = 6.0
 # Load from the begin of the last silence.
 TAIL_S = 3.0
-DEADLINE_S = 5.0
+# Silences of a play with mixed disturbances.
+SHORTEST_S = 0.5
+LONGEST_S = 6.0
+LONGEST_DOWN_S = 2.0
+# Share of the disturbances that come with a new configuration, and of the ends that are kills.
+CHANGED_SHARE = 0.4
+KILLED_SHARE = 0.7
 KEPT_SHARE = 0.8
 RATES = {"stream": 24.0, "read": 30.0, "pay": 12.0}
 PATH_BY_KIND = {"stream": "/draft/one", "read": "/read/one", "pay": "/pay/one"}
@@ -49,19 +49,24 @@
 ]
 
 
-class EndpointEvent(Struct):
-    """A line of an endpoint's log."""
+class FleetPlan(Struct):
+    """What a fleet consists of, and what its callers ask for.
 
-    t: float
-    event: str
-    port: int
-    id: str = ""
-    method: str = ""
-    model: str = ""
-    last: str = ""
-    deadline_ms: str = ""
-    how: str = ""
-    endpoint: str = ""
+    Attributes:
+        daemons: Number of daemons.
+        endpoints: How the endpoints behave.
+        ratio: Repeats that the budget allows for each request.
+        slack: Repeats that it allows besides.
+        window_s: Window in which it is counted, in seconds.
+        deadline_s: Time that callers give a request, in seconds.
+    """
+
+    daemons: int = 2
+    endpoints: EndpointOptions = field(default_factory=EndpointOptions)
+    ratio: float = 0.15
+    slack: int = 6
+    window_s: float = 6.0
+    deadline_s: float = 5.0
 
 
 class Call(Struct):
@@ -71,100 +76,60 @@
     kind: str
     kept: bool
     sent: float
+    host: str
     ended: float = 0.0
     status: int = 0
     outcome: str = "nothing"
     reason: str = ""
 
-    @property
-    def used_share(self) -> float:
-        return (self.ended - self.sent) / DEADLINE_S
-
-
-class EndpointProcess:
-    """An endpoint's process, its log, and the times for which it was stopped."""
-
-    def __init__(self, worker_id: str, service: str, folder: Path) -> None:
-        self.worker_id = worker_id
-        self.service = service
-        self.log_path = folder / f"{worker_id}.jsonl"
-        self.stops: list[tuple[float, float]] = []
-        self._process: DaemonProcess | None = None
-
-    async def start(self, options: EndpointOptions) -> dict[str, object]:
-        """Start the process; return the row that it registers in the store."""
-        self.log_path.touch()
-        command = ("tests.endpoint_process", self.worker_id, str(self.log_path), encode(options))
-        # Stopped processes get SIGHUP when their group's last parent outside of it ends.
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", *command, start_new_session=True
-        )
-        self._process = DaemonProcess(process, self.log_path)
-        async with asyncio.timeout(START_TIMEOUT_S):
-            while not (found := self.events()):
-                await asyncio.sleep(POLL_S)
-        worker = StandInWorker(self.worker_id)
-        worker.address = Address("127.0.0.1", found[0].port)
-        return worker.record(self.service, "a") | {"capacity": options.capacity}
-
-    def events(self) -> list[EndpointEvent]:
-        lines = self.log_path.read_bytes().splitlines()
-        found = [decode(line, type=EndpointEvent) for line in lines]
-        for event in found:
-            event.endpoint = self.worker_id
-        return found
-
-    def signal(self, number: signal.Signals) -> None:
-        assert self._process
-        self._process.signal(number)
-
-    def awake_s(self, start: float, end: float) -> float:
-        """Return the part of a span for which the process was not stopped."""
-        stopped = sum(max(0.0, min(end, b) - max(start, a)) for a, b in self.stops)
-        return max(0.0, end - start) - stopped
-
-    async def close(self) -> None:
-        if self._process:
-            await self._process.kill()
-
 
 class Fleet:
     """Daemons, endpoints and a store, with callers.
 
     Attributes:
         endpoint_by_id: Processes of endpoints.
+        daemon_by_host: Processes of daemons that run.
+        plan: What it consists of.
         calls: Requests of callers so far.
         notes: Times and descriptions of what was done to the fleet.
+        read_services: Times from which reads were routed to a service, and the service.
     """
 
-    def __init__(self, folder: Path, seed: int) -> None:
+    def __init__(self, folder: Path, seed: int, plan: FleetPlan) -> None:
+        self.plan = plan
         self.rng = Random(seed)
+        # Of its own, so that the load doesn't change what is done to the fleet.
+        self._load_rng = Random(seed)
         self.endpoint_by_id: dict[str, EndpointProcess] = {}
+        self.daemon_by_host: dict[str, DaemonProcess] = {}
         self.calls: list[Call] = []
         self.notes: list[tuple[float, str]] = []
+        self.read_services: list[tuple[float, str]] = []
         self._folder = folder
         self._store = StandInStore()
         net = 20 + os.getpid() % 230
-        self._hosts = [f"127.{net}.{number}.1" for number in range(1, DAEMONS + 1)]
-        self._daemons: list[DaemonProcess] = []
+        self._hosts = [f"127.{net}.{number}.1" for number in range(1, plan.daemons + 1)]
         self._client = HttpClient()
         self._version = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self, options: EndpointOptions) -> None:
-        address = await self._store.start()
+    async def start(self) -> None:
+        await self._store.start()
         self.configure()
         for service, size in SIZE_BY_SERVICE.items():
             for number in range(1, size + 1):
                 endpoint = EndpointProcess(f"{service}-{number}", service, self._folder)
                 self.endpoint_by_id[endpoint.worker_id] = endpoint
-                self._store.put("servers", endpoint.worker_id, await endpoint.start(options))
+                await self._start_endpoint(endpoint)
         for host in self._hosts:
-            await self._start_daemon(host, address)
+            await self._start_daemon(host)
         for host in self._hosts:
             await self._wait_ready(Address(host, PORT + 1))
 
-    async def _start_daemon(self, host: str, store: Address) -> None:
+    async def _start_endpoint(self, endpoint: EndpointProcess) -> None:
+        self._store.put("servers", endpoint.worker_id, await endpoint.start(self.plan.endpoints))
+
+    async def _start_daemon(self, host: str) -> None:
         lines = [
             f"node_name={host}",
             f"ip={host}",
@@ -176,21 +141,21 @@
             f"bind.control={host}:{PORT + 2}",
             f"port_range={PORT + 3},{PORT + 3}",
             f"seeds={','.join(f'{host}:{PORT + 2}' for host in self._hosts)}",
-            f"platform.address={store}",
+            f"platform.address={self._store.address}",
             "heartbeat_ms=300",
-            f"bounds.retry_budget_ratio={RATIO}",
-            f"bounds.retry_slack={SLACK}",
-            f"bounds.budget_window_s={WINDOW_S}",
+            f"bounds.retry_budget_ratio={self.plan.ratio}",
+            f"bounds.retry_slack={self.plan.slack}",
+            f"bounds.budget_window_s={self.plan.window_s}",
         ]
         settings = self._folder / f"{host}.conf"
         settings.write_text("\n".join(lines))
         env = {**os.environ, "COMFREYHATCH_SETTINGS": str(settings)}
         log_path = self._folder / f"{host}.log"
-        with log_path.open("wb") as log:
+        with log_path.open("ab") as log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "comfreyhatch.platform.start", stdout=log, stderr=log, env=env
             )
-        self._daemons.append(DaemonProcess(process, log_path))
+        self.daemon_by_host[host] = DaemonProcess(process, log_path)
 
     async def _wait_ready(self, address: Address) -> None:
         async with asyncio.timeout(START_TIMEOUT_S):
@@ -207,8 +172,8 @@
             task.cancel()
         self._client.close()
         for endpoint in self.endpoint_by_id.values():
-            await endpoint.close()
-        for daemon in self._daemons:
+            await endpoint.kill()
+        for daemon in self.daemon_by_host.values():
             await daemon.kill()
         await self._store.stop()
 
@@ -217,6 +182,12 @@
         found = [event for e in self.endpoint_by_id.values() for event in e.events()]
         return sorted(found, key=lambda event: event.t)
 
+    def routed_to(self, call: Call) -> str:
+        """Return the service to which the newest configuration sent a request as it was made."""
+        if call.kind != "read":
+            return SERVICE_BY_KIND[call.kind]
+        return [service for at, service in self.read_services if at <= call.sent][-1]
+
     def configure(self, **changes: object) -> None:
         """Store a new configuration.
 
@@ -230,26 +201,79 @@
         )
         for route, attempts in zip(found["routes"], MAX_ATTEMPTS_BY_KIND.values(), strict=True):
             route["max_attempts"] = attempts
-        found["routes"][1]["service"] = changes.get("read_service", "desk")
+        read_service = str(changes.get("read_service", SERVICE_BY_KIND["read"]))
+        found["routes"][1]["service"] = read_service
+        self.read_services.append((monotonic(), read_service))
         limits = {**found["limits"], "idle_timeout_ms": changes.get("idle_timeout_ms", 15000)}
         self._store.put("op", "config", {**found, "limits": limits})
         self._note(f"configuration {self._version} {changes}")
 
+    def _chosen(self, service: str, share: float) -> list[EndpointProcess]:
+        """Return a share of a service's endpoints, of those that run."""
+        mine = [e for e in self.endpoint_by_id.values() if e.service == service]
+        found = [e for e in mine if e.runs]
+        return self.rng.sample(found, min(len(found), round(share * len(mine))))
+
     async def silence(self, service: str, share: float, for_s: float) -> None:
         """Stop a share of a service's endpoints for a time."""
-        found = [e for e in self.endpoint_by_id.values() if e.service == service]
-        chosen = self.rng.sample(found, round(share * len(found)))
-        self._note(f"stopped {','.join(e.worker_id for e in chosen)} for {for_s:.2f} s")
-        stopped_at = monotonic()
-        for endpoint in chosen:
-            endpoint.signal(signal.SIGSTOP)
+        chosen = self._chosen(service, share)
+        self._note(f"stopped {_ids(chosen)} for {for_s:.2f} s")
+        await asyncio.gather(*(endpoint.silence(for_s) for endpoint in chosen))
+        self._note(f"continued {_ids(chosen)}")
+
+    async def refuse(self, service: str, share: float, for_s: float) -> None:
+        """Let a share of a service's endpoints refuse all requests for a time."""
+        chosen = self._chosen(service, share)
+        self._note(f"{_ids(chosen)} refuse for {for_s:.2f} s")
+        await asyncio.gather(*(endpoint.refuse(for_s) for endpoint in chosen))
+
+    async def crash(self, service: str, down_s: float) -> None:
+        """Kill an endpoint, and start it again later."""
+        chosen = self._chosen(service, 1.0)
+        if not chosen:
+            return
+        endpoint = chosen[0]
+        self._note(f"killed {endpoint.worker_id}, down for {down_s:.2f} s")
+        await endpoint.kill()
+        await asyncio.sleep(down_s)
+        await self._start_endpoint(endpoint)
+        self._note(f"started {endpoint.worker_id}")
+
+    async def silence_daemons(self, share: float, for_s: float) -> None:
+        """Stop a share of the daemons for a time."""
+        running = self._running_hosts()
+        hosts = self.rng.sample(running, min(len(running), max(1, round(share * len(self._hosts)))))
+        self._note(f"stopped daemons {','.join(hosts)} for {for_s:.2f} s")
+        processes = [self.daemon_by_host[host] for host in hosts]
+        for process in processes:
+            process.suspend()
         try:
             await asyncio.sleep(for_s)
         finally:
-            for endpoint in chosen:
-                endpoint.signal(signal.SIGCONT)
-                endpoint.stops.append((stopped_at, monotonic()))
-        self._note("continued")
+            for process in processes:
+                process.resume()
+        self._note(f"continued daemons {','.join(hosts)}")
+
+    async def restart_daemon(self, kill: bool, down_s: float) -> None:
+        """End a daemon, and start it again later.
+
+        Args:
+            kill: Whether it is killed; otherwise it shuts down.
+            down_s: Time from its end to its start, in seconds.
+        """
+        running = self._running_hosts()
+        if not running:
+            return
+        host = self.rng.choice(running)
+        process = self.daemon_by_host.pop(host)
+        self._note(f"{'killed' if kill else 'ends'} daemon {host}, down for {down_s:.2f} s")
+        await (process.kill() if kill else process.terminate())
+        await asyncio.sleep(down_s)
+        await self._start_daemon(host)
+        self._note(f"started daemon {host}")
+
+    def _running_hosts(self) -> list[str]:
+        return sorted(self.daemon_by_host)
 
     async def load(self, for_s: float) -> None:
         """Send requests at the rates of `RATES`, and wait until all have ended."""
@@ -260,29 +284,31 @@
 
     async def _send_kind(self, kind: str, ends: float) -> None:
         while monotonic() < ends:
-            kept = self.rng.random() < KEPT_SHARE
-            call = Call(f"{len(self.calls):016x}", kind, kept, monotonic())
+            kept = self._load_rng.random() < KEPT_SHARE
+            host = self._load_rng.choice(self._hosts)
+            call = Call(f"{len(self.calls):016x}", kind, kept, monotonic(), host)
             self.calls.append(call)
-            task = asyncio.create_task(self._send(call, self.rng.choice(self._hosts)))
+            task = asyncio.create_task(self._send(call))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(self.rng.expovariate(RATES[kind]))
+            await asyncio.sleep(self._load_rng.expovariate(RATES[kind]))
 
-    async def _send(self, call: Call, host: str) -> None:
+    async def _send(self, call: Call) -> None:
+        deadline_s = self.plan.deadline_s
         headers = {
             "host": HOST,
             "attempt-id": call.id,
-            "deadline-ms": str(int(DEADLINE_S * 1000)),
+            "deadline-ms": str(int(deadline_s * 1000)),
             "authorization": f"Bearer {API_KEY}",
         }
         if call.kind == "stream":
             headers |= {"model": "*", "token-counts": "1000,60"}
         method, body = ("GET", b"") if call.kind == "read" else ("POST", call.id.encode())
-        sent = (Address(host, PORT), method, PATH_BY_KIND[call.kind], body, headers)
+        sent = (Address(call.host, PORT), method, PATH_BY_KIND[call.kind], body, headers)
         try:
-            async with self._client.stream(*sent, DEADLINE_S + 2, not call.kept) as reply:
+            async with self._client.stream(*sent, deadline_s + 2, not call.kept) as reply:
                 call.status, call.outcome = reply.status, "broken"
-                await reply.whole(DEADLINE_S + 2, 1_000_000)
+                await reply.whole(deadline_s + 2, 1_000_000)
                 call.outcome = "complete"
         except HttpError as error:
             call.reason = repr(error)
@@ -293,23 +319,35 @@
         self.notes.append((monotonic(), text))
 
 
+def _ids(endpoints: list[EndpointProcess]) -> str:
+    return ",".join(endpoint.worker_id for endpoint in endpoints)
+
+
 @asynccontextmanager
 async def running_fleet(
-    folder: Path, seed: int, options: EndpointOptions | None = None
+    folder: Path, seed: int, plan: FleetPlan | None = None
 ) -> AsyncIterator[Fleet]:
     """Yield a fleet whose daemons are ready; the processes are ended at the end."""
-    fleet = Fleet(folder, seed)
+    fleet = Fleet(folder, seed, plan or FleetPlan())
     try:
-        await fleet.start(options or EndpointOptions())
+        await fleet.start()
         yield fleet
     finally:
         await fleet.close()
 
 
-async def play(fleet: Fleet, rounds: int, first_s: float) -> None:
+async def play(
+    fleet: Fleet, rounds: int, first_s: float, silence_s: tuple[float, float] = (1.0, 1.3)
+) -> None:
     """Send requests while all endpoints of a service, then 0.6 of them, and so on, fall silent.
 
     Each silence begins just after a new configuration, the first one after `first_s`.
+
+    Args:
+        fleet: The fleet.
+        rounds: Number of silences.
+        first_s: Time until the first one, in seconds.
+        silence_s: Shortest and longest silence, in seconds.
     """
     load_s = first_s + (rounds - 1) * PERIOD_S + TAIL_S
     load = asyncio.create_task(fleet.load(load_s))
@@ -320,5 +358,37 @@
         await asyncio.sleep(silent_at - fleet.rng.uniform(0.1, 0.6) - monotonic())
         fleet.configure(**CHANGES[number % len(CHANGES)])
         await asyncio.sleep(silent_at - monotonic())
-        await fleet.silence(service, 0.6 if number % 2 else 1.0, fleet.rng.uniform(1.0, 1.3))
+        await fleet.silence(service, 0.6 if number % 2 else 1.0, fleet.rng.uniform(*silence_s))
     await load
+
+
+async def play_mixed(fleet: Fleet, disturbances: int, first_s: float, mean_gap_s: float) -> None:
+    """Send requests while disturbances of all kinds come one after the other, and overlap."""
+    tasks = []
+    rng = fleet.rng
+    gaps = [first_s, *(rng.expovariate(1 / mean_gap_s) for _ in range(disturbances - 1))]
+    load = asyncio.create_task(fleet.load(sum(gaps) + LONGEST_S + TAIL_S))
+    for gap_s in gaps:
+        await asyncio.sleep(gap_s)
+        tasks.append(asyncio.create_task(_disturb(fleet)))
+        if rng.random() < CHANGED_SHARE:
+            fleet.configure(**rng.choice(CHANGES))
+    await asyncio.gather(load, *tasks)
+
+
+async def _disturb(fleet: Fleet) -> None:
+    """Disturb a part of the fleet that is drawn, for a time that is drawn."""
+    rng = fleet.rng
+    service = rng.choice(list(SIZE_BY_SERVICE))
+    share = rng.choice((0.4, 0.6, 1.0))
+    for_s = rng.uniform(SHORTEST_S, LONGEST_S)
+    down_s = rng.uniform(0.0, LONGEST_DOWN_S)
+    kinds = [
+        partial(fleet.silence, service, share, for_s),
+        partial(fleet.silence, service, share, for_s),
+        partial(fleet.refuse, service, share, for_s),
+        partial(fleet.crash, service, down_s),
+        partial(fleet.silence_daemons, share / 2, for_s),
+        partial(fleet.restart_daemon, rng.random() < KILLED_SHARE, down_s),
+    ]
+    await rng.choice(kinds)()
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -28,6 +28,18 @@
         self.log_path = log_path
         self.callers = Address("", 0)
         self.operators = Address("", 0)
+        self._suspensions = 0
+
+    def suspend(self) -> None:
+        """Stop the process until each suspension has ended."""
+        self._suspensions += 1
+        self.signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """End a suspension; the process goes on with the last one that overlaps."""
+        self._suspensions -= 1
+        if not self._suspensions and self.process.returncode is None:
+            self.signal(signal.SIGCONT)
 
     def signal(self, number: signal.Signals) -> None:
         self.process.send_signal(number)
--- a/tests/test_silent_processes.py
+++ b/tests/test_silent_processes.py
@@ -24,7 +24,7 @@
     too_many_endpoints,
 )
 from tests.endpoint_process import EndpointOptions
-from tests.platform_processes import Fleet, play, running_fleet
+from tests.platform_processes import Fleet, FleetPlan, play, running_fleet
 
 ROUNDS = 2
 LONG_ROUNDS = 4
@@ -53,7 +53,8 @@
 
     async def run() -> Fleet:
         options = EndpointOptions(half_close=True, escalating=0.0)
-        async with running_fleet(tmp_path_factory.mktemp("fleet"), SEED, options) as fleet:
+        plan = FleetPlan(endpoints=options)
+        async with running_fleet(tmp_path_factory.mktemp("fleet"), SEED, plan) as fleet:
             await play(fleet, ROUNDS, FIRST_S)
         return fleet
 
@@ -83,7 +84,7 @@
 
 async def main(folder: Path, options: EndpointOptions, seed: int) -> None:
     folder.mkdir(parents=True, exist_ok=True)
-    async with running_fleet(folder, seed, options) as fleet:
+    async with running_fleet(folder, seed, FleetPlan(endpoints=options)) as fleet:
         await play(fleet, LONG_ROUNDS, FIRST_S)
     print(f"== seed {seed}\n{summary(fleet)}", flush=True)
 
