--- a/comfreyhatch/decisions/extra_requests.py
+++ b/comfreyhatch/decisions/extra_requests.py
@@ -75,6 +75,11 @@
         allowed = self._ratio * len(self._requests) + slack
         return allowed - len(self._extra) - self._reserved
 
+    @property
+    def reserved(self) -> int:
+        """Number of extra requests that are reserved and have not arrived, as far as is known."""
+        return self._reserved
+
     def remaining_share(self, now: float) -> float:
         """Return the unspent share of the window's budget, 0 to 1."""
         remaining = self.remaining(now)
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -34,6 +34,7 @@
 from comfreyhatch.exchange.endpoint_paths import EndpointPaths
 from comfreyhatch.exchange.endpoint_rates import EndpointRates
 from comfreyhatch.exchange.evidence import EvidenceCollector
+from comfreyhatch.exchange.extra_request_metrics import ExtraRequestMetrics
 from comfreyhatch.exchange.header_codec import HeaderCodec
 from comfreyhatch.exchange.loop_lag import LoopLagMonitor
 from comfreyhatch.exchange.part_guard import PartGuard
@@ -113,6 +114,7 @@
         self._slack_from = slack_from
         self._budget_by_service: dict[str, ExtraRequestBudget] = {}
         self.registry = CollectorRegistry()
+        self._extra_requests = ExtraRequestMetrics(self.registry)
         self.view = FleetView()
         evidence = EvidenceCollector(deployment.instance, self.view)
         self._rollouts = RolloutController(deployment, directory, self.view, evidence)
@@ -385,6 +387,7 @@
                 self._slack_from,
             )
             self._budget_by_service[service] = budget
+            self._extra_requests.add(service, budget)
         budget.slack = self._extra_request_slack()
         return budget
 
