Count repeats until their endpoints have surely read them

Cause: an extra request left the daemon's window a window after it was given up, but an endpoint that is stopped has it in its sockets, and reads it only when it goes on. The endpoint's logs show 48 repeats read in one moment that had been sent, and given up, over the 5.5 s before; the daemons had counted 29 of these off and had sent others in their place. And which attempt is the repeat was taken from the order of sending: a first attempt that waits unread while its retry is answered elsewhere arrives later, with nothing reserved for it.

Change: a request's reservations stand for its attempts together (RequestArrivals), until all but one have arrived or never will. An attempt whose bytes were never written never arrives. That a retry of an unreachable attempt needs no budget follows from this, and needs no rule of its own.

At the time of the last reservation of those that arrive in a window, all others of that window are counted, whatever the silence. So no share of the budget was changed.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -262,11 +262,12 @@
         headers: Mapping[str, str] | Headers | None = None,
         timeout_s: float = 5.0,
         fresh_connection: bool = False,
+        note_sent: Callable[[], None] | None = None,
     ) -> AsyncIterator[StreamedReply]:
         """Send a request and give its answer piece by piece.
 
         The connection is kept if the answer was read to its end and it may be, and reset if the
-        request was given up.
+        request was given up. `note_sent` is called just before the first byte is written.
 
         Raises:
             ConnectError: If nothing was sent.
@@ -278,6 +279,8 @@
         try:
             if self._before_send:
                 self._before_send()
+            if note_sent:
+                note_sent()
             _write_request(link, method, target, body, full_headers(address, headers))
             head = await _final_head(link, asyncio.get_running_loop().time() + timeout_s)
             declared = None if method == "HEAD" else _declared_bytes(head.headers)
@@ -295,8 +298,7 @@
         try:
             link = await self._link(address, fresh=True)
         except ConnectError as error:
-            refused = isinstance(error.__cause__, ConnectionRefusedError)
-            return ConnectResult.REFUSED if refused else ConnectResult.NO_ANSWER
+            return ConnectResult.REFUSED if error.refused else ConnectResult.NO_ANSWER
         self._keep(address, link)
         return ConnectResult.OPEN
 
--- a/comfreyhatch/daemon/requests/forwarding.py
+++ b/comfreyhatch/daemon/requests/forwarding.py
@@ -142,6 +142,7 @@
         headers: Mapping[str, str] | Headers | None = None,
         timeout_s: float = 5.0,
         fresh_connection: bool = False,
+        note_sent: Callable[[], None] | None = None,
     ) -> _AsyncGeneratorContextManager[StreamedReply, None]:
         """Send a signed request; arguments and result are those of `HttpClient.stream`."""
         envelope = Envelope(str(address), target, self._hop, new_stamp())
@@ -149,7 +150,9 @@
         signed.append((HOP_HEADER.encode(), self._hop.encode()))
         signed.append((STAMP_HEADER.encode(), envelope.stamp.encode()))
         signed.append((SIGNATURE_HEADER.encode(), sign(self._key, envelope, body).encode()))
-        return super().stream(address, method, target, body, signed, timeout_s, fresh_connection)
+        return super().stream(
+            address, method, target, body, signed, timeout_s, fresh_connection, note_sent
+        )
 
 
 class Forwarder:
--- a/comfreyhatch/errors.py
+++ b/comfreyhatch/errors.py
@@ -100,6 +100,11 @@
 
     ran = Ran.NO
 
+    @property
+    def refused(self) -> bool:
+        """Whether nothing listens at the address, rather than that it did not answer."""
+        return isinstance(self.__cause__, ConnectionRefusedError)
+
 
 class ExchangeTimeoutError(HttpError):
     """The peer did not answer in time."""
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -21,6 +21,7 @@
 from comfreyhatch.decisions.path_probes import PathProbes
 from comfreyhatch.decisions.relay_choice import RelayChoice
 from comfreyhatch.decisions.trial_shares import canary_share
+from comfreyhatch.decisions.unread_attempts import UnreadAttempts
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.exchange import Job
 from comfreyhatch.domain.instance import Address
@@ -115,6 +116,7 @@
         self._budget_by_service: dict[str, ExtraRequestBudget] = {}
         self.registry = CollectorRegistry()
         self._extra_requests = ExtraRequestMetrics(self.registry)
+        self._unread = UnreadAttempts()
         self.view = FleetView()
         evidence = EvidenceCollector(deployment.instance, self.view)
         self._rollouts = RolloutController(deployment, directory, self.view, evidence)
@@ -130,7 +132,9 @@
         memory = AnswerMemory(deployment.memory_mb)
         self._limits = EndpointLimits(self._reports, self.registry)
         self._paths = EndpointPaths(self.view, self._client, self.registry)
-        self._path_monitor = PathMonitor(self.view, self._client, self._paths, PathProbes(rng))
+        self._path_monitor = PathMonitor(
+            self.view, self._client, self._paths, PathProbes(rng), self._unread
+        )
         self._relays = RelayClient(
             deployment.instance,
             HttpClient(connect_timeout_s=PEER_CONNECT_TIMEOUT_S),
@@ -147,6 +151,7 @@
             self._paths,
             self._relays,
             EndpointNotices(self.view, self._reports),
+            self._unread,
         )
         self._billing = Billing(deployment.instance, run, directory)
         probe = CrashProbe(self.view, sender.is_down, sender.is_unreachable, rng)
@@ -340,6 +345,7 @@
         gauge("rollouts_undecided", "Roll-outs not decided in time.", rollouts.undecided_count)
         gauge("rollouts_failing", "Completed ones whose version fails.", rollouts.failing_count)
         gauge("loop_lag_seconds", "Longest lag of the event loop.", age_s(self._loop_lag.longest_s))
+        gauge("unread_attempts", "Attempts that may arrive yet.", lambda: len(self._unread))
         if self._peers:
             peers = self._peers
             gauge("peer_answers", "Queries of peers answered.", lambda: peers.answers)
@@ -389,8 +395,15 @@
             self._budget_by_service[service] = budget
             self._extra_requests.add(service, budget)
         budget.slack = self._extra_request_slack()
+        self._expire_unread(monotonic())
         return budget
 
+    def _expire_unread(self, now: float) -> None:
+        """Stop counting attempts whose endpoints have been silent for too long."""
+        expired = self._unread.expire(now)
+        if expired:
+            log.warning("event=unread_attempts_expired attempts=%d", expired)
+
     def _extra_request_slack(self) -> float:
         """Return this daemon's part of `Bounds.retry_slack`."""
         daemons = max(
--- a/comfreyhatch/exchange/path_monitor.py
+++ b/comfreyhatch/exchange/path_monitor.py
@@ -7,6 +7,7 @@
 from comfreyhatch.adapters.http_client import ConnectResult, HttpClient
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.path_probes import PathProbes
+from comfreyhatch.decisions.unread_attempts import UnreadAttempts
 from comfreyhatch.exchange.endpoint_paths import EndpointPaths
 from comfreyhatch.exchange.periodic import PeriodicTask
 from comfreyhatch.exchange.view import FleetView
@@ -20,7 +21,12 @@
     """A task that probes silent services and lost endpoints."""
 
     def __init__(
-        self, view: FleetView, client: HttpClient, paths: EndpointPaths, probes: PathProbes
+        self,
+        view: FleetView,
+        client: HttpClient,
+        paths: EndpointPaths,
+        probes: PathProbes,
+        unread: UnreadAttempts,
     ) -> None:
         """Create it; the task is not started.
 
@@ -29,7 +35,9 @@
             client: Opens the connections, and keeps those that can be opened.
             paths: Which endpoints are within reach; updated.
             probes: Selects the endpoints to probe.
+            unread: Attempts that endpoints may not have read; updated.
         """
+        self._unread = unread
         self._view = view
         self._client = client
         self._paths = paths
@@ -93,6 +101,8 @@
         if result is ConnectResult.OPEN:
             self._paths.note_reached(endpoint, now)
             return
+        if result is ConnectResult.REFUSED:
+            self._unread.note_ended(endpoint.record.endpoint_id, now)
         if endpoint.lost_at is None:
             name = endpoint.record.endpoint_id
             log.info("event=probe_failed endpoint=%s result=%r", name, result.value)
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -14,6 +14,8 @@
 from comfreyhatch.codes import Ran
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
+from comfreyhatch.decisions.request_arrivals import AttemptArrival
+from comfreyhatch.decisions.unread_attempts import UnreadAttempts
 from comfreyhatch.domain.exchange import AnswerHead, Dispatch, Job
 from comfreyhatch.domain.relay import EndpointRequest, RequestAt
 from comfreyhatch.errors import (
@@ -146,6 +148,7 @@
         paths: EndpointPaths,
         relays: RelayClient,
         notices: EndpointNotices,
+        unread: UnreadAttempts,
     ) -> None:
         """Create a sender.
 
@@ -158,7 +161,9 @@
             paths: Notes which endpoints are within reach.
             relays: Sends requests by way of other daemons.
             notices: Learns what endpoints announce of themselves.
+            unread: Attempts that endpoints may not have read; updated.
         """
+        self._unread = unread
         self._paths = paths
         self._relays = relays
         self._notices = notices
@@ -174,6 +179,7 @@
         endpoint: EndpointTracker,
         dispatch: Dispatch,
         head_timeout_s: float,
+        arrival: AttemptArrival,
         fresh_connection: bool = False,
     ) -> StreamedAnswer:
         """Send a request and read the head of its answer.
@@ -183,6 +189,7 @@
             endpoint: Endpoint to send to; its health and load are updated.
             dispatch: Values of the headers for the endpoint.
             head_timeout_s: Longest wait for the head, in seconds.
+            arrival: Whether the attempt has arrived; updated.
             fresh_connection: Whether to open a new connection.
 
         Raises:
@@ -207,12 +214,20 @@
             )
 
         try:
-            reply = await stack.enter_async_context(self._exchange(endpoint, request_at))
+            reply = await stack.enter_async_context(self._exchange(endpoint, request_at, arrival))
             head = self._codec.read_head(reply.status, reply.headers)
             _require_own_answer(job, head)
+            arrival.note_read(loop.time())
             self._note_head(endpoint, head, sent_at, loop.time())
             await self._check(endpoint, head, reply)
         except HttpError as error:
+            if error.ran is Ran.NO:
+                arrival.note_gone()
+            elif arrival.is_relayed or isinstance(error, ExchangeTimeoutError):
+                self._give_up(endpoint, arrival)
+            else:
+                # The endpoint has ended the connection, or sent something.
+                arrival.note_read(loop.time())
             await stack.aclose()
             if isinstance(error, EndpointWithdrawnError):
                 endpoint.record_withdrawn(loop.time())
@@ -222,19 +237,28 @@
             self._count(AttemptOutcome.UNREACHABLE if unreachable else AttemptOutcome.LOST)
             raise _backend_error(error) from error
         except BackendError as error:
+            self._give_up(endpoint, arrival)
             await stack.aclose()
             refused = isinstance(error, BackendRefusedError)
             self._count(AttemptOutcome.REFUSED if refused else AttemptOutcome.FAILED)
             raise
         except BaseException:
+            self._give_up(endpoint, arrival)
             await stack.aclose()
             raise
         self._count(AttemptOutcome.ANSWERED if head.success else AttemptOutcome.FAILED)
         return StreamedAnswer(head, endpoint, reply, stack, self._memory)
 
+    def _give_up(self, endpoint: EndpointTracker, arrival: AttemptArrival) -> None:
+        """Note that an attempt is given up; it may arrive yet if it was sent and not answered."""
+        arrival.end_unsent()
+        if arrival.is_open:
+            now = asyncio.get_running_loop().time()
+            self._unread.add(endpoint.record.endpoint_id, arrival, now)
+
     @asynccontextmanager
     async def _exchange(
-        self, endpoint: EndpointTracker, request_at: RequestAt
+        self, endpoint: EndpointTracker, request_at: RequestAt, arrival: AttemptArrival
     ) -> AsyncIterator[StreamedReply]:
         """Send a request over this daemon's path, or by way of another daemon if that is lost."""
         loop = asyncio.get_running_loop()
@@ -242,23 +266,29 @@
             reply = None
             relayed = self._paths.is_relayed(endpoint, loop.time())
             if relayed:
-                reply = await self._send_by_relay(stack, endpoint, request_at)
+                reply = await self._send_by_relay(stack, endpoint, request_at, arrival)
             try:
                 if reply is None:
-                    reply = await self._send_directly(stack, endpoint, request_at(loop.time()))
+                    request = request_at(loop.time())
+                    reply = await self._send_directly(stack, endpoint, request, arrival)
             except ConnectError:
                 # The last path of the service may have been lost just now.
                 if relayed or not self._paths.is_relayed(endpoint, loop.time()):
                     raise
-                reply = await self._send_by_relay(stack, endpoint, request_at)
+                reply = await self._send_by_relay(stack, endpoint, request_at, arrival)
                 if reply is None:
                     raise
             yield reply
 
     async def _send_by_relay(
-        self, stack: AsyncExitStack, endpoint: EndpointTracker, request_at: RequestAt
+        self,
+        stack: AsyncExitStack,
+        endpoint: EndpointTracker,
+        request_at: RequestAt,
+        arrival: AttemptArrival,
     ) -> StreamedReply | None:
         """Return the answer by way of another daemon; None if none could send the request."""
+        arrival.note_relayed()
         try:
             reply = await stack.enter_async_context(self._relays.stream(endpoint, request_at))
         except NoRelayError as error:
@@ -268,7 +298,11 @@
         return reply
 
     async def _send_directly(
-        self, stack: AsyncExitStack, endpoint: EndpointTracker, request: EndpointRequest
+        self,
+        stack: AsyncExitStack,
+        endpoint: EndpointTracker,
+        request: EndpointRequest,
+        arrival: AttemptArrival,
     ) -> StreamedReply:
         """Return the answer over this daemon's own path."""
         loop = asyncio.get_running_loop()
@@ -283,10 +317,13 @@
                     request.headers,
                     request.timeout_s,
                     request.fresh_connection,
+                    arrival.note_sent,
                 )
             )
-        except ConnectError:
+        except ConnectError as error:
             self._paths.note_unreachable(endpoint, loop.time())
+            if error.refused:
+                self.note_refused(endpoint, loop.time())
             raise
         self._paths.note_answer(endpoint, sent_at, loop.time())
         return reply
@@ -311,10 +348,22 @@
 
     async def is_down(self, endpoint: EndpointTracker) -> bool:
         """Return whether an endpoint's process has ended: nothing listens at its address."""
-        return await self._client.is_refused(endpoint.record.address)
+        refused = await self._client.is_refused(endpoint.record.address)
+        if refused:
+            self.note_refused(endpoint, asyncio.get_running_loop().time())
+        return refused
+
+    def note_refused(self, endpoint: EndpointTracker, now: float) -> None:
+        """Note that nothing listens at an endpoint's address."""
+        self._unread.note_ended(endpoint.record.endpoint_id, now)
 
     async def fetch(
-        self, job: Job, endpoint: EndpointTracker, dispatch: Dispatch, timeout_s: float
+        self,
+        job: Job,
+        endpoint: EndpointTracker,
+        dispatch: Dispatch,
+        timeout_s: float,
+        arrival: AttemptArrival,
     ) -> BufferedAnswer:
         """Send a request and read its answer to the end.
 
@@ -323,13 +372,14 @@
             endpoint: Endpoint to send to; its health and load are updated.
             dispatch: Values of the headers for the endpoint.
             timeout_s: Time for the whole answer, in seconds.
+            arrival: Whether the attempt has arrived; updated.
 
         Raises:
             BackendRefusedError: If the endpoint did not run the request.
             BackendError: If the request may have run and there is no complete answer.
         """
         until = asyncio.get_running_loop().time() + timeout_s
-        answer = await self.open(job, endpoint, dispatch, timeout_s)
+        answer = await self.open(job, endpoint, dispatch, timeout_s, arrival)
         try:
             body = await answer.whole(until)
         except AnswerBrokenError as error:
@@ -361,6 +411,7 @@
         self, endpoint: EndpointTracker, head: AnswerHead, sent_at: float, now: float
     ) -> None:
         endpoint.last_received_at = now
+        self._unread.note_answer(endpoint.record.endpoint_id, sent_at, now)
         if not head.misdirected:
             self._limits.note_answer(endpoint, head, sent_at, now)
             self._notices.note_answer(endpoint, head, now)
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -90,7 +90,7 @@
             if not answer.head.success:
                 return await self._failed_response(stream, answer)
         finally:
-            stream.release_extra()
+            stream.arrivals.release_unused()
         stream.head = answer.head
         return HttpResponse(
             answer.head.status, headers=answer.head.headers, stream=self._relay(stream, answer)
@@ -166,9 +166,7 @@
         self._scheduler.pin_session(job, endpoint.record.version, lease.started)
         try:
             answer = await self._open_watched(stream, lease)
-            stream.note_arrived(loop.time())
         except BaseException as error:
-            stream.note_arrived(loop.time())
             stream.count_failure(endpoint, error)
             self._scheduler.release(lease)
             await self._crashes.end_failed(attempt, error)
@@ -254,9 +252,11 @@
             stream.last_event_id,
             engine_priority(job.rank, stream.head_sent),
         )
+        arrival = stream.arrival
+        assert arrival is not None
         opening = asyncio.create_task(
             self._sender.open(
-                job, lease.endpoint, dispatch, max(0.0, left_s), stream.fresh_connection
+                job, lease.endpoint, dispatch, max(0.0, left_s), arrival, stream.fresh_connection
             )
         )
         usual_s = self._latency_window(stream).quantile(FIRST_EVENT_QUANTILE)
@@ -273,6 +273,7 @@
                 # Retrieve the error: asyncio logs one that is never retrieved, as when the caller
                 # disconnects at the same moment.
                 opening.exception()
+            arrival.end_unsent()
         if opening.cancelled():
             now = asyncio.get_running_loop().time()
             error = AnswerBrokenError(f"no event received within {now - lease.started:.2f} s")
@@ -319,7 +320,7 @@
                     await self._close(stream, answer)
                 answer = await self._reopen(stream)
         finally:
-            stream.release_extra()
+            stream.arrivals.release_unused()
 
     def _note_broken(
         self, stream: StreamState, answer: StreamedAnswer, error: AnswerBrokenError
--- a/comfreyhatch/exchange/stream_retries.py
+++ b/comfreyhatch/exchange/stream_retries.py
@@ -6,7 +6,6 @@
 
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
-from comfreyhatch.errors import EndpointUnreachableError
 from comfreyhatch.exchange.crash_guard import CrashGuard
 from comfreyhatch.exchange.scheduler import EndpointScheduler
 from comfreyhatch.exchange.sender import Sender
@@ -57,7 +56,7 @@
             if not stream.may_attempt(now + RESUME_PAUSE_S):
                 return False
             await asyncio.sleep(RESUME_PAUSE_S)
-        while not self._reserve_retry(stream):
+        while not self.reserve(stream, asyncio.get_running_loop().time()):
             if not await self.pause_before_resume(stream, "the budget of extra requests is spent"):
                 return False
         return True
@@ -73,18 +72,9 @@
                 _log_not_counted(stream, endpoint)
         stream.endpoint_by_broken.clear()
 
-    def _reserve_retry(self, stream: StreamState) -> bool:
-        """Reserve a retry, unless one is; return whether the budget allows it."""
-        # An attempt without a connection reached no endpoint, so its retry needs no budget.
-        if isinstance(stream.error, EndpointUnreachableError):
-            return True
-        return self.reserve(stream, asyncio.get_running_loop().time())
-
     def reserve(self, stream: StreamState, now: float) -> bool:
-        """Reserve an extra request for the next attempt, unless one is; return whether one is."""
-        if stream.extra is None:
-            stream.extra = self._budget(stream.job.service).reserve(now)
-        return stream.extra is not None
+        """Reserve what the next attempt needs; return whether the budget allows it."""
+        return stream.arrivals.reserve(self._budget(stream.job.service), now)
 
     async def pause_before_resume(self, stream: StreamState, reason: str) -> bool:
         """Pause a stream that waits until its deadline; return whether it may then be resumed.
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -9,7 +9,7 @@
     CountedAttempt,
 )
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
-from comfreyhatch.decisions.extra_requests import ExtraRequest
+from comfreyhatch.decisions.request_arrivals import AttemptArrival, RequestArrivals
 from comfreyhatch.decisions.stall import StallLimits, stalled
 from comfreyhatch.domain.exchange import AnswerHead, Job
 from comfreyhatch.errors import (
@@ -34,8 +34,8 @@
         job: The request.
         account: Counts the attempts.
         counted: The current attempt in that account; None before the first.
-        extra: Extra request reserved for the next attempt; None if it needs none.
-        sent_extra: Extra request of the current attempt until it has arrived; None for none.
+        arrivals: Arrivals of the attempts.
+        arrival: Arrival of the current attempt; None before the first.
         excluded_ids: Endpoints that the next attempt leaves out.
         attempt: The current attempt, as it is followed for crashes; None before the first.
         attempted_ids: Endpoints of all attempts.
@@ -67,6 +67,8 @@
 
     __slots__ = (
         "account",
+        "arrival",
+        "arrivals",
         "attempt",
         "attempt_events",
         "attempt_relayed",
@@ -78,7 +80,6 @@
         "error",
         "events_relayed",
         "excluded_ids",
-        "extra",
         "fresh_connection",
         "gaps_s",
         "head",
@@ -92,7 +93,6 @@
         "max_silent_s",
         "model_index",
         "resumable",
-        "sent_extra",
         "slow",
         "stall_limits",
     )
@@ -102,8 +102,8 @@
         self.job = job
         self.account = AttemptAccount(max_attempts, max_attempts + MAX_REFUSED_ATTEMPTS)
         self.counted: CountedAttempt | None = None
-        self.extra: ExtraRequest | None = None
-        self.sent_extra: ExtraRequest | None = None
+        self.arrivals = RequestArrivals()
+        self.arrival: AttemptArrival | None = None
         self.excluded_ids: set[str] = set()
         self.attempt: GuardedAttempt | None = None
         self.attempted_ids: set[str] = set()
@@ -162,20 +162,7 @@
         self.fresh_connection = self.endpoint_id in self.attempted_ids
         self.attempted_ids.add(self.endpoint_id)
         self.account.note_placed()
-        self.sent_extra = self.extra
-        self.extra = None
-
-    def note_arrived(self, now: float) -> None:
-        """Note that the current attempt has arrived at its endpoint, or was given up."""
-        if self.sent_extra is not None:
-            self.sent_extra.note_arrived(now)
-            self.sent_extra = None
-
-    def release_extra(self) -> None:
-        """Give back an extra request whose attempt was not sent."""
-        if self.extra is not None:
-            self.extra.release()
-            self.extra = None
+        self.arrival = self.arrivals.begin()
 
     def count_failure(self, endpoint: EndpointTracker, error: BaseException) -> None:
         """Take the current attempt off the account, or keep it as one that may have run."""
--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -12,7 +12,8 @@
     CountedAttempt,
 )
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
-from comfreyhatch.decisions.extra_requests import ExtraRequest, ExtraRequestBudget
+from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
+from comfreyhatch.decisions.request_arrivals import AttemptArrival, RequestArrivals
 from comfreyhatch.decisions.retries import SampleWindow, hedge_delay_s
 from comfreyhatch.domain.exchange import Dispatch, Job
 from comfreyhatch.errors import (
@@ -106,18 +107,19 @@
                     # A hedge that was denied is not tried again.
                     call.hedged = True
         finally:
+            call.arrivals.release_unused()
             for task in tasks:
                 task.cancel()
 
     def _start_attempt(self, call: "_UnaryCall") -> "asyncio.Task[BufferedAnswer]":
-        """Start an attempt, by the extra request that was reserved for it, if any."""
-        extra, call.extra = call.extra, None
-        task = asyncio.create_task(self._attempt(call, call.account.decide(), extra))
-        task.add_done_callback(partial(_end_attempt, extra))
+        """Start an attempt."""
+        arrival = call.arrivals.begin()
+        task = asyncio.create_task(self._attempt(call, call.account.decide(), arrival))
+        task.add_done_callback(partial(_end_attempt, arrival))
         return task
 
     async def _attempt(
-        self, call: "_UnaryCall", counted: CountedAttempt, extra: ExtraRequest | None
+        self, call: "_UnaryCall", counted: CountedAttempt, arrival: AttemptArrival
     ) -> BufferedAnswer:
         """Send the request to one endpoint and return its answer."""
         loop = asyncio.get_running_loop()
@@ -133,7 +135,7 @@
         call.account.note_placed()
         attempt = self._crashes.begin(job, endpoint, started)
         try:
-            answer = await self._send_and_release(call, lease, extra, started)
+            answer = await self._send_and_release(call, lease, arrival, started)
         except ComfreyhatchError as error:
             _count_end(call.account, counted, error)
             _log_failure(job, endpoint.record.endpoint_id, error)
@@ -160,23 +162,21 @@
         return await self._scheduler.acquire(call.job, call.tried_ids)
 
     async def _send_and_release(
-        self, call: "_UnaryCall", lease: SlotLease, extra: ExtraRequest | None, now: float
+        self, call: "_UnaryCall", lease: SlotLease, arrival: AttemptArrival, now: float
     ) -> BufferedAnswer:
         try:
-            return await self._send(call, lease.endpoint, now)
+            return await self._send(call, lease.endpoint, arrival, now)
         finally:
             self._scheduler.release(lease)
-            if extra is not None:
-                extra.note_arrived(asyncio.get_running_loop().time())
 
     async def _send(
-        self, call: "_UnaryCall", endpoint: EndpointTracker, now: float
+        self, call: "_UnaryCall", endpoint: EndpointTracker, arrival: AttemptArrival, now: float
     ) -> BufferedAnswer:
         job = call.job
         left_s = job.deadline - now - DEADLINE_MARGIN_S
         dispatch = Dispatch(endpoint.record.endpoint_id, left_s, job.workspace)
         self._scheduler.pin_session(job, endpoint.record.version, now)
-        return await self._sender.fetch(job, endpoint, dispatch, max(0.0, left_s))
+        return await self._sender.fetch(job, endpoint, dispatch, max(0.0, left_s), arrival)
 
     def _take_hedge(self, call: "_UnaryCall") -> bool:
         """Return whether to send a hedged attempt, and reserve it in the budget."""
@@ -202,18 +202,14 @@
         account = call.account
         if account.failed_often or not account.allows_another(job.route.repeatable):
             return False
-        # An attempt without a connection reached no endpoint, so its retry needs no budget; a
-        # refused one has.
-        unreachable = isinstance(call.error, EndpointUnreachableError) and call.answer is None
-        if unreachable or self._reserve(call, now):
+        if self._reserve(call, now):
             return True
         _log_denied(job, call.account.counted)
         return False
 
     def _reserve(self, call: "_UnaryCall", now: float) -> bool:
         """Reserve an extra request for the next attempt; return whether the budget allows it."""
-        call.extra = self._budget(call.job.service).reserve(now)
-        return call.extra is not None
+        return call.arrivals.reserve(self._budget(call.job.service), now)
 
     def _hedge_delay_s(self, call: "_UnaryCall") -> float | None:
         """Return the wait before a hedged attempt; None if there is none."""
@@ -238,19 +234,19 @@
         job: The request.
         account: Counts the attempts.
         tried_ids: Endpoints that an attempt was given a slot of.
-        extra: Extra request reserved for the next attempt; None if it needs none.
+        arrivals: Arrivals of the attempts.
         hedged: Whether a hedged attempt was sent or denied; there is one at most.
         answer: Last failed answer of an endpoint.
         error: Error of the last attempt; None if it got an answer.
     """
 
-    __slots__ = ("account", "answer", "error", "extra", "hedged", "job", "tried_ids")
+    __slots__ = ("account", "answer", "arrivals", "error", "hedged", "job", "tried_ids")
 
     def __init__(self, job: Job) -> None:
         self.job = job
         self.account = AttemptAccount(job.route.max_attempts, MAX_REFUSED_ATTEMPTS)
         self.tried_ids: set[str] = set()
-        self.extra: ExtraRequest | None = None
+        self.arrivals = RequestArrivals()
         self.hedged = False
         self.answer: BufferedAnswer | None = None
         self.error: ComfreyhatchError | None = None
@@ -281,10 +277,9 @@
     return None
 
 
-def _end_attempt(extra: ExtraRequest | None, task: "asyncio.Task[BufferedAnswer]") -> None:
-    """Give back the extra request of an attempt that has ended, unless it was sent."""
-    if extra is not None:
-        extra.release()
+def _end_attempt(arrival: AttemptArrival, task: "asyncio.Task[BufferedAnswer]") -> None:
+    """Note that an attempt that has ended never arrives, unless it was sent."""
+    arrival.end_unsent()
     if not task.cancelled():
         # Retrieve the error, which was logged: asyncio logs one that is never retrieved, as when
         # the other attempt ends at the same moment.
