Don't take refusals over lost paths for ends of endpoints

A path that is cut may refuse connections itself, while the endpoint has what was sent to it by way of other daemons: its repeats counted as arrived from then on.

--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -132,9 +132,6 @@
         memory = AnswerMemory(deployment.memory_mb)
         self._limits = EndpointLimits(self._reports, self.registry)
         self._paths = EndpointPaths(self.view, self._client, self.registry)
-        self._path_monitor = PathMonitor(
-            self.view, self._client, self._paths, PathProbes(rng), self._unread
-        )
         self._relays = RelayClient(
             deployment.instance,
             HttpClient(connect_timeout_s=PEER_CONNECT_TIMEOUT_S),
@@ -153,6 +150,9 @@
             EndpointNotices(self.view, self._reports),
             self._unread,
         )
+        self._path_monitor = PathMonitor(
+            self.view, self._client, self._paths, PathProbes(rng), sender.note_refused
+        )
         self._billing = Billing(deployment.instance, run, directory)
         probe = CrashProbe(self.view, sender.is_down, sender.is_unreachable, rng)
         self._crashes = CrashGuard(
--- a/comfreyhatch/exchange/path_monitor.py
+++ b/comfreyhatch/exchange/path_monitor.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine, Iterable, Sequence
+from collections.abc import Callable, Coroutine, Iterable, Sequence
 
 from comfreyhatch.adapters.http_client import ConnectResult, HttpClient
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.path_probes import PathProbes
-from comfreyhatch.decisions.unread_attempts import UnreadAttempts
 from comfreyhatch.exchange.endpoint_paths import EndpointPaths
 from comfreyhatch.exchange.periodic import PeriodicTask
 from comfreyhatch.exchange.view import FleetView
@@ -26,7 +25,7 @@
         client: HttpClient,
         paths: EndpointPaths,
         probes: PathProbes,
-        unread: UnreadAttempts,
+        note_refused: Callable[[EndpointTracker, float], None],
     ) -> None:
         """Create it; the task is not started.
 
@@ -35,9 +34,9 @@
             client: Opens the connections, and keeps those that can be opened.
             paths: Which endpoints are within reach; updated.
             probes: Selects the endpoints to probe.
-            unread: Attempts that endpoints may not have read; updated.
+            note_refused: Notes that an endpoint refuses connections, at a time.
         """
-        self._unread = unread
+        self._note_refused = note_refused
         self._view = view
         self._client = client
         self._paths = paths
@@ -102,7 +101,7 @@
             self._paths.note_reached(endpoint, now)
             return
         if result is ConnectResult.REFUSED:
-            self._unread.note_ended(endpoint.record.endpoint_id, now)
+            self._note_refused(endpoint, now)
         if endpoint.lost_at is None:
             name = endpoint.record.endpoint_id
             log.info("event=probe_failed endpoint=%s result=%r", name, result.value)
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -354,8 +354,12 @@
         return refused
 
     def note_refused(self, endpoint: EndpointTracker, now: float) -> None:
-        """Note that nothing listens at an endpoint's address."""
-        self._unread.note_ended(endpoint.record.endpoint_id, now)
+        """Note that a connection to an endpoint was refused: nothing listens at its address.
+
+        While the paths to its whole service are lost, the refusal may come from the network.
+        """
+        if not self._paths.is_relayed(endpoint, now):
+            self._unread.note_ended(endpoint.record.endpoint_id, now)
 
     async def fetch(
         self,
