Count requests from when they came, not from when they were read

Cause: a daemon that goes on reads at once what its callers have sent all the while, and counted it as the requests of that moment: the budget of several windows in one. The rule counts requests when they are sent. Such a request also had its whole time from the moment of reading on.

Change: the kernel tells how long ago a connection's last byte came (TCP_INFO). Requests count, and their time runs, from then on; one that is read after its deadline is refused at once and not sent; one that another daemon asks to relay is not sent if it was read late, as the time in its headers is too long then.

--- a/comfreyhatch/adapters/http_connection.py
+++ b/comfreyhatch/adapters/http_connection.py
@@ -17,6 +17,7 @@
     HttpResponse,
     error_response,
 )
+from comfreyhatch.adapters.socket_times import since_last_byte_s
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.errors import BackendError, ComfreyhatchError, RequestError
 
@@ -218,7 +219,7 @@
             event = await self._next_event(wait)
         if not isinstance(event, h11.EndOfMessage):
             return None
-        return _request_of(first, bytes(body))
+        return _request_of(first, bytes(body), since_last_byte_s(self._writer.transport))
 
     async def _await_first_byte(self) -> bool:
         """Return whether a request begins; False when the connection closed or stayed idle."""
@@ -367,7 +368,7 @@
     return [(b"content-type", response.content_type.encode()), *headers]
 
 
-def _request_of(first: h11.Request, body: bytes) -> HttpRequest:
+def _request_of(first: h11.Request, body: bytes, waited_s: float) -> HttpRequest:
     target = urlsplit(first.target.decode("latin-1"))
     return HttpRequest(
         method=first.method.decode("ascii"),
@@ -380,4 +381,5 @@
         raw_query=target.query,
         target=first.target.decode("latin-1"),
         headers=list(first.headers),
+        waited_s=waited_s,
     )
--- a/comfreyhatch/adapters/http_message.py
+++ b/comfreyhatch/adapters/http_message.py
@@ -43,6 +43,7 @@
         raw_query: Query as sent.
         target: Path with query, as sent.
         headers: Headers in order, repeated ones too; names in lower case.
+        waited_s: Time from its last byte's arrival at this machine to its reading, in seconds.
     """
 
     method: str
@@ -53,6 +54,7 @@
     raw_query: str = ""
     target: str = ""
     headers: Headers = field(default_factory=list)
+    waited_s: float = 0.0
 
     def header(self, name: str, default: str = "") -> str:
         """Return a header's value by its name in lower case."""
--- a/comfreyhatch/decisions/extra_requests.py
+++ b/comfreyhatch/decisions/extra_requests.py
@@ -64,9 +64,15 @@
         self._extra: deque[float] = deque()
         self._reserved = 0
 
-    def record_request(self, now: float) -> None:
-        """Count a caller's request."""
-        self._requests.append(now)
+    def record_request(self, came_at: float) -> None:
+        """Count a caller's request from the time on at which it came, in seconds.
+
+        That of a request that was read late lies before those of others.
+        """
+        place = len(self._requests)
+        while place and self._requests[place - 1] > came_at:
+            place -= 1
+        self._requests.insert(place, came_at)
 
     def remaining(self, now: float) -> float:
         """Return how many extra requests are allowed now."""
--- a/comfreyhatch/domain/exchange.py
+++ b/comfreyhatch/domain/exchange.py
@@ -27,6 +27,7 @@
         body: Body.
         api_key: API key of the caller; empty if there is none.
         timeout_s: Time limit set by the caller, in seconds; None if it set none.
+        waited_s: Time from its arrival at this machine to its reading, in seconds.
         model: Model named by the caller; empty if none.
         prompt_tokens: Length of the prompt in tokens; 0 if unknown.
         output_tokens: Largest length of the answer in tokens; 0 if unknown.
@@ -45,6 +46,7 @@
     body: bytes
     api_key: str = ""
     timeout_s: float | None = None
+    waited_s: float = 0.0
     model: str = ""
     prompt_tokens: int = 0
     output_tokens: int = 0
--- a/comfreyhatch/exchange/relay_listener.py
+++ b/comfreyhatch/exchange/relay_listener.py
@@ -33,6 +33,8 @@
 
 # Answers that are relayed at once; each may take 128 KiB of memory.
 MAX_RELAYED = 64
+# Time after which a request that has come is not relayed any more, in seconds.
+MAX_WAITED_S = 0.25
 HTTP_SERVICE_UNAVAILABLE = 503
 FAILURE_HEADER = b"x-relay-failure"
 # Set for an answer of the endpoint; any other one is of a daemon that could not end its work.
@@ -95,6 +97,9 @@
             relayed = decode(request.body, type=EndpointRequest)
         except MsgspecError as error:
             return error_response(RequestError(str(error)))
+        if request.waited_s > MAX_WAITED_S:
+            # The time that its headers tell the endpoint was left as it came.
+            return self._fail(RelayFailure.BUSY)
         endpoint = self._view.tracker_by_id.get(relayed.start.rpartition("/")[0])
         failure = self._reason_not_to_send(endpoint, relayed.start)
         if failure is not None or endpoint is None:
--- a/comfreyhatch/exchange/router.py
+++ b/comfreyhatch/exchange/router.py
@@ -83,7 +83,7 @@
         Raises:
             NotReadyError: If no configuration is loaded, or if the loaded one may be outdated and
                 does not allow the request.
-            RefusedError: If the daemon shuts down.
+            RefusedError: If the daemon shuts down, or the request was read after its deadline.
             RequestError: If the configuration does not allow the request.
         """
         catalog = self._view.catalog
@@ -101,6 +101,7 @@
             raise RequestError("no route matches this host and path", ResultCode.NOT_FOUND)
         workspace = self._workspace(catalog, route, exchange, now)
         timeout_s = exchange.timeout_s if exchange.timeout_s is not None else route.timeout_s
+        came_at = now - exchange.waited_s
         job = Job(
             exchange=exchange,
             route=route,
@@ -108,10 +109,14 @@
             service=_service(route, exchange),
             rank=_rank(route, workspace),
             arrived=now,
-            deadline=now + min(timeout_s, route.timeout_s),
+            deadline=came_at + min(timeout_s, route.timeout_s),
             identity=request_identity(exchange),
         )
-        self._budget(job.service).record_request(now)
+        self._budget(job.service).record_request(came_at)
+        if exchange.waited_s and job.deadline <= now:
+            raise RefusedError(
+                "the request was read after its deadline", ResultCode.DEADLINE_EXCEEDED
+            )
         return job
 
     def _workspace(
--- a/comfreyhatch/platform/header_codec.py
+++ b/comfreyhatch/platform/header_codec.py
@@ -81,6 +81,7 @@
             body=request.body,
             api_key=_bearer_token(request.header("authorization")),
             timeout_s=_parse_ms(request.header("deadline-ms")),
+            waited_s=request.waited_s,
             model=request.header("model"),
             prompt_tokens=tokens[0] if tokens else 0,
             output_tokens=tokens[1] if len(tokens) > 1 else 0,
--- a/tests/test_extra_requests.py
+++ b/tests/test_extra_requests.py
@@ -34,6 +34,16 @@
     assert len(shares) == int(100 * RATIO * 0.85)
 
 
+def test_request_that_was_read_late_counts_from_the_time_on_at_which_it_came() -> None:
+    budget = ExtraRequestBudget(WINDOW_S, 2.0, 0.0)
+    budget.record_request(20.0)
+    for _ in range(5):
+        budget.record_request(11.0)
+        budget.record_request(9.0)
+    assert budget.remaining(20.0) == 6 * 2.0 * 0.85
+    assert budget.remaining(21.1) == 2.0 * 0.85
+
+
 @given(
     st.lists(
         st.tuples(
--- a/tests/test_repeat_processes.py
+++ b/tests/test_repeat_processes.py
@@ -40,6 +40,9 @@
     window_s=3.0,
     deadline_s=2.0,
 )
+# Callers that wait until the stopped daemon goes on, and longer than the window.
+STOPPED_S = 4.5
+STOPPED_PLAN = FleetPlan(ratio=0.5, window_s=2.0, deadline_s=6.0)
 Check = Callable[[Fleet], list[str]]
 # Callers of daemons that are killed get no answers, so that no check of answers applies.
 CHECKS: tuple[Check, ...] = (too_many_endpoints, repeats_beyond_budget, refused_though_run)
@@ -75,6 +78,22 @@
     assert not found, "\n".join(found)
 
 
+def test_requests_read_late_by_a_daemon_that_was_stopped_do_not_raise_its_budget(
+    tmp_path: Path,
+) -> None:
+    # They were sent before the window in which they are read, and refused all at once.
+    async def disturb(fleet: Fleet) -> None:
+        load = asyncio.create_task(fleet.load(FIRST_S + STOPPED_S + 2 * TAIL_S))
+        await asyncio.sleep(FIRST_S)
+        stopped = fleet.silence_daemons(0.5, STOPPED_S)
+        await asyncio.gather(stopped, fleet.refuse("desk", 1.0, STOPPED_S + TAIL_S))
+        await load
+
+    fleet = run_fleet(tmp_path, SEED, STOPPED_PLAN, disturb)
+    found = repeats_beyond_budget(fleet)
+    assert not found, "\n".join(found)
+
+
 @pytest.fixture(scope="module")
 def mixed(tmp_path_factory: pytest.TempPathFactory) -> Fleet:
     """Return a fleet after a short series of disturbances of all kinds."""
