Own fleet: count the time of requests from when they came

The new tests of the callers' listener fail before. Read only: the retry budget there is a token bucket whose burst bounds what requests that are read together may add.

--- a/comfreyhatch/daemon/requests/caller_request.py
+++ b/comfreyhatch/daemon/requests/caller_request.py
@@ -133,18 +133,20 @@
 
 
 def deadline_s(request: HttpRequest, contract: Contract) -> float:
-    """Return the time allowed for a request, in seconds: `x-deadline-s` or the contract's default.
+    """Return the time that a request has left, in seconds; none if it was read late.
+
+    It is allowed `x-deadline-s` or the contract's default from its arrival on.
 
     Raises:
         RequestError: If the header is malformed.
     """
     text = request.header("x-deadline-s")
     if not text:
-        return contract.default_deadline_s
+        return contract.default_deadline_s - request.waited_s
     try:
         allowed_s = float(text)
     except ValueError:
         raise RequestError("x-deadline-s is not a number of seconds") from None
     if not 0 < allowed_s < MAX_DEADLINE_S:
         raise RequestError(f"x-deadline-s is not between 0 and {MAX_DEADLINE_S}")
-    return allowed_s
+    return allowed_s - request.waited_s
--- a/comfreyhatch/daemon/requests/callers.py
+++ b/comfreyhatch/daemon/requests/callers.py
@@ -23,6 +23,7 @@
 )
 from comfreyhatch.daemon.requests.chat_format import buffer_completion, encode_events, model_list
 from comfreyhatch.daemon.requests.draft import RecordDraft
+from comfreyhatch.daemon.requests.refusals import check_deadline
 from comfreyhatch.daemon.requests.router import Router
 from comfreyhatch.daemon.requests.services import ServiceRouter
 from comfreyhatch.domain.contract import Contract
@@ -118,6 +119,7 @@
     ) -> HttpResponse:
         now = monotonic()
         call = parse_chat(request, request_id, contract, now)
+        check_deadline(call.deadline, now)
         draft = self._new_draft(request_id, contract, "chat", call.task, now, call.deadline)
         draft.session = call.session
         draft.critical = call.critical
@@ -149,6 +151,7 @@
             )
         call = service_request(request, request_id, path)
         deadline = now + deadline_s(request, contract)
+        check_deadline(deadline, now)
         draft = self._new_draft(request_id, contract, "service", name, now, deadline)
         draft.clause = f"services={','.join(contract.services)}"
         first_attempt = request.header(FIRST_ATTEMPT_HEADER) == "true"
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -184,6 +184,25 @@
     assert authenticate(known, CONFIG) is CONTRACT
 
 
+@pytest.mark.parametrize("path", [CHAT_PATH, "/services/booking/slots"])
+async def test_request_that_is_read_after_its_deadline_is_refused_as_not_run(
+    handler: CallerHandler, path: str
+) -> None:
+    late_s = CONTRACT.default_deadline_s + 0.1
+    response = await handler.handle(
+        HttpRequest("POST", path, {}, dict(AUTHORIZATION), GOOD_BODY, waited_s=late_s)
+    )
+    error = decode(response.body)["error"]
+    assert (error["code"], error["ran"]) == (ResultCode.DEADLINE_EXCEEDED, "no")
+
+
+def test_request_that_is_read_late_has_the_time_that_is_left() -> None:
+    late = request()
+    late.waited_s = 0.5
+    call = parse_chat(late, "r", CONTRACT, now=100.0)
+    assert call.deadline == 99.5 + CONTRACT.default_deadline_s
+
+
 def test_query_of_a_service_call_is_forwarded_unchanged() -> None:
     raw = "lane=4&lane=5&note=&at=10%3A30+b"
     sent = HttpRequest("GET", "/services/booking/slots", {}, {}, raw_query=raw)
