--- a/comfreyhatch/decisions/extra_requests.py
+++ b/comfreyhatch/decisions/extra_requests.py
@@ -4,9 +4,9 @@
 otherwise cause further failures and further retries. Each daemon spends its own part; the parts
 add up to the budget of the fleet without coordination between daemons.
 
-An extra request is reserved as it is decided, and counts until the window has passed since its
-answer began or it was given up. Those that wait for a slot, or for a silent endpoint, would
-otherwise arrive together with as many later ones.
+An extra request is reserved as it is decided, and counts until the window has passed since it has
+surely arrived. Those that wait for a slot, or unread at a silent endpoint, would otherwise arrive
+together with as many later ones.
 """
 
 from collections import deque
@@ -41,7 +41,7 @@
     """Counts requests of callers and extra requests to one service in a sliding window.
 
     An extra request is reserved: it counts from then on, and takes its place in the window when it
-    has arrived.
+    has surely arrived.
     """
 
     def __init__(
