Rested endpoints: let the test's service be slow enough for its check

Trace: callers of resting endpoints are told to come back one after the other, at the pace at which the service answers. The test's desks answered within a millisecond and have eight slots, so that 20 callers were spread over a few milliseconds; Retry-After has hundredths of a second. The times differed only if a hundredth passed between two of them: the check depended on the clock, not on the spread.

The desks now take 0.1 s, and the check wants the whole spread to be at least half of what the pace gives (0.12 s), which is stricter than two values that differ.

--- a/tests/test_resting_endpoints.py
+++ b/tests/test_resting_endpoints.py
@@ -10,6 +10,10 @@
 # Time after a refusal within which requests may still reach the endpoint, and how many may later.
 SLACK_S = 0.5
 MAX_REQUESTS = 2
+CALLERS = 20
+SERVICE_TIME_S = 0.1
+# Of both endpoints.
+SLOTS = 8
 
 
 @pytest.mark.parametrize(
@@ -51,17 +55,23 @@
 async def test_callers_are_refused_at_once_and_come_back_when_endpoints_have_rested(
     harness: PlatformHarness,
 ) -> None:
+    for name in ("desk-1", "desk-2"):
+        harness.worker_by_id[name].answer_delay_s = SERVICE_TIME_S
+    await asyncio.gather(*(harness.send("/read/x") for _ in range(10)))
+    for name in ("desk-1", "desk-2"):
+        harness.worker_by_id[name].received_at.clear()
     await rest_all(harness, f"{REST_S:g}")
     loop = asyncio.get_running_loop()
     sent_at = loop.time()
     replies = await asyncio.gather(
-        *(harness.send("/pay/x", deadline_ms="30000") for _ in range(20))
+        *(harness.send("/pay/x", deadline_ms="30000") for _ in range(CALLERS))
     )
     assert loop.time() - sent_at < 0.2
     assert {reply.status for reply in replies} == {503}
     times = [float(reply.header_by_name["retry-after"]) for reply in replies]
     assert min(times) > REST_S - 1.0
-    assert len(set(times)) > 1
+    # One after the other, at the speed of the service.
+    assert max(times) - min(times) >= 0.5 * (CALLERS - 1) * SERVICE_TIME_S / SLOTS
 
 
 async def test_short_rest_of_all_endpoints_is_waited_for(harness: PlatformHarness) -> None:
