--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -16,7 +16,6 @@
 from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.adapters.metrics import TooLargeAnswerMetrics, add_gauge
 from comfreyhatch.decisions.answer_memory import AnswerMemory
-from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
 from comfreyhatch.decisions.isolation import should_report_unready
 from comfreyhatch.decisions.path_probes import PathProbes
 from comfreyhatch.decisions.relay_choice import RelayChoice
@@ -35,7 +34,7 @@
 from comfreyhatch.exchange.endpoint_paths import EndpointPaths
 from comfreyhatch.exchange.endpoint_rates import EndpointRates
 from comfreyhatch.exchange.evidence import EvidenceCollector
-from comfreyhatch.exchange.extra_request_metrics import ExtraRequestMetrics
+from comfreyhatch.exchange.extra_request_budgets import ExtraRequestBudgets
 from comfreyhatch.exchange.header_codec import HeaderCodec
 from comfreyhatch.exchange.loop_lag import LoopLagMonitor
 from comfreyhatch.exchange.part_guard import PartGuard
@@ -78,8 +77,6 @@
 # checked. Callers that connect meanwhile wait instead of being refused for lack of a configuration.
 START_DIRECTORY_WAIT_S = 0.7
 START_CHECK_INTERVAL_S = 0.01
-# `Bounds.retry_slack` is divided among the known daemons, but among at least this many.
-MIN_DAEMONS_SHARING_SLACK = 6
 # Time for which a session is pinned after its last request began, in `Bounds.session_s`: its answer
 # may take as long as the pause after it.
 PIN_LIFE_SESSIONS = 2.0
@@ -112,12 +109,12 @@
                 `Bounds.retry_slack`.
         """
         self._deployment = deployment
-        self._slack_from = slack_from
-        self._budget_by_service: dict[str, ExtraRequestBudget] = {}
         self.registry = CollectorRegistry()
-        self._extra_requests = ExtraRequestMetrics(self.registry)
-        self._unread = UnreadAttempts()
         self.view = FleetView()
+        self._unread = UnreadAttempts()
+        self._budgets = ExtraRequestBudgets(
+            deployment, self.view.daemons, self._unread, self.registry, slack_from
+        )
         evidence = EvidenceCollector(deployment.instance, self.view)
         self._rollouts = RolloutController(deployment, directory, self.view, evidence)
         self._reports = PeerReports(monotonic())
@@ -212,7 +209,7 @@
             UnaryProxy(
                 self._scheduler,
                 sender,
-                self._extra_request_budget,
+                self._budgets.of,
                 evidence,
                 self._bill_request,
                 self._crashes,
@@ -220,13 +217,13 @@
             StreamProxy(
                 self._scheduler,
                 sender,
-                self._extra_request_budget,
+                self._budgets.of,
                 evidence,
                 self._bill_stream,
                 telemetry.count_cascade_answer,
                 self._crashes,
             ),
-            self._extra_request_budget,
+            self._budgets.of,
             telemetry,
         )
         self._callers = HttpServer(self._router.handle, _limits(deployment), True)
@@ -345,7 +342,6 @@
         gauge("rollouts_undecided", "Roll-outs not decided in time.", rollouts.undecided_count)
         gauge("rollouts_failing", "Completed ones whose version fails.", rollouts.failing_count)
         gauge("loop_lag_seconds", "Longest lag of the event loop.", age_s(self._loop_lag.longest_s))
-        gauge("unread_attempts", "Attempts that may arrive yet.", lambda: len(self._unread))
         if self._peers:
             peers = self._peers
             gauge("peer_answers", "Queries of peers answered.", lambda: peers.answers)
@@ -382,35 +378,6 @@
         usage = model_usage(job.exchange.prompt_tokens, tokens, price)
         self._billing.add_usage(UsageKey(job.workspace, job.service, model), usage)
 
-    def _extra_request_budget(self, service: str) -> ExtraRequestBudget:
-        budget = self._budget_by_service.get(service)
-        if budget is None:
-            bounds = self._deployment.bounds
-            budget = ExtraRequestBudget(
-                bounds.retry_window_s,
-                bounds.retry_ratio,
-                self._extra_request_slack(),
-                self._slack_from,
-            )
-            self._budget_by_service[service] = budget
-            self._extra_requests.add(service, budget)
-        budget.slack = self._extra_request_slack()
-        self._expire_unread(monotonic())
-        return budget
-
-    def _expire_unread(self, now: float) -> None:
-        """Stop counting attempts whose endpoints have been silent for too long."""
-        expired = self._unread.expire(now)
-        if expired:
-            log.warning("event=unread_attempts_expired attempts=%d", expired)
-
-    def _extra_request_slack(self) -> float:
-        """Return this daemon's part of `Bounds.retry_slack`."""
-        daemons = max(
-            MIN_DAEMONS_SHARING_SLACK, len(self.view.daemons()), len(self._deployment.zones)
-        )
-        return self._deployment.bounds.retry_slack / daemons
-
     def _on_view_change(self) -> None:
         """Apply the limits of a new catalog, and serve the queues with the changed endpoints.
 
--- a/comfreyhatch/exchange/event_relay.py
+++ b/comfreyhatch/exchange/event_relay.py
@@ -8,10 +8,10 @@
 from comfreyhatch.decisions.crashing_parts import SOUND_EVENTS
 from comfreyhatch.decisions.stall import gap_limits
 from comfreyhatch.errors import AnswerBrokenError, BackendError
+from comfreyhatch.exchange.answers import StreamedAnswer
 from comfreyhatch.exchange.crash_guard import CrashGuard
 from comfreyhatch.exchange.events import EventSplitter, has_content
 from comfreyhatch.exchange.evidence import EvidenceCollector
-from comfreyhatch.exchange.sender import StreamedAnswer
 from comfreyhatch.exchange.stall_watchdog import StallWatchdog
 from comfreyhatch.exchange.stream_state import StreamState
 
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -21,13 +21,14 @@
     RefusedError,
     RequestBlockedError,
 )
+from comfreyhatch.exchange.answers import StreamedAnswer
 from comfreyhatch.exchange.attempts import final_error
 from comfreyhatch.exchange.crash_guard import CrashGuard
 from comfreyhatch.exchange.event_relay import EventRelay, require_time
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.health import note_lost_answer
 from comfreyhatch.exchange.scheduler import EndpointScheduler, SlotLease
-from comfreyhatch.exchange.sender import Sender, StreamedAnswer
+from comfreyhatch.exchange.sender import Sender
 from comfreyhatch.exchange.stall_watchdog import StallWatchdog
 from comfreyhatch.exchange.stream_retries import StreamRetries
 from comfreyhatch.exchange.stream_state import DEADLINE_MARGIN_S, StreamState
--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -22,11 +22,12 @@
     ComfreyhatchError,
     EndpointUnreachableError,
 )
+from comfreyhatch.exchange.answers import BufferedAnswer
 from comfreyhatch.exchange.attempts import final_error
 from comfreyhatch.exchange.crash_guard import CrashGuard
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.scheduler import EndpointScheduler, SlotLease
-from comfreyhatch.exchange.sender import BufferedAnswer, Sender
+from comfreyhatch.exchange.sender import Sender
 
 # Reserved before the deadline to return the answer to the caller.
 DEADLINE_MARGIN_S = 0.01
--- a/tests/test_silent_streams.py
+++ b/tests/test_silent_streams.py
@@ -11,7 +11,7 @@
 from comfreyhatch.decisions.stall import gap_limits
 from comfreyhatch.domain.deployment import Bounds
 from comfreyhatch.domain.exchange import ReportedLoad
-from comfreyhatch.exchange.daemon import MIN_DAEMONS_SHARING_SLACK
+from comfreyhatch.exchange.extra_request_budgets import MIN_DAEMONS_SHARING_SLACK
 from comfreyhatch.exchange.stream_state import StreamState
 from tests.platform_harness import (
     WAIT_TIMEOUT_S,
@@ -156,7 +156,7 @@
         streams = await begin_streams(harness, begun)
         sound = await add_sound_worker(harness)
         occupy_all(harness)
-        budget = harness.daemon._extra_request_budget("engines")
+        budget = harness.daemon._budgets.of("engines")
         now = asyncio.get_running_loop().time
         await harness.wait_until(lambda: cancelled(harness))
         assert budget.remaining(now()) < 1
@@ -192,7 +192,7 @@
         sound = await add_sound_worker(harness)
         for stalled in watched(harness):
             stalled.interrupt = lambda: None
-        budget = harness.daemon._extra_request_budget("engines")
+        budget = harness.daemon._budgets.of("engines")
         now = asyncio.get_running_loop().time
         await harness.wait_until(lambda: budget.remaining(now()) < 1)
         wake(harness)
@@ -364,7 +364,7 @@
             engine.refuses_model = ""
         await asyncio.sleep(CHECKS_S)
         assert len(sent_to(harness, "engine")) == 2
-        harness.daemon._extra_request_budget("engines")._extra.clear()
+        harness.daemon._budgets.of("engines")._extra.clear()
         assert (await sending).body == COMPLETE_BODY.replace(b"small", b"large")
 
 
