Hold a started daemon's budget by service, not by endpoint

Now the budget is held only while no endpoint of the service has answered at all, and for a window after the first answer if that took over a second; and only by daemons that may have had a process before. What is not covered: a service that is silent in part when its daemon is killed.

--- a/comfreyhatch/decisions/extra_requests.py
+++ b/comfreyhatch/decisions/extra_requests.py
@@ -45,7 +45,7 @@
 
     Attributes:
         slack: Extra requests allowed in a window in addition to the ratio, for this daemon alone.
-        share: Share of the budget that is not left to a former process of this daemon.
+        is_held: Whether the budget is left to what a former process of this daemon sent.
     """
 
     def __init__(
@@ -63,7 +63,7 @@
         self._window_s = window_s
         self._ratio = ratio * SAFETY_FACTOR
         self.slack = slack
-        self.share = 1.0
+        self.is_held = False
         self._slack_from = slack_from
         self._requests: deque[float] = deque()
         self._extra: deque[float] = deque()
@@ -83,7 +83,7 @@
         """Return how many extra requests are allowed now."""
         self._expire(now)
         slack = self.slack * SAFETY_FACTOR if now >= self._slack_from else 0.0
-        allowed = (self._ratio * len(self._requests) + slack) * self.share
+        allowed = 0.0 if self.is_held else self._ratio * len(self._requests) + slack
         return allowed - len(self._extra) - self._reserved
 
     @property
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -113,11 +113,10 @@
         self.registry = CollectorRegistry()
         self.view = FleetView()
         self._unread = UnreadAttempts()
-        former = FormerAttempts(deployment.bounds.retry_window_s)
+        former = FormerAttempts(deployment.bounds.retry_window_s, slack_from > monotonic())
         self._budgets = ExtraRequestBudgets(
             deployment,
             self.view.daemons,
-            lambda service: len(self.view.trackers_by_service.get(service, ())),
             self._unread,
             former,
             self.registry,
--- a/comfreyhatch/exchange/extra_request_budgets.py
+++ b/comfreyhatch/exchange/extra_request_budgets.py
@@ -25,7 +25,6 @@
         self,
         deployment: Deployment,
         daemons: Callable[[], Sized],
-        endpoints: Callable[[str], int],
         unread: UnreadAttempts,
         former: FormerAttempts,
         registry: CollectorRegistry,
@@ -36,15 +35,13 @@
         Args:
             deployment: Settings of the daemon.
             daemons: Returns the daemons that are known.
-            endpoints: Returns the number of endpoints of a service.
             unread: Attempts that may arrive yet; those that wait for too long are taken off.
-            former: Endpoints that may hold attempts of a former process.
+            former: Services that may hold attempts of a former process.
             registry: Registry of the metrics.
             slack_from: Monotonic time in seconds from which the part of the slack is used.
         """
         self._deployment = deployment
         self._daemons = daemons
-        self._endpoints = endpoints
         self._unread = unread
         self._former = former
         self._slack_from = slack_from
@@ -73,7 +70,7 @@
         if budget is None:
             budget = self._create(service)
         budget.slack = self._slack()
-        budget.share = self._former.free_share(service, self._endpoints(service), now)
+        budget.is_held = self._former.may_wait(service, now)
         return budget
 
     def _create(self, service: str) -> ExtraRequestBudget:
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -73,7 +73,7 @@
             relays: Sends requests by way of other daemons.
             notices: Learns what endpoints announce of themselves.
             unread: Attempts that endpoints may not have read; updated.
-            former: Endpoints that may hold attempts of a former process; updated.
+            former: Services that may hold attempts of a former process; updated.
         """
         self._unread = unread
         self._former = former
@@ -112,7 +112,7 @@
         loop = asyncio.get_running_loop()
         stack = AsyncExitStack()
         sent_at = loop.time()
-        self._former.note_sent(endpoint.record.endpoint_id, job.service, sent_at)
+        self._former.note_sent(job.service, sent_at)
 
         def request_at(now: float) -> EndpointRequest:
             waited_s = now - sent_at
@@ -274,7 +274,6 @@
         """
         if not self._paths.is_relayed(endpoint, now):
             self._unread.note_ended(endpoint.record.endpoint_id, now)
-            self._former.note_answer(endpoint.record.endpoint_id, now)
 
     async def fetch(
         self,
@@ -331,7 +330,7 @@
     ) -> None:
         endpoint.last_received_at = now
         self._unread.note_answer(endpoint.record.endpoint_id, sent_at, now)
-        self._former.note_answer(endpoint.record.endpoint_id, now)
+        self._former.note_answer(endpoint.record.service, now)
         if not head.misdirected:
             self._limits.note_answer(endpoint, head, sent_at, now)
             self._notices.note_answer(endpoint, head, now)
