--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -1,4 +1,4 @@
-"""Requests that daemons relay for each other, as the version before (2ee0460) writes them."""
+"""Requests that daemons relay for each other, as the versions before (2ee0460, de32edf) write them."""
 
 from msgspec import Struct
 from msgspec.msgpack import decode, encode
--- a/tests/test_repeat_processes.py
+++ b/tests/test_repeat_processes.py
@@ -162,9 +162,10 @@
 def summary(fleet: Fleet) -> str:
     """Return what was done, and what callers and endpoints saw."""
     start = fleet.notes[0][0]
-    complete = sum(call.outcome == "complete" and call.status == 200 for call in fleet.calls)
+    complete = [call for call in fleet.calls if call.outcome == "complete" and call.status == 200]
+    in_time = sum(call.ended - call.sent <= fleet.plan.deadline_s for call in complete)
     lines = [f"{t - start:6.2f} ({t:.2f}) {text}" for t, text in fleet.notes]
-    lines += [f"{fleet.plan}", f"{complete} of {len(fleet.calls)} answered"]
+    lines += [f"{fleet.plan}", f"{len(complete)} of {len(fleet.calls)} answered, {in_time} in time"]
     fullest = max(repeat_windows(fleet), key=lambda w: w.repeats / w.allowed, default=None)
     lines.append(f"fullest window: {fullest}")
     for check in (*CHECKS, ran_twice):
