--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import socket
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -25,6 +26,9 @@
 SIZE_BY_SERVICE = {"engines": 5, "desk": 3}
 # First of four ports of each daemon, which has a loopback address of its own.
 PORT = 21001
+# Second numbers of the loopback addresses of fleets.
+FIRST_NET = 20
+NETS = 230
 # From one silence to the next, which lets what one delays fall together with the next.
 PERIOD_S = 6.0
 # Load from the begin of the last silence.
@@ -107,7 +111,8 @@
         self.read_services: list[tuple[float, str]] = []
         self._folder = folder
         self._store = StandInStore()
-        net = 20 + os.getpid() % 230
+        # Held until the end, as other test processes may run fleets, too.
+        self._guard, net = _reserve_net()
         self._hosts = [f"127.{net}.{number}.1" for number in range(1, plan.daemons + 1)]
         self._client = HttpClient()
         self._version = 0
@@ -176,6 +181,7 @@
         for daemon in self.daemon_by_host.values():
             await daemon.kill()
         await self._store.stop()
+        self._guard.close()
 
     def events(self) -> list[EndpointEvent]:
         """Return the events of all endpoints, oldest first."""
@@ -319,6 +325,20 @@
         self.notes.append((monotonic(), text))
 
 
+def _reserve_net() -> tuple[socket.socket, int]:
+    """Return a net of loopback addresses that no other fleet has, and the socket that holds it."""
+    for offset in range(NETS):
+        net = FIRST_NET + (os.getpid() + offset) % NETS
+        guard = socket.socket()
+        try:
+            guard.bind((f"127.{net}.0.1", PORT))
+        except OSError:
+            guard.close()
+        else:
+            return guard, net
+    raise RuntimeError("other fleets hold all nets")
+
+
 def _ids(endpoints: list[EndpointProcess]) -> str:
     return ",".join(endpoint.worker_id for endpoint in endpoints)
 
