--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -1,4 +1,4 @@
-"""Requests that daemons relay for each other, as the versions before (2ee0460, de32edf) write them."""
+"""Relayed requests, as the versions before (2ee0460 and de32edf) write them."""
 
 from msgspec import Struct
 from msgspec.msgpack import decode, encode
