--- a/tests/test_repeat_processes.py
+++ b/tests/test_repeat_processes.py
@@ -27,7 +27,7 @@
 DISTURBANCES = 12
 SHORT_DISTURBANCES = 5
 MEAN_GAP_S = 2.5
-# Of a window and a half, by the end of which the budget is that of a steady load.
+# A window and a half, after which the budget is that of a steady load.
 FIRST_S = 4.5
 SILENCE_S = 5.5
 GAP_S = 1.0
