--- a/tests/raw_endpoint.py
+++ b/tests/raw_endpoint.py
@@ -21,6 +21,7 @@
         closes: Whether it closes the connection after the start.
         requests: Heads of the requests so far.
         connections: Number of connections so far.
+        serving: Number of the connection whose request is being answered, from 1.
         sent_bytes: Bytes handed to connections so far.
         resets: Number of connections that the client has closed or reset.
         address: Where it listens, once started.
@@ -35,6 +36,7 @@
         self.closes = False
         self.requests: list[bytes] = []
         self.connections = 0
+        self.serving = 0
         self.sent_bytes = 0
         self.resets = 0
         self.address = Address("", 0)
@@ -56,10 +58,12 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         self.connections += 1
+        number = self.connections
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 self.requests.append(head)
+                self.serving = number
                 await self._send(writer, self.start(head))
                 if self.closes:
                     writer.close()
--- /dev/null
+++ b/tests/test_copied_answers.py
@@ -0,0 +1,191 @@
+"""The request path with workers that send the copy of an earlier answer before the next one."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import pytest
+
+from tests.platform_harness import PlatformHarness
+from tests.platform_raw_worker import (
+    answer_head,
+    refusal_head,
+    replace_worker,
+    request_id,
+    stream_head,
+    success_head,
+)
+from tests.raw_endpoint import RawEndpoint, listening
+
+NO_BODY = b"content-length: 0"
+EVENT = b"id: 1\ndata: one\n\n"
+Answer = Callable[[bytes], bytes]
+
+
+def refusal(head: bytes) -> bytes:
+    return refusal_head(head, NO_BODY)
+
+
+def refusal_with_body(head: bytes) -> bytes:
+    return refusal_head(head, b"content-length: 4") + b"busy"
+
+
+def refusal_without_id(head: bytes) -> bytes:
+    return b"\r\n".join([b"HTTP/1.1 503 Busy", b"not-executed: 1", NO_BODY, b"", b""])
+
+
+def misdirected(head: bytes) -> bytes:
+    return answer_head(head, b"421 Misdirected", NO_BODY)
+
+
+def success(head: bytes) -> bytes:
+    return success_head(head, b"content-length: 2") + b"ok"
+
+
+def success_without_id(head: bytes) -> bytes:
+    return b"\r\n".join([b"HTTP/1.1 200 OK", b"server-stamp: s", NO_BODY, b"", b""])
+
+
+def stream(head: bytes) -> bytes:
+    return stream_head(head, b"content-length: %d" % len(EVENT)) + EVENT
+
+
+def answer_to(head: bytes) -> bytes:
+    """Return the answer of a run, which for a prompt is a stream."""
+    return stream(head) if b"\r\nmodel:" in head.lower() else success(head)
+
+
+COPIES: dict[str, Answer] = {
+    "refusal": refusal,
+    "refusal_with_body": refusal_with_body,
+    "refusal_without_id": refusal_without_id,
+    "misdirected": misdirected,
+    "success": success,
+    "success_without_id": success_without_id,
+    "stream": stream,
+}
+
+
+class CopyingEndpoint:
+    """Refuses the first request of a connection, and sends copies of that before its next answer.
+
+    Attributes:
+        runs: Ids of the requests that it has run.
+    """
+
+    def __init__(self, copy: Answer, copies: int = 1) -> None:
+        self.runs: list[bytes] = []
+        self.heads: list[bytes] = []
+        self._copy = copy
+        self._copies = copies
+
+    def answer(self, head: bytes) -> bytes:
+        self.heads.append(head)
+        if len(self.heads) == 1:
+            return refusal(head)
+        self.runs.append(request_id(head))
+        copies = self._copy(self.heads[0]) * self._copies if len(self.heads) == 2 else b""
+        return copies + answer_to(head)
+
+
+@asynccontextmanager
+async def copying(
+    harness: PlatformHarness, service: str, copy: Answer, copies: int = 1
+) -> AsyncIterator[list[CopyingEndpoint]]:
+    """Replace both workers of a service by endpoints that send copies."""
+    async with AsyncExitStack() as stack:
+        found = []
+        for worker_id in (f"{service}-1", f"{service}-2"):
+            copying_endpoint = CopyingEndpoint(copy, copies)
+            raw: RawEndpoint = await stack.enter_async_context(listening(copying_endpoint.answer))
+            await replace_worker(harness, worker_id, raw)
+            found.append(copying_endpoint)
+        yield found
+
+
+@pytest.mark.parametrize("copy", COPIES.values(), ids=COPIES)
+@pytest.mark.parametrize("path", ["/pay/x", "/read/x", "/draft/x"])
+async def test_copy_of_an_earlier_answer_does_not_end_the_request_that_it_comes_before(
+    harness: PlatformHarness, path: str, copy: Answer
+) -> None:
+    service = "engine" if path.startswith("/draft/") else "desk"
+    async with copying(harness, service, copy) as endpoints:
+        replies = [await harness.send_kind(path, attempt_id=f"call-{n}") for n in range(8)]
+        runs = [run for endpoint in endpoints for run in endpoint.runs]
+        answered = [b"call-%d" % n for n, reply in enumerate(replies) if reply.status == 200]
+        assert sorted(runs) == sorted(answered)
+        assert len(answered) >= 6
+        own = {b"ok", EVENT}
+        assert all(reply.body in own for reply in replies if reply.status == 200)
+
+
+class RepeatingEndpoint:
+    """Refuses each request once, and copies that refusal before its answer on the same connection.
+
+    Attributes:
+        runs: Ids of the requests that it has run.
+        raw: Its listener.
+    """
+
+    def __init__(self) -> None:
+        self.runs: list[bytes] = []
+        self.raw = RawEndpoint(self.answer)
+        self._refused_on: dict[bytes, int] = {}
+
+    def answer(self, head: bytes) -> bytes:
+        own = request_id(head)
+        if own not in self._refused_on:
+            self._refused_on[own] = self.raw.serving
+            return refusal(head)
+        self.runs.append(own)
+        copies = refusal(head) if self._refused_on[own] == self.raw.serving else b""
+        return copies + answer_to(head)
+
+
+@asynccontextmanager
+async def repeating(
+    harness: PlatformHarness, service: str, rows: int
+) -> AsyncIterator[list[RepeatingEndpoint]]:
+    """Replace the workers of a service by endpoints that copy a refusal with the id of a run.
+
+    Args:
+        harness: Where the workers are.
+        service: The service.
+        rows: Rows in the store that name the same endpoint: 1, or 2 for both.
+    """
+    ids = [f"{service}-1", f"{service}-2"]
+    endpoints = [RepeatingEndpoint() for _ in ids[::rows]]
+    try:
+        for number, worker_id in enumerate(ids):
+            endpoint = endpoints[number // rows]
+            if not endpoint.raw.address.port:
+                await endpoint.raw.listen()
+            await replace_worker(harness, worker_id, endpoint.raw)
+        yield endpoints
+    finally:
+        for endpoint in endpoints:
+            await endpoint.raw.stop()
+
+
+@pytest.mark.parametrize("path", ["/pay/x", "/read/x", "/draft/x"])
+async def test_copy_with_the_id_of_a_request_that_its_caller_sends_again_does_not_let_it_run_twice(
+    harness: PlatformHarness, path: str
+) -> None:
+    service = "engine" if path.startswith("/draft/") else "desk"
+    async with repeating(harness, service, rows=1) as endpoints:
+        for number in range(4):
+            own = f"call-{number}"
+            replies = [await harness.send_kind(path, attempt_id=own) for _ in range(3)]
+            runs = [run for endpoint in endpoints for run in endpoint.runs if run == own.encode()]
+            assert [reply.status for reply in replies].count(200) == len(runs)
+
+
+@pytest.mark.parametrize("path", ["/pay/x", "/read/x", "/draft/x"])
+async def test_copy_with_the_own_id_at_an_address_of_two_rows_is_not_taken_for_the_answer(
+    harness: PlatformHarness, path: str
+) -> None:
+    service = "engine" if path.startswith("/draft/") else "desk"
+    async with repeating(harness, service, rows=2) as endpoints:
+        for number in range(4):
+            reply = await harness.send_kind(path, attempt_id=f"call-{number}")
+            assert reply.status == 200
+            assert endpoints[0].runs[number:] == [b"call-%d" % number]
