--- a/comfreyhatch/adapters/endpoint_answers.py
+++ b/comfreyhatch/adapters/endpoint_answers.py
@@ -6,7 +6,8 @@
 from msgspec.json import Decoder
 from msgspec.structs import replace
 
-from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.domain.instance import Instance, Role
 from comfreyhatch.errors import BackendError, BackendRefusedError, ConnectError, HttpError
--- a/comfreyhatch/adapters/engine_http.py
+++ b/comfreyhatch/adapters/engine_http.py
@@ -15,9 +15,10 @@
     read_load,
     unreachable_error,
 )
-from comfreyhatch.adapters.http_client import HttpClient, HttpReply, StreamedReply
+from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_link import AnswerPart
 from comfreyhatch.adapters.http_message import JSON_TYPE
+from comfreyhatch.adapters.http_reply import HttpReply, StreamedReply
 from comfreyhatch.domain.instance import Instance
 from comfreyhatch.errors import (
     AnswerBrokenError,
--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -2,41 +2,30 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Callable, Collection, Iterable, Mapping
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
 from enum import Enum
 from functools import partial
-from math import inf
 
 import h11
-from msgspec import Struct, field
 
+from comfreyhatch.adapters.http_head import final_head
 from comfreyhatch.adapters.http_link import IDLE_LIFE_S, AnswerPart, HttpLink
+from comfreyhatch.adapters.http_message import Headers
+from comfreyhatch.adapters.http_pool import IdleLinks
+from comfreyhatch.adapters.http_reply import HttpReply, StreamedReply, declared_bytes
 from comfreyhatch.codes import Ran
 from comfreyhatch.domain.instance import Address
-from comfreyhatch.errors import (
-    AnswerMemoryError,
-    AnswerTooLargeError,
-    ConnectError,
-    ExchangeTimeoutError,
-    HttpError,
-)
+from comfreyhatch.errors import ConnectError, ExchangeTimeoutError
 
 READ_SIZE_BYTES = 65536
-# Events of the parser that are handled in a row, in a few milliseconds, before others get a turn.
-EVENTS_PER_TURN = 256
-# Informational answers (status 1xx) that may precede an answer.
-INFORMATIONAL_LIMIT = 16
 # Largest body of an answer that is read whole, unless a client has its own limit: the largest
 # object of the platform's store has 8 MiB, and 11 MiB in base64.
 WHOLE_BODY_LIMIT_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT_S = 1.0
-IDLE_PER_ADDRESS = 64
 IDLE_MARGIN_S = 0.5
 
 
-Headers = list[tuple[bytes, bytes]]
-
 log = logging.getLogger("comfreyhatch.client")
 
 
@@ -52,136 +41,6 @@
     NO_ANSWER = "no answer"
 
 
-class HttpReply(Struct):
-    """An answer with its whole body; header names are in lower case."""
-
-    status: int
-    header_by_name: dict[str, str]
-    body: bytes
-    headers: Headers = field(default_factory=list)
-
-
-class StreamedReply:
-    """An answer whose body is read piece by piece."""
-
-    def __init__(
-        self, status: int, headers: Headers, link: HttpLink, declared_bytes: int | None
-    ) -> None:
-        """Create an answer whose head was read.
-
-        Args:
-            status: HTTP status.
-            headers: Headers.
-            link: Its connection.
-            declared_bytes: Length of the body as its head says; None if it doesn't.
-        """
-        self.status = status
-        self._declared_bytes = declared_bytes
-        self.headers = headers
-        self.header_by_name = {n.decode("ascii"): v.decode("latin-1") for n, v in headers}
-        self._link = link
-
-    @property
-    def delimited(self) -> bool:
-        """Whether the head tells how the body ends; otherwise it ends with the connection."""
-        return self._declared_bytes is not None or "transfer-encoding" in self.header_by_name
-
-    def without(self, names: Collection[bytes]) -> "StreamedReply":
-        """Return the answer without some headers; without those that frame it, its end is unknown.
-
-        Args:
-            names: Names in lower case.
-        """
-        headers = [(name, value) for name, value in self.headers if name not in names]
-        return StreamedReply(self.status, headers, self._link, _declared_bytes(headers))
-
-    def abort(self) -> None:
-        """Reset the connection; whoever reads the body sees it break."""
-        self._link.abort()
-
-    def too_large(self, part: AnswerPart, limit: str) -> AnswerTooLargeError:
-        """Reset the connection, count and log the answer, and return the error to raise."""
-        return self._link.too_large(part, limit)
-
-    async def whole(
-        self,
-        timeout_s: float,
-        limit_bytes: int,
-        until: float = inf,
-        take: Callable[[int], bool] | None = None,
-    ) -> bytes:
-        """Return the whole body.
-
-        Args:
-            timeout_s: Longest wait for one piece, in seconds.
-            limit_bytes: Largest body.
-            until: Monotonic time in seconds by which the body has to be complete.
-            take: Takes memory for a number of bytes of the body, and returns whether there is any.
-
-        Raises:
-            AnswerTooLargeError: If the body is larger, as soon as this is known.
-            AnswerMemoryError: If there is no memory for it.
-            ExchangeTimeoutError: If a piece, or the end, did not come in time.
-            HttpError: If the body ended before its end.
-        """
-        limit = f"{limit_bytes} bytes"
-        if self._declared_bytes is not None and self._declared_bytes > limit_bytes:
-            raise self.too_large(AnswerPart.BODY, limit)
-        body = bytearray()
-        try:
-            async for piece in self.pieces(timeout_s, until):
-                body += piece
-                if len(body) > limit_bytes:
-                    raise self.too_large(AnswerPart.BODY, limit)
-                if take is not None and not take(len(piece)):
-                    self.abort()
-                    raise AnswerMemoryError("no memory is left for answers that are read whole")
-        except BaseException:
-            # The traceback of an error keeps this frame, and the body, until it is collected.
-            body.clear()
-            raise
-        return bytes(body)
-
-    async def pieces(self, timeout_s: float, until: float = inf) -> AsyncIterator[bytes]:
-        """Yield the body as it comes; what one read brings is yielded as one piece.
-
-        A read with very many chunks is yielded in several pieces, with turns for others in between.
-
-        Args:
-            timeout_s: Longest wait for one piece, in seconds; bytes that complete no piece, such
-                as a chunk header, don't renew it.
-            until: Monotonic time in seconds by which the body has to be complete.
-
-        Raises:
-            ExchangeTimeoutError: If a piece, or the end, did not come in time.
-            HttpError: If the body ended before its end.
-        """
-        loop = asyncio.get_running_loop()
-        parts: list[bytes] = []
-        while True:
-            if len(parts) >= EVENTS_PER_TURN:
-                yield b"".join(parts)
-                parts = []
-                await asyncio.sleep(0)
-            if parts:
-                event = self._link.buffered_event()
-            else:
-                now = loop.time()
-                if now >= until:
-                    raise ExchangeTimeoutError("the answer did not end in time")
-                event = await self._link.next_event(min(now + timeout_s, until))
-            if isinstance(event, h11.Data):
-                parts.append(event.data)
-                continue
-            if parts:
-                yield b"".join(parts)
-                parts = []
-            if isinstance(event, h11.EndOfMessage):
-                return
-            if event is not h11.NEED_DATA:
-                raise HttpError("the answer ended before its end")
-
-
 class HttpClient:
     """Sends requests; owns its connections."""
 
@@ -205,7 +64,7 @@
         self._before_send = before_send
         self._connect_timeout_s = connect_timeout_s
         self.connections_opened = 0
-        self._idle_by_address: dict[Address, list[HttpLink]] = {}
+        self._idle = IdleLinks()
 
     async def request(
         self,
@@ -282,14 +141,14 @@
             if note_sent:
                 note_sent()
             _write_request(link, method, target, body, full_headers(address, headers))
-            head = await _final_head(link, asyncio.get_running_loop().time() + timeout_s)
-            declared = None if method == "HEAD" else _declared_bytes(head.headers)
+            head = await final_head(link, asyncio.get_running_loop().time() + timeout_s)
+            declared = None if method == "HEAD" else declared_bytes(head.headers)
             yield StreamedReply(head.status_code, list(head.headers), link, declared)
             kept = link.reusable()
             link.idle_life_s = _idle_life_s(head.headers)
         finally:
             if kept:
-                self._keep(address, link)
+                self._idle.keep(address, link, asyncio.get_running_loop().time())
             else:
                 link.end()
 
@@ -299,7 +158,7 @@
             link = await self._link(address, fresh=True)
         except ConnectError as error:
             return ConnectResult.REFUSED if error.refused else ConnectResult.NO_ANSWER
-        self._keep(address, link)
+        self._idle.keep(address, link, asyncio.get_running_loop().time())
         return ConnectResult.OPEN
 
     async def can_connect(self, address: Address) -> bool:
@@ -308,8 +167,7 @@
 
     def drop_idle(self, address: Address) -> None:
         """Close the idle connections to an address."""
-        for link in self._idle_by_address.pop(address, []):
-            link.drop()
+        self._idle.drop(address)
 
     async def is_refused(self, address: Address) -> bool:
         """Return whether nothing listens at an address; not whether it can't be reached."""
@@ -317,21 +175,12 @@
 
     def close(self) -> None:
         """Close all idle connections."""
-        for links in self._idle_by_address.values():
-            for link in links:
-                link.close()
-        self._idle_by_address.clear()
+        self._idle.close()
 
     async def _link(self, address: Address, fresh: bool) -> HttpLink:
         now = asyncio.get_running_loop().time()
-        idle = self._idle_by_address.get(address, [])
-        while idle and not fresh:
-            link = idle.pop()
-            if link.fresh(now):
-                link.idle = False
-                return link
-            link.close()
-        return await self._connect(address)
+        link = None if fresh else self._idle.take(address, now)
+        return link or await self._connect(address)
 
     async def _connect(self, address: Address) -> HttpLink:
         """Open a new connection.
@@ -358,15 +207,6 @@
             "event=answer_too_large address=%s part=%s limit=%r", address, part.value, limit
         )
 
-    def _keep(self, address: Address, link: HttpLink) -> None:
-        links = self._idle_by_address.setdefault(address, [])
-        if len(links) >= IDLE_PER_ADDRESS:
-            link.close()
-            return
-        link.idle = True
-        link.idle_since = asyncio.get_running_loop().time()
-        links.append(link)
-
 
 def full_headers(address: Address, headers: Mapping[str, str] | Headers | None) -> Headers:
     """Return headers as pairs of bytes; host is the address unless given."""
@@ -391,28 +231,6 @@
     return IDLE_LIFE_S
 
 
-async def _final_head(link: HttpLink, until: float) -> h11.Response:
-    """Return the head of an answer; informational ones before it are left out.
-
-    Raises:
-        ExchangeTimeoutError: If it is not complete in time.
-        HttpError: If there is none.
-    """
-    for _ in range(INFORMATIONAL_LIMIT + 1):
-        head = await link.next_event(until)
-        if isinstance(head, h11.Response):
-            return head
-        if not isinstance(head, h11.InformationalResponse):
-            raise HttpError("the connection was closed before an answer")
-    raise link.too_large(AnswerPart.INFORMATIONAL, f"{INFORMATIONAL_LIMIT} answers")
-
-
-def _declared_bytes(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
-    """Return the length of a body as its head says; None if it doesn't."""
-    value = dict(headers).get(b"content-length", b"")
-    return int(value) if value.isdigit() else None
-
-
 def _write_request(link: HttpLink, method: str, target: str, body: bytes, headers: Headers) -> None:
     sized = [*headers, (b"content-length", b"%d" % len(body))]
     request = h11.Request(method=method, target=target, headers=sized)
--- a/comfreyhatch/adapters/objects_http.py
+++ b/comfreyhatch/adapters/objects_http.py
@@ -5,7 +5,8 @@
 from msgspec import DecodeError, ValidationError
 from msgspec.json import decode as decode_json
 
-from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.adapters.platform_http import PLATFORM_TIMEOUT_S
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import ConnectError, HttpError, PlatformError
--- a/comfreyhatch/adapters/operator_http.py
+++ b/comfreyhatch/adapters/operator_http.py
@@ -8,7 +8,8 @@
 from msgspec.json import decode as decode_json
 from msgspec.json import encode as encode_json
 
-from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.decisions.burn import BurnCount, BurnSegment, StoredBurn, add_stored, merge_burn
 from comfreyhatch.decisions.rollout import Rollout
--- a/comfreyhatch/adapters/service_http.py
+++ b/comfreyhatch/adapters/service_http.py
@@ -9,8 +9,9 @@
     read_load,
     unreachable_error,
 )
-from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_message import JSON_TYPE
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.domain.instance import Instance
 from comfreyhatch.errors import AnswerBrokenError, BackendError, ConnectError, HttpError
 from comfreyhatch.ports.engine import LoadReport, ServiceAnswer, ServiceRequest
--- a/comfreyhatch/cli/demo.py
+++ b/comfreyhatch/cli/demo.py
@@ -3,7 +3,8 @@
 from msgspec import Struct
 from msgspec.json import decode, encode
 
-from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.standins.fleet import API_KEY, CONTRACT, LocalFleet
 
--- a/comfreyhatch/daemon/requests/forwarding.py
+++ b/comfreyhatch/daemon/requests/forwarding.py
@@ -17,14 +17,16 @@
 from msgspec.json import decode, encode
 
 from comfreyhatch.adapters.engine_http import HttpEngine
-from comfreyhatch.adapters.http_client import Headers, HttpClient, StreamedReply, full_headers
+from comfreyhatch.adapters.http_client import HttpClient, full_headers
 from comfreyhatch.adapters.http_message import (
     EVENT_STREAM_TYPE,
+    Headers,
     HttpRequest,
     HttpResponse,
     error_response,
     json_response,
 )
+from comfreyhatch.adapters.http_reply import StreamedReply
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.daemon.dispatch.dispatcher import Dispatcher
 from comfreyhatch.decisions.replay import ReplayGuard
--- a/comfreyhatch/exchange/answers.py
+++ b/comfreyhatch/exchange/answers.py
@@ -7,8 +7,8 @@
 
 from msgspec import Struct
 
-from comfreyhatch.adapters.http_client import StreamedReply
 from comfreyhatch.adapters.http_link import AnswerPart
+from comfreyhatch.adapters.http_reply import StreamedReply
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.exchange import AnswerHead
--- a/comfreyhatch/exchange/relay_client.py
+++ b/comfreyhatch/exchange/relay_client.py
@@ -8,7 +8,8 @@
 from msgspec.msgpack import encode
 from prometheus_client import CollectorRegistry, Counter
 
-from comfreyhatch.adapters.http_client import HttpClient, StreamedReply
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_reply import StreamedReply
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.relay_choice import RelayChoice
 from comfreyhatch.domain.relay import (
--- a/comfreyhatch/exchange/relay_listener.py
+++ b/comfreyhatch/exchange/relay_listener.py
@@ -15,7 +15,7 @@
 from msgspec.msgpack import decode
 from prometheus_client import CollectorRegistry, Counter
 
-from comfreyhatch.adapters.http_client import HttpClient, StreamedReply
+from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_message import (
     HOP_BY_HOP_HEADERS,
     Headers,
@@ -23,6 +23,7 @@
     HttpResponse,
     error_response,
 )
+from comfreyhatch.adapters.http_reply import StreamedReply
 from comfreyhatch.adapters.metrics import add_gauge
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -7,7 +7,8 @@
 
 from msgspec.structs import replace
 
-from comfreyhatch.adapters.http_client import HttpClient, StreamedReply
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_reply import StreamedReply
 from comfreyhatch.codes import Ran
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
--- a/comfreyhatch/platform/store.py
+++ b/comfreyhatch/platform/store.py
@@ -11,7 +11,8 @@
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import Decoder, encode
 
-from comfreyhatch.adapters.http_client import WHOLE_BODY_LIMIT_BYTES, HttpClient, HttpReply
+from comfreyhatch.adapters.http_client import WHOLE_BODY_LIMIT_BYTES, HttpClient
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.decisions.answer_times import MAX_TIMEOUT_S, AnswerTimes
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.domain.position import Position
--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -5,7 +5,8 @@
 from contextlib import suppress
 from typing import Any, TypeVar
 
-from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.domain.record import RequestRecord
 from comfreyhatch.errors import HttpError
 from comfreyhatch.standins.fleet import FleetPlan, LocalFleet
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -9,8 +9,9 @@
 from itertools import cycle
 from random import Random
 
-from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_message import HttpRequest
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.decisions.session_version import FIRST_SHARE_DELAY_MS
 from comfreyhatch.domain.deployment import Bounds, Deployment
 from comfreyhatch.domain.instance import Address
--- a/tests/test_attempt_limits.py
+++ b/tests/test_attempt_limits.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from comfreyhatch.adapters.http_client import HttpReply
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.domain.deployment import Bounds
 from comfreyhatch.errors import HttpError
 from comfreyhatch.exchange.daemon import ENDPOINT_CONNECT_TIMEOUT_S
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -6,9 +6,10 @@
 
 import pytest
 
-from comfreyhatch.adapters.http_client import IDLE_PER_ADDRESS, HttpClient
+from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_connection import HttpLimits
 from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
+from comfreyhatch.adapters.http_pool import IDLE_PER_ADDRESS
 from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.errors import (
     AnswerMemoryError,
@@ -153,7 +154,7 @@
 
 async def keep_connection(client: HttpClient, endpoint: OtherSide) -> None:
     assert (await client.request(endpoint.address, "GET", "/whole")).body == b"ok"
-    assert client._idle_by_address[endpoint.address]
+    assert client._idle.at(endpoint.address)
 
 
 async def stop_client(
@@ -174,7 +175,7 @@
     client: HttpClient, endpoint: OtherSide, meanwhile: Callable[[], None]
 ) -> None:
     await keep_connection(client, endpoint)
-    client._idle_by_address[endpoint.address][0].idle_life_s = 0.0
+    client._idle.at(endpoint.address)[0].idle_life_s = 0.0
     await client.request(endpoint.address, "GET", "/whole")
 
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -9,7 +9,8 @@
 from msgspec.structs import replace
 
 from comfreyhatch.adapters.engine_http import HttpEngine
-from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.decisions.endpoint_choice import FAILURES_TO_OPEN, FIRST_OPEN_S, MAX_OPEN_S
 from comfreyhatch.decisions.retries import RETRY_BURST, RETRY_SHARE
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,8 +7,9 @@
 from hypothesis import assume, given, settings
 from hypothesis import strategies as st
 
-from comfreyhatch.adapters.http_client import EVENTS_PER_TURN, READ_SIZE_BYTES, HttpClient
+from comfreyhatch.adapters.http_client import READ_SIZE_BYTES, HttpClient
 from comfreyhatch.adapters.http_link import UNREAD_LIMIT_BYTES, AnswerPart
+from comfreyhatch.adapters.http_reply import EVENTS_PER_TURN
 from comfreyhatch.codes import Ran
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import AnswerTooLargeError, ExchangeTimeoutError, HttpError
--- a/tests/test_engine_http.py
+++ b/tests/test_engine_http.py
@@ -74,7 +74,7 @@
     chunks = [c async for c in HttpEngine(client).generate(engine.instance, REQUEST)]
     assert sum(len(chunk.tokens) for chunk in chunks) == 5
     assert chunks[-1].finish == "length" and chunks[-1].load is not None
-    assert len(client._idle_by_address[engine.instance.address]) == 1
+    assert len(client._idle.at(engine.instance.address)) == 1
     assert engine.witness.in_flight == 0
 
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -64,7 +64,7 @@
     for number in range(3):
         reply = await client.request(address, "POST", f"/echo?n={number}", b"hi")
         assert reply.body == b'{"body":"hi","n":"%d"}' % number
-    assert len(client._idle_by_address[address]) == 1
+    assert len(client._idle.at(address)) == 1
     client.close()
 
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -8,7 +8,8 @@
 import pytest
 from msgspec.json import decode
 
-from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.daemon.idempotency.minted import MintedKeys
 from comfreyhatch.decisions.minted import MINTED_KEY_LIFETIME_S, mint_key
--- a/tests/test_key_change.py
+++ b/tests/test_key_change.py
@@ -6,7 +6,8 @@
 import pytest
 from msgspec.json import decode
 
-from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.adapters.settings import FleetSettings, accepted_fleet_keys
 from comfreyhatch.daemon.daemon import Daemon
 from comfreyhatch.domain.instance import Address
--- a/tests/test_late_in_grace.py
+++ b/tests/test_late_in_grace.py
@@ -5,8 +5,9 @@
 
 import pytest
 
-from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.errors import HttpError
 from comfreyhatch.exchange.daemon import BALANCER_DRAIN_S
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -20,7 +20,7 @@
     """Send a request that the daemon reads `LATE_S` later; return status and body."""
     # Opens a connection, on which the request is written before the event loop stands still.
     await harness.send("/read/x")
-    link = harness.client._idle_by_address[harness.deployments[0].callers][-1]
+    link = harness.client._idle.at(harness.deployments[0].callers)[-1]
     write = link.transport.write
 
     def write_and_block(data: bytes) -> None:
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from comfreyhatch.adapters.http_client import HttpReply
+from comfreyhatch.adapters.http_reply import HttpReply
 from tests.lost_paths import Loss, LostPaths
 from tests.platform_harness import PlatformHarness, running_harness
 
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from comfreyhatch.adapters.http_client import HttpReply
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.decisions.named_limits import MAX_LIMITS, REFRESH_S, TELL_PAUSE_S, NamedLimits
 from comfreyhatch.errors import HttpError
 from tests.platform_harness import BOUNDS, PlatformHarness, running_harness
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -10,7 +10,7 @@
 from msgspec.structs import replace
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from comfreyhatch.adapters.http_client import HttpReply
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.decisions.settlement import settle
 from comfreyhatch.domain.change import SetContract, SetShare, SetZone, WithdrawVersion
 from comfreyhatch.domain.journal import BILL_PREFIX, decode_bill
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from comfreyhatch.adapters.http_client import HttpReply
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.errors import HttpError
 from tests.platform_harness import PlatformHarness, running_harness
--- a/tests/test_session_path.py
+++ b/tests/test_session_path.py
@@ -5,7 +5,8 @@
 import pytest
 from msgspec.structs import replace
 
-from comfreyhatch.adapters.http_client import HttpClient, HttpReply
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.domain.change import SetContract, SetShare, WithdrawVersion
 from comfreyhatch.domain.version import Version
 from comfreyhatch.standins.fleet import CONTRACT, FleetPlan, LocalFleet
--- a/tests/test_silent_streams.py
+++ b/tests/test_silent_streams.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from comfreyhatch.adapters.http_client import HttpReply
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.decisions.extra_requests import SAFETY_FACTOR
 from comfreyhatch.decisions.stall import gap_limits
 from comfreyhatch.domain.deployment import Bounds
