Never send a request a second time over a connection that has carried it

An answer too many may bear the id of a request that is under way again on its connection; then nothing tells it from that request's own answer. Streams asked for a new connection by endpoint id, the pool is keyed by address; unary requests and other callers' requests never asked.

Now each connection remembers the requests that it has carried (as hashes, 256 at most, after which it is not kept), and the pool passes it over for these, whoever sends them: unary, hedged, streamed, resumed and relayed. A relay finds the id in the headers that it forwards. To daemons of the version before, every relayed request asks for a connection of its own.

--- /dev/null
+++ b/comfreyhatch/adapters/answer_identity.py
@@ -0,0 +1,57 @@
+"""How the answer to a request is told from others on its connection.
+
+An endpoint may send an answer once more, at the point where the answer to the next request of the
+connection is due. The id that answers repeat tells the two apart, unless the connection has carried
+that id before.
+"""
+
+from msgspec import Struct
+from xxhash import xxh64_intdigest
+
+from comfreyhatch.adapters.http_message import Headers
+
+# Requests after which a connection is not kept, so that what it remembers is bounded.
+CARRIED_LIMIT = 256
+
+
+class RequestIdentity(Struct, frozen=True):
+    """What the answer to a request says of it.
+
+    Attributes:
+        request_id: Id of the request; empty if it has none.
+        header: Name of the header in which answers repeat the id, in lower case.
+    """
+
+    request_id: bytes
+    header: bytes
+
+
+class CarriedRequests:
+    """The requests that a connection has carried."""
+
+    __slots__ = ("_count", "_hashes")
+
+    def __init__(self) -> None:
+        self._count = 0
+        # Callers choose ids and their length. Two with one hash only cost a new connection.
+        self._hashes: set[int] = set()
+
+    def add(self, identity: RequestIdentity | None) -> None:
+        """Note that a request is sent; None if its answer names no id."""
+        self._count += 1
+        if identity is not None:
+            self._hashes.add(xxh64_intdigest(identity.request_id))
+
+    def allows(self, identity: RequestIdentity | None) -> bool:
+        """Return whether the answer to a request could be told from those before it."""
+        return identity is None or xxh64_intdigest(identity.request_id) not in self._hashes
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the connection should carry no further request."""
+        return self._count >= CARRIED_LIMIT
+
+
+def named_request(headers: Headers, identity: RequestIdentity) -> bytes:
+    """Return the id that the head of an answer names; empty if it names none."""
+    return dict(headers).get(identity.header, b"").strip()
--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from comfreyhatch.adapters.answer_identity import RequestIdentity
 from comfreyhatch.adapters.http_head import final_head
 from comfreyhatch.adapters.http_link import IDLE_LIFE_S, AnswerPart, HttpLink
 from comfreyhatch.adapters.http_message import Headers
@@ -77,6 +78,7 @@
         fresh_connection: bool = False,
         limit_bytes: int | None = None,
         take: Callable[[int], bool] | None = None,
+        identity: RequestIdentity | None = None,
     ) -> HttpReply:
         """Send a request and return the whole answer.
 
@@ -90,6 +92,7 @@
             fresh_connection: Whether a pooled connection must not be used.
             limit_bytes: Largest body of the answer; the client's limit if None.
             take: Takes memory for a number of bytes of the body, and returns whether there is any.
+            identity: What the answer says of the request; None if it names no id.
 
         Raises:
             AnswerMemoryError: If there is no memory for the answer.
@@ -103,7 +106,14 @@
             async with (
                 asyncio.timeout(timeout_s),
                 self.stream(
-                    address, method, target, body, headers, timeout_s, fresh_connection
+                    address,
+                    method,
+                    target,
+                    body,
+                    headers,
+                    timeout_s,
+                    fresh_connection,
+                    identity=identity,
                 ) as reply,
             ):
                 body = await reply.whole(timeout_s, limit, take=take)
@@ -122,24 +132,28 @@
         timeout_s: float = 5.0,
         fresh_connection: bool = False,
         note_sent: Callable[[], None] | None = None,
+        identity: RequestIdentity | None = None,
     ) -> AsyncIterator[StreamedReply]:
         """Send a request and give its answer piece by piece.
 
         The connection is kept if the answer was read to its end and it may be, and reset if the
         request was given up. `note_sent` is called just before the first byte is written.
+        `identity` tells what the answer says of the request; a pooled connection that has carried
+        its id is not used.
 
         Raises:
             ConnectError: If nothing was sent.
             ExchangeTimeoutError: If the head of the answer was not complete in time.
             HttpError: If the exchange broke.
         """
-        link = await self._link(address, fresh_connection)
+        link = await self._link(address, identity, fresh_connection)
         kept = False
         try:
             if self._before_send:
                 self._before_send()
             if note_sent:
                 note_sent()
+            link.carried.add(identity)
             _write_request(link, method, target, body, full_headers(address, headers))
             head = await final_head(link, asyncio.get_running_loop().time() + timeout_s)
             declared = None if method == "HEAD" else declared_bytes(head.headers)
@@ -155,7 +169,7 @@
     async def try_connect(self, address: Address) -> ConnectResult:
         """Open a new connection, which is kept for later requests, and return what came of it."""
         try:
-            link = await self._link(address, fresh=True)
+            link = await self._link(address, None, fresh=True)
         except ConnectError as error:
             return ConnectResult.REFUSED if error.refused else ConnectResult.NO_ANSWER
         self._idle.keep(address, link, asyncio.get_running_loop().time())
@@ -177,9 +191,11 @@
         """Close all idle connections."""
         self._idle.close()
 
-    async def _link(self, address: Address, fresh: bool) -> HttpLink:
+    async def _link(
+        self, address: Address, identity: RequestIdentity | None, fresh: bool
+    ) -> HttpLink:
         now = asyncio.get_running_loop().time()
-        link = None if fresh else self._idle.take(address, now)
+        link = None if fresh else self._idle.take(address, identity, now)
         return link or await self._connect(address)
 
     async def _connect(self, address: Address) -> HttpLink:
--- a/comfreyhatch/adapters/http_link.py
+++ b/comfreyhatch/adapters/http_link.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from comfreyhatch.adapters.answer_identity import CarriedRequests
 from comfreyhatch.errors import AnswerTooLargeError, ExchangeTimeoutError, HttpError
 
 # Bytes of an answer that wait for its reader, beyond which nothing more is read from its connection
@@ -38,7 +39,16 @@
 
 
 class HttpLink(asyncio.BufferedProtocol):
-    """A connection and its protocol state."""
+    """A connection and its protocol state.
+
+    Attributes:
+        protocol: State of the exchange under way.
+        transport: The open connection.
+        carried: Requests that it has carried.
+        idle: Whether it waits in a pool for its next request.
+        idle_since: Monotonic time in seconds since which it has waited.
+        idle_life_s: Time for which it may wait, in seconds.
+    """
 
     def __init__(self, read_buffer: bytearray, report: Callable[[AnswerPart, str], None]) -> None:
         """Create the state of a connection.
@@ -50,6 +60,7 @@
         self._read_buffer = read_buffer
         self._report = report
         self.protocol = h11.Connection(h11.CLIENT, HEAD_LIMIT_BYTES)
+        self.carried = CarriedRequests()
         self.idle = False
         self.idle_since = 0.0
         self.idle_life_s = IDLE_LIFE_S
@@ -143,7 +154,7 @@
         if self.protocol.trailing_data[0]:
             self._report(AnswerPart.AFTER_END, "0 bytes")
             return False
-        if self._loss:
+        if self._loss or self.carried.is_full:
             return False
         self.protocol.start_next_cycle()
         # What comes while the connection is idle has to be seen.
--- a/comfreyhatch/adapters/http_pool.py
+++ b/comfreyhatch/adapters/http_pool.py
@@ -1,10 +1,15 @@
 """Idle connections of the HTTP client, by address."""
 
+import logging
+
+from comfreyhatch.adapters.answer_identity import RequestIdentity
 from comfreyhatch.adapters.http_link import HttpLink
 from comfreyhatch.domain.instance import Address
 
 IDLE_PER_ADDRESS = 64
 
+log = logging.getLogger("comfreyhatch.client")
+
 
 class IdleLinks:
     """Keeps connections that wait for their next request; the one that came last goes first."""
@@ -16,20 +21,29 @@
         """Return the connections to an address; the one that is used next is last."""
         return tuple(self._links_by_address.get(address, ()))
 
-    def take(self, address: Address, now: float) -> HttpLink | None:
-        """Return a connection to an address that is likely to be open still; None without one.
+    def take(
+        self, address: Address, identity: RequestIdentity | None, now: float
+    ) -> HttpLink | None:
+        """Return a connection that is likely to be open still; None without one.
+
+        Connections that have carried the id of the request are passed over, whoever sent it.
 
         Args:
             address: Where it leads.
+            identity: What the answer to the request says of it; None if it names no id.
             now: Present monotonic time in seconds.
         """
         links = self._links_by_address.get(address, [])
-        while links:
-            link = links.pop()
-            if link.fresh(now):
+        for link in reversed(tuple(links)):
+            if not link.fresh(now):
+                links.remove(link)
+                link.close()
+            elif link.carried.allows(identity):
+                links.remove(link)
                 link.idle = False
                 return link
-            link.close()
+            else:
+                log.info("event=connection_passed_over address=%s request=%s", address, identity)
         return None
 
     def keep(self, address: Address, link: HttpLink, now: float) -> None:
--- a/comfreyhatch/daemon/requests/forwarding.py
+++ b/comfreyhatch/daemon/requests/forwarding.py
@@ -16,6 +16,7 @@
 from msgspec import Struct, ValidationError
 from msgspec.json import decode, encode
 
+from comfreyhatch.adapters.answer_identity import RequestIdentity
 from comfreyhatch.adapters.engine_http import HttpEngine
 from comfreyhatch.adapters.http_client import HttpClient, full_headers
 from comfreyhatch.adapters.http_message import (
@@ -145,6 +146,7 @@
         timeout_s: float = 5.0,
         fresh_connection: bool = False,
         note_sent: Callable[[], None] | None = None,
+        identity: RequestIdentity | None = None,
     ) -> _AsyncGeneratorContextManager[StreamedReply, None]:
         """Send a signed request; arguments and result are those of `HttpClient.stream`."""
         envelope = Envelope(str(address), target, self._hop, new_stamp())
@@ -153,7 +155,7 @@
         signed.append((STAMP_HEADER.encode(), envelope.stamp.encode()))
         signed.append((SIGNATURE_HEADER.encode(), sign(self._key, envelope, body).encode()))
         return super().stream(
-            address, method, target, body, signed, timeout_s, fresh_connection, note_sent
+            address, method, target, body, signed, timeout_s, fresh_connection, note_sent, identity
         )
 
 
--- a/comfreyhatch/domain/relay.py
+++ b/comfreyhatch/domain/relay.py
@@ -32,7 +32,8 @@
         headers: Headers for the endpoint.
         body: Body.
         timeout_s: Time that is left for the whole answer, in seconds.
-        fresh_connection: Whether it needs a connection of its own.
+        fresh_connection: Whether a daemon of the version before opens a new connection for it. Such
+            a daemon doesn't know which requests its connections have carried.
     """
 
     start: str
@@ -41,7 +42,7 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     timeout_s: float
-    fresh_connection: bool = False
+    fresh_connection: bool = True
 
 
 # Returns a request to be sent at a monotonic time in seconds, with the time that is left then.
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -186,6 +186,7 @@
         self._relay_listener = RelayListener(
             self.view,
             self._client,
+            codec,
             self._paths,
             sender.note_relayed_head,
             self._scheduler.in_service,
--- a/comfreyhatch/exchange/header_codec.py
+++ b/comfreyhatch/exchange/header_codec.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from comfreyhatch.adapters.answer_identity import RequestIdentity
 from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
 from comfreyhatch.domain.exchange import AnswerHead, Dispatch, Exchange, Headers
 from comfreyhatch.errors import ComfreyhatchError
@@ -16,6 +17,9 @@
     def dispatch_headers(self, exchange: Exchange, dispatch: Dispatch) -> Headers:
         """Return the headers of a request that is sent to an endpoint."""
 
+    def identity(self, headers: Headers) -> RequestIdentity:
+        """Return what the answer to a request with some headers says of it."""
+
     def read_head(self, status: int, headers: Headers) -> AnswerHead:
         """Decode status and headers of an endpoint's answer."""
 
--- a/comfreyhatch/exchange/relay_listener.py
+++ b/comfreyhatch/exchange/relay_listener.py
@@ -30,6 +30,7 @@
 from comfreyhatch.domain.relay import RELAY_PATH, EndpointRequest, RelayFailure
 from comfreyhatch.errors import AnswerBrokenError, ConnectError, HttpError, RequestError
 from comfreyhatch.exchange.endpoint_paths import EndpointPaths
+from comfreyhatch.exchange.header_codec import HeaderCodec
 from comfreyhatch.exchange.view import FleetView
 
 # Answers that are relayed at once; each may take 128 KiB of memory.
@@ -60,6 +61,7 @@
         self,
         view: FleetView,
         client: HttpClient,
+        codec: HeaderCodec,
         paths: EndpointPaths,
         note_head: NoteHead,
         may_use: Callable[[EndpointTracker, float], bool],
@@ -70,6 +72,7 @@
         Args:
             view: Current state of the fleet.
             client: Holds the connections to endpoints.
+            codec: Codec of endpoints' headers.
             paths: Which endpoints this daemon reaches.
             note_head: Learns from the head of an endpoint's answer to a request sent at a time.
             may_use: Returns whether any request may be sent to an endpoint at a time.
@@ -77,6 +80,7 @@
         """
         self._view = view
         self._client = client
+        self._codec = codec
         self._paths = paths
         self._note_head = note_head
         self._may_use = may_use
@@ -132,7 +136,7 @@
                     relayed.body,
                     relayed.headers,
                     relayed.timeout_s,
-                    relayed.fresh_connection,
+                    identity=self._codec.identity(relayed.headers),
                 )
             )
         except ConnectError:
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -94,7 +94,6 @@
         dispatch: Dispatch,
         head_timeout_s: float,
         arrival: AttemptArrival,
-        fresh_connection: bool = False,
     ) -> StreamedAnswer:
         """Send a request and read the head of its answer.
 
@@ -104,7 +103,6 @@
             dispatch: Values of the headers for the endpoint.
             head_timeout_s: Longest wait for the head, in seconds.
             arrival: Whether the attempt has arrived; updated.
-            fresh_connection: Whether to open a new connection.
 
         Raises:
             BackendRefusedError: If the endpoint did not run the request.
@@ -125,7 +123,6 @@
                 self._codec.dispatch_headers(job.exchange, left),
                 job.exchange.body,
                 max(0.0, head_timeout_s - waited_s),
-                fresh_connection,
             )
 
         try:
@@ -231,8 +228,8 @@
                     request.body,
                     request.headers,
                     request.timeout_s,
-                    request.fresh_connection,
-                    arrival.note_sent,
+                    note_sent=arrival.note_sent,
+                    identity=self._codec.identity(request.headers),
                 )
             )
         except ConnectError as error:
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -256,9 +256,7 @@
         arrival = stream.arrival
         assert arrival is not None
         opening = asyncio.create_task(
-            self._sender.open(
-                job, lease.endpoint, dispatch, max(0.0, left_s), arrival, stream.fresh_connection
-            )
+            self._sender.open(job, lease.endpoint, dispatch, max(0.0, left_s), arrival)
         )
         usual_s = self._latency_window(stream).quantile(FIRST_EVENT_QUANTILE)
         limits = first_event_limits(job.route.aim_s, usual_s)
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -38,7 +38,6 @@
         arrival: Arrival of the current attempt; None before the first.
         excluded_ids: Endpoints that the next attempt leaves out.
         attempt: The current attempt, as it is followed for crashes; None before the first.
-        attempted_ids: Endpoints of all attempts.
         model_index: Index of the requested model among the route's models.
         last_event_id: Id of the last event that the caller has received; None before the first.
         consecutive: Whether each event so far had the id after the one before.
@@ -52,8 +51,6 @@
         endpoint_by_broken: Endpoints of broken attempts that have not been probed since.
         slow: Whether the current attempt was counted as slow; None while it was not compared.
         endpoint_id: Endpoint of the current attempt.
-        fresh_connection: Whether the current attempt needs a new connection, since an earlier one
-            was sent to its endpoint. A late copy of that attempt's answer has the same id.
         lease: Slot of the current attempt; None once its answer was closed.
         is_replacing: Whether an attempt that might have been answered was given up for the next
             one, and no endpoint has answered since.
@@ -72,7 +69,6 @@
         "attempt",
         "attempt_events",
         "attempt_relayed",
-        "attempted_ids",
         "consecutive",
         "counted",
         "endpoint_by_broken",
@@ -80,7 +76,6 @@
         "error",
         "events_relayed",
         "excluded_ids",
-        "fresh_connection",
         "gaps_s",
         "head",
         "idle_since",
@@ -106,7 +101,6 @@
         self.arrival: AttemptArrival | None = None
         self.excluded_ids: set[str] = set()
         self.attempt: GuardedAttempt | None = None
-        self.attempted_ids: set[str] = set()
         self.model_index = 0
         self.last_event_id = job.exchange.last_event_id
         self.consecutive = True
@@ -120,7 +114,6 @@
         self.last_events_at: float | None = None
         self.slow: bool | None = None
         self.endpoint_id = ""
-        self.fresh_connection = False
         self.lease: SlotLease | None = None
         self.is_replacing = False
         self.max_silent_s: float | None = None
@@ -159,8 +152,6 @@
         self.lease = lease
         self.attempt = attempt
         self.endpoint_id = lease.endpoint.record.endpoint_id
-        self.fresh_connection = self.endpoint_id in self.attempted_ids
-        self.attempted_ids.add(self.endpoint_id)
         self.account.note_placed()
         self.arrival = self.arrivals.begin()
 
--- a/comfreyhatch/platform/header_codec.py
+++ b/comfreyhatch/platform/header_codec.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 from msgspec.json import encode
 
+from comfreyhatch.adapters.answer_identity import RequestIdentity
 from comfreyhatch.adapters.http_message import HOP_BY_HOP_HEADERS
 from comfreyhatch.adapters.http_server import HttpRequest, HttpResponse
 from comfreyhatch.codes import Ran, ResultCode, http_status
@@ -47,6 +48,7 @@
     }
 )
 _BEARER_PREFIX = "bearer "
+_ID_HEADER = b"attempt-id"
 
 
 class _RefusalBody(Struct, omit_defaults=True):
@@ -72,7 +74,7 @@
         tokens = _parse_integers(request.header("token-counts"))
         last_event = request.header("last-event-id").strip()
         return Exchange(
-            request_id=request.header("attempt-id"),
+            request_id=request.header(_ID_HEADER.decode()),
             method=request.method,
             target=request.target,
             host=_strip_port(request.header("host")),
@@ -111,6 +113,10 @@
             headers.append((b"request-priority", b"%d" % dispatch.engine_priority))
         return headers
 
+    def identity(self, headers: Headers) -> RequestIdentity:
+        """Return what the answer to a request with some headers says of it."""
+        return RequestIdentity(dict(headers).get(_ID_HEADER, b"").strip(), _ID_HEADER)
+
     def read_head(self, status: int, headers: Headers) -> AnswerHead:
         """Decode status and headers of an endpoint's answer."""
         value_by_name = dict(headers)
@@ -121,7 +127,7 @@
         return AnswerHead(
             status=status,
             headers=[(n, v) for n, v in headers if n not in dropped],
-            request_id=_header_text(value_by_name, b"attempt-id"),
+            request_id=_header_text(value_by_name, _ID_HEADER),
             has_receipt=b"server-stamp" in value_by_name,
             refused=b"not-executed" in value_by_name or status == HTTP_MISDIRECTED_REQUEST,
             implies_not_run=status in NOT_RUN_STATUSES,
