Skip answers that belong to other requests and read on for the own one

An answer too many was taken for the failure of the request that it comes before: the connection was reset while the endpoint was at work on that request, its answer right behind the copy. A copy of a success without an id was even taken for the answer.

Now the client reads past answers that name another request, or none on a connection that has carried earlier ones: 4 at most, of 256 KiB each, within the attempt's time. Such a connection isn't kept afterwards. Counted and logged (answers_skipped).

--- a/comfreyhatch/adapters/answer_identity.py
+++ b/comfreyhatch/adapters/answer_identity.py
@@ -5,6 +5,8 @@
 that id before.
 """
 
+from enum import Enum
+
 from msgspec import Struct
 from xxhash import xxh64_intdigest
 
@@ -26,6 +28,17 @@
     header: bytes
 
 
+class AnswerOwner(Enum):
+    """Whose answer a head belongs to, by the id that it names."""
+
+    OWN = "own"
+    # Without an id, but the first answer of its connection.
+    FIRST = "first"
+    OTHER = "other_id"
+    # Without an id, on a connection that has carried an earlier request.
+    UNNAMED = "no_id"
+
+
 class CarriedRequests:
     """The requests that a connection has carried."""
 
@@ -46,12 +59,32 @@
         """Return whether the answer to a request could be told from those before it."""
         return identity is None or xxh64_intdigest(identity.request_id) not in self._hashes
 
+    @property
+    def has_earlier(self) -> bool:
+        """Whether requests came before the one that was sent last."""
+        return self._count > 1
+
     @property
     def is_full(self) -> bool:
         """Whether the connection should carry no further request."""
         return self._count >= CARRIED_LIMIT
 
 
-def named_request(headers: Headers, identity: RequestIdentity) -> bytes:
-    """Return the id that the head of an answer names; empty if it names none."""
-    return dict(headers).get(identity.header, b"").strip()
+def answer_owner(
+    headers: Headers, identity: RequestIdentity | None, carried: CarriedRequests
+) -> AnswerOwner:
+    """Return whose answer a head belongs to.
+
+    Args:
+        headers: Headers of the answer, with names in lower case.
+        identity: The request that was sent last; None if its answer names no id.
+        carried: All requests of the connection, which has not carried this one before.
+    """
+    if identity is None:
+        return AnswerOwner.OWN
+    named = dict(headers).get(identity.header, b"").strip()
+    if named == identity.request_id:
+        return AnswerOwner.OWN
+    if named:
+        return AnswerOwner.OTHER
+    return AnswerOwner.UNNAMED if carried.has_earlier else AnswerOwner.FIRST
--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -9,12 +9,12 @@
 
 import h11
 
-from comfreyhatch.adapters.answer_identity import RequestIdentity
-from comfreyhatch.adapters.http_head import final_head
+from comfreyhatch.adapters.answer_identity import AnswerOwner, RequestIdentity
+from comfreyhatch.adapters.http_head import answer_bytes, own_head
 from comfreyhatch.adapters.http_link import IDLE_LIFE_S, AnswerPart, HttpLink
 from comfreyhatch.adapters.http_message import Headers
 from comfreyhatch.adapters.http_pool import IdleLinks
-from comfreyhatch.adapters.http_reply import HttpReply, StreamedReply, declared_bytes
+from comfreyhatch.adapters.http_reply import HttpReply, StreamedReply
 from comfreyhatch.codes import Ran
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import ConnectError, ExchangeTimeoutError
@@ -62,6 +62,7 @@
         self._read_buffer = bytearray(READ_SIZE_BYTES)
         self._whole_limit_bytes = whole_limit_bytes
         self.too_large_by_part = dict.fromkeys(AnswerPart, 0)
+        self.skipped_by_owner = dict.fromkeys((AnswerOwner.OTHER, AnswerOwner.UNNAMED), 0)
         self._before_send = before_send
         self._connect_timeout_s = connect_timeout_s
         self.connections_opened = 0
@@ -138,8 +139,8 @@
 
         The connection is kept if the answer was read to its end and it may be, and reset if the
         request was given up. `note_sent` is called just before the first byte is written.
-        `identity` tells what the answer says of the request; a pooled connection that has carried
-        its id is not used.
+        `identity` tells what the answer says of the request: a pooled connection that has carried
+        its id is not used, and answers that belong to other requests are skipped.
 
         Raises:
             ConnectError: If nothing was sent.
@@ -155,8 +156,10 @@
                 note_sent()
             link.carried.add(identity)
             _write_request(link, method, target, body, full_headers(address, headers))
-            head = await final_head(link, asyncio.get_running_loop().time() + timeout_s)
-            declared = None if method == "HEAD" else declared_bytes(head.headers)
+            until = asyncio.get_running_loop().time() + timeout_s
+            note_skipped = partial(self._note_skipped, address, identity)
+            head = await own_head(link, method, identity, until, note_skipped)
+            declared = answer_bytes(method, head)
             yield StreamedReply(head.status_code, list(head.headers), link, declared)
             kept = link.reusable()
             link.idle_life_s = _idle_life_s(head.headers)
@@ -217,6 +220,22 @@
         self.connections_opened += 1
         return link
 
+    def _note_skipped(
+        self,
+        address: Address,
+        identity: RequestIdentity | None,
+        owner: AnswerOwner,
+        head: h11.Response,
+    ) -> None:
+        self.skipped_by_owner[owner] += 1
+        log.info(
+            "event=answer_skipped address=%s before=%s named=%s status=%d",
+            address,
+            identity,
+            owner.value,
+            head.status_code,
+        )
+
     def _note_too_large(self, address: Address, part: AnswerPart, limit: str) -> None:
         self.too_large_by_part[part] += 1
         log.warning(
--- a/comfreyhatch/adapters/http_link.py
+++ b/comfreyhatch/adapters/http_link.py
@@ -33,6 +33,7 @@
     HEAD = "head"
     INFORMATIONAL = "informational"
     BODY = "body"
+    SKIPPED = "skipped"
     EVENT = "event"
     BETWEEN_EVENTS = "between_events"
     AFTER_END = "after_end"
@@ -45,6 +46,7 @@
         protocol: State of the exchange under way.
         transport: The open connection.
         carried: Requests that it has carried.
+        may_be_kept: Whether it may carry another request after the one under way.
         idle: Whether it waits in a pool for its next request.
         idle_since: Monotonic time in seconds since which it has waited.
         idle_life_s: Time for which it may wait, in seconds.
@@ -61,6 +63,7 @@
         self._report = report
         self.protocol = h11.Connection(h11.CLIENT, HEAD_LIMIT_BYTES)
         self.carried = CarriedRequests()
+        self.may_be_kept = True
         self.idle = False
         self.idle_since = 0.0
         self.idle_life_s = IDLE_LIFE_S
@@ -154,13 +157,28 @@
         if self.protocol.trailing_data[0]:
             self._report(AnswerPart.AFTER_END, "0 bytes")
             return False
-        if self._loss or self.carried.is_full:
+        if self._loss or self.carried.is_full or not self.may_be_kept:
             return False
         self.protocol.start_next_cycle()
         # What comes while the connection is idle has to be seen.
         self._resume_reading()
         return True
 
+    def expect_next_answer(self, method: str) -> None:
+        """Begin to read another answer to the request that was sent.
+
+        Args:
+            method: HTTP method of that request.
+        """
+        data, ended = self.protocol.trailing_data
+        self.protocol = h11.Connection(h11.CLIENT, HEAD_LIMIT_BYTES)
+        self.protocol.send(h11.Request(method=method, target="/", headers=[("host", "")]))
+        self.protocol.send(h11.EndOfMessage())
+        if data:
+            self.protocol.receive_data(data)
+        if ended:
+            self.protocol.receive_data(b"")
+
     def close(self) -> None:
         """Close the connection once what is unsent has been sent."""
         self._cancel_timer()
--- a/comfreyhatch/adapters/metrics.py
+++ b/comfreyhatch/adapters/metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client.process_collector import ProcessCollector
 from prometheus_client.registry import Collector
 
+from comfreyhatch.adapters.answer_identity import AnswerOwner
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_link import AnswerPart
 from comfreyhatch.domain.record import Attempt, RequestRecord
@@ -120,8 +121,8 @@
         yield family
 
 
-class TooLargeAnswerMetrics(Collector):
-    """Shows how many answers exceeded a limit, by the part that did."""
+class OddAnswerMetrics(Collector):
+    """Shows how many answers exceeded a limit, by the part that did, and how many were skipped."""
 
     def __init__(
         self, registry: CollectorRegistry, clients: Callable[[], Iterable[HttpClient]]
@@ -147,6 +148,18 @@
             count = sum(client.too_large_by_part[part] for client in clients)
             family.add_metric((part.value,), count)
         yield family
+        yield self._skipped(clients)
+
+    def _skipped(self, clients: list[HttpClient]) -> CounterMetricFamily:
+        family = CounterMetricFamily(
+            "comfreyhatch_answers_skipped",
+            "Answers to other requests that came before an answer, by the id that they name.",
+            labels=("named",),
+        )
+        for owner in (AnswerOwner.OTHER, AnswerOwner.UNNAMED):
+            count = sum(client.skipped_by_owner[owner] for client in clients)
+            family.add_metric((owner.value,), count)
+        return family
 
 
 def add_process_metrics(registry: CollectorRegistry) -> None:
--- a/comfreyhatch/daemon/components.py
+++ b/comfreyhatch/daemon/components.py
@@ -11,9 +11,9 @@
 from comfreyhatch.adapters.http_connection import HttpLimits
 from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.adapters.metrics import (
+    OddAnswerMetrics,
     PeerMetrics,
     RequestMetrics,
-    TooLargeAnswerMetrics,
     add_gauge,
     add_process_metrics,
 )
@@ -122,7 +122,7 @@
         self.registry = CollectorRegistry()
         self.metrics = RequestMetrics(self.registry)
         add_process_metrics(self.registry)
-        TooLargeAnswerMetrics(self.registry, lambda: self._clients)
+        OddAnswerMetrics(self.registry, lambda: self._clients)
         add_gauge(
             self.registry,
             "configuration_revision",
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -14,7 +14,7 @@
 from comfreyhatch.adapters.http_connection import HttpLimits
 from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
 from comfreyhatch.adapters.http_server import HttpServer
-from comfreyhatch.adapters.metrics import TooLargeAnswerMetrics, add_gauge
+from comfreyhatch.adapters.metrics import OddAnswerMetrics, add_gauge
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.former_attempts import FormerAttempts
 from comfreyhatch.decisions.isolation import should_report_unready
@@ -345,7 +345,7 @@
         gauge("orders_age_seconds", "Age of the operators' orders.", age_s(view.operations_age_s))
         gauge("endpoints_age_seconds", "Age of the list.", age_s(view.endpoints_age_s))
         gauge("connections_opened", "Connections to endpoints.", lambda: client.connections_opened)
-        TooLargeAnswerMetrics(self.registry, lambda: (client,))
+        OddAnswerMetrics(self.registry, lambda: (client,))
         gauge("configuration", "Version of the configuration.", self._configuration_version)
         rollouts = self._rollouts
         gauge("rollouts_undecided", "Roll-outs not decided in time.", rollouts.undecided_count)
--- a/tests/test_copied_answers.py
+++ b/tests/test_copied_answers.py
@@ -1,7 +1,7 @@
 """The request path with workers that send the copy of an earlier answer before the next one."""
 
 from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import asynccontextmanager
 
 import pytest
 
@@ -14,10 +14,12 @@
     stream_head,
     success_head,
 )
-from tests.raw_endpoint import RawEndpoint, listening
+from tests.raw_endpoint import RawEndpoint
 
 NO_BODY = b"content-length: 0"
 EVENT = b"id: 1\ndata: one\n\n"
+# Begin of the ids of requests that are refused.
+REFUSED = b"refused"
 Answer = Callable[[bytes], bytes]
 
 
@@ -66,25 +68,30 @@
 
 
 class CopyingEndpoint:
-    """Refuses the first request of a connection, and sends copies of that before its next answer.
+    """Refuses some requests, and sends copies before the next answer of the same connection.
 
     Attributes:
         runs: Ids of the requests that it has run.
+        copied: Number of the answers that copies came before.
+        raw: Its listener.
     """
 
-    def __init__(self, copy: Answer, copies: int = 1) -> None:
+    def __init__(self, copy: Answer, copies: int) -> None:
         self.runs: list[bytes] = []
-        self.heads: list[bytes] = []
+        self.copied = 0
+        self.raw = RawEndpoint(self.answer)
         self._copy = copy
         self._copies = copies
+        self._refused_by_connection: dict[int, bytes] = {}
 
     def answer(self, head: bytes) -> bytes:
-        self.heads.append(head)
-        if len(self.heads) == 1:
+        if request_id(head).startswith(REFUSED):
+            self._refused_by_connection[self.raw.serving] = head
             return refusal(head)
         self.runs.append(request_id(head))
-        copies = self._copy(self.heads[0]) * self._copies if len(self.heads) == 2 else b""
-        return copies + answer_to(head)
+        refused = self._refused_by_connection.pop(self.raw.serving, None)
+        self.copied += refused is not None
+        return (self._copy(refused) * self._copies if refused else b"") + answer_to(head)
 
 
 @asynccontextmanager
@@ -92,30 +99,32 @@
     harness: PlatformHarness, service: str, copy: Answer, copies: int = 1
 ) -> AsyncIterator[list[CopyingEndpoint]]:
     """Replace both workers of a service by endpoints that send copies."""
-    async with AsyncExitStack() as stack:
-        found = []
-        for worker_id in (f"{service}-1", f"{service}-2"):
-            copying_endpoint = CopyingEndpoint(copy, copies)
-            raw: RawEndpoint = await stack.enter_async_context(listening(copying_endpoint.answer))
-            await replace_worker(harness, worker_id, raw)
-            found.append(copying_endpoint)
-        yield found
+    endpoints = [CopyingEndpoint(copy, copies) for _ in range(2)]
+    try:
+        for number, endpoint in enumerate(endpoints, 1):
+            await endpoint.raw.listen()
+            await replace_worker(harness, f"{service}-{number}", endpoint.raw)
+        yield endpoints
+    finally:
+        for endpoint in endpoints:
+            await endpoint.raw.stop()
 
 
+@pytest.mark.parametrize("copies", [1, 2])
 @pytest.mark.parametrize("copy", COPIES.values(), ids=COPIES)
 @pytest.mark.parametrize("path", ["/pay/x", "/read/x", "/draft/x"])
 async def test_copy_of_an_earlier_answer_does_not_end_the_request_that_it_comes_before(
-    harness: PlatformHarness, path: str, copy: Answer
+    harness: PlatformHarness, path: str, copy: Answer, copies: int
 ) -> None:
     service = "engine" if path.startswith("/draft/") else "desk"
-    async with copying(harness, service, copy) as endpoints:
-        replies = [await harness.send_kind(path, attempt_id=f"call-{n}") for n in range(8)]
+    async with copying(harness, service, copy, copies) as endpoints:
+        await harness.send_kind(path, attempt_id=REFUSED.decode())
+        replies = [await harness.send_kind(path, attempt_id=f"call-{n}") for n in range(6)]
+        body = EVENT if service == "engine" else b"ok"
+        assert [(reply.status, reply.body) for reply in replies] == [(200, body)] * 6
         runs = [run for endpoint in endpoints for run in endpoint.runs]
-        answered = [b"call-%d" % n for n, reply in enumerate(replies) if reply.status == 200]
-        assert sorted(runs) == sorted(answered)
-        assert len(answered) >= 6
-        own = {b"ok", EVENT}
-        assert all(reply.body in own for reply in replies if reply.status == 200)
+        assert sorted(runs) == [b"call-%d" % n for n in range(6)]
+        assert sum(endpoint.copied for endpoint in endpoints) >= 2
 
 
 class RepeatingEndpoint:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -6,8 +6,8 @@
 from comfreyhatch.adapters.http_link import AnswerPart
 from comfreyhatch.adapters.metrics import (
     VERSIONS_NAMED,
+    OddAnswerMetrics,
     RequestMetrics,
-    TooLargeAnswerMetrics,
     add_gauge,
     add_process_metrics,
 )
@@ -73,7 +73,7 @@
 def test_answers_that_are_too_large_are_summed_over_clients() -> None:
     registry = CollectorRegistry()
     clients = [HttpClient(), HttpClient()]
-    TooLargeAnswerMetrics(registry, lambda: clients)
+    OddAnswerMetrics(registry, lambda: clients)
     for client in clients:
         client.too_large_by_part[AnswerPart.EVENT] += 2
     name = "comfreyhatch_answers_too_large_total"
