--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -343,10 +343,10 @@
 
 
 def _require_own_answer(job: Job, head: AnswerHead) -> None:
-    """Raise an error if an answer belongs to another request.
+    """Raise an error if an answer may belong to another request.
 
-    An endpoint may send an answer once more, late, when the connection carries the next request. A
-    refusal that names no request may be such a copy, and says nothing of the request under way.
+    Daemons of the version before relay answers to other requests, too. A refusal that names no
+    request doesn't tell that the one under way has not run.
     """
     own = job.exchange.request_id
     if head.request_id != own and (head.request_id or head.refused):
