Process rig: signals in series, requests sent again under their id, runs that a kill ends

The rig is split: plan, callers, daemons, plays and runs have modules of their own.

A run whose endpoint is killed logs no end, so that ran_twice named every stream that went on elsewhere after a kill, and hid real cases. Such a run now ends at the kill; all pairs of runs are compared in place of neighbours only. cut_and_left leaves out answers that the kill of their last endpoint broke off, which the rule doesn't count.

--- a/tests/endpoint_logs.py
+++ b/tests/endpoint_logs.py
@@ -1,11 +1,14 @@
 """What the logs of endpoint processes and the answers of callers show of broken rules."""
 
-from collections import defaultdict
-from itertools import pairwise
+from itertools import combinations
 
 from msgspec import Struct
 
-from tests.platform_processes import MAX_ATTEMPTS_BY_KIND, SERVICE_BY_KIND, Call, Fleet
+from tests.endpoint_processes import EndpointEvent
+from tests.endpoint_runs import KILLED, Run, call_of, calls_by_id, runs_by_id
+from tests.fleet_callers import Call
+from tests.fleet_plan import MAX_ATTEMPTS_BY_KIND, SERVICE_BY_KIND
+from tests.platform_processes import Fleet
 
 # Time that a request may stay at work at an endpoint after it went on at another one.
 TWICE_SLACK_S = 0.4
@@ -15,20 +18,6 @@
 LATE_SHARE = 0.7
 
 
-class Run(Struct):
-    """A request at an endpoint, from its begin to its end."""
-
-    endpoint: str
-    began: float
-    ended: float
-    how: str
-    last: str
-
-    def __str__(self) -> str:
-        after = f" after event {self.last}" if self.last else ""
-        return f"at {self.endpoint}{after} {self.began:.2f}-{self.ended:.2f} {self.how}"
-
-
 class Window(Struct):
     """A span of the budget and the repeats that a service got in it."""
 
@@ -38,32 +27,17 @@
     allowed: float
 
 
-def runs_by_id(fleet: Fleet) -> dict[str, list[Run]]:
-    """Return the runs of each request in the order in which they began."""
-    open_runs: dict[tuple[str, str, int], Run] = {}
-    found: dict[str, list[Run]] = defaultdict(list)
-    for event in fleet.events():
-        key = (event.id, event.endpoint, event.port)
-        if event.event == "began":
-            open_runs[key] = Run(event.endpoint, event.t, float("inf"), "never ended", event.last)
-            found[event.id].append(open_runs[key])
-        elif event.event == "ended":
-            open_runs[key].ended, open_runs[key].how = event.t, event.how
-    return found
-
-
 def too_many_endpoints(fleet: Fleet) -> list[str]:
-    """BUDGET: requests that ran at more endpoints than their route's attempts."""
+    """BUDGET: calls that ran at more endpoints than their route's attempts."""
     runs = runs_by_id(fleet)
-    at_by_id = {
-        call.id: {run.endpoint for run in runs[call.id] if not _was_killed(fleet, run, call)}
-        for call in fleet.calls
-    }
-    return [
-        f"{call.id} ran at {sorted(at_by_id[call.id])}"
-        for call in fleet.calls
-        if len(at_by_id[call.id]) > MAX_ATTEMPTS_BY_KIND[call.kind]
-    ]
+    found = []
+    for request_id, calls in calls_by_id(fleet).items():
+        for call in calls:
+            mine = [run for run in runs[request_id] if call_of(calls, run.began) is call]
+            at = {run.endpoint for run in mine if not _was_killed(fleet, run, call)}
+            if len(at) > MAX_ATTEMPTS_BY_KIND[call.kind]:
+                found.append(f"{call.id} ran at {sorted(at)}")
+    return found
 
 
 def _was_killed(fleet: Fleet, run: Run, call: Call) -> bool:
@@ -92,17 +66,26 @@
 
 
 def _arrivals(fleet: Fleet, service: str) -> tuple[list[float], list[float]]:
-    """Return when requests for a service were sent, and when others than their firsts arrived."""
+    """Return when calls for a service were sent, and when others than their firsts arrived.
+
+    A call that its caller sends again is a new one: its first arrival isn't a repeat.
+    """
     arrived = [event for event in fleet.events() if event.event == "read"]
+    by_id = calls_by_id(fleet)
+    call_by_event = {id(event): call_of(by_id[event.id], event.t) for event in arrived}
     mine = [e for e in arrived if fleet.endpoint_by_id[e.endpoint].service == service]
-    first_by_id = {event.id: event for event in reversed(mine)}
-    anywhere = {event.id for event in arrived}
+    first_by_call: dict[int, EndpointEvent] = {}
+    for event in mine:
+        first_by_call.setdefault(id(call_by_event[id(event)]), event)
+    anywhere = {id(call) for call in call_by_event.values()}
     sent = [
         call.sent
         for call in fleet.calls
-        if call.id in first_by_id or (call.id not in anywhere and fleet.routed_to(call) == service)
+        if id(call) in first_by_call
+        or (id(call) not in anywhere and fleet.routed_to(call) == service)
     ]
-    return sent, [event.t for event in mine if event is not first_by_id[event.id]]
+    firsts = {id(event) for event in first_by_call.values()}
+    return sent, [event.t for event in mine if id(event) not in firsts]
 
 
 def lost(fleet: Fleet) -> list[str]:
@@ -129,6 +112,7 @@
         f"{call.id} sent {call.sent:.2f}, broken {call.ended:.2f}, last {runs[call.id][-1]}"
         for call in fleet.calls
         if call.outcome == "broken"
+        and runs[call.id][-1].how != KILLED
         and runs[call.id][-1].ended - call.sent < LATE_SHARE * fleet.plan.deadline_s
     ]
 
@@ -136,17 +120,29 @@
 def refused_though_run(fleet: Fleet) -> list[str]:
     """REFUSED: unsafe requests that ran, though their callers were told that they had not."""
     runs = runs_by_id(fleet)
-    refused = [call for call in fleet.calls if call.kind == "pay" and call.status == 503]
-    return [f"{call.id} {runs[call.id][0]}" for call in refused if call.id in runs]
+    found = []
+    for request_id, calls in calls_by_id(fleet).items():
+        answered = [call for call in calls if call.status != 503]
+        ran_for = [call_of(calls, run.began) for run in runs[request_id]]
+        # A run after the next try was sent may still be of the refused one: then there are too
+        # many of them.
+        refused = [call for call in ran_for if call.status == 503]
+        if calls[0].kind == "pay" and (refused or len(ran_for) > max(1, len(answered))):
+            found.append(f"{request_id} {runs[request_id]}")
+    return found
 
 
 def ran_twice(fleet: Fleet) -> list[str]:
-    """TWICE: unsafe requests with two runs, and streams at work at two endpoints at once."""
+    """TWICE: unsafe requests with two runs, and streams at work at two endpoints at once.
+
+    An unsafe request may run once in all, also if its caller sent it again after a refusal.
+    """
     runs = runs_by_id(fleet)
-    pays = [call.id for call in fleet.calls if call.kind == "pay" and len(runs[call.id]) > 1]
-    streams = [call.id for call in fleet.calls if call.kind == "stream"]
-    pairs = [(stream, a, b) for stream in streams for a, b in pairwise(runs[stream])]
-    return [f"{pay} ran {runs[pay]}" for pay in pays] + [
+    kind_by_id = {call.id: call.kind for call in fleet.calls}
+    pays = [i for i, kind in kind_by_id.items() if kind == "pay" and len(runs[i]) > 1]
+    streams = [i for i, kind in kind_by_id.items() if kind == "stream"]
+    pairs = [(stream, a, b) for stream in streams for a, b in combinations(runs[stream], 2)]
+    return [f"{pay} ran {', '.join(map(str, runs[pay]))}" for pay in pays] + [
         f"{stream} {a}, {b}"
         for stream, a, b in pairs
         if a.endpoint != b.endpoint
@@ -154,6 +150,37 @@
     ]
 
 
+def answers_of_others(fleet: Fleet) -> list[str]:
+    """MIXED: successes that belong to another request, or to one that no endpoint has run."""
+    runs = runs_by_id(fleet)
+    return [
+        f"{call.id} {call.kind} sent {call.sent:.2f} got {call.answered_id!r}, {runs[call.id]}"
+        for call in fleet.calls
+        if call.status == 200 and (call.answered_id != call.id or not runs[call.id])
+    ]
+
+
+def failed_beside_copies(fleet: Fleet) -> list[str]:
+    """Return calls that failed early though an endpoint that is sound had only sent a copy first.
+
+    No rule counts them; their callers are owed the answer that came behind the copy.
+    """
+    runs = runs_by_id(fleet)
+    by_id = calls_by_id(fleet)
+    copied = [event for event in fleet.events() if event.event == "copied"]
+    pairs = [(event, call_of(by_id[event.before], event.t)) for event in copied]
+    return [
+        f"{call.id} {call.kind} {call.outcome} {call.status} at {_used_share(fleet, call):.2f},"
+        f" copy {event.status} of {event.id or 'none'} by {event.endpoint} at {event.t:.2f},"
+        f" {', '.join(map(str, runs[call.id]))}"
+        for event, call in pairs
+        if (call.outcome != "complete" or call.status >= 500)
+        and event.t <= call.ended + TWICE_SLACK_S
+        and _used_share(fleet, call) < LATE_SHARE
+        and any(run.endpoint == event.endpoint and run.how != KILLED for run in runs[call.id])
+    ]
+
+
 def late_begins(fleet: Fleet) -> list[str]:
     """Return the runs that began though their connection had been closed by then."""
     events = fleet.events()
--- a/tests/endpoint_processes.py
+++ b/tests/endpoint_processes.py
@@ -30,6 +30,8 @@
     last: str = ""
     deadline_ms: str = ""
     how: str = ""
+    before: str = ""
+    status: int = 0
     endpoint: str = ""
 
 
--- /dev/null
+++ b/tests/fleet_plays.py
@@ -0,0 +1,119 @@
+"""What is done to a fleet of processes while its callers send requests."""
+
+import asyncio
+from functools import partial
+from time import monotonic
+
+from tests.fleet_plan import SIZE_BY_SERVICE
+from tests.platform_processes import Fleet
+
+# From one silence to the next, which lets what one delays fall together with the next.
+PERIOD_S = 6.0
+# Load from the begin of the last silence.
+TAIL_S = 3.0
+# Silences of a play with mixed disturbances.
+SHORTEST_S = 0.5
+LONGEST_S = 6.0
+LONGEST_DOWN_S = 2.0
+# Share of the disturbances that come with a new configuration, and of the ends that are kills.
+CHANGED_SHARE = 0.4
+KILLED_SHARE = 0.7
+# Time from one signal of a series to the next, in which a daemon that has ended is ready again.
+SERIES_GAP_S = 0.3
+CHANGES: list[dict[str, object]] = [
+    {"idle_timeout_ms": 400},
+    {"timeout_ms": 4500},
+    {"read_service": "engines"},
+    {"idle_timeout_ms": 1000, "timeout_ms": 5500},
+]
+
+
+async def play(
+    fleet: Fleet, rounds: int, first_s: float, silence_s: tuple[float, float] = (1.0, 1.3)
+) -> None:
+    """Send requests while all endpoints of a service, then 0.6 of them, and so on, fall silent.
+
+    Each silence begins just after a new configuration, the first one after `first_s`.
+
+    Args:
+        fleet: The fleet.
+        rounds: Number of silences.
+        first_s: Time until the first one, in seconds.
+        silence_s: Shortest and longest silence, in seconds.
+    """
+    load_s = first_s + (rounds - 1) * PERIOD_S + TAIL_S
+    load = asyncio.create_task(fleet.load(load_s))
+    service = fleet.rng.choice(list(SIZE_BY_SERVICE))
+    first_at = monotonic() + first_s
+    for number in range(rounds):
+        silent_at = first_at + number * PERIOD_S + fleet.rng.uniform(0.0, 0.3)
+        await asyncio.sleep(silent_at - fleet.rng.uniform(0.1, 0.6) - monotonic())
+        fleet.configure(**CHANGES[number % len(CHANGES)])
+        await asyncio.sleep(silent_at - monotonic())
+        await fleet.silence(service, 0.6 if number % 2 else 1.0, fleet.rng.uniform(*silence_s))
+    await load
+
+
+async def play_mixed(fleet: Fleet, disturbances: int, first_s: float, mean_gap_s: float) -> None:
+    """Send requests while disturbances of all kinds come one after the other, and overlap."""
+    tasks = []
+    rng = fleet.rng
+    gaps = [first_s, *(rng.expovariate(1 / mean_gap_s) for _ in range(disturbances - 1))]
+    load = asyncio.create_task(fleet.load(sum(gaps) + LONGEST_S + TAIL_S))
+    for gap_s in gaps:
+        await asyncio.sleep(gap_s)
+        tasks.append(asyncio.create_task(_disturb(fleet)))
+        if rng.random() < CHANGED_SHARE:
+            fleet.configure(**rng.choice(CHANGES))
+    await asyncio.gather(load, *tasks)
+
+
+async def _disturb(fleet: Fleet) -> None:
+    """Disturb a part of the fleet that is drawn, for a time that is drawn."""
+    rng = fleet.rng
+    service = rng.choice(list(SIZE_BY_SERVICE))
+    share = rng.choice((0.4, 0.6, 1.0))
+    for_s = rng.uniform(SHORTEST_S, LONGEST_S)
+    down_s = rng.uniform(0.0, LONGEST_DOWN_S)
+    kinds = [
+        partial(fleet.silence, service, share, for_s),
+        partial(fleet.silence, service, share, for_s),
+        partial(fleet.refuse, service, share, for_s),
+        partial(fleet.crash, service, down_s),
+        partial(fleet.silence_daemons, share / 2, for_s),
+        partial(fleet.restart_daemon, rng.random() < KILLED_SHARE, down_s),
+    ]
+    if fleet.plan.signals:
+        kinds.append(partial(fleet.restart_in_series, SERIES_GAP_S))
+        kinds.append(partial(fleet.reload_in_series, SERIES_GAP_S))
+    await rng.choice(kinds)()
+
+
+async def play_planned(fleet: Fleet, first_s: float, rounds: int) -> None:
+    """Send requests while daemons get signals one after the other, and endpoints are disturbed.
+
+    No daemon is killed or stopped and no endpoint is killed, so that each request that reached an
+    endpoint has to end with an answer. Each round has a configuration, a silence and refusals that
+    overlap.
+
+    Args:
+        fleet: The fleet.
+        first_s: Time until the first round, in seconds.
+        rounds: Number of rounds, of which each has all daemons signalled once.
+    """
+    rng = fleet.rng
+    ended = asyncio.Event()
+    load = asyncio.create_task(fleet.load_until(ended))
+    await asyncio.sleep(first_s)
+    for number in range(rounds):
+        fleet.configure(**CHANGES[number % len(CHANGES)])
+        silent, refusing = rng.sample(list(SIZE_BY_SERVICE), 2)
+        series = fleet.reload_in_series if number % 2 else fleet.restart_in_series
+        await asyncio.gather(
+            series(SERIES_GAP_S),
+            fleet.silence(silent, 0.6, rng.uniform(SHORTEST_S, 2.0)),
+            fleet.refuse(refusing, 0.6, rng.uniform(SHORTEST_S, 2.0)),
+        )
+    await asyncio.sleep(TAIL_S)
+    ended.set()
+    await load
--- a/tests/test_repeat_processes.py
+++ b/tests/test_repeat_processes.py
@@ -20,7 +20,9 @@
     too_many_endpoints,
 )
 from tests.endpoint_process import EndpointOptions
-from tests.platform_processes import Fleet, FleetPlan, play_mixed, running_fleet
+from tests.fleet_plan import FleetPlan
+from tests.fleet_plays import play_mixed
+from tests.platform_processes import Fleet, running_fleet
 
 SEED = 1
 SHOWN = 6
--- a/tests/test_silent_processes.py
+++ b/tests/test_silent_processes.py
@@ -24,7 +24,9 @@
     too_many_endpoints,
 )
 from tests.endpoint_process import EndpointOptions
-from tests.platform_processes import Fleet, FleetPlan, play, running_fleet
+from tests.fleet_plan import FleetPlan
+from tests.fleet_plays import play
+from tests.platform_processes import Fleet, running_fleet
 
 ROUNDS = 2
 LONG_ROUNDS = 4
