--- a/tests/endpoint_logs.py
+++ b/tests/endpoint_logs.py
@@ -174,6 +174,7 @@
             (call.outcome != "complete" or call.status >= 500)
             and event.t <= call.ended + TWICE_SLACK_S
             and _used_share(fleet, call) < LATE_SHARE
+            and not _lost_its_daemon(fleet, call)
             and any(run.endpoint == event.endpoint and run.how != KILLED for run in runs)
         ):
             found.append(
@@ -184,6 +185,12 @@
     return found
 
 
+def _lost_its_daemon(fleet: Fleet, call: Call) -> bool:
+    """Return whether a call's daemon was killed before the call ended."""
+    kills = [span.start for span in fleet.daemons.kills if span.host == call.host]
+    return any(call.sent <= killed <= call.ended for killed in kills)
+
+
 def late_begins(fleet: Fleet) -> list[str]:
     """Return the runs that began though their connection had been closed by then."""
     events = fleet.events()
