--- a/tests/test_copied_relayed_answers.py
+++ b/tests/test_copied_relayed_answers.py
@@ -79,9 +79,11 @@
     await replace_worker(harness, f"{service}-1", endpoint)
     await harness.wait_until(
         lambda: all(
-            daemon.view.tracker_by_id[f"{service}-2"].removed_at is not None
-            if f"{service}-2" in daemon.view.tracker_by_id
-            else True
+            (
+                daemon.view.tracker_by_id[f"{service}-2"].removed_at is not None
+                if f"{service}-2" in daemon.view.tracker_by_id
+                else True
+            )
             for daemon in harness.daemons
         )
     )
