--- a/tests/scripted_endpoint.py
+++ b/tests/scripted_endpoint.py
@@ -62,12 +62,16 @@
     Attributes:
         requests: Heads of the requests so far.
         open_connections: Connections that are open.
+        resets: Connections that the client has reset.
+        closed: Connections that the client has closed without a reset.
         address: Where it listens, once started.
     """
 
     def __init__(self, answer: Answer) -> None:
         self.requests: list[bytes] = []
         self.open_connections = 0
+        self.resets = 0
+        self.closed = 0
         self.address = Address("", 0)
         self._connections = 0
         self._answer = answer
@@ -108,8 +112,10 @@
                 head = await connection.read_head()
                 self.requests.append(head)
                 await self._answer(connection, head)
-        except (OSError, asyncio.IncompleteReadError):
-            pass
+        except asyncio.IncompleteReadError:
+            self.closed += 1
+        except OSError:
+            self.resets += 1
         finally:
             self.open_connections -= 1
             writer.transport.abort()
--- a/tests/test_copied_relayed_answers.py
+++ b/tests/test_copied_relayed_answers.py
@@ -297,3 +297,32 @@
         await require_nothing_held(harness, f"{service}-1")
         endpoint.start, endpoint.unit = answer_to, b""
         assert (await send_until_served(harness, path)).body in (b"ok", EVENT)
+
+
+@pytest.mark.parametrize("daemon", [0, 1], ids=["relayed", "direct"])
+@pytest.mark.parametrize("leaves", [True, False], ids=["caller_leaves", "deadline"])
+@pytest.mark.parametrize("path", PATHS)
+async def test_endpoint_is_told_of_a_request_that_is_given_up_behind_a_copy(
+    harness: PlatformHarness, path: str, leaves: bool, daemon: int
+) -> None:
+    # A close without a reset would let it go on: the copy was read to its end.
+    copied = asyncio.Event()
+
+    async def answer(connection: ScriptedConnection, head: bytes) -> None:
+        await connection.read_body()
+        await connection.send(refusal(OTHER_REQUEST))
+        copied.set()
+
+    service = service_of(path)
+    async with scripted(answer) as endpoint, replaced(harness, service, endpoint):
+        sending = asyncio.create_task(harness.send_kind(path, daemon, deadline_ms="600"))
+        await copied.wait()
+        await asyncio.sleep(0.1)
+        assert (endpoint.open_connections, len(endpoint.requests)) == (1, 1)
+        if leaves:
+            sending.cancel()
+        else:
+            assert (await sending).status not in (200, *NOT_RUN_STATUSES)
+        await harness.wait_until(lambda: endpoint.resets == len(endpoint.requests))
+        assert endpoint.closed == 0
+        await require_nothing_held(harness, f"{service}-1")
