--- a/tests/test_copied_hedged_answers.py
+++ b/tests/test_copied_hedged_answers.py
@@ -12,7 +12,6 @@
 
 from tests.platform_harness import PlatformHarness
 from tests.platform_raw_worker import (
-    refusal_head,
     replace_worker,
     request_id,
     stream_head,
@@ -104,10 +103,12 @@
 
     Attributes:
         runs: Ids and models of the requests that were run.
+        copied: Answers that a copy came before, by model.
     """
 
     def __init__(self) -> None:
         self.runs: list[tuple[bytes, bytes]] = []
+        self.copied: list[bytes] = []
 
     async def answer(self, connection: ScriptedConnection, head: bytes) -> None:
         if len(connection.heads) == 1 and header(head, b"model") == b"small":
@@ -116,6 +117,7 @@
         model = header(head, b"model")
         self.runs.append((request_id(head), model))
         if len(connection.heads) > 1:
+            self.copied.append(model)
             await connection.send(refusal(connection.heads[0]))
         confidence = b"confidence: 99" if model == b"large" else b"confidence: 5"
         events = WHOLE_STREAM.replace(b"one", model)
@@ -137,6 +139,8 @@
         replies = [await harness.send_draft(attempt_id=f"call-{n}") for n in range(6)]
         answered = [b"call-%d" % n for n, reply in enumerate(replies) if reply.status == 200]
         assert len(answered) >= 5
+        copied = [model for engine in engines for model in engine.copied]
+        assert {*copied} == {b"small", b"large"}
         runs = [run for engine in engines for run in engine.runs]
         wanted = [(own, model) for own in answered for model in (b"large", b"small")]
         assert sorted(runs) == sorted(wanted)
@@ -167,10 +171,12 @@
 
     Attributes:
         runs: Ids of the last event that requests named that were run.
+        copied: Number of the answers that a copy came before.
     """
 
     def __init__(self) -> None:
         self.runs: list[bytes] = []
+        self.copied = 0
         self._refused: set[bytes] = set()
 
     async def answer(self, connection: ScriptedConnection, head: bytes) -> None:
@@ -182,6 +188,7 @@
         last = int(header(head, b"last-event-id") or b"0")
         self.runs.append(b"%d" % last)
         if len(connection.heads) > 1:
+            self.copied += 1
             await connection.send(refusal(connection.heads[0]))
         events = WHOLE_STREAM.split(b"\n\n")[last:EVENTS]
         # The first run breaks behind the second event.
@@ -204,6 +211,7 @@
         replies = [await harness.send_draft(attempt_id=f"call-{n}") for n in range(4)]
         assert [(reply.status, reply.body) for reply in replies] == [(200, WHOLE_STREAM)] * 4
         assert engine.runs == [b"0", b"2"] * 4
+        assert engine.copied >= 2
 
 
 async def test_stream_that_goes_on_at_an_address_of_two_rows_does_not_take_a_copy_for_its_answer(
@@ -217,6 +225,7 @@
         replies = [await harness.send_draft(attempt_id=f"call-{n}") for n in range(4)]
         assert [(reply.status, reply.body) for reply in replies] == [(200, WHOLE_STREAM)] * 4
         assert engine.runs == [b"0", b"2"] * 4
+        assert engine.copied >= 2
 
 
 async def test_hedge_at_an_address_of_two_rows_does_not_take_the_first_attempt_s_refusal(
@@ -224,14 +233,17 @@
 ) -> None:
     # Both attempts have the same id; the connection that one of them has used tells nothing.
     arrivals: list[bytes] = []
+    refused_on: dict[bytes, int] = {}
 
     async def answer(connection: ScriptedConnection, head: bytes) -> None:
-        arrivals.append(request_id(head))
-        if arrivals.count(request_id(head)) == 1:
+        own = request_id(head)
+        arrivals.append(own)
+        if own not in refused_on:
+            refused_on[own] = connection.number
             await asyncio.sleep(0.1)
-            await connection.send(refusal_head(head, NO_BODY))
+            await connection.send(refusal(head))
             return
-        copies = refusal(head) if len(connection.heads) > 1 else b""
+        copies = refusal(head) if refused_on[own] == connection.number else b""
         await connection.send(copies + success_head(head, b"content-length: 2") + b"ok")
 
     async with (
--- a/tests/test_copied_relayed_answers.py
+++ b/tests/test_copied_relayed_answers.py
@@ -18,6 +18,7 @@
     COPIES,
     EVENT,
     NO_BODY,
+    REFUSED,
     Answer,
     answer_to,
     copying,
@@ -124,13 +125,14 @@
 ) -> None:
     async with copying(harness, service_of(path), copy, copies) as endpoints:
         await lose_paths(harness)
-        replies = [await harness.send_kind(path, 0, attempt_id=f"call-{n}") for n in range(8)]
+        await harness.send_kind(path, 0, attempt_id=REFUSED.decode())
+        replies = [await harness.send_kind(path, 0, attempt_id=f"call-{n}") for n in range(6)]
+        body = EVENT if path == "/draft/x" else b"ok"
+        assert [(reply.status, reply.body) for reply in replies] == [(200, body)] * 6
         runs = [run for endpoint in endpoints for run in endpoint.runs]
-        answered = [b"call-%d" % n for n, reply in enumerate(replies) if reply.status == 200]
-        assert sorted(runs) == sorted(answered)
-        assert len(answered) >= 6
-        assert all(reply.body in {b"ok", EVENT} for reply in replies if reply.status == 200)
-        assert relayed(harness) >= len(answered)
+        assert sorted(runs) == [b"call-%d" % n for n in range(6)]
+        assert sum(endpoint.copied for endpoint in endpoints) >= 2
+        assert relayed(harness) >= 6
 
 
 @pytest.mark.parametrize("path", PATHS)
