Send HEAD requests over connections of their own

Where the copy of an answer ends depends on the method of the request that it answers: answers to HEAD have no bodies, whatever their heads say. A copy of such an answer before that of another method, or the other way round, broke the exchange behind it: 502 for an order that ran. Connections whose answers are told by ids now carry either one HEAD request or none.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -10,7 +10,7 @@
 import h11
 
 from comfreyhatch.adapters.answer_identity import AnswerOwner, RequestIdentity
-from comfreyhatch.adapters.http_head import answer_bytes, own_head
+from comfreyhatch.adapters.http_head import HEAD_METHOD, answer_bytes, own_head
 from comfreyhatch.adapters.http_link import IDLE_LIFE_S, AnswerPart, HttpLink
 from comfreyhatch.adapters.http_message import Headers
 from comfreyhatch.adapters.http_pool import IdleLinks
@@ -140,14 +140,17 @@
         The connection is kept if the answer was read to its end and it may be, and reset if the
         request was given up. `note_sent` is called just before the first byte is written.
         `identity` tells what the answer says of the request: a pooled connection that has carried
-        its id is not used, and answers that belong to other requests are skipped.
+        its id is not used, and answers that belong to other requests are skipped. HEAD requests get
+        connections of their own then: where a copy of an answer ends depends on the method.
 
         Raises:
             ConnectError: If nothing was sent.
             ExchangeTimeoutError: If the head of the answer was not complete in time.
             HttpError: If the exchange broke.
         """
-        link = await self._link(address, identity, fresh_connection)
+        is_alone = identity is not None and method == HEAD_METHOD
+        link = await self._link(address, identity, fresh_connection or is_alone)
+        link.may_be_kept = not is_alone
         kept = False
         try:
             if self._before_send:
--- a/comfreyhatch/adapters/http_head.py
+++ b/comfreyhatch/adapters/http_head.py
@@ -10,6 +10,8 @@
 from comfreyhatch.adapters.http_reply import StreamedReply, declared_bytes
 from comfreyhatch.errors import HttpError
 
+# The answers to it have no bodies, whatever their heads say.
+HEAD_METHOD = "HEAD"
 # Informational answers (status 1xx) that may precede an answer.
 INFORMATIONAL_LIMIT = 16
 # Answers to other requests that may precede an answer, and the largest body of one of them.
@@ -70,7 +72,7 @@
 
 def answer_bytes(method: str, head: h11.Response) -> int | None:
     """Return the length of an answer's body as its head says; None if it doesn't."""
-    return None if method == "HEAD" else declared_bytes(head.headers)
+    return None if method == HEAD_METHOD else declared_bytes(head.headers)
 
 
 async def _final_head(link: HttpLink, until: float) -> h11.Response:
--- a/tests/test_http_head.py
+++ b/tests/test_http_head.py
@@ -117,3 +117,28 @@
     async with listening(b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nown") as endpoint:
         assert await send(client, endpoint) == b"own"
         assert endpoint.connections == 2
+
+
+@pytest.mark.parametrize("methods", [("HEAD", "GET"), ("GET", "HEAD")], ids="_before_".join)
+async def test_copy_of_an_answer_to_head_does_not_break_that_of_another_method(
+    methods: tuple[str, str],
+) -> None:
+    # Only the method tells whether the copy has a body: an order that ran was answered 502.
+    client = HttpClient()
+    first_by_connection: dict[int, bytes] = {}
+
+    def start(head: bytes) -> bytes:
+        own = answer(head.partition(b"x-id: ")[2].partition(b"\r\n")[0], b"body")
+        if head.startswith(b"HEAD"):
+            own = own.removesuffix(b"body")
+        copy = first_by_connection.pop(endpoint.serving, b"")
+        first_by_connection[endpoint.serving] = own
+        return copy + own
+
+    async with listening(start) as endpoint:
+        for method, identity in zip(methods, (EARLIER, OWN), strict=True):
+            headers = [(b"x-id", identity.request_id)]
+            reply = await client.request(
+                endpoint.address, method, "/", headers=headers, timeout_s=1.0, identity=identity
+            )
+            assert (reply.status, reply.body) == (200, b"" if method == "HEAD" else b"body")
