Repeat the id of a request in refusals and chat answers of the own fleet

Cause: engines, and daemons that run forwarded requests, name the request of a chat answer in its chunks only, and none in a refusal; plain services name none in a refusal. A client can't tell whose refusal it has, nor whose answer before it has read a chunk.

Change: chat requests bear x-request-id as calls do, and answers repeat it, whatever their status. A request of the build before bears none, and its answer is as it was; daemons and engines of the build before pass over the header, which isn't among the signed ones.

--- a/comfreyhatch/adapters/engine_http.py
+++ b/comfreyhatch/adapters/engine_http.py
@@ -17,7 +17,7 @@
 )
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_link import AnswerPart
-from comfreyhatch.adapters.http_message import JSON_TYPE
+from comfreyhatch.adapters.http_message import JSON_TYPE, REQUEST_ID_HEADER
 from comfreyhatch.adapters.http_reply import HttpReply, StreamedReply
 from comfreyhatch.domain.instance import Instance
 from comfreyhatch.errors import (
@@ -85,7 +85,7 @@
                 "POST",
                 "/generate",
                 body,
-                {"content-type": JSON_TYPE},
+                {"content-type": JSON_TYPE, REQUEST_ID_HEADER: request.request_id},
                 request.deadline_s,
             ) as reply:
                 if reply.status != 200:
--- a/comfreyhatch/adapters/http_message.py
+++ b/comfreyhatch/adapters/http_message.py
@@ -10,6 +10,8 @@
 
 JSON_TYPE = "application/json"
 EVENT_STREAM_TYPE = "text/event-stream"
+# Header of a request that its answer repeats.
+REQUEST_ID_HEADER = "x-request-id"
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -110,9 +112,25 @@
         request_id=request_id,
         retry_after_s=error.retry_after_s,
     )
-    headers = {"x-request-id": request_id} if request_id else {}
+    headers = {REQUEST_ID_HEADER: request_id} if request_id else {}
     if error.retry_after_s is not None:
         headers["retry-after"] = str(max(1, round(error.retry_after_s)))
     return HttpResponse(
         http_status(error.code), encode_json({"error": body}), header_by_name=headers
     )
+
+
+async def answer_with_id(answer: Awaitable[HttpResponse], request_id: str) -> HttpResponse:
+    """Return an answer, or that for the error it ends with, which names the id of its request.
+
+    Args:
+        answer: Makes the answer.
+        request_id: Id of the request; no id is named if it is empty.
+    """
+    try:
+        response = await answer
+    except ComfreyhatchError as error:
+        return error_response(error, request_id)
+    if request_id:
+        response.header_by_name.setdefault(REQUEST_ID_HEADER, request_id)
+    return response
--- a/comfreyhatch/adapters/service_http.py
+++ b/comfreyhatch/adapters/service_http.py
@@ -10,13 +10,12 @@
     unreachable_error,
 )
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.adapters.http_message import JSON_TYPE
+from comfreyhatch.adapters.http_message import JSON_TYPE, REQUEST_ID_HEADER
 from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.domain.instance import Instance
 from comfreyhatch.errors import AnswerBrokenError, BackendError, ConnectError, HttpError
 from comfreyhatch.ports.engine import LoadReport, ServiceAnswer, ServiceRequest
 
-REQUEST_ID_HEADER = "x-request-id"
 KEY_HEADER = "idempotency-key"
 
 # Yields a function that takes memory for a number of bytes, and returns whether there is any.
--- a/comfreyhatch/daemon/requests/callers.py
+++ b/comfreyhatch/daemon/requests/callers.py
@@ -8,9 +8,10 @@
 
 from comfreyhatch.adapters.http_message import (
     EVENT_STREAM_TYPE,
+    REQUEST_ID_HEADER,
     HttpRequest,
     HttpResponse,
-    error_response,
+    answer_with_id,
     json_response,
 )
 from comfreyhatch.codes import ResultCode
@@ -29,7 +30,7 @@
 from comfreyhatch.domain.contract import Contract
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.domain.request_id import new_request_id
-from comfreyhatch.errors import ComfreyhatchError, NotReadyError, RequestError
+from comfreyhatch.errors import NotReadyError, RequestError
 
 CHAT_PATH = "/v1/chat/completions"
 MODELS_PATH = "/v1/models"
@@ -37,7 +38,6 @@
 KEYS_PATH = "/v1/keys"
 FIRST_ATTEMPT_HEADER = "x-first-attempt"
 REPLAYED_HEADER = "x-idempotent-replay"
-REQUEST_ID_HEADER = "x-request-id"
 SESSION_MOVED_HEADER = "x-session-moved"
 
 
@@ -88,12 +88,7 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Serve a caller's request; errors become responses with their result code."""
         request_id = new_request_id(self._incarnation, time(), next(self._sequence))
-        try:
-            response = await self._route(request, request_id)
-        except ComfreyhatchError as error:
-            return error_response(error, request_id)
-        response.header_by_name.setdefault(REQUEST_ID_HEADER, request_id)
-        return response
+        return await answer_with_id(self._route(request, request_id), request_id)
 
     async def _route(self, request: HttpRequest, request_id: str) -> HttpResponse:
         if not self._has_config():
--- a/comfreyhatch/daemon/requests/forwarding.py
+++ b/comfreyhatch/daemon/requests/forwarding.py
@@ -21,10 +21,11 @@
 from comfreyhatch.adapters.http_client import HttpClient, full_headers
 from comfreyhatch.adapters.http_message import (
     EVENT_STREAM_TYPE,
+    REQUEST_ID_HEADER,
     Headers,
     HttpRequest,
     HttpResponse,
-    error_response,
+    answer_with_id,
     json_response,
 )
 from comfreyhatch.adapters.http_reply import StreamedReply
@@ -306,14 +307,17 @@
 
         To be cancelled when the sender leaves, so that what it gave up is not dispatched.
         """
+        return await answer_with_id(self._serve(request), request.header(REQUEST_ID_HEADER))
+
+    async def _serve(self, request: HttpRequest) -> HttpResponse:
         hop, stamp = request.header(HOP_HEADER), request.header(STAMP_HEADER)
         envelope = Envelope(str(self.address), request.path, hop, stamp)
         signature = request.header(SIGNATURE_HEADER).encode()
         expected = [sign(key, envelope, request.body).encode() for key in self._keys]
         if not any(hmac.compare_digest(signature, each) for each in expected):
-            return error_response(PeerError("the signature is invalid"))
+            raise PeerError("the signature is invalid")
         if not self._replay_guard.accept(stamp, time(), asyncio.get_running_loop().time()):
-            return error_response(PeerError("the stamp is expired or was used before"))
+            raise PeerError("the stamp is expired or was used before")
         last_hop = not hop.isdecimal() or int(hop) >= MAX_HOPS
         try:
             if request.path == GENERATE_PATH:
@@ -325,8 +329,8 @@
                 minted_call = decode(request.body, type=ForwardedMintedCall)
                 return json_response(await _to_forwarded_answer(self.run_minted(minted_call)))
         except ValidationError as error:
-            return error_response(RequestError(str(error)))
-        return error_response(RequestError("no such resource", ResultCode.NOT_FOUND))
+            raise RequestError(str(error)) from error
+        raise RequestError("no such resource", ResultCode.NOT_FOUND)
 
     async def _generate(self, request: GenerateRequest, last_hop: bool) -> HttpResponse:
         member = None if last_hop else self._find_holder(request.version_id)
--- a/comfreyhatch/standins/engine.py
+++ b/comfreyhatch/standins/engine.py
@@ -14,8 +14,10 @@
 from comfreyhatch.adapters.engine_http import CancelRequest
 from comfreyhatch.adapters.http_message import (
     EVENT_STREAM_TYPE,
+    REQUEST_ID_HEADER,
     HttpRequest,
     HttpResponse,
+    answer_with_id,
     json_response,
 )
 from comfreyhatch.adapters.http_server import HttpServer
@@ -212,6 +214,9 @@
         self.faults = faults
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
+        return await answer_with_id(self._route(request), request.header(REQUEST_ID_HEADER))
+
+    async def _route(self, request: HttpRequest) -> HttpResponse:
         if self.faults.down or monotonic() < self._down_until_s:
             return cut_response()
         match (request.method, request.path):
--- a/comfreyhatch/standins/service.py
+++ b/comfreyhatch/standins/service.py
@@ -6,9 +6,15 @@
 from msgspec import Struct, field
 from msgspec.structs import replace
 
-from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse, json_response
+from comfreyhatch.adapters.http_message import (
+    REQUEST_ID_HEADER,
+    HttpRequest,
+    HttpResponse,
+    error_response,
+    json_response,
+)
 from comfreyhatch.adapters.http_server import HttpServer
-from comfreyhatch.adapters.service_http import KEY_HEADER, REQUEST_ID_HEADER
+from comfreyhatch.adapters.service_http import KEY_HEADER
 from comfreyhatch.domain.instance import Address, Instance
 from comfreyhatch.errors import BackendError, BackendRefusedError
 from comfreyhatch.ports.engine import LoadReport
@@ -106,7 +112,10 @@
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         if request.method == "GET" and request.path == "/load":
             return json_response(self._report())
-        self._refuse_excess()
+        try:
+            self._refuse_excess()
+        except BackendRefusedError as error:
+            return error_response(error, request.header(REQUEST_ID_HEADER))
         witness = self.witness
         witness.in_flight += 1
         witness.in_flight_peak = max(witness.in_flight_peak, witness.in_flight)
--- a/tests/test_copied_fleet_answers.py
+++ b/tests/test_copied_fleet_answers.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import pytest
-from msgspec.json import decode
+from msgspec.json import decode, encode
 from msgspec.structs import replace
 
 from comfreyhatch.adapters.engine_http import HttpEngine
@@ -19,6 +19,7 @@
     ForwardedMintedCall,
     ForwardedRequestHandler,
     Forwarder,
+    SigningClient,
 )
 from comfreyhatch.domain.instance import Address, Instance, Role
 from comfreyhatch.domain.request import ChatMessage
@@ -320,3 +321,25 @@
         with pytest.raises(AnswerBrokenError):
             await text_of(client, instance, replace(CHAT, request_id="r-cut"))
         assert proxy.copies == 0
+
+
+@pytest.mark.parametrize("headers", [{}, {"x-request-id": "r-1"}], ids=["build_before", "this"])
+async def test_endpoints_and_daemons_repeat_the_id_of_a_request_only_if_its_head_names_it(
+    engine: EngineStandin, service: ServiceStandin, peer: Peer, headers: dict[str, str]
+) -> None:
+    refused = encode(replace(CHAT, version_id="m@9"))
+    service.faults.refuse_next = 1
+    work = (
+        (HttpClient(), engine.instance.address, "/generate", encode(CHAT)),
+        (HttpClient(), engine.instance.address, "/generate", refused),
+        (HttpClient(), service.instance.address, "/orders", b"{}"),
+        (SigningClient(KEY), peer.member.http, "/generate", encode(CHAT)),
+        (SigningClient(KEY), peer.member.http, "/generate", b"{}"),
+    )
+    replies = [
+        await client.request(to, "POST", path, body, headers) for client, to, path, body in work
+    ]
+    assert [reply.status for reply in replies] == [200, 503, 503, 200, 400]
+    named = {reply.header_by_name.get("x-request-id") for reply in replies}
+    assert named == {headers.get("x-request-id")}
+    assert b'"request_id":"r-1"' in replies[0].body
