Keep requests of the own fleet off connections that have carried them

Cause: the second attempt of a hedged call at the only endpoint, a chat request that is resumed, and one that an endpoint refused and that is offered there again bear the id of the first, and may go over its connection; a copy of the earlier answer bears the same id.

Change: calls, chat requests and what is forwarded of them tell the client their identity, the header x-request-id, so that the pool passes such connections over.

Shown: of eight chats with one id, each after the first got the copy of the answer before it, while the engine was at work on it (test_chat_request_that_comes_again_...); each has a connection of its own now.

--- a/comfreyhatch/adapters/engine_http.py
+++ b/comfreyhatch/adapters/engine_http.py
@@ -10,6 +10,7 @@
 from msgspec.structs import replace
 
 from comfreyhatch.adapters.endpoint_answers import (
+    identity_of,
     named_report,
     raise_for_status,
     read_load,
@@ -87,6 +88,7 @@
                 body,
                 {"content-type": JSON_TYPE, REQUEST_ID_HEADER: request.request_id},
                 request.deadline_s,
+                identity=identity_of(request.request_id),
             ) as reply:
                 if reply.status != 200:
                     await _raise_for_stream(endpoint, reply, request.deadline_s)
--- a/comfreyhatch/adapters/service_http.py
+++ b/comfreyhatch/adapters/service_http.py
@@ -5,6 +5,7 @@
 
 from comfreyhatch.adapters.endpoint_answers import (
     REFUSING_STATUSES,
+    identity_of,
     raise_for_status,
     read_load,
     unreachable_error,
@@ -67,6 +68,7 @@
                     timeout_s,
                     fresh_connection=bool(request.idempotency_key),
                     take=take,
+                    identity=identity_of(request.request_id),
                 )
         except ConnectError as error:
             raise unreachable_error(endpoint, error) from error
