Give each order to an engine a connection of its own

Cause: orders, cancellations and load reports of an engine share connections, and no answer of these names its request.

Change: an order goes over a connection of its own, which may carry load reports and cancellations later. A copy there costs a load report at most, and the connection.

--- a/comfreyhatch/adapters/engine_http.py
+++ b/comfreyhatch/adapters/engine_http.py
@@ -138,6 +138,8 @@
                 "/order",
                 encode_json(order),
                 timeout_s=ORDER_TIMEOUT_S,
+                # Answers to orders, cancellations and load reports name no request.
+                fresh_connection=True,
                 limit_bytes=MAX_FAILURE_BYTES,
             )
         except ConnectError as error:
