--- a/comfreyhatch/adapters/answer_identity.py
+++ b/comfreyhatch/adapters/answer_identity.py
@@ -10,7 +10,7 @@
 from msgspec import Struct
 from xxhash import xxh64_intdigest
 
-from comfreyhatch.adapters.http_message import Headers
+from comfreyhatch.adapters.http_message import REQUEST_ID_HEADER, Headers
 
 # Requests after which a connection is not kept, so that what it remembers is bounded.
 CARRIED_LIMIT = 256
@@ -28,6 +28,11 @@
     header: bytes
 
 
+def identity_of(request_id: str) -> RequestIdentity:
+    """Return what tells the answer to a request of the own fleet from others."""
+    return RequestIdentity(request_id.encode(), REQUEST_ID_HEADER.encode())
+
+
 class AnswerOwner(Enum):
     """Whose answer a head belongs to, by the id that it names."""
 
--- a/comfreyhatch/adapters/endpoint_answers.py
+++ b/comfreyhatch/adapters/endpoint_answers.py
@@ -6,9 +6,7 @@
 from msgspec.json import Decoder
 from msgspec.structs import replace
 
-from comfreyhatch.adapters.answer_identity import RequestIdentity
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.adapters.http_message import REQUEST_ID_HEADER
 from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.domain.instance import Instance, Role
@@ -38,11 +36,6 @@
 _refusal_decoder = Decoder(RefusalBody)
 
 
-def identity_of(request_id: str) -> RequestIdentity:
-    """Return what tells the answer to a request of the own fleet from others."""
-    return RequestIdentity(request_id.encode(), REQUEST_ID_HEADER.encode())
-
-
 def raise_for_status(endpoint: Instance, reply: HttpReply) -> NoReturn:
     """Raise the error that an answer other than a success stands for.
 
--- a/comfreyhatch/adapters/engine_http.py
+++ b/comfreyhatch/adapters/engine_http.py
@@ -9,8 +9,8 @@
 from msgspec.json import encode as encode_json
 from msgspec.structs import replace
 
+from comfreyhatch.adapters.answer_identity import identity_of
 from comfreyhatch.adapters.endpoint_answers import (
-    identity_of,
     named_report,
     raise_for_status,
     read_load,
--- a/comfreyhatch/adapters/service_http.py
+++ b/comfreyhatch/adapters/service_http.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
 
+from comfreyhatch.adapters.answer_identity import identity_of
 from comfreyhatch.adapters.endpoint_answers import (
     REFUSING_STATUSES,
-    identity_of,
     raise_for_status,
     read_load,
     unreachable_error,
--- a/comfreyhatch/daemon/requests/forwarding.py
+++ b/comfreyhatch/daemon/requests/forwarding.py
@@ -16,7 +16,7 @@
 from msgspec import Struct, ValidationError
 from msgspec.json import decode, encode
 
-from comfreyhatch.adapters.answer_identity import RequestIdentity
+from comfreyhatch.adapters.answer_identity import RequestIdentity, identity_of
 from comfreyhatch.adapters.engine_http import HttpEngine
 from comfreyhatch.adapters.http_client import HttpClient, full_headers
 from comfreyhatch.adapters.http_message import (
@@ -246,7 +246,7 @@
             BackendError: If the endpoint failed or refused.
         """
         body = encode(ForwardedCall(service, request, timeout_s))
-        answer = await self._post(member, CALL_PATH, body, timeout_s)
+        answer = await self._post(member, CALL_PATH, body, timeout_s, request.request_id)
         if answer.answer is None:
             raise BackendError(answer.message, answer.code, answer.ran)
         return answer.answer, answer.served
@@ -258,16 +258,24 @@
             BackendError: If the runner refused the call or it failed.
             HttpError: If the runner could not be reached or did not answer.
         """
-        answer = await self._post(member, MINTED_PATH, encode(call), call.timeout_s)
+        body, request_id = encode(call), call.request.request_id
+        answer = await self._post(member, MINTED_PATH, body, call.timeout_s, request_id)
         if answer.answer is None:
             raise BackendError(answer.message, answer.code, answer.ran)
         return answer.answer
 
     async def _post(
-        self, member: Member, path: str, body: bytes, timeout_s: float
+        self, member: Member, path: str, body: bytes, timeout_s: float, request_id: str
     ) -> ForwardedAnswer:
         reply = await self._client.request(
-            member.http, "POST", path, body, timeout_s=timeout_s, fresh_connection=True
+            member.http,
+            "POST",
+            path,
+            body,
+            {REQUEST_ID_HEADER: request_id},
+            timeout_s,
+            fresh_connection=True,
+            identity=identity_of(request_id),
         )
         if reply.status != 200:
             raise BackendError(f"peer {member.instance_id} answered with status {reply.status}")
