Don't wait out a call for a second answer after a refusal that names none

Cause: plain services of the build before name their calls in successes, so that connections to them are kept, but not in refusals. Since answers that may belong to other requests are skipped, such a refusal over a kept connection was skipped too, and its call, of 20 s, had not ended after 8 s; it kept its slot meanwhile.

Change: where an endpoint may name no request, the client waits 1 s for another answer after one that names none, and then reports an unknown outcome. The users' platform names every answer; nothing changes there.

--- a/comfreyhatch/adapters/answer_identity.py
+++ b/comfreyhatch/adapters/answer_identity.py
@@ -6,6 +6,7 @@
 """
 
 from enum import Enum
+from math import inf
 
 from msgspec import Struct
 from xxhash import xxh64_intdigest
@@ -14,6 +15,8 @@
 
 # Requests after which a connection is not kept, so that what it remembers is bounded.
 CARRIED_LIMIT = 256
+# In the own fleet, endpoints of the build before name no request in a refusal.
+UNNAMED_WAIT_S = 1.0
 
 
 class RequestIdentity(Struct, frozen=True):
@@ -22,15 +25,18 @@
     Attributes:
         request_id: Id of the request; empty if it has none.
         header: Name of the header in which answers repeat the id, in lower case.
+        unnamed_wait_s: Longest wait for another answer after one without an id, in seconds; for
+            endpoints that may name none, so that it may have been the own one.
     """
 
     request_id: bytes
     header: bytes
+    unnamed_wait_s: float = inf
 
 
 def identity_of(request_id: str) -> RequestIdentity:
     """Return what tells the answer to a request of the own fleet from others."""
-    return RequestIdentity(request_id.encode(), REQUEST_ID_HEADER.encode())
+    return RequestIdentity(request_id.encode(), REQUEST_ID_HEADER.encode(), UNNAMED_WAIT_S)
 
 
 class AnswerOwner(Enum):
--- a/comfreyhatch/adapters/http_head.py
+++ b/comfreyhatch/adapters/http_head.py
@@ -1,5 +1,6 @@
 """Reads the heads of answers, past those that belong to other requests."""
 
+import asyncio
 from collections.abc import Callable
 from math import inf
 
@@ -8,7 +9,7 @@
 from comfreyhatch.adapters.answer_identity import AnswerOwner, RequestIdentity, answer_owner
 from comfreyhatch.adapters.http_link import AnswerPart, HttpLink
 from comfreyhatch.adapters.http_reply import StreamedReply, declared_bytes
-from comfreyhatch.errors import HttpError
+from comfreyhatch.errors import ExchangeTimeoutError, HttpError, UnnamedAnswerError
 
 # Informational answers (status 1xx) that may precede an answer.
 INFORMATIONAL_LIMIT = 16
@@ -40,11 +41,18 @@
 
     Raises:
         ExchangeTimeoutError: If it is not complete in time.
+        UnnamedAnswerError: If none comes in time after one without an id.
         AnswerTooLargeError: If too many answers, or too many bytes of one, precede it.
         HttpError: If there is none.
     """
+    unnamed = False
     for _ in range(SKIPPED_LIMIT + 1):
-        head = await _final_head(link, until)
+        try:
+            head = await _final_head(link, until)
+        except ExchangeTimeoutError as error:
+            if unnamed:
+                raise UnnamedAnswerError("only an answer without an id came in time") from error
+            raise
         owner = answer_owner(list(head.headers), identity, link.carried)
         if owner is AnswerOwner.OWN:
             return head
@@ -54,6 +62,9 @@
         note_skipped(owner, head)
         await _skip_body(link, method, head, until)
         link.expect_next_answer(method)
+        if identity is not None and owner is AnswerOwner.UNNAMED:
+            unnamed = True
+            until = min(until, asyncio.get_running_loop().time() + identity.unnamed_wait_s)
     raise link.too_large(AnswerPart.SKIPPED, f"{SKIPPED_LIMIT} answers")
 
 
--- a/comfreyhatch/errors.py
+++ b/comfreyhatch/errors.py
@@ -126,6 +126,10 @@
     ran = Ran.NO
 
 
+class UnnamedAnswerError(HttpError):
+    """No answer came but one that names no request, on a connection that has carried others."""
+
+
 class AnswerMemoryError(HttpError):
     """There is no memory left for an answer; its peer is not to blame."""
 
--- a/tests/test_copied_fleet_answers.py
+++ b/tests/test_copied_fleet_answers.py
@@ -1,5 +1,6 @@
 """The own fleet with endpoints that send the copy of an earlier answer before the next one."""
 
+import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
 from random import Random
@@ -120,6 +121,29 @@
     assert all(ran is Ran.UNKNOWN for own, ran in ran_by_id.items() if own in runs)
 
 
+async def test_refusal_by_a_service_that_names_none_is_found_soon_and_the_next_ones_at_once(
+    service: ServiceStandin,
+) -> None:
+    """Such a service names its successes, so that connections to it are kept.
+
+    A refusal over one of them may be a copy; waiting for another answer until the end of the call
+    would keep its slot, and its caller.
+    """
+    client = HttpPlainService(HttpClient())
+    async with copying(service.instance.address, lambda answer: False) as proxy:
+        proxy.rewrite = lambda answer: without_id(answer) if is_refusal(answer) else answer
+        instance = behind(service.instance, proxy)
+        rans: list[Ran] = []
+        async with asyncio.timeout(8.0):
+            for _ in range(CALLS):
+                assert (await client.call(instance, CALL, 20)).status == 200
+                service.faults.refuse_next = 1
+                with pytest.raises(BackendError) as caught:
+                    await client.call(instance, replace(CALL, request_id="r-2"), 20)
+                rans.append(caught.value.ran)
+        assert rans == [Ran.UNKNOWN] + [Ran.NO] * (CALLS - 1)
+
+
 async def test_second_attempt_of_a_call_does_not_meet_the_copy_of_the_refusal_of_the_first(
     service: ServiceStandin,
 ) -> None:
