Tell the answers of the own platform's stores by ids

Cause: table, object store, instance list, ratings and weights answer over kept connections, and their answers name no request; a copy was taken for the answer to the write or read under way. Two processes could so hold one claim, under which a call runs once, or a lease.

Change: each request to the platform bears an id of its own, x-request-id, and the stand-in repeats it; answers that name another are skipped as everywhere. A platform that repeats none goes on working, with a connection for each request.

--- a/comfreyhatch/adapters/objects_http.py
+++ b/comfreyhatch/adapters/objects_http.py
@@ -7,7 +7,7 @@
 
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_reply import HttpReply
-from comfreyhatch.adapters.platform_http import PLATFORM_TIMEOUT_S
+from comfreyhatch.adapters.platform_http import PLATFORM_TIMEOUT_S, send_named
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import ConnectError, HttpError, PlatformError
 from comfreyhatch.ports.table import WriteOutcome
@@ -35,8 +35,8 @@
         """
         headers = {"if-none-match": "*", "content-type": "application/octet-stream"}
         try:
-            reply = await self._client.request(
-                self._address, "PUT", _target(key), value, headers, self._timeout_s
+            reply = await send_named(
+                self._client, self._address, "PUT", _target(key), value, headers, self._timeout_s
             )
         except ConnectError as error:
             raise PlatformError(f"object store at {self._address}: {error}") from error
@@ -72,8 +72,8 @@
 
     async def _get(self, target: str) -> HttpReply:
         try:
-            reply = await self._client.request(
-                self._address, "GET", target, timeout_s=self._timeout_s
+            reply = await send_named(
+                self._client, self._address, "GET", target, timeout_s=self._timeout_s
             )
         except HttpError as error:
             raise PlatformError(f"object store at {self._address}: {error}") from error
--- a/comfreyhatch/adapters/platform_http.py
+++ b/comfreyhatch/adapters/platform_http.py
@@ -2,19 +2,26 @@
 
 import logging
 import re
+from collections.abc import Mapping
+from secrets import token_hex
 from typing import TypeVar
 
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import decode as decode_json
 from msgspec.json import encode as encode_json
 
+from comfreyhatch.adapters.answer_identity import identity_of
 from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.adapters.http_message import REQUEST_ID_HEADER
+from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.domain.instance import Address, Instance
 from comfreyhatch.errors import HttpError, PlatformError
 from comfreyhatch.ports.platform import RatingRequest
 
 PLATFORM_TIMEOUT_S = 2.0
 NOT_MODIFIED_STATUS = 304
+# Random bytes of the id of a request.
+ID_BYTES = 8
 
 MAX_PORT = 65535
 
@@ -61,8 +68,8 @@
         """
         headers = {"if-none-match": self._etag} if self._etag else {}
         try:
-            reply = await self._client.request(
-                self._address, "GET", "/instances", b"", headers, PLATFORM_TIMEOUT_S
+            reply = await send_named(
+                self._client, self._address, "GET", "/instances", headers=headers
             )
         except HttpError as error:
             raise PlatformError(f"platform at {self._address}: {error}") from error
@@ -120,6 +127,32 @@
         return _decoded(reply, AcquireReply).granted
 
 
+async def send_named(
+    client: HttpClient,
+    address: Address,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    headers: Mapping[str, str] | None = None,
+    timeout_s: float = PLATFORM_TIMEOUT_S,
+) -> HttpReply:
+    """Send a request to the platform under an id of its own, and return the answer to it.
+
+    Raises:
+        HttpError: If there is none in time; with ConnectError, nothing was sent.
+    """
+    request_id = token_hex(ID_BYTES)
+    return await client.request(
+        address,
+        method,
+        target,
+        body,
+        {**(headers or {}), REQUEST_ID_HEADER: request_id},
+        timeout_s,
+        identity=identity_of(request_id),
+    )
+
+
 async def ask(
     client: HttpClient,
     address: Address,
@@ -134,7 +167,7 @@
         PlatformError: If the platform does not answer or answers with an error.
     """
     try:
-        reply = await client.request(address, method, target, body, timeout_s=timeout_s)
+        reply = await send_named(client, address, method, target, body, timeout_s=timeout_s)
     except HttpError as error:
         raise PlatformError(f"platform at {address}: {error}") from error
     if reply.status >= 300:
--- a/comfreyhatch/adapters/table_http.py
+++ b/comfreyhatch/adapters/table_http.py
@@ -5,7 +5,7 @@
 from msgspec.json import encode as encode_json
 
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.adapters.platform_http import PLATFORM_TIMEOUT_S, ask
+from comfreyhatch.adapters.platform_http import PLATFORM_TIMEOUT_S, ask, send_named
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import ConnectError, HttpError, PlatformError
 from comfreyhatch.ports.table import Operation, Row, WriteOutcome
@@ -87,8 +87,13 @@
         """
         body = encode_json(CommitRequest(tuple(operations)))
         try:
-            reply = await self._client.request(
-                self._address, "POST", "/table/commit", body, timeout_s=self._timeout_s
+            reply = await send_named(
+                self._client,
+                self._address,
+                "POST",
+                "/table/commit",
+                body,
+                timeout_s=self._timeout_s,
             )
         except ConnectError as error:
             raise PlatformError(f"table at {self._address}: {error}") from error
--- a/comfreyhatch/standins/platform.py
+++ b/comfreyhatch/standins/platform.py
@@ -8,7 +8,13 @@
 from msgspec import Struct, field
 
 from comfreyhatch.adapters.http_connection import HttpLimits
-from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse, json_response
+from comfreyhatch.adapters.http_message import (
+    REQUEST_ID_HEADER,
+    HttpRequest,
+    HttpResponse,
+    answer_with_id,
+    json_response,
+)
 from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.adapters.platform_http import AcquireReply, AcquireRequest, RatingReply
 from comfreyhatch.adapters.table_http import (
@@ -163,6 +169,9 @@
         self.faults = faults
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
+        return await answer_with_id(self._route(request), request.header(REQUEST_ID_HEADER))
+
+    async def _route(self, request: HttpRequest) -> HttpResponse:
         match request.path.split("/")[1]:
             case "table":
                 return await self._handle_table(request)
