--- a/tests/test_copied_fleet_answers.py
+++ b/tests/test_copied_fleet_answers.py
@@ -279,14 +279,16 @@
     """A daemon's listener for forwarded requests, behind a proxy that sends copies.
 
     Attributes:
+        proxy: The proxy.
         dispatcher: Its dispatcher, which notes what has run.
         member: The daemon, as others know it.
         forwarder: Forwards requests to it.
     """
 
-    def __init__(self, dispatcher: FakeDispatcher, address: Address) -> None:
+    def __init__(self, dispatcher: FakeDispatcher, proxy: CopyingProxy) -> None:
+        self.proxy = proxy
         self.dispatcher = dispatcher
-        self.member = Member("x", "1", "a", address, address)
+        self.member = Member("x", "1", "a", proxy.address, proxy.address)
         view = MembershipView({"x": self.member})
         self.forwarder = Forwarder("caller", "a", KEY, lambda: view, Random(1))
 
@@ -299,7 +301,7 @@
     server = HttpServer(handler.handle)
     async with copying(await server.start("127.0.0.1", 0)) as proxy:
         handler.address = proxy.address
-        yield Peer(dispatcher, proxy.address)
+        yield Peer(dispatcher, proxy)
     await server.stop(0)
 
 
@@ -329,6 +331,19 @@
     assert peer.dispatcher.served == [f"r-{number}" for number in range(CALLS)]
 
 
+async def test_daemon_of_the_build_before_runs_what_is_forwarded_to_it_once(peer: Peer) -> None:
+    """It repeats no ids, so that copies of its answers are met on no connection."""
+    peer.proxy.rewrite = without_id
+    ids = [f"r-{number}" for number in range(CALLS)]
+    for own in ids:
+        if own < "r-4":
+            await peer.forwarder.call(peer.member, "booking", replace(CALL, request_id=own), 2.0)
+        else:
+            assert await forwarded_text(peer, replace(CHAT, request_id=own)) == "ab"
+    assert peer.dispatcher.served == ids
+    assert peer.proxy.copies == 0
+
+
 async def test_engine_that_repeats_no_id_goes_on_working_and_its_copies_are_never_met(
     engine: EngineStandin,
 ) -> None:
