Sign forwarded requests where their headers are made

The signing client repeated the nine arguments of HttpClient.stream, which had to grow with these; it adds its headers in one method of its own now. Nothing else changes.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -155,7 +155,9 @@
             if note_sent:
                 note_sent()
             link.carried.add(identity)
-            _write_request(link, method, target, body, full_headers(address, headers))
+            _write_request(
+                link, method, target, body, self._headers(address, target, body, headers)
+            )
             until = asyncio.get_running_loop().time() + timeout_s
             note_skipped = partial(self._note_skipped, address, identity)
             head = await own_head(link, method, identity, until, note_skipped)
@@ -194,6 +196,16 @@
         """Close all idle connections."""
         self._idle.close()
 
+    def _headers(
+        self,
+        address: Address,
+        target: str,
+        body: bytes,
+        headers: Mapping[str, str] | Headers | None,
+    ) -> Headers:
+        """Return the headers of a request besides content-length."""
+        return _full_headers(address, headers)
+
     async def _link(
         self, address: Address, identity: RequestIdentity | None, fresh: bool
     ) -> HttpLink:
@@ -243,7 +255,7 @@
         )
 
 
-def full_headers(address: Address, headers: Mapping[str, str] | Headers | None) -> Headers:
+def _full_headers(address: Address, headers: Mapping[str, str] | Headers | None) -> Headers:
     """Return headers as pairs of bytes; host is the address unless given."""
     if isinstance(headers, list):
         pairs = list(headers)
--- a/comfreyhatch/daemon/requests/forwarding.py
+++ b/comfreyhatch/daemon/requests/forwarding.py
@@ -7,7 +7,7 @@
 import asyncio
 import hmac
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable, Mapping, Set
-from contextlib import _AsyncGeneratorContextManager, aclosing
+from contextlib import aclosing
 from hashlib import sha256
 from random import Random
 from secrets import token_hex
@@ -16,9 +16,9 @@
 from msgspec import Struct, ValidationError
 from msgspec.json import decode, encode
 
-from comfreyhatch.adapters.answer_identity import RequestIdentity, identity_of
+from comfreyhatch.adapters.answer_identity import identity_of
 from comfreyhatch.adapters.engine_http import HttpEngine
-from comfreyhatch.adapters.http_client import HttpClient, full_headers
+from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_message import (
     EVENT_STREAM_TYPE,
     REQUEST_ID_HEADER,
@@ -28,7 +28,6 @@
     answer_with_id,
     json_response,
 )
-from comfreyhatch.adapters.http_reply import StreamedReply
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.daemon.dispatch.dispatcher import Dispatcher
 from comfreyhatch.decisions.replay import ReplayGuard
@@ -137,27 +136,19 @@
         self._key = key
         self._hop = str(hop)
 
-    def stream(
+    def _headers(
         self,
         address: Address,
-        method: str,
         target: str,
-        body: bytes = b"",
-        headers: Mapping[str, str] | Headers | None = None,
-        timeout_s: float = 5.0,
-        fresh_connection: bool = False,
-        note_sent: Callable[[], None] | None = None,
-        identity: RequestIdentity | None = None,
-    ) -> _AsyncGeneratorContextManager[StreamedReply, None]:
-        """Send a signed request; arguments and result are those of `HttpClient.stream`."""
+        body: bytes,
+        headers: Mapping[str, str] | Headers | None,
+    ) -> Headers:
         envelope = Envelope(str(address), target, self._hop, new_stamp())
-        signed = full_headers(address, headers)
+        signed = super()._headers(address, target, body, headers)
         signed.append((HOP_HEADER.encode(), self._hop.encode()))
         signed.append((STAMP_HEADER.encode(), envelope.stamp.encode()))
         signed.append((SIGNATURE_HEADER.encode(), sign(self._key, envelope, body).encode()))
-        return super().stream(
-            address, method, target, body, signed, timeout_s, fresh_connection, note_sent, identity
-        )
+        return signed
 
 
 class Forwarder:
