--- a/comfreyhatch/standins/engine.py
+++ b/comfreyhatch/standins/engine.py
@@ -20,7 +20,6 @@
     answer_with_id,
     json_response,
 )
-from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.domain.instance import Address, Instance
 from comfreyhatch.domain.request import Usage
@@ -33,7 +32,7 @@
 from comfreyhatch.ports.engine import Chunk, GenerateRequest, LoadReport, Order, OrderKind
 from comfreyhatch.standins.batch import Batch, BatchTiming, Sequence
 from comfreyhatch.standins.prefix_cache import AttentionState, PrefixCache, prompt_tokens
-from comfreyhatch.standins.switches import SwitchPort, cut_response, decode_body
+from comfreyhatch.standins.switches import Standin, cut_response, decode_body
 
 DEFAULT_QUALITY = 0.9
 FALL_OVER_S = 0.5
@@ -134,7 +133,7 @@
     orders: list[OrderEvent] = field(default_factory=list)
 
 
-class EngineStandin:
+class EngineStandin(Standin[EngineFaults, EngineWitness]):
     """A model engine; `faults` and `witness` may be used in the same process."""
 
     def __init__(
@@ -162,6 +161,7 @@
             quality_by_version: Share of good words by version.
             quality_of: Share of good words of one request's answer, instead of by version.
         """
+        super().__init__(self._handle, EngineFaults(), EngineWitness())
         self.instance = instance
         self.versions = list(versions)
         self.role = "generate"
@@ -169,9 +169,6 @@
         self.queue_limit = queue_limit
         self.quality_by_version = quality_by_version or {}
         self._quality_of = quality_of
-        self.faults = EngineFaults()
-        self.witness = EngineWitness()
-        self.switch_address: Address | None = None
         self.fence = 0
         self._random = Random(seed)
         self._batch = Batch(bears, timing or BatchTiming())
@@ -179,16 +176,12 @@
         self._report_log: deque[tuple[float, LoadReport]] = deque(maxlen=REPORTS_KEPT)
         self._down_until_s = 0.0
         self._done_orders: set[str] = set()
-        self._server = HttpServer(self._handle)
-        self._switches = SwitchPort(lambda: self.faults, self._set_faults, lambda: self.witness)
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> Address:
         """Listen on the instance's address, or on a free port if its port is 0."""
-        address = self.instance.address
         self._task = asyncio.create_task(self._batch.run())
-        bound = await self._server.start(address.host, address.port)
-        self.switch_address = await self._switches.start(address.host)
+        bound = await self._listen(self.instance.address)
         self.instance = replace(self.instance, address=bound)
         return bound
 
@@ -196,8 +189,7 @@
         """Stop at once; running answers are cut."""
         for sequence in self._batch.all():
             sequence.break_off()
-        await self._server.stop(0)
-        await self._switches.stop()
+        await super().stop()
         if self._task:
             self._task.cancel()
 
@@ -210,9 +202,6 @@
         """Requests that it bears at once now."""
         return self.faults.cold_bears if self.faults.cold else self.bears
 
-    def _set_faults(self, faults: EngineFaults) -> None:
-        self.faults = faults
-
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         return await answer_with_id(self._route(request), request.header(REQUEST_ID_HEADER))
 
--- a/comfreyhatch/standins/platform.py
+++ b/comfreyhatch/standins/platform.py
@@ -15,7 +15,6 @@
     answer_with_id,
     json_response,
 )
-from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.adapters.platform_http import AcquireReply, AcquireRequest, RatingReply
 from comfreyhatch.adapters.table_http import (
     CommitReply,
@@ -30,7 +29,7 @@
 from comfreyhatch.ports.objects import MemoryObjectStore
 from comfreyhatch.ports.platform import RatingRequest
 from comfreyhatch.ports.table import MemoryTable, WriteOutcome
-from comfreyhatch.standins.switches import SwitchPort, cut_response, decode_body
+from comfreyhatch.standins.switches import Standin, cut_response, decode_body
 from comfreyhatch.standins.text import quality_of
 
 OBJECTS_PATH = "/objects/"
@@ -129,34 +128,25 @@
         return list(self._history[0][1].values())
 
 
-class PlatformStandin:
+class PlatformStandin(Standin[PlatformFaults, PlatformWitness]):
     """The platform on one address; `faults` and `witness` may be used in the same process."""
 
     def __init__(self, host: str = "127.0.0.1", port: int = 0, seed: int = 0) -> None:
+        limits = HttpLimits(body_bytes=BODY_LIMIT_BYTES)
+        super().__init__(self._handle, PlatformFaults(), PlatformWitness(), limits)
         self.table = MemoryTable()
         self.objects = MemoryObjectStore()
-        self.faults = PlatformFaults()
-        self.witness = PlatformWitness()
         self.address = Address(host, port)
-        self.switch_address: Address | None = None
         self._listed = ListedInstances()
         self._random = Random(seed)
         self._rating_bucket = TokenBucket(monotonic())
         self._weight_bucket = TokenBucket(monotonic())
-        self._server = HttpServer(self._handle, HttpLimits(body_bytes=BODY_LIMIT_BYTES))
-        self._switches = SwitchPort(lambda: self.faults, self._set_faults, lambda: self.witness)
 
     async def start(self) -> Address:
         """Listen, on a free port if the port is 0."""
-        self.address = await self._server.start(self.address.host, self.address.port)
-        self.switch_address = await self._switches.start(self.address.host)
+        self.address = await self._listen(self.address)
         return self.address
 
-    async def stop(self) -> None:
-        """Stop at once; tables and objects stay in memory."""
-        await self._server.stop(0)
-        await self._switches.stop()
-
     def put_instance(self, instance: Instance) -> None:
         """List an instance."""
         self._listed.put(instance, monotonic())
@@ -165,9 +155,6 @@
         """Take an instance off the list."""
         self._listed.remove(instance_id, monotonic())
 
-    def _set_faults(self, faults: PlatformFaults) -> None:
-        self.faults = faults
-
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         return await answer_with_id(self._route(request), request.header(REQUEST_ID_HEADER))
 
--- a/comfreyhatch/standins/service.py
+++ b/comfreyhatch/standins/service.py
@@ -13,12 +13,11 @@
     error_response,
     json_response,
 )
-from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.adapters.service_http import KEY_HEADER
 from comfreyhatch.domain.instance import Address, Instance
 from comfreyhatch.errors import BackendError, BackendRefusedError
 from comfreyhatch.ports.engine import LoadReport
-from comfreyhatch.standins.switches import SwitchPort, cut_response
+from comfreyhatch.standins.switches import Standin, cut_response
 
 
 class ServiceFaults(Struct):
@@ -76,39 +75,25 @@
     path: str
 
 
-class ServiceStandin:
+class ServiceStandin(Standin[ServiceFaults, ServiceWitness]):
     """A plain service; `faults` and `witness` may be used in the same process."""
 
     def __init__(self, instance: Instance, bears: int = 16) -> None:
+        super().__init__(self._handle, ServiceFaults(), ServiceWitness())
         self.instance = instance
         self.bears = bears
-        self.faults = ServiceFaults()
-        self.witness = ServiceWitness()
-        self.switch_address: Address | None = None
-        self._server = HttpServer(self._handle)
-        self._switches = SwitchPort(lambda: self.faults, self._set_faults, lambda: self.witness)
 
     async def start(self) -> Address:
         """Listen on the instance's address, or on a free port if its port is 0."""
-        address = self.instance.address
-        bound = await self._server.start(address.host, address.port)
-        self.switch_address = await self._switches.start(address.host)
+        bound = await self._listen(self.instance.address)
         self.instance = replace(self.instance, address=bound)
         return bound
 
-    async def stop(self) -> None:
-        """Stop at once."""
-        await self._server.stop(0)
-        await self._switches.stop()
-
     @property
     def bears_now(self) -> int:
         """Calls that it bears at once now."""
         return self.faults.cold_bears if self.faults.cold else self.bears
 
-    def _set_faults(self, faults: ServiceFaults) -> None:
-        self.faults = faults
-
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         if request.method == "GET" and request.path == "/load":
             return json_response(self._report())
--- a/comfreyhatch/standins/switches.py
+++ b/comfreyhatch/standins/switches.py
@@ -6,13 +6,20 @@
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import decode as decode_json
 
-from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse, json_response
+from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_message import (
+    HttpHandler,
+    HttpRequest,
+    HttpResponse,
+    json_response,
+)
 from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.errors import BackendError, RequestError
 
 F = TypeVar("F", bound=Struct)
+W = TypeVar("W", bound=Struct)
 
 
 class SwitchPort(Generic[F]):
@@ -46,6 +53,39 @@
         raise RequestError(f"no resource {request.path}", ResultCode.NOT_FOUND)
 
 
+class Standin(Generic[F, W]):
+    """A stand-in with its listener and its operator port.
+
+    Attributes:
+        faults: Its fault switches; may be replaced.
+        witness: What it saw.
+        switch_address: Where its operator port listens; None before the start.
+    """
+
+    def __init__(
+        self, handler: HttpHandler, faults: F, witness: W, limits: HttpLimits | None = None
+    ) -> None:
+        self.faults = faults
+        self.witness = witness
+        self.switch_address: Address | None = None
+        self._server = HttpServer(handler, limits)
+        self._switches = SwitchPort(lambda: self.faults, self._set_faults, lambda: self.witness)
+
+    async def _listen(self, address: Address) -> Address:
+        """Listen, on a free port if the port is 0, and return the address."""
+        bound = await self._server.start(address.host, address.port)
+        self.switch_address = await self._switches.start(address.host)
+        return bound
+
+    async def stop(self) -> None:
+        """Stop at once; what runs is cut."""
+        await self._server.stop(0)
+        await self._switches.stop()
+
+    def _set_faults(self, faults: F) -> None:
+        self.faults = faults
+
+
 M = TypeVar("M")
 
 
