Count odd answers to forwarded requests, and close their connections at a stop

Cause: the metrics of too large and skipped answers, and the end of a daemon, knew the clients of endpoints and platform, not those of the two forwarders.

Change: forwarders show their client, and the components note it with the others.

Shown by a test for both hops that fails without the change.

--- a/comfreyhatch/daemon/components.py
+++ b/comfreyhatch/daemon/components.py
@@ -141,7 +141,7 @@
         platform = self._settings.platform
         client = HttpClient(whole_limit_bytes=PLATFORM_ANSWER_LIMIT_BYTES)
         work_client = HttpClient(self._require_fresh)
-        self._clients = (client, work_client)
+        self._clients: tuple[HttpClient, ...] = (client, work_client)
         self._engine = HttpEngine(client, work_client)
         memory = AnswerMemory(ANSWER_MEMORY_MB)
         self._service = HttpPlainService(client, work_client, memory.hold)
@@ -298,7 +298,7 @@
         )
 
     def _forwarder(self, hop: int) -> Forwarder:
-        return Forwarder(
+        forwarder = Forwarder(
             self._own_id,
             self.zone,
             self._key,
@@ -307,6 +307,8 @@
             self._require_fresh,
             hop=hop,
         )
+        self._clients += (forwarder.client,)
+        return forwarder
 
     def _build_operator_access(self) -> None:
         """Build the operators' listener and the roll-out driver."""
--- a/comfreyhatch/daemon/requests/forwarding.py
+++ b/comfreyhatch/daemon/requests/forwarding.py
@@ -152,7 +152,11 @@
 
 
 class Forwarder:
-    """Forwards requests to daemons that can dispatch them."""
+    """Forwards requests to daemons that can dispatch them.
+
+    Attributes:
+        client: Sends the requests; owns the connections to other daemons.
+    """
 
     def __init__(
         self,
@@ -180,8 +184,8 @@
         self._zone = zone
         self._view = view
         self._rng = rng
-        self._client = SigningClient(key, before_send, hop)
-        self._engine = HttpEngine(self._client)
+        self.client = SigningClient(key, before_send, hop)
+        self._engine = HttpEngine(self.client)
 
     def candidates(self, config: FleetConfig, holders: Set[str] = frozenset()) -> list[Member]:
         """Return the daemons that a request may be forwarded to, the most suitable first.
@@ -258,7 +262,7 @@
     async def _post(
         self, member: Member, path: str, body: bytes, timeout_s: float, request_id: str
     ) -> ForwardedAnswer:
-        reply = await self._client.request(
+        reply = await self.client.request(
             member.http,
             "POST",
             path,
--- a/tests/test_copied_fleet_answers.py
+++ b/tests/test_copied_fleet_answers.py
@@ -10,6 +10,7 @@
 from msgspec.json import decode, encode
 from msgspec.structs import replace
 
+from comfreyhatch.adapters.answer_identity import AnswerOwner
 from comfreyhatch.adapters.engine_http import HttpEngine
 from comfreyhatch.adapters.http_client import HttpClient, HttpReply
 from comfreyhatch.adapters.http_server import HttpServer
@@ -382,3 +383,14 @@
     named = {reply.header_by_name.get("x-request-id") for reply in replies}
     assert named == {headers.get("x-request-id")}
     assert b'"request_id":"r-1"' in replies[0].body
+
+
+@pytest.mark.parametrize("forwarder", ["router", "_forwarded"], ids=["first_hop", "second_hop"])
+async def test_answers_skipped_for_forwarded_requests_are_counted(forwarder: str) -> None:
+    async with LocalFleet(FleetPlan(("a",), ("a",), ("a",))) as fleet:
+        part = getattr(fleet.daemon_by_id["entry-a0"], forwarder)
+        client = (part._forwarder if forwarder == "router" else part._next_hop).client
+        client.skipped_by_owner[AnswerOwner.OTHER] += 3
+        operators = fleet.addresses_by_id["entry-a0"].operators
+        page = (await HttpClient().request(operators, "GET", "/metrics")).body.decode()
+    assert 'comfreyhatch_answers_skipped_total{named="other_id"} 3.0' in page
