--- a/comfreyhatch/adapters/engine_http.py
+++ b/comfreyhatch/adapters/engine_http.py
@@ -9,6 +9,7 @@
 from msgspec.json import encode as encode_json
 from msgspec.structs import replace
 
+from comfreyhatch.adapters.answer_identity import identity_of
 from comfreyhatch.adapters.endpoint_answers import (
     named_report,
     raise_for_status,
@@ -17,7 +18,7 @@
 )
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_link import AnswerPart
-from comfreyhatch.adapters.http_message import JSON_TYPE
+from comfreyhatch.adapters.http_message import JSON_TYPE, REQUEST_ID_HEADER
 from comfreyhatch.adapters.http_reply import HttpReply, StreamedReply
 from comfreyhatch.domain.instance import Instance
 from comfreyhatch.errors import (
@@ -85,8 +86,9 @@
                 "POST",
                 "/generate",
                 body,
-                {"content-type": JSON_TYPE},
+                {"content-type": JSON_TYPE, REQUEST_ID_HEADER: request.request_id},
                 request.deadline_s,
+                identity=identity_of(request.request_id),
             ) as reply:
                 if reply.status != 200:
                     await _raise_for_stream(endpoint, reply, request.deadline_s)
@@ -136,6 +138,8 @@
                 "/order",
                 encode_json(order),
                 timeout_s=ORDER_TIMEOUT_S,
+                # Answers to orders, cancellations and load reports name no request.
+                fresh_connection=True,
                 limit_bytes=MAX_FAILURE_BYTES,
             )
         except ConnectError as error:
--- a/comfreyhatch/daemon/requests/forwarding.py
+++ b/comfreyhatch/daemon/requests/forwarding.py
@@ -7,7 +7,7 @@
 import asyncio
 import hmac
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable, Mapping, Set
-from contextlib import _AsyncGeneratorContextManager, aclosing
+from contextlib import aclosing
 from hashlib import sha256
 from random import Random
 from secrets import token_hex
@@ -16,18 +16,18 @@
 from msgspec import Struct, ValidationError
 from msgspec.json import decode, encode
 
-from comfreyhatch.adapters.answer_identity import RequestIdentity
+from comfreyhatch.adapters.answer_identity import identity_of
 from comfreyhatch.adapters.engine_http import HttpEngine
-from comfreyhatch.adapters.http_client import HttpClient, full_headers
+from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_message import (
     EVENT_STREAM_TYPE,
+    REQUEST_ID_HEADER,
     Headers,
     HttpRequest,
     HttpResponse,
-    error_response,
+    answer_with_id,
     json_response,
 )
-from comfreyhatch.adapters.http_reply import StreamedReply
 from comfreyhatch.codes import Ran, ResultCode
 from comfreyhatch.daemon.dispatch.dispatcher import Dispatcher
 from comfreyhatch.decisions.replay import ReplayGuard
@@ -136,31 +136,27 @@
         self._key = key
         self._hop = str(hop)
 
-    def stream(
+    def _headers(
         self,
         address: Address,
-        method: str,
         target: str,
-        body: bytes = b"",
-        headers: Mapping[str, str] | Headers | None = None,
-        timeout_s: float = 5.0,
-        fresh_connection: bool = False,
-        note_sent: Callable[[], None] | None = None,
-        identity: RequestIdentity | None = None,
-    ) -> _AsyncGeneratorContextManager[StreamedReply, None]:
-        """Send a signed request; arguments and result are those of `HttpClient.stream`."""
+        body: bytes,
+        headers: Mapping[str, str] | Headers | None,
+    ) -> Headers:
         envelope = Envelope(str(address), target, self._hop, new_stamp())
-        signed = full_headers(address, headers)
+        signed = super()._headers(address, target, body, headers)
         signed.append((HOP_HEADER.encode(), self._hop.encode()))
         signed.append((STAMP_HEADER.encode(), envelope.stamp.encode()))
         signed.append((SIGNATURE_HEADER.encode(), sign(self._key, envelope, body).encode()))
-        return super().stream(
-            address, method, target, body, signed, timeout_s, fresh_connection, note_sent, identity
-        )
+        return signed
 
 
 class Forwarder:
-    """Forwards requests to daemons that can dispatch them."""
+    """Forwards requests to daemons that can dispatch them.
+
+    Attributes:
+        client: Sends the requests; owns the connections to other daemons.
+    """
 
     def __init__(
         self,
@@ -188,8 +184,8 @@
         self._zone = zone
         self._view = view
         self._rng = rng
-        self._client = SigningClient(key, before_send, hop)
-        self._engine = HttpEngine(self._client)
+        self.client = SigningClient(key, before_send, hop)
+        self._engine = HttpEngine(self.client)
 
     def candidates(self, config: FleetConfig, holders: Set[str] = frozenset()) -> list[Member]:
         """Return the daemons that a request may be forwarded to, the most suitable first.
@@ -245,7 +241,7 @@
             BackendError: If the endpoint failed or refused.
         """
         body = encode(ForwardedCall(service, request, timeout_s))
-        answer = await self._post(member, CALL_PATH, body, timeout_s)
+        answer = await self._post(member, CALL_PATH, body, timeout_s, request.request_id)
         if answer.answer is None:
             raise BackendError(answer.message, answer.code, answer.ran)
         return answer.answer, answer.served
@@ -257,16 +253,24 @@
             BackendError: If the runner refused the call or it failed.
             HttpError: If the runner could not be reached or did not answer.
         """
-        answer = await self._post(member, MINTED_PATH, encode(call), call.timeout_s)
+        body, request_id = encode(call), call.request.request_id
+        answer = await self._post(member, MINTED_PATH, body, call.timeout_s, request_id)
         if answer.answer is None:
             raise BackendError(answer.message, answer.code, answer.ran)
         return answer.answer
 
     async def _post(
-        self, member: Member, path: str, body: bytes, timeout_s: float
+        self, member: Member, path: str, body: bytes, timeout_s: float, request_id: str
     ) -> ForwardedAnswer:
-        reply = await self._client.request(
-            member.http, "POST", path, body, timeout_s=timeout_s, fresh_connection=True
+        reply = await self.client.request(
+            member.http,
+            "POST",
+            path,
+            body,
+            {REQUEST_ID_HEADER: request_id},
+            timeout_s,
+            fresh_connection=True,
+            identity=identity_of(request_id),
         )
         if reply.status != 200:
             raise BackendError(f"peer {member.instance_id} answered with status {reply.status}")
@@ -306,14 +310,17 @@
 
         To be cancelled when the sender leaves, so that what it gave up is not dispatched.
         """
+        return await answer_with_id(self._serve(request), request.header(REQUEST_ID_HEADER))
+
+    async def _serve(self, request: HttpRequest) -> HttpResponse:
         hop, stamp = request.header(HOP_HEADER), request.header(STAMP_HEADER)
         envelope = Envelope(str(self.address), request.path, hop, stamp)
         signature = request.header(SIGNATURE_HEADER).encode()
         expected = [sign(key, envelope, request.body).encode() for key in self._keys]
         if not any(hmac.compare_digest(signature, each) for each in expected):
-            return error_response(PeerError("the signature is invalid"))
+            raise PeerError("the signature is invalid")
         if not self._replay_guard.accept(stamp, time(), asyncio.get_running_loop().time()):
-            return error_response(PeerError("the stamp is expired or was used before"))
+            raise PeerError("the stamp is expired or was used before")
         last_hop = not hop.isdecimal() or int(hop) >= MAX_HOPS
         try:
             if request.path == GENERATE_PATH:
@@ -325,8 +332,8 @@
                 minted_call = decode(request.body, type=ForwardedMintedCall)
                 return json_response(await _to_forwarded_answer(self.run_minted(minted_call)))
         except ValidationError as error:
-            return error_response(RequestError(str(error)))
-        return error_response(RequestError("no such resource", ResultCode.NOT_FOUND))
+            raise RequestError(str(error)) from error
+        raise RequestError("no such resource", ResultCode.NOT_FOUND)
 
     async def _generate(self, request: GenerateRequest, last_hop: bool) -> HttpResponse:
         member = None if last_hop else self._find_holder(request.version_id)
