--- a/tests/scripted_endpoint.py
+++ b/tests/scripted_endpoint.py
@@ -77,6 +77,7 @@
         self._answer = answer
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def listen(self, receive_buffer_bytes: int | None = None) -> None:
         """Listen on a free port.
@@ -97,8 +98,13 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        # Those of tasks that were cancelled before they began, too.
+        for writer in self._writers:
+            writer.transport.abort()
+        await asyncio.sleep(0)
 
     def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         task = asyncio.create_task(self._serve(reader, writer))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -118,6 +124,7 @@
             self.resets += 1
         finally:
             self.open_connections -= 1
+            self._writers.discard(writer)
             writer.transport.abort()
 
 
