Bound a test's wait for a daemon that serves, and what it leaves open

Cause: until its daemon holds slots, about 4.5 s after it listens, the test called it again without a pause, each time with a client of its own whose idle connection it never closed. The daemon's listener takes 4,096 connections; once as many are idle it closes each new one until their idle timeout of 75 s, and the test went on for as long without a bound. On a calm machine that many calls fit into 5 s.

The test's step was at fault, not the product: the daemon does what its limit of connections says. The step now takes one forwarder, which keeps 64 connections at most, pauses 50 ms between calls, and fails after 30 s. What the test asserts is unchanged.

--- a/tests/test_paused_processes.py
+++ b/tests/test_paused_processes.py
@@ -18,6 +18,7 @@
 from comfreyhatch.ports.engine import ServiceRequest
 from comfreyhatch.ports.peers import Member
 from comfreyhatch.standins.fleet import CONTRACT, FLEET_KEY, FleetPlan, LocalFleet
+from comfreyhatch.standins.service import ServiceWitness
 from tests.calls import book, error_of
 from tests.processes import (
     DaemonProcess,
@@ -28,6 +29,9 @@
 
 GIVE_UP_S = 0.3
 PAUSE_S = 1.2
+# Without another daemon in its zone, a daemon holds slots after `ORPHAN_HOLD_S`, 5 s.
+SERVING_TIMEOUT_S = 30.0
+RETRY_INTERVAL_S = 0.05
 
 
 @pytest.fixture
@@ -44,35 +48,52 @@
     await started.terminate()
 
 
+@pytest.fixture
+def forwarder(fleet: LocalFleet) -> Forwarder:
+    """Return a forwarder, which keeps a limited number of connections open."""
+    members = fleet.daemon_by_id["entry-a0"].membership
+    return Forwarder("caller", "a", FLEET_KEY, lambda: members.view, Random(1))
+
+
 async def call(
-    fleet: LocalFleet, member: Member, request_id: str, method: str, timeout_s: float
+    forwarder: Forwarder, member: Member, request_id: str, method: str, timeout_s: float
 ) -> None:
     """Forward a call to a daemon on a new connection."""
-    forwarder = Forwarder(
-        "caller", "a", FLEET_KEY, lambda: fleet.daemon_by_id["entry-a0"].membership.view, Random(1)
-    )
     request = ServiceRequest(request_id, method, "/deposits", b"{}")
     await forwarder.call(member, "booking", request, timeout_s)
 
 
+async def call_until_served(
+    forwarder: Forwarder, member: Member, method: str, witness: ServiceWitness
+) -> None:
+    """Repeat a call until it reaches the service.
+
+    Raises:
+        TimeoutError: If the daemon does not serve calls in time.
+    """
+    async with asyncio.timeout(SERVING_TIMEOUT_S):
+        while not witness.arrival_times_s:
+            with suppress(ComfreyhatchError):
+                await call(forwarder, member, "first", method, 5.0)
+            await asyncio.sleep(RETRY_INTERVAL_S)
+
+
 @pytest.mark.parametrize("method", ["GET", "POST"])
 async def test_call_given_up_while_its_daemon_was_stopped_is_not_sent_when_it_goes_on(
-    fleet: LocalFleet, process: DaemonProcess, method: str
+    fleet: LocalFleet, process: DaemonProcess, forwarder: Forwarder, method: str
 ) -> None:
     witness = fleet.service_by_id["service-b0"].witness
     members = fleet.daemon_by_id["entry-a0"].membership
     await fleet.until(lambda: "proc-b" in members.view.member_by_id)
     member = members.view.member_by_id["proc-b"]
-    while not witness.arrival_times_s:
-        with suppress(ComfreyhatchError):
-            await call(fleet, member, "first", method, 5.0)
+    await call_until_served(forwarder, member, method, witness)
     before = len(witness.arrival_times_s)
     process.signal(signal.SIGSTOP)
-    calls = [call(fleet, member, f"r{number}", method, GIVE_UP_S) for number in range(8)]
+    calls = [call(forwarder, member, f"r{number}", method, GIVE_UP_S) for number in range(8)]
     ends = await asyncio.gather(*calls, return_exceptions=True)
     assert all(isinstance(end, HttpError) for end in ends)
     process.signal(signal.SIGCONT)
-    await call(fleet, member, "last", method, 5.0)
+    await call(forwarder, member, "last", method, 5.0)
     assert len(witness.arrival_times_s) == before + 1
 
 
