Count what was read after a stop once its routes are known to hold

What callers saw: none; endpoints that refused got more repeats than the budget allows (BUDGET).

Cause: a daemon that was stopped reads at once what came meanwhile, by the configuration of before. Where that had changed, it counted the requests for a service to which they were routed no more, and its budget rose with them while that service's endpoints refused. The daemon knew the new configuration 0.2 to 0.3 s after it went on, but the requests stayed counted for the window.

Change: the loop's monitor tells when the process went on after a stop of 0.5 s or more. RequestCounter holds what is read from then on back from the budgets until the orders have been read anew by a question asked since: an answer to an earlier question may have waited as long as the requests. Then each counts, from when it came on, if it would be routed to the same service still. The first read after a stop does not wait for news. Requests are routed and answered as before.

Not covered: a daemon that is cut off from the store and all peers while the routes change still counts by what it knows.

--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -51,6 +51,7 @@
 )
 from comfreyhatch.exchange.relay_client import RelayClient
 from comfreyhatch.exchange.relay_listener import RelayListener
+from comfreyhatch.exchange.request_counter import RequestCounter
 from comfreyhatch.exchange.request_guard import RequestGuard
 from comfreyhatch.exchange.rollouts import RolloutController
 from comfreyhatch.exchange.router import ExchangeRouter
@@ -110,6 +111,7 @@
                 `Bounds.retry_slack`.
         """
         self._deployment = deployment
+        self._loop_lag = LoopLagMonitor()
         self.registry = CollectorRegistry()
         self.view = FleetView()
         self._unread = UnreadAttempts()
@@ -201,6 +203,10 @@
             self._on_view_change,
             self._reports,
             self._rates.answer,
+            went_on_at=self._went_on_at,
+        )
+        self._counter = RequestCounter(
+            self.view, self._budgets.of, self._went_on_at, deployment.bounds.retry_window_s
         )
         self._recovery = StoreRecovery(
             rng,
@@ -232,7 +238,7 @@
                 telemetry.count_cascade_answer,
                 self._crashes,
             ),
-            self._budgets.of,
+            self._counter,
             telemetry,
         )
         self._callers = HttpServer(self._router.handle, _limits(deployment), True)
@@ -240,7 +246,6 @@
         self._metrics = HttpServer(self._answer_metrics)
         control = str(deployment.control) if deployment.control else ""
         self._peers = PeerListener(control, self._sync.answer) if control else None
-        self._loop_lag = LoopLagMonitor()
         self.shutting_down = False
         self._unready_while_cut_off = False
         self._add_gauges()
@@ -387,6 +392,9 @@
         usage = model_usage(job.exchange.prompt_tokens, tokens, price)
         self._billing.add_usage(UsageKey(job.workspace, job.service, model), usage)
 
+    def _went_on_at(self) -> float:
+        return self._loop_lag.went_on_at
+
     def _on_view_change(self) -> None:
         """Apply the limits of a new catalog, and serve the queues with the changed endpoints.
 
@@ -394,7 +402,9 @@
         """
         if self.view.generation is not None:
             self._recovery.note_generation(self.view.generation)
-        self._pins.note_orders(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self._counter.count_waiting(now)
+        self._pins.note_orders(now)
         catalog = self.view.catalog
         if catalog and catalog.limits:
             limits = self._callers.limits
--- a/comfreyhatch/exchange/directory_sync.py
+++ b/comfreyhatch/exchange/directory_sync.py
@@ -84,6 +84,7 @@
         reports: PeerReports | None = None,
         answer_permit: Callable[[PermitAsk, float], PermitAnswer] = no_permit,
         connect: Callable[[str], PeerClient] = PeerClient,
+        went_on_at: Callable[[], float] = lambda: float("-inf"),
     ) -> None:
         """Create the sync; no task runs yet.
 
@@ -96,7 +97,11 @@
             reports: Reports to pass on between daemons; None for none.
             answer_permit: Answers a peer that asks for a permit, at a monotonic time.
             connect: Returns a connection to the peer at an address.
+            went_on_at: Returns when this process last went on after it was stopped, as a monotonic
+                time in seconds.
         """
+        self._went_on_at = went_on_at
+        self._operations_asked_at = float("-inf")
         self._connect = connect
         self._deployment = deployment
         self._directory = directory
@@ -178,10 +183,14 @@
     async def _poll_operations(self) -> None:
         loop = asyncio.get_running_loop()
         await self._reads_directory.wait()
-        found = await self._read("orders", self._directory.operations, self._view.listed_operations)
+        held, asked_at = self._view.listed_operations, loop.time()
+        # After a stop it is not known whether the orders still hold until they are read anew.
+        wait_s = 0.0 if self._operations_asked_at < self._went_on_at() else None
+        self._operations_asked_at = asked_at
+        found = await self._read("orders", self._directory.operations, held, wait_s)
         if found is None:
             return
-        self._apply_operations(found, loop.time(), "store")
+        self._apply_operations(found, loop.time(), "store", asked_at)
         self._notify_change()
 
     async def _poll_endpoints(self) -> None:
@@ -302,8 +311,9 @@
             Whether it has answered.
         """
         peer = self._connect(address)
+        asked_at = asyncio.get_running_loop().time()
         try:
-            self.apply_update(await peer.query(self.query(0.0, address)), address)
+            self.apply_update(await peer.query(self.query(0.0, address)), address, asked_at)
         except PeerError as error:
             log.debug("event=peer_silent peer=%s reason=%r", address, str(error))
             return False
@@ -329,18 +339,22 @@
             reports_seen=self._relay.seen(address) if self._relay else None,
         )
 
-    def apply_update(self, update: PeerUpdate, source: str) -> None:
+    def apply_update(
+        self, update: PeerUpdate, source: str, asked_at: float = float("-inf")
+    ) -> None:
         """Apply the answer of a peer to the view; one of an older generation changes nothing.
 
         Args:
             update: The answer.
             source: Address of the peer, for the log.
+            asked_at: Monotonic time in seconds at which the peer was asked.
         """
         now = asyncio.get_running_loop().time()
         view = self._view
         operations = updated_operations(view.listed_operations, update)
         if operations is not None:
-            self._apply_operations(operations, now - update.operations_age_s, source)
+            age_s = update.operations_age_s
+            self._apply_operations(operations, now - age_s, source, asked_at - age_s)
         if update.endpoints is not None:
             held = view.endpoint_list
             known = held is not None and held.generation == update.endpoints.generation
@@ -354,16 +368,19 @@
             self._relay.apply(update, source)
         self._notify_change()
 
-    def _apply_operations(self, found: Operations, confirmed_at: float, source: str) -> None:
+    def _apply_operations(
+        self, found: Operations, confirmed_at: float, source: str, asked_at: float
+    ) -> None:
         """Apply orders to the view, and log from whom a new configuration comes.
 
         Args:
             found: Orders as read.
             confirmed_at: Monotonic time at which they were current, in seconds.
             source: Address of the peer that sent them, or "store".
+            asked_at: Monotonic time at which they were surely current, in seconds.
         """
         held = self._view.catalog
-        self._view.apply_operations(found, confirmed_at, self._deployment.heartbeat_s)
+        self._view.apply_operations(found, confirmed_at, self._deployment.heartbeat_s, asked_at)
         catalog = self._view.catalog
         if catalog is not None and (held is None or catalog.version != held.version):
             now = asyncio.get_running_loop().time()
@@ -391,7 +408,7 @@
         assert self._reader
         try:
             update = await self._reader.query(self.query(READER_QUERY_WAIT_S, address))
-            self.apply_update(update, address)
+            self.apply_update(update, address, now)
         except PeerError as error:
             self._drop_reader(address, str(error))
             return
--- a/comfreyhatch/exchange/loop_lag.py
+++ b/comfreyhatch/exchange/loop_lag.py
@@ -6,6 +6,8 @@
 INTERVAL_S = 0.25
 # Lag from which a line is logged.
 LOGGED_LAG_S = 0.3
+# Lag from which the process counts as one that was stopped.
+STOPPED_LAG_S = 0.5
 # Time for which the longest lag is reported, so that a metric read every few seconds shows it.
 REPORT_S = 15.0
 
@@ -13,9 +15,14 @@
 
 
 class LoopLagMonitor:
-    """Schedules a timer at a fixed interval and records how late it fires."""
+    """Schedules a timer at a fixed interval and records how late it fires.
+
+    Attributes:
+        went_on_at: Monotonic time in seconds at which the loop last went on after a stop.
+    """
 
     def __init__(self) -> None:
+        self.went_on_at = float("-inf")
         self._timer: asyncio.TimerHandle | None = None
         self._longest_s = 0.0
         self._longest_at = float("-inf")
@@ -44,6 +51,8 @@
         if lag_s >= self.longest_s(now):
             self._longest_s = lag_s
             self._longest_at = now
+        if lag_s >= STOPPED_LAG_S:
+            self.went_on_at = now
         if lag_s >= LOGGED_LAG_S:
             log.warning("event=loop_lagged lag_s=%.2f", lag_s)
         self._schedule()
--- a/comfreyhatch/exchange/router.py
+++ b/comfreyhatch/exchange/router.py
@@ -2,17 +2,15 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
 
 from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
 from comfreyhatch.codes import Ran, ResultCode
-from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
-from comfreyhatch.decisions.placement import session_point
 from comfreyhatch.decisions.request_identity import request_identity
 from comfreyhatch.domain.catalog import Catalog, RequestKind, Route, Workspace
 from comfreyhatch.domain.exchange import Exchange, Job
 from comfreyhatch.errors import ComfreyhatchError, NotReadyError, RefusedError, RequestError
 from comfreyhatch.exchange.header_codec import HeaderCodec
+from comfreyhatch.exchange.request_counter import RequestCounter, service_of
 from comfreyhatch.exchange.stream_proxy import StreamProxy
 from comfreyhatch.exchange.telemetry import RequestTelemetry
 from comfreyhatch.exchange.unary_proxy import UnaryProxy
@@ -36,7 +34,7 @@
         view: FleetView,
         unary: UnaryProxy,
         streaming: StreamProxy,
-        budget: Callable[[str], ExtraRequestBudget],
+        counter: RequestCounter,
         telemetry: RequestTelemetry,
     ) -> None:
         """Create a router.
@@ -46,14 +44,14 @@
             view: Current state of the fleet.
             unary: Proxies requests with one buffered answer.
             streaming: Proxies requests with a streamed answer.
-            budget: Returns the budget of extra requests of a service.
+            counter: Counts requests in the budgets of their services.
             telemetry: Counts and logs finished requests.
         """
         self._codec = codec
         self._view = view
         self._unary = unary
         self._streaming = streaming
-        self._budget = budget
+        self._counter = counter
         self._telemetry = telemetry
         self.stopping = False
 
@@ -106,13 +104,13 @@
             exchange=exchange,
             route=route,
             workspace=workspace.name if workspace else "",
-            service=_service(route, exchange),
+            service=service_of(route, exchange),
             rank=_rank(route, workspace),
             arrived=now,
             deadline=came_at + min(timeout_s, route.timeout_s),
             identity=request_identity(exchange),
         )
-        self._budget(job.service).record_request(came_at)
+        self._counter.record(job, came_at)
         if exchange.waited_s and job.deadline <= now:
             raise RefusedError(
                 "the request was read after its deadline", ResultCode.DEADLINE_EXCEEDED
@@ -156,23 +154,6 @@
             ) from None
 
 
-def _service(route: Route, exchange: Exchange) -> str:
-    """Return the service for a request, by the weights of the route's services.
-
-    The session id is hashed, or the request id without a session, so that a session stays on one
-    service.
-    """
-    if len(route.shares) == 1:
-        return route.shares[0].service
-    total = sum(share.weight for share in route.shares)
-    point = session_point(exchange.session or exchange.request_id, route.name) * total
-    for share in route.shares:
-        point -= share.weight
-        if point < 0:
-            return share.service
-    return route.shares[-1].service
-
-
 def _rank(route: Route, workspace: Workspace | None) -> int:
     """Return the urgency of a request; the workspace's rank overrides the route's."""
     if workspace is not None and workspace.rank is not None:
--- a/comfreyhatch/exchange/view.py
+++ b/comfreyhatch/exchange/view.py
@@ -55,6 +55,8 @@
         listed_operations: Orders as read, without those that are carried over.
         endpoint_list: Registered endpoints; None before they were read.
         records: Records of the daemons; None before they were read.
+        operations_asked_at: Monotonic time in seconds at which the orders were surely current: that
+            of the question to which they, or that they still hold, were the answer.
         operations_changed_position: Position of the last listed orders that differ from those
             before.
         endpoint_history: Changes of the list, for followers.
@@ -69,6 +71,7 @@
         self.listed_operations: Operations | None = None
         self.endpoint_list: EndpointList | None = None
         self.records: SharedRecords | None = None
+        self.operations_asked_at = float("-inf")
         self.operations_changed_position = Position()
         self.endpoint_history = EndpointHistory()
         self.record_history = RecordHistory()
@@ -135,7 +138,13 @@
         """Return the estimated time of the store's clock, in milliseconds; 0 while unknown."""
         return int(now * MS_PER_S + self._store_offset_ms) if self.records else 0
 
-    def apply_operations(self, found: Operations, now: float, heartbeat_s: float) -> None:
+    def apply_operations(
+        self,
+        found: Operations,
+        now: float,
+        heartbeat_s: float,
+        asked_at: float = float("-inf"),
+    ) -> None:
         """Replace the orders if newer; otherwise only update the age of those that are held.
 
         Orders of an older generation change nothing, the age neither. The configuration is never
@@ -145,11 +154,14 @@
             found: Orders as read.
             now: Monotonic time at which they were current, in seconds.
             heartbeat_s: Interval at which endpoints renew their records, in seconds.
+            asked_at: Monotonic time at which they were surely current, in seconds: an answer may
+                have waited unread while this process was stopped.
         """
         listed, held = self.listed_operations, self.operations
         if listed is not None and found.generation < listed.generation:
             return
         self._operations_at = max(self._operations_at, now)
+        self.operations_asked_at = max(self.operations_asked_at, asked_at)
         if listed is not None and held is not None:
             if found.generation > listed.generation:
                 self._carried_orders.begin(held, found, now)
--- a/tests/test_repeat_processes.py
+++ b/tests/test_repeat_processes.py
@@ -11,6 +11,7 @@
 from random import Random
 
 import pytest
+from msgspec.structs import replace
 
 from tests.endpoint_logs import (
     ran_twice,
@@ -45,6 +46,7 @@
 )
 # Callers that wait until the stopped daemon goes on, and longer than the window.
 STOPPED_S = 4.5
+ROUTED_AWAY_S = 0.5
 STOPPED_PLAN = FleetPlan(ratio=0.5, window_s=2.0, deadline_s=6.0)
 Check = Callable[[Fleet], list[str]]
 # Callers of daemons that are killed get no answers, so that no check of answers applies.
@@ -118,6 +120,28 @@
     assert not found, "\n".join(found)
 
 
+def test_requests_read_late_by_a_daemon_raise_no_budget_of_a_service_they_have_left(
+    tmp_path: Path,
+) -> None:
+    # Reads are routed away from full engines, which refuse, while all daemons are stopped.
+    async def disturb(fleet: Fleet) -> None:
+        load = asyncio.create_task(fleet.load(FIRST_S + STOPPED_S + 2 * TAIL_S))
+        await asyncio.sleep(GAP_S)
+        fleet.configure(read_service="engines")
+        await asyncio.sleep(FIRST_S - GAP_S)
+        stopped = asyncio.create_task(fleet.silence_daemons(1.0, STOPPED_S))
+        refused = asyncio.create_task(fleet.refuse("engines", 1.0, STOPPED_S + TAIL_S))
+        await asyncio.sleep(ROUTED_AWAY_S)
+        fleet.configure(read_service="desk")
+        await asyncio.gather(stopped, refused)
+        await load
+
+    plan = replace(STOPPED_PLAN, endpoints=EndpointOptions(capacity=2, escalating=0.0))
+    fleet = run_fleet(tmp_path, SEED, plan, disturb)
+    found = repeats_beyond_budget(fleet)
+    assert not found, "\n".join(found)
+
+
 @pytest.fixture(scope="module")
 def mixed(tmp_path_factory: pytest.TempPathFactory) -> Fleet:
     """Return a fleet after a short series of disturbances of all kinds."""
