Show why a request was refused beside an odd entry

The test of the list beside an odd entry was answered 503 once, at a load average of 16, and said no more than that. It now shows the bodies of all answers but 200, which name the reason; any such answer still fails it.

Not reproduced: 8 runs by pytest of the three deep entries, and 8 of "deep array" and "no entry" each by hand, at load averages of 15 to 21, all passed. A loop that is blocked for 0.35 s six times in a row within the burst gives 504s, not 503s, so that a lag of the loop alone is not shown to be the cause. The entry stays in KNOWN-RED.txt.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -65,7 +65,8 @@
     )
     for daemon in range(len(harness.daemons)):
         replies = await asyncio.gather(*(harness.send("/read/x", daemon) for _ in range(6)))
-        assert {reply.status for reply in replies} == {200}
+        # The bodies of refusals say why.
+        assert [reply.body for reply in replies if reply.status != 200] == []
 
 
 @pytest.mark.parametrize("name", ODD_ENTRIES)
