--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -42,6 +42,8 @@
 # Limits on the rest of a refusal, which is read for its connection to be reused.
 REFUSAL_READ_TIMEOUT_S = 0.5
 REFUSAL_LIMIT_BYTES = 65536
+# Ends of attempts that this side has chosen: the endpoint may not have read the request.
+UNREAD_ERRORS = (ExchangeTimeoutError, AnswerTooLargeError)
 
 log = logging.getLogger("comfreyhatch.sender")
 
@@ -135,7 +137,7 @@
         except HttpError as error:
             if error.ran is Ran.NO:
                 arrival.note_gone()
-            elif arrival.is_relayed or isinstance(error, ExchangeTimeoutError):
+            elif arrival.is_relayed or isinstance(error, UNREAD_ERRORS):
                 self._give_up(endpoint, arrival)
             else:
                 # The endpoint has ended the connection, or sent something.
