--- a/comfreyhatch/adapters/answer_identity.py
+++ b/comfreyhatch/adapters/answer_identity.py
@@ -39,6 +39,11 @@
     return RequestIdentity(request_id.encode(), REQUEST_ID_HEADER.encode(), UNNAMED_WAIT_S)
 
 
+def id_text(identity: RequestIdentity | None) -> str:
+    """Return the id of a request for the log."""
+    return identity.request_id.decode("latin-1") if identity else ""
+
+
 class AnswerOwner(Enum):
     """Whose answer a head belongs to, by the id that it names."""
 
--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -9,7 +9,7 @@
 
 import h11
 
-from comfreyhatch.adapters.answer_identity import AnswerOwner, RequestIdentity
+from comfreyhatch.adapters.answer_identity import AnswerOwner, RequestIdentity, id_text
 from comfreyhatch.adapters.http_head import HEAD_METHOD, answer_bytes, own_head
 from comfreyhatch.adapters.http_link import IDLE_LIFE_S, AnswerPart, HttpLink
 from comfreyhatch.adapters.http_message import Headers
@@ -244,9 +244,9 @@
     ) -> None:
         self.skipped_by_owner[owner] += 1
         log.info(
-            "event=answer_skipped address=%s before=%s named=%s status=%d",
+            "event=answer_skipped address=%s id=%s named=%s status=%d",
             address,
-            identity,
+            id_text(identity),
             owner.value,
             head.status_code,
         )
--- a/comfreyhatch/adapters/http_head.py
+++ b/comfreyhatch/adapters/http_head.py
@@ -15,9 +15,10 @@
 HEAD_METHOD = "HEAD"
 # Informational answers (status 1xx) that may precede an answer.
 INFORMATIONAL_LIMIT = 16
-# Answers to other requests that may precede an answer, and the largest body of one of them.
+# Answers to other requests that may precede an answer, and the largest body of one of them, which
+# is not held.
 SKIPPED_LIMIT = 4
-SKIPPED_LIMIT_BYTES = 262144
+SKIPPED_LIMIT_BYTES = 1024 * 1024
 
 # Notes an answer that is skipped: whose it is, and its head.
 NoteSkipped = Callable[[AnswerOwner, h11.Response], None]
--- a/comfreyhatch/adapters/http_pool.py
+++ b/comfreyhatch/adapters/http_pool.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from comfreyhatch.adapters.answer_identity import RequestIdentity
+from comfreyhatch.adapters.answer_identity import RequestIdentity, id_text
 from comfreyhatch.adapters.http_link import HttpLink
 from comfreyhatch.domain.instance import Address
 
@@ -43,7 +43,8 @@
                 link.idle = False
                 return link
             else:
-                log.info("event=connection_passed_over address=%s request=%s", address, identity)
+                text = id_text(identity)
+                log.info("event=connection_passed_over address=%s id=%s", address, text)
         return None
 
     def keep(self, address: Address, link: HttpLink, now: float) -> None:
