--- a/tests/endpoint_logs.py
+++ b/tests/endpoint_logs.py
@@ -92,19 +92,12 @@
     """LOST: requests that reached an endpoint and ended early without a complete answer."""
     reached = {event.id for event in fleet.events() if event.event == "arrived"}
     return [
-        f"{call.id} {call.kind} {call.outcome} kept={call.kept} at {_used_share(fleet, call):.2f}"
+        f"{call.id} {call.kind} {call.outcome} kept={call.kept} at {call.used_share:.2f}"
         for call in fleet.calls
-        if call.id in reached
-        and call.outcome != "complete"
-        and _used_share(fleet, call) < LATE_SHARE
+        if call.id in reached and call.outcome != "complete" and call.used_share < LATE_SHARE
     ]
 
 
-def _used_share(fleet: Fleet, call: Call) -> float:
-    """Return the share of its time that a request had used as it ended."""
-    return (call.ended - call.sent) / fleet.plan.deadline_s
-
-
 def cut_and_left(fleet: Fleet) -> list[str]:
     """LOST: broken answers whose last run had been ended early, at an endpoint that is sound."""
     runs = runs_by_id(fleet)
@@ -173,13 +166,13 @@
         if (
             (call.outcome != "complete" or call.status >= 500)
             and event.t <= call.ended + TWICE_SLACK_S
-            and _used_share(fleet, call) < LATE_SHARE
+            and call.used_share < LATE_SHARE
             and not _lost_its_daemon(fleet, call)
             and any(run.endpoint == event.endpoint and run.how != KILLED for run in runs)
         ):
             found.append(
                 f"{call.id} {call.kind} {call.outcome} {call.status} at"
-                f" {_used_share(fleet, call):.2f}, copy {event.status} of {event.id or 'none'} by"
+                f" {call.used_share:.2f}, copy {event.status} of {event.id or 'none'} by"
                 f" {event.endpoint} at {event.t:.2f}, {', '.join(map(str, runs))}"
             )
     return found
--- a/tests/fleet_callers.py
+++ b/tests/fleet_callers.py
@@ -38,6 +38,7 @@
         outcome: How it ended.
         reason: Why it broke.
         opened: Whether its connection was open, so that its daemon may have read it.
+        idle_s: Time for which the connection that it was to use had been idle, in seconds.
     """
 
     id: str
@@ -52,6 +53,12 @@
     outcome: str = "nothing"
     reason: str = ""
     opened: bool = True
+    idle_s: float = 0.0
+
+    @property
+    def used_share(self) -> float:
+        """Share of its time that it had used as it ended."""
+        return (self.ended - self.sent) / (self.until - self.sent)
 
 
 class Callers:
@@ -129,6 +136,8 @@
             headers |= {"model": "*", "token-counts": "1000,60"}
         method, body = ("GET", b"") if call.kind == "read" else ("POST", call.id.encode())
         sent = (Address(call.host, self._port), method, PATH_BY_KIND[call.kind], body, headers)
+        if call.kept:
+            call.idle_s = self._idle_s(sent[0])
         try:
             async with self._client.stream(*sent, left_s + 2, not call.kept) as reply:
                 call.status, call.outcome = reply.status, "broken"
@@ -140,3 +149,8 @@
             call.opened = not isinstance(error, ConnectError)
         finally:
             call.ended = monotonic()
+
+    def _idle_s(self, address: Address) -> float:
+        """Return how long the next connection to a daemon has been idle; 0 without one."""
+        links = self._client._idle.at(address)
+        return asyncio.get_running_loop().time() - links[-1].idle_since if links else 0.0
--- a/tests/loss_checks.py
+++ b/tests/loss_checks.py
@@ -30,8 +30,9 @@
     """
     runs = runs_by_id(fleet)
     return [
-        f"{call.id} {call.kind} {call.outcome} {call.status} at {call.host} sent {call.sent:.2f},"
-        f" ended {call.ended:.2f}, {_planned(fleet, call) or 'no'} planned work, {call.reason}, "
+        f"{call.id} {call.kind} {call.outcome} {call.status} at {call.host} sent {call.sent:.2f}"
+        f" over a connection idle for {call.idle_s:.2f}, ended {call.ended:.2f},"
+        f" {_planned(fleet, call) or 'no'} planned work, {call.reason}, "
         + ", ".join(map(str, runs[call.id]))
         for call, excuse in _unanswered(fleet)
         if not excuse
@@ -67,8 +68,7 @@
     if call.ended >= call.until - DEADLINE_SLACK_S:
         return "its time was over"
     planned = _planned(fleet, call)
-    used = (call.ended - call.sent) / (call.until - call.sent)
-    if "SIGTERM" not in planned and "SIGHUP" not in planned and used >= LATE_SHARE:
+    if "SIGTERM" not in planned and "SIGHUP" not in planned and call.used_share >= LATE_SHARE:
         return f"it had used {LATE_SHARE} of its time"
     if any(_runs_late(span, call, runs) for span in fleet.daemons.ends):
         return "it was at work in the last part of the grace period"
