Don't cut a stream before its deadline as no endpoint takes it on

Callers of streams whose endpoints had fallen silent or broken off, and which none took on, saw their answers cut up to 0.25 s early: less time was left than the pause before the next attempt.

The last pause is as long as the time that is left; then it is known that no attempt is. Both cases of the new test fail before (cut at 1.31 and 1.34 of 1.4 s), and pass now.

--- a/comfreyhatch/exchange/stream_retries.py
+++ b/comfreyhatch/exchange/stream_retries.py
@@ -52,10 +52,9 @@
         now = asyncio.get_running_loop().time()
         if not stream.may_attempt(now):
             return False
-        if stream.waits_until_deadline and stream.account.failed_often:
-            if not stream.may_attempt(now + RESUME_PAUSE_S):
-                return False
-            await asyncio.sleep(RESUME_PAUSE_S)
+        refused_often = stream.waits_until_deadline and stream.account.failed_often
+        if refused_often and not await _pause(stream):
+            return False
         while not self.reserve(stream, asyncio.get_running_loop().time()):
             if not await self.pause_before_resume(stream, "the budget of extra requests is spent"):
                 return False
@@ -80,10 +79,11 @@
         """Pause a stream that waits until its deadline; return whether it may then be resumed.
 
         Returns:
-            False at once for other streams, or if no attempt or time is left.
+            False at once for other streams, or if no attempt is left; at the deadline otherwise, if
+            no time is left then.
         """
         now = asyncio.get_running_loop().time()
-        if not stream.waits_until_deadline or not stream.may_attempt(now + RESUME_PAUSE_S):
+        if not stream.waits_until_deadline or not stream.may_attempt(now):
             return False
         log.info(
             "event=resume_delayed id=%s events=%s reason=%r",
@@ -91,8 +91,7 @@
             stream.last_event_id,
             reason,
         )
-        await asyncio.sleep(RESUME_PAUSE_S)
-        return True
+        return await _pause(stream)
 
     def reserve_stalled(self, stream: StreamState, now: float) -> bool:
         """Reserve the retry of a stalled request; return False if it has to keep waiting."""
@@ -120,6 +119,14 @@
         return self._scheduler.has_responsive(stream.job, last, max_silent_s, hangs, now)
 
 
+async def _pause(stream: StreamState) -> bool:
+    """Wait for a short time, which the deadline ends; return whether the stream may be resumed."""
+    loop = asyncio.get_running_loop()
+    left_s = stream.time_left_s(loop.time())
+    await asyncio.sleep(max(0.0, min(RESUME_PAUSE_S, left_s)))
+    return stream.may_attempt(loop.time())
+
+
 def _log_not_counted(stream: StreamState, endpoint: EndpointTracker) -> None:
     """Log an attempt that leaves room for another one, as its endpoint has ended."""
     log.info(
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -194,12 +194,16 @@
         Attempts that did not run count only until the stream waits until its deadline: from then
         on, they don't end it.
         """
-        if now >= self.job.deadline - DEADLINE_MARGIN_S:
+        if self.time_left_s(now) <= 0:
             return False
         if not self.account.allows_another(self.job.route.repeatable and self.resumable):
             return False
         return self.waits_until_deadline or not self.account.failed_often
 
+    def time_left_s(self, now: float) -> float:
+        """Return the time in which another attempt may still begin, in seconds."""
+        return self.job.deadline - DEADLINE_MARGIN_S - now
+
     def is_stalled(self, now: float) -> bool:
         """Return whether the current attempt exceeds its stall limits."""
         if self.lease is None:
--- a/tests/test_exchange_streams.py
+++ b/tests/test_exchange_streams.py
@@ -178,6 +178,24 @@
     assert all(int(r.header("deadline-ms")) > 20 for r in sent_to(harness, "engine"))
 
 
+@pytest.mark.parametrize("slack", [1.0, 200.0], ids=["budget_spent", "refused"])
+async def test_stream_that_no_worker_takes_on_is_not_cut_before_its_deadline(slack: float) -> None:
+    # It was cut as less time was left than a pause between attempts takes.
+    bounds = Bounds(grace_s=4.0, retry_ratio=0.0, retry_slack=slack)
+    async with running_harness(bounds=bounds) as harness:
+        for worker in workers(harness, "engine"):
+            worker.break_after = 2
+        loop = asyncio.get_running_loop()
+        sent = loop.time()
+        task = asyncio.create_task(harness.send_draft(deadline_ms="1400"))
+        await harness.wait_until(lambda: sent_to(harness, "engine"))
+        for worker in workers(harness, "engine"):
+            worker.refuses = True
+        with pytest.raises(HttpError):
+            await task
+        assert loop.time() - sent > 1.35
+
+
 @pytest.mark.parametrize("refuses", [True, False])
 async def test_run_on_a_stopped_worker_is_not_repeated_or_denied_if_it_may_run_once(
     refuses: bool,
