Don't take what belongs to no request for a sign that one was read

A request that was given up is taken off the repeats that may still arrive once its endpoint has surely read it. Two cases took that from bytes that say nothing of it. After an answer without an id had been skipped, the end of the request's time was an UnnamedAnswerError, which was no timeout; and bytes that are no answer counted as "the endpoint has sent something". A stopped endpoint that reads the request when it goes on then makes an arrival that is not reserved any more.

Only the end of the connection by the peer (ConnectionEndedError) now tells that nothing arrives any more; all else waits in UnreadAttempts. An UnnamedAnswerError is a timeout, so it is not an AnswerBrokenError either.

--- a/comfreyhatch/adapters/http_head.py
+++ b/comfreyhatch/adapters/http_head.py
@@ -9,7 +9,7 @@
 from comfreyhatch.adapters.answer_identity import AnswerOwner, RequestIdentity, answer_owner
 from comfreyhatch.adapters.http_link import AnswerPart, HttpLink
 from comfreyhatch.adapters.http_reply import StreamedReply, declared_bytes
-from comfreyhatch.errors import ExchangeTimeoutError, HttpError, UnnamedAnswerError
+from comfreyhatch.errors import ConnectionEndedError, ExchangeTimeoutError, UnnamedAnswerError
 
 # The answers to it have no bodies, whatever their heads say.
 HEAD_METHOD = "HEAD"
@@ -99,5 +99,5 @@
         if isinstance(head, h11.Response):
             return head
         if not isinstance(head, h11.InformationalResponse):
-            raise HttpError("the connection was closed before an answer")
+            raise ConnectionEndedError("the connection was closed before an answer")
     raise link.too_large(AnswerPart.INFORMATIONAL, f"{INFORMATIONAL_LIMIT} answers")
--- a/comfreyhatch/adapters/http_link.py
+++ b/comfreyhatch/adapters/http_link.py
@@ -10,7 +10,12 @@
 import h11
 
 from comfreyhatch.adapters.answer_identity import CarriedRequests
-from comfreyhatch.errors import AnswerTooLargeError, ExchangeTimeoutError, HttpError
+from comfreyhatch.errors import (
+    AnswerTooLargeError,
+    ConnectionEndedError,
+    ExchangeTimeoutError,
+    HttpError,
+)
 
 # Bytes of an answer that wait for its reader, beyond which nothing more is read from its connection
 # for the time being. With the read that exceeds it, a connection holds 128 KiB at most.
@@ -115,7 +120,8 @@
 
         Raises:
             ExchangeTimeoutError: If no event came in time.
-            HttpError: If the answer is malformed or the connection broke.
+            ConnectionEndedError: If the peer ended the connection.
+            HttpError: If the answer is malformed.
         """
         while True:
             event = self.buffered_event()
@@ -125,7 +131,7 @@
             if self._timed_out:
                 raise ExchangeTimeoutError("no complete answer came in time")
             if self._loss:
-                raise HttpError(f"the connection broke: {self._loss}")
+                raise ConnectionEndedError(f"the connection broke: {self._loss}")
             await self._wait(until)
 
     def buffered_event(self) -> object:
--- a/comfreyhatch/errors.py
+++ b/comfreyhatch/errors.py
@@ -110,6 +110,10 @@
     """The peer did not answer in time."""
 
 
+class ConnectionEndedError(HttpError):
+    """The peer ended the connection without a complete answer."""
+
+
 class RelayError(HttpError):
     """Another daemon that sent a request for this one broke off; its endpoint is not to blame."""
 
@@ -126,7 +130,7 @@
     ran = Ran.NO
 
 
-class UnnamedAnswerError(HttpError):
+class UnnamedAnswerError(ExchangeTimeoutError):
     """No answer came but one that names no request, on a connection that has carried others."""
 
 
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -23,6 +23,7 @@
     BackendError,
     BackendRefusedError,
     ConnectError,
+    ConnectionEndedError,
     EndpointUnreachableError,
     EndpointWithdrawnError,
     ExchangeTimeoutError,
@@ -42,8 +43,6 @@
 # Limits on the rest of a refusal, which is read for its connection to be reused.
 REFUSAL_READ_TIMEOUT_S = 0.5
 REFUSAL_LIMIT_BYTES = 65536
-# Ends of attempts that this side has chosen: the endpoint may not have read the request.
-UNREAD_ERRORS = (ExchangeTimeoutError, AnswerTooLargeError)
 
 log = logging.getLogger("comfreyhatch.sender")
 
@@ -137,11 +136,11 @@
         except HttpError as error:
             if error.ran is Ran.NO:
                 arrival.note_gone()
-            elif arrival.is_relayed or isinstance(error, UNREAD_ERRORS):
-                self._give_up(endpoint, arrival)
-            else:
-                # The endpoint has ended the connection, or sent something.
+            elif isinstance(error, ConnectionEndedError) and not arrival.is_relayed:
                 arrival.note_read(loop.time())
+            else:
+                # What came, if anything, may belong to no request, or to another one.
+                self._give_up(endpoint, arrival)
             await stack.aclose()
             if isinstance(error, EndpointWithdrawnError):
                 endpoint.record_withdrawn(loop.time())
--- a/tests/test_copied_answers.py
+++ b/tests/test_copied_answers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from comfreyhatch.adapters.http_head import SKIPPED_LIMIT
 from tests.platform_harness import PlatformHarness
 from tests.platform_raw_worker import (
     answer_head,
@@ -14,7 +15,7 @@
     stream_head,
     success_head,
 )
-from tests.raw_endpoint import RawEndpoint
+from tests.raw_endpoint import RawEndpoint, listening
 
 NO_BODY = b"content-length: 0"
 EVENT = b"id: 1\ndata: one\n\n"
@@ -198,3 +199,34 @@
             reply = await harness.send_kind(path, attempt_id=f"call-{number}")
             assert reply.status == 200
             assert endpoints[0].runs[number:] == [b"call-%d" % number]
+
+
+GARBAGE = b"\0 no answer \r\n\r\n"
+NO_SIGN_OF_READING: dict[str, Answer] = {
+    "copy_without_id": refusal_without_id,
+    "too_many_copies": lambda head: refusal(head) * (SKIPPED_LIMIT + 1),
+    "garbage": lambda head: GARBAGE,
+}
+
+
+@pytest.mark.parametrize("before", NO_SIGN_OF_READING.values(), ids=NO_SIGN_OF_READING)
+async def test_what_belongs_to_no_request_does_not_tell_that_the_one_under_way_was_read(
+    harness: PlatformHarness, before: Answer
+) -> None:
+    # What was given up then counted as arrived at once, and was no repeat when it arrived.
+    refused_by_connection: dict[int, bytes] = {}
+
+    def start(head: bytes) -> bytes:
+        if request_id(head).startswith(REFUSED):
+            refused_by_connection[raw.serving] = head
+            return refusal(head)
+        return before(refused_by_connection[raw.serving])
+
+    async with listening(start) as raw:
+        for worker_id in ("desk-1", "desk-2"):
+            await replace_worker(harness, worker_id, raw)
+        await harness.send("/pay/x", attempt_id=REFUSED.decode())
+        reply = await harness.send("/pay/x", attempt_id="call", deadline_ms="500")
+        assert reply.status in (502, 504)
+        registry = harness.daemons[0].registry
+        assert registry.get_sample_value("comfreyhatch_unread_attempts") == 1
