Send requests without an id over new connections only

The answer to a request without an id names none, and so may the copy of an earlier answer: such a request took any nameless answer for its own, also on a connection that had carried others. This also holds for ids that a caller lists under `Connection`, which are not forwarded.

`CarriedRequests.allows` now gives such a request only a connection that has carried nothing, so the first nameless answer is its own. The test failed before: 200 with the earlier request's body where the endpoint said 400.

--- a/comfreyhatch/adapters/answer_identity.py
+++ b/comfreyhatch/adapters/answer_identity.py
@@ -72,8 +72,15 @@
             self._hashes.add(xxh64_intdigest(identity.request_id))
 
     def allows(self, identity: RequestIdentity | None) -> bool:
-        """Return whether the answer to a request could be told from those before it."""
-        return identity is None or xxh64_intdigest(identity.request_id) not in self._hashes
+        """Return whether the answer to a request could be told from those before it.
+
+        That to one without an id could not: a copy may name none either.
+        """
+        if identity is None:
+            return True
+        if not identity.request_id:
+            return self._count == 0
+        return xxh64_intdigest(identity.request_id) not in self._hashes
 
     @property
     def has_earlier(self) -> bool:
--- a/tests/test_copied_answers.py
+++ b/tests/test_copied_answers.py
@@ -230,3 +230,27 @@
         assert reply.status in (502, 504)
         registry = harness.daemons[0].registry
         assert registry.get_sample_value("comfreyhatch_unread_attempts") == 1
+
+
+async def test_request_without_an_id_is_not_answered_with_the_copy_of_another_answer(
+    harness: PlatformHarness,
+) -> None:
+    # Its answer names no id either, and its caller got a body that belonged to another one.
+    earlier = b"HTTP/1.1 200 OK\r\nserver-stamp: s\r\ncontent-length: 5\r\n\r\nother"
+    rejection = b"HTTP/1.1 400 No Id\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n"
+    used: set[int] = set()
+
+    def start(head: bytes) -> bytes:
+        copy = earlier if raw.serving in used else b""
+        used.add(raw.serving)
+        return success(head) if b"\r\nattempt-id:" in head else copy + rejection
+
+    async with listening(start) as raw:
+        for worker_id in ("desk-1", "desk-2"):
+            await replace_worker(harness, worker_id, raw)
+        assert (await harness.send("/pay/x")).status == 200
+        nameless = {"attempt-id": "own", "connection": "attempt-id"}
+        reply = await harness.send("/pay/x", **nameless)
+        assert reply.status >= 400 and reply.body != b"other"
+        # The next one on that connection is told by its id.
+        assert (await harness.send("/pay/x")).body == b"ok"
