--- a/tests/endpoint_logs.py
+++ b/tests/endpoint_logs.py
@@ -14,6 +14,8 @@
 TWICE_SLACK_S = 0.4
 # An end of file that a process reads so soon after a request had come before it began.
 ONE_WAKE_S = 0.002
+# Statuses that promise that a request has not run and never will.
+PROMISING_STATUSES = (408, 421, 429, 503)
 # A request that has used this share of its time may be cut.
 LATE_SHARE = 0.7
 
@@ -117,7 +119,9 @@
     for request_id, calls in calls_by_id(fleet).items():
         # A run that begins late, after its caller sent the request again, is one too many there:
         # see `ran_twice`.
-        refused = [run for run in runs[request_id] if call_of(calls, run.began).status == 503]
+        statuses = [call_of(calls, run.began).status for run in runs[request_id]]
+        promised = zip(runs[request_id], statuses, strict=True)
+        refused = [run for run, status in promised if status in PROMISING_STATUSES]
         if calls[0].kind == "pay" and refused:
             found.append(f"{request_id} {', '.join(map(str, refused))}")
     return found
