Excuse late cuts only beside a configuration

RULES.md leaves out requests that have used seven tenths of their time where it speaks of configurations; answers that are cut without any planned work were left out, too.

--- a/tests/loss_checks.py
+++ b/tests/loss_checks.py
@@ -68,7 +68,7 @@
     if call.ended >= call.until - DEADLINE_SLACK_S:
         return "its time was over"
     planned = _planned(fleet, call)
-    if "SIGTERM" not in planned and "SIGHUP" not in planned and call.used_share >= LATE_SHARE:
+    if planned == "configuration" and call.used_share >= LATE_SHARE:
         return f"it had used {LATE_SHARE} of its time"
     if any(_runs_late(span, call, runs) for span in fleet.daemons.ends):
         return "it was at work in the last part of the grace period"
