Tell connections that their peers end before an answer from odd bytes

h11 reports an end of file where an answer is due as a protocol error. With only the end of the connection taken as a sign that nothing arrives any more, an endpoint that closes without an answer would have kept a repeat reserved until its next answer, or for 30 s. Such an end is now a ConnectionEndedError, also in the middle of a head or behind a copy.

The three cases of test_http_head failed before (HttpError).

--- a/comfreyhatch/adapters/http_link.py
+++ b/comfreyhatch/adapters/http_link.py
@@ -138,6 +138,7 @@
         """Return the next event of what has been read; NEED_DATA when there is none.
 
         Raises:
+            ConnectionEndedError: If the peer ended the connection within it.
             HttpError: If the answer is malformed.
         """
         try:
@@ -145,7 +146,9 @@
         except h11.ProtocolError as error:
             if error.error_status_hint == TOO_LARGE_HINT:
                 raise self.too_large(AnswerPart.HEAD, f"{HEAD_LIMIT_BYTES} bytes") from error
-            raise HttpError(f"the exchange broke: {error}") from error
+            ended = self.protocol.trailing_data[1]
+            kind = ConnectionEndedError if ended else HttpError
+            raise kind(f"the exchange broke: {error}") from error
         if event is h11.NEED_DATA:
             self._resume_reading()
         return event
--- a/tests/test_http_head.py
+++ b/tests/test_http_head.py
@@ -8,7 +8,7 @@
 from comfreyhatch.adapters.answer_identity import AnswerOwner, RequestIdentity
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_head import SKIPPED_LIMIT, SKIPPED_LIMIT_BYTES
-from comfreyhatch.errors import AnswerTooLargeError, ExchangeTimeoutError, HttpError
+from comfreyhatch.errors import AnswerTooLargeError, ConnectionEndedError, ExchangeTimeoutError
 from tests.raw_endpoint import RawEndpoint, listening
 
 OWN = RequestIdentity(b"own", b"x-id")
@@ -107,11 +107,21 @@
 
     async with listening(start) as endpoint:
         began = monotonic()
-        with pytest.raises(HttpError):
+        with pytest.raises(ConnectionEndedError):
             await send(client, endpoint)
         assert monotonic() - began < 1.0
 
 
+@pytest.mark.parametrize("sent", [b"", b"HTTP/1.1 200"], ids=["nothing", "cut_head"])
+async def test_connection_that_ends_before_an_answer_tells_that_its_peer_has_ended_it(
+    sent: bytes,
+) -> None:
+    async with listening(sent) as endpoint:
+        endpoint.closes = True
+        with pytest.raises(ConnectionEndedError):
+            await HttpClient().request(endpoint.address, "GET", "/", identity=OWN)
+
+
 async def test_first_answer_without_an_id_is_the_own_one_and_its_connection_is_not_kept() -> None:
     client = HttpClient()
     async with listening(b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nown") as endpoint:
