Take no answer with two different ids for the own one

Found in review, on the client only: of two id headers the last one counted, so that an answer to another request could end in the own id. Different ids now make it another request's; one line of the log tells how many connections a request passed over, in place of one line each.

--- a/comfreyhatch/adapters/answer_identity.py
+++ b/comfreyhatch/adapters/answer_identity.py
@@ -105,8 +105,8 @@
     """
     if identity is None:
         return AnswerOwner.OWN
-    named = dict(headers).get(identity.header, b"").strip()
-    if named == identity.request_id:
+    named = {value.strip() for name, value in headers if name == identity.header} - {b""}
+    if named == {identity.request_id} - {b""}:
         return AnswerOwner.OWN
     if named:
         return AnswerOwner.OTHER
--- a/comfreyhatch/adapters/http_pool.py
+++ b/comfreyhatch/adapters/http_pool.py
@@ -42,9 +42,9 @@
                 links.remove(link)
                 link.idle = False
                 return link
-            else:
-                text = id_text(identity)
-                log.info("event=connection_passed_over address=%s id=%s", address, text)
+        if links:
+            text = "event=connections_passed_over address=%s id=%s count=%d"
+            log.info(text, address, id_text(identity), len(links))
         return None
 
     def keep(self, address: Address, link: HttpLink, now: float) -> None:
--- a/tests/test_http_head.py
+++ b/tests/test_http_head.py
@@ -34,6 +34,7 @@
     "closing": answer(b"earlier", b"earlier", b"connection: close"),
     "many": answer(b"earlier", b"earlier") * SKIPPED_LIMIT,
     "unnamed": UNNAMED,
+    "two_ids": answer(b"earlier", b"earlier", b"x-id: own"),
     "largest": answer(b"earlier", bytes(SKIPPED_LIMIT_BYTES)),
 }
 
