--- a/tests/test_undecided_rollouts.py
+++ b/tests/test_undecided_rollouts.py
@@ -7,10 +7,11 @@
 
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.exchange.rollouts import SERVICE_CHECK_INTERVAL_S
-from tests.platform_harness import PlatformHarness
+from tests.platform_harness import WAIT_TIMEOUT_S, PlatformHarness
 from tests.platform_worker import StandInWorker
 
 OVER_S = 3
+POLL_S = 0.02
 Counts = dict[str, dict[str, int]]
 
 
@@ -75,7 +76,10 @@
     put_evidence(harness, revision, more)
     await harness.wait_until(lambda: state(harness) == ended)
     await harness.wait_until(lambda: f"state={ended}" in caplog.text)
-    assert await gauge(harness, "rollouts_undecided") == 0
+    # The line is logged just before the daemon reads what it has stored.
+    async with asyncio.timeout(WAIT_TIMEOUT_S):
+        while await gauge(harness, "rollouts_undecided"):
+            await asyncio.sleep(POLL_S)
 
 
 async def test_operators_are_told_of_a_completed_version_that_fails(
