Read what came during a stop before timers fire

What callers saw: a daemon that went on after a stop took the store for lost though its answer had come, and knew a new configuration 0.2 to 0.3 s later than it could; calls to endpoints whose answers had come could be given up likewise.

Cause: a process that is stopped in epoll_wait is interrupted as it goes on. Python then waits again for what is left of the time, and if that is over returns no events, whatever has come. asyncio fires all timers that are due before it polls again.

Change: the daemons' event loops poll once more, without waiting, when a wait has ended with nothing. This costs a system call for each wait that ends by a timer.

Evidence: a child process whose timer is due in a stop of 1 s, with input that came before: timer only, before; input, then timer, with the change.

--- a/comfreyhatch/daemon/main.py
+++ b/comfreyhatch/daemon/main.py
@@ -8,6 +8,7 @@
 
 from typer import Option, run
 
+from comfreyhatch.adapters.event_loop import new_event_loop
 from comfreyhatch.adapters.logs import set_up_logs
 from comfreyhatch.adapters.settings import Settings, accepted_fleet_keys, fleet_key, load_settings
 from comfreyhatch.daemon.daemon import Daemon
@@ -29,7 +30,8 @@
         raise SystemExit(EXIT_INVALID_SETTINGS) from error
     set_up_logs(loaded.logs.format, loaded.logs.level)
     try:
-        asyncio.run(_serve(loaded, keys))
+        with asyncio.Runner(loop_factory=new_event_loop) as runner:
+            runner.run(_serve(loaded, keys))
     except ListenError as error:
         print(f"comfreyhatchd: {int(error.code)} {error.code.name}\n{error}", file=sys.stderr)
         raise SystemExit(EXIT_LISTEN_FAILED) from error
--- a/comfreyhatch/platform/main.py
+++ b/comfreyhatch/platform/main.py
@@ -9,6 +9,7 @@
 from random import Random
 from time import monotonic
 
+from comfreyhatch.adapters.event_loop import new_event_loop
 from comfreyhatch.adapters.log_output import NonBlockingOutput, VolumeLimit
 from comfreyhatch.adapters.logs import ROOT_LOGGER, set_up_logs
 from comfreyhatch.adapters.metrics import add_gauge
@@ -104,7 +105,8 @@
         print(f"comfreyhatch: {int(error.code)} {error.code.name}\n{error}", file=sys.stderr)
         raise SystemExit(EXIT_INVALID_SETTINGS) from error
     try:
-        asyncio.run(serve(deployment, settings, listener))
+        with asyncio.Runner(loop_factory=new_event_loop) as runner:
+            runner.run(serve(deployment, settings, listener))
     except ListenError as error:
         log.error("event=start_failed code=%d reason=%r", error.code, str(error))
         raise SystemExit(EXIT_LISTEN_FAILED) from error
