--- a/tests/test_copied_answers.py
+++ b/tests/test_copied_answers.py
@@ -1,114 +1,13 @@
 """The request path with workers that send the copy of an earlier answer before the next one."""
 
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-
 import pytest
 
 from comfreyhatch.adapters.http_head import SKIPPED_LIMIT
+from tests.copying_endpoints import REFUSED, copying, repeating
 from tests.platform_harness import PlatformHarness
-from tests.platform_raw_worker import (
-    answer_head,
-    refusal_head,
-    replace_worker,
-    request_id,
-    stream_head,
-    success_head,
-)
-from tests.raw_endpoint import RawEndpoint, listening
-
-NO_BODY = b"content-length: 0"
-EVENT = b"id: 1\ndata: one\n\n"
-# Begin of the ids of requests that are refused.
-REFUSED = b"refused"
-Answer = Callable[[bytes], bytes]
-
-
-def refusal(head: bytes) -> bytes:
-    return refusal_head(head, NO_BODY)
-
-
-def refusal_with_body(head: bytes) -> bytes:
-    return refusal_head(head, b"content-length: 4") + b"busy"
-
-
-def refusal_without_id(head: bytes) -> bytes:
-    return b"\r\n".join([b"HTTP/1.1 503 Busy", b"not-executed: 1", NO_BODY, b"", b""])
-
-
-def misdirected(head: bytes) -> bytes:
-    return answer_head(head, b"421 Misdirected", NO_BODY)
-
-
-def success(head: bytes) -> bytes:
-    return success_head(head, b"content-length: 2") + b"ok"
-
-
-def success_without_id(head: bytes) -> bytes:
-    return b"\r\n".join([b"HTTP/1.1 200 OK", b"server-stamp: s", NO_BODY, b"", b""])
-
-
-def stream(head: bytes) -> bytes:
-    return stream_head(head, b"content-length: %d" % len(EVENT)) + EVENT
-
-
-def answer_to(head: bytes) -> bytes:
-    """Return the answer of a run, which for a prompt is a stream."""
-    return stream(head) if b"\r\nmodel:" in head.lower() else success(head)
-
-
-COPIES: dict[str, Answer] = {
-    "refusal": refusal,
-    "refusal_with_body": refusal_with_body,
-    "refusal_without_id": refusal_without_id,
-    "misdirected": misdirected,
-    "success": success,
-    "success_without_id": success_without_id,
-    "stream": stream,
-}
-
-
-class CopyingEndpoint:
-    """Refuses some requests, and sends copies before the next answer of the same connection.
-
-    Attributes:
-        runs: Ids of the requests that it has run.
-        copied: Number of the answers that copies came before.
-        raw: Its listener.
-    """
-
-    def __init__(self, copy: Answer, copies: int) -> None:
-        self.runs: list[bytes] = []
-        self.copied = 0
-        self.raw = RawEndpoint(self.answer)
-        self._copy = copy
-        self._copies = copies
-        self._refused_by_connection: dict[int, bytes] = {}
-
-    def answer(self, head: bytes) -> bytes:
-        if request_id(head).startswith(REFUSED):
-            self._refused_by_connection[self.raw.serving] = head
-            return refusal(head)
-        self.runs.append(request_id(head))
-        refused = self._refused_by_connection.pop(self.raw.serving, None)
-        self.copied += refused is not None
-        return (self._copy(refused) * self._copies if refused else b"") + answer_to(head)
-
-
-@asynccontextmanager
-async def copying(
-    harness: PlatformHarness, service: str, copy: Answer, copies: int = 1
-) -> AsyncIterator[list[CopyingEndpoint]]:
-    """Replace both workers of a service by endpoints that send copies."""
-    endpoints = [CopyingEndpoint(copy, copies) for _ in range(2)]
-    try:
-        for number, endpoint in enumerate(endpoints, 1):
-            await endpoint.raw.listen()
-            await replace_worker(harness, f"{service}-{number}", endpoint.raw)
-        yield endpoints
-    finally:
-        for endpoint in endpoints:
-            await endpoint.raw.stop()
+from tests.platform_raw_worker import replace_worker, request_id
+from tests.raw_answers import COPIES, EVENT, Answer, refusal, refusal_without_id, success
+from tests.raw_endpoint import listening
 
 
 @pytest.mark.parametrize("copies", [1, 2])
@@ -128,54 +27,6 @@
         assert sum(endpoint.copied for endpoint in endpoints) >= 2
 
 
-class RepeatingEndpoint:
-    """Refuses each request once, and copies that refusal before its answer on the same connection.
-
-    Attributes:
-        runs: Ids of the requests that it has run.
-        raw: Its listener.
-    """
-
-    def __init__(self) -> None:
-        self.runs: list[bytes] = []
-        self.raw = RawEndpoint(self.answer)
-        self._refused_on: dict[bytes, int] = {}
-
-    def answer(self, head: bytes) -> bytes:
-        own = request_id(head)
-        if own not in self._refused_on:
-            self._refused_on[own] = self.raw.serving
-            return refusal(head)
-        self.runs.append(own)
-        copies = refusal(head) if self._refused_on[own] == self.raw.serving else b""
-        return copies + answer_to(head)
-
-
-@asynccontextmanager
-async def repeating(
-    harness: PlatformHarness, service: str, rows: int
-) -> AsyncIterator[list[RepeatingEndpoint]]:
-    """Replace the workers of a service by endpoints that copy a refusal with the id of a run.
-
-    Args:
-        harness: Where the workers are.
-        service: The service.
-        rows: Rows in the store that name the same endpoint: 1, or 2 for both.
-    """
-    ids = [f"{service}-1", f"{service}-2"]
-    endpoints = [RepeatingEndpoint() for _ in ids[::rows]]
-    try:
-        for number, worker_id in enumerate(ids):
-            endpoint = endpoints[number // rows]
-            if not endpoint.raw.address.port:
-                await endpoint.raw.listen()
-            await replace_worker(harness, worker_id, endpoint.raw)
-        yield endpoints
-    finally:
-        for endpoint in endpoints:
-            await endpoint.raw.stop()
-
-
 @pytest.mark.parametrize("path", ["/pay/x", "/read/x", "/draft/x"])
 async def test_copy_with_the_id_of_a_request_that_its_caller_sends_again_does_not_let_it_run_twice(
     harness: PlatformHarness, path: str
--- a/tests/test_copied_hedged_answers.py
+++ b/tests/test_copied_hedged_answers.py
@@ -17,8 +17,8 @@
     stream_head,
     success_head,
 )
+from tests.raw_answers import NO_BODY, refusal
 from tests.scripted_endpoint import ScriptedConnection, ScriptedEndpoint, scripted
-from tests.test_copied_answers import NO_BODY, refusal
 
 # Longer than any test waits for an answer.
 HELD_S = 5.0
--- a/tests/test_copied_relayed_answers.py
+++ b/tests/test_copied_relayed_answers.py
@@ -10,25 +10,23 @@
 from comfreyhatch.adapters.http_client import HttpReply
 from comfreyhatch.domain.relay import RelayAddress
 from comfreyhatch.exchange.daemon import ExchangeDaemon
+from tests.copying_endpoints import REFUSED, copying, repeating
 from tests.lost_paths import Loss, LostPaths
 from tests.platform_harness import PlatformHarness, running_harness
 from tests.platform_raw_worker import refusal_head, replace_worker, request_id
-from tests.raw_endpoint import RawEndpoint, listening
-from tests.scripted_endpoint import ScriptedConnection, ScriptedEndpoint, scripted
-from tests.test_copied_answers import (
+from tests.raw_answers import (
     COPIES,
     EVENT,
     NO_BODY,
-    REFUSED,
+    NOT_RUN_STATUSES,
     Answer,
     answer_to,
-    copying,
     refusal,
-    repeating,
 )
+from tests.raw_endpoint import RawEndpoint, listening
+from tests.scripted_endpoint import ScriptedConnection, ScriptedEndpoint, scripted
 
 PATHS = ["/pay/x", "/read/x", "/draft/x"]
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 FILL = b"x" * 65536
 # Far above what the daemon may read past, far below what an endpoint sends before it stops.
 ENDLESS_BYTES = 1_000_000_000
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -12,8 +12,8 @@
 from tests.lost_paths import Loss, LostPaths
 from tests.platform_harness import PlatformHarness
 from tests.platform_raw_worker import refusal_head, replace_worker, success_head
+from tests.raw_answers import NO_BODY, answer_to, refusal
 from tests.scripted_endpoint import ScriptedConnection, ScriptedEndpoint, scripted
-from tests.test_copied_answers import NO_BODY, answer_to, refusal
 from tests.test_copied_relayed_answers import NOTICES, OTHER_REQUEST
 
 BEFORE = bytes.fromhex(
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -1,42 +1,23 @@
 """The request path with workers that send an earlier answer once more on a kept connection."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import pytest
 
 from tests.platform_harness import PlatformHarness
-from tests.platform_raw_worker import (
-    refusal_head,
-    replace_worker,
-    request_id,
-    stream_head,
-    success_head,
+from tests.platform_raw_worker import replace_worker, request_id
+from tests.raw_answers import (
+    EVENT,
+    NOT_RUN_STATUSES,
+    Answer,
+    refusal,
+    refusal_without_id,
+    stream,
+    success,
 )
 from tests.raw_endpoint import RawEndpoint, listening
 
-# Statuses from which callers conclude that their request has not run.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
-NO_BODY = b"content-length: 0"
-EVENT = b"id: 1\ndata: one\n\n"
-Answer = Callable[[bytes], bytes]
-
-
-def refusal(head: bytes) -> bytes:
-    return refusal_head(head, NO_BODY)
-
-
-def refusal_without_id(head: bytes) -> bytes:
-    return b"\r\n".join([b"HTTP/1.1 503 Busy", b"not-executed: 1", NO_BODY, b"", b""])
-
-
-def success(head: bytes) -> bytes:
-    return success_head(head, NO_BODY)
-
-
-def stream(head: bytes) -> bytes:
-    return stream_head(head, b"content-length: %d" % len(EVENT)) + EVENT
-
 
 def earlier(answer: Answer) -> Answer:
     """Return answers to the first request and then, to each, the answer to the one before."""
