--- a/comfreyhatch/adapters/answer_identity.py
+++ b/comfreyhatch/adapters/answer_identity.py
@@ -34,7 +34,7 @@
     unnamed_wait_s: float = inf
 
 
-def identity_of(request_id: str) -> RequestIdentity:
+def fleet_identity(request_id: str) -> RequestIdentity:
     """Return what tells the answer to a request of the own fleet from others."""
     return RequestIdentity(request_id.encode(), REQUEST_ID_HEADER.encode(), UNNAMED_WAIT_S)
 
--- a/comfreyhatch/adapters/engine_http.py
+++ b/comfreyhatch/adapters/engine_http.py
@@ -9,7 +9,7 @@
 from msgspec.json import encode as encode_json
 from msgspec.structs import replace
 
-from comfreyhatch.adapters.answer_identity import identity_of
+from comfreyhatch.adapters.answer_identity import fleet_identity
 from comfreyhatch.adapters.endpoint_answers import (
     named_report,
     raise_for_status,
@@ -88,7 +88,7 @@
                 body,
                 {"content-type": JSON_TYPE, REQUEST_ID_HEADER: request.request_id},
                 request.deadline_s,
-                identity=identity_of(request.request_id),
+                identity=fleet_identity(request.request_id),
             ) as reply:
                 if reply.status != 200:
                     await _raise_for_stream(endpoint, reply, request.deadline_s)
--- a/comfreyhatch/adapters/platform_http.py
+++ b/comfreyhatch/adapters/platform_http.py
@@ -10,7 +10,7 @@
 from msgspec.json import decode as decode_json
 from msgspec.json import encode as encode_json
 
-from comfreyhatch.adapters.answer_identity import identity_of
+from comfreyhatch.adapters.answer_identity import fleet_identity
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_message import REQUEST_ID_HEADER
 from comfreyhatch.adapters.http_reply import HttpReply
@@ -149,7 +149,7 @@
         body,
         {**(headers or {}), REQUEST_ID_HEADER: request_id},
         timeout_s,
-        identity=identity_of(request_id),
+        identity=fleet_identity(request_id),
     )
 
 
--- a/comfreyhatch/adapters/service_http.py
+++ b/comfreyhatch/adapters/service_http.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
 
-from comfreyhatch.adapters.answer_identity import identity_of
+from comfreyhatch.adapters.answer_identity import fleet_identity
 from comfreyhatch.adapters.endpoint_answers import (
     REFUSING_STATUSES,
     raise_for_status,
@@ -79,7 +79,7 @@
                     fresh_connection=bool(request.idempotency_key)
                     or endpoint.address in self._unnamed_refusals,
                     take=take,
-                    identity=identity_of(request.request_id),
+                    identity=fleet_identity(request.request_id),
                 )
         except ConnectError as error:
             raise unreachable_error(endpoint, error) from error
--- a/comfreyhatch/daemon/requests/forwarding.py
+++ b/comfreyhatch/daemon/requests/forwarding.py
@@ -16,7 +16,7 @@
 from msgspec import Struct, ValidationError
 from msgspec.json import decode, encode
 
-from comfreyhatch.adapters.answer_identity import identity_of
+from comfreyhatch.adapters.answer_identity import fleet_identity
 from comfreyhatch.adapters.engine_http import HttpEngine
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_message import (
@@ -270,7 +270,7 @@
             {REQUEST_ID_HEADER: request_id},
             timeout_s,
             fresh_connection=True,
-            identity=identity_of(request_id),
+            identity=fleet_identity(request_id),
         )
         if reply.status != 200:
             raise BackendError(f"peer {member.instance_id} answered with status {reply.status}")
