Don't hold the bodies of requests that are not counted yet

After a stop, RequestCounter kept each request for up to 3 s, its body with it: with the largest bodies, thousands read at once would fill a daemon's memory. Found in the read-through, not run. What a request was routed by is all that is needed later.

--- a/comfreyhatch/exchange/request_counter.py
+++ b/comfreyhatch/exchange/request_counter.py
@@ -21,9 +21,11 @@
 
 
 class _Waiting(Struct, frozen=True):
-    """A request that is not counted yet."""
+    """What a request that is not counted yet was routed by, without its body."""
 
-    exchange: Exchange
+    host: str
+    path: str
+    sticky_key: str
     service: str
     came_at: float
 
@@ -63,7 +65,7 @@
         if self._is_in_doubt(job.arrived):
             while self._waiting and self._waiting[0].came_at < job.arrived - self._window_s:
                 self._waiting.popleft()
-            self._waiting.append(_Waiting(job.exchange, job.service, came_at))
+            self._waiting.append(_waiting(job, came_at))
             return
         self.count_waiting(job.arrived)
         self._budget(job.service).record_request(came_at)
@@ -80,7 +82,7 @@
             return
         waiting, self._waiting = self._waiting, deque()
         for found in waiting:
-            if self._service_now(found.exchange) == found.service:
+            if self._service_now(found) == found.service:
                 self._budget(found.service).record_request(found.came_at)
 
     def _is_in_doubt(self, now: float) -> bool:
@@ -88,22 +90,33 @@
         went_on_at = self._went_on_at()
         return self._view.operations_asked_at < went_on_at and now < went_on_at + LONGEST_DOUBT_S
 
-    def _service_now(self, exchange: Exchange) -> str:
+    def _service_now(self, found: _Waiting) -> str:
         catalog = self._view.catalog
-        route = catalog.route(exchange.host, exchange.path) if catalog else None
-        return service_of(route, exchange) if route else ""
+        route = catalog.route(found.host, found.path) if catalog else None
+        return service_of(route, found.sticky_key) if route else ""
 
 
-def service_of(route: Route, exchange: Exchange) -> str:
+def _waiting(job: Job, came_at: float) -> _Waiting:
+    exchange = job.exchange
+    return _Waiting(exchange.host, exchange.path, sticky_key(exchange), job.service, came_at)
+
+
+def sticky_key(exchange: Exchange) -> str:
+    """Return what decides on the service of a request: its session, or its id without one."""
+    return exchange.session or exchange.request_id
+
+
+def service_of(route: Route, key: str) -> str:
     """Return the service for a request, by the weights of the route's services.
 
-    The session id is hashed, or the request id without a session, so that a session stays on one
-    service.
+    Args:
+        route: Its route.
+        key: Its sticky key, which is hashed, so that a session stays on one service.
     """
     if len(route.shares) == 1:
         return route.shares[0].service
     total = sum(share.weight for share in route.shares)
-    point = session_point(exchange.session or exchange.request_id, route.name) * total
+    point = session_point(key, route.name) * total
     for share in route.shares:
         point -= share.weight
         if point < 0:
--- a/comfreyhatch/exchange/router.py
+++ b/comfreyhatch/exchange/router.py
@@ -10,7 +10,7 @@
 from comfreyhatch.domain.exchange import Exchange, Job
 from comfreyhatch.errors import ComfreyhatchError, NotReadyError, RefusedError, RequestError
 from comfreyhatch.exchange.header_codec import HeaderCodec
-from comfreyhatch.exchange.request_counter import RequestCounter, service_of
+from comfreyhatch.exchange.request_counter import RequestCounter, service_of, sticky_key
 from comfreyhatch.exchange.stream_proxy import StreamProxy
 from comfreyhatch.exchange.telemetry import RequestTelemetry
 from comfreyhatch.exchange.unary_proxy import UnaryProxy
@@ -104,7 +104,7 @@
             exchange=exchange,
             route=route,
             workspace=workspace.name if workspace else "",
-            service=service_of(route, exchange),
+            service=service_of(route, sticky_key(exchange)),
             rank=_rank(route, workspace),
             arrived=now,
             deadline=came_at + min(timeout_s, route.timeout_s),
