Let signals wait until a new process can handle them

Callers whose requests waited for a daemon that was just starting got a reset, if SIGTERM, or SIGHUP, came before it had set up its handlers: it listens before it imports its modules, which takes seconds on a busy machine, and the signal's default action ended it.

The signals are blocked from before the process listens until its handlers are set. Both cases of the new test in test_start failed before (connection reset), and pass now: the request is answered 503, and the process ends by itself with 0 after SIGTERM, or goes on after SIGHUP.

--- a/comfreyhatch/platform/main.py
+++ b/comfreyhatch/platform/main.py
@@ -20,6 +20,7 @@
 from comfreyhatch.exchange.daemon import ExchangeDaemon
 from comfreyhatch.platform.directory import StoreDirectory
 from comfreyhatch.platform.header_codec import PlatformHeaderCodec
+from comfreyhatch.platform.held_signals import release_signals
 from comfreyhatch.platform.setting_lines import settings_path
 from comfreyhatch.platform.settings import load_deployment
 from comfreyhatch.platform.store import StoreClient
@@ -63,6 +64,7 @@
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     loop.add_signal_handler(signal.SIGINT, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, settings, deployment)
+    release_signals()
     await daemon.start(Address(deployment.callers.host, METRICS_PORT), listener)
     await stopping.wait()
     await daemon.shut_down()
--- a/comfreyhatch/platform/start.py
+++ b/comfreyhatch/platform/start.py
@@ -7,6 +7,7 @@
 
 import socket
 
+from comfreyhatch.platform.held_signals import hold_signals
 from comfreyhatch.platform.setting_lines import (
     CALLERS_ADDRESS_KEY,
     parse_setting_lines,
@@ -43,6 +44,7 @@
 
 def main() -> None:
     """Listen for callers, then import and run the daemon."""
+    hold_signals()
     listener = open_caller_listener(settings_path())
     # This import takes most of the start-up time, so it comes after listening.
     from comfreyhatch.platform.main import main as run_daemon
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import os
+import signal
 import socket
 import sys
 from collections.abc import Iterator
@@ -60,6 +61,48 @@
     assert "Traceback" not in output
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP], ids=["SIGTERM", "SIGHUP"])
+async def test_request_that_waits_for_a_new_process_is_answered_though_a_signal_comes_first(
+    tmp_path: Path, number: signal.Signals
+) -> None:
+    # The process ended at once, and reset the connections that waited in its backlog.
+    port = free_port()
+    settings = tmp_path / "local.conf"
+    settings.write_text(
+        f"node_name=d1\nip=127.0.0.1\nzone=a\nzones.a=r\nbind.front=127.0.0.1:{port}\n"
+        f"bind.ready=127.0.0.1:{free_port()}\nplatform.address=127.0.0.1:{free_port()}\n"
+        "bounds.grace_s=4\n"
+    )
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "comfreyhatch.platform.start",
+        env={**os.environ, "COMFREYHATCH_SETTINGS": str(settings)},
+    )
+    try:
+        async with asyncio.timeout(TIMEOUT_S):
+            reader, writer = await connected(port)
+            writer.write(b"GET /read/x HTTP/1.1\r\nhost: caller.example\r\n\r\n")
+            process.send_signal(number)
+            assert (await reader.readline()).startswith(b"HTTP/1.1 503 ")
+            writer.close()
+            if number is signal.SIGHUP:
+                process.terminate()
+            assert await process.wait() == 0
+    finally:
+        if process.returncode is None:
+            process.kill()
+
+
+async def connected(port: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Return a connection to a local port as soon as something listens there."""
+    while True:
+        try:
+            return await asyncio.open_connection("127.0.0.1", port)
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.001)
+
+
 def write_settings(folder: Path, port: object) -> str:
     path = folder / "local.conf"
     path.write_text(f"node_name=d1\nbind.front=127.0.0.1:{port}\n", encoding="utf-8-sig")
