--- a/tests/raw_endpoint.py
+++ b/tests/raw_endpoint.py
@@ -50,9 +50,10 @@
     async def stop(self) -> None:
         assert self._server
         self._server.close()
-        for writer in self._writers:
-            writer.transport.abort()
+        # A connection that was accepted just before may come to be served only now.
         while self._writers:
+            for writer in self._writers:
+                writer.transport.abort()
             await asyncio.sleep(0.01)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
