Rig: kills in series, loads that fall and waves, and the time handed on; fail as reported

The rig of processes knew two of the three rules of BUDGET, and none of these plays. The endpoint log now has the deadline of each request as it is read, so that the third rule, time handed on, is counted as the rule says: by what the endpoint reads.

--- a/tests/endpoint_process.py
+++ b/tests/endpoint_process.py
@@ -93,7 +93,9 @@
         # at which it is parsed, while other programs run it.
         if data.startswith(METHODS):
             values = dict(_HEADER.findall(data.lower()))
-            self.log("read", port=self._port, id=values.get(b"attempt-id", b"").decode())
+            request_id = values.get(b"attempt-id", b"").decode()
+            deadline_ms = values.get(b"deadline-ms", b"").decode()
+            self.log("read", port=self._port, id=request_id, deadline_ms=deadline_ms)
         super().data_received(data)
 
     def eof_received(self) -> bool | None:
--- a/tests/fleet_callers.py
+++ b/tests/fleet_callers.py
@@ -66,10 +66,12 @@
 
     Attributes:
         calls: Requests so far, in the order in which they were sent.
+        factor: Factor of the rates of `RATES`.
     """
 
     def __init__(self, hosts: list[str], port: int, seed: int, plan: FleetPlan) -> None:
         self.calls: list[Call] = []
+        self.factor = 1.0
         self._hosts = hosts
         self._port = port
         self._seed = seed
@@ -105,7 +107,7 @@
             task = asyncio.create_task(self._send(Call(request_id, kind, kept, monotonic(), host)))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(self._rng.expovariate(RATES[kind]))
+            await asyncio.sleep(self._rng.expovariate(RATES[kind] * self.factor))
 
     async def _send(self, call: Call) -> None:
         """Send a request, and some again under the same id while they are refused."""
--- a/tests/fleet_plays.py
+++ b/tests/fleet_plays.py
@@ -20,6 +20,20 @@
 KILLED_SHARE = 0.7
 # Time from one signal of a series to the next, in which a daemon that has ended is ready again.
 SERIES_GAP_S = 0.3
+# Kills of all daemons in series, each from this time after the begin of a silence on.
+KILL_ROUNDS = 3
+KILL_S = 1.0
+KILL_DOWN_S = 0.1
+KILL_GAP_S = 0.2
+CALM_S = 2.5
+# A load that falls this time after the begin of a silence, in multiples of `RATES`.
+HIGH_LOAD = 1.5
+LOW_LOAD = 0.05
+FALL_S = 2.0
+# A load that rises and falls by turns.
+WAVE_LOADS = (2.0, 0.3)
+WAVE_S = 2.0
+WAVE_SILENCE_S = (1.0, 3.0)
 CHANGES: list[dict[str, object]] = [
     {"idle_timeout_ms": 400},
     {"timeout_ms": 4500},
@@ -89,6 +103,67 @@
     await rng.choice(kinds)()
 
 
+async def play_kills(
+    fleet: Fleet, service: str, share: float, silence_s: tuple[float, float]
+) -> None:
+    """Send requests while all daemons are killed one after the other beside silent endpoints.
+
+    Args:
+        fleet: The fleet.
+        service: Service whose endpoints fall silent, three times.
+        share: Share of these endpoints.
+        silence_s: Shortest and longest silence, in seconds.
+    """
+    ended = asyncio.Event()
+    load = asyncio.create_task(fleet.load_until(ended))
+    await asyncio.sleep(fleet.plan.window_s + 0.5)
+    for _ in range(KILL_ROUNDS):
+        silence = asyncio.create_task(fleet.silence(service, share, fleet.rng.uniform(*silence_s)))
+        await asyncio.sleep(KILL_S)
+        await fleet.kill_in_series(KILL_DOWN_S, KILL_GAP_S)
+        await silence
+        await asyncio.sleep(CALM_S)
+    ended.set()
+    await load
+
+
+async def play_falling_load(fleet: Fleet, service: str, silence_s: float) -> None:
+    """Let a service fall silent at a high load, which falls soon after.
+
+    Args:
+        fleet: The fleet.
+        service: The service.
+        silence_s: Length of the silence, in seconds.
+    """
+    ended = asyncio.Event()
+    fleet.set_load(HIGH_LOAD)
+    load = asyncio.create_task(fleet.load_until(ended))
+    await asyncio.sleep(fleet.plan.window_s + FALL_S)
+    silence = asyncio.create_task(fleet.silence(service, 1.0, silence_s))
+    await asyncio.sleep(FALL_S)
+    fleet.set_load(LOW_LOAD)
+    await silence
+    await asyncio.sleep(TAIL_S)
+    ended.set()
+    await load
+
+
+async def play_waves(fleet: Fleet, waves: int) -> None:
+    """Let the load rise and fall by turns, while a part of a service falls silent in each wave."""
+    ended = asyncio.Event()
+    load = asyncio.create_task(fleet.load_until(ended))
+    await asyncio.sleep(fleet.plan.window_s)
+    service = fleet.rng.choice(list(SIZE_BY_SERVICE))
+    for number in range(waves):
+        fleet.set_load(WAVE_LOADS[number % len(WAVE_LOADS)])
+        silence_s = fleet.rng.uniform(*WAVE_SILENCE_S)
+        silence = fleet.silence(service, fleet.rng.choice((0.6, 1.0)), silence_s)
+        await asyncio.gather(silence, asyncio.sleep(WAVE_S))
+    await asyncio.sleep(TAIL_S)
+    ended.set()
+    await load
+
+
 async def play_planned(fleet: Fleet, first_s: float, rounds: int) -> None:
     """Send requests while daemons get signals one after the other, and endpoints are disturbed.
 
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -175,6 +175,18 @@
                 await self.daemons.wait_ready(host)
                 await asyncio.sleep(gap_s)
 
+    async def kill_in_series(self, down_s: float, gap_s: float) -> None:
+        """Kill the daemons one after the other; the next one without waiting for the last.
+
+        Args:
+            down_s: Time from the end of each to its start, in seconds.
+            gap_s: Time from the start of the one to the end of the next one, in seconds.
+        """
+        for host in self.daemons.hosts:
+            if host in self.daemons.by_host:
+                await self._restart(host, True, down_s)
+                await asyncio.sleep(gap_s)
+
     async def _restart(self, host: str, kill: bool, down_s: float) -> None:
         self._note(f"{'killed' if kill else 'ends'} daemon {host}, down for {down_s:.2f} s")
         await self.daemons.restart(host, kill, down_s)
@@ -193,6 +205,11 @@
                 self.daemons.reload(host, self._reloads)
             await asyncio.sleep(gap_s)
 
+    def set_load(self, factor: float) -> None:
+        """Send requests at a multiple of the rates of `RATES` from now on."""
+        self._note(f"load {factor:g}")
+        self._callers.factor = factor
+
     async def load(self, for_s: float) -> None:
         """Send requests at the rates of `RATES`, and wait until all have ended."""
         await self._callers.load(for_s)
