Tell what is reserved, since when, and what is left to a former process

New: the gauges extra_requests_oldest_seconds, extra_requests_held and unread_attempts_oldest_seconds, and the log events budget_left_to_former and unread_attempts_settled.

--- a/comfreyhatch/decisions/extra_requests.py
+++ b/comfreyhatch/decisions/extra_requests.py
@@ -26,14 +26,15 @@
 
     def note_arrived(self, now: float) -> None:
         """Count the request in the window from now on, as no later arrival is expected."""
-        if self._budget is not None:
-            self._budget.end_reserved(now)
-            self._budget = None
+        self._end(now)
 
     def release(self) -> None:
         """Give the request back, unless it has arrived."""
+        self._end(None)
+
+    def _end(self, arrived_at: float | None) -> None:
         if self._budget is not None:
-            self._budget.end_reserved(None)
+            self._budget.end_reserved(self, arrived_at)
             self._budget = None
 
 
@@ -67,7 +68,8 @@
         self._slack_from = slack_from
         self._requests: deque[float] = deque()
         self._extra: deque[float] = deque()
-        self._reserved = 0
+        # Oldest first.
+        self._reserved_at: dict[ExtraRequest, float] = {}
 
     def record_request(self, came_at: float) -> None:
         """Count a caller's request from the time on at which it came, in seconds.
@@ -84,25 +86,30 @@
         self._expire(now)
         slack = self.slack * SAFETY_FACTOR if now >= self._slack_from else 0.0
         allowed = 0.0 if self.is_held else self._ratio * len(self._requests) + slack
-        return allowed - len(self._extra) - self._reserved
+        return allowed - len(self._extra) - self.reserved
 
     @property
     def reserved(self) -> int:
         """Number of extra requests that are reserved and have not arrived, as far as is known."""
-        return self._reserved
+        return len(self._reserved_at)
+
+    def oldest_reserved_s(self, now: float) -> float:
+        """Return for how long the oldest of these has been reserved, in seconds; 0 without any."""
+        return now - next(iter(self._reserved_at.values()), now)
 
     def remaining_share(self, now: float) -> float:
         """Return the unspent share of the window's budget, 0 to 1."""
         remaining = self.remaining(now)
-        total = remaining + len(self._extra) + self._reserved
+        total = remaining + len(self._extra) + self.reserved
         return max(0.0, remaining / total) if total > 0 else 0.0
 
     def reserve(self, now: float) -> ExtraRequest | None:
         """Return an extra request that is going to be sent; None if the budget allows none."""
         if self.remaining(now) < 1:
             return None
-        self._reserved += 1
-        return ExtraRequest(self)
+        extra = ExtraRequest(self)
+        self._reserved_at[extra] = now
+        return extra
 
     def take(self, now: float) -> bool:
         """Spend one extra request that is sent at once; return whether the budget allows it."""
@@ -111,13 +118,14 @@
             extra.note_arrived(now)
         return extra is not None
 
-    def end_reserved(self, arrived_at: float | None) -> None:
+    def end_reserved(self, extra: ExtraRequest, arrived_at: float | None) -> None:
         """End a reservation; called by the extra request itself.
 
         Args:
+            extra: The extra request.
             arrived_at: Monotonic time in seconds by which it has arrived; None if it was not sent.
         """
-        self._reserved -= 1
+        del self._reserved_at[extra]
         if arrived_at is not None:
             self._extra.append(arrived_at)
 
--- a/comfreyhatch/exchange/extra_request_budgets.py
+++ b/comfreyhatch/exchange/extra_request_budgets.py
@@ -58,9 +58,27 @@
             ["service"],
             registry=registry,
         )
+        self._oldest = Gauge(
+            "comfreyhatch_extra_requests_oldest_seconds",
+            "Age of the oldest extra request that may arrive yet.",
+            ["service"],
+            registry=registry,
+        )
+        self._held = Gauge(
+            "comfreyhatch_extra_requests_held",
+            "Whether the budget is left to what a former process sent.",
+            ["service"],
+            registry=registry,
+        )
         add_gauge(
             registry, "unread_attempts", "Attempts given up that may arrive yet.", unread.__len__
         )
+        add_gauge(
+            registry,
+            "unread_attempts_oldest_seconds",
+            "Time since the first of them was given up.",
+            lambda: unread.oldest_s(monotonic()),
+        )
 
     def of(self, service: str) -> ExtraRequestBudget:
         """Return the budget of a service."""
@@ -70,9 +88,15 @@
         if budget is None:
             budget = self._create(service)
         budget.slack = self._slack()
-        budget.is_held = self._former.may_wait(service, now)
+        self._hold(service, budget, now)
         return budget
 
+    def _hold(self, service: str, budget: ExtraRequestBudget, now: float) -> None:
+        """Leave the budget to a former process while what it sent may wait."""
+        was_held, budget.is_held = budget.is_held, self._former.may_wait(service, now)
+        if budget.is_held != was_held:
+            log.info("event=budget_left_to_former service=%s held=%s", service, budget.is_held)
+
     def _create(self, service: str) -> ExtraRequestBudget:
         bounds = self._deployment.bounds
         budget = ExtraRequestBudget(
@@ -81,6 +105,8 @@
         self._budget_by_service[service] = budget
         self._left.labels(service).set_function(lambda: budget.remaining(monotonic()))
         self._reserved.labels(service).set_function(lambda: budget.reserved)
+        self._oldest.labels(service).set_function(lambda: budget.oldest_reserved_s(monotonic()))
+        self._held.labels(service).set_function(lambda: budget.is_held)
         return budget
 
     def _slack(self) -> float:
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -272,7 +272,8 @@
         While the paths to its whole service are lost, the refusal may come from the network.
         """
         if not self._paths.is_relayed(endpoint, now):
-            self._unread.note_ended(endpoint.record.endpoint_id, now)
+            ended = self._unread.note_ended(endpoint.record.endpoint_id, now)
+            _log_unread(endpoint, ended, "ended")
 
     async def fetch(
         self,
@@ -328,7 +329,8 @@
         self, endpoint: EndpointTracker, head: AnswerHead, sent_at: float, now: float
     ) -> None:
         endpoint.last_received_at = now
-        self._unread.note_answer(endpoint.record.endpoint_id, sent_at, now)
+        read = self._unread.note_answer(endpoint.record.endpoint_id, sent_at, now)
+        _log_unread(endpoint, read, "answered")
         self._former.note_answer(endpoint.record.service, now)
         if not head.misdirected:
             self._limits.note_answer(endpoint, head, sent_at, now)
@@ -343,6 +345,17 @@
             endpoint.record_failed_answer()
 
 
+def _log_unread(endpoint: EndpointTracker, attempts: int, reason: str) -> None:
+    """Log that attempts which were given up no longer wait at an endpoint."""
+    if attempts:
+        log.info(
+            "event=unread_attempts_settled endpoint=%s attempts=%d reason=%s",
+            endpoint.record.endpoint_id,
+            attempts,
+            reason,
+        )
+
+
 def _require_own_answer(job: Job, head: AnswerHead) -> None:
     """Raise an error if an answer may belong to another request.
 
--- a/tests/test_extra_requests.py
+++ b/tests/test_extra_requests.py
@@ -44,6 +44,18 @@
     assert budget.remaining(21.1) == 2.0 * 0.85
 
 
+def test_oldest_reservation_is_known_until_it_has_arrived_or_is_given_back() -> None:
+    budget = ExtraRequestBudget(WINDOW_S, RATIO, 10.0)
+    assert budget.oldest_reserved_s(1.0) == 0.0
+    first, second = budget.reserve(1.0), budget.reserve(3.0)
+    assert first is not None and second is not None
+    assert budget.oldest_reserved_s(5.0) == 4.0
+    first.note_arrived(5.0)
+    assert budget.oldest_reserved_s(5.0) == 2.0
+    second.release()
+    assert budget.oldest_reserved_s(5.0) == 0.0
+
+
 @given(
     st.lists(
         st.tuples(
--- a/tests/test_unread_attempts.py
+++ b/tests/test_unread_attempts.py
@@ -56,3 +56,13 @@
     assert unread.expire(UNREAD_LIFE_S) == 1
     assert not early.is_open and late.is_open
     assert unread.expire(UNREAD_LIFE_S + 10.0) == 1 and not len(unread)
+
+
+def test_age_of_the_first_attempt_that_waits_is_known() -> None:
+    unread = UnreadAttempts()
+    assert unread.oldest_s(1.0) == 0.0
+    unread.add("e1", sent(), 3.0)
+    unread.add("e2", sent(), 2.0)
+    assert unread.oldest_s(5.0) == 3.0
+    assert unread.note_answer("e2", 4.0, 5.0) == 1
+    assert unread.oldest_s(5.0) == 2.0
