Don't send requests on to endpoints that are known to be silent

Cause: a unary attempt that lost to its hedge, or was given up, told nothing about its endpoint. That endpoint then had nothing of this daemon running, was the least loaded one, and got the next request and the one after: 188 in three silences of 3.6 to 4.9 s, up to 17 in half a second, of which each cost a repeat and left one more attempt unread. A retry of a request that the only sound endpoint had refused went to the silent ones, too.

Now an endpoint that has sent nothing at all since a request was sent there, by the time at which answers usually have come, is avoided until something comes from it; one request at a time, after pauses of 0.25 to 4 s, finds that out. Repeats go to no endpoint that is avoided; with no other one, a hedge is looked for again after 0.25 s, and a request that was refused ends as refused, with a time to come back.

The tests of test_known_silent_endpoints: 2 of 4 failed before (60 reads each, of which the silent endpoint got every other one), 4 pass.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -16,6 +16,10 @@
 FAILURE_SMOOTHING = 0.1
 LOAD_REPORT_MAX_AGE_S = 1.5
 DELAY_HALF_LIFE_S = 1.0
+# Time for which an endpoint that was left as silent gets no request, doubling with each request
+# that is left there, too.
+FIRST_SILENT_PAUSE_S = 0.25
+MAX_SILENT_PAUSE_S = 4.0
 
 
 class EndpointTracker:
@@ -36,7 +40,7 @@
         brittle_per_s: Refusals in a second beyond which it falls over; None if it is not brittle.
         busy_since: Time from which at least one of this daemon's requests has run on it.
         leaving_since: Time at which it said that it is leaving; None if it has not.
-        left_silent_at: Time at which a request was last given up there since nothing came.
+        left_silent_at: Time at which a request was last left there since nothing came.
         lost_at: Time at which connections to it began to fail; None while they can be opened.
     """
 
@@ -45,6 +49,7 @@
         "_delay_s",
         "_other_load",
         "_other_load_at",
+        "_silent_pause_s",
         "_consecutive_failures",
         "_withdrawn_until",
         "brittle_per_s",
@@ -81,6 +86,7 @@
         self.resting_until = 0.0
         self.brittle_per_s: float | None = None
         self.left_silent_at = -inf
+        self._silent_pause_s = FIRST_SILENT_PAUSE_S
         self.lost_at: float | None = None
         self._other_load = 0.0
         self._other_load_at = 0.0
@@ -182,12 +188,39 @@
         self._withdrawn_until = now + WITHDRAWN_EJECTION_S
         self.ejected_until = max(self.ejected_until, self._withdrawn_until)
 
+    def note_left_silent(self, sent_at: float, now: float) -> None:
+        """Note that a request is left here as nothing has come, or sent elsewhere, too.
+
+        Args:
+            sent_at: Monotonic time at which it was sent, in seconds.
+            now: Monotonic time, in seconds.
+        """
+        if not self.is_left_silent:
+            self._silent_pause_s = FIRST_SILENT_PAUSE_S
+        elif sent_at > self.left_silent_at:
+            self._silent_pause_s = min(MAX_SILENT_PAUSE_S, 2 * self._silent_pause_s)
+        self.left_silent_at = now
+
+    @property
+    def is_left_silent(self) -> bool:
+        """Whether nothing has come since a request was left here as nothing had come."""
+        return self.left_silent_at > self.last_received_at
+
+    def is_avoided(self, now: float) -> bool:
+        """Return whether requests go elsewhere if they can, as it is silent.
+
+        One request at a time, after a pause, finds out whether it answers again.
+        """
+        if not self.is_left_silent:
+            return False
+        return self.in_flight > 0 or now < self.left_silent_at + self._silent_pause_s
+
     def silent_s(self, now: float) -> float:
         """Return for how long nothing has come while requests run on it, in seconds; 0 if none.
 
         Once a request was given up there for silence, it counts as silent until something comes.
         """
-        if self.left_silent_at > self.last_received_at:
+        if self.is_left_silent:
             return now - self.last_received_at
         if not self.in_flight:
             return 0.0
--- a/comfreyhatch/decisions/request_arrivals.py
+++ b/comfreyhatch/decisions/request_arrivals.py
@@ -39,6 +39,11 @@
             self._extras.append(extra)
         return True
 
+    @property
+    def any_possible(self) -> bool:
+        """Whether any attempt has arrived, or may yet: another one may then be an extra one."""
+        return self._any_read or self._open > 0
+
     def begin(self) -> "AttemptArrival":
         """Return the arrival of an attempt that is going to be made."""
         self._open += 1
--- a/comfreyhatch/exchange/eligibility.py
+++ b/comfreyhatch/exchange/eligibility.py
@@ -50,13 +50,13 @@
     def endpoints_for(
         self, job: Job, excluded: set[str], now: float, includes_ejected: bool = False
     ) -> list[EndpointTracker]:
-        """Return the eligible endpoints; ejected and leaving ones only if there are no others.
+        """Return the eligible endpoints; ejected, silent and leaving ones if there are no others.
 
         Args:
             job: The request.
             excluded: Ids of endpoints to leave out.
             now: Monotonic time in seconds.
-            includes_ejected: Whether ejected ones are returned beside others.
+            includes_ejected: Whether ejected and silent ones are returned beside others.
         """
         order = self._view.order(job.service)
         choice = self._choice(job, order, now)
@@ -73,8 +73,10 @@
                 t for t in eligible if self._view.past_hold_down(job.service, t.record.version, now)
             ]
             eligible = past_hold_down or eligible
-        usable = [t for t in eligible if includes_ejected or now >= t.ejected_until] or eligible
-        return [t for t in usable if t.leaving_since is None] or usable
+        if not includes_ejected:
+            eligible = [t for t in eligible if now >= t.ejected_until] or eligible
+            eligible = [t for t in eligible if not t.is_avoided(now)] or eligible
+        return [t for t in eligible if t.leaving_since is None] or eligible
 
     def _version_fallback(
         self,
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -237,6 +237,16 @@
         """Return whether any endpoint may serve a request once it has a free slot."""
         return bool(self._eligibility.endpoints_for(job, excluded, now))
 
+    def has_unsuspected(self, job: Job, excluded: set[str], now: float) -> bool:
+        """Return whether a request may go to an endpoint that was not left as silent."""
+        eligible = self._eligibility.endpoints_for(job, excluded, now)
+        return any(not tracker.is_left_silent for tracker in eligible)
+
+    def has_unavoided(self, job: Job, excluded: set[str], now: float) -> bool:
+        """Return whether a request may go to an endpoint that is not avoided as silent."""
+        eligible = self._eligibility.endpoints_for(job, excluded, now)
+        return any(not tracker.is_avoided(now) for tracker in eligible)
+
     def has_responsive(
         self, job: Job, excluded: set[str], max_silent_s: float, trusts_idle: bool, now: float
     ) -> bool:
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -232,6 +232,9 @@
                     stream.job, excluded, stream.max_silent_s, True, now
                 ):
                     return excluded
+        for excluded in (tried, last, set()):
+            if self._scheduler.has_unavoided(stream.job, excluded, now):
+                return excluded
         for excluded in (tried, last):
             if self._scheduler.has_candidates(stream.job, excluded, now):
                 return excluded
--- a/comfreyhatch/exchange/stream_retries.py
+++ b/comfreyhatch/exchange/stream_retries.py
@@ -73,7 +73,11 @@
 
     def reserve(self, stream: StreamState, now: float) -> bool:
         """Reserve what the next attempt needs; return whether the budget allows it."""
-        return stream.arrivals.reserve(self._budget(stream.job.service), now)
+        budget = self._budget(stream.job.service)
+        repeats = stream.arrivals.any_possible
+        if repeats and not self._scheduler.has_unavoided(stream.job, set(), now):
+            return False
+        return stream.arrivals.reserve(budget, now)
 
     async def pause_before_resume(self, stream: StreamState, reason: str) -> bool:
         """Pause a stream that waits until its deadline; return whether it may then be resumed.
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -229,7 +229,7 @@
     def note_left_silent(self, now: float) -> None:
         """Note that the current attempt is given up as its endpoint is silent."""
         if self.lease is not None:
-            self.lease.endpoint.left_silent_at = now
+            self.lease.endpoint.note_left_silent(self.lease.started, now)
 
     def give_up_attempt(self, max_silent_s: float | None) -> None:
         """Note that an attempt that might have been answered is given up for the next one.
--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -33,6 +33,8 @@
 DEADLINE_MARGIN_S = 0.01
 # Logged for an attempt that got no endpoint.
 NO_ENDPOINT_ID = "none"
+# Interval at which a request that waits at a silent service looks for an endpoint that answers.
+RECHECK_S = 0.25
 
 log = logging.getLogger("comfreyhatch.calls")
 
@@ -91,22 +93,19 @@
             while True:
                 done, tasks = await asyncio.wait(
                     tasks,
-                    timeout=self._hedge_delay_s(call),
+                    timeout=self._patience_s(call),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 answer = _best_answer(done, call)
                 if answer is not None and (not tasks or answer.head.success):
                     return answer
-                if not done and self._take_hedge(call):
-                    call.hedged = True
-                    tasks = tasks | {self._start_attempt(call)}
-                elif done and not tasks:
+                if not done:
+                    if self._take_hedge(call, asyncio.get_running_loop().time()):
+                        tasks = tasks | {self._start_attempt(call)}
+                elif not tasks:
                     if not self._take_retry(call):
                         return call.answer_or_raise()
                     tasks = {self._start_attempt(call)}
-                elif not done:
-                    # A hedge that was denied is not tried again.
-                    call.hedged = True
         finally:
             call.arrivals.release_unused()
             for task in tasks:
@@ -134,6 +133,7 @@
         endpoint = lease.endpoint
         started = loop.time()
         call.account.note_placed()
+        call.lease_by_attempt[counted] = lease
         attempt = self._crashes.begin(job, endpoint, started)
         try:
             answer = await self._send_and_release(call, lease, arrival, started)
@@ -146,6 +146,8 @@
             _log_abandoned(job, endpoint.record.endpoint_id, loop.time() - started)
             self._crashes.end_unknown(attempt, loop.time())
             raise
+        finally:
+            del call.lease_by_attempt[counted]
         now = loop.time()
         self._crashes.end_complete(attempt, now)
         self._evidence.record_answer(job, endpoint, answer.head.success, now - started, now)
@@ -179,18 +181,32 @@
         self._scheduler.pin_session(job, endpoint.record.version, now)
         return await self._sender.fetch(job, endpoint, dispatch, max(0.0, left_s), arrival)
 
-    def _take_hedge(self, call: "_UnaryCall") -> bool:
-        """Return whether to send a hedged attempt, and reserve it in the budget."""
-        job = call.job
-        if (
-            not job.route.repeatable
-            or call.hedged
-            or not call.account.allows_another(repeatable=True)
-        ):
+    def _take_hedge(self, call: "_UnaryCall", now: float) -> bool:
+        """Return whether to send a hedged attempt, and reserve it in the budget.
+
+        One that the budget or the route denies is not tried again; one for which there is no
+        endpoint that answers is.
+        """
+        for lease in call.lease_by_attempt.values():
+            self._note_unheard(lease, now)
+        call.is_patient = True
+        if call.hedged or not call.job.route.repeatable:
             return False
-        if self._crashes.suspects(job):
+        if not self._scheduler.has_unsuspected(call.job, call.tried_ids, now):
             return False
-        return self._reserve(call, asyncio.get_running_loop().time())
+        call.hedged = True
+        if not call.account.allows_another(repeatable=True) or self._crashes.suspects(call.job):
+            return False
+        return self._reserve(call, now)
+
+    def _note_unheard(self, lease: SlotLease, now: float) -> None:
+        """Note an endpoint that has sent nothing at all since an attempt was sent there."""
+        endpoint = lease.endpoint
+        if endpoint.last_received_at >= lease.started:
+            return
+        if not endpoint.is_left_silent:
+            _log_silent(lease, now)
+        endpoint.note_left_silent(lease.started, now)
 
     def _take_retry(self, call: "_UnaryCall") -> bool:
         """Return whether to retry after the last attempt failed, and reserve it in the budget."""
@@ -210,13 +226,17 @@
 
     def _reserve(self, call: "_UnaryCall", now: float) -> bool:
         """Reserve an extra request for the next attempt; return whether the budget allows it."""
-        return call.arrivals.reserve(self._budget(call.job.service), now)
+        budget = self._budget(call.job.service)
+        repeats = call.arrivals.any_possible
+        if repeats and not self._scheduler.has_unavoided(call.job, call.tried_ids, now):
+            return False
+        return call.arrivals.reserve(budget, now)
 
-    def _hedge_delay_s(self, call: "_UnaryCall") -> float | None:
-        """Return the wait before a hedged attempt; None if there is none."""
+    def _patience_s(self, call: "_UnaryCall") -> float | None:
+        """Return the wait until the next look at a call's endpoints; None if there is none."""
         job = call.job
-        if call.hedged or not job.route.repeatable:
-            return None
+        if call.is_patient:
+            return None if call.hedged or not job.route.repeatable else RECHECK_S
         window = self._latencies_by_route.get(job.route.name)
         if window is None:
             return job.route.aim_s
@@ -236,18 +256,32 @@
         account: Counts the attempts.
         tried_ids: Endpoints that an attempt was given a slot of.
         arrivals: Arrivals of the attempts.
+        lease_by_attempt: Slots of the attempts that are at endpoints.
+        is_patient: Whether the usual time for an answer has passed.
         hedged: Whether a hedged attempt was sent or denied; there is one at most.
         answer: Last failed answer of an endpoint.
         error: Error of the last attempt; None if it got an answer.
     """
 
-    __slots__ = ("account", "answer", "arrivals", "error", "hedged", "job", "tried_ids")
+    __slots__ = (
+        "account",
+        "answer",
+        "arrivals",
+        "error",
+        "hedged",
+        "is_patient",
+        "job",
+        "lease_by_attempt",
+        "tried_ids",
+    )
 
     def __init__(self, job: Job) -> None:
         self.job = job
         self.account = AttemptAccount(job.route.max_attempts, MAX_REFUSED_ATTEMPTS)
         self.tried_ids: set[str] = set()
         self.arrivals = RequestArrivals()
+        self.lease_by_attempt: dict[CountedAttempt, SlotLease] = {}
+        self.is_patient = False
         self.hedged = False
         self.answer: BufferedAnswer | None = None
         self.error: ComfreyhatchError | None = None
@@ -307,6 +341,16 @@
     )
 
 
+def _log_silent(lease: SlotLease, now: float) -> None:
+    """Log an endpoint that has sent nothing in the usual time for an answer."""
+    log.info(
+        "event=endpoint_silent endpoint=%s running=%d silent_s=%.2f",
+        lease.endpoint.record.endpoint_id,
+        lease.endpoint.in_flight,
+        now - max(lease.endpoint.last_received_at, lease.endpoint.busy_since),
+    )
+
+
 def _log_abandoned(job: Job, endpoint_id: str, took_s: float) -> None:
     """Log an attempt whose answer is no longer wanted; it may run on."""
     log.info(
@@ -319,7 +363,7 @@
 
 def _log_denied(job: Job, attempts: int) -> None:
     log.info(
-        "event=retry_denied id=%s service=%s attempts=%d reason='the budget is spent'",
+        "event=retry_denied id=%s service=%s attempts=%d reason='the budget allows none'",
         job.exchange.request_id,
         job.service,
         attempts,
--- a/tests/test_budget_processes.py
+++ b/tests/test_budget_processes.py
@@ -5,6 +5,7 @@
 """
 
 import sys
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from random import Random
@@ -137,6 +138,8 @@
     in_time = sum(call.ended <= call.until for call in complete)
     fullest = max(repeat_windows(fleet), key=lambda w: w.repeats / w.allowed, default=None)
     lines = [f"{t - start:6.2f} ({t:.2f}) {text}" for t, text in fleet.notes]
+    outcomes = Counter((call.kind, call.outcome, call.status) for call in fleet.calls)
+    lines += [f"{kind} {outcome} {n}: {count}" for (kind, outcome, n), count in outcomes.items()]
     lines += [
         f"{fleet.plan}",
         f"answers: {len(complete)} of {len(fleet.calls)}, {in_time} in time",
--- a/tests/test_endpoint_tracker.py
+++ b/tests/test_endpoint_tracker.py
@@ -2,7 +2,12 @@
 
 from msgspec.structs import replace
 
-from comfreyhatch.decisions.endpoint_tracker import WITHDRAWN_EJECTION_S, EndpointTracker
+from comfreyhatch.decisions.endpoint_tracker import (
+    FIRST_SILENT_PAUSE_S,
+    MAX_SILENT_PAUSE_S,
+    WITHDRAWN_EJECTION_S,
+    EndpointTracker,
+)
 from tests.exchange_values import record
 
 NOW = 10.0
@@ -121,3 +126,34 @@
     assert tracker.ejected_until == NOW + WITHDRAWN_EJECTION_S
     tracker.record_complete_answer()
     assert tracker.ejected_until == NOW + WITHDRAWN_EJECTION_S
+
+
+def test_endpoint_that_was_left_as_silent_is_avoided_until_something_comes() -> None:
+    tracker = EndpointTracker(record("e"), NOW)
+    tracker.note_left_silent(NOW, NOW + 0.1)
+    assert tracker.is_left_silent and tracker.is_avoided(NOW + 0.2)
+    tracker.last_received_at = NOW + 0.3
+    assert not tracker.is_left_silent and not tracker.is_avoided(NOW + 0.3)
+
+
+def test_silent_endpoint_gets_one_request_after_each_of_growing_pauses() -> None:
+    tracker = EndpointTracker(record("e"), NOW)
+    now, pauses = NOW + 0.1, []
+    tracker.note_left_silent(NOW, now)
+    for _ in range(8):
+        tracker.in_flight = 1
+        assert tracker.is_avoided(now + 100.0)
+        tracker.in_flight = 0
+        pause_s = next(n / 8 for n in range(1, 100) if not tracker.is_avoided(now + n / 8))
+        pauses.append(pause_s)
+        tracker.note_left_silent(now + pause_s, now + pause_s)
+        now += pause_s
+    assert pauses[0] == FIRST_SILENT_PAUSE_S
+    assert pauses == sorted(pauses) and pauses[-1] == MAX_SILENT_PAUSE_S
+
+
+def test_requests_that_are_left_together_do_not_prolong_the_pause() -> None:
+    tracker = EndpointTracker(record("e"), NOW)
+    for _ in range(5):
+        tracker.note_left_silent(NOW, NOW + 0.1)
+    assert not tracker.is_avoided(NOW + 0.1 + FIRST_SILENT_PAUSE_S)
--- /dev/null
+++ b/tests/test_known_silent_endpoints.py
@@ -0,0 +1,56 @@
+"""Requests are not sent on to endpoints that are known to be silent, while others answer."""
+
+import asyncio
+from time import monotonic
+
+import pytest
+
+from tests.platform_harness import PlatformHarness
+
+REQUESTS = 60
+# The first ones, until one has waited for the usual time, and one after each pause.
+MOST_UNREAD = 8
+
+
+async def send_all(harness: PlatformHarness, path: str) -> list[int]:
+    """Return the statuses of requests that are sent one after the other."""
+    return [(await harness.send(path)).status for _ in range(REQUESTS)]
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/pay/x"])
+async def test_endpoint_that_sends_nothing_gets_few_requests(
+    harness: PlatformHarness, path: str
+) -> None:
+    silent, other = (harness.worker_by_id[name] for name in ("desk-1", "desk-2"))
+    silent.hold = asyncio.Event()
+    sending = asyncio.gather(send_all(harness, path), send_all(harness, path))
+    await sending
+    assert len(silent.received) <= MOST_UNREAD
+    assert len(other.received) >= 2 * REQUESTS - MOST_UNREAD
+
+
+async def test_endpoint_that_answers_again_gets_requests_again(harness: PlatformHarness) -> None:
+    silent = harness.worker_by_id["desk-1"]
+    silent.hold = asyncio.Event()
+    await send_all(harness, "/read/x")
+    silent.hold.set()
+    before = len(silent.received)
+    ends = monotonic() + 10.0
+    while len(silent.received) < before + REQUESTS // 4:
+        assert monotonic() < ends
+        assert (await harness.send("/read/x")).status == 200
+
+
+async def test_request_refused_by_the_only_endpoint_that_answers_is_not_left_at_a_silent_one(
+    harness: PlatformHarness,
+) -> None:
+    silent, other = (harness.worker_by_id[name] for name in ("desk-1", "desk-2"))
+    silent.hold = asyncio.Event()
+    await send_all(harness, "/read/x")
+    before = len(silent.received)
+    other.refuses = True
+    started = monotonic()
+    statuses = await send_all(harness, "/read/x")
+    assert statuses.count(503) >= REQUESTS - MOST_UNREAD
+    assert len(silent.received) - before <= MOST_UNREAD
+    assert monotonic() - started < REQUESTS * 0.1
