Send repeats to a service that is silent as a whole only within the slack

What waits unread can't be taken back, so what bounds it is not sending it: while nothing has come from any endpoint of a service lately, hedges and streams that leave a silent endpoint draw on the daemon's part of the slack, which each window allows. One may always find out whether an endpoint answers, so that streams still leave hung engines for the only other one.

--- a/comfreyhatch/decisions/extra_requests.py
+++ b/comfreyhatch/decisions/extra_requests.py
@@ -103,6 +103,14 @@
         total = remaining + len(self._extra) + self.reserved
         return max(0.0, remaining / total) if total > 0 else 0.0
 
+    def bears_unheard(self) -> bool:
+        """Return whether one more may be reserved for endpoints that are known to be silent.
+
+        What waits there arrives when they go on. Beyond the slack, only requests that come in the
+        same window allow it, and there may be none. A single one finds out whether they answer.
+        """
+        return self.reserved + 1 <= max(1.0, self.slack * SAFETY_FACTOR)
+
     def reserve(self, now: float) -> ExtraRequest | None:
         """Return an extra request that is going to be sent; None if the budget allows none."""
         if self.remaining(now) < 1:
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -247,6 +247,11 @@
         eligible = self._eligibility.endpoints_for(job, excluded, now)
         return any(not tracker.is_avoided(now) for tracker in eligible)
 
+    def was_heard(self, service: str, since: float) -> bool:
+        """Return whether any endpoint of a service has sent anything since a monotonic time."""
+        trackers = self._view.trackers_by_service.get(service, ())
+        return any(tracker.last_received_at >= since for tracker in trackers)
+
     def has_responsive(
         self, job: Job, excluded: set[str], max_silent_s: float, trusts_idle: bool, now: float
     ) -> bool:
--- a/comfreyhatch/exchange/stream_retries.py
+++ b/comfreyhatch/exchange/stream_retries.py
@@ -55,11 +55,18 @@
         refused_often = stream.waits_until_deadline and stream.account.failed_often
         if refused_often and not await _pause(stream):
             return False
-        while not self.reserve(stream, asyncio.get_running_loop().time()):
-            if not await self.pause_before_resume(stream, "the budget of extra requests is spent"):
+        while not self._reserve_retry(stream, asyncio.get_running_loop().time()):
+            if not await self.pause_before_resume(stream, "no endpoint answers, or no budget"):
                 return False
         return True
 
+    def _reserve_retry(self, stream: StreamState, now: float) -> bool:
+        """Reserve a retry, unless only endpoints could get it that are avoided as silent."""
+        repeats = stream.arrivals.any_possible
+        if repeats and not self._scheduler.has_unavoided(stream.job, set(), now):
+            return False
+        return self.reserve(stream, now)
+
     async def _probe_broken(self, stream: StreamState) -> None:
         """Take the broken attempts whose endpoints have ended off the limit of the route.
 
@@ -73,11 +80,7 @@
 
     def reserve(self, stream: StreamState, now: float) -> bool:
         """Reserve what the next attempt needs; return whether the budget allows it."""
-        budget = self._budget(stream.job.service)
-        repeats = stream.arrivals.any_possible
-        if repeats and not self._scheduler.has_unavoided(stream.job, set(), now):
-            return False
-        return stream.arrivals.reserve(budget, now)
+        return stream.arrivals.reserve(self._budget(stream.job.service), now)
 
     async def pause_before_resume(self, stream: StreamState, reason: str) -> bool:
         """Pause a stream that waits until its deadline; return whether it may then be resumed.
@@ -107,7 +110,7 @@
         if stream.endpoint_is_silent(now):
             max_silent_s = stream.stall_limits.responsive_s
             # Over a lost path, another daemon may reach the endpoint.
-            if not (stream.path_is_lost or self._has_responsive(stream, max_silent_s, now)):
+            if not (stream.path_is_lost or self._is_worth_leaving(stream, max_silent_s, now)):
                 return False
         if not self.reserve(stream, now):
             return False
@@ -116,6 +119,17 @@
         stream.give_up_attempt(max_silent_s)
         return True
 
+    def _is_worth_leaving(self, stream: StreamState, max_silent_s: float, now: float) -> bool:
+        """Return whether another endpoint is likely to answer sooner than the current, silent one.
+
+        What is sent to a service that is silent as a whole only waits there, too.
+        """
+        service = stream.job.service
+        is_heard = self._scheduler.was_heard(service, now - max_silent_s)
+        if not is_heard and not self._budget(service).bears_unheard():
+            return False
+        return self._has_responsive(stream, max_silent_s, now)
+
     def _has_responsive(self, stream: StreamState, max_silent_s: float, now: float) -> bool:
         """Return whether another endpoint than the current one may respond."""
         last = {stream.endpoint_id}
--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -33,6 +33,8 @@
 DEADLINE_MARGIN_S = 0.01
 # Logged for an attempt that got no endpoint.
 NO_ENDPOINT_ID = "none"
+# Time in which something comes from a service that answers.
+LONGEST_QUIET_S = 1.0
 # Interval at which a request that waits at a silent service looks for an endpoint that answers.
 RECHECK_S = 0.25
 
@@ -192,7 +194,7 @@
         call.is_patient = True
         if call.hedged or not call.job.route.repeatable:
             return False
-        if not self._scheduler.has_unsuspected(call.job, call.tried_ids, now):
+        if not self._is_worth_a_repeat(call, now):
             return False
         call.hedged = True
         if not call.account.allows_another(repeatable=True) or self._crashes.suspects(call.job):
@@ -208,6 +210,20 @@
             _log_silent(lease, now)
         endpoint.note_left_silent(lease.started, now)
 
+    def _is_worth_a_repeat(self, call: "_UnaryCall", now: float) -> bool:
+        """Return whether another endpoint is likely to answer sooner than those of the attempts.
+
+        What is sent to a service that is silent as a whole only waits there, too.
+        """
+        job = call.job
+        if not self._scheduler.has_unsuspected(job, call.tried_ids, now):
+            return False
+        sent_at = [lease.started for lease in call.lease_by_attempt.values()]
+        since = max(now - LONGEST_QUIET_S, min(sent_at, default=job.arrived))
+        if self._scheduler.was_heard(job.service, since):
+            return True
+        return self._budget(job.service).bears_unheard()
+
     def _take_retry(self, call: "_UnaryCall") -> bool:
         """Return whether to retry after the last attempt failed, and reserve it in the budget."""
         now = asyncio.get_running_loop().time()
--- a/tests/test_extra_requests.py
+++ b/tests/test_extra_requests.py
@@ -204,3 +204,23 @@
     budget = ExtraRequestBudget(WINDOW_S, RATIO, 2.0, 5.0)
     assert not budget.take(4.9)
     assert budget.take(5.0)
+
+
+def test_silent_endpoints_are_borne_by_the_slack_alone_whatever_the_requests_allow() -> None:
+    budget = ExtraRequestBudget(WINDOW_S, RATIO, 4.0)
+    for _ in range(100):
+        budget.record_request(1.0)
+    kept = []
+    while budget.bears_unheard():
+        kept.append(budget.reserve(1.0))
+    assert len(kept) == 3
+    assert budget.remaining(1.0) > 3
+
+
+def test_one_request_may_find_out_whether_silent_endpoints_answer_without_any_slack() -> None:
+    budget = ExtraRequestBudget(WINDOW_S, RATIO, 0.0)
+    for _ in range(100):
+        budget.record_request(1.0)
+    assert budget.bears_unheard()
+    assert budget.reserve(1.0) is not None
+    assert not budget.bears_unheard()
--- a/tests/test_known_silent_endpoints.py
+++ b/tests/test_known_silent_endpoints.py
@@ -54,3 +54,20 @@
     assert statuses.count(503) >= REQUESTS - MOST_UNREAD
     assert len(silent.received) - before <= MOST_UNREAD
     assert monotonic() - started < REQUESTS * 0.1
+
+
+async def test_service_that_is_silent_as_a_whole_gets_no_more_repeats_than_the_slack_bears(
+    harness: PlatformHarness,
+) -> None:
+    # What waits there arrives at its end, when the load that has allowed it may be gone.
+    desks = [harness.worker_by_id[name] for name in ("desk-1", "desk-2")]
+    for _ in range(REQUESTS):
+        await harness.send("/read/x")
+    budget = harness.daemon._budgets.of("desk")
+    budget.slack = 0.0
+    harness.daemon._budgets._slack = lambda: 0.0
+    for desk in desks:
+        desk.hold = asyncio.Event()
+    await asyncio.gather(*(harness.send("/read/x") for _ in range(REQUESTS // 2)))
+    assert budget.remaining(monotonic()) > 1
+    assert budget.reserved <= 1
