Leave a former process the share of the endpoints that are silent, not only of a silent service

Now each endpoint that a request was left at as silent, and that has never answered this process, holds its share of the budget until a window after its first answer, and for 30 s at most; one of many that never returns holds little, and an endpoint that has answered holds nothing.

--- a/comfreyhatch/decisions/extra_requests.py
+++ b/comfreyhatch/decisions/extra_requests.py
@@ -46,7 +46,7 @@
 
     Attributes:
         slack: Extra requests allowed in a window in addition to the ratio, for this daemon alone.
-        is_held: Whether the budget is left to what a former process of this daemon sent.
+        held_share: Share of the budget that is left to what a former process sent, 0 to 1.
     """
 
     def __init__(
@@ -64,7 +64,7 @@
         self._window_s = window_s
         self._ratio = ratio * SAFETY_FACTOR
         self.slack = slack
-        self.is_held = False
+        self.held_share = 0.0
         self._slack_from = slack_from
         self._requests: deque[float] = deque()
         self._extra: deque[float] = deque()
@@ -85,7 +85,7 @@
         """Return how many extra requests are allowed now."""
         self._expire(now)
         slack = self.slack * SAFETY_FACTOR if now >= self._slack_from else 0.0
-        allowed = 0.0 if self.is_held else self._ratio * len(self._requests) + slack
+        allowed = (1 - self.held_share) * (self._ratio * len(self._requests) + slack)
         return allowed - len(self._extra) - self.reserved
 
     @property
--- a/comfreyhatch/decisions/former_attempts.py
+++ b/comfreyhatch/decisions/former_attempts.py
@@ -1,18 +1,39 @@
-"""Services at whose endpoints attempts of a former process of this daemon may wait unread.
+"""What a former process of this daemon may have left unread at endpoints.
 
 A process that was killed leaves what it sent in the sockets of silent endpoints, and no account of
-it. While no endpoint of a service has answered the new process, and for a window after that if they
-were silent before, the budget of extra requests is left to what the former process sent.
+it. The new one leaves a part of the budget of extra requests to that: all of it while no endpoint
+of a service has answered, and for a window after that if they were silent before; then the share
+of the endpoints that are silent and have never answered it.
 """
 
+from msgspec import Struct, field
+
 # A service whose first answer comes sooner was not silent.
 SILENT_S = 1.0
-# Time after which a service that does not answer is taken for gone.
+# Time after which an endpoint that does not answer is taken for gone.
 GONE_S = 30.0
 
 
+class _Service(Struct):
+    """A service since the first request to it; times are monotonic, in seconds.
+
+    Attributes:
+        asked_at: When that was sent.
+        held_until: Until when the whole budget is left to the former process.
+        has_answered: Whether any endpoint has answered.
+        answered_ids: Endpoints that have answered, silent before or not.
+        held_until_by_id: Until when the share of an endpoint is left to the former process.
+    """
+
+    asked_at: float
+    held_until: float
+    has_answered: bool = False
+    answered_ids: set[str] = field(default_factory=set)
+    held_until_by_id: dict[str, float] = field(default_factory=dict)
+
+
 class FormerAttempts:
-    """Tells for which services attempts of a former process may wait."""
+    """Tells which share of a service's budget is left to a former process."""
 
     def __init__(self, window_s: float, had_process: bool) -> None:
         """Create it as the process starts.
@@ -23,25 +44,46 @@
         """
         self._window_s = window_s
         self._had_process = had_process
-        self._asked_at_by_service: dict[str, float] = {}
-        self._held_until_by_service: dict[str, float] = {}
+        self._found_by_service: dict[str, _Service] = {}
 
     def note_sent(self, service: str, now: float) -> None:
         """Note that a request is sent to an endpoint of a service."""
-        if self._had_process and service not in self._asked_at_by_service:
-            self._asked_at_by_service[service] = now
-            self._held_until_by_service[service] = now + GONE_S
-
-    def note_answer(self, service: str, now: float) -> None:
-        """Note that an endpoint of a service has answered."""
-        held_until = self._held_until_by_service.get(service)
-        if held_until is None:
+        if self._had_process and service not in self._found_by_service:
+            self._found_by_service[service] = _Service(now, now + GONE_S)
+
+    def note_silent(self, service: str, endpoint_id: str, now: float) -> None:
+        """Note that a request was left at an endpoint as nothing had come from it."""
+        found = self._found_by_service.get(service)
+        if found is not None and endpoint_id not in found.answered_ids:
+            found.held_until_by_id.setdefault(endpoint_id, now + GONE_S)
+
+    def note_answer(self, service: str, endpoint_id: str, now: float) -> None:
+        """Note that an endpoint has answered."""
+        found = self._found_by_service.get(service)
+        if found is None or endpoint_id in found.answered_ids:
             return
-        if now - self._asked_at_by_service[service] < SILENT_S:
-            del self._held_until_by_service[service]
-        else:
-            self._held_until_by_service[service] = min(held_until, now + self._window_s)
-
-    def may_wait(self, service: str, now: float) -> bool:
-        """Return whether attempts of a former process may wait, or have arrived in the window."""
-        return now < self._held_until_by_service.get(service, 0.0)
+        found.answered_ids.add(endpoint_id)
+        window_until = now + self._window_s
+        if endpoint_id in found.held_until_by_id:
+            held_until = found.held_until_by_id[endpoint_id]
+            found.held_until_by_id[endpoint_id] = min(held_until, window_until)
+        if not found.has_answered:
+            found.has_answered = True
+            was_silent = now - found.asked_at >= SILENT_S
+            found.held_until = min(found.held_until, window_until) if was_silent else now
+
+    def held_share(self, service: str, endpoints: int, now: float) -> float:
+        """Return the share of the budget that is left to the former process, 0 to 1.
+
+        Args:
+            service: The service.
+            endpoints: Number of its endpoints.
+            now: Monotonic time in seconds.
+        """
+        found = self._found_by_service.get(service)
+        if found is None:
+            return 0.0
+        if now < found.held_until:
+            return 1.0
+        held = sum(now < held_until for held_until in found.held_until_by_id.values())
+        return min(1.0, held / max(1, endpoints))
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -119,6 +119,7 @@
         self._budgets = ExtraRequestBudgets(
             deployment,
             self.view.daemons,
+            lambda service: self.view.trackers_by_service.get(service, ()),
             self._unread,
             former,
             self.registry,
--- a/comfreyhatch/exchange/extra_request_budgets.py
+++ b/comfreyhatch/exchange/extra_request_budgets.py
@@ -25,6 +25,7 @@
         self,
         deployment: Deployment,
         daemons: Callable[[], Sized],
+        endpoints: Callable[[str], Sized],
         unread: UnreadAttempts,
         former: FormerAttempts,
         registry: CollectorRegistry,
@@ -35,13 +36,15 @@
         Args:
             deployment: Settings of the daemon.
             daemons: Returns the daemons that are known.
+            endpoints: Returns the endpoints of a service.
             unread: Attempts that may arrive yet; those that wait for too long are taken off.
-            former: Services that may hold attempts of a former process.
+            former: Which share of a budget is left to a former process.
             registry: Registry of the metrics.
             slack_from: Monotonic time in seconds from which the part of the slack is used.
         """
         self._deployment = deployment
         self._daemons = daemons
+        self._endpoints = endpoints
         self._unread = unread
         self._former = former
         self._slack_from = slack_from
@@ -66,7 +69,7 @@
         )
         self._held = Gauge(
             "comfreyhatch_extra_requests_held",
-            "Whether the budget is left to what a former process sent.",
+            "Share of the budget that is left to what a former process sent.",
             ["service"],
             registry=registry,
         )
@@ -92,10 +95,11 @@
         return budget
 
     def _hold(self, service: str, budget: ExtraRequestBudget, now: float) -> None:
-        """Leave the budget to a former process while what it sent may wait."""
-        was_held, budget.is_held = budget.is_held, self._former.may_wait(service, now)
-        if budget.is_held != was_held:
-            log.info("event=budget_left_to_former service=%s held=%s", service, budget.is_held)
+        """Leave a part of the budget to a former process while what it sent may wait."""
+        share = self._former.held_share(service, len(self._endpoints(service)), now)
+        if share != budget.held_share:
+            log.info("event=budget_left_to_former service=%s share=%.2f", service, share)
+        budget.held_share = share
 
     def _create(self, service: str) -> ExtraRequestBudget:
         bounds = self._deployment.bounds
@@ -106,7 +110,7 @@
         self._left.labels(service).set_function(lambda: budget.remaining(monotonic()))
         self._reserved.labels(service).set_function(lambda: budget.reserved)
         self._oldest.labels(service).set_function(lambda: budget.oldest_reserved_s(monotonic()))
-        self._held.labels(service).set_function(lambda: budget.is_held)
+        self._held.labels(service).set_function(lambda: budget.held_share)
         return budget
 
     def _slack(self) -> float:
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -75,7 +75,7 @@
             relays: Sends requests by way of other daemons.
             notices: Learns what endpoints announce of themselves.
             unread: Attempts that endpoints may not have read; updated.
-            former: Services that may hold attempts of a former process; updated.
+            former: What a former process may have left at endpoints; updated.
         """
         self._unread = unread
         self._former = former
@@ -275,6 +275,24 @@
             ended = self._unread.note_ended(endpoint.record.endpoint_id, now)
             _log_unread(endpoint, ended, "ended")
 
+    def note_left_silent(self, endpoint: EndpointTracker, sent_at: float, now: float) -> None:
+        """Note that a request is left at an endpoint, or sent elsewhere, too, as nothing has come.
+
+        Args:
+            endpoint: The endpoint, which is avoided from now on.
+            sent_at: Monotonic time at which the request was sent, in seconds.
+            now: Monotonic time in seconds.
+        """
+        if not endpoint.is_left_silent:
+            log.info(
+                "event=endpoint_silent endpoint=%s running=%d silent_s=%.2f",
+                endpoint.record.endpoint_id,
+                endpoint.in_flight,
+                now - max(endpoint.last_received_at, endpoint.busy_since),
+            )
+        endpoint.note_left_silent(sent_at, now)
+        self._former.note_silent(endpoint.record.service, endpoint.record.endpoint_id, now)
+
     async def fetch(
         self,
         job: Job,
@@ -331,7 +349,7 @@
         endpoint.last_received_at = now
         read = self._unread.note_answer(endpoint.record.endpoint_id, sent_at, now)
         _log_unread(endpoint, read, "answered")
-        self._former.note_answer(endpoint.record.service, now)
+        self._former.note_answer(endpoint.record.service, endpoint.record.endpoint_id, now)
         if not head.misdirected:
             self._limits.note_answer(endpoint, head, sent_at, now)
             self._notices.note_answer(endpoint, head, now)
--- a/comfreyhatch/exchange/stream_retries.py
+++ b/comfreyhatch/exchange/stream_retries.py
@@ -114,8 +114,8 @@
                 return False
         if not self.reserve(stream, now):
             return False
-        if max_silent_s is not None:
-            stream.note_left_silent(now)
+        if max_silent_s is not None and stream.lease is not None:
+            self._sender.note_left_silent(stream.lease.endpoint, stream.lease.started, now)
         stream.give_up_attempt(max_silent_s)
         return True
 
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -226,11 +226,6 @@
         """Whether the current attempt's endpoint accepts no new connection."""
         return self.lease is not None and self.lease.endpoint.lost_at is not None
 
-    def note_left_silent(self, now: float) -> None:
-        """Note that the current attempt is given up as its endpoint is silent."""
-        if self.lease is not None:
-            self.lease.endpoint.note_left_silent(self.lease.started, now)
-
     def give_up_attempt(self, max_silent_s: float | None) -> None:
         """Note that an attempt that might have been answered is given up for the next one.
 
--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -190,7 +190,8 @@
         endpoint that answers is.
         """
         for lease in call.lease_by_attempt.values():
-            self._note_unheard(lease, now)
+            if lease.endpoint.last_received_at < lease.started:
+                self._sender.note_left_silent(lease.endpoint, lease.started, now)
         call.is_patient = True
         if call.hedged or not call.job.route.repeatable:
             return False
@@ -201,15 +202,6 @@
             return False
         return self._reserve(call, now)
 
-    def _note_unheard(self, lease: SlotLease, now: float) -> None:
-        """Note an endpoint that has sent nothing at all since an attempt was sent there."""
-        endpoint = lease.endpoint
-        if endpoint.last_received_at >= lease.started:
-            return
-        if not endpoint.is_left_silent:
-            _log_silent(lease, now)
-        endpoint.note_left_silent(lease.started, now)
-
     def _is_worth_a_repeat(self, call: "_UnaryCall", now: float) -> bool:
         """Return whether another endpoint is likely to answer sooner than those of the attempts.
 
@@ -357,16 +349,6 @@
     )
 
 
-def _log_silent(lease: SlotLease, now: float) -> None:
-    """Log an endpoint that has sent nothing in the usual time for an answer."""
-    log.info(
-        "event=endpoint_silent endpoint=%s running=%d silent_s=%.2f",
-        lease.endpoint.record.endpoint_id,
-        lease.endpoint.in_flight,
-        now - max(lease.endpoint.last_received_at, lease.endpoint.busy_since),
-    )
-
-
 def _log_abandoned(job: Job, endpoint_id: str, took_s: float) -> None:
     """Log an attempt whose answer is no longer wanted; it may run on."""
     log.info(
