Use no slack while no daemons are known

Each daemon of a larger fleet that starts while the store's records can't be read uses a sixth of it: 70 times the slack in a fleet of 420.

--- a/comfreyhatch/exchange/extra_request_budgets.py
+++ b/comfreyhatch/exchange/extra_request_budgets.py
@@ -114,9 +114,11 @@
         return budget
 
     def _slack(self) -> float:
-        """Return this daemon's part of `Bounds.retry_slack`."""
-        zones = len(self._deployment.zones)
-        daemons = max(MIN_DAEMONS_SHARING_SLACK, len(self._daemons()), zones)
+        """Return this daemon's part of `Bounds.retry_slack`; 0 while no daemons are known."""
+        known = len(self._daemons())
+        if not known:
+            return 0.0
+        daemons = max(MIN_DAEMONS_SHARING_SLACK, known, len(self._deployment.zones))
         return self._deployment.bounds.retry_slack / daemons
 
     def _expire_unread(self, now: float) -> None:
--- a/tests/exchange_values.py
+++ b/tests/exchange_values.py
@@ -1,4 +1,4 @@
-"""Factories of exchanges, jobs, endpoint records and crash guards for tests."""
+"""Factories of deployments, exchanges, jobs, endpoint records and crash guards for tests."""
 
 from collections.abc import Awaitable, Callable
 from random import Random
@@ -7,6 +7,7 @@
 
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.catalog import RequestKind, Route, ServiceShare
+from comfreyhatch.domain.deployment import Bounds, Deployment
 from comfreyhatch.domain.endpoint import EndpointRecord
 from comfreyhatch.domain.exchange import Exchange, Job, PromptPart
 from comfreyhatch.domain.instance import Address
@@ -18,6 +19,12 @@
 TIMEOUT_S = 20.0
 
 
+def deployment(bounds: Bounds, seeds: tuple[Address, ...] = ()) -> Deployment:
+    """Return the settings of a daemon of zone a that listens nowhere."""
+    unused = Address("127.0.0.1", 1)
+    return Deployment("d1", "a", ("a",), unused, unused, None, seeds, unused, 1.0, 100, 100, bounds)
+
+
 def exchange(request_id: str = "r1", parts: tuple[PromptPart, ...] = ()) -> Exchange:
     return Exchange(request_id, "POST", "/p/x", "host", "/p/x", [], b"", parts=parts)
 
--- a/tests/test_directory_sync.py
+++ b/tests/test_directory_sync.py
@@ -33,7 +33,7 @@
 )
 from comfreyhatch.exchange.view import FleetView
 from comfreyhatch.ports.directory import MemoryDirectory
-from tests.exchange_values import record
+from tests.exchange_values import deployment, record
 from tests.platform_harness import free_port
 
 CATALOG = Catalog(3, {}, {}, {})
@@ -60,13 +60,6 @@
     await listener.stop()
 
 
-def deployment(seeds: tuple[Address, ...]) -> Deployment:
-    unused = Address("127.0.0.1", 1)
-    return Deployment(
-        "d1", "a", ("a",), unused, unused, None, seeds, unused, 1.0, 100, 100, Bounds()
-    )
-
-
 async def test_answer_of_a_peer_beyond_the_limit_is_not_taken() -> None:
     address = f"127.0.0.1:{free_port()}"
     with pynng.Rep0(listen=f"tcp://{address}") as peer:
@@ -96,7 +89,9 @@
     directory = MemoryDirectory(available=False)
     view = FleetView()
     changes: list[int] = []
-    sync = DirectorySync(deployment((peer,)), directory, view, Random(1), lambda: changes.append(1))
+    sync = DirectorySync(
+        deployment(Bounds(), (peer,)), directory, view, Random(1), lambda: changes.append(1)
+    )
     sync.start()
     async with asyncio.timeout(5):
         while not view.ready():
@@ -111,7 +106,7 @@
     directory = MemoryDirectory()
     directory.current_operations = replace(UPDATE.operations, zones_out=frozenset())
     view = FleetView()
-    sync = DirectorySync(deployment(()), directory, view, Random(1), lambda: None)
+    sync = DirectorySync(deployment(Bounds(), ()), directory, view, Random(1), lambda: None)
     sync.start()
     await asyncio.sleep(0.8)
     assert not sync.cut_off(asyncio.get_running_loop().time())
@@ -257,7 +252,7 @@
     view.apply_operations(Operations(2, CATALOG, {}, frozenset(), 1), now - 9, 1.0)
     view.apply_endpoints(EndpointList(2, {}, 1), now - 9)
     directory = MemoryDirectory(available=False)
-    sync = DirectorySync(deployment((address,)), directory, view, Random(1), lambda: None)
+    sync = DirectorySync(deployment(Bounds(), (address,)), directory, view, Random(1), lambda: None)
     sync.start()
     await _until(lambda: len(queries) >= 2, 5)
     await sync.stop()
@@ -272,7 +267,7 @@
     # The follower read the directory while the reader answered: a position that it confirms would
     # stand for orders that were not taken.
     view = FleetView()
-    sync = DirectorySync(deployment(()), MemoryDirectory(), view, Random(1), lambda: None)
+    sync = DirectorySync(deployment(Bounds(), ()), MemoryDirectory(), view, Random(1), lambda: None)
     now = asyncio.get_running_loop().time()
     view.apply_operations(Operations(5, Catalog(4, {}, {}, {}), {}, frozenset()), now - 1, 1.0)
     changes = CatalogChanges(3, 6, {}, {}, {}, None)
@@ -285,7 +280,7 @@
 
 async def test_query_of_a_daemon_that_cannot_take_changes_gets_the_whole_configuration() -> None:
     view = FleetView()
-    sync = DirectorySync(deployment(()), MemoryDirectory(), view, Random(1), lambda: None)
+    sync = DirectorySync(deployment(Bounds(), ()), MemoryDirectory(), view, Random(1), lambda: None)
     for version in (1, 2):
         operations = Operations(version, Catalog(version, {}, {}, {}), {}, frozenset())
         view.apply_operations(operations, 0.0, 1.0)
@@ -308,7 +303,12 @@
     listener.start()
     reports = PeerReports(1.0)
     follower = DirectorySync(
-        deployment((address,)), MemoryDirectory(), FleetView(), Random(1), lambda: None, reports
+        deployment(Bounds(), (address,)),
+        MemoryDirectory(),
+        FleetView(),
+        Random(1),
+        lambda: None,
+        reports,
     )
     client = PeerClient(str(address))
     blocked = RequestReport(ReportKind.BLOCKED, frozenset({b"bad"}))
