Rig: links that delay, reset and cut one way, a silent store, zones, and mixed plays of these

Endpoints can be reached by way of a proxy in the test's process; daemons and endpoints are spread over zones; play_wide overlaps kills in series, silences of up to two and a half windows, faults of links and of the store, and loads that rise and fall, with accept queues of 1 among the plans that seeds draw. Relays stay out: the daemons of a rig reach endpoints at the same addresses, so that no path of one daemon alone can be cut.

--- a/tests/endpoint_processes.py
+++ b/tests/endpoint_processes.py
@@ -47,8 +47,8 @@
         self._born = 0
         self._process: DaemonProcess | None = None
 
-    async def start(self, options: EndpointOptions) -> dict[str, object]:
-        """Start the process; return the row that it registers in the store."""
+    async def start(self, options: EndpointOptions, zone: str) -> dict[str, object]:
+        """Start the process in a zone; return the row that it registers in the store."""
         self.log_path.touch()
         known = len(self._ports())
         command = ("tests.endpoint_process", self.worker_id, str(self.log_path), encode(options))
@@ -63,7 +63,7 @@
         self._born += 1
         worker = StandInWorker(self.worker_id)
         worker.address = Address("127.0.0.1", ports[-1])
-        row = worker.record(self.service, "a")
+        row = worker.record(self.service, zone)
         return row | {"capacity": options.capacity, "born": self._born, "sequence": self._born}
 
     def _ports(self) -> list[int]:
--- a/tests/fleet_daemons.py
+++ b/tests/fleet_daemons.py
@@ -92,9 +92,9 @@
         lines = [
             f"node_name={host}",
             f"ip={host}",
-            "zone=a",
+            f"zone={self._zone(host)}",
             "region=r",
-            "zones.a=r",
+            *(f"zones.{zone}=r" for zone in self._plan.zones),
             f"bind.front={host}:{PORT}",
             f"bind.ready={host}:{PORT + 1}",
             f"bind.control={host}:{PORT + 2}",
@@ -111,6 +111,9 @@
         settings.write_text("\n".join(lines))
         return settings
 
+    def _zone(self, host: str) -> str:
+        return self._plan.zones[self.hosts.index(host) % len(self._plan.zones)]
+
     async def wait_ready(self, host: str) -> None:
         async with asyncio.timeout(START_TIMEOUT_S):
             while True:
--- a/tests/fleet_plan.py
+++ b/tests/fleet_plan.py
@@ -24,6 +24,8 @@
         again: Share of the requests that their callers send again under the same id after a 503.
         signals: Whether SIGTERM and SIGHUP to one daemon after the other are among the mixed
             disturbances.
+        zones: Zones over which daemons and endpoints are spread.
+        has_links: Whether endpoints are reached by way of links that may fail.
     """
 
     daemons: int = 2
@@ -34,3 +36,5 @@
     deadline_s: float = 5.0
     again: float = 0.0
     signals: bool = False
+    zones: tuple[str, ...] = ("a",)
+    has_links: bool = False
--- a/tests/fleet_plays.py
+++ b/tests/fleet_plays.py
@@ -4,6 +4,7 @@
 from functools import partial
 from time import monotonic
 
+from tests.faulty_link import LinkFault
 from tests.fleet_plan import SIZE_BY_SERVICE
 from tests.platform_processes import Fleet
 
@@ -164,6 +165,47 @@
     await load
 
 
+async def play_wide(fleet: Fleet, disturbances: int) -> None:
+    """Send requests while kills in series, silences, faults of links and others overlap.
+
+    The load rises and falls, the store is silent at times, and silences may outlast two windows.
+    """
+    rng = fleet.rng
+    ended = asyncio.Event()
+    load = asyncio.create_task(fleet.load_until(ended))
+    await asyncio.sleep(fleet.plan.window_s + 0.5)
+    tasks = []
+    for _ in range(disturbances):
+        tasks.append(asyncio.create_task(_disturb_widely(fleet)))
+        if rng.random() < CHANGED_SHARE:
+            fleet.set_load(rng.choice((*WAVE_LOADS, 1.0, LOW_LOAD)))
+        await asyncio.sleep(rng.uniform(0.5, 3.0))
+    await asyncio.gather(*tasks)
+    fleet.set_load(1.0)
+    await asyncio.sleep(TAIL_S)
+    ended.set()
+    await load
+
+
+async def _disturb_widely(fleet: Fleet) -> None:
+    rng = fleet.rng
+    service = rng.choice(list(SIZE_BY_SERVICE))
+    share = rng.choice((0.4, 0.6, 0.8, 1.0))
+    for_s = rng.uniform(SHORTEST_S, 2.5 * fleet.plan.window_s)
+    short_s = rng.uniform(SHORTEST_S, LONGEST_DOWN_S)
+    kinds = [
+        partial(fleet.silence, service, share, for_s),
+        partial(fleet.refuse, service, share, short_s),
+        partial(fleet.silence_store, for_s),
+        partial(fleet.kill_in_series, KILL_DOWN_S, KILL_GAP_S),
+        partial(fleet.crash, service, short_s),
+    ]
+    if fleet.plan.has_links:
+        fault = rng.choice(list(LinkFault))
+        kinds += 2 * [partial(fleet.break_links, service, share, fault, for_s)]
+    await rng.choice(kinds)()
+
+
 async def play_planned(fleet: Fleet, first_s: float, rounds: int) -> None:
     """Send requests while daemons get signals one after the other, and endpoints are disturbed.
 
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -9,7 +9,9 @@
 
 from msgspec import Struct
 
+from comfreyhatch.domain.instance import Address
 from tests.endpoint_processes import EndpointEvent, EndpointProcess
+from tests.faulty_link import FaultyLink, LinkFault
 from tests.fleet_callers import Call, Callers
 from tests.fleet_daemons import PORT, Daemons
 from tests.fleet_plan import MAX_ATTEMPTS_BY_KIND, SERVICE_BY_KIND, SIZE_BY_SERVICE, FleetPlan
@@ -30,6 +32,7 @@
 
     Attributes:
         endpoint_by_id: Processes of endpoints.
+        link_by_id: Links to the endpoints, if the plan has any.
         daemons: The daemons.
         plan: What it consists of.
         notes: Times and descriptions of what was done to the fleet.
@@ -41,6 +44,7 @@
         self.plan = plan
         self.rng = Random(seed)
         self.endpoint_by_id: dict[str, EndpointProcess] = {}
+        self.link_by_id: dict[str, FaultyLink] = {}
         self.notes: list[tuple[float, str]] = []
         self.configured: list[Configured] = []
         self.read_services: list[tuple[float, str]] = []
@@ -72,10 +76,28 @@
         await self.daemons.start_all()
 
     async def _start_endpoint(self, endpoint: EndpointProcess) -> None:
-        self._store.put("servers", endpoint.worker_id, await endpoint.start(self.plan.endpoints))
+        number = list(self.endpoint_by_id).index(endpoint.worker_id)
+        zone = self.plan.zones[number % len(self.plan.zones)]
+        row = await endpoint.start(self.plan.endpoints, zone)
+        if self.plan.has_links:
+            row["address"] = str(await self._link_to(endpoint.worker_id, str(row["address"])))
+        self._store.put("servers", endpoint.worker_id, row)
+
+    async def _link_to(self, worker_id: str, address: str) -> Address:
+        """Return the address of the link to an endpoint, which keeps it through restarts."""
+        host, _, port = address.rpartition(":")
+        target = Address(host, int(port))
+        link = self.link_by_id.get(worker_id)
+        if link is None:
+            link = self.link_by_id[worker_id] = FaultyLink(target)
+            await link.start()
+        link.target = target
+        return link.address
 
     async def close(self) -> None:
         self._callers.close()
+        for link in self.link_by_id.values():
+            await link.stop()
         for endpoint in self.endpoint_by_id.values():
             await endpoint.kill()
         await self.daemons.close()
@@ -132,6 +154,21 @@
         self._note(f"{_ids(chosen)} refuse for {for_s:.2f} s")
         await asyncio.gather(*(endpoint.refuse(for_s) for endpoint in chosen))
 
+    async def break_links(self, service: str, share: float, fault: LinkFault, for_s: float) -> None:
+        """Let the links to a share of a service's endpoints have a fault for a time."""
+        chosen = self._chosen(service, share)
+        self._note(f"links to {_ids(chosen)} for {for_s:.2f} s: {fault.value}")
+        links = [self.link_by_id[endpoint.worker_id] for endpoint in chosen]
+        await asyncio.gather(*(link.fail(fault, for_s) for link in links))
+        self._note(f"links to {_ids(chosen)} pass all again")
+
+    async def silence_store(self, for_s: float) -> None:
+        """Let the store answer nothing for a time."""
+        self._note(f"the store is silent for {for_s:.2f} s")
+        self._store.silent = True
+        await asyncio.sleep(for_s)
+        self._store.silent = False
+
     async def crash(self, service: str, down_s: float) -> None:
         """Kill an endpoint, and start it again later."""
         chosen = self._chosen(service, 1.0)
--- a/tests/test_budget_processes.py
+++ b/tests/test_budget_processes.py
@@ -22,7 +22,7 @@
 )
 from tests.endpoint_process import EndpointOptions
 from tests.fleet_plan import FleetPlan
-from tests.fleet_plays import play_falling_load, play_kills, play_waves
+from tests.fleet_plays import play_falling_load, play_kills, play_waves, play_wide
 from tests.platform_processes import Fleet
 from tests.test_repeat_processes import run_fleet
 
@@ -35,6 +35,9 @@
 KILL_SEED = 6
 FALL_SEED = 5
 WAVE_SEED = 1
+WIDE_SEED = 1
+DISTURBANCES = 12
+SHORT_DISTURBANCES = 5
 ENDPOINTS = EndpointOptions(backlog=100, capacity=10, half_close=True, escalating=0.2)
 PLAN = FleetPlan(daemons=6, endpoints=ENDPOINTS, ratio=0.3, window_s=3.0, deadline_s=2.0)
 Check = Callable[[Fleet], list[str]]
@@ -92,6 +95,20 @@
     assert not found, "\n".join(found)
 
 
+@pytest.fixture(scope="module")
+def widely(tmp_path_factory: pytest.TempPathFactory) -> Fleet:
+    """Return a fleet in two zones after silences, kills, and faults of links and of the store."""
+    folder = tmp_path_factory.mktemp("fleet")
+    plan = replace(PLAN, daemons=4, zones=("a", "b"), has_links=True)
+    return run_fleet(folder, WIDE_SEED, plan, lambda f: play_wide(f, SHORT_DISTURBANCES))
+
+
+@pytest.mark.parametrize("check", CHECKS, ids=lambda check: check.__name__)
+def test_fleet_with_faults_of_all_kinds_breaks_no_rule(widely: Fleet, check: Check) -> None:
+    found = check(widely)
+    assert not found, "\n".join(found)
+
+
 def play_kills_beside(
     service: str, share: float, silence_s: tuple[float, float]
 ) -> Callable[[Fleet], Awaitable[None]]:
@@ -119,13 +136,18 @@
     share = rng.choice((0.4, 0.6, 0.6, 0.8))
     endpoints = replace(ENDPOINTS, capacity=rng.choice((2, 10)))
     plan = replace(PLAN, endpoints=endpoints, deadline_s=rng.choice((2.0, 5.0)))
-    kind = rng.choice(("kills", "kills", "kills of sites", "fall", "waves"))
+    kind = rng.choice(("kills", "kills of sites", "fall", "waves", "wide", "wide"))
     if kind == "kills":
         return plan, play_kills_beside(service, share, SILENCE_S), f"{kind} {service} {share}"
     if kind == "kills of sites":
         sites = replace(plan, ratio=0.9, slack=52, window_s=10.0)
         return sites, play_kills_beside(service, share, (7.0, 9.0)), f"{kind} {service} {share}"
     plan = replace(plan, daemons=rng.choice((3, 4, 6)))
+    if kind == "wide":
+        endpoints = replace(plan.endpoints, backlog=rng.choice((1, 100)))
+        zones, has_links = rng.choice((("a",), ("a", "b"))), rng.random() < 0.7
+        plan = replace(plan, endpoints=endpoints, zones=zones, has_links=has_links)
+        return plan, lambda fleet: play_wide(fleet, DISTURBANCES), f"{kind} links={has_links}"
     if kind == "fall":
         return plan, play_fall(service), f"{kind} {service}"
     return plan, lambda fleet: play_waves(fleet, WAVES), kind
