Own fleet: count calls that lose to their hedges against endpoints that answer none

A call of a plain service that was given up, as its hedge was answered first, freed its slot and counted for nothing, so that a silent endpoint was the least loaded one and got the next call. Such a call now counts as a failure of its endpoint's circuit breaker, if it waited for 0.25 s; five in a row without an answer open it, and at most half of a service is passed over, as before. The test failed before: the breaker stayed closed after any number of them.

--- a/comfreyhatch/daemon/dispatch/dispatcher.py
+++ b/comfreyhatch/daemon/dispatch/dispatcher.py
@@ -58,6 +58,8 @@
 SAFE_METHODS = frozenset({"GET", "HEAD"})
 # Age up to which the cached number of engine slots is used.
 SLOT_COUNT_MAX_AGE_S = 0.05
+# A call that was given up after this time, as it lost to its hedge, counts against its endpoint.
+UNANSWERED_S = 0.25
 # Sessions whose last endpoint is remembered for prefix affinity.
 MAX_SESSION_AFFINITIES = 8192
 
@@ -209,9 +211,14 @@
         self, slot: Slot, name: str, request: ServiceRequest, timeout_s: float
     ) -> ServiceAnswer:
         endpoint_id = slot.endpoint.instance_id
-        self._circuits.record_dispatch(endpoint_id, name, monotonic())
+        began = monotonic()
+        self._circuits.record_dispatch(endpoint_id, name, began)
         try:
             answer = await self._service.call(slot.endpoint, request, timeout_s)
+        except asyncio.CancelledError:
+            if monotonic() - began >= UNANSWERED_S:
+                self._circuits.record_failure(endpoint_id, name, monotonic())
+            raise
         except ComfreyhatchError as error:
             if counts_as_endpoint_failure(error):
                 self._circuits.record_failure(endpoint_id, name, monotonic())
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -12,6 +12,7 @@
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_reply import HttpReply
 from comfreyhatch.codes import Ran, ResultCode
+from comfreyhatch.daemon.dispatch.dispatcher import UNANSWERED_S
 from comfreyhatch.decisions.endpoint_choice import FAILURES_TO_OPEN, FIRST_OPEN_S, MAX_OPEN_S
 from comfreyhatch.decisions.retries import RETRY_BURST, RETRY_SHARE
 from comfreyhatch.domain.change import Change, SetContract, WithdrawVersion
@@ -235,6 +236,22 @@
     assert not circuits.unhealthy(["service-a0", "service-a1"], "booking", later)
 
 
+async def test_endpoint_whose_calls_all_lose_to_their_hedges_is_passed_over(
+    fleet: LocalFleet,
+) -> None:
+    # Each call that is given up frees its slot, and made the silent endpoint the least loaded one.
+    dispatcher = fleet.daemon_by_id["entry-a0"].dispatcher
+    fleet.service_by_id["service-a0"].faults.slow_s = 9.0
+    for number in range(FAILURES_TO_OPEN):
+        request = ServiceRequest(f"r-{number}", "GET", "/accounts", b"")
+        call = asyncio.create_task(dispatcher.call("booking", request, 5.0))
+        await asyncio.sleep(1.2 * UNANSWERED_S)
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+    endpoints = ["service-a0", "service-a1"]
+    assert dispatcher._circuits.unhealthy(endpoints, "booking", monotonic()) == {"service-a0"}
+
+
 async def test_refusal_by_the_daemon_itself_is_no_failure_of_the_endpoint(
     fleet: LocalFleet, client: HttpClient
 ) -> None:
