Avoid endpoints from which nothing comes for as long as their requests' target

Now one on which requests of this daemon run, and that has sent nothing for the target time of the request to be placed (1 s at least), is avoided while there are others.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -206,14 +206,19 @@
         """Whether nothing has come since a request was left here as nothing had come."""
         return self.left_silent_at > self.last_received_at
 
-    def is_avoided(self, now: float) -> bool:
+    def is_avoided(self, max_silent_s: float, now: float) -> bool:
         """Return whether requests go elsewhere if they can, as it is silent.
 
-        One request at a time, after a pause, finds out whether it answers again.
+        Once a request was left here, one at a time, after a pause, finds out whether it answers
+        again.
+
+        Args:
+            max_silent_s: Silence while requests run from which it is avoided, in seconds.
+            now: Monotonic time, in seconds.
         """
-        if not self.is_left_silent:
-            return False
-        return self.in_flight > 0 or now < self.left_silent_at + self._silent_pause_s
+        if self.is_left_silent:
+            return self.in_flight > 0 or now < self.left_silent_at + self._silent_pause_s
+        return self.silent_s(now) >= max_silent_s
 
     def silent_s(self, now: float) -> float:
         """Return for how long nothing has come while requests run on it, in seconds; 0 if none.
--- a/comfreyhatch/exchange/eligibility.py
+++ b/comfreyhatch/exchange/eligibility.py
@@ -18,6 +18,9 @@
 # A leaving endpoint gets no request in the last part of its drain time.
 LEAVING_MARGIN_S = 0.5
 
+# Shortest silence of an endpoint, while requests run there, from which it is avoided.
+MIN_SILENT_S = 1.0
+
 
 class EndpointEligibility:
     """Filters endpoints by registration, zone and version."""
@@ -75,7 +78,7 @@
             eligible = past_hold_down or eligible
         if not includes_ejected:
             eligible = [t for t in eligible if now >= t.ejected_until] or eligible
-            eligible = [t for t in eligible if not t.is_avoided(now)] or eligible
+            eligible = [t for t in eligible if not is_avoided(t, job, now)] or eligible
         return [t for t in eligible if t.leaving_since is None] or eligible
 
     def _version_fallback(
@@ -129,3 +132,8 @@
             if now >= tracker.leaving_since + max(0.0, drain_s - LEAVING_MARGIN_S):
                 return False
         return self._view.available(tracker, now) and not self._view.zone_out(tracker.record.zone)
+
+
+def is_avoided(tracker: EndpointTracker, job: Job, now: float) -> bool:
+    """Return whether a request goes elsewhere if it can, as an endpoint is silent."""
+    return tracker.is_avoided(max(MIN_SILENT_S, job.route.aim_s), now)
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -17,7 +17,7 @@
 from comfreyhatch.domain.exchange import Job
 from comfreyhatch.domain.operations import RolloutOrder
 from comfreyhatch.errors import ComfreyhatchError, RefusedError
-from comfreyhatch.exchange.eligibility import EndpointEligibility
+from comfreyhatch.exchange.eligibility import EndpointEligibility, is_avoided
 from comfreyhatch.exchange.endpoint_rates import EndpointRates
 from comfreyhatch.exchange.expected_waits import ExpectedWaits
 from comfreyhatch.exchange.session_pins import SessionPins
@@ -245,7 +245,7 @@
     def has_unavoided(self, job: Job, excluded: set[str], now: float) -> bool:
         """Return whether a request may go to an endpoint that is not avoided as silent."""
         eligible = self._eligibility.endpoints_for(job, excluded, now)
-        return any(not tracker.is_avoided(now) for tracker in eligible)
+        return any(not is_avoided(tracker, job, now) for tracker in eligible)
 
     def was_heard(self, service: str, since: float) -> bool:
         """Return whether any endpoint of a service has sent anything since a monotonic time."""
--- a/tests/test_endpoint_tracker.py
+++ b/tests/test_endpoint_tracker.py
@@ -11,6 +11,7 @@
 from tests.exchange_values import record
 
 NOW = 10.0
+QUIET_S = 1.0
 
 
 def test_unreachable_endpoint_is_ejected_at_once_and_longer_each_time() -> None:
@@ -131,9 +132,9 @@
 def test_endpoint_that_was_left_as_silent_is_avoided_until_something_comes() -> None:
     tracker = EndpointTracker(record("e"), NOW)
     tracker.note_left_silent(NOW, NOW + 0.1)
-    assert tracker.is_left_silent and tracker.is_avoided(NOW + 0.2)
+    assert tracker.is_left_silent and tracker.is_avoided(QUIET_S, NOW + 0.2)
     tracker.last_received_at = NOW + 0.3
-    assert not tracker.is_left_silent and not tracker.is_avoided(NOW + 0.3)
+    assert not tracker.is_left_silent and not tracker.is_avoided(QUIET_S, NOW + 0.3)
 
 
 def test_silent_endpoint_gets_one_request_after_each_of_growing_pauses() -> None:
@@ -142,9 +143,9 @@
     tracker.note_left_silent(NOW, now)
     for _ in range(8):
         tracker.in_flight = 1
-        assert tracker.is_avoided(now + 100.0)
+        assert tracker.is_avoided(QUIET_S, now + 100.0)
         tracker.in_flight = 0
-        pause_s = next(n / 8 for n in range(1, 100) if not tracker.is_avoided(now + n / 8))
+        pause_s = next(n / 8 for n in range(1, 100) if not tracker.is_avoided(QUIET_S, now + n / 8))
         pauses.append(pause_s)
         tracker.note_left_silent(now + pause_s, now + pause_s)
         now += pause_s
@@ -156,4 +157,15 @@
     tracker = EndpointTracker(record("e"), NOW)
     for _ in range(5):
         tracker.note_left_silent(NOW, NOW + 0.1)
-    assert not tracker.is_avoided(NOW + 0.1 + FIRST_SILENT_PAUSE_S)
+    assert not tracker.is_avoided(QUIET_S, NOW + 0.1 + FIRST_SILENT_PAUSE_S)
+
+
+def test_endpoint_from_which_nothing_comes_while_requests_run_is_avoided() -> None:
+    tracker = EndpointTracker(record("e"), NOW)
+    assert not tracker.is_avoided(QUIET_S, NOW + 9.0)
+    tracker.in_flight = 1
+    tracker.busy_since = NOW + 9.0
+    assert not tracker.is_avoided(QUIET_S, NOW + 9.0 + QUIET_S / 2)
+    assert tracker.is_avoided(QUIET_S, NOW + 9.0 + QUIET_S)
+    tracker.last_received_at = NOW + 9.0 + QUIET_S
+    assert not tracker.is_avoided(QUIET_S, NOW + 9.0 + QUIET_S)
