--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -34,6 +34,7 @@
 from comfreyhatch.exchange.endpoint_notices import EndpointNotices
 from comfreyhatch.exchange.endpoint_paths import EndpointPaths
 from comfreyhatch.exchange.endpoint_rates import EndpointRates
+from comfreyhatch.exchange.endpoint_reads import EndpointReads
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.extra_request_budgets import ExtraRequestBudgets
 from comfreyhatch.exchange.header_codec import HeaderCodec
@@ -155,8 +156,7 @@
             self._paths,
             self._relays,
             EndpointNotices(self.view, self._reports),
-            self._unread,
-            former,
+            EndpointReads(self._unread, former),
         )
         self._path_monitor = PathMonitor(
             self.view, self._client, self._paths, PathProbes(rng), sender.note_refused
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -17,10 +17,12 @@
 from comfreyhatch.domain.exchange import Job
 from comfreyhatch.domain.operations import RolloutOrder
 from comfreyhatch.errors import ComfreyhatchError, RefusedError
-from comfreyhatch.exchange.eligibility import EndpointEligibility, is_avoided
+from comfreyhatch.exchange.eligibility import EndpointEligibility
 from comfreyhatch.exchange.endpoint_rates import EndpointRates
+from comfreyhatch.exchange.endpoint_silence import EndpointSilence
 from comfreyhatch.exchange.expected_waits import ExpectedWaits
 from comfreyhatch.exchange.session_pins import SessionPins
+from comfreyhatch.exchange.slot_lease import SlotLease
 from comfreyhatch.exchange.view import FleetView
 
 MAX_QUEUED_PER_SERVICE = 256
@@ -30,38 +32,6 @@
 log = logging.getLogger("comfreyhatch.pool")
 
 
-class SlotLease:
-    """A request's hold on one slot of an endpoint; counts there until it is released.
-
-    Attributes:
-        endpoint: Endpoint of the slot.
-        job: Request that holds it.
-        started: Monotonic time at which it was acquired.
-    """
-
-    __slots__ = ("_pending_s", "endpoint", "job", "started")
-
-    def __init__(self, endpoint: EndpointTracker, job: Job, work_s: float, now: float) -> None:
-        self.endpoint = endpoint
-        self.job = job
-        self.started = now
-        self._pending_s = work_s
-        if not endpoint.in_flight:
-            endpoint.busy_since = now
-        endpoint.in_flight += 1
-        endpoint.pending_s += work_s
-
-    def note_answer_started(self) -> None:
-        """Stop counting the request as work that the endpoint has not started to answer."""
-        self.endpoint.pending_s = max(0.0, self.endpoint.pending_s - self._pending_s)
-        self._pending_s = 0.0
-
-    def free(self) -> None:
-        """Remove the request from the counts of the endpoint."""
-        self.note_answer_started()
-        self.endpoint.in_flight -= 1
-
-
 class _QueuedRequest(Struct):
     """A queued request.
 
@@ -85,7 +55,11 @@
 
 
 class EndpointScheduler:
-    """Assigns requests to endpoints; owns the queue of each service."""
+    """Assigns requests to endpoints; owns the queue of each service.
+
+    Attributes:
+        silence: Which of the endpoints that may serve a request are silent.
+    """
 
     def __init__(
         self,
@@ -114,6 +88,7 @@
         self._rates = rates
         self._refusal_while_queued = refusal
         self._eligibility = EndpointEligibility(deployment, view, is_bad_version, pins)
+        self.silence = EndpointSilence(view, self._eligibility)
         self._queue_by_service: dict[str, list[_QueuedRequest]] = {}
         self._waits = ExpectedWaits(view, self._eligibility, rates, rng)
         self._next_number = count()
@@ -150,7 +125,7 @@
             RefusedError: If no slot is expected to be free in time; has a retry-after time.
         """
         now = asyncio.get_running_loop().time()
-        eligible = self._preferred(job, excluded, max_silent_s, now)
+        eligible = self.silence.preferred(job, excluded, max_silent_s, now)
         lease = self._try_acquire(job, eligible, work_s, now)
         if lease is not None:
             excluded.add(lease.endpoint.record.endpoint_id)
@@ -185,7 +160,7 @@
         """Give a slot to a queued request, or refuse it; return False if it has to wait on."""
         refusal: ComfreyhatchError | None = self._refusal_while_queued(entry.job, now)
         if refusal is None:
-            eligible = self._preferred(entry.job, entry.excluded, entry.max_silent_s, now)
+            eligible = self.silence.preferred(entry.job, entry.excluded, entry.max_silent_s, now)
             lease = self._try_acquire(entry.job, eligible, entry.work_s, now)
             if lease is not None:
                 entry.excluded.add(lease.endpoint.record.endpoint_id)
@@ -237,75 +212,6 @@
         """Return whether any endpoint may serve a request once it has a free slot."""
         return bool(self._eligibility.endpoints_for(job, excluded, now))
 
-    def has_unsuspected(self, job: Job, excluded: set[str], now: float) -> bool:
-        """Return whether a request may go to an endpoint that was not left as silent."""
-        eligible = self._eligibility.endpoints_for(job, excluded, now)
-        return any(not tracker.is_left_silent for tracker in eligible)
-
-    def has_unavoided(self, job: Job, excluded: set[str], now: float) -> bool:
-        """Return whether a request may go to an endpoint that is not avoided as silent."""
-        eligible = self._eligibility.endpoints_for(job, excluded, now)
-        return any(not is_avoided(tracker, job, now) for tracker in eligible)
-
-    def was_heard(self, service: str, since: float) -> bool:
-        """Return whether any endpoint of a service has sent anything since a monotonic time."""
-        trackers = self._view.trackers_by_service.get(service, ())
-        return any(tracker.last_received_at >= since for tracker in trackers)
-
-    def has_responsive(
-        self, job: Job, excluded: set[str], max_silent_s: float, trusts_idle: bool, now: float
-    ) -> bool:
-        """Return whether any endpoint that is not silent may serve a request.
-
-        While several endpoints with requests are silent, the whole service may be. Then one without
-        requests, of which nothing is known, is as likely to be silent.
-
-        Args:
-            job: The request.
-            excluded: Ids of endpoints to leave out.
-            max_silent_s: Silence from which an endpoint counts as silent, in seconds.
-            trusts_idle: Whether endpoints without requests count even then, and ejected ones.
-            now: Monotonic time in seconds.
-        """
-        eligible = self._eligibility.endpoints_for(job, excluded, now, includes_ejected=True)
-        if any(tracker.was_heard(max_silent_s, now) for tracker in eligible):
-            return True
-        if trusts_idle:
-            return any(tracker.may_respond(max_silent_s, now) for tracker in eligible)
-        if self._others_silent(job.service, excluded, max_silent_s, now):
-            return False
-        return any(tracker.responds(max_silent_s, now) for tracker in eligible)
-
-    def _others_silent(
-        self, service: str, excluded: set[str], max_silent_s: float, now: float
-    ) -> bool:
-        """Return whether an endpoint that is not excluded has requests and is silent."""
-        return any(
-            tracker.silent_s(now) >= max_silent_s
-            for tracker in self._view.trackers_by_service.get(service, ())
-            if tracker.record.endpoint_id not in excluded
-        )
-
-    def _preferred(
-        self, job: Job, excluded: set[str], max_silent_s: float | None, now: float
-    ) -> list[EndpointTracker]:
-        """Return the eligible endpoints, those that are not silent if there are any.
-
-        Of these the ones from which something has come lately come first, and ejected ones last.
-        """
-        if max_silent_s is None:
-            return self._eligibility.endpoints_for(job, excluded, now)
-        eligible = self._eligibility.endpoints_for(job, excluded, now, includes_ejected=True)
-        for is_preferred in (
-            EndpointTracker.was_heard,
-            EndpointTracker.responds,
-            EndpointTracker.may_respond,
-        ):
-            preferred = [t for t in eligible if is_preferred(t, max_silent_s, now)]
-            if preferred:
-                return preferred
-        return self._eligibility.endpoints_for(job, excluded, now)
-
     def reachability(self, now: float) -> list[ServiceReachability]:
         """Return the reachable part and the load of each service."""
         return [self._service_reach(service, now) for service in self._view.trackers_by_service]
--- a/comfreyhatch/exchange/sender.py
+++ b/comfreyhatch/exchange/sender.py
@@ -12,9 +12,7 @@
 from comfreyhatch.codes import Ran
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
-from comfreyhatch.decisions.former_attempts import FormerAttempts
 from comfreyhatch.decisions.request_arrivals import AttemptArrival
-from comfreyhatch.decisions.unread_attempts import UnreadAttempts
 from comfreyhatch.domain.exchange import AnswerHead, Dispatch, Job
 from comfreyhatch.domain.relay import EndpointRequest, RequestAt
 from comfreyhatch.errors import (
@@ -35,6 +33,7 @@
 from comfreyhatch.exchange.endpoint_limits import EndpointLimits
 from comfreyhatch.exchange.endpoint_notices import EndpointNotices
 from comfreyhatch.exchange.endpoint_paths import EndpointPaths
+from comfreyhatch.exchange.endpoint_reads import EndpointReads
 from comfreyhatch.exchange.header_codec import HeaderCodec
 from comfreyhatch.exchange.health import note_lost_answer
 from comfreyhatch.exchange.relay_client import RelayClient
@@ -48,7 +47,11 @@
 
 
 class Sender:
-    """Sends requests to endpoints, and updates the endpoints' health and load by the answers."""
+    """Sends requests to endpoints, and updates the endpoints' health and load by the answers.
+
+    Attributes:
+        reads: Notes what endpoints have read, and which ones are silent.
+    """
 
     def __init__(
         self,
@@ -60,8 +63,7 @@
         paths: EndpointPaths,
         relays: RelayClient,
         notices: EndpointNotices,
-        unread: UnreadAttempts,
-        former: FormerAttempts,
+        reads: EndpointReads,
     ) -> None:
         """Create a sender.
 
@@ -74,11 +76,9 @@
             paths: Notes which endpoints are within reach.
             relays: Sends requests by way of other daemons.
             notices: Learns what endpoints announce of themselves.
-            unread: Attempts that endpoints may not have read; updated.
-            former: What a former process may have left at endpoints; updated.
+            reads: Notes what endpoints have read.
         """
-        self._unread = unread
-        self._former = former
+        self.reads = reads
         self._paths = paths
         self._relays = relays
         self._notices = notices
@@ -112,7 +112,7 @@
         loop = asyncio.get_running_loop()
         stack = AsyncExitStack()
         sent_at = loop.time()
-        self._former.note_sent(job.service, sent_at)
+        self.reads.note_sent(job.service, sent_at)
 
         def request_at(now: float) -> EndpointRequest:
             waited_s = now - sent_at
@@ -140,7 +140,7 @@
                 arrival.note_read(loop.time())
             else:
                 # What came, if anything, may belong to no request, or to another one.
-                self._give_up(endpoint, arrival)
+                self.reads.give_up(endpoint, arrival, loop.time())
             await stack.aclose()
             if isinstance(error, EndpointWithdrawnError):
                 endpoint.record_withdrawn(loop.time())
@@ -150,25 +150,18 @@
             self._count(AttemptOutcome.UNREACHABLE if unreachable else AttemptOutcome.LOST)
             raise _backend_error(error) from error
         except BackendError as error:
-            self._give_up(endpoint, arrival)
+            self.reads.give_up(endpoint, arrival, loop.time())
             await stack.aclose()
             refused = isinstance(error, BackendRefusedError)
             self._count(AttemptOutcome.REFUSED if refused else AttemptOutcome.FAILED)
             raise
         except BaseException:
-            self._give_up(endpoint, arrival)
+            self.reads.give_up(endpoint, arrival, loop.time())
             await stack.aclose()
             raise
         self._count(AttemptOutcome.ANSWERED if head.success else AttemptOutcome.FAILED)
         return StreamedAnswer(head, endpoint, reply, stack, self._memory)
 
-    def _give_up(self, endpoint: EndpointTracker, arrival: AttemptArrival) -> None:
-        """Note that an attempt is given up; it may arrive yet if it was sent and not answered."""
-        arrival.end_unsent()
-        if arrival.is_open:
-            now = asyncio.get_running_loop().time()
-            self._unread.add(endpoint.record.endpoint_id, arrival, now)
-
     @asynccontextmanager
     async def _exchange(
         self, endpoint: EndpointTracker, request_at: RequestAt, arrival: AttemptArrival
@@ -272,26 +265,7 @@
         While the paths to its whole service are lost, the refusal may come from the network.
         """
         if not self._paths.is_relayed(endpoint, now):
-            ended = self._unread.note_ended(endpoint.record.endpoint_id, now)
-            _log_unread(endpoint, ended, "ended")
-
-    def note_left_silent(self, endpoint: EndpointTracker, sent_at: float, now: float) -> None:
-        """Note that a request is left at an endpoint, or sent elsewhere, too, as nothing has come.
-
-        Args:
-            endpoint: The endpoint, which is avoided from now on.
-            sent_at: Monotonic time at which the request was sent, in seconds.
-            now: Monotonic time in seconds.
-        """
-        if not endpoint.is_left_silent:
-            log.info(
-                "event=endpoint_silent endpoint=%s running=%d silent_s=%.2f",
-                endpoint.record.endpoint_id,
-                endpoint.in_flight,
-                now - max(endpoint.last_received_at, endpoint.busy_since),
-            )
-        endpoint.note_left_silent(sent_at, now)
-        self._former.note_silent(endpoint.record.service, endpoint.record.endpoint_id, now)
+            self.reads.note_ended(endpoint, now)
 
     async def fetch(
         self,
@@ -347,9 +321,7 @@
         self, endpoint: EndpointTracker, head: AnswerHead, sent_at: float, now: float
     ) -> None:
         endpoint.last_received_at = now
-        read = self._unread.note_answer(endpoint.record.endpoint_id, sent_at, now)
-        _log_unread(endpoint, read, "answered")
-        self._former.note_answer(endpoint.record.service, endpoint.record.endpoint_id, now)
+        self.reads.note_answer(endpoint, sent_at, now)
         if not head.misdirected:
             self._limits.note_answer(endpoint, head, sent_at, now)
             self._notices.note_answer(endpoint, head, now)
@@ -363,17 +335,6 @@
             endpoint.record_failed_answer()
 
 
-def _log_unread(endpoint: EndpointTracker, attempts: int, reason: str) -> None:
-    """Log that attempts which were given up no longer wait at an endpoint."""
-    if attempts:
-        log.info(
-            "event=unread_attempts_settled endpoint=%s attempts=%d reason=%s",
-            endpoint.record.endpoint_id,
-            attempts,
-            reason,
-        )
-
-
 def _require_own_answer(job: Job, head: AnswerHead) -> None:
     """Raise an error if an answer may belong to another request.
 
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -27,8 +27,9 @@
 from comfreyhatch.exchange.event_relay import EventRelay, require_time
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.health import note_lost_answer
-from comfreyhatch.exchange.scheduler import EndpointScheduler, SlotLease
+from comfreyhatch.exchange.scheduler import EndpointScheduler
 from comfreyhatch.exchange.sender import Sender
+from comfreyhatch.exchange.slot_lease import SlotLease
 from comfreyhatch.exchange.stall_watchdog import StallWatchdog
 from comfreyhatch.exchange.stream_retries import StreamRetries
 from comfreyhatch.exchange.stream_state import DEADLINE_MARGIN_S, StreamState
@@ -228,12 +229,12 @@
         last = {stream.endpoint_id}
         if stream.max_silent_s is not None:
             for excluded in (tried, last):
-                if self._scheduler.has_responsive(
+                if self._scheduler.silence.has_responsive(
                     stream.job, excluded, stream.max_silent_s, True, now
                 ):
                     return excluded
         for excluded in (tried, last, set()):
-            if self._scheduler.has_unavoided(stream.job, excluded, now):
+            if self._scheduler.silence.has_unavoided(stream.job, excluded, now):
                 return excluded
         for excluded in (tried, last):
             if self._scheduler.has_candidates(stream.job, excluded, now):
--- a/comfreyhatch/exchange/stream_retries.py
+++ b/comfreyhatch/exchange/stream_retries.py
@@ -63,7 +63,7 @@
     def _reserve_retry(self, stream: StreamState, now: float) -> bool:
         """Reserve a retry, unless only endpoints could get it that are avoided as silent."""
         repeats = stream.arrivals.any_possible
-        if repeats and not self._scheduler.has_unavoided(stream.job, set(), now):
+        if repeats and not self._scheduler.silence.has_unavoided(stream.job, set(), now):
             return False
         return self.reserve(stream, now)
 
@@ -115,7 +115,7 @@
         if not self.reserve(stream, now):
             return False
         if max_silent_s is not None and stream.lease is not None:
-            self._sender.note_left_silent(stream.lease.endpoint, stream.lease.started, now)
+            self._sender.reads.note_left_silent(stream.lease.endpoint, stream.lease.started, now)
         stream.give_up_attempt(max_silent_s)
         return True
 
@@ -125,7 +125,7 @@
         What is sent to a service that is silent as a whole only waits there, too.
         """
         service = stream.job.service
-        is_heard = self._scheduler.was_heard(service, now - max_silent_s)
+        is_heard = self._scheduler.silence.was_heard(service, now - max_silent_s)
         if not is_heard and not self._budget(service).bears_unheard():
             return False
         return self._has_responsive(stream, max_silent_s, now)
@@ -134,7 +134,7 @@
         """Return whether another endpoint than the current one may respond."""
         last = {stream.endpoint_id}
         hangs = stream.waited_s(now) >= stream.stall_limits.alive_s
-        return self._scheduler.has_responsive(stream.job, last, max_silent_s, hangs, now)
+        return self._scheduler.silence.has_responsive(stream.job, last, max_silent_s, hangs, now)
 
 
 async def _pause(stream: StreamState) -> bool:
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -20,7 +20,7 @@
 )
 from comfreyhatch.exchange.crash_guard import GuardedAttempt
 from comfreyhatch.exchange.events import event_id, has_content
-from comfreyhatch.exchange.scheduler import SlotLease
+from comfreyhatch.exchange.slot_lease import SlotLease
 
 MAX_GAPS = 40
 # Reserved before the deadline; no attempt is started with less time left.
--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -26,8 +26,9 @@
 from comfreyhatch.exchange.attempts import final_error
 from comfreyhatch.exchange.crash_guard import CrashGuard
 from comfreyhatch.exchange.evidence import EvidenceCollector
-from comfreyhatch.exchange.scheduler import EndpointScheduler, SlotLease
+from comfreyhatch.exchange.scheduler import EndpointScheduler
 from comfreyhatch.exchange.sender import Sender
+from comfreyhatch.exchange.slot_lease import SlotLease
 
 # Reserved before the deadline to return the answer to the caller.
 DEADLINE_MARGIN_S = 0.01
@@ -191,7 +192,7 @@
         """
         for lease in call.lease_by_attempt.values():
             if lease.endpoint.last_received_at < lease.started:
-                self._sender.note_left_silent(lease.endpoint, lease.started, now)
+                self._sender.reads.note_left_silent(lease.endpoint, lease.started, now)
         call.is_patient = True
         if call.hedged or not call.job.route.repeatable:
             return False
@@ -208,11 +209,11 @@
         What is sent to a service that is silent as a whole only waits there, too.
         """
         job = call.job
-        if not self._scheduler.has_unsuspected(job, call.tried_ids, now):
+        if not self._scheduler.silence.has_unsuspected(job, call.tried_ids, now):
             return False
         sent_at = [lease.started for lease in call.lease_by_attempt.values()]
         since = max(now - LONGEST_QUIET_S, min(sent_at, default=job.arrived))
-        if self._scheduler.was_heard(job.service, since):
+        if self._scheduler.silence.was_heard(job.service, since):
             return True
         return self._budget(job.service).bears_unheard()
 
@@ -236,7 +237,7 @@
         """Reserve an extra request for the next attempt; return whether the budget allows it."""
         budget = self._budget(call.job.service)
         repeats = call.arrivals.any_possible
-        if repeats and not self._scheduler.has_unavoided(call.job, call.tried_ids, now):
+        if repeats and not self._scheduler.silence.has_unavoided(call.job, call.tried_ids, now):
             return False
         return call.arrivals.reserve(budget, now)
 
