--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,11 @@
 import pytest
 from hypothesis import HealthCheck, settings
 
+from comfreyhatch.adapters.http_client import HttpClient
+from comfreyhatch.platform.directory import StoreDirectory
+from comfreyhatch.platform.store import StoreClient
 from tests.platform_harness import PlatformHarness, running_harness
+from tests.platform_store import StandInStore
 
 settings.register_profile(
     "ci",
@@ -41,3 +45,34 @@
     """Yield a store, two workers of each service and a ready daemon on the users' platform."""
     async with running_harness() as running:
         yield running
+
+
+@pytest.fixture
+async def client() -> AsyncIterator[HttpClient]:
+    """Yield an HTTP client."""
+    client = HttpClient()
+    yield client
+    client.close()
+
+
+@pytest.fixture
+async def store() -> AsyncIterator[StandInStore]:
+    """Yield a stand-in of the platform's store, which runs."""
+    store = StandInStore()
+    await store.start()
+    yield store
+    await store.stop()
+
+
+@pytest.fixture
+async def store_client(store: StandInStore) -> AsyncIterator[StoreClient]:
+    """Yield a client of the platform's store."""
+    client = StoreClient(store.address)
+    yield client
+    client.close()
+
+
+@pytest.fixture
+def directory(store_client: StoreClient) -> StoreDirectory:
+    """Return the directory in the platform's store."""
+    return StoreDirectory(store_client)
--- a/tests/test_billing.py
+++ b/tests/test_billing.py
@@ -89,14 +89,6 @@
     assert any("large" in line and "0.256000" in line for line in usage_lines([batch]))
 
 
-@pytest.fixture
-async def store() -> AsyncIterator[StandInStore]:
-    stand_in = StandInStore()
-    await stand_in.start()
-    yield stand_in
-    await stand_in.stop()
-
-
 @pytest.fixture
 async def store_directory(store: StandInStore) -> AsyncIterator[StoreDirectory]:
     client = StoreClient(store.address)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -21,13 +21,6 @@
         yield running
 
 
-@pytest.fixture
-async def client() -> AsyncIterator[HttpClient]:
-    client = HttpClient()
-    yield client
-    client.close()
-
-
 @pytest.mark.parametrize("entry", ["entry-a0", "entry-b1"])
 async def test_chat_is_answered_completely_in_either_zone(
     fleet: LocalFleet, client: HttpClient, entry: str
--- a/tests/test_directory_sync.py
+++ b/tests/test_directory_sync.py
@@ -192,6 +192,13 @@
     assert follower.view.operations_age_s(asyncio.get_running_loop().time()) < 1.0
 
 
+def take_zone_out(daemon: _Daemon) -> None:
+    """Let the directory of a daemon tell that zone c is out."""
+    daemon.directory.current_operations = replace(
+        UPDATE.operations, revision=8, zones_out=frozenset({"c"})
+    )
+
+
 async def test_follower_polls_the_directory_once_its_reader_is_silent(
     reader_and_follower: tuple[_Daemon, _Daemon],
 ) -> None:
@@ -199,9 +206,7 @@
     await asyncio.sleep(1.5)
     assert await _stopped_polling(follower)
     await reader.stop()
-    follower.directory.current_operations = replace(
-        UPDATE.operations, revision=8, zones_out=frozenset({"c"})
-    )
+    take_zone_out(follower)
     await _until(lambda: follower.view.zone_out("c"), 1.5)
 
 
@@ -212,9 +217,7 @@
     await asyncio.sleep(1.5)
     assert await _stopped_polling(follower)
     reader.directory.available = False
-    follower.directory.current_operations = replace(
-        UPDATE.operations, revision=8, zones_out=frozenset({"c"})
-    )
+    take_zone_out(follower)
     await _until(lambda: follower.view.zone_out("c"), 2.0)
 
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -40,13 +40,6 @@
     return fleet.engine_by_id["engine-a0"]
 
 
-@pytest.fixture
-async def client() -> AsyncIterator[HttpClient]:
-    client = HttpClient()
-    yield client
-    client.close()
-
-
 def expected_answers(reply: HttpReply) -> list[str]:
     """Return the answers that the engine generates in the first or second run of a request."""
     request_id, version_id = (reply.header_by_name[n] for n in ("x-request-id", "x-version"))
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -32,13 +32,6 @@
         yield running
 
 
-@pytest.fixture
-async def client() -> AsyncIterator[HttpClient]:
-    client = HttpClient()
-    yield client
-    client.close()
-
-
 def service_of(fleet: LocalFleet) -> ServiceStandin:
     return fleet.service_by_id["service-a0"]
 
--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -1,10 +1,8 @@
 """A configuration that has grown by many routes comes into force in time over narrow links."""
 
 import asyncio
-from collections.abc import AsyncIterator
 from random import Random
 
-import pytest
 from msgspec.json import encode as encode_json
 from msgspec.msgpack import encode
 
@@ -44,14 +42,6 @@
     return {**found, "routes": [*found["routes"], *added]}  # type: ignore[misc]
 
 
-@pytest.fixture
-async def store() -> AsyncIterator[StandInStore]:
-    store = StandInStore()
-    await store.start()
-    yield store
-    await store.stop()
-
-
 async def test_configuration_that_a_link_needs_seconds_for_is_read(store: StandInStore) -> None:
     # Every read ended after 0.8 s and was repeated, so that the configuration never came.
     store.put("op", "config", large_config(1, 3 * ADDED_ROUTES))
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -6,8 +6,6 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
-import pytest
-
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.daemon.dispatch.slot_pool import SlotPool
 from comfreyhatch.domain.instance import Address, Instance, Role
@@ -21,13 +19,6 @@
 SETTINGS = "[endpoints]\norphan_hold_s = 1\n[shutdown]\nbalancer_s = 0\n"
 
 
-@pytest.fixture
-async def client() -> AsyncIterator[HttpClient]:
-    client = HttpClient()
-    yield client
-    client.close()
-
-
 @asynccontextmanager
 async def fleet_with_one_engine(
     limit: int, *zones: str
--- a/tests/test_platform_directory.py
+++ b/tests/test_platform_directory.py
@@ -1,7 +1,6 @@
 """StoreClient and StoreDirectory against a stand-in for the platform's store."""
 
 import asyncio
-from collections.abc import AsyncIterator
 
 import pytest
 from msgspec.structs import replace
@@ -23,69 +22,55 @@
 ROLLOUT = RolloutRecord("engines", "v2", 5, RolloutState.RUNNING, 0.1, 10, 10)
 
 
-@pytest.fixture
-async def store() -> AsyncIterator[StandInStore]:
-    stand_in = StandInStore()
-    await stand_in.start()
-    yield stand_in
-    await stand_in.stop()
-
-
-@pytest.fixture
-async def client(store: StandInStore) -> AsyncIterator[StoreClient]:
-    store_client = StoreClient(store.address)
-    yield store_client
-    store_client.close()
-
-
-@pytest.fixture
-def directory(client: StoreClient) -> StoreDirectory:
-    return StoreDirectory(client)
-
-
-async def test_read_fetches_all_pages(store: StandInStore, client: StoreClient) -> None:
+async def test_read_fetches_all_pages(store: StandInStore, store_client: StoreClient) -> None:
     for number in range(1203):
         store.put("t", f"k{number:05}", {"n": number})
-    table = await client.read("t")
+    table = await store_client.read("t")
     assert [row.key for row in table.rows] == [f"k{n:05}" for n in range(1203)]
     assert store.calls.count("/rows-get") == 3
 
 
-async def test_write_checks_expected_revision(store: StandInStore, client: StoreClient) -> None:
-    assert await client.write([Write("t", "k", b"1", 0)]) is WriteResult.DONE
-    assert await client.write([Write("t", "k", b"2", 0)]) is WriteResult.CONFLICT
-    (row,) = (await client.read("t")).rows
+async def test_write_checks_expected_revision(
+    store: StandInStore, store_client: StoreClient
+) -> None:
+    assert await store_client.write([Write("t", "k", b"1", 0)]) is WriteResult.DONE
+    assert await store_client.write([Write("t", "k", b"2", 0)]) is WriteResult.CONFLICT
+    (row,) = (await store_client.read("t")).rows
     assert row.value == b"1"
     assert (
-        await client.write([Write("t", "k", b"2", row.revision, row.generation)])
+        await store_client.write([Write("t", "k", b"2", row.revision, row.generation)])
         is WriteResult.DONE
     )
 
 
-async def test_unanswered_write_returns_unknown(store: StandInStore, client: StoreClient) -> None:
+async def test_unanswered_write_returns_unknown(
+    store: StandInStore, store_client: StoreClient
+) -> None:
     store.losing_answers = True
-    assert await client.write([Write("t", "k", b"1", 0)]) is WriteResult.UNKNOWN
-    assert (await client.read("t")).rows[0].value == b"1"
+    assert await store_client.write([Write("t", "k", b"1", 0)]) is WriteResult.UNKNOWN
+    assert (await store_client.read("t")).rows[0].value == b"1"
 
 
-async def test_read_times_out_if_store_is_silent(store: StandInStore, client: StoreClient) -> None:
+async def test_read_times_out_if_store_is_silent(
+    store: StandInStore, store_client: StoreClient
+) -> None:
     store.silent = True
     started = asyncio.get_running_loop().time()
     with pytest.raises(PlatformError):
-        await client.read("t")
+        await store_client.read("t")
     assert asyncio.get_running_loop().time() - started < 1.5
 
 
 async def test_refused_read_and_missing_history_raise(
-    store: StandInStore, client: StoreClient
+    store: StandInStore, store_client: StoreClient
 ) -> None:
     store.put("t", "k", {})
     store.forget_history()
     with pytest.raises(HistoryGoneError):
-        await client.follow("t", Position(), 0.1)
+        await store_client.follow("t", Position(), 0.1)
     store.refusing = True
     with pytest.raises(PlatformError, match="503"):
-        await client.read("t")
+        await store_client.read("t")
 
 
 async def test_operations_follow_changes_and_removals(
--- a/tests/test_record_finder.py
+++ b/tests/test_record_finder.py
@@ -31,13 +31,6 @@
         yield running
 
 
-@pytest.fixture
-async def client() -> AsyncIterator[HttpClient]:
-    client = HttpClient()
-    yield client
-    client.close()
-
-
 async def get(client: HttpClient, fleet: LocalFleet, entry: str, target: str) -> tuple[int, Any]:
     operators = fleet.addresses_by_id[entry].operators
     reply = await client.request(operators, "GET", target)
--- a/tests/test_rollout_path.py
+++ b/tests/test_rollout_path.py
@@ -42,13 +42,6 @@
         yield running
 
 
-@pytest.fixture
-async def client() -> AsyncIterator[HttpClient]:
-    client = HttpClient()
-    yield client
-    client.close()
-
-
 def operators(fleet: LocalFleet, client: HttpClient) -> OperatorClient:
     return OperatorClient(client, [a.operators for a in fleet.addresses_by_id.values()])
 
--- a/tests/test_session_path.py
+++ b/tests/test_session_path.py
@@ -30,13 +30,6 @@
         yield running
 
 
-@pytest.fixture
-async def client() -> AsyncIterator[HttpClient]:
-    client = HttpClient()
-    yield client
-    client.close()
-
-
 async def ask(
     fleet: LocalFleet, client: HttpClient, name: str, session: str, token: str = ""
 ) -> HttpReply:
--- a/tests/test_store_generations.py
+++ b/tests/test_store_generations.py
@@ -21,26 +21,6 @@
 ROLLOUT = RolloutRecord("engines", "v2", 5, RolloutState.RUNNING, 0.1, 10, 10)
 
 
-@pytest.fixture
-async def store() -> AsyncIterator[StandInStore]:
-    stand_in = StandInStore()
-    await stand_in.start()
-    yield stand_in
-    await stand_in.stop()
-
-
-@pytest.fixture
-async def client(store: StandInStore) -> AsyncIterator[StoreClient]:
-    store_client = StoreClient(store.address)
-    yield store_client
-    store_client.close()
-
-
-@pytest.fixture
-def directory(client: StoreClient) -> StoreDirectory:
-    return StoreDirectory(client)
-
-
 @pytest.fixture
 async def harness() -> AsyncIterator[PlatformHarness]:
     async with running_harness() as found:
@@ -112,7 +92,7 @@
 
 
 async def test_answer_of_an_older_generation_that_arrives_late_changes_nothing(
-    store: StandInStore, client: StoreClient, directory: StoreDirectory
+    store: StandInStore, store_client: StoreClient, directory: StoreDirectory
 ) -> None:
     store.put("op", "evacuate/a", {})
     copy = store.copy()
@@ -123,8 +103,8 @@
     await until(lambda: "/rows-get" in store.calls)
     await asyncio.sleep(0.05)
     store.restore(copy)
-    await client.write([Write("t", "k", b"", 0)])
-    assert client.generation == 2
+    await store_client.write([Write("t", "k", b"", 0)])
+    assert store_client.generation == 2
     store.delaying_answers = False
     with pytest.raises(LateAnswerError):
         await late
@@ -149,12 +129,14 @@
 
 
 async def test_conditional_write_in_flight_across_the_return_is_unknown(
-    store: StandInStore, client: StoreClient
+    store: StandInStore, store_client: StoreClient
 ) -> None:
     store.put("t", "k", b"1")
-    (row,) = (await client.read("t")).rows
+    (row,) = (await store_client.read("t")).rows
     store.delaying_writes = True
-    write = asyncio.create_task(client.write([Write("t", "k", b"2", row.revision, row.generation)]))
+    write = asyncio.create_task(
+        store_client.write([Write("t", "k", b"2", row.revision, row.generation)])
+    )
     await until(lambda: "/rows-tx" in store.calls)
     store.restore(store.copy())
     store.delaying_writes = False
@@ -162,15 +144,15 @@
 
 
 async def test_write_acknowledged_by_an_older_generation_is_unknown(
-    store: StandInStore, client: StoreClient
+    store: StandInStore, store_client: StoreClient
 ) -> None:
     copy = store.copy()
     store.delayed_paths = {"/rows-tx"}
     store.delaying_answers = True
-    write = asyncio.create_task(client.write([Write("t", "k", b"1", 0)]))
+    write = asyncio.create_task(store_client.write([Write("t", "k", b"1", 0)]))
     await until(lambda: ("t", "k") in store.row_by_key)
     store.restore(copy)
-    await client.read("t")
+    await store_client.read("t")
     store.delaying_answers = False
     assert await write is WriteResult.UNKNOWN
 
