--- a/tests/endpoint_processes.py
+++ b/tests/endpoint_processes.py
@@ -53,13 +53,19 @@
         known = len(self._ports())
         command = ("tests.endpoint_process", self.worker_id, str(self.log_path), encode(options))
         # Stopped processes get SIGHUP when their group's last parent outside of it ends.
-        process = await asyncio.create_subprocess_exec(
+        started = await asyncio.create_subprocess_exec(
             sys.executable, "-m", *command, start_new_session=True
         )
-        self._process = DaemonProcess(process, self.log_path)
-        async with asyncio.timeout(START_TIMEOUT_S):
-            while len(ports := self._ports()) == known:
-                await asyncio.sleep(POLL_S)
+        process = DaemonProcess(started, self.log_path)
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                while len(ports := self._ports()) == known:
+                    await asyncio.sleep(POLL_S)
+        except BaseException:
+            await process.kill()
+            raise
+        # From now on it may be stopped and killed; before, a silence would delay its start.
+        self._process = process
         self._born += 1
         worker = StandInWorker(self.worker_id)
         worker.address = Address("127.0.0.1", ports[-1])
