--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -96,13 +96,14 @@
             while True:
                 done, tasks = await asyncio.wait(
                     tasks,
-                    timeout=self._patience_s(call),
+                    timeout=self._next_look_s(call),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 answer = _best_answer(done, call)
                 if answer is not None and (not tasks or answer.head.success):
                     return answer
                 if not done:
+                    self._note_overdue(call, asyncio.get_running_loop().time())
                     if self._take_hedge(call, asyncio.get_running_loop().time()):
                         tasks = tasks | {self._start_attempt(call)}
                 elif not tasks:
@@ -184,16 +185,19 @@
         self._scheduler.pin_session(job, endpoint.record.version, now)
         return await self._sender.fetch(job, endpoint, dispatch, max(0.0, left_s), arrival)
 
+    def _note_overdue(self, call: "_UnaryCall", now: float) -> None:
+        """Note that the usual time for an answer has passed, and which endpoints are silent."""
+        call.is_overdue = True
+        for lease in call.lease_by_attempt.values():
+            if lease.endpoint.last_received_at < lease.started:
+                self._sender.reads.note_left_silent(lease.endpoint, lease.started, now)
+
     def _take_hedge(self, call: "_UnaryCall", now: float) -> bool:
         """Return whether to send a hedged attempt, and reserve it in the budget.
 
         One that the budget or the route denies is not tried again; one for which there is no
         endpoint that answers is.
         """
-        for lease in call.lease_by_attempt.values():
-            if lease.endpoint.last_received_at < lease.started:
-                self._sender.reads.note_left_silent(lease.endpoint, lease.started, now)
-        call.is_patient = True
         if call.hedged or not call.job.route.repeatable:
             return False
         if not self._is_worth_a_repeat(call, now):
@@ -235,16 +239,15 @@
 
     def _reserve(self, call: "_UnaryCall", now: float) -> bool:
         """Reserve an extra request for the next attempt; return whether the budget allows it."""
-        budget = self._budget(call.job.service)
         repeats = call.arrivals.any_possible
         if repeats and not self._scheduler.silence.has_unavoided(call.job, call.tried_ids, now):
             return False
-        return call.arrivals.reserve(budget, now)
+        return call.arrivals.reserve(self._budget(call.job.service), now)
 
-    def _patience_s(self, call: "_UnaryCall") -> float | None:
+    def _next_look_s(self, call: "_UnaryCall") -> float | None:
         """Return the wait until the next look at a call's endpoints; None if there is none."""
         job = call.job
-        if call.is_patient:
+        if call.is_overdue:
             return None if call.hedged or not job.route.repeatable else RECHECK_S
         window = self._latencies_by_route.get(job.route.name)
         if window is None:
@@ -266,7 +269,7 @@
         tried_ids: Endpoints that an attempt was given a slot of.
         arrivals: Arrivals of the attempts.
         lease_by_attempt: Slots of the attempts that are at endpoints.
-        is_patient: Whether the usual time for an answer has passed.
+        is_overdue: Whether the usual time for an answer has passed.
         hedged: Whether a hedged attempt was sent or denied; there is one at most.
         answer: Last failed answer of an endpoint.
         error: Error of the last attempt; None if it got an answer.
@@ -278,7 +281,7 @@
         "arrivals",
         "error",
         "hedged",
-        "is_patient",
+        "is_overdue",
         "job",
         "lease_by_attempt",
         "tried_ids",
@@ -290,7 +293,7 @@
         self.tried_ids: set[str] = set()
         self.arrivals = RequestArrivals()
         self.lease_by_attempt: dict[CountedAttempt, SlotLease] = {}
-        self.is_patient = False
+        self.is_overdue = False
         self.hedged = False
         self.answer: BufferedAnswer | None = None
         self.error: ComfreyhatchError | None = None
--- a/tests/test_copied_processes.py
+++ b/tests/test_copied_processes.py
@@ -16,6 +16,7 @@
 from msgspec.structs import replace
 
 from tests.copying_writer import CopyOptions
+from tests.deadline_checks import too_much_time
 from tests.endpoint_logs import (
     answers_of_others,
     failed_beside_copies,
@@ -57,6 +58,7 @@
 CHECKS: tuple[Check, ...] = (
     too_many_endpoints,
     repeats_beyond_budget,
+    too_much_time,
     refused_though_run,
     ran_twice,
     answers_of_others,
--- a/tests/test_repeat_processes.py
+++ b/tests/test_repeat_processes.py
@@ -13,6 +13,7 @@
 import pytest
 from msgspec.structs import replace
 
+from tests.deadline_checks import too_much_time
 from tests.endpoint_logs import (
     ran_twice,
     refused_though_run,
@@ -52,7 +53,12 @@
 STOPPED_PLAN = FleetPlan(ratio=0.5, window_s=2.0, deadline_s=6.0)
 Check = Callable[[Fleet], list[str]]
 # Callers of daemons that are killed get no answers, so that no check of answers applies.
-CHECKS: tuple[Check, ...] = (too_many_endpoints, repeats_beyond_budget, refused_though_run)
+CHECKS: tuple[Check, ...] = (
+    too_many_endpoints,
+    repeats_beyond_budget,
+    refused_though_run,
+    too_much_time,
+)
 
 
 def run_fleet(
--- a/tests/test_silent_processes.py
+++ b/tests/test_silent_processes.py
@@ -12,6 +12,7 @@
 import pytest
 from msgspec.json import decode
 
+from tests.deadline_checks import too_much_time
 from tests.endpoint_logs import (
     cut_and_left,
     late_begins,
@@ -38,6 +39,7 @@
 CHECKS: tuple[Check, ...] = (
     too_many_endpoints,
     repeats_beyond_budget,
+    too_much_time,
     lost,
     cut_and_left,
     ran_twice,
