Show repeats at a service that falls silent as a whole just after it has answered

The endpoints' logs show what waited: hedges, each of a request sent in the last 0.3 s before the stop, and sent 0.04 to 0.5 s after it. Something had come from the service since such a request was sent, and so the slack did not bound its hedge; that was before the silence.

Hypothesis: an answer that is older than the repeats which wait tells nothing of them.

--- a/tests/fleet_plays.py
+++ b/tests/fleet_plays.py
@@ -28,7 +28,7 @@
 KILL_GAP_S = 0.2
 CALM_S = 2.5
 # A load that falls this time after the begin of a silence, in multiples of `RATES`.
-HIGH_LOAD = 1.5
+HIGH_LOAD = 4.0
 LOW_LOAD = 0.05
 FALL_S = 2.0
 # A load that rises and falls by turns.
--- a/tests/test_known_silent_endpoints.py
+++ b/tests/test_known_silent_endpoints.py
@@ -10,6 +10,9 @@
 REQUESTS = 60
 # The first ones, until one has waited for the usual time, and one after each pause.
 MOST_UNREAD = 8
+# Of the two endpoints.
+SLOTS = 8
+USUAL_S = 0.15
 
 
 async def send_all(harness: PlatformHarness, path: str) -> list[int]:
@@ -71,3 +74,35 @@
     await asyncio.gather(*(harness.send("/read/x") for _ in range(REQUESTS // 2)))
     assert budget.remaining(monotonic()) > 1
     assert budget.reserved <= 1
+
+
+async def test_requests_sent_just_before_a_whole_service_falls_silent_get_few_repeats(
+    harness: PlatformHarness,
+) -> None:
+    # The last answers come after all were sent, and tell nothing of the time after them.
+    desks = [harness.worker_by_id[name] for name in ("desk-1", "desk-2")]
+
+    def received() -> int:
+        return sum(len(desk.received) for desk in desks)
+
+    for desk in desks:
+        desk.answer_delay_s = USUAL_S
+    for _ in range(REQUESTS // SLOTS):
+        await asyncio.gather(*(harness.send("/read/x") for _ in range(SLOTS - 1)))
+    budget = harness.daemon._budgets.of("desk")
+    harness.daemon._budgets._slack = lambda: 0.0
+    before = received()
+    last = asyncio.Event()
+    for desk in desks:
+        desk.hold, desk.answer_delay_s = last, 0.0
+    answered = [asyncio.create_task(harness.send("/read/x")) for _ in desks]
+    await harness.wait_until(lambda: received() == before + len(desks))
+    for desk in desks:
+        desk.hold = asyncio.Event()
+    waiting = [asyncio.create_task(harness.send("/read/x")) for _ in range(SLOTS // 2)]
+    await harness.wait_until(lambda: received() == before + len(desks) + SLOTS // 2)
+    last.set()
+    await asyncio.gather(*answered)
+    await asyncio.gather(*waiting)
+    assert budget.remaining(monotonic()) > 1
+    assert budget.reserved <= 1
