Let what came from a service before a hedge not stand for what comes after it

Cause: a hedge was taken to be worth sending while anything had come from its service since its request was sent. That may have been before the service fell silent, and all requests of the last hedge delay before that sent one, each within the ratio of a load that was gone as they arrived.

Hedges now draw on the daemon's part of the slack, one at least, as far as they were reserved since the service was last heard. While it answers, each answer makes room; the requests that are denied look again after 0.25 s, as before. Streams that leave a silent endpoint need one that was heard in the last 0.2 s, which is less than what they wait; they are unchanged.

--- a/comfreyhatch/decisions/extra_requests.py
+++ b/comfreyhatch/decisions/extra_requests.py
@@ -103,13 +103,22 @@
         total = remaining + len(self._extra) + self.reserved
         return max(0.0, remaining / total) if total > 0 else 0.0
 
-    def bears_unheard(self) -> bool:
-        """Return whether one more may be reserved for endpoints that are known to be silent.
+    def bears_unheard(self, since: float = -inf) -> bool:
+        """Return whether one more may be reserved for a service that may be silent.
 
-        What waits there arrives when they go on. Beyond the slack, only requests that come in the
-        same window allow it, and there may be none. A single one finds out whether they answer.
+        What waits there arrives when it goes on. Beyond the slack, only requests that come in the
+        same window allow it, and there may be none. A single one finds out whether it answers.
+
+        Args:
+            since: Monotonic time in seconds at which something came from it; what was reserved
+                before is not counted.
         """
-        return self.reserved + 1 <= max(1.0, self.slack * SAFETY_FACTOR)
+        unheard = 0
+        for reserved_at in reversed(self._reserved_at.values()):
+            if reserved_at < since:
+                break
+            unheard += 1
+        return unheard + 1 <= max(1.0, self.slack * SAFETY_FACTOR)
 
     def reserve(self, now: float) -> ExtraRequest | None:
         """Return an extra request that is going to be sent; None if the budget allows none."""
--- a/comfreyhatch/exchange/endpoint_silence.py
+++ b/comfreyhatch/exchange/endpoint_silence.py
@@ -1,5 +1,7 @@
 """Which of the endpoints that may serve a request are silent, and which are likely to answer."""
 
+from math import inf
+
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.exchange import Job
 from comfreyhatch.exchange.eligibility import EndpointEligibility, is_avoided
@@ -31,8 +33,12 @@
 
     def was_heard(self, service: str, since: float) -> bool:
         """Return whether any endpoint of a service has sent anything since a monotonic time."""
+        return self.heard_at(service) >= since
+
+    def heard_at(self, service: str) -> float:
+        """Return when any endpoint of a service has sent anything last; -inf without endpoints."""
         trackers = self._view.trackers_by_service.get(service, ())
-        return any(tracker.last_received_at >= since for tracker in trackers)
+        return max((tracker.last_received_at for tracker in trackers), default=-inf)
 
     def has_responsive(
         self, job: Job, excluded: set[str], max_silent_s: float, trusts_idle: bool, now: float
--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Callable
 from functools import partial
+from math import inf
 
 from comfreyhatch.adapters.http_message import HttpResponse
 from comfreyhatch.decisions.attempt_account import (
@@ -210,16 +211,16 @@
     def _is_worth_a_repeat(self, call: "_UnaryCall", now: float) -> bool:
         """Return whether another endpoint is likely to answer sooner than those of the attempts.
 
-        What is sent to a service that is silent as a whole only waits there, too.
+        What is sent to a service that is silent as a whole only waits there, too. What has come
+        from it tells nothing of the repeats that were sent since.
         """
         job = call.job
         if not self._scheduler.silence.has_unsuspected(job, call.tried_ids, now):
             return False
         sent_at = [lease.started for lease in call.lease_by_attempt.values()]
         since = max(now - LONGEST_QUIET_S, min(sent_at, default=job.arrived))
-        if self._scheduler.silence.was_heard(job.service, since):
-            return True
-        return self._budget(job.service).bears_unheard()
+        heard_at = self._scheduler.silence.heard_at(job.service)
+        return self._budget(job.service).bears_unheard(heard_at if heard_at >= since else -inf)
 
     def _take_retry(self, call: "_UnaryCall") -> bool:
         """Return whether to retry after the last attempt failed, and reserve it in the budget."""
