Hold nothing of a former process for endpoints that fall silent long after the start

A new process leaves its former one the share of the budget of each endpoint that never answered it and at which a request was left as silent. What a former process sent is 30 s old at least by then, and counts for nothing.

Endpoints that are left as silent 30 s after the first request to their service, or later, hold nothing, and no ids are kept from then on. Two tests, both failed before (a share of 0.25 for 0).

--- a/comfreyhatch/decisions/former_attempts.py
+++ b/comfreyhatch/decisions/former_attempts.py
@@ -3,7 +3,7 @@
 A process that was killed leaves what it sent in the sockets of silent endpoints, and no account of
 it. The new one leaves a part of the budget of extra requests to that: all of it while no endpoint
 of a service has answered, and for a window after that if they were silent before; then the share
-of the endpoints that are silent and have never answered it.
+of the endpoints that fall silent soon after and have never answered it.
 """
 
 from msgspec import Struct, field
@@ -31,6 +31,10 @@
     answered_ids: set[str] = field(default_factory=set)
     held_until_by_id: dict[str, float] = field(default_factory=dict)
 
+    def is_over(self, now: float) -> bool:
+        """Return whether an endpoint that falls silent now holds nothing of the former process."""
+        return now >= self.asked_at + GONE_S
+
 
 class FormerAttempts:
     """Tells which share of a service's budget is left to a former process."""
@@ -54,14 +58,17 @@
     def note_silent(self, service: str, endpoint_id: str, now: float) -> None:
         """Note that a request was left at an endpoint as nothing had come from it."""
         found = self._found_by_service.get(service)
-        if found is not None and endpoint_id not in found.answered_ids:
-            found.held_until_by_id.setdefault(endpoint_id, now + GONE_S)
+        if found is None or found.is_over(now) or endpoint_id in found.answered_ids:
+            return
+        found.held_until_by_id.setdefault(endpoint_id, now + GONE_S)
 
     def note_answer(self, service: str, endpoint_id: str, now: float) -> None:
         """Note that an endpoint has answered."""
         found = self._found_by_service.get(service)
         if found is None or endpoint_id in found.answered_ids:
             return
+        if found.is_over(now) and endpoint_id not in found.held_until_by_id:
+            return
         found.answered_ids.add(endpoint_id)
         window_until = now + self._window_s
         if endpoint_id in found.held_until_by_id:
--- a/tests/test_former_attempts.py
+++ b/tests/test_former_attempts.py
@@ -60,6 +60,27 @@
     assert former.held_share("desk", ENDPOINTS, 50.0) == 0.0
 
 
+def test_endpoint_that_falls_silent_long_after_the_start_holds_nothing() -> None:
+    # As one that was added since, and answers late at first.
+    former = FormerAttempts(WINDOW_S, True)
+    former.note_sent("desk", 0.0)
+    former.note_answer("desk", "a", 0.1)
+    former.note_silent("desk", "b", GONE_S + 0.1)
+    assert former.held_share("desk", ENDPOINTS, GONE_S + 0.2) == 0.0
+
+
+def test_endpoints_that_come_and_go_later_are_not_remembered() -> None:
+    former = FormerAttempts(WINDOW_S, True)
+    former.note_sent("desk", 0.0)
+    former.note_answer("desk", "a", 0.1)
+    for number in range(100):
+        former.note_answer("desk", f"b-{number}", GONE_S + number)
+        former.note_silent("desk", f"c-{number}", GONE_S + number)
+    remembered = former._found_by_service["desk"]
+    assert remembered.answered_ids == {"a"}
+    assert not remembered.held_until_by_id
+
+
 def test_nothing_is_held_for_other_services_nor_by_a_daemon_that_had_no_process() -> None:
     former, first = FormerAttempts(WINDOW_S, True), FormerAttempts(WINDOW_S, False)
     former.note_sent("desk", 0.0)
