Probe endpoints that were left as silent, in place of trying them with callers' requests

An endpoint that is left as silent now gets a probe of its service's health path at once. The probe waits there; while it does, callers' requests go elsewhere. Once it is answered, one request at a time finds out whether they are answered, too: an endpoint may be in trouble and sound by its own word. Services of the configuration carry their health path among daemons: a field with a default, which the build before skips, and without which this one probes nothing (test of both directions).

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -41,6 +41,7 @@
         busy_since: Time from which at least one of this daemon's requests has run on it.
         leaving_since: Time at which it said that it is leaving; None if it has not.
         left_silent_at: Time at which a request was last left there since nothing came.
+        awaits_probe: Whether a probe waits for its answer, sent as a request was left there.
         lost_at: Time at which connections to it began to fail; None while they can be opened.
     """
 
@@ -52,6 +53,7 @@
         "_silent_pause_s",
         "_consecutive_failures",
         "_withdrawn_until",
+        "awaits_probe",
         "brittle_per_s",
         "busy_since",
         "cold_until",
@@ -86,6 +88,7 @@
         self.resting_until = 0.0
         self.brittle_per_s: float | None = None
         self.left_silent_at = -inf
+        self.awaits_probe = False
         self._silent_pause_s = FIRST_SILENT_PAUSE_S
         self.lost_at: float | None = None
         self._other_load = 0.0
@@ -209,15 +212,16 @@
     def is_avoided(self, max_silent_s: float, now: float) -> bool:
         """Return whether requests go elsewhere if they can, as it is silent.
 
-        Once a request was left here, one at a time, after a pause, finds out whether it answers
-        again.
+        Once a request was left here, and a probe was answered if it is probed, one request at a
+        time, after a pause, finds out whether it answers again.
 
         Args:
             max_silent_s: Silence while requests run from which it is avoided, in seconds.
             now: Monotonic time, in seconds.
         """
         if self.is_left_silent:
-            return self.in_flight > 0 or now < self.left_silent_at + self._silent_pause_s
+            paused_until = self.left_silent_at + self._silent_pause_s
+            return self.in_flight > 0 or self.awaits_probe or now < paused_until
         return self.silent_s(now) >= max_silent_s
 
     def silent_s(self, now: float) -> float:
--- a/comfreyhatch/domain/catalog.py
+++ b/comfreyhatch/domain/catalog.py
@@ -97,6 +97,8 @@
         cold_per_s: Largest request rate to an endpoint in cold start, in requests per second; 0 for
             no limit.
         engine: Capacity and models of its model engine; None for a plain service.
+        health_path: Path that its endpoints answer beside callers' requests; empty for none, and
+            from daemons of a build that doesn't know it.
     """
 
     name: str
@@ -104,6 +106,7 @@
     cold_s: float = 0.0
     cold_per_s: float = 0.0
     engine: EngineSpec | None = None
+    health_path: str = ""
 
 
 class Workspace(Struct, frozen=True):
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -59,6 +59,7 @@
 from comfreyhatch.exchange.scheduler import EndpointScheduler
 from comfreyhatch.exchange.sender import Sender
 from comfreyhatch.exchange.session_pins import SessionPins
+from comfreyhatch.exchange.silence_probes import SilenceProbes
 from comfreyhatch.exchange.stream_proxy import StreamProxy
 from comfreyhatch.exchange.telemetry import RequestTelemetry
 from comfreyhatch.exchange.unary_proxy import UnaryProxy
@@ -147,6 +148,7 @@
             RelayChoice(rng),
             self.registry,
         )
+        self._probes = SilenceProbes(self._client, lambda: self.view.catalog)
         sender = Sender(
             self._client,
             codec,
@@ -156,7 +158,7 @@
             self._paths,
             self._relays,
             EndpointNotices(self.view, self._reports),
-            EndpointReads(self._unread, former),
+            EndpointReads(self._unread, former, self._probes.begin),
         )
         self._path_monitor = PathMonitor(
             self.view, self._client, self._paths, PathProbes(rng), sender.note_refused
@@ -324,6 +326,7 @@
         await self._callers.stop(0.0)
         await self._relay_server.stop(0.0)
         await self._path_monitor.stop()
+        await self._probes.stop()
         await self._recovery.stop()
         await self._billing.stop()
         await self._rollouts.stop()
--- a/comfreyhatch/exchange/endpoint_reads.py
+++ b/comfreyhatch/exchange/endpoint_reads.py
@@ -1,6 +1,7 @@
 """Notes what endpoints have read, what may wait there unread, and which ones are silent."""
 
 import logging
+from collections.abc import Callable
 
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.former_attempts import FormerAttempts
@@ -13,13 +14,20 @@
 class EndpointReads:
     """Tells attempts that were given up from those that have surely arrived, or never will."""
 
-    def __init__(self, unread: UnreadAttempts, former: FormerAttempts) -> None:
+    def __init__(
+        self,
+        unread: UnreadAttempts,
+        former: FormerAttempts,
+        probe: Callable[[EndpointTracker], None],
+    ) -> None:
         """Create it.
 
         Args:
             unread: Attempts that endpoints may not have read; updated.
             former: What a former process may have left at endpoints; updated.
+            probe: Begins to probe an endpoint that was left as silent.
         """
+        self._probe = probe
         self._unread = unread
         self._former = former
 
@@ -61,6 +69,7 @@
             )
         endpoint.note_left_silent(sent_at, now)
         self._former.note_silent(record.service, record.endpoint_id, now)
+        self._probe(endpoint)
 
 
 def _log_settled(endpoint: EndpointTracker, attempts: int) -> None:
--- a/comfreyhatch/platform/documents.py
+++ b/comfreyhatch/platform/documents.py
@@ -87,6 +87,7 @@
     cold_s: float = 0.0  # duration of an endpoint's cold start
     cold_per_s: float = 0.0  # highest request rate to an endpoint in cold start; 0 for no limit
     engine: _Engine | None = None
+    health_path: str = ""
 
 
 class _Limits(Struct):
@@ -228,7 +229,12 @@
             service.engine.capacity, service.engine.kv_capacity, models, service.engine.stride
         )
     return BackendService(
-        service.name, service.max_conns, service.cold_s, service.cold_per_s, engine
+        service.name,
+        service.max_conns,
+        service.cold_s,
+        service.cold_per_s,
+        engine,
+        service.health_path,
     )
 
 
--- a/tests/endpoint_process.py
+++ b/tests/endpoint_process.py
@@ -25,7 +25,7 @@
 from comfreyhatch.adapters.http_server import HttpServer, _CallerProtocol
 from comfreyhatch.domain.instance import Address
 from tests.copying_writer import CopyingWriter, CopyOptions
-from tests.platform_worker import StandInWorker
+from tests.platform_worker import HEALTH_PATH, StandInWorker
 
 EVENTS = 14
 EVENT_GAP_S = 0.05
@@ -38,6 +38,7 @@
 HIGH_CONFIDENCE = 95
 
 METHODS = (b"GET ", b"POST ")
+PROBE = f"GET {HEALTH_PATH} ".encode()
 _HEADER = re.compile(rb"\r\n([a-z-]+): *([^\r]*)")
 
 Log = Callable[..., None]
@@ -91,7 +92,7 @@
     def data_received(self, data: bytes) -> None:
         # Logged here, as the server drops a request whose connection has been reset by the time
         # at which it is parsed, while other programs run it.
-        if data.startswith(METHODS):
+        if data.startswith(METHODS) and not data.startswith(PROBE):
             values = dict(_HEADER.findall(data.lower()))
             request_id = values.get(b"attempt-id", b"").decode()
             deadline_ms = values.get(b"deadline-ms", b"").decode()
@@ -162,6 +163,8 @@
         self._log("listening", port=self.address.port)
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
+        if request.path == HEALTH_PATH:
+            return await super()._answer(request)
         self._note("arrived", request)
         copying_writer.get().request_came(request.header("attempt-id").encode())
         return await super()._answer(request)
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -17,6 +17,7 @@
 from tests.fleet_plan import MAX_ATTEMPTS_BY_KIND, SERVICE_BY_KIND, SIZE_BY_SERVICE, FleetPlan
 from tests.platform_harness import MS_PER_S, config
 from tests.platform_store import StandInStore
+from tests.platform_worker import HEALTH_PATH
 from tests.processes import DaemonProcess
 
 
@@ -127,6 +128,8 @@
         )
         for route, attempts in zip(found["routes"], MAX_ATTEMPTS_BY_KIND.values(), strict=True):
             route["max_attempts"] = attempts
+        for service in found["services"]:
+            service["health_path"] = HEALTH_PATH
         read_service = str(changes.get("read_service", SERVICE_BY_KIND["read"]))
         found["routes"][1]["service"] = read_service
         self.read_services.append((monotonic(), read_service))
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -11,6 +11,8 @@
 from comfreyhatch.errors import AnswerBrokenError
 
 EVENTS_PER_STREAM = 6
+# Path of the probes, where the configuration names one.
+HEALTH_PATH = "/health"
 # Time from the begin of a run to the crash that it causes.
 CRASH_DELAY_S = 0.03
 # Time after which a connection to a local listener counts as one that waits in vain.
@@ -33,7 +35,8 @@
         answer_delay_s: Time that each request takes, in seconds.
         events: Number of events of a complete stream.
         transform: Changes an answer before it is sent.
-        received: Requests received so far.
+        received: Requests received so far, without probes.
+        probes: Number of probes received so far.
         received_at: Times of the event loop at which they came.
         leaving: Whether its answers say that it is leaving.
         brittle_per_s: Refusals a second beyond which it falls over, named in its answers; None if
@@ -67,6 +70,7 @@
         self.events = EVENTS_PER_STREAM
         self.transform: Callable[[HttpResponse], HttpResponse] = lambda response: response
         self.received: list[HttpRequest] = []
+        self.probes = 0
         self.received_at: list[float] = []
         self.leaving = False
         self.retry_after = ""
@@ -143,6 +147,8 @@
         }
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
+        if request.path == HEALTH_PATH:
+            return await self._health()
         self.received.append(request)
         self.received_at.append(asyncio.get_running_loop().time())
         if self.room is not None and self._running >= self.room:
@@ -154,6 +160,15 @@
         finally:
             self._running -= 1
 
+    async def _health(self) -> HttpResponse:
+        """Answer a probe, once requests are answered."""
+        self.probes += 1
+        if self.hold:
+            await self.hold.wait()
+        await self.awake.wait()
+        status = 503 if self.leaving else 200
+        return HttpResponse(status, headers=[(b"instance-id", self.worker_id.encode())])
+
     def _refusal(self, request: HttpRequest) -> HttpResponse:
         headers = [(b"attempt-id", request.header("attempt-id").encode()), (b"not-executed", b"1")]
         return HttpResponse(503, headers=[*headers, *self._notices()])
--- a/tests/test_message_bytes.py
+++ b/tests/test_message_bytes.py
@@ -8,12 +8,15 @@
 from msgspec import Struct
 from msgspec.msgpack import decode, encode
 
+from comfreyhatch.domain.catalog import BackendService
 from comfreyhatch.domain.full_report import FullReport
 from comfreyhatch.domain.leaving_report import LeavingReport
 from comfreyhatch.domain.limit_report import LimitReport
 from comfreyhatch.domain.position import Position
 from comfreyhatch.exchange.peers import PeerQuery, PeerUpdate
 
+# A message of a service is larger by this much with the path /health.
+HEALTH_PATH_BYTES = 20
 REPORTS = (LimitReport("desk-1/1", 12.5), LeavingReport("desk-2/1"), FullReport("desk-3/1", 0.5))
 QUERY = PeerQuery(Position(1, 2), Position(1, 3), Position(1, 4), 1.5, 7, REPORTS, 9)
 UPDATE = PeerUpdate(None, 0.5, None, 0.25, None, Position(1, 2), None, REPORTS, 11, 10)
@@ -47,3 +50,21 @@
 def test_messages_are_those_of_the_build_before(message: Struct, data: bytes) -> None:
     assert decode(data, type=type(message)) == message
     assert encode(message) == data
+
+
+class _ServiceOfBefore(Struct, frozen=True):
+    """A service as the build of 21cb982 knows it."""
+
+    name: str
+    max_connections: int = 0
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+    engine: None = None
+
+
+def test_service_of_the_build_before_is_read_and_reads_that_of_this_build() -> None:
+    before = _ServiceOfBefore("desk", 100, 1.0, 10.0)
+    service = BackendService("desk", 100, 1.0, 10.0, health_path="/health")
+    assert decode(encode(before), type=BackendService).health_path == ""
+    assert decode(encode(service), type=_ServiceOfBefore) == before
+    assert len(encode(service)) - len(encode(before)) == HEALTH_PATH_BYTES
