Ignore a health path that can't be sent, not the configuration that names it

Such a path is logged (health_path_ignored) and counts as none: silent endpoints of the service are tried with callers' requests then. Six of eight cases of the test failed before.

--- a/comfreyhatch/platform/documents.py
+++ b/comfreyhatch/platform/documents.py
@@ -37,6 +37,7 @@
 
 _HOST = re.compile(r"[A-Za-z0-9.:_\-\[\]]{1,255}")
 _PORT = re.compile(r"[0-9]{1,5}")
+_HEALTH_PATH = re.compile(r"/[!-~]{0,255}")
 
 _KIND_BY_NAME = {
     "idempotent": RequestKind.IDEMPOTENT,
@@ -87,7 +88,7 @@
     cold_s: float = 0.0  # duration of an endpoint's cold start
     cold_per_s: float = 0.0  # highest request rate to an endpoint in cold start; 0 for no limit
     engine: _Engine | None = None
-    health_path: str = ""
+    health_path: Any = ""
 
 
 class _Limits(Struct):
@@ -234,10 +235,21 @@
         service.cold_s,
         service.cold_per_s,
         engine,
-        service.health_path,
+        _to_health_path(service),
     )
 
 
+def _to_health_path(service: _Service) -> str:
+    """Return the path of a service's health check; empty, which is logged, if it can't be sent."""
+    path = service.health_path
+    if not path:
+        return ""
+    if isinstance(path, str) and _HEALTH_PATH.fullmatch(path):
+        return path
+    log.warning("event=health_path_ignored service=%s path=%r", service.name, path)
+    return ""
+
+
 def _to_limits(limits: _Limits | None) -> ListenerLimits | None:
     if limits is None:
         return None
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -89,6 +89,28 @@
     decode_catalog(encode({**config(1), key: value}))
 
 
+@pytest.mark.parametrize(
+    ("path", "taken"),
+    [
+        ("/health?deep=0", "/health?deep=0"),
+        ("", ""),
+        ("a b", ""),
+        ("/a b", ""),
+        ("/x\r\ny: z", ""),
+        ("/é", ""),
+        (7, ""),
+        (None, ""),
+    ],
+)
+def test_health_path_that_cannot_be_sent_leaves_the_configuration_in_force(
+    path: object, taken: str
+) -> None:
+    services = [{"name": "desk", "health_path": path}]
+    found = decode_catalog(encode({**config(1), "services": services}))
+    assert found is not None
+    assert found.service_by_name["desk"].health_path == taken
+
+
 header_text = st.text(st.characters(min_codepoint=32, max_codepoint=126), max_size=24)
 header_names = st.sampled_from(
     ["host", "deadline-ms", "token-counts", "prompt-prefix", "last-event-id", "authorization"]
