Read load reports with any number of figures

The codec took exactly three figures and dropped a report with four whole, so that daemons knew nothing of the load of such endpoints. A figure that cannot be read is dropped now, not the report; the fourth is the pace. test_odd_figure_of_a_load_report_costs_only_that_figure failed before.

--- a/comfreyhatch/domain/exchange.py
+++ b/comfreyhatch/domain/exchange.py
@@ -116,11 +116,19 @@
 
 
 class ReportedLoad(Struct, frozen=True):
-    """Running requests, waiting requests and slots of an endpoint, as reported by itself."""
+    """Load of an endpoint as reported by itself; a figure that it does not tell is None.
 
-    running: int
-    waiting: int
-    slots: int
+    Attributes:
+        running: Requests that run.
+        waiting: Requests that wait there.
+        slots: Requests that it runs at once.
+        pace: Time that work takes there now, as a multiple of the usual time.
+    """
+
+    running: int | None
+    waiting: int | None
+    slots: int | None
+    pace: float | None = None
 
 
 class AnswerHead(Struct, frozen=True):
@@ -138,6 +146,7 @@
         load: Load reported by the endpoint; None if not sent.
         cold_s: Remaining time of the endpoint's cold start, in seconds; None if not sent.
         confidence: The model's confidence in its answer, 0 to 100; None if not sent.
+        endpoint_id: Id of the endpoint that answers; empty if not sent.
         limit_per_s: Requests a second that the endpoint takes from all daemons together; None if it
             names no limit.
         limit_unreadable: Whether it names a limit that cannot be read.
@@ -159,6 +168,7 @@
     load: ReportedLoad | None = None
     cold_s: float | None = None
     confidence: int | None = None
+    endpoint_id: str = ""
     limit_per_s: float | None = None
     limit_unreadable: bool = False
     leaving: bool = False
--- a/comfreyhatch/platform/header_codec.py
+++ b/comfreyhatch/platform/header_codec.py
@@ -27,6 +27,8 @@
 # Callers conclude from these statuses that their request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MIN_DEADLINE_MS = 1
+MIN_LOAD_FIGURES = 3
+PERCENT = 100.0
 # Longer integers are no sensible counts, and Python refuses to convert those of 4,300 digits.
 MAX_INTEGER_DIGITS = 15
 
@@ -136,6 +138,7 @@
             load=_parse_load(_header_text(value_by_name, b"server-load")),
             cold_s=_parse_ms(cold),
             confidence=int(confidence) if _is_integer(confidence) else None,
+            endpoint_id=_header_text(value_by_name, b"instance-id"),
             limit_per_s=min((limit for limit in limits if limit is not None), default=None),
             limit_unreadable=bool(limits) and limits.count(None) == len(limits),
             rest_s=_parse_rest(status, _header_text(value_by_name, b"retry-after")),
@@ -228,6 +231,17 @@
 
 
 def _parse_load(value: str) -> ReportedLoad | None:
-    """Parse a load report RUNNING,WAITING,SLOTS; None unless it has exactly three integers."""
-    numbers = _parse_integers(value)
-    return ReportedLoad(numbers[0], numbers[1], numbers[2]) if len(numbers) == 3 else None
+    """Parse a load report RUNNING,WAITING,SLOTS[,PACE[,...]], with the pace in percent.
+
+    Returns:
+        The report, in which a figure that cannot be read is None; None with fewer than three
+        figures, or without one that is of use by itself.
+    """
+    figures = [figure.strip() for figure in value.split(",")]
+    if len(figures) < MIN_LOAD_FIGURES:
+        return None
+    running, waiting, slots = (int(f) if _is_integer(f) else None for f in figures[:3])
+    percent = _parse_number(figures[3]) if len(figures) > MIN_LOAD_FIGURES else None
+    if running is None and not percent:
+        return None
+    return ReportedLoad(running, waiting, slots, percent / PERCENT if percent else None)
--- a/tests/test_platform_header_codec.py
+++ b/tests/test_platform_header_codec.py
@@ -206,3 +206,26 @@
 @pytest.mark.parametrize(("value", "leaving"), [("1", True), ("0", False), ("", False)])
 def test_notice_of_a_leaving_endpoint_is_decoded(value: str, leaving: bool) -> None:
     assert CODEC.read_head(200, [(b"server-leaving", value.encode())]).leaving == leaving
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        ("3,1,8", ReportedLoad(3, 1, 8)),
+        ("3,1,8,250", ReportedLoad(3, 1, 8, 2.5)),
+        (" 3, 1, 8, 87.5 ", ReportedLoad(3, 1, 8, 0.875)),
+        ("3,1,8,250,17,x", ReportedLoad(3, 1, 8, 2.5)),
+        ("3,-,8,250", ReportedLoad(3, None, 8, 2.5)),
+        ("x,1,8,250", ReportedLoad(None, 1, 8, 2.5)),
+        ("3,1,8,inf", ReportedLoad(3, 1, 8)),
+        ("3,1,8,0", ReportedLoad(3, 1, 8)),
+        ("3,1", None),
+        ("", None),
+    ],
+)
+def test_odd_figure_of_a_load_report_costs_only_that_figure(
+    value: str, load: ReportedLoad | None
+) -> None:
+    # Reports with a fourth figure were dropped whole, so daemons knew nothing of others' load.
+    head = CODEC.read_head(200, [(b"server-load", value.encode())])
+    assert head.load == load
