Sample endpoints' load before placement, and prove silence before a stream leaves

Change: before a prompt is placed, the health paths of two or three endpoints are asked for their load (decisions/load_sampling.py, exchange/load/); an engine that answers a probe is busy, not silent; load and delay of the cascade come from the samples. Only where endpoints report a pace or the settings say that endpoints crash by what they hold.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -15,7 +15,15 @@
 # Weight of the newest answer in the moving share of failed answers.
 FAILURE_SMOOTHING = 0.1
 LOAD_REPORT_MAX_AGE_S = 1.5
+# The same for endpoints that answer load probes: these are asked again before a placement.
+SAMPLED_REPORT_MAX_AGE_S = 0.5
 DELAY_HALF_LIFE_S = 1.0
+# Weight of the newest report in the moving pace: neighbours' work changes a report many times a
+# second, while a slow instance stays slow.
+PACE_SMOOTHING = 0.2
+# Reported paces beyond these bounds are taken for the bound.
+MIN_PACE = 0.1
+MAX_PACE = 20.0
 # Time for which an endpoint that was left as silent gets no request, doubling with each request
 # that is left there, too.
 FIRST_SILENT_PAUSE_S = 0.25
@@ -43,6 +51,12 @@
         left_silent_at: Time at which a request was last left there since nothing came.
         awaits_probe: Whether a probe waits for its answer, sent as a request was left there.
         lost_at: Time at which connections to it began to fail; None while they can be opened.
+        answers_probes: Whether it has answered a load probe with a report of its load.
+        reports_pace: Whether it tells how long work takes there.
+        pace: Moving time that work takes there, as a multiple of the usual time.
+        reported_at: Time of its last load report.
+        reported_running: Requests that ran and waited there by that report.
+        probe_missed_at: Time at which it left a load probe unanswered.
     """
 
     __slots__ = (
@@ -53,6 +67,7 @@
         "_silent_pause_s",
         "_consecutive_failures",
         "_withdrawn_until",
+        "answers_probes",
         "awaits_probe",
         "brittle_per_s",
         "busy_since",
@@ -67,9 +82,14 @@
         "left_silent_at",
         "lost_at",
         "misdirected",
+        "pace",
         "pending_s",
+        "probe_missed_at",
         "rate",
         "record",
+        "reported_at",
+        "reported_running",
+        "reports_pace",
     )
 
     def __init__(self, record: EndpointRecord, now: float) -> None:
@@ -91,6 +111,12 @@
         self.awaits_probe = False
         self._silent_pause_s = FIRST_SILENT_PAUSE_S
         self.lost_at: float | None = None
+        self.answers_probes = False
+        self.reports_pace = False
+        self.pace = 1.0
+        self.reported_at = -inf
+        self.reported_running = 0
+        self.probe_missed_at = -inf
         self._other_load = 0.0
         self._other_load_at = 0.0
         self._consecutive_failures = 0
@@ -122,6 +148,8 @@
             self._consecutive_failures = 0
             self.failure_share = 0.0
             self._delay_s = 0.0
+            self.pace = 1.0
+            self.reported_at = -inf
 
     def record_cold(self, cold_s: float, now: float) -> None:
         """Record the reported remaining time of the cold start, in seconds."""
@@ -129,8 +157,16 @@
 
     def record_load(self, load: ReportedLoad, now: float) -> None:
         """Record a reported load; the part that isn't this daemon's belongs to other daemons."""
-        self._other_load = max(0.0, load.running + load.waiting - self.in_flight)
-        self._other_load_at = now
+        if load.pace is not None:
+            weight = PACE_SMOOTHING if self.reports_pace else 1.0
+            reported = min(MAX_PACE, max(MIN_PACE, load.pace))
+            self.pace += weight * (reported - self.pace)
+            self.reports_pace = True
+        if load.running is not None:
+            self.reported_running = load.running + (load.waiting or 0)
+            self._other_load = max(0.0, self.reported_running - self.in_flight)
+            self._other_load_at = now
+            self.reported_at = now
 
     def record_success(self) -> None:
         """Count the head of a successful answer."""
@@ -265,5 +301,6 @@
 
     def running(self, now: float) -> float:
         """Return the estimated number of requests of all daemons that run on the endpoint."""
-        fresh = now - self._other_load_at < LOAD_REPORT_MAX_AGE_S
+        max_age_s = SAMPLED_REPORT_MAX_AGE_S if self.answers_probes else LOAD_REPORT_MAX_AGE_S
+        fresh = now - self._other_load_at < max_age_s
         return self.in_flight + (self._other_load if fresh else 0.0)
--- a/comfreyhatch/decisions/placement.py
+++ b/comfreyhatch/decisions/placement.py
@@ -5,7 +5,7 @@
 shared prompt prefix all of them prefer the same endpoint, by rendezvous hashing.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from xxhash import xxh64_intdigest
 
@@ -27,6 +27,7 @@
     zone: str,
     work_s: float,
     now: float,
+    expected_delay_s: Callable[[EndpointTracker], float] | None = None,
 ) -> EndpointTracker | None:
     """Return the candidate with the least expected delay, or None when there is none.
 
@@ -36,13 +37,23 @@
         zone: Availability zone of this daemon.
         work_s: Time that an idle endpoint needs for it, in seconds.
         now: Monotonic time in seconds.
+        expected_delay_s: Returns the expected queueing delay at an endpoint, in seconds, by its
+            present load; None to go by earlier answers.
     """
     found = list(candidates)
     if not found:
         return None
+    affinity = preferred_by_prefix(exchange, found)
+    delay_s = expected_delay_s or (lambda endpoint: endpoint.delay_s(now))
+    return min(found, key=lambda e: _cost_s(exchange, e, zone, affinity, work_s, delay_s(e), now))
+
+
+def preferred_by_prefix(
+    exchange: Exchange, candidates: list[EndpointTracker]
+) -> EndpointTracker | None:
+    """Return the endpoint that all daemons prefer for a request's prompt prefix; None without."""
     prefix = _shared_prefix(exchange)
-    affinity = _affinity_endpoint(prefix, found) if prefix else None
-    return min(found, key=lambda e: _cost_s(exchange, e, zone, affinity, work_s, now))
+    return _affinity_endpoint(prefix, candidates) if prefix and candidates else None
 
 
 def _cost_s(
@@ -51,21 +62,22 @@
     zone: str,
     affinity: EndpointTracker | None,
     work_s: float,
+    delay_s: float,
     now: float,
 ) -> float:
     """Return the expected time to an answer from an endpoint, in seconds, with penalties."""
     utilization = (endpoint.running(now) + 1) / endpoint.record.slots
-    cost = endpoint.delay_s(now) + work_s * (1 + utilization)
+    cost = endpoint.pace * (delay_s + work_s * (1 + utilization))
     cost *= 1 + FAILURE_COST_FACTOR * max(0.0, endpoint.failure_share - TOLERATED_FAILURE_SHARE)
     if endpoint.record.zone != zone:
         cost += OTHER_ZONE_PENALTY_S
     if affinity is not None and endpoint is not affinity:
         # Any other endpoint has to process the shared prefix anew.
-        cost += work_s * _shared_fraction(exchange)
+        cost += work_s * shared_fraction(exchange)
     return cost + MAX_TIE_BREAK_S * _unit_hash(exchange.request_id, endpoint.record.endpoint_id)
 
 
-def _shared_fraction(exchange: Exchange) -> float:
+def shared_fraction(exchange: Exchange) -> float:
     """Return the fraction of the prompt's tokens that other requests may share."""
     total = sum(part.tokens for part in exchange.parts)
     return 1 - exchange.parts[-1].tokens / total if total else 0.0
--- a/comfreyhatch/domain/deployment.py
+++ b/comfreyhatch/domain/deployment.py
@@ -62,6 +62,8 @@
         bounds: Limits to guarantee.
         link_mbps: Bandwidth of the instance's link, in megabits a second; 0 if unknown.
         relay: Address of the listener for requests of other daemons; None if it takes none.
+        endpoints_bound_memory: Whether endpoints crash when the requests that they hold exceed
+            their memory; then their load is sampled before requests are placed.
     """
 
     instance: str
@@ -79,3 +81,4 @@
     region: str = ""
     link_mbps: float = 0.0
     relay: Address | None = None
+    endpoints_bound_memory: bool = False
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -38,6 +38,8 @@
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.extra_request_budgets import ExtraRequestBudgets
 from comfreyhatch.exchange.header_codec import HeaderCodec
+from comfreyhatch.exchange.load.load_probes import LoadProbes
+from comfreyhatch.exchange.load.load_view import LoadView
 from comfreyhatch.exchange.loop_lag import LoopLagMonitor
 from comfreyhatch.exchange.part_guard import PartGuard
 from comfreyhatch.exchange.path_monitor import PathMonitor
@@ -179,6 +181,9 @@
             rng,
             monotonic(),
         )
+        self._load_probes = LoadProbes(
+            self._client, codec, lambda: self.view.catalog, self.registry
+        )
         self._scheduler = EndpointScheduler(
             deployment,
             self.view,
@@ -187,6 +192,7 @@
             self._pins,
             self._rates,
             self._crashes.refusal,
+            LoadView(deployment, self.view, self._load_probes, rng),
         )
         self._relay_listener = RelayListener(
             self.view,
@@ -240,6 +246,7 @@
                 self._bill_stream,
                 telemetry.count_cascade_answer,
                 self._crashes,
+                self._load_probes.verify,
             ),
             self._counter,
             telemetry,
@@ -327,6 +334,7 @@
         await self._relay_server.stop(0.0)
         await self._path_monitor.stop()
         await self._probes.stop()
+        await self._load_probes.stop()
         await self._recovery.stop()
         await self._billing.stop()
         await self._rollouts.stop()
--- /dev/null
+++ b/comfreyhatch/exchange/load/__init__.py
@@ -0,0 +1,1 @@
+"""The load of endpoints as this daemon sees it: probes of their health paths, and estimates."""
--- /dev/null
+++ b/comfreyhatch/exchange/load/load_view.py
@@ -0,0 +1,108 @@
+"""This daemon's view of the endpoints' load, sampled as requests are placed."""
+
+import asyncio
+from random import Random
+
+from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
+from comfreyhatch.decisions.load_sampling import (
+    MIN_SAVED_S,
+    QueueDelay,
+    draw_endpoints,
+    is_fresh,
+    mean_running,
+    service_load,
+)
+from comfreyhatch.decisions.placement import preferred_by_prefix, shared_fraction
+from comfreyhatch.domain.deployment import Deployment
+from comfreyhatch.domain.exchange import Job
+from comfreyhatch.exchange.load.load_probes import LoadProbes
+from comfreyhatch.exchange.view import FleetView
+
+# Draws for a request while none of the drawn endpoints answers.
+MAX_DRAWS = 2
+
+
+class LoadView:
+    """Samples the load of endpoints, and estimates that of services.
+
+    It is used for services of which an endpoint reports its pace, or for all services where
+    endpoints crash by what they hold, and only for requests to model engines.
+    """
+
+    def __init__(
+        self, deployment: Deployment, view: FleetView, probes: LoadProbes, rng: Random
+    ) -> None:
+        """Create it without any sample.
+
+        Args:
+            deployment: Settings of this daemon.
+            view: Current state of the fleet.
+            probes: Asks endpoints for their load.
+            rng: Seeded source of random draws.
+        """
+        self._deployment = deployment
+        self._view = view
+        self._probes = probes
+        self._rng = rng
+        self._delay_by_service: dict[str, QueueDelay] = {}
+
+    def covers(self, service: str) -> bool:
+        """Return whether the endpoints of a service are sampled."""
+        if self._deployment.endpoints_bound_memory:
+            return True
+        return any(t.reports_pace for t in self._view.trackers_by_service.get(service, ()))
+
+    async def sample(
+        self, job: Job, eligible: list[EndpointTracker], work_s: float, now: float
+    ) -> list[EndpointTracker]:
+        """Return the endpoints among which to place a request: those whose load is known now.
+
+        Endpoints in cold start are not asked, as a probe may count as one of the few requests that
+        they bear. Without an answer, and for services that are not sampled, all are returned.
+
+        Args:
+            job: The request.
+            eligible: Endpoints that may serve it.
+            work_s: Engine time of the request, in seconds.
+            now: Monotonic time in seconds.
+        """
+        warm = [t for t in eligible if not t.is_cold(now)]
+        if len(warm) < 2 or not job.route.models or not self.covers(job.service):
+            return eligible
+        saved_s = work_s * shared_fraction(job.exchange)
+        for _ in range(MAX_DRAWS):
+            preferred = preferred_by_prefix(job.exchange, warm) if saved_s > MIN_SAVED_S else None
+            drawn = draw_endpoints(warm, preferred, work_s, self._deployment.zone, self._rng, now)
+            await self._probes.ask(t for t in drawn if not is_fresh(t, now))
+            now = asyncio.get_running_loop().time()
+            known = [t for t in drawn if is_fresh(t, now)]
+            if known:
+                return known
+            warm = [t for t in warm if t not in drawn]
+            if not warm:
+                break
+        return eligible
+
+    def note_delay(self, service: str, running: float, delay_s: float) -> None:
+        """Learn from an answer how long it was delayed at an endpoint with running requests."""
+        self._delay(service).add(running, delay_s)
+
+    def expected_delay_s(self, endpoint: EndpointTracker, now: float) -> float:
+        """Return the expected delay of a newcomer at an endpoint, in seconds."""
+        return self._delay(endpoint.record.service).expected_s(endpoint.running(now))
+
+    def load(self, service: str, now: float) -> float | None:
+        """Return the share of a service's slots in use; None if it is not sampled."""
+        if not self.covers(service):
+            return None
+        return service_load(self._view.trackers_by_service.get(service, ()), now)
+
+    def delay_s(self, service: str, now: float) -> float | None:
+        """Return the expected delay at an endpoint of a service; None if it is not sampled."""
+        if not self.covers(service):
+            return None
+        running = mean_running(self._view.trackers_by_service.get(service, ()), now)
+        return self._delay(service).expected_s(running)
+
+    def _delay(self, service: str) -> QueueDelay:
+        return self._delay_by_service.setdefault(service, QueueDelay())
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -21,6 +21,7 @@
 from comfreyhatch.exchange.endpoint_rates import EndpointRates
 from comfreyhatch.exchange.endpoint_silence import EndpointSilence
 from comfreyhatch.exchange.expected_waits import ExpectedWaits
+from comfreyhatch.exchange.load.load_view import LoadView
 from comfreyhatch.exchange.session_pins import SessionPins
 from comfreyhatch.exchange.slot_lease import SlotLease
 from comfreyhatch.exchange.view import FleetView
@@ -59,6 +60,7 @@
 
     Attributes:
         silence: Which of the endpoints that may serve a request are silent.
+        load_view: This daemon's view of the endpoints' load.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         pins: SessionPins,
         rates: EndpointRates,
         refusal: Callable[[Job, float], RefusedError | None],
+        load_view: LoadView,
     ) -> None:
         """Create a scheduler with empty queues.
 
@@ -82,7 +85,9 @@
             rates: Bounds on the rates of endpoints.
             refusal: Returns the error for a request that has to be refused while it waits, called
                 with the present time; None if it may wait on.
+            load_view: Samples the load of endpoints.
         """
+        self.load_view = load_view
         self._deployment = deployment
         self._view = view
         self._rates = rates
@@ -126,7 +131,15 @@
         """
         now = asyncio.get_running_loop().time()
         eligible = self.silence.preferred(job, excluded, max_silent_s, now)
-        lease = self._try_acquire(job, eligible, work_s, now)
+        sampled = await self.load_view.sample(job, eligible, work_s, now)
+        if sampled is not eligible:
+            # The load was asked for meanwhile, and endpoints may have left.
+            now = asyncio.get_running_loop().time()
+            eligible = self.silence.preferred(job, excluded, max_silent_s, now)
+            sampled = [t for t in sampled if t in eligible]
+        lease = self._try_acquire(job, sampled, work_s, now)
+        if lease is None and sampled is not eligible:
+            lease = self._try_acquire(job, eligible, work_s, now)
         if lease is not None:
             excluded.add(lease.endpoint.record.endpoint_id)
             return lease
@@ -190,6 +203,9 @@
         """
         if self._rates.overloaded(service, now):
             return 1.0
+        sampled = self.load_view.load(service, now)
+        if sampled is not None:
+            return sampled
         trackers = [
             tracker
             for tracker in self._view.trackers_by_service.get(service, ())
@@ -200,7 +216,13 @@
         return (running + len(self._queue_by_service.get(service, ()))) / slots if slots else 1.0
 
     def delay_s(self, service: str, now: float) -> float:
-        """Return the median queueing delay at the endpoints of a service, in seconds."""
+        """Return the median queueing delay at the endpoints of a service, in seconds.
+
+        For a service whose endpoints are sampled, the delay expected by their mean load.
+        """
+        sampled = self.load_view.delay_s(service, now)
+        if sampled is not None:
+            return sampled
         delays = sorted(
             tracker.delay_s(now)
             for tracker in self._view.trackers_by_service.get(service, ())
@@ -331,7 +353,8 @@
         candidates = [tracker for tracker in eligible if self._has_free_slot(tracker, now)]
         work_s = work_s or self._waits.service_time(job.service).mean_s
         zone = self._deployment.zone
-        tracker = choose_endpoint(job.exchange, candidates, zone, work_s, now)
+        delay_s = self._expected_delay(job, now)
+        tracker = choose_endpoint(job.exchange, candidates, zone, work_s, now, delay_s)
         if tracker is None:
             return None
         self._rates.record(tracker, now)
@@ -349,6 +372,14 @@
         )
         return SlotLease(tracker, job, work_s if job.route.models else 0.0, now)
 
+    def _expected_delay(self, job: Job, now: float) -> Callable[[EndpointTracker], float] | None:
+        """Return what tells the delay at an endpoint by its load; None to go by earlier answers."""
+        if not job.route.models or not self.load_view.covers(job.service):
+            return None
+        return lambda endpoint: max(
+            endpoint.pending_s, self.load_view.expected_delay_s(endpoint, now)
+        )
+
     def _has_free_slot(self, tracker: EndpointTracker, now: float) -> bool:
         if tracker.brittle_per_s is not None:
             share = slots_share(tracker.record.slots, len(self._rates.daemons(now)))
--- a/comfreyhatch/exchange/slot_lease.py
+++ b/comfreyhatch/exchange/slot_lease.py
@@ -11,14 +11,16 @@
         endpoint: Endpoint of the slot.
         job: Request that holds it.
         started: Monotonic time at which it was acquired.
+        running_before: Requests that ran on the endpoint then, as far as known.
     """
 
-    __slots__ = ("_pending_s", "endpoint", "job", "started")
+    __slots__ = ("_pending_s", "endpoint", "job", "running_before", "started")
 
     def __init__(self, endpoint: EndpointTracker, job: Job, work_s: float, now: float) -> None:
         self.endpoint = endpoint
         self.job = job
         self.started = now
+        self.running_before = endpoint.running(now)
         self._pending_s = work_s
         if not endpoint.in_flight:
             endpoint.busy_since = now
--- a/comfreyhatch/exchange/stall_watchdog.py
+++ b/comfreyhatch/exchange/stall_watchdog.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Callable
 
+from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.stall import StallLimits
 from comfreyhatch.exchange.stream_state import StreamState
 
@@ -15,13 +16,19 @@
 class StallWatchdog:
     """Interrupts streams that have stalled and that another endpoint may serve."""
 
-    def __init__(self, reserve_retry: Callable[[StreamState, float], bool]) -> None:
+    def __init__(
+        self,
+        reserve_retry: Callable[[StreamState, float], bool],
+        verify: Callable[[EndpointTracker], None],
+    ) -> None:
         """Create a watchdog.
 
         Args:
             reserve_retry: Reserves the retry of a stalled request on another endpoint, and returns
                 whether it may be retried; called with its stream and the monotonic time in seconds.
+            verify: Finds out whether an endpoint that answers load probes is busy or silent.
         """
+        self._verify = verify
         self._reserve_retry = reserve_retry
         self._streams: set[StreamState] = set()
         self._timer: asyncio.TimerHandle | None = None
@@ -52,6 +59,9 @@
         loop = asyncio.get_running_loop()
         now = loop.time()
         for stream in list(self._streams):
+            endpoint = stream.lease.endpoint if stream.lease is not None else None
+            if endpoint is not None and endpoint.answers_probes and stream.may_stall(now):
+                self._verify(endpoint)
             if stream.is_stalled(now) and self._reserve_retry(stream, now):
                 self._streams.discard(stream)
                 self._log_stalled(stream, now)
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -6,6 +6,7 @@
 
 from comfreyhatch.adapters.http_server import HttpResponse
 from comfreyhatch.decisions.cascade import CascadeState, escalates
+from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.engine_priority import engine_priority
 from comfreyhatch.decisions.engine_time import EngineTimes
 from comfreyhatch.decisions.extra_requests import ExtraRequestBudget
@@ -53,6 +54,7 @@
         bill: Callable[[Job, str, int], None],
         count_cascade_answer: Callable[[bool], None],
         crashes: CrashGuard,
+        verify: Callable[[EndpointTracker], None],
     ) -> None:
         """Create the proxy.
 
@@ -65,6 +67,7 @@
             count_cascade_answer: Counts an answer of the smallest model; called with whether the
                 answer is dropped.
             crashes: Refuses requests and prompts that crash endpoints, and follows attempts.
+            verify: Finds out whether an endpoint that answers load probes is busy or silent.
         """
         self._crashes = crashes
         self._bill = bill
@@ -76,7 +79,7 @@
         self._first_event_latencies: dict[tuple[str, str], SampleWindow] = {}
         self._engine_times = EngineTimes()
         self._retries = StreamRetries(scheduler, sender, budget, crashes)
-        self._watchdog = StallWatchdog(self._retries.reserve_stalled)
+        self._watchdog = StallWatchdog(self._retries.reserve_stalled, verify)
         self._events = EventRelay(evidence, self._watchdog, crashes)
 
     async def run(self, job: Job) -> HttpResponse:
@@ -187,6 +190,10 @@
             self._latency_window(stream).add(took_s)
             self._engine_times.record(stream.model, job.exchange.prompt_tokens, took_s)
             endpoint.record_delay(took_s - work_s, now)
+            if endpoint.answers_probes:
+                self._scheduler.load_view.note_delay(
+                    job.service, lease.running_before, took_s - work_s
+                )
         return answer
 
     async def _place(self, stream: StreamState, work_s: float) -> SlotLease:
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -211,6 +211,13 @@
         silent_s = now - self.lease.endpoint.last_received_at
         return stalled(self.stall_limits, self.waited_s(now), silent_s)
 
+    def may_stall(self, now: float) -> bool:
+        """Return whether the current attempt's endpoint has been silent for a part of the limit."""
+        if self.lease is None:
+            return False
+        silent_s = now - self.lease.endpoint.last_received_at
+        return min(self.waited_s(now), silent_s) >= self.stall_limits.responsive_s
+
     def waited_s(self, now: float) -> float:
         """Return the time since the last new event came or the wait began, in seconds."""
         return now - self.idle_since
--- a/comfreyhatch/platform/settings.py
+++ b/comfreyhatch/platform/settings.py
@@ -12,6 +12,8 @@
 DEFAULT_HEARTBEAT_MS = 1000.0
 DEFAULT_MEMORY_MB = 256.0
 DEFAULT_MAX_FDS = 1024
+# Part of the rules in force by which endpoints crash when what they hold exceeds their memory.
+PRESSURE_CONTRACT = "pressure"
 
 _KEY_AND_FACTOR_BY_FIELD = {
     # Field of Bounds: (key in the file below "bounds.", factor from its unit to the field's unit)
@@ -138,6 +140,7 @@
         bounds=_bounds(reader),
         link_mbps=reader.number("limits.link_mbps", 0.0),
         relay=reader.port_of_range("ip", "port_range"),
+        endpoints_bound_memory=PRESSURE_CONTRACT in value_by_key.get("contracts", "").split(","),
     )
     if reader.errors:
         raise SettingsError("\n".join(reader.errors))
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -41,6 +41,8 @@
         leaving: Whether its answers say that it is leaving.
         brittle_per_s: Refusals a second beyond which it falls over, named in its answers; None if
             it is not brittle.
+        load_report: Load that its answers report; empty for none. With it, probes are answered at
+            once while requests are held.
         room: Requests that it takes at once; more are refused. None for no bound.
         refused_at: Times of the event loop at which it refused requests for want of room.
         retry_after: Value of the header retry-after of its refusals; empty for none.
@@ -75,6 +77,7 @@
         self.leaving = False
         self.retry_after = ""
         self.brittle_per_s: int | None = None
+        self.load_report = ""
         self.room: int | None = None
         self.refused_at: list[float] = []
         self._running = 0
@@ -163,11 +166,12 @@
     async def _health(self) -> HttpResponse:
         """Answer a probe, once requests are answered."""
         self.probes += 1
-        if self.hold:
+        if self.hold and not self.load_report:
             await self.hold.wait()
         await self.awake.wait()
         status = 503 if self.leaving else 200
-        return HttpResponse(status, headers=[(b"instance-id", self.worker_id.encode())])
+        headers = [(b"instance-id", self.worker_id.encode())]
+        return HttpResponse(status, headers=[*headers, *self._notices()])
 
     def _refusal(self, request: HttpRequest) -> HttpResponse:
         headers = [(b"attempt-id", request.header("attempt-id").encode()), (b"not-executed", b"1")]
@@ -176,6 +180,8 @@
     def _notices(self) -> list[tuple[bytes, bytes]]:
         """Return what each answer says of the worker."""
         notices = [(b"server-leaving", b"1")] if self.leaving else []
+        if self.load_report:
+            notices.append((b"server-load", self.load_report.encode()))
         if self.brittle_per_s is not None:
             notices.append((b"server-brittle", b"%d" % self.brittle_per_s))
         return notices
