Answers that end before their request was sent, or with an odd status, are broken

Cause: an answer with neither a length nor chunks ends with an end of file, which the HTTP client took for its end also while the request was still being sent: an endpoint that crashes, or gives a request up, closes its connection in the same way. Statuses from 600 on were passed on to callers.

The connection now looks at the end of file whether anything of the request is unsent, in the transport's buffer or in the socket's send queue (SIOCOUTQ), and whether a reset has come behind it, which reads hide (TCP_INFO). Either breaks an answer that ends with its connection. All paths share this place: whole answers, streams, relays, and the own fleet's engines and services. A status outside 100 to 599 is no answer. Both are logged (event=answer_rejected), counted by reason (comfreyhatch_answers_rejected_total), told with an unknown outcome and counted against the endpoint.

Ruled out: waiting after the end of file for a reset or the rest of the request, as each answer without a length would wait for it.

--- a/comfreyhatch/adapters/http_client.py
+++ b/comfreyhatch/adapters/http_client.py
@@ -11,7 +11,7 @@
 
 from comfreyhatch.adapters.answer_identity import AnswerOwner, RequestIdentity, id_text
 from comfreyhatch.adapters.http_head import HEAD_METHOD, answer_bytes, own_head
-from comfreyhatch.adapters.http_link import IDLE_LIFE_S, AnswerPart, HttpLink
+from comfreyhatch.adapters.http_link import IDLE_LIFE_S, AnswerFault, AnswerPart, HttpLink
 from comfreyhatch.adapters.http_message import Headers
 from comfreyhatch.adapters.http_pool import IdleLinks
 from comfreyhatch.adapters.http_reply import HttpReply, StreamedReply
@@ -62,6 +62,7 @@
         self._read_buffer = bytearray(READ_SIZE_BYTES)
         self._whole_limit_bytes = whole_limit_bytes
         self.too_large_by_part = dict.fromkeys(AnswerPart, 0)
+        self.rejected_by_fault = dict.fromkeys(AnswerFault, 0)
         self.skipped_by_owner = dict.fromkeys((AnswerOwner.OTHER, AnswerOwner.UNNAMED), 0)
         self._before_send = before_send
         self._connect_timeout_s = connect_timeout_s
@@ -225,7 +226,12 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, link = await asyncio.get_running_loop().create_connection(
-                    partial(HttpLink, self._read_buffer, partial(self._note_too_large, address)),
+                    partial(
+                        HttpLink,
+                        self._read_buffer,
+                        partial(self._note_too_large, address),
+                        partial(self._note_rejected, address),
+                    ),
                     address.host,
                     address.port,
                 )
@@ -257,6 +263,12 @@
             "event=answer_too_large address=%s part=%s limit=%r", address, part.value, limit
         )
 
+    def _note_rejected(self, address: Address, fault: AnswerFault, detail: str) -> None:
+        self.rejected_by_fault[fault] += 1
+        log.warning(
+            "event=answer_rejected address=%s reason=%s detail=%r", address, fault.value, detail
+        )
+
 
 def _full_headers(address: Address, headers: Mapping[str, str] | Headers | None) -> Headers:
     """Return headers as pairs of bytes; host is the address unless given."""
--- a/comfreyhatch/adapters/http_head.py
+++ b/comfreyhatch/adapters/http_head.py
@@ -15,6 +15,8 @@
 HEAD_METHOD = "HEAD"
 # Informational answers (status 1xx) that may precede an answer.
 INFORMATIONAL_LIMIT = 16
+# Statuses of answers that have no body, whatever their heads say.
+EMPTY_STATUSES = (204, 304)
 # Answers to other requests that may precede an answer, and the largest body of one of them, which
 # is not held.
 SKIPPED_LIMIT = 4
@@ -52,6 +54,7 @@
     for _ in range(SKIPPED_LIMIT + 1):
         try:
             head = await _final_head(link, until)
+            link.ends_answer = _ends_with_connection(method, head)
         except ExchangeTimeoutError as error:
             if unnamed:
                 raise UnnamedAnswerError("only an answer without an id came in time") from error
@@ -87,6 +90,14 @@
     return None if method == HEAD_METHOD else declared_bytes(head.headers)
 
 
+def _ends_with_connection(method: str, head: h11.Response) -> bool:
+    """Return whether only the end of the connection tells where an answer ends."""
+    if method == HEAD_METHOD or head.status_code in EMPTY_STATUSES:
+        return False
+    names = {name for name, _ in head.headers}
+    return names.isdisjoint((b"content-length", b"transfer-encoding"))
+
+
 async def _final_head(link: HttpLink, until: float) -> h11.Response:
     """Return the head of an answer; informational ones before it are left out.
 
--- a/comfreyhatch/adapters/http_link.py
+++ b/comfreyhatch/adapters/http_link.py
@@ -1,6 +1,7 @@
 """A connection of the HTTP client and the state of its protocol."""
 
 import asyncio
+import re
 from collections.abc import Callable
 from contextlib import suppress
 from enum import Enum
@@ -10,6 +11,7 @@
 import h11
 
 from comfreyhatch.adapters.answer_identity import CarriedRequests
+from comfreyhatch.adapters.socket_state import unsent_bytes, was_reset
 from comfreyhatch.errors import (
     AnswerTooLargeError,
     ConnectionEndedError,
@@ -28,6 +30,10 @@
 IDLE_LIFE_S = 20.0
 # Value of SO_LINGER (on, 0 s) with which a close sends a reset in place of an end of file.
 RESET_AT_CLOSE = pack("ii", 1, 0)
+# Beginning of a status line, with what stands in the place of the status.
+STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] +([^ \r\n]*)")
+STATUS_LINE_BYTES = 64
+VALID_STATUSES = range(100, 600)
 # States of the peer in which it has sent its whole answer.
 ANSWERED_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
@@ -44,10 +50,23 @@
     AFTER_END = "after_end"
 
 
+class AnswerFault(Enum):
+    """Why what a peer has sent is no answer, although it can be read as one.
+
+    The first two concern answers that end with their connection, whose end can't be told from that
+    of a peer that has crashed.
+    """
+
+    REQUEST_UNSENT = "request_unsent"
+    RESET = "reset"
+    STATUS = "status"
+
+
 class HttpLink(asyncio.BufferedProtocol):
     """A connection and its protocol state.
 
     Attributes:
+        ends_answer: Whether the end of the connection is the end of the answer under way.
         protocol: State of the exchange under way.
         transport: The open connection.
         carried: Requests that it has carried.
@@ -57,15 +76,23 @@
         idle_life_s: Time for which it may wait, in seconds.
     """
 
-    def __init__(self, read_buffer: bytearray, report: Callable[[AnswerPart, str], None]) -> None:
+    def __init__(
+        self,
+        read_buffer: bytearray,
+        report: Callable[[AnswerPart, str], None],
+        report_fault: Callable[[AnswerFault, str], None],
+    ) -> None:
         """Create the state of a connection.
 
         Args:
             read_buffer: Receives the bytes of one read; may be shared by connections.
             report: Counts and logs an answer that is too large, by its part and the limit.
+            report_fault: Counts and logs what is no answer, by its fault and a detail.
         """
         self._read_buffer = read_buffer
         self._report = report
+        self._report_fault = report_fault
+        self.ends_answer = False
         self.protocol = h11.Connection(h11.CLIENT, HEAD_LIMIT_BYTES)
         self.carried = CarriedRequests()
         self.may_be_kept = True
@@ -75,6 +102,8 @@
         self.transport: asyncio.Transport = _NO_TRANSPORT
         self._waiter: asyncio.Future[None] | None = None
         self._loss: str = ""
+        self._end_fault: AnswerFault | None = None
+        self._unsent_bytes = 0
         self._unread_bytes = 0
         self._read_until = 0.0
         self._timed_out = False
@@ -102,7 +131,15 @@
         self._wake()
 
     def eof_received(self) -> bool:
-        """Tell the parser that the peer has closed; this ends an answer without a length."""
+        """Tell the parser that the peer has closed; this ends an answer without a length.
+
+        The end of file acknowledges all that the peer's kernel had received before it.
+        """
+        self._unsent_bytes = unsent_bytes(self.transport)
+        if was_reset(self.transport):
+            self._end_fault = AnswerFault.RESET
+        elif self._unsent_bytes:
+            self._end_fault = AnswerFault.REQUEST_UNSENT
         self.protocol.receive_data(b"")
         self._wake()
         return False
@@ -138,19 +175,30 @@
         """Return the next event of what has been read; NEED_DATA when there is none.
 
         Raises:
-            ConnectionEndedError: If the peer ended the connection within it.
+            ConnectionEndedError: If the peer ended the connection within it, or before it had the
+                whole request.
             HttpError: If the answer is malformed.
         """
+        is_head = self.protocol.their_state is h11.SEND_RESPONSE
+        # The parser drops a head that it can't read.
+        start = self.protocol.trailing_data[0][:STATUS_LINE_BYTES] if is_head else b""
         try:
             event = self.protocol.next_event()
         except h11.ProtocolError as error:
             if error.error_status_hint == TOO_LARGE_HINT:
                 raise self.too_large(AnswerPart.HEAD, f"{HEAD_LIMIT_BYTES} bytes") from error
+            line = STATUS_LINE.match(start)
+            if line and not _is_valid_status(line[1]):
+                raise self._invalid_status(line[1]) from error
             ended = self.protocol.trailing_data[1]
             kind = ConnectionEndedError if ended else HttpError
             raise kind(f"the exchange broke: {error}") from error
         if event is h11.NEED_DATA:
             self._resume_reading()
+        elif isinstance(event, h11.Response) and event.status_code not in VALID_STATUSES:
+            raise self._invalid_status(b"%d" % event.status_code)
+        elif isinstance(event, h11.EndOfMessage) and self.ends_answer:
+            self._require_whole_exchange()
         return event
 
     def too_large(self, part: AnswerPart, limit: str) -> AnswerTooLargeError:
@@ -159,6 +207,26 @@
         self.abort()
         return AnswerTooLargeError(f"the answer is too large: {part.value} exceeds {limit}")
 
+    def _require_whole_exchange(self) -> None:
+        """Raise an error if the end of the connection is not the end of an answer."""
+        fault = self._end_fault
+        if fault is None:
+            return
+        self._report_fault(fault, f"{self._unsent_bytes} bytes unsent")
+        self.abort()
+        if fault is AnswerFault.RESET:
+            raise ConnectionEndedError("the answer ended with a reset of its connection")
+        raise ConnectionEndedError(
+            f"the answer ended {self._unsent_bytes} bytes before the end of its request"
+        )
+
+    def _invalid_status(self, status: bytes) -> HttpError:
+        """Reset the connection, count and log the answer, and return the error to raise."""
+        self._report_fault(AnswerFault.STATUS, status.decode("latin-1"))
+        kind = ConnectionEndedError if self.protocol.trailing_data[1] else HttpError
+        self.abort()
+        return kind(f"the answer has no valid status: {status!r}")
+
     def reusable(self) -> bool:
         """Return whether another request may follow, and prepare for it."""
         if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
@@ -277,4 +345,8 @@
         self._wake()
 
 
+def _is_valid_status(status: bytes) -> bool:
+    return len(status) == 3 and status.isdigit() and int(status) in VALID_STATUSES
+
+
 _NO_TRANSPORT = asyncio.Transport()
--- a/comfreyhatch/adapters/metrics.py
+++ b/comfreyhatch/adapters/metrics.py
@@ -10,7 +10,7 @@
 
 from comfreyhatch.adapters.answer_identity import AnswerOwner
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.adapters.http_link import AnswerPart
+from comfreyhatch.adapters.http_link import AnswerFault, AnswerPart
 from comfreyhatch.domain.record import Attempt, RequestRecord
 
 FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.46, 0.6, 1.0, 2.0, 5.0, 15.0)
@@ -122,7 +122,7 @@
 
 
 class OddAnswerMetrics(Collector):
-    """Shows how many answers exceeded a limit, by the part that did, and how many were skipped."""
+    """Shows how many answers exceeded a limit, were no valid answers, or were skipped."""
 
     def __init__(
         self, registry: CollectorRegistry, clients: Callable[[], Iterable[HttpClient]]
@@ -148,8 +148,21 @@
             count = sum(client.too_large_by_part[part] for client in clients)
             family.add_metric((part.value,), count)
         yield family
+        yield self._rejected(clients)
         yield self._skipped(clients)
 
+    def _rejected(self, clients: list[HttpClient]) -> CounterMetricFamily:
+        family = CounterMetricFamily(
+            "comfreyhatch_answers_rejected",
+            "Answers that ended before their request was sent, ended with a reset, or had a status"
+            " outside 100 to 599.",
+            labels=("reason",),
+        )
+        for fault in AnswerFault:
+            count = sum(client.rejected_by_fault[fault] for client in clients)
+            family.add_metric((fault.value,), count)
+        return family
+
     def _skipped(self, clients: list[HttpClient]) -> CounterMetricFamily:
         family = CounterMetricFamily(
             "comfreyhatch_answers_skipped",
--- a/tests/scripted_endpoint.py
+++ b/tests/scripted_endpoint.py
@@ -46,6 +46,10 @@
         self._writer.write(data)
         await self._writer.drain()
 
+    def end(self) -> None:
+        """Send an end of file; the connection can still be read."""
+        self._writer.write_eof()
+
     def reset(self) -> None:
         """Reset the connection."""
         sock = self._writer.get_extra_info("socket")
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -3,7 +3,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.adapters.http_link import AnswerPart
+from comfreyhatch.adapters.http_link import AnswerFault, AnswerPart
 from comfreyhatch.adapters.metrics import (
     VERSIONS_NAMED,
     OddAnswerMetrics,
@@ -79,3 +79,14 @@
     name = "comfreyhatch_answers_too_large_total"
     assert registry.get_sample_value(name, {"part": "event"}) == 4
     assert registry.get_sample_value(name, {"part": "head"}) == 0
+
+
+def test_rejected_answers_are_summed_over_clients() -> None:
+    registry = CollectorRegistry()
+    clients = [HttpClient(), HttpClient()]
+    OddAnswerMetrics(registry, lambda: clients)
+    for client in clients:
+        client.rejected_by_fault[AnswerFault.STATUS] += 2
+    name = "comfreyhatch_answers_rejected_total"
+    assert registry.get_sample_value(name, {"reason": "status"}) == 4
+    assert registry.get_sample_value(name, {"reason": "request_unsent"}) == 0
