Commands that check a configuration against the one in force before it is sent

A contract or a document may be well-formed and still not do what was meant. `config check` checks contracts as a set against the fleet's configuration, from a daemon or a file; `check document` checks the configuration document of the users' platform, with what its decoder leaves out. `config show` prints a revision as JSON for such checks without a daemon.

Decisions are pure (decisions/contract_check.py, decisions/catalog_check.py). API keys are shown by the beginning of their digests only. The checks name two faults of documents that daemons take today: an empty API key admits requests without any, and a target of 0 ms divides by zero in the cascade.

--- a/comfreyhatch/adapters/contract_file.py
+++ b/comfreyhatch/adapters/contract_file.py
@@ -1,5 +1,6 @@
 """A contract as an INI file."""
 
+from collections.abc import Callable
 from pathlib import Path
 
 from msgspec.structs import replace
@@ -19,6 +20,19 @@
     Raises:
         ContractError: If the file has errors; the message lists them all.
     """
+    return _load(path, contract_problems)
+
+
+def read_contract(path: Path) -> Contract:
+    """Read a contract file whose clauses may contradict each other.
+
+    Raises:
+        ContractError: If the file has other errors; the message lists them all.
+    """
+    return _load(path, lambda contract: [])
+
+
+def _load(path: Path, problems_of: Callable[[Contract], list[str]]) -> Contract:
     sections, errors = read_sections(path)
     if errors:
         raise ContractError("\n".join(errors))
@@ -35,7 +49,7 @@
     ]
     lines += [str(problem) for problem in problems + more]
     if contract:
-        lines += [f"[{CONTRACT_SECTION}] {text}" for text in contract_problems(contract)]
+        lines += [f"[{CONTRACT_SECTION}] {text}" for text in problems_of(contract)]
     if lines or contract is None or objectives is None:
         raise ContractError("\n".join(f"{path}: {line}" for line in lines))
     return replace(contract, objectives=objectives)
--- a/comfreyhatch/cli/config.py
+++ b/comfreyhatch/cli/config.py
@@ -1,20 +1,33 @@
 """Commands on the configuration as a whole."""
 
+from pathlib import Path
 from typing import Annotated
 
+from msgspec import DecodeError, ValidationError
+from msgspec.json import decode
 from typer import Argument, Option, Typer
 from typer import Exit as CommandExit
 
+from comfreyhatch.adapters.contract_file import read_contract
 from comfreyhatch.adapters.operator_http import OperatorClient
 from comfreyhatch.cli.exits import Exit
 from comfreyhatch.cli.options import (
     ClientFileOption,
     DaemonOption,
     JsonOption,
+    checked,
+    end_check,
+    read_file,
     run_command,
     show,
 )
+from comfreyhatch.decisions.contract_check import contract_findings, with_contracts
+from comfreyhatch.domain.contract import Contract
+from comfreyhatch.domain.finding import Finding, FindingCode
+from comfreyhatch.domain.fleet import FleetConfig
+from comfreyhatch.errors import ContractError
 from comfreyhatch.porcelain.changes import diff_configs
+from comfreyhatch.porcelain.check import check_report
 from comfreyhatch.porcelain.history import history_lines
 from comfreyhatch.ports.operators import InForce
 
@@ -47,6 +60,54 @@
         raise CommandExit(Exit.NOT_IN_FORCE)
 
 
+@app.command("show")
+def show_config(
+    revision: Annotated[int, Option(min=0, help="Revision; the one in force if 0.")] = 0,
+    daemon: DaemonOption = None,
+    client_settings: ClientFileOption = None,
+) -> None:
+    """Print a revision as JSON.
+
+    Example: comfreyhatch config show > in-force.json
+    """
+    config = run_command(daemon, client_settings, lambda client: client.config(revision))
+    show(config, (), as_json=True)
+
+
+@app.command()
+def check(
+    files: Annotated[list[Path], Argument(help="Contracts as INI files.")],
+    in_force: Annotated[
+        Path | None,
+        Option(help="Compare with this output of `config show`, and ask no daemon."),
+    ] = None,
+    daemon: DaemonOption = None,
+    client_settings: ClientFileOption = None,
+    json: JsonOption = False,
+) -> None:
+    """Check contracts together against the configuration in force; changes nothing.
+
+    Example: comfreyhatch config check trackline.ini keepers.ini
+    """
+    if in_force is not None:
+        path = in_force
+        config = checked(lambda: _read_config(path))
+    else:
+        config = run_command(daemon, client_settings, lambda client: client.config())
+    contracts: list[Contract] = []
+    findings: list[Finding] = []
+    for file in files:
+        try:
+            contracts.append(read_contract(file))
+        except ContractError as error:
+            where = f"file {file}"
+            lines = str(error).splitlines()
+            findings += [Finding(FindingCode.UNREADABLE, where, line) for line in lines]
+    findings += contract_findings(contracts, config)
+    differences = diff_configs(config, with_contracts(config, contracts))
+    end_check(check_report(findings, differences, config.revision), json)
+
+
 @app.command()
 def history(
     limit: Annotated[int, Option(min=1, max=1000, help="Number of changes.")] = 20,
@@ -83,3 +144,15 @@
 
     lines = run_command(daemon, client_settings, read)
     show(lines, lines, json)
+
+
+def _read_config(path: Path) -> FleetConfig:
+    """Read a configuration as JSON.
+
+    Raises:
+        ContractError: If it can't be read.
+    """
+    try:
+        return decode(read_file(path), type=FleetConfig)
+    except (DecodeError, ValidationError, UnicodeDecodeError) as error:
+        raise ContractError(f"{path}: {error}") from error
--- a/comfreyhatch/cli/documents.py
+++ b/comfreyhatch/cli/documents.py
@@ -7,6 +7,7 @@
 from comfreyhatch.adapters.settings import settings_reference
 from comfreyhatch.cli.exits import exits_table
 from comfreyhatch.codes import codes_table
+from comfreyhatch.domain.finding import findings_table
 
 CONFIGURATION_HEAD = """\
 # Configuration
@@ -38,6 +39,13 @@
 Beside the single values, the contract as a whole is checked: it allows a model or a service,
 `default_model` is among the models that `allowed` names, and the cap for outages fits the budget.
 
+`comfreyhatch config check FILE...` checks contracts together against the configuration in force
+before they are sent: contradicting limits, keys of two customers, entries that nothing serves or
+that others cover, what a customer loses, and all lines that differ. It changes nothing. With
+`--in-force FILE` it asks no daemon; `comfreyhatch config show` prints such a file.
+`comfreyhatch check document FILE --in-force FILE` does the same for the configuration document of
+the users' platform. The findings are numbered, see [result codes](RESULT-CODES.md).
+
 """
 CLIENT_HEAD = """
 ## Settings of the command line
@@ -60,6 +68,13 @@
 Refusals carry a code and `ran`. `ran: no` says that no endpoint ran the request; `ran: unknown`
 that one may have.
 
+"""
+FINDINGS_HEAD = """
+## Findings of a check before a roll-out
+
+`comfreyhatch config check` and `comfreyhatch check document` print them, and end with exit status 3
+if there are errors, 10 if there are only warnings, and 0 otherwise.
+
 """
 EXITS_HEAD = """
 ## Exit statuses of the command line
@@ -77,7 +92,8 @@
 
 def codes_page() -> str:
     """Return docs/RESULT-CODES.md."""
-    return CODES_HEAD + codes_table() + EXITS_HEAD + exits_table()
+    findings = FINDINGS_HEAD + findings_table()
+    return CODES_HEAD + codes_table() + findings + EXITS_HEAD + exits_table()
 
 
 def write_documents(folder: Path) -> None:
--- a/comfreyhatch/cli/exits.py
+++ b/comfreyhatch/cli/exits.py
@@ -18,6 +18,7 @@
     UNREACHABLE = 7
     REFUSED = 8
     ABORTED = 9
+    WARNINGS = 10
 
 
 MEANING_BY_EXIT: dict[Exit, str] = {
@@ -31,6 +32,7 @@
     Exit.UNREACHABLE: "No daemon answers, or the platform does not; a change may have happened.",
     Exit.REFUSED: "The daemon refused for another reason; the code is on standard error.",
     Exit.ABORTED: "The operator did not confirm; nothing was changed.",
+    Exit.WARNINGS: "A check found warnings and no errors.",
 }
 
 EXIT_BY_CODE: dict[ResultCode, Exit] = {
--- a/comfreyhatch/cli/options.py
+++ b/comfreyhatch/cli/options.py
@@ -20,7 +20,7 @@
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.domain.change import Change
 from comfreyhatch.domain.instance import Address
-from comfreyhatch.errors import ComfreyhatchError, SettingsError
+from comfreyhatch.errors import ComfreyhatchError, RequestError, SettingsError
 from comfreyhatch.porcelain.changes import (
     ChangeOutcome,
     PlannedChange,
@@ -28,6 +28,7 @@
     commit_change,
     plan_change,
 )
+from comfreyhatch.porcelain.check import CheckReport, report_lines
 
 T = TypeVar("T")
 
@@ -131,6 +132,27 @@
         echo(line)
 
 
+def read_file(path: Path) -> bytes:
+    """Return the bytes of a file.
+
+    Raises:
+        RequestError: If it can't be read.
+    """
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        raise RequestError(f"{path}: {error.strerror}", ResultCode.NOT_FOUND) from error
+
+
+def end_check(report: CheckReport, as_json: bool) -> None:
+    """Print the report of a check, and end the command with the status of its worst finding."""
+    show(report, report_lines(report), as_json)
+    if report.errors:
+        raise CommandExit(Exit.INVALID)
+    if report.warnings:
+        raise CommandExit(Exit.WARNINGS)
+
+
 def make_change(
     daemons: Sequence[str] | None,
     client_file: Path | None,
--- a/comfreyhatch/platform/documents.py
+++ b/comfreyhatch/platform/documents.py
@@ -5,11 +5,14 @@
 
 import logging
 import re
+from collections import Counter
+from collections.abc import Iterable
 from typing import Annotated, Any
 
 from msgspec import DecodeError, Meta, Struct, ValidationError, convert
 from msgspec.json import decode
 
+from comfreyhatch.decisions.catalog_check import key_name
 from comfreyhatch.domain.catalog import (
     BackendService,
     Catalog,
@@ -23,6 +26,7 @@
     group_routes,
 )
 from comfreyhatch.domain.endpoint import EndpointRecord
+from comfreyhatch.domain.finding import Finding, FindingCode
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.domain.operations import RolloutOrder
 from comfreyhatch.platform.rows import Row
@@ -45,6 +49,8 @@
     "streaming": RequestKind.STREAM,
 }
 
+_UNREADABLE = (DecodeError, ValidationError, UnicodeDecodeError, RecursionError)
+
 log = logging.getLogger("comfreyhatch.platform")
 
 
@@ -149,6 +155,36 @@
     )
 
 
+def document_findings(value: bytes) -> list[Finding]:
+    """Return what `decode_catalog` leaves out of a configuration, or can't read."""
+    try:
+        config = convert(decode(value), _Config, strict=True)
+    except _UNREADABLE as error:
+        return [Finding(FindingCode.UNREADABLE, "document", str(error))]
+    found = [
+        *_duplicates("route", (route.name for route in config.routes)),
+        *_duplicates("service", (service.name for service in config.services)),
+        *_duplicates("tenant", (tenant.name for tenant in config.tenants)),
+        *_shared_keys(config.tenants),
+    ]
+    for route in config.routes:
+        where = f"route {route.name}"
+        if route.kind not in _KIND_BY_NAME:
+            found.append(Finding(FindingCode.UNREADABLE, where, f"unknown kind {route.kind!r}"))
+        if route.max_attempts < 1:
+            message = f"max_attempts is {route.max_attempts}"
+            found.append(Finding(FindingCode.ZERO_LIMIT, where, message))
+        for backend in route.backends:
+            if backend.weight <= 0:
+                message = f"backend {backend.service} of weight {backend.weight:g} gets nothing"
+                found.append(Finding(FindingCode.NEVER_MATCHES, where, message))
+    for service in config.services:
+        if service.health_path and not _is_health_path(service.health_path):
+            message = "its health path can't be sent, and is ignored"
+            found.append(Finding(FindingCode.UNUSED, f"service {service.name}", message))
+    return found
+
+
 def decode_order(row: Row) -> RolloutOrder | None:
     """Decode an operator's order of a roll-out; return None if it is malformed."""
     order = _decode(row.value, _Order, f"order {row.key}")
@@ -193,11 +229,38 @@
     """Decode JSON into a struct; log a warning and return None if it is malformed."""
     try:
         return convert(decode(value), struct_type, strict=True)
-    except (DecodeError, ValidationError, UnicodeDecodeError, RecursionError) as error:
+    except _UNREADABLE as error:
         log.warning("event=document_unreadable what=%r reason=%r", what, str(error))
         return None
 
 
+def _duplicates(kind: str, names: Iterable[str]) -> list[Finding]:
+    return [
+        Finding(FindingCode.DUPLICATE_NAME, f"{kind} {name}", f"{count} entries have this name")
+        for name, count in Counter(names).items()
+        if count > 1
+    ]
+
+
+def _shared_keys(tenants: list[_Tenant]) -> list[Finding]:
+    """Return tenants without API keys, or with keys that they have twice or share with others."""
+    found: list[Finding] = []
+    name_by_key: dict[str, str] = {}
+    for tenant in tenants:
+        where = f"tenant {tenant.name}"
+        if not tenant.api_keys:
+            found.append(Finding(FindingCode.NO_KEY, where, "api_keys is empty"))
+        for key, count in Counter(tenant.api_keys).items():
+            if count > 1:
+                message = f"{key_name(key)} is listed more than once"
+                found.append(Finding(FindingCode.COVERED, where, message))
+            other = name_by_key.setdefault(key, tenant.name)
+            if other != tenant.name:
+                message = f"{key_name(key)} is one of tenant {other}, too"
+                found.append(Finding(FindingCode.SHARED_KEY, where, message))
+    return found
+
+
 def _to_route(route: _Route) -> Route | None:
     """Convert a route; log a warning and return None if its kind is unknown."""
     kind = _KIND_BY_NAME.get(route.kind)
@@ -244,12 +307,16 @@
     path = service.health_path
     if not path:
         return ""
-    if isinstance(path, str) and _HEALTH_PATH.fullmatch(path):
-        return path
+    if _is_health_path(path):
+        return str(path)
     log.warning("event=health_path_ignored service=%s path=%r", service.name, path)
     return ""
 
 
+def _is_health_path(path: Any) -> bool:
+    return isinstance(path, str) and _HEALTH_PATH.fullmatch(path) is not None
+
+
 def _to_limits(limits: _Limits | None) -> ListenerLimits | None:
     if limits is None:
         return None
--- a/comfreyhatch/porcelain/changes.py
+++ b/comfreyhatch/porcelain/changes.py
@@ -134,7 +134,12 @@
 
 def diff_configs(old: FleetConfig, new: FleetConfig) -> tuple[str, ...]:
     """Return the lines that differ between two configurations, their revisions aside."""
-    before, after = _flat(to_builtins(old)), _flat(to_builtins(new))
+    return diff_values(to_builtins(old), to_builtins(new))
+
+
+def diff_values(old: Any, new: Any) -> tuple[str, ...]:
+    """Return the lines that differ between two values of plain types, their revisions aside."""
+    before, after = _flat(old), _flat(new)
     lines: list[str] = []
     for key in sorted(before.keys() | after.keys()):
         if key == "revision" or before.get(key) == after.get(key):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -129,6 +129,20 @@
     assert "keepers.allowed" in command("config", "diff", str(before)).output
 
 
+def test_contracts_are_checked_against_what_a_daemon_has_in_force(
+    command: Command, contract: Path, tmp_path: Path
+) -> None:
+    before = revision_of(command)
+    asked = command("config", "check", str(contract))
+    assert asked.exit_code in (Exit.OK, Exit.WARNINGS), asked.output
+    in_force = tmp_path / "in-force.json"
+    in_force.write_text(command("config", "show").stdout)
+    read = command("config", "check", str(contract), "--in-force", str(in_force), daemon="")
+    assert (read.exit_code, read.stdout) == (asked.exit_code, asked.stdout)
+    assert f"differ from {before} in force" in asked.stdout
+    assert revision_of(command) == before
+
+
 @pytest.mark.parametrize(
     ("out", "back"),
     [
