Sample plain services that report their pace; count their reports only when asked for

Change: where a pace is reported, only an answer to a probe counts as load, and requests of plain services are placed by samples, too.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -155,18 +155,29 @@
         """Record the reported remaining time of the cold start, in seconds."""
         self.cold_until = max(self.cold_until, now + cold_s)
 
-    def record_load(self, load: ReportedLoad, now: float) -> None:
-        """Record a reported load; the part that isn't this daemon's belongs to other daemons."""
+    def record_load(self, load: ReportedLoad, now: float, asked: bool = False) -> None:
+        """Record a reported load; the part that isn't this daemon's belongs to other daemons.
+
+        Where the pace is reported, the load changes many times a second: only a report that was
+        asked for is recent enough to place by.
+
+        Args:
+            load: The report.
+            now: Monotonic time, in seconds.
+            asked: Whether it answers a load probe.
+        """
+        self.answers_probes = self.answers_probes or asked
         if load.pace is not None:
             weight = PACE_SMOOTHING if self.reports_pace else 1.0
             reported = min(MAX_PACE, max(MIN_PACE, load.pace))
             self.pace += weight * (reported - self.pace)
             self.reports_pace = True
-        if load.running is not None:
-            self.reported_running = load.running + (load.waiting or 0)
-            self._other_load = max(0.0, self.reported_running - self.in_flight)
-            self._other_load_at = now
-            self.reported_at = now
+        if load.running is None or (self.reports_pace and not self.answers_probes):
+            return
+        self.reported_running = load.running + (load.waiting or 0)
+        self._other_load = max(0.0, self.reported_running - self.in_flight)
+        self._other_load_at = now
+        self.reported_at = now
 
     def record_success(self) -> None:
         """Count the head of a successful answer."""
--- a/comfreyhatch/exchange/load/load_probes.py
+++ b/comfreyhatch/exchange/load/load_probes.py
@@ -108,8 +108,7 @@
         tracker.probe_missed_at = float("-inf")
         tracker.last_received_at = now
         if head.load is not None:
-            tracker.answers_probes = True
-            tracker.record_load(head.load, now)
+            tracker.record_load(head.load, now, asked=True)
         if head.cold_s:
             tracker.record_cold(head.cold_s, now)
         self._sent.labels(purpose, "answered").inc()
--- a/comfreyhatch/exchange/load/load_view.py
+++ b/comfreyhatch/exchange/load/load_view.py
@@ -25,8 +25,8 @@
 class LoadView:
     """Samples the load of endpoints, and estimates that of services.
 
-    It is used for services of which an endpoint reports its pace, or for all services where
-    endpoints crash by what they hold, and only for requests to model engines.
+    It is used for services of which an endpoint reports its pace: these answer their health path
+    at once. Where endpoints crash by what they hold, it is used for all model engines.
     """
 
     def __init__(
@@ -48,10 +48,15 @@
 
     def covers(self, service: str) -> bool:
         """Return whether the endpoints of a service are sampled."""
-        if self._deployment.endpoints_bound_memory:
+        if self._deployment.endpoints_bound_memory and self._is_engine(service):
             return True
         return any(t.reports_pace for t in self._view.trackers_by_service.get(service, ()))
 
+    def _is_engine(self, service: str) -> bool:
+        catalog = self._view.catalog
+        found = catalog.service_by_name.get(service) if catalog else None
+        return found is not None and found.engine is not None
+
     async def sample(
         self, job: Job, eligible: list[EndpointTracker], work_s: float, now: float
     ) -> list[EndpointTracker]:
@@ -67,7 +72,7 @@
             now: Monotonic time in seconds.
         """
         warm = [t for t in eligible if not t.is_cold(now)]
-        if len(warm) < 2 or not job.route.models or not self.covers(job.service):
+        if len(warm) < 2 or not self.covers(job.service):
             return eligible
         saved_s = work_s * shared_fraction(job.exchange)
         for _ in range(MAX_DRAWS):
@@ -87,9 +92,19 @@
         """Learn from an answer how long it was delayed at an endpoint with running requests."""
         self._delay(service).add(running, delay_s)
 
-    def expected_delay_s(self, endpoint: EndpointTracker, now: float) -> float:
-        """Return the expected delay of a newcomer at an endpoint, in seconds."""
-        return self._delay(endpoint.record.service).expected_s(endpoint.running(now))
+    def expected_delay_s(
+        self, job: Job, endpoint: EndpointTracker, work_s: float, now: float
+    ) -> float:
+        """Return the expected delay of a request at an endpoint, in seconds.
+
+        A plain service delays only what exceeds its slots.
+        """
+        running = endpoint.running(now)
+        if not job.route.models:
+            slots = endpoint.record.slots
+            return work_s * max(0.0, running + 1 - slots) / max(1, slots)
+        expected_s = self._delay(job.service).expected_s(running)
+        return max(endpoint.pending_s, expected_s)
 
     def load(self, service: str, now: float) -> float | None:
         """Return the share of a service's slots in use; None if it is not sampled."""
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -131,7 +131,7 @@
         """
         now = asyncio.get_running_loop().time()
         eligible = self.silence.preferred(job, excluded, max_silent_s, now)
-        sampled = await self.load_view.sample(job, eligible, work_s, now)
+        sampled = await self.load_view.sample(job, eligible, self._work_s(job, work_s), now)
         if sampled is not eligible:
             # The load was asked for meanwhile, and endpoints may have left.
             now = asyncio.get_running_loop().time()
@@ -351,9 +351,9 @@
         self, job: Job, eligible: list[EndpointTracker], work_s: float, now: float
     ) -> SlotLease | None:
         candidates = [tracker for tracker in eligible if self._has_free_slot(tracker, now)]
-        work_s = work_s or self._waits.service_time(job.service).mean_s
+        work_s = self._work_s(job, work_s)
         zone = self._deployment.zone
-        delay_s = self._expected_delay(job, now)
+        delay_s = self._expected_delay(job, work_s, now)
         tracker = choose_endpoint(job.exchange, candidates, zone, work_s, now, delay_s)
         if tracker is None:
             return None
@@ -372,13 +372,17 @@
         )
         return SlotLease(tracker, job, work_s if job.route.models else 0.0, now)
 
-    def _expected_delay(self, job: Job, now: float) -> Callable[[EndpointTracker], float] | None:
+    def _work_s(self, job: Job, work_s: float) -> float:
+        """Return the work of a request, in seconds; by the mean of its service if it is 0."""
+        return work_s or self._waits.service_time(job.service).mean_s
+
+    def _expected_delay(
+        self, job: Job, work_s: float, now: float
+    ) -> Callable[[EndpointTracker], float] | None:
         """Return what tells the delay at an endpoint by its load; None to go by earlier answers."""
-        if not job.route.models or not self.load_view.covers(job.service):
+        if not self.load_view.covers(job.service):
             return None
-        return lambda endpoint: max(
-            endpoint.pending_s, self.load_view.expected_delay_s(endpoint, now)
-        )
+        return lambda endpoint: self.load_view.expected_delay_s(job, endpoint, work_s, now)
 
     def _has_free_slot(self, tracker: EndpointTracker, now: float) -> bool:
         if tracker.brittle_per_s is not None:
--- a/tests/test_load_sampling.py
+++ b/tests/test_load_sampling.py
@@ -36,7 +36,7 @@
 
 
 def report(endpoint: EndpointTracker, running: int, now: float, pace: float = 1.0) -> None:
-    endpoint.record_load(ReportedLoad(running, 0, endpoint.record.slots, pace), now)
+    endpoint.record_load(ReportedLoad(running, 0, endpoint.record.slots, pace), now, asked=True)
 
 
 def exchange(number: int, prefix: str, tokens: int) -> Exchange:
@@ -178,6 +178,16 @@
     assert service_load(endpoints, 100.0) == 0.5
 
 
+def test_report_that_was_not_asked_for_does_not_count_where_the_load_changes_fast() -> None:
+    # All daemons that saw the same report of a plain service avoided that endpoint for 1.5 s, and
+    # refused requests as its slots seemed taken.
+    endpoint = tracker(1, slots=6)
+    endpoint.record_load(ReportedLoad(6, 4, 6, 1.2), 1.0)
+    assert endpoint.running(1.01) == 0 and endpoint.pace == 1.2
+    endpoint.record_load(ReportedLoad(6, 4, 6, 1.2), 1.0, asked=True)
+    assert endpoint.running(1.01) == 10
+
+
 def test_report_of_a_former_start_is_forgotten() -> None:
     endpoint = tracker(1)
     report(endpoint, 20, 1.0, pace=3.0)
