--- a/tests/fleet_daemons.py
+++ b/tests/fleet_daemons.py
@@ -54,7 +54,14 @@
         ended_by_themselves: Daemons whose processes had ended by themselves, once closed.
     """
 
-    def __init__(self, folder: Path, store_address: Address, plan: FleetPlan) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        store_address: Address,
+        plan: FleetPlan,
+        settings: tuple[str, ...] = (),
+    ) -> None:
+        self._settings = settings
         self.by_host: dict[str, DaemonProcess] = {}
         self.stops: list[Span] = []
         self.kills: list[Span] = []
@@ -105,6 +112,7 @@
             f"bounds.retry_budget_ratio={self._plan.ratio}",
             f"bounds.retry_slack={self._plan.slack}",
             f"bounds.budget_window_s={self._plan.window_s}",
+            *self._settings,
             *changed,
         ]
         settings = self._folder / f"{host}.conf"
