Account of the memory held for clients; connections follow from the descriptors

Cause: each body, answer and unread piece had a limit of its own, their sum none; only the callers' listener of the platform daemon had a limit on connections that follows from the descriptors.

decisions/memory_account.py counts bodies being read, requests under way, answers read whole, and what clients have not read. Bodies wait for memory, unread, while it is full; clients that are stalled make way. An idle connection makes way for a new one at the limit of a listener. A client that is closed for not reading is reset: the transport kept its data otherwise.

--- a/comfreyhatch/adapters/http_connection.py
+++ b/comfreyhatch/adapters/http_connection.py
@@ -10,6 +10,7 @@
 import h11
 from msgspec import Meta, Struct
 
+from comfreyhatch.adapters.client_memory import STREAM_BEHIND_BYTES, BodyMemory, UnreadMemory
 from comfreyhatch.adapters.http_message import (
     Headers,
     HttpHandler,
@@ -19,9 +20,14 @@
 )
 from comfreyhatch.adapters.socket_times import since_last_byte_s
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.errors import BackendError, ComfreyhatchError, RequestError
+from comfreyhatch.decisions.memory_account import MemoryAccount
+from comfreyhatch.errors import BackendError, ComfreyhatchError, RefusedError, RequestError
 
 READ_SIZE_BYTES = 65536
+# Read at a time from a connection on which no body is being read, and the limit of what waits to be
+# read: it bounds what a client can send in advance. asyncio reads 256 KiB at a time.
+IDLE_READ_SIZE_BYTES = 16384
+WAITING_LIMIT_BYTES = 8192
 # Time for which what a caller sends after its last answer is read and dropped. A connection that is
 # closed with bytes unread is reset, and the reset destroys an answer that is still on its way.
 LINGER_S = 0.5
@@ -38,7 +44,8 @@
     Attributes:
         header_bytes: Largest header section.
         body_bytes: Largest body.
-        connections: Connections open at once; more are closed at once.
+        connections: Connections open at once; for one more, an idle one is closed, or else itself.
+        source_connections: Connections open at once from one address; 0 for no limit.
         header_timeout_s: Time for a caller to send a request, from its first byte.
         idle_timeout_s: Time that a connection may stay idle between requests.
         write_timeout_s: Time for a caller to take what is buffered for it.
@@ -48,6 +55,7 @@
     header_bytes: Size = 32768
     body_bytes: Size = 4_194_304
     connections: Size = 4096
+    source_connections: Annotated[int, Meta(ge=0)] = 0
     header_timeout_s: Wait = 10.0
     idle_timeout_s: Wait = 75.0
     write_timeout_s: Wait = 30.0
@@ -71,6 +79,10 @@
         self._longest_s = limit_s()
         self.over = False
 
+    def extend(self, more_s: float) -> None:
+        """Extend the wait by a time for which the caller was kept from sending."""
+        self._began_at += more_s
+
     def until(self) -> float:
         """Return the monotonic time in seconds at which the wait ends as things are."""
         self._longest_s = max(self._longest_s, self._limit_s())
@@ -82,6 +94,11 @@
 
     Attributes:
         busy: Whether a request is being answered.
+        source: Address of the client.
+        answered: Whether a request has been answered.
+        idle_since: Monotonic time in seconds at which the connection was opened or a request ended.
+        head_since: Monotonic time in seconds since which the head of a request is being read; None
+            if none is.
     """
 
     def __init__(
@@ -91,6 +108,8 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         outlives_caller: Callable[[HttpRequest], bool] = lambda _: False,
+        account: MemoryAccount | None = None,
+        refuse: Callable[[ComfreyhatchError], HttpResponse] = error_response,
     ) -> None:
         """Take a connection over; nothing is read yet.
 
@@ -101,7 +120,19 @@
             reader: What the caller sends.
             writer: What is sent to the caller.
             outlives_caller: Returns whether a request is handled to its end after its caller left.
+            account: Memory held for clients; nothing is counted if None.
+            refuse: Returns the answer to a request that is refused for want of memory.
         """
+        self._account = account
+        self._refuse = refuse
+        self.source = source_of(writer)
+        self._body_memory: BodyMemory | None = None
+        self._unread = UnreadMemory(account, self.source, writer.transport) if account else None
+        self._written_bytes = 0
+        self._timeout: asyncio.Timeout | None = None
+        self.answered = False
+        self.head_since: float | None = None
+        self.idle_since = asyncio.get_running_loop().time()
         self._outlives_caller = outlives_caller
         self._cancellable = True
         self._handler = handler
@@ -115,6 +146,7 @@
         self._left = False
         self._cut = False
         writer.transport.set_write_buffer_limits(high=self._limits.buffer_bytes)
+        self._set_read_size(IDLE_READ_SIZE_BYTES)
 
     def caller_left(self, task: asyncio.Task[None]) -> None:
         """Cancel the request that is being answered or read, unless it outlives its caller."""
@@ -131,9 +163,23 @@
         """Note that bytes have come, which begin a request unless one is being read or answered."""
         self._reading = self._reading or not self.busy
 
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        return not self.busy and not self._reading
+
+    @property
+    def closing(self) -> bool:
+        """Whether the connection is being closed."""
+        return self._writer.transport.is_closing()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or answered."""
-        if not self.busy and not self._reading:
+        if self.idle:
             self._writer.close()
 
     async def serve(self, is_closing: Callable[[], bool]) -> None:
@@ -147,9 +193,14 @@
             TimeoutError: If the caller did not take the answer in time.
             h11.ProtocolError: If the caller broke the protocol.
         """
-        await self._serve_requests(is_closing)
-        if not (self._left or self._cut):
-            await self._linger()
+        try:
+            await self._serve_requests(is_closing)
+            if not (self._left or self._cut):
+                await self._linger()
+        finally:
+            self._release_body()
+            if self._unread is not None:
+                self._unread.close()
 
     async def _serve_requests(self, is_closing: Callable[[], bool]) -> None:
         """Answer requests until no further one is to be read."""
@@ -168,6 +219,9 @@
                 await self._answer(request, is_closing)
             finally:
                 self.busy = False
+                self._release_body()
+                self.answered = True
+                self.idle_since = asyncio.get_running_loop().time()
             if self._protocol.our_state is not h11.DONE:
                 return
             if self._protocol.their_state is not h11.DONE or is_closing():
@@ -189,6 +243,10 @@
             return await self._read_request()
         except RequestError as error:
             await self._send_response(error_response(error), close=True)
+        except RefusedError as error:
+            self._release_body()
+            # What has come of the request is dropped: the connection cannot carry another one.
+            await self._send_response(self._refuse(error), close=True)
         except h11.RemoteProtocolError as error:
             code = (
                 ResultCode.HEADERS_TOO_LARGE
@@ -204,22 +262,88 @@
         if not await self._await_first_byte():
             return None
         self._reading = True
+        self.head_since = asyncio.get_running_loop().time()
         self._take_limits()
         wait = self._wait(lambda: self._limits_in_force().header_timeout_s)
-        body = bytearray()
         first = await self._next_event(wait)
         if not isinstance(first, h11.Request):
             return None
-        self._check_head(first)
-        event = await self._next_event(wait)
-        while isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > self._limits.body_bytes:
-                raise RequestError("the body is too large", ResultCode.BODY_TOO_LARGE)
-            event = await self._next_event(wait)
-        if not isinstance(event, h11.EndOfMessage):
+        declared_bytes = self._check_head(first)
+        self.head_since = None
+        if declared_bytes != 0:
+            if self._account is not None:
+                self._body_memory = BodyMemory(self._account, self.source, self._stop_reading)
+                await self._reserve(declared_bytes or 0, wait)
+            self._set_read_size(READ_SIZE_BYTES)
+        body = await self._read_body(wait, declared_bytes is None)
+        self._set_read_size(IDLE_READ_SIZE_BYTES)
+        if body is None:
             return None
-        return _request_of(first, bytes(body), since_last_byte_s(self._writer.transport))
+        waited_s = since_last_byte_s(self._writer.transport)
+        if self._body_memory is not None:
+            self._body_memory.begin_request(len(body))
+            # What the caller sent while this side did not read may have waited for that long.
+            waited_s = max(waited_s, self._body_memory.paused_s)
+        return _request_of(first, body, waited_s)
+
+    async def _read_body(self, wait: _Wait, chunked: bool) -> bytes | None:
+        """Return the body; None if it does not end.
+
+        Args:
+            wait: Wait for the request.
+            chunked: Whether its length is not declared.
+        """
+        body = bytearray()
+        try:
+            event = await self._next_event(wait)
+            while isinstance(event, h11.Data):
+                size_bytes = len(body) + len(event.data)
+                if size_bytes > self._limits.body_bytes:
+                    raise RequestError("the body is too large", ResultCode.BODY_TOO_LARGE)
+                if chunked:
+                    await self._reserve(size_bytes, wait, chunked=True)
+                body += event.data
+                if self._body_memory is not None:
+                    self._body_memory.note_read(len(event.data))
+                event = await self._next_event(wait)
+            return bytes(body) if isinstance(event, h11.EndOfMessage) else None
+        finally:
+            # The traceback of an error keeps this frame, and the body, until it is collected.
+            body.clear()
+
+    async def _reserve(self, size_bytes: int, wait: _Wait, chunked: bool = False) -> None:
+        """Wait for memory for a body; the caller's time to send it does not run meanwhile.
+
+        Raises:
+            RefusedError: If there is none in time.
+        """
+        memory = self._body_memory
+        if memory is None:
+            return
+        paused_s = memory.paused_s
+        longest_wait_s = self._limits.header_timeout_s
+        if chunked:
+            await memory.reserve_chunked(size_bytes, self._limits.body_bytes, longest_wait_s)
+        else:
+            await memory.reserve(size_bytes, longest_wait_s)
+        wait.extend(memory.paused_s - paused_s)
+
+    def _release_body(self) -> None:
+        if self._body_memory is not None:
+            self._body_memory.close()
+            self._body_memory = None
+
+    def _stop_reading(self) -> None:
+        """End the wait for the caller, who is refused as `BodyMemory.refusal` says."""
+        if self._timeout is not None:
+            # The time may be over already.
+            with suppress(RuntimeError):
+                self._timeout.reschedule(asyncio.get_running_loop().time())
+
+    def _set_read_size(self, size_bytes: int) -> None:
+        """Bound the bytes that one read takes from the connection."""
+        # The attribute of asyncio's transports over sockets; others ignore it.
+        self._writer.transport.max_size = size_bytes  # type: ignore[attr-defined]
 
     async def _await_first_byte(self) -> bool:
         """Return whether a request begins; False when the connection closed or stayed idle."""
@@ -250,11 +374,16 @@
         while not wait.over:
             try:
                 async with asyncio.timeout_at(wait.until()) as timeout:
+                    self._timeout = timeout
                     return await self._reader.read(READ_SIZE_BYTES)
             except TimeoutError:
                 if not timeout.expired():
                     raise
+                if self._body_memory is not None and self._body_memory.refusal is not None:
+                    raise self._body_memory.refusal from None
                 wait.over = wait.until() <= asyncio.get_running_loop().time()
+            finally:
+                self._timeout = None
         try:
             async with asyncio.timeout(0) as timeout:
                 return await self._reader.read(READ_SIZE_BYTES)
@@ -263,7 +392,12 @@
                 raise
             return None
 
-    def _check_head(self, request: h11.Request) -> None:
+    def _check_head(self, request: h11.Request) -> int | None:
+        """Check the head of a request; return the length of its body, None if that is not known.
+
+        Raises:
+            RequestError: If it cannot be served.
+        """
         # h11 bounds only a header section that is incomplete after a read.
         size = len(request.target) + sum(len(n) + len(v) + 4 for n, v in request.headers)
         if size > self._limits.header_bytes:
@@ -272,9 +406,10 @@
         if b"content-length" in names and b"transfer-encoding" in names:
             # Peers that disagree on which of the two counts could be made to see two requests.
             raise RequestError("the request has both a length and a transfer encoding")
-        length = next((v for n, v in request.headers if n == b"content-length"), b"0")
-        if int(length) > self._limits.body_bytes:
+        length = int(next((v for n, v in request.headers if n == b"content-length"), b"0"))
+        if length > self._limits.body_bytes:
             raise RequestError("the body is too large", ResultCode.BODY_TOO_LARGE)
+        return None if b"transfer-encoding" in names else length
 
     async def _next_event(self, wait: _Wait) -> object:
         """Return the next event of the request.
@@ -328,9 +463,11 @@
     async def _send_stream(self, stream: AsyncIterator[bytes]) -> None:
         # A stream that fails ends without its last chunk, so that the caller sees it broken.
         try:
+            behind_bytes = 0
             async for piece in stream:
                 self._send(h11.Data(data=piece))
-                await self._drain()
+                behind_bytes = min(STREAM_BEHIND_BYTES, behind_bytes + len(piece))
+                await self._drain(behind_bytes)
             self._send(h11.EndOfMessage())
             await self._drain()
         except ComfreyhatchError as error:
@@ -345,22 +482,52 @@
     def _send(self, event: h11.Event) -> None:
         data = self._protocol.send(event)
         if data:
+            self._written_bytes += len(data)
             self._writer.write(data)
 
-    async def _drain(self) -> None:
+    async def _drain(self, behind_bytes: int = 0) -> None:
+        """Wait until the caller has taken what is buffered for it, beyond the limit.
+
+        Args:
+            behind_bytes: Bytes that may wait elsewhere for the caller.
+        """
         transport = self._writer.transport
         if transport.is_closing():
             raise ConnectionResetError("the caller closed the connection")
+        self._note_unread(behind_bytes)
         if transport.get_write_buffer_size() <= self._limits.buffer_bytes:
             return
-        async with asyncio.timeout(self._limits.write_timeout_s):
-            await self._writer.drain()
+        try:
+            async with asyncio.timeout(self._limits.write_timeout_s):
+                await self._writer.drain()
+        except TimeoutError:
+            # A transport that is only closed keeps what is buffered until the caller takes it.
+            log.info(
+                "event=client_turned_away reason=write_timeout source=%s held_bytes=%d",
+                self.source,
+                transport.get_write_buffer_size(),
+            )
+            transport.abort()
+            raise
+        self._note_unread(behind_bytes)
+
+    def _note_unread(self, behind_bytes: int) -> None:
+        if self._unread is not None:
+            buffered_bytes = self._writer.transport.get_write_buffer_size()
+            self._unread.note_written(buffered_bytes, self._written_bytes, behind_bytes)
+            self._written_bytes = 0
 
 
 def _parser(header_bytes: int) -> h11.Connection:
     return h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
 
 
+def source_of(writer: asyncio.StreamWriter) -> str:
+    """Return the address from which a client has connected; empty if it is not known."""
+    peer = writer.get_extra_info("peername")
+    return str(peer[0]) if isinstance(peer, tuple) else ""
+
+
 def _response_headers(response: HttpResponse) -> Headers:
     if response.headers is not None:
         return list(response.headers)
--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -2,26 +2,51 @@
 
 import asyncio
 import logging
+import os
 import socket
+from collections import Counter
 from collections.abc import Callable
 
 import h11
 
-from comfreyhatch.adapters.http_connection import HttpConnection, HttpLimits
-from comfreyhatch.adapters.http_message import HttpHandler, HttpRequest, HttpResponse
+from comfreyhatch.adapters.http_connection import (
+    WAITING_LIMIT_BYTES,
+    HttpConnection,
+    HttpLimits,
+    source_of,
+)
+from comfreyhatch.adapters.http_message import (
+    HttpHandler,
+    HttpRequest,
+    HttpResponse,
+    error_response,
+)
+from comfreyhatch.decisions.memory_account import MemoryAccount
 from comfreyhatch.domain.instance import Address
-from comfreyhatch.errors import ListenError
+from comfreyhatch.errors import ComfreyhatchError, ListenError
 
 __all__ = ["HttpRequest", "HttpResponse", "HttpServer"]
 
 # Time at a stop to accept connections, and for a request that has come on them to be read.
 SETTLE_S = 0.05
 
+# Connections that may wait to be accepted, and those that are accepted in one turn of the event
+# loop: those beyond the limit are open for a few turns before they are closed.
+BACKLOG = 1024
+ACCEPTS_PER_TURN = 16
+# Time after which a head that is not complete makes way for another connection.
+SLOW_HEAD_S = 1.0
+
 log = logging.getLogger("comfreyhatch.http")
 
 
 class HttpServer:
-    """A listener and its connections."""
+    """A listener and its connections.
+
+    Attributes:
+        limits: Limits of the listener.
+        turned_away: Number of connections closed for the limits on connections so far.
+    """
 
     def __init__(
         self,
@@ -29,6 +54,8 @@
         limits: HttpLimits | None = None,
         cancel_on_disconnect: bool = False,
         outlives_caller: Callable[[HttpRequest], bool] = lambda _: False,
+        account: MemoryAccount | None = None,
+        refuse: Callable[[ComfreyhatchError], HttpResponse] = error_response,
     ) -> None:
         """Create a server.
 
@@ -37,7 +64,13 @@
             limits: Limits of the listener.
             cancel_on_disconnect: Whether the handler is cancelled when its caller goes away.
             outlives_caller: Returns whether a request is handled to its end all the same.
+            account: Memory held for the clients of the daemon; nothing is counted if None.
+            refuse: Returns the answer to a request that is refused for want of memory.
         """
+        self._account = account
+        self._refuse = refuse
+        self.turned_away = 0
+        self._count_by_source: Counter[str] = Counter()
         self._outlives_caller = outlives_caller
         self._handler = handler
         self.limits = limits or HttpLimits()
@@ -58,16 +91,29 @@
         """
         loop = asyncio.get_running_loop()
         try:
-            self._server = await loop.create_server(self._protocol, host, port, backlog=1024)
+            self._server = await loop.create_server(
+                self._protocol, host, port, backlog=ACCEPTS_PER_TURN
+            )
         except OSError as error:
             raise ListenError(f"cannot listen on {host}:{port}: {error}") from error
+        self._let_wait()
         bound_host, bound_port = self._server.sockets[0].getsockname()[:2]
         return Address(bound_host, bound_port)
 
     async def start_on(self, listener: socket.socket) -> None:
         """Serve the connections of a socket that listens already, those that wait included."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._protocol, sock=listener, backlog=1024)
+        self._server = await loop.create_server(
+            self._protocol, sock=listener, backlog=ACCEPTS_PER_TURN
+        )
+        self._let_wait()
+
+    def _let_wait(self) -> None:
+        """Let `BACKLOG` connections wait; asyncio accepts as many in a turn as it lets wait."""
+        assert self._server is not None
+        for listener in self._server.sockets:
+            with socket.socket(fileno=os.dup(listener.fileno())) as own:
+                own.listen(BACKLOG)
 
     def drain(self) -> None:
         """Go on serving, but close each connection after its next answer."""
@@ -115,6 +161,11 @@
         """Number of requests being answered."""
         return sum(connection.busy for connection in self._task_by_connection)
 
+    @property
+    def connections(self) -> int:
+        """Number of connections that are open."""
+        return len(self._task_by_connection)
+
     def close_listener(self) -> None:
         """Take no new connections; those that are open go on."""
         if self._server:
@@ -127,15 +178,23 @@
 
     def _protocol(self) -> "_CallerProtocol":
         loop = asyncio.get_running_loop()
-        return _CallerProtocol(asyncio.StreamReader(loop=loop), self._accept, loop=loop)
+        reader = asyncio.StreamReader(WAITING_LIMIT_BYTES, loop)
+        return _CallerProtocol(reader, self._accept, loop=loop)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self._closing or len(self._task_by_connection) >= self.limits.connections:
+        if self._closing or not self._has_room(source_of(writer)):
             writer.close()
             return
         connection = HttpConnection(
-            self._handler, lambda: self.limits, reader, writer, self._outlives_caller
+            self._handler,
+            lambda: self.limits,
+            reader,
+            writer,
+            self._outlives_caller,
+            self._account,
+            self._refuse,
         )
+        self._count_by_source[connection.source] += 1
         task = asyncio.current_task()
         assert task is not None
         self._task_by_connection[connection] = task
@@ -153,7 +212,58 @@
             log.debug("event=connection_cancelled")
         finally:
             del self._task_by_connection[connection]
-            writer.close()
+            self._count_by_source[connection.source] -= 1
+            if not self._count_by_source[connection.source]:
+                del self._count_by_source[connection.source]
+            self._close(writer)
+
+    def _has_room(self, source: str) -> bool:
+        """Return whether a connection may be opened from an address; an idle one may be closed."""
+        limits = self.limits
+        if 0 < limits.source_connections <= self._count_by_source[source]:
+            self._note_turned_away("source_connections", source)
+            return False
+        if len(self._task_by_connection) < limits.connections:
+            return True
+        longest = self._idlest()
+        if longest is None:
+            self._note_turned_away("connections", source)
+            return False
+        self._note_turned_away("idle", longest.source)
+        longest.close()
+        return True
+
+    def _idlest(self) -> HttpConnection | None:
+        """Return the connection to close for another one; None if requests run on all.
+
+        Those that have carried no request come first, as none is lost with them, and those on which
+        the head of a request has been coming for `SLOW_HEAD_S` last.
+        """
+        now = asyncio.get_running_loop().time()
+        found = [each for each in self._task_by_connection if not each.closing]
+        idle = [each for each in found if each.idle]
+        if idle:
+            return min(idle, key=lambda each: (each.answered, each.idle_since))
+        slow = {each: each.head_since for each in found if each.head_since is not None}
+        oldest = min(slow, key=lambda each: slow[each], default=None)
+        return oldest if oldest is not None and now - slow[oldest] > SLOW_HEAD_S else None
+
+    def _note_turned_away(self, reason: str, source: str) -> None:
+        self.turned_away += 1
+        log.info(
+            "event=client_turned_away reason=%s source=%s connections=%d",
+            reason,
+            source,
+            len(self._task_by_connection),
+        )
+
+    def _close(self, writer: asyncio.StreamWriter) -> None:
+        """Close a connection, and reset it if its caller does not take the rest in time."""
+        writer.close()
+        transport = writer.transport
+        if transport.get_write_buffer_size():
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.limits.write_timeout_s, transport.abort)
 
 
 class _CallerProtocol(asyncio.StreamReaderProtocol):
--- a/comfreyhatch/adapters/metrics.py
+++ b/comfreyhatch/adapters/metrics.py
@@ -4,13 +4,15 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.gc_collector import GCCollector
-from prometheus_client.metrics_core import CounterMetricFamily
+from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.process_collector import ProcessCollector
 from prometheus_client.registry import Collector
 
 from comfreyhatch.adapters.answer_identity import AnswerOwner
 from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.adapters.http_link import AnswerPart
+from comfreyhatch.adapters.http_server import HttpServer
+from comfreyhatch.decisions.memory_account import MemoryAccount, MemoryPart
 from comfreyhatch.domain.record import Attempt, RequestRecord
 
 FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.46, 0.6, 1.0, 2.0, 5.0, 15.0)
@@ -162,6 +164,67 @@
         return family
 
 
+class ClientMetrics(Collector):
+    """Shows the memory and connections held for clients, and how many were turned away."""
+
+    def __init__(
+        self,
+        registry: CollectorRegistry,
+        account: MemoryAccount,
+        server_by_listener: Mapping[str, HttpServer],
+    ) -> None:
+        """Register the metrics.
+
+        Args:
+            registry: Where to add them.
+            account: Memory held for clients.
+            server_by_listener: Listeners of the daemon by their names.
+        """
+        self._account = account
+        self._server_by_listener = server_by_listener
+        registry.register(self)
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield the present values and the counts."""
+        held = GaugeMetricFamily(
+            "comfreyhatch_client_memory_bytes", "Memory held for clients.", labels=("part",)
+        )
+        stalled = CounterMetricFamily(
+            "comfreyhatch_clients_stalled",
+            "Clients turned away as they held memory and did not send or read.",
+            labels=("part",),
+        )
+        for part in MemoryPart:
+            held.add_metric((part.value,), self._account.used_by_part[part])
+            stalled.add_metric((part.value,), self._account.turned_away_by_part[part])
+        limit = GaugeMetricFamily(
+            "comfreyhatch_client_memory_limit_bytes",
+            "Most memory that is held for clients.",
+            self._account.total_bytes,
+        )
+        yield from (held, limit, stalled, *self._connections())
+
+    def _connections(self) -> Iterator[Metric]:
+        count = GaugeMetricFamily(
+            "comfreyhatch_client_connections", "Connections of clients.", labels=("listener",)
+        )
+        limit = GaugeMetricFamily(
+            "comfreyhatch_client_connections_limit",
+            "Most connections of clients.",
+            labels=("listener",),
+        )
+        closed = CounterMetricFamily(
+            "comfreyhatch_client_connections_turned_away",
+            "Connections closed for the limits on connections.",
+            labels=("listener",),
+        )
+        for name, server in self._server_by_listener.items():
+            count.add_metric((name,), server.connections)
+            limit.add_metric((name,), server.limits.connections)
+            closed.add_metric((name,), server.turned_away)
+        yield from (count, limit, closed)
+
+
 def add_process_metrics(registry: CollectorRegistry) -> None:
     """Add processor time, memory, open files and garbage collection of the process."""
     ProcessCollector(registry=registry)
--- a/comfreyhatch/adapters/settings.py
+++ b/comfreyhatch/adapters/settings.py
@@ -131,6 +131,18 @@
     grace_s: Annotated[float, Meta(ge=0, le=3600)] = 60.0
 
 
+class ResourceSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """Resources of the process, from which the limits on what it holds for clients are derived.
+
+    Attributes:
+        memory_mb: Memory that the process may use, in megabytes.
+        max_fds: File descriptors that it may open; 0 for the limit of the process at its start.
+    """
+
+    memory_mb: Annotated[float, Meta(ge=100, le=1_000_000)] = 256.0
+    max_fds: Annotated[int, Meta(ge=0, le=1_000_000_000)] = 0
+
+
 class EndpointSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Calls to model engines and plain services.
 
@@ -154,6 +166,7 @@
     endpoints: EndpointSettings = field(default_factory=EndpointSettings)
     logs: LogSettings = field(default_factory=LogSettings)
     limits: HttpLimits = field(default_factory=HttpLimits)
+    resources: ResourceSettings = field(default_factory=ResourceSettings)
     shutdown: ShutdownSettings = field(default_factory=ShutdownSettings)
     policy: PolicySettings = field(default_factory=PolicySettings)
 
--- a/comfreyhatch/daemon/components.py
+++ b/comfreyhatch/daemon/components.py
@@ -2,8 +2,10 @@
 
 import logging
 from random import Random
+from resource import RLIM_INFINITY, RLIMIT_NOFILE, getrlimit
 from time import monotonic, time
 
+from msgspec.structs import replace
 from prometheus_client import CollectorRegistry
 
 from comfreyhatch.adapters.engine_http import HttpEngine
@@ -11,6 +13,7 @@
 from comfreyhatch.adapters.http_connection import HttpLimits
 from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.adapters.metrics import (
+    ClientMetrics,
     OddAnswerMetrics,
     PeerMetrics,
     RequestMetrics,
@@ -56,6 +59,8 @@
 from comfreyhatch.daemon.versions.rollout import ROLLOUT_PREFIX, RolloutDriver, RolloutStore
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.configuration import Freshness
+from comfreyhatch.decisions.connection_limits import PROBE_CONNECTIONS, listener_connections
+from comfreyhatch.decisions.memory_account import MemoryAccount
 from comfreyhatch.decisions.rendezvous import rendezvous_order
 from comfreyhatch.decisions.shares import Peer
 from comfreyhatch.domain.change import Change, WithdrawVersion
@@ -71,8 +76,11 @@
 
 # A page of a table has at most 1,000 rows of 64 KiB.
 PLATFORM_ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
-# Memory of a daemon, of which an eighth is for answers of plain services.
-ANSWER_MEMORY_MB = 256.0
+# Parts of the file descriptors for the connections of callers, other daemons and operators; what is
+# left is for connections to endpoints and other daemons.
+CALLERS_FDS_SHARE = 1 / 2
+PEERS_FDS_SHARE = 1 / 4
+OPERATORS_FDS_SHARE = 1 / 16
 
 log = logging.getLogger("comfreyhatch.daemon")
 
@@ -143,7 +151,9 @@
         work_client = HttpClient(self._require_fresh)
         self._clients: tuple[HttpClient, ...] = (client, work_client)
         self._engine = HttpEngine(client, work_client)
-        memory = AnswerMemory(ANSWER_MEMORY_MB)
+        memory_mb = self._settings.resources.memory_mb
+        self._account = MemoryAccount(memory_mb)
+        memory = AnswerMemory(memory_mb, self._account, monotonic)
         self._service = HttpPlainService(client, work_client, memory.hold)
         self._table = HttpTable(client, platform.address, platform.timeout_s)
         self._objects = HttpObjectStore(client, platform.address)
@@ -289,14 +299,26 @@
         self._forwarded.run_minted = services.run_minted
         self._caller_server = HttpServer(
             callers.handle,
-            self._settings.limits,
+            self._listener_limits(self._settings.limits, CALLERS_FDS_SHARE),
             cancel_on_disconnect=True,
             outlives_caller=outlives_caller,
+            account=self._account,
         )
         self._peer_server = HttpServer(
-            self._forwarded.handle, HttpLimits(), cancel_on_disconnect=True
+            self._forwarded.handle,
+            self._listener_limits(HttpLimits(), PEERS_FDS_SHARE),
+            cancel_on_disconnect=True,
+            account=self._account,
         )
 
+    def _listener_limits(self, limits: HttpLimits, fds_share: float) -> HttpLimits:
+        """Return limits with no more connections than a part of the file descriptors allows."""
+        max_fds = self._settings.resources.max_fds or getrlimit(RLIMIT_NOFILE)[0]
+        if max_fds == RLIM_INFINITY:
+            return limits
+        allowed = listener_connections(max_fds, fds_share, PROBE_CONNECTIONS)
+        return replace(limits, connections=min(limits.connections, allowed))
+
     def _forwarder(self, hop: int) -> Forwarder:
         forwarder = Forwarder(
             self._own_id,
@@ -343,7 +365,17 @@
             self.ready,
             RolloutStore(self._table),
         )
-        self._operator_server = HttpServer(operators.handle, HttpLimits())
+        self._operator_server = HttpServer(
+            operators.handle,
+            self._listener_limits(HttpLimits(), OPERATORS_FDS_SHARE),
+            account=self._account,
+        )
+        servers = {
+            "callers": self._caller_server,
+            "peers": self._peer_server,
+            "operators": self._operator_server,
+        }
+        ClientMetrics(self.registry, self._account, servers)
         self.rollouts = RolloutDriver(
             self.incarnation,
             self._table,
--- a/comfreyhatch/decisions/answer_memory.py
+++ b/comfreyhatch/decisions/answer_memory.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+from comfreyhatch.decisions.memory_account import MemoryAccount, MemoryPart
+
 BYTES_PER_MB = 1_000_000
 # Share of the daemon's memory for one answer: its bytes exist up to three times for a moment, when
 # they are joined and written.
@@ -23,8 +25,21 @@
         used_bytes: Present sum.
     """
 
-    def __init__(self, memory_mb: float) -> None:
-        """Derive the limits from a daemon's memory, in megabytes."""
+    def __init__(
+        self,
+        memory_mb: float,
+        account: MemoryAccount | None = None,
+        clock: Callable[[], float] = lambda: 0.0,
+    ) -> None:
+        """Derive the limits from a daemon's memory.
+
+        Args:
+            memory_mb: The memory, in megabytes.
+            account: Account that answers are counted in, too; none if None.
+            clock: Monotonic time in seconds.
+        """
+        self._account = account
+        self._clock = clock
         memory_bytes = int(memory_mb * BYTES_PER_MB)
         self.limit_bytes = max(MIN_ANSWER_LIMIT_BYTES, int(memory_bytes * ANSWER_SHARE))
         self.total_bytes = max(self.limit_bytes, int(memory_bytes * ALL_ANSWERS_SHARE))
@@ -38,6 +53,8 @@
         """
         size_bytes = 0
         counted_bytes = 0
+        account = self._account
+        holding = account.open(MemoryPart.ANSWERS, self._clock()) if account else None
 
         def take(more_bytes: int) -> bool:
             nonlocal size_bytes, counted_bytes
@@ -45,6 +62,8 @@
             wanted_bytes = max(0, size_bytes - SMALL_ANSWER_BYTES) - counted_bytes
             if self.used_bytes + wanted_bytes > self.total_bytes:
                 return False
+            if account and holding and not account.take(holding, more_bytes, self._clock()):
+                return False
             self.used_bytes += wanted_bytes
             counted_bytes += wanted_bytes
             return True
@@ -53,3 +72,5 @@
             yield take
         finally:
             self.used_bytes -= counted_bytes
+            if account and holding:
+                account.close(holding)
--- a/comfreyhatch/domain/deployment.py
+++ b/comfreyhatch/domain/deployment.py
@@ -62,6 +62,7 @@
         bounds: Limits to guarantee.
         link_mbps: Bandwidth of the instance's link, in megabits a second; 0 if unknown.
         relay: Address of the listener for requests of other daemons; None if it takes none.
+        source_connections: Callers' connections open at once from one address; 0 for no limit.
     """
 
     instance: str
@@ -79,3 +80,4 @@
     region: str = ""
     link_mbps: float = 0.0
     relay: Address | None = None
+    source_connections: int = 0
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -14,10 +14,16 @@
 from comfreyhatch.adapters.http_connection import HttpLimits
 from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
 from comfreyhatch.adapters.http_server import HttpServer
-from comfreyhatch.adapters.metrics import OddAnswerMetrics, add_gauge
+from comfreyhatch.adapters.metrics import ClientMetrics, OddAnswerMetrics, add_gauge
 from comfreyhatch.decisions.answer_memory import AnswerMemory
+from comfreyhatch.decisions.connection_limits import (
+    MIN_PEER_CONNECTIONS,
+    PROBE_CONNECTIONS,
+    listener_connections,
+)
 from comfreyhatch.decisions.former_attempts import FormerAttempts
 from comfreyhatch.decisions.isolation import should_report_unready
+from comfreyhatch.decisions.memory_account import MemoryAccount
 from comfreyhatch.decisions.path_probes import PathProbes
 from comfreyhatch.decisions.relay_choice import RelayChoice
 from comfreyhatch.decisions.trial_shares import canary_share
@@ -51,7 +57,7 @@
     StoreRecovery,
 )
 from comfreyhatch.exchange.relay_client import RelayClient
-from comfreyhatch.exchange.relay_listener import RelayListener
+from comfreyhatch.exchange.relay_listener import RelayListener, busy_refusal
 from comfreyhatch.exchange.request_counter import RequestCounter
 from comfreyhatch.exchange.request_guard import RequestGuard
 from comfreyhatch.exchange.rollouts import RolloutController
@@ -75,8 +81,10 @@
 BALANCER_DRAIN_S = 2.4
 # Part of `Bounds.grace_s` reserved for closing after the last running requests were cut.
 CLOSE_MARGIN_S = 0.4
-# Descriptors reserved for other uses; callers' connections may use two thirds of the rest.
-RESERVED_FDS = 300
+# Parts of the file descriptors for the connections of callers and of other daemons; what is left is
+# for connections to endpoints.
+CALLERS_FDS_SHARE = 2 / 3
+RELAY_FDS_SHARE = 1 / 6
 # Longest wait at the start for orders and endpoints, and the interval at which their arrival is
 # checked. Callers that connect meanwhile wait instead of being refused for lack of a configuration.
 START_DIRECTORY_WAIT_S = 0.7
@@ -138,7 +146,8 @@
         )
         self._client = HttpClient(connect_timeout_s=ENDPOINT_CONNECT_TIMEOUT_S)
         telemetry = RequestTelemetry(self.registry)
-        memory = AnswerMemory(deployment.memory_mb)
+        self._account = MemoryAccount(deployment.memory_mb)
+        memory = AnswerMemory(deployment.memory_mb, self._account, monotonic)
         self._limits = EndpointLimits(self._reports, self.registry)
         self._paths = EndpointPaths(self.view, self._client, self.registry)
         self._relays = RelayClient(
@@ -197,7 +206,13 @@
             self._scheduler.in_service,
             self.registry,
         )
-        self._relay_server = HttpServer(self._relay_listener.handle, None, True)
+        self._relay_server = HttpServer(
+            self._relay_listener.handle,
+            _relay_limits(_limits(deployment), deployment),
+            True,
+            account=self._account,
+            refuse=busy_refusal,
+        )
         self._sync = DirectorySync(
             deployment,
             directory,
@@ -244,9 +259,16 @@
             self._counter,
             telemetry,
         )
-        self._callers = HttpServer(self._router.handle, _limits(deployment), True)
-        self._readiness = HttpServer(self._answer_readiness)
-        self._metrics = HttpServer(self._answer_metrics)
+        self._callers = HttpServer(
+            self._router.handle,
+            _limits(deployment),
+            True,
+            account=self._account,
+            refuse=codec.refusal,
+        )
+        probes = HttpLimits(connections=PROBE_CONNECTIONS)
+        self._readiness = HttpServer(self._answer_readiness, probes, account=self._account)
+        self._metrics = HttpServer(self._answer_metrics, probes, account=self._account)
         control = str(deployment.control) if deployment.control else ""
         self._peers = PeerListener(control, self._sync.answer) if control else None
         self.shutting_down = False
@@ -355,6 +377,13 @@
         gauge("endpoints_age_seconds", "Age of the list.", age_s(view.endpoints_age_s))
         gauge("connections_opened", "Connections to endpoints.", lambda: client.connections_opened)
         OddAnswerMetrics(self.registry, lambda: (client,))
+        servers = {
+            "callers": self._callers,
+            "relay": self._relay_server,
+            "readiness": self._readiness,
+            "metrics": self._metrics,
+        }
+        ClientMetrics(self.registry, self._account, servers)
         gauge("configuration", "Version of the configuration.", self._configuration_version)
         rollouts = self._rollouts
         gauge("rollouts_undecided", "Roll-outs not decided in time.", rollouts.undecided_count)
@@ -416,10 +445,11 @@
                 header_bytes=max(1, catalog.limits.header_bytes),
                 body_bytes=max(1, catalog.limits.body_bytes),
                 connections=limits.connections,
+                source_connections=limits.source_connections,
                 header_timeout_s=max(0.1, catalog.limits.header_timeout_s),
                 idle_timeout_s=max(0.1, catalog.limits.idle_timeout_s),
             )
-            self._relay_server.limits = _relay_limits(self._callers.limits)
+            self._relay_server.limits = _relay_limits(self._callers.limits, self._deployment)
         for service in list(self.view.trackers_by_service):
             self._scheduler.serve_queue(service)
 
@@ -431,11 +461,13 @@
 
 
 def _limits(deployment: Deployment) -> HttpLimits:
-    return HttpLimits(connections=max(1, (deployment.max_fds - RESERVED_FDS) * 2 // 3))
+    return HttpLimits(
+        connections=listener_connections(deployment.max_fds, CALLERS_FDS_SHARE),
+        source_connections=deployment.source_connections,
+    )
 
 
-def _relay_limits(callers: HttpLimits) -> HttpLimits:
+def _relay_limits(callers: HttpLimits, deployment: Deployment) -> HttpLimits:
     """Return the limits for other daemons, whose requests carry those of callers as bodies."""
-    return HttpLimits(
-        connections=callers.connections, body_bytes=callers.body_bytes + RELAY_MARGIN_BYTES
-    )
+    connections = listener_connections(deployment.max_fds, RELAY_FDS_SHARE, MIN_PEER_CONNECTIONS)
+    return HttpLimits(connections=connections, body_bytes=callers.body_bytes + RELAY_MARGIN_BYTES)
--- a/comfreyhatch/exchange/relay_listener.py
+++ b/comfreyhatch/exchange/relay_listener.py
@@ -28,7 +28,13 @@
 from comfreyhatch.codes import ResultCode
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.relay import RELAY_PATH, EndpointRequest, RelayFailure
-from comfreyhatch.errors import AnswerBrokenError, ConnectError, HttpError, RequestError
+from comfreyhatch.errors import (
+    AnswerBrokenError,
+    ComfreyhatchError,
+    ConnectError,
+    HttpError,
+    RequestError,
+)
 from comfreyhatch.exchange.endpoint_paths import EndpointPaths
 from comfreyhatch.exchange.header_codec import HeaderCodec
 from comfreyhatch.exchange.view import FleetView
@@ -168,6 +174,12 @@
         self._running -= 1
 
 
+def busy_refusal(error: ComfreyhatchError) -> HttpResponse:
+    """Return the answer to a request that is refused before it was read, which has not run."""
+    failure = (FAILURE_HEADER, RelayFailure.BUSY.value.encode())
+    return HttpResponse(HTTP_SERVICE_UNAVAILABLE, headers=[failure])
+
+
 def _answer_headers(reply: StreamedReply) -> Headers:
     dropped = HOP_BY_HOP_HEADERS | _OWN_HEADERS
     headers = [(name, value) for name, value in reply.headers if name not in dropped]
--- a/comfreyhatch/platform/settings.py
+++ b/comfreyhatch/platform/settings.py
@@ -138,6 +138,7 @@
         bounds=_bounds(reader),
         link_mbps=reader.number("limits.link_mbps", 0.0),
         relay=reader.port_of_range("ip", "port_range"),
+        source_connections=int(reader.number("limits.source_connections", 0)),
     )
     if reader.errors:
         raise SettingsError("\n".join(reader.errors))
