--- a/comfreyhatch/adapters/http_connection.py
+++ b/comfreyhatch/adapters/http_connection.py
@@ -44,7 +44,8 @@
     Attributes:
         header_bytes: Largest header section.
         body_bytes: Largest body.
-        connections: Connections open at once; for one more, an idle one is closed, or else itself.
+        connections: Connections open at once, or fewer if the resources of the process allow only
+            these; for one more, an idle one is closed, or else itself.
         source_connections: Connections open at once from one address; 0 for no limit.
         header_timeout_s: Time for a caller to send a request, from its first byte.
         idle_timeout_s: Time that a connection may stay idle between requests.
@@ -342,8 +343,9 @@
 
     def _set_read_size(self, size_bytes: int) -> None:
         """Bound the bytes that one read takes from the connection."""
-        # The attribute of asyncio's transports over sockets; others ignore it.
-        self._writer.transport.max_size = size_bytes  # type: ignore[attr-defined]
+        if self._account is not None:
+            # The attribute of asyncio's transports over sockets; others ignore it.
+            self._writer.transport.max_size = size_bytes  # type: ignore[attr-defined]
 
     async def _await_first_byte(self) -> bool:
         """Return whether a request begins; False when the connection closed or stayed idle."""
--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -10,6 +10,7 @@
 import h11
 
 from comfreyhatch.adapters.http_connection import (
+    READ_SIZE_BYTES,
     WAITING_LIMIT_BYTES,
     HttpConnection,
     HttpLimits,
@@ -178,7 +179,8 @@
 
     def _protocol(self) -> "_CallerProtocol":
         loop = asyncio.get_running_loop()
-        reader = asyncio.StreamReader(WAITING_LIMIT_BYTES, loop)
+        limit_bytes = WAITING_LIMIT_BYTES if self._account else READ_SIZE_BYTES
+        reader = asyncio.StreamReader(limit_bytes, loop)
         return _CallerProtocol(reader, self._accept, loop=loop)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -225,7 +227,7 @@
             return False
         if len(self._task_by_connection) < limits.connections:
             return True
-        longest = self._idlest()
+        longest = self._idlest() if self._account is not None else None
         if longest is None:
             self._note_turned_away("connections", source)
             return False
--- a/comfreyhatch/daemon/components.py
+++ b/comfreyhatch/daemon/components.py
@@ -59,7 +59,11 @@
 from comfreyhatch.daemon.versions.rollout import ROLLOUT_PREFIX, RolloutDriver, RolloutStore
 from comfreyhatch.decisions.answer_memory import AnswerMemory
 from comfreyhatch.decisions.configuration import Freshness
-from comfreyhatch.decisions.connection_limits import PROBE_CONNECTIONS, listener_connections
+from comfreyhatch.decisions.connection_limits import (
+    PROBE_CONNECTIONS,
+    caller_connections,
+    listener_connections,
+)
 from comfreyhatch.decisions.memory_account import MemoryAccount
 from comfreyhatch.decisions.rendezvous import rendezvous_order
 from comfreyhatch.decisions.shares import Peer
@@ -312,11 +316,17 @@
         )
 
     def _listener_limits(self, limits: HttpLimits, fds_share: float) -> HttpLimits:
-        """Return limits with no more connections than a part of the file descriptors allows."""
-        max_fds = self._settings.resources.max_fds or getrlimit(RLIMIT_NOFILE)[0]
-        if max_fds == RLIM_INFINITY:
-            return limits
-        allowed = listener_connections(max_fds, fds_share, PROBE_CONNECTIONS)
+        """Return limits with no more connections than the resources of the process allow.
+
+        Args:
+            limits: Limits by the settings.
+            fds_share: Part of the file descriptors for the listener.
+        """
+        resources = self._settings.resources
+        allowed = caller_connections(resources.memory_mb)
+        max_fds = resources.max_fds or getrlimit(RLIMIT_NOFILE)[0]
+        if max_fds != RLIM_INFINITY:
+            allowed = min(allowed, listener_connections(max_fds, fds_share, PROBE_CONNECTIONS))
         return replace(limits, connections=min(limits.connections, allowed))
 
     def _forwarder(self, hop: int) -> Forwarder:
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -19,6 +19,7 @@
 from comfreyhatch.decisions.connection_limits import (
     MIN_PEER_CONNECTIONS,
     PROBE_CONNECTIONS,
+    caller_connections,
     listener_connections,
 )
 from comfreyhatch.decisions.former_attempts import FormerAttempts
@@ -462,7 +463,10 @@
 
 def _limits(deployment: Deployment) -> HttpLimits:
     return HttpLimits(
-        connections=listener_connections(deployment.max_fds, CALLERS_FDS_SHARE),
+        connections=min(
+            listener_connections(deployment.max_fds, CALLERS_FDS_SHARE),
+            caller_connections(deployment.memory_mb),
+        ),
         source_connections=deployment.source_connections,
     )
 
