--- a/comfreyhatch/domain/deployment.py
+++ b/comfreyhatch/domain/deployment.py
@@ -64,6 +64,7 @@
         relay: Address of the listener for requests of other daemons; None if it takes none.
         endpoints_bound_memory: Whether endpoints crash when the requests that they hold exceed
             their memory; then their load is sampled before requests are placed.
+        source_connections: Callers' connections open at once from one address; 0 for no limit.
     """
 
     instance: str
@@ -82,3 +83,4 @@
     link_mbps: float = 0.0
     relay: Address | None = None
     endpoints_bound_memory: bool = False
+    source_connections: int = 0
