Queue, refuse and share by cost to callers for services that report a pace

A daemon queued by count of requests and by rank, with at least one slot for its forecast where 18 slots are shared by 59 daemons.

Adds pure decisions (least_cost, fair_shares, return_bookings, hold_times) and exchange/admission, which the scheduler uses for services with an endpoint that reports a pace. Other services are served as before.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -43,6 +43,7 @@
         left_silent_at: Time at which a request was last left there since nothing came.
         awaits_probe: Whether a probe waits for its answer, sent as a request was left there.
         lost_at: Time at which connections to it began to fail; None while they can be opened.
+        reports_pace: Whether a load report of it carried a pace.
     """
 
     __slots__ = (
@@ -70,6 +71,7 @@
         "pending_s",
         "rate",
         "record",
+        "reports_pace",
     )
 
     def __init__(self, record: EndpointRecord, now: float) -> None:
@@ -89,6 +91,7 @@
         self.brittle_per_s: float | None = None
         self.left_silent_at = -inf
         self.awaits_probe = False
+        self.reports_pace = False
         self._silent_pause_s = FIRST_SILENT_PAUSE_S
         self.lost_at: float | None = None
         self._other_load = 0.0
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -349,6 +349,11 @@
         view, client = self.view, self._client
         gauge = partial(add_gauge, self.registry)
         gauge("waiting_requests", "Requests that wait.", lambda: self._scheduler.queued)
+        scheduler = self._scheduler
+        gauge("waiting_work_seconds", "Work of those that wait.", lambda: scheduler.queued_work_s)
+        policy = scheduler.admission.policy
+        gauge("requests_displaced", "Requests refused for others.", lambda: policy.displaced)
+        gauge("workspaces_over_share", "Workspaces over their share.", lambda: policy.over_share)
         gauge("running_requests", "Requests under way.", lambda: self._callers.busy)
         gauge("endpoints", "Endpoints known.", lambda: len(view.tracker_by_id))
         gauge("orders_age_seconds", "Age of the operators' orders.", age_s(view.operations_age_s))
--- a/comfreyhatch/exchange/expected_waits.py
+++ b/comfreyhatch/exchange/expected_waits.py
@@ -47,7 +47,7 @@
 
     def wait_s(self, service: str, ahead: int, now: float) -> float:
         """Return the expected wait for a slot, in seconds, with some requests served before."""
-        slots = sum(tracker.record.slots for tracker in self._in_service(service, now))
+        slots = sum(tracker.record.slots for tracker in self.in_service(service, now))
         return self.service_time(service).expected_wait_s(ahead, self._own_slots(slots, now))
 
     def rest_s(self, service: str, now: float) -> float:
@@ -65,6 +65,11 @@
             default=inf,
         )
 
+    def takes_requests(self, service: str, now: float) -> bool:
+        """Return whether any endpoint is in service, not all of them with bounded rates."""
+        in_service = self.in_service(service, now)
+        return len(self._rates.bounded(in_service, now)) < len(in_service)
+
     def refusal(self, job: Job, queued: int, now: float) -> RefusedError:
         """Return the error for a request that gets no slot in time, with a time to come back.
 
@@ -73,7 +78,7 @@
             queued: Number of requests of its service that wait.
             now: Monotonic time in seconds.
         """
-        in_service = self._in_service(job.service, now)
+        in_service = self.in_service(job.service, now)
         expected_s = self.wait_s(job.service, queued + 1, now)
         if not in_service:
             return self._out_of_service(job, expected_s, now)
@@ -107,7 +112,8 @@
         interval_s = self.service_time(service).mean_s / self._own_slots(slots, now)
         return self.rest_s(service, now) + self._returns(service).book(0.0, interval_s, now)
 
-    def _in_service(self, service: str, now: float) -> list[EndpointTracker]:
+    def in_service(self, service: str, now: float) -> list[EndpointTracker]:
+        """Return the endpoints of a service that are in service."""
         trackers = self._view.trackers_by_service.get(service, ())
         return [tracker for tracker in trackers if self._eligibility.in_service(tracker, now)]
 
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import logging
+from collections import defaultdict
 from collections.abc import Callable
 from itertools import count
 from random import Random
 
-from msgspec import Struct
-
 from comfreyhatch.decisions.brittle import slots_share
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.isolation import ServiceReachability
@@ -17,6 +16,9 @@
 from comfreyhatch.domain.exchange import Job
 from comfreyhatch.domain.operations import RolloutOrder
 from comfreyhatch.errors import ComfreyhatchError, RefusedError
+from comfreyhatch.exchange.admission.pending import PendingRequest
+from comfreyhatch.exchange.admission.policy import LeastCostPolicy
+from comfreyhatch.exchange.admission.queue import QueueAdmission, QueuedRequest, admitted_by_cost
 from comfreyhatch.exchange.eligibility import EndpointEligibility
 from comfreyhatch.exchange.endpoint_rates import EndpointRates
 from comfreyhatch.exchange.endpoint_silence import EndpointSilence
@@ -28,37 +30,19 @@
 MAX_QUEUED_PER_SERVICE = 256
 # Interval at which non-empty queues are served, also to refuse requests whose wait is over.
 SWEEP_INTERVAL_S = 0.1
+# The same for queues with requests that are admitted by cost: slots that other daemons give back
+# are only noticed then, and short requests hold one for less than the other interval.
+COST_SWEEP_INTERVAL_S = 0.02
 
 log = logging.getLogger("comfreyhatch.pool")
 
 
-class _QueuedRequest(Struct):
-    """A queued request.
-
-    Attributes:
-        waiter: Its place in the order of the queue.
-        job: The request.
-        excluded: Ids of endpoints that it must not get; they may become more while it waits.
-        max_silent_s: Silence from which endpoints are avoided, in seconds; None for no bound.
-        work_s: Time that an idle endpoint needs for it, in seconds; 0 for the mean service time.
-        lease: Future of its lease, or of its refusal.
-        ask: Asks other daemons for a permit; None while it does not.
-    """
-
-    waiter: Waiter
-    job: Job
-    excluded: set[str]
-    max_silent_s: float | None
-    work_s: float
-    lease: "asyncio.Future[SlotLease]"
-    ask: "asyncio.Task[float | None] | None" = None
-
-
 class EndpointScheduler:
     """Assigns requests to endpoints; owns the queue of each service.
 
     Attributes:
         silence: Which of the endpoints that may serve a request are silent.
+        admission: Admits, orders and refuses queued requests.
     """
 
     def __init__(
@@ -89,8 +73,16 @@
         self._refusal_while_queued = refusal
         self._eligibility = EndpointEligibility(deployment, view, is_bad_version, pins)
         self.silence = EndpointSilence(view, self._eligibility)
-        self._queue_by_service: dict[str, list[_QueuedRequest]] = {}
+        self._queue_by_service: defaultdict[str, list[QueuedRequest]] = defaultdict(list)
         self._waits = ExpectedWaits(view, self._eligibility, rates, rng)
+        policy = LeastCostPolicy(
+            self._waits.in_service,
+            lambda now: len(rates.daemons(now)),
+            view.endpoints_age_s,
+            MAX_QUEUED_PER_SERVICE,
+            rng,
+        )
+        self.admission = QueueAdmission(policy, self._waits)
         self._next_number = count()
         self._sweep_timer: asyncio.TimerHandle | None = None
 
@@ -99,6 +91,12 @@
         """Number of queued requests."""
         return sum(len(entries) for entries in self._queue_by_service.values())
 
+    @property
+    def queued_work_s(self) -> float:
+        """Expected work of the queued requests that are admitted by cost, in seconds."""
+        queues = self._queue_by_service.values()
+        return sum(pending.work.work_s for queue in queues for pending in admitted_by_cost(queue))
+
     async def acquire(
         self,
         job: Job,
@@ -126,48 +124,56 @@
         """
         now = asyncio.get_running_loop().time()
         eligible = self.silence.preferred(job, excluded, max_silent_s, now)
-        lease = self._try_acquire(job, eligible, work_s, now)
+        pending = self.admission.arrive(job, resumes, work_s, now)
+        if pending is not None:
+            # What is still free then, no request that waits can use.
+            self.serve_queue(job.service)
+        future = asyncio.get_running_loop().create_future()
+        waiter = self._waiter(job, resumes, pending, now)
+        entry = QueuedRequest(waiter, job, excluded, max_silent_s, work_s, future, pending=pending)
+        if self.admission.is_held_back(pending, self._queue_by_service[job.service], now):
+            raise self._refusal(entry, now)
+        lease = self._start(entry, eligible, now)
         if lease is not None:
             excluded.add(lease.endpoint.record.endpoint_id)
             return lease
-        future = asyncio.get_running_loop().create_future()
-        entry = _QueuedRequest(
-            self._waiter(job, resumes, now), job, excluded, max_silent_s, work_s, future
-        )
         return await self._enqueue(entry, eligible, now)
 
     def release(self, lease: SlotLease) -> None:
         """Release a slot, and give it to the next queued request."""
         lease.free()
         now = asyncio.get_running_loop().time()
+        self.admission.policy.note_ended(lease, now)
         self._waits.service_time(lease.job.service).add(now - lease.started)
         self.serve_queue(lease.job.service)
 
     def serve_queue(self, service: str) -> None:
         """Give free slots to queued requests in order, and refuse those whose wait is over."""
         queue = self._queue_by_service.get(service)
+        now = asyncio.get_running_loop().time()
         if not queue:
+            self.admission.policy.clear(service, now)
             return
-        now = asyncio.get_running_loop().time()
-        queue.sort(key=lambda entry: entry.waiter.sort_key(now))
-        left: list[_QueuedRequest] = []
+        queue[:] = self.admission.in_order(service, queue, now)
+        left: list[QueuedRequest] = []
         for entry in queue:
             if not entry.lease.done() and not self._serve(entry, len(left), now):
                 left.append(entry)
         queue[:] = left
+        self.admission.refuse_late(service, queue, now)
 
-    def _serve(self, entry: _QueuedRequest, ahead: int, now: float) -> bool:
+    def _serve(self, entry: QueuedRequest, ahead: int, now: float) -> bool:
         """Give a slot to a queued request, or refuse it; return False if it has to wait on."""
         refusal: ComfreyhatchError | None = self._refusal_while_queued(entry.job, now)
         if refusal is None:
             eligible = self.silence.preferred(entry.job, entry.excluded, entry.max_silent_s, now)
-            lease = self._try_acquire(entry.job, eligible, entry.work_s, now)
+            lease = self._start(entry, eligible, now)
             if lease is not None:
                 entry.excluded.add(lease.endpoint.record.endpoint_id)
                 entry.lease.set_result(lease)
                 return True
             if now >= entry.waiter.refuse_at:
-                refusal = self._refusal(entry.job, now)
+                refusal = self._refusal(entry, now)
             else:
                 refusal = self._seek_permit(entry, eligible, ahead, now)
         if refusal is None:
@@ -227,18 +233,21 @@
             load=self.load(service, now),
         )
 
-    def _waiter(self, job: Job, resumes: bool, now: float) -> Waiter:
+    def _waiter(
+        self, job: Job, resumes: bool, pending: PendingRequest | None, now: float
+    ) -> Waiter:
+        refuse_at = now + max_wait_s(job, resumes, now)
         return Waiter(
             number=next(self._next_number),
             resumes=resumes,
             rank=job.rank,
             route_rank=job.route.rank,
             due_at=job.arrived + job.route.aim_s,
-            refuse_at=now + max_wait_s(job, resumes, now),
+            refuse_at=pending.work.start_by if pending is not None else refuse_at,
         )
 
     async def _enqueue(
-        self, entry: _QueuedRequest, eligible: list[EndpointTracker], now: float
+        self, entry: QueuedRequest, eligible: list[EndpointTracker], now: float
     ) -> SlotLease:
         """Return the lease of a request that has to wait for it.
 
@@ -249,27 +258,33 @@
         """
         job = entry.job
         waiter = entry.waiter
-        queue = self._queue_by_service.setdefault(job.service, [])
+        queue = self._queue_by_service[job.service]
         wait_s = waiter.refuse_at - now
         rests = not eligible and self._waits.rest_s(job.service, now) <= wait_s
-        if not (eligible or rests) or len(queue) >= MAX_QUEUED_PER_SERVICE:
-            raise self._refusal(job, now)
-        ahead = sum(1 for other in queue if other.waiter.sort_key(now) < waiter.sort_key(now))
-        if wait_s <= 0 or self._waits.wait_s(job.service, ahead, now) > wait_s:
-            raise self._refusal(job, now)
+        if not (eligible or rests):
+            raise self._refusal(entry, now)
+        if entry.pending is not None:
+            ahead = self.admission.admit(entry, entry.pending, queue, now)
+        else:
+            if len(queue) >= MAX_QUEUED_PER_SERVICE:
+                raise self._refusal(entry, now)
+            ahead = sum(1 for other in queue if other.waiter.sort_key(now) < waiter.sort_key(now))
+            if wait_s <= 0 or self._waits.wait_s(job.service, ahead, now) > wait_s:
+                raise self._refusal(entry, now)
         refusal = self._seek_permit(entry, eligible, ahead, now)
         if refusal is not None:
             raise refusal
         queue.append(entry)
         self._schedule_sweep()
-        log.info(
-            "event=queued id=%s service=%s rank=%d ahead=%d wait_s=%.2f",
-            job.exchange.request_id,
-            job.service,
-            job.rank,
-            ahead,
-            wait_s,
-        )
+        if entry.pending is None:
+            log.info(
+                "event=queued id=%s service=%s rank=%d ahead=%d wait_s=%.2f",
+                job.exchange.request_id,
+                job.service,
+                job.rank,
+                ahead,
+                wait_s,
+            )
         try:
             return await entry.lease
         except asyncio.CancelledError:
@@ -277,7 +292,7 @@
             raise
 
     def _seek_permit(
-        self, entry: _QueuedRequest, eligible: list[EndpointTracker], ahead: int, now: float
+        self, entry: QueuedRequest, eligible: list[EndpointTracker], ahead: int, now: float
     ) -> RefusedError | None:
         """Ask for a permit for a request that waits for endpoints with bounded rates.
 
@@ -305,9 +320,9 @@
         in_time = now + self._rates.next_s(bounded, now) < entry.waiter.refuse_at
         if in_time and not self._rates.overloaded(entry.job.service, now):
             return None
-        return self._refusal(entry.job, now)
+        return self._refusal(entry, now)
 
-    def _end_ask(self, entry: _QueuedRequest, task: "asyncio.Task[float | None]") -> None:
+    def _end_ask(self, entry: QueuedRequest, task: "asyncio.Task[float | None]") -> None:
         """Use a permit that was obtained, as soon as it may be used."""
         entry.ask = None
         if task.cancelled():
@@ -318,13 +333,25 @@
             loop.call_later(delay_s, self.serve_queue, entry.job.service)
         self.serve_queue(entry.job.service)
 
-    def _withdraw(self, queue: list[_QueuedRequest], entry: _QueuedRequest) -> None:
+    def _withdraw(self, queue: list[QueuedRequest], entry: QueuedRequest) -> None:
         """Remove a cancelled request from the queue, or release the slot it was given meanwhile."""
         if entry in queue:
             queue.remove(entry)
         elif entry.lease.done() and not entry.lease.cancelled() and not entry.lease.exception():
             self.release(entry.lease.result())
 
+    def _start(
+        self, entry: QueuedRequest, eligible: list[EndpointTracker], now: float
+    ) -> SlotLease | None:
+        """Return the lease of a free slot for a request, if there is one that it may take."""
+        pending, policy = entry.pending, self.admission.policy
+        if pending is not None and not policy.may_take_slot(pending, eligible, now):
+            return None
+        lease = self._try_acquire(entry.job, eligible, entry.work_s, now)
+        if lease is not None and pending is not None:
+            policy.note_started(pending, lease, now)
+        return lease
+
     def _try_acquire(
         self, job: Job, eligible: list[EndpointTracker], work_s: float, now: float
     ) -> SlotLease | None:
@@ -356,14 +383,15 @@
                 return False
         return tracker.running(now) < tracker.record.slots and self._rates.may_send(tracker, now)
 
-    def _refusal(self, job: Job, now: float) -> RefusedError:
-        queued = len(self._queue_by_service.get(job.service, ()))
-        return self._waits.refusal(job, queued, now)
+    def _refusal(self, entry: QueuedRequest, now: float) -> RefusedError:
+        return self.admission.refusal(entry, self._queue_by_service[entry.job.service], now)
 
     def _schedule_sweep(self) -> None:
         if self._sweep_timer is None:
             loop = asyncio.get_running_loop()
-            self._sweep_timer = loop.call_later(SWEEP_INTERVAL_S, self._sweep_queues)
+            by_cost = any(admitted_by_cost(queue) for queue in self._queue_by_service.values())
+            interval_s = COST_SWEEP_INTERVAL_S if by_cost else SWEEP_INTERVAL_S
+            self._sweep_timer = loop.call_later(interval_s, self._sweep_queues)
 
     def _sweep_queues(self) -> None:
         self._sweep_timer = None
--- a/comfreyhatch/exchange/slot_lease.py
+++ b/comfreyhatch/exchange/slot_lease.py
@@ -11,14 +11,18 @@
         endpoint: Endpoint of the slot.
         job: Request that holds it.
         started: Monotonic time at which it was acquired.
+        first_s: Work until the first event that was expected, in seconds; 0 if unknown.
+        charged_s: Work that its workspace was charged with, in seconds; 0 if it was not.
     """
 
-    __slots__ = ("_pending_s", "endpoint", "job", "started")
+    __slots__ = ("_pending_s", "charged_s", "endpoint", "first_s", "job", "started")
 
     def __init__(self, endpoint: EndpointTracker, job: Job, work_s: float, now: float) -> None:
         self.endpoint = endpoint
         self.job = job
         self.started = now
+        self.first_s = 0.0
+        self.charged_s = 0.0
         self._pending_s = work_s
         if not endpoint.in_flight:
             endpoint.busy_since = now
--- a/comfreyhatch/porcelain/log_story.py
+++ b/comfreyhatch/porcelain/log_story.py
@@ -12,6 +12,10 @@
 
 _SENTENCE_BY_EVENT = {
     "queued": "no endpoint was free; it waits for up to {wait_s} s behind {ahead} others",
+    "displaced": "refused while it waited, for {by}, whose refusal costs more than {cost}; it may"
+    " come back after {retry_after_s} s",
+    "not_admitted": "no room in time behind {ahead_s} s of work for {slots} slots; it may come back"
+    " after {retry_after_s} s",
     "placed": "sent to {endpoint} ({version}, zone {zone}), which is expected to take {delay_s} s"
     " for other work; {choices} endpoints could be chosen, the list was {list_age_s} s old",
     "model_judged": "model {model} answered with confidence {confidence}; delay {delay_s} s, load"
