--- a/comfreyhatch/exchange/load/load_probes.py
+++ b/comfreyhatch/exchange/load/load_probes.py
@@ -55,7 +55,7 @@
 
     async def ask(self, trackers: Iterable[EndpointTracker]) -> None:
         """Ask endpoints for their load, as many as the budget allows, and wait for the answers."""
-        asked = list(trackers)
+        asked = [tracker for tracker in trackers if self._health_path(tracker.record.service)]
         asked = asked[: self._budget.take(len(asked), asyncio.get_running_loop().time())]
         if asked:
             await asyncio.gather(*(self._probe(t, PLACEMENT_TIMEOUT_S, "placement") for t in asked))
--- a/tests/queue_replay.py
+++ b/tests/queue_replay.py
@@ -12,6 +12,7 @@
 from msgspec import Struct, field
 from prometheus_client import CollectorRegistry
 
+from comfreyhatch.adapters.http_client import HttpClient
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.catalog import RequestKind, Route, ServiceShare
 from comfreyhatch.domain.exchange import Job
@@ -19,11 +20,14 @@
 from comfreyhatch.errors import RefusedError
 from comfreyhatch.exchange.endpoint_limits import EndpointLimits
 from comfreyhatch.exchange.endpoint_rates import EndpointRates
+from comfreyhatch.exchange.load.load_probes import LoadProbes
+from comfreyhatch.exchange.load.load_view import LoadView
 from comfreyhatch.exchange.peer_reports import PeerReports
 from comfreyhatch.exchange.permits import PermitClient
 from comfreyhatch.exchange.scheduler import EndpointScheduler
 from comfreyhatch.exchange.session_pins import SessionPins
 from comfreyhatch.exchange.view import FleetView
+from comfreyhatch.platform.header_codec import PlatformHeaderCodec
 from tests.exchange_values import deployment, exchange, record
 from tests.platform_harness import BOUNDS
 from tests.simulated_fleet import run_simulated
@@ -106,8 +110,17 @@
         limits, permits = EndpointLimits(reports, registry), PermitClient(lambda daemon: None)
         rates = EndpointRates(settings, view, limits, permits, registry, self.rng, LONG_STARTED_S)
         pins = SessionPins(view, reports, 0.1, 5.0)
+        # Without a configuration no health path is known, so that nothing is probed.
+        probes = LoadProbes(HttpClient(), PlatformHeaderCodec(), lambda: None, CollectorRegistry())
         return EndpointScheduler(
-            settings, view, self.rng, lambda order: False, pins, rates, lambda job, now: None
+            settings,
+            view,
+            self.rng,
+            lambda order: False,
+            pins,
+            rates,
+            lambda job, now: None,
+            LoadView(settings, view, probes, self.rng),
         )
 
     def job(self, kind: Kind, workspace: str, identity: bytes, deadline: float) -> Job:
