Ask one endpoint for its load while there is room, and others only if it is busy

The first endpoint of a draw is asked alone; the others when its expected delay exceeds a fortieth of the target time.

--- a/comfreyhatch/exchange/load/load_view.py
+++ b/comfreyhatch/exchange/load/load_view.py
@@ -18,6 +18,8 @@
 from comfreyhatch.exchange.load.load_probes import LoadProbes
 from comfreyhatch.exchange.view import FleetView
 
+# Expected delay, as a share of the target time, up to which an endpoint is not compared to others.
+IDLE_DELAY_AIM_SHARE = 0.025
 # Draws for a request while none of the drawn endpoints answers.
 MAX_DRAWS = 2
 
@@ -78,9 +80,7 @@
         for _ in range(MAX_DRAWS):
             preferred = preferred_by_prefix(job.exchange, warm) if saved_s > MIN_SAVED_S else None
             drawn = draw_endpoints(warm, preferred, work_s, self._deployment.zone, self._rng, now)
-            await self._probes.ask(t for t in drawn if not is_fresh(t, now))
-            now = asyncio.get_running_loop().time()
-            known = [t for t in drawn if is_fresh(t, now)]
+            known = await self._ask(job, drawn, work_s)
             if known:
                 return known
             warm = [t for t in warm if t not in drawn]
@@ -88,6 +88,25 @@
                 break
         return eligible
 
+    async def _ask(
+        self, job: Job, drawn: list[EndpointTracker], work_s: float
+    ) -> list[EndpointTracker]:
+        """Return those of the drawn endpoints whose load is known; the first alone if it is idle.
+
+        While there is room, one probe a request is enough.
+        """
+        loop = asyncio.get_running_loop()
+        for part in (drawn[:1], drawn[1:]):
+            now = loop.time()
+            await self._probes.ask(t for t in part if not is_fresh(t, now))
+            now = loop.time()
+            known = [t for t in drawn if is_fresh(t, now)]
+            if known and self.expected_delay_s(job, known[0], work_s, now) <= (
+                IDLE_DELAY_AIM_SHARE * job.route.aim_s
+            ):
+                return known
+        return known
+
     def note_delay(self, service: str, running: float, delay_s: float) -> None:
         """Learn from an answer how long it was delayed at an endpoint with running requests."""
         self._delay(service).add(running, delay_s)
