--- a/comfreyhatch/decisions/fair_shares.py
+++ b/comfreyhatch/decisions/fair_shares.py
@@ -77,6 +77,7 @@
     def __init__(self) -> None:
         self._used = DecayingSums(SHARE_HALF_LIFE_S)
         self._refused = DecayingSums(SHARE_HALF_LIFE_S)
+        self._repeated = DecayingSums(SHARE_HALF_LIFE_S)
         self.over_share: frozenset[str] = frozenset()
 
     def charge(self, workspace: str, work_s: float, now: float) -> None:
@@ -87,16 +88,28 @@
         """Add refused work of a workspace, in seconds, to what it asks for."""
         self._refused.add(workspace, work_s, now)
 
+    def note_repeated(self, workspace: str, work_s: float, now: float) -> None:
+        """Add work that a caller repeated before the told time to the use of its workspace.
+
+        At most as much as was served in all, so that a workspace is not held back for long by
+        callers that repeat without a pause.
+        """
+        room_s = sum(self._used.items(now).values()) - self._repeated.get(workspace, now)
+        self._repeated.add(workspace, max(0.0, min(work_s, room_s)), now)
+
     def divide(self, waiting_s_by_workspace: Mapping[str, float], now: float) -> None:
         """Divide the capacity used lately among the workspaces by use, waiting and refused work.
 
-        While no work waits or was refused, all have what they ask for, and none is over its share.
+        Work that was repeated too early counts as used. While no work waits or was refused, all
+        have what they ask for, and none is over its share.
 
         Args:
             waiting_s_by_workspace: Work that waits, in seconds.
             now: Monotonic time in seconds.
         """
         used = self._used.items(now)
+        for workspace, work_s in self._repeated.items(now).items():
+            used[workspace] = used.get(workspace, 0.0) + work_s
         demand = dict(used)
         for unmet in (waiting_s_by_workspace, self._refused.items(now)):
             for workspace, work_s in unmet.items():
--- a/comfreyhatch/decisions/least_cost.py
+++ b/comfreyhatch/decisions/least_cost.py
@@ -178,6 +178,8 @@
 def reserved_slots(work: WaitingWork, ranks_asking: Iterable[int], slots: int) -> int:
     """Return how many free slots a request leaves to others, while its service is short.
 
+    At most half of the slots, so that a service with a single one serves all.
+
     Args:
         work: The request.
         ranks_asking: Ranks of the requests that asked a short time ago.
@@ -190,7 +192,8 @@
         classes += OVER_SHARE_CLASSES
     elif work.booked_at is not None:
         classes -= 1
-    return ceil(slots * RESERVED_PART * max(0, min(MAX_CLASSES, classes)))
+    wanted = ceil(slots * RESERVED_PART * max(0, min(MAX_CLASSES, classes)))
+    return min(wanted, slots // 2)
 
 
 def late_works(ordered: Sequence[WaitingWork], slots: float, now: float) -> list[WaitingWork]:
--- a/comfreyhatch/exchange/admission/policy.py
+++ b/comfreyhatch/exchange/admission/policy.py
@@ -127,8 +127,6 @@
         state.asked_at_by_rank[min(job.rank, MAX_RANK)] = now
         work_s = self._hold_times(job).expected_s(first_s, job.exchange.output_tokens)
         returned, booked_at = (Return.NEW, None) if resumes else state.returns.take(job, now)
-        if returned is Return.EARLY:
-            state.shares.charge(job, work_s, now)
         if resumes:
             latest = now + max_wait_s(job, resumes, now)
         else:
--- a/comfreyhatch/exchange/admission/shares.py
+++ b/comfreyhatch/exchange/admission/shares.py
@@ -44,7 +44,9 @@
         self._use.charge(workspace_of(job), work_s, now)
 
     def note_arrived(self, pending: PendingRequest, now: float) -> None:
-        """Count a request that comes for the first time."""
+        """Count a request that comes for the first time, or that is repeated too early."""
+        if pending.early:
+            self._use.note_repeated(workspace_of(pending.job), pending.work.work_s, now)
         if pending.returned is Return.NEW and not pending.work.resumes:
             self._floors.record_offered(pending.groups, now)
 
--- a/tests/queue_replay.py
+++ b/tests/queue_replay.py
@@ -32,6 +32,7 @@
 REPEAT_S = 0.05
 # Start of the daemons: long enough ago that all others have registered.
 LONG_STARTED_S = -100.0
+SEEDS = (1, 2, 3, 4, 5)
 
 
 class Kind(Struct, frozen=True):
@@ -268,7 +269,11 @@
     )
     print("| --- | --- | --- | --- | --- | --- | --- |")
     for name in names or list(PATTERN_BY_NAME):
-        before, after = (PATTERN_BY_NAME[name].outcomes(by_cost) for by_cost in (False, True))
+        pattern = PATTERN_BY_NAME[name]
+        before, after = (
+            [outcome for seed in SEEDS for outcome in pattern.outcomes(by_cost, seed)]
+            for by_cost in (False, True)
+        )
         for group in sorted({_group(outcome) for outcome in before}):
             parts = [[o for o in found if _group(o) == group] for found in (before, after)]
             served = [in_time(part, lambda o: True) for part in parts]
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -46,6 +46,20 @@
     assert use.over_share == {"big"}
 
 
+def test_repeats_count_but_not_beyond_what_was_served() -> None:
+    """Guards against a workspace that is shut out for minutes by one caller without a pause."""
+    use = WorkspaceUse()
+    for workspace in "ab":
+        use.charge(workspace, 1.0, NOW)
+    for _ in range(1000):
+        use.note_repeated("a", 5.0, NOW)
+    use.divide({"a": 1.0, "b": 1.0}, NOW)
+    assert use.over_share == {"a"}
+    use.charge("b", 4.0, NOW + 1)
+    use.divide({"a": 1.0, "b": 1.0}, NOW + 1)
+    assert use.over_share == {"b"}
+
+
 def test_past_use_is_forgotten() -> None:
     use = WorkspaceUse()
     use.charge("big", 7.5, NOW)
--- a/tests/test_least_cost.py
+++ b/tests/test_least_cost.py
@@ -114,6 +114,7 @@
     asking = [0, 1, 2]
     assert [reserved_slots(work(1, rank=r), asking, 18) for r in range(3)] == [0, 1, 2]
     assert reserved_slots(work(1, rank=2), [2], 18) == 0
+    assert reserved_slots(work(1, rank=2), asking, 1) == 0
     assert reserved_slots(work(1, rank=0, lane=Lane.OVER_SHARE), [0], 18) == 2
     assert reserved_slots(work(1, rank=2, lane=Lane.BELOW_FLOOR), asking, 18) == 0
     assert reserved_slots(work(1, rank=2, booked_at=NOW), asking, 18) == 1
--- a/tests/test_queue_replay.py
+++ b/tests/test_queue_replay.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 from functools import cache
 
@@ -100,8 +101,13 @@
     return refused.value
 
 
-def test_displaced_request_is_refused_at_once_and_truthfully() -> None:
-    """Guards against displaced callers that wait on, or are not told that nothing has run."""
+def test_displaced_request_is_refused_at_once_and_truthfully(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against displaced callers that wait on, or are not told that nothing has run, and
+    against decisions that can't be traced to their inputs.
+    """
+    caplog.set_level(logging.INFO, "comfreyhatch.admission")
 
     async def main(fleet: Fleet) -> None:
         loop = asyncio.get_running_loop()
@@ -118,6 +124,11 @@
             task.cancel()
 
     simulated(main)
+    lines = [record.getMessage() for record in caplog.records]
+    assert sum("event=queued " in line for line in lines) == 5
+    (line,) = [line for line in lines if "event=displaced " in line]
+    inputs = ("by", "retry_after_s", "work_s", "ahead_s", "slots", "work_age_s", "list_age_s")
+    assert all(f" {name}=" in line for name in inputs)
 
 
 def test_caller_that_returns_at_its_time_goes_before_a_newcomer() -> None:
