Ignore empty API keys; keep a target of 0 from failing a request that has run

Both were named by the new check of configurations. An empty key in a workspace's list admitted requests without any key; a target of 0 ms divided by zero in the cascade after an answer, and the caller was told that its request had not run. Both tests failed before.

--- a/comfreyhatch/decisions/cascade.py
+++ b/comfreyhatch/decisions/cascade.py
@@ -57,6 +57,8 @@
 
 def engine_contention(state: CascadeState) -> float:
     """Return the share of the engine time that other requests would use, 0 to 1."""
+    if state.aim_s <= 0:
+        return 1.0
     by_delay = state.delay_s / (FULL_CONTENTION_DELAY_SHARE * state.aim_s)
     return min(1.0, max(by_delay, state.load / FULL_CONTENTION_LOAD))
 
@@ -74,7 +76,8 @@
     if state.budget_left < MIN_BUDGET_LEFT:
         return 0.0
     expected_s = state.spent_s + state.delay_s + state.larger_s
-    if expected_s > state.aim_s or state.load >= 1.0:
+    # A target of 0 is never met, by the larger model neither.
+    if state.aim_s <= 0 or expected_s > state.aim_s or state.load >= 1.0:
         return 0.0
     idle = URGENT_CONFIDENCE if state.rank <= MAX_URGENT_RANK else NORMAL_CONFIDENCE
     pressure = (state.delay_s + contention * state.larger_s) / state.aim_s
--- a/comfreyhatch/platform/documents.py
+++ b/comfreyhatch/platform/documents.py
@@ -150,6 +150,8 @@
             key: Workspace(tenant.name, tenant.priority)
             for tenant in config.tenants
             for key in tenant.api_keys
+            # An empty key would admit requests that bear none.
+            if key
         },
         limits=_to_limits(config.limits),
     )
--- a/tests/test_cascade.py
+++ b/tests/test_cascade.py
@@ -59,3 +59,9 @@
     assert escalates(34, long)
     assert not escalates(34, replace(long, load=0.3, delay_s=0.26))
     assert escalates(34, replace(IDLE, load=0.3, delay_s=0.26, larger_s=0.1))
+
+
+def test_target_of_zero_escalates_nothing_and_raises_nothing() -> None:
+    # The division by the target raised an error after an endpoint had answered: the caller was told
+    # that its request had not run.
+    assert not escalates(0, replace(IDLE, aim_s=0.0))
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -142,3 +142,11 @@
 )
 def test_arbitrary_response_headers_do_not_raise(headers: list[tuple[bytes, bytes]]) -> None:
     PlatformHeaderCodec().read_head(200, headers)
+
+
+def test_empty_api_key_admits_nobody() -> None:
+    # Requests that bear no key have an empty one.
+    found = config(1)
+    found["tenants"] = [{"name": "club", "api_keys": ["", "key"], "priority": 1}]
+    catalog = decode_catalog(encode(found))
+    assert catalog is not None and set(catalog.workspace_by_key) == {"key"}
