--- a/comfreyhatch/exchange/event_relay.py
+++ b/comfreyhatch/exchange/event_relay.py
@@ -64,7 +64,10 @@
             else:
                 useless_bytes += len(piece)
             if events:
+                given_at = loop.time()
+                stream.begin_delivery()
                 yield b"".join(events)
+                stream.end_delivery(given_at, loop.time())
             if splitter.pending_bytes > MAX_EVENT_BYTES:
                 raise answer.too_large(AnswerPart.EVENT, f"{MAX_EVENT_BYTES} bytes")
             if useless_bytes > MAX_USELESS_BYTES:
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -38,6 +38,9 @@
 # Quantile of recent times to the first event that the stall limits are computed from.
 FIRST_EVENT_QUANTILE = 0.95
 MAX_LOGGED_PARTS = 8
+# An endpoint may cut an answer that it can't send on for this long, as the caller reads slowly; it
+# is not to blame for that.
+UNREAD_CUT_S = 1.0
 
 log = logging.getLogger("comfreyhatch.streams")
 
@@ -345,7 +348,8 @@
         stream.error = error
         self._log_failure(stream, error, begun=True)
         stream.count_failure(answer.endpoint, error)
-        note_lost_answer(answer.endpoint, error, now)
+        if stream.held_s < UNREAD_CUT_S:
+            note_lost_answer(answer.endpoint, error, now)
 
     async def _reopen(self, stream: StreamState) -> StreamedAnswer:
         """Return an answer that goes on with a broken stream.
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -60,6 +60,8 @@
         stall_limits: Longest waits for the next event.
         interrupt: Ends the current wait.
         idle_since: Monotonic time at which the last new event came or the wait began.
+        awaits_caller: Whether the caller has yet to take events; nothing is read meanwhile.
+        held_s: Longest time for which the caller held the current attempt up so, in seconds.
     """
 
     __slots__ = (
@@ -69,6 +71,7 @@
         "attempt",
         "attempt_events",
         "attempt_relayed",
+        "awaits_caller",
         "consecutive",
         "counted",
         "endpoint_by_broken",
@@ -78,6 +81,7 @@
         "excluded_ids",
         "gaps_s",
         "head",
+        "held_s",
         "idle_since",
         "interrupt",
         "is_replacing",
@@ -121,6 +125,8 @@
         self.stall_limits = StallLimits(float("inf"), float("inf"))
         self.interrupt: Callable[[], object] = _no_interrupt
         self.idle_since = job.arrived
+        self.awaits_caller = False
+        self.held_s = 0.0
 
     @property
     def model(self) -> str:
@@ -171,6 +177,17 @@
         self.last_events_at = None
         self.attempt_events = 0
         self.attempt_relayed = False
+        self.held_s = 0.0
+
+    def begin_delivery(self) -> None:
+        """Note that events are handed to the caller, and nothing is read until it has them."""
+        self.awaits_caller = True
+
+    def end_delivery(self, began_at: float, now: float) -> None:
+        """Note that the caller has taken the events that it was given at a time, in seconds."""
+        self.awaits_caller = False
+        self.held_s = max(self.held_s, now - began_at)
+        self.idle_since = now
 
     def record_events(self, count: int, now: float) -> None:
         """Count events that were received together; they share the gap before them."""
@@ -205,15 +222,18 @@
         return self.job.deadline - DEADLINE_MARGIN_S - now
 
     def is_stalled(self, now: float) -> bool:
-        """Return whether the current attempt exceeds its stall limits."""
-        if self.lease is None:
+        """Return whether the current attempt exceeds its stall limits.
+
+        One whose caller reads slowly does not: its endpoint is not read meanwhile.
+        """
+        if self.lease is None or self.awaits_caller:
             return False
         silent_s = now - self.lease.endpoint.last_received_at
         return stalled(self.stall_limits, self.waited_s(now), silent_s)
 
     def may_stall(self, now: float) -> bool:
         """Return whether the current attempt's endpoint has been silent for a part of the limit."""
-        if self.lease is None:
+        if self.lease is None or self.awaits_caller:
             return False
         silent_s = now - self.lease.endpoint.last_received_at
         return min(self.waited_s(now), silent_s) >= self.stall_limits.responsive_s
--- a/tests/test_stream_state.py
+++ b/tests/test_stream_state.py
@@ -2,8 +2,11 @@
 
 import pytest
 
+from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
+from comfreyhatch.decisions.stall import StallLimits
+from comfreyhatch.exchange.slot_lease import SlotLease
 from comfreyhatch.exchange.stream_state import MAX_GAPS, StreamState
-from tests.exchange_values import job
+from tests.exchange_values import job, record
 
 
 def stream_with(*arrivals: tuple[int, float]) -> StreamState:
@@ -40,3 +43,18 @@
 def test_number_of_gaps_is_bounded() -> None:
     stream = stream_with(*((1, float(at)) for at in range(10 * MAX_GAPS)))
     assert len(stream.gaps_s) == MAX_GAPS
+
+
+def test_stream_of_a_caller_that_reads_slowly_does_not_count_as_stalled() -> None:
+    # The endpoint is not read while the caller has yet to take events; the stream was moved to
+    # another endpoint, which had to read the prompt in again.
+    stream = StreamState(job())
+    stream.lease = SlotLease(EndpointTracker(record("e1"), 0.0), job(), 0.0, 0.0)
+    stream.stall_limits = StallLimits(silent_s=0.5, alive_s=2.0)
+    stream.idle_since = 10.0
+    stream.begin_delivery()
+    assert not stream.is_stalled(14.0) and not stream.may_stall(14.0)
+    stream.end_delivery(10.0, 14.0)
+    assert stream.held_s == 4.0
+    assert not stream.is_stalled(14.3)
+    assert stream.is_stalled(14.6)
