Plays of processes whose endpoints report their load and whose probes fail

The randomized plays ran endpoints that report no load, so no daemon in them sampled loads. With `speeds` in the plan, endpoints differ in speed and report load and a varying pace in answers and on the health path. Health paths may be silent, late, fail, lie, or name another endpoint while requests are answered. A link records what it holds back, so that a daemon can be killed while a probe is under way.

--- a/tests/endpoint_process.py
+++ b/tests/endpoint_process.py
@@ -34,6 +34,22 @@
 EARLY_EVENTS = 3
 SHORTEST_RUN_S = 0.03
 LONGEST_RUN_S = 0.3
+# Bounds of the factor by which the reported pace differs from one answer to the next.
+PACE_FACTORS = (0.8, 1.25)
+PERCENT = 100.0
+# Time for which a health path keeps a fault, in seconds.
+HEALTH_FAULT_S = 1.5
+# Time after which a late answer to a probe comes, which the daemon has given up by then.
+LATE_PROBE_S = 0.7
+# Reports without sense: not a number, negative, beyond all bounds, too short, with more fields.
+ODD_LOADS = (
+    b"-1,x,,nan",
+    b"9" * 400 + b",1,2,1e308",
+    b"1",
+    b"1,2,3,0,7,7",
+    b"\xff,,,-5",
+    b"0,0,0,inf",
+)
 LOW_CONFIDENCE = 20
 HIGH_CONFIDENCE = 95
 
@@ -55,6 +71,19 @@
     RUNS_ON = "runs on to its end"
 
 
+class HealthFault(StrEnum):
+    """What is wrong with a health path while requests are answered."""
+
+    NONE = "nothing"
+    SILENT = "no answer"
+    LATE = "answers come after the probe was given up"
+    FAILS = "status 500"
+    IDLE = "reports no load"
+    FULL = "reports more load than there is"
+    ODD = "odd figures"
+    OTHER = "the id of another endpoint"
+
+
 class EndpointOptions(Struct):
     """How an endpoint behaves.
 
@@ -66,6 +95,9 @@
         escalating: Share of the streams of which the small model is not confident.
         after_reset: What a request does after its connection was reset.
         copies: Which copies of earlier answers it sends.
+        reports_load: Whether its answers report its load and pace.
+        speed: Time that work takes, as a multiple of the usual time.
+        health_faults: Faults of the health path, of which one is drawn for each `HEALTH_FAULT_S`.
     """
 
     backlog: int = 5
@@ -75,6 +107,9 @@
     escalating: float = 0.2
     after_reset: AfterReset = AfterReset.ENDS
     copies: CopyOptions = field(default_factory=CopyOptions)
+    reports_load: bool = False
+    speed: float = 1.0
+    health_faults: tuple[HealthFault, ...] = ()
 
 
 class _LoggedProtocol(_CallerProtocol):
@@ -152,7 +187,10 @@
         self.room = options.capacity
         self._escalating = options.escalating
         self.events = EVENTS
-        self.pause_s = lambda number: EVENT_GAP_S
+        self.pause_s = lambda number: EVENT_GAP_S * options.speed
+        self._options = options
+        self._streams = 0
+        self._rng = Random(worker_id)
 
     async def listen(self, backlog: int) -> None:
         listener = socket.create_server(("127.0.0.1", 0))
@@ -164,16 +202,53 @@
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         if request.path == HEALTH_PATH:
-            return await super()._answer(request)
+            return await self._answer_probe()
         self._note("arrived", request)
         copying_writer.get().request_came(request.header("attempt-id").encode())
         return await super()._answer(request)
 
+    async def _answer_probe(self) -> HttpResponse:
+        """Answer a probe, with the fault that the health path has now."""
+        fault = self._health_fault()
+        if self._options.reports_load:
+            self._log("probed", port=peer_port.get(), how=fault.value)
+        if fault is HealthFault.SILENT:
+            await asyncio.Event().wait()
+        if fault is HealthFault.LATE:
+            await asyncio.sleep(LATE_PROBE_S)
+        response = await self._health()
+        if fault is HealthFault.FAILS:
+            return HttpResponse(500)
+        changed = {
+            HealthFault.IDLE: (b"server-load", b"0,0,64,100"),
+            HealthFault.FULL: (b"server-load", b"64,64,1,900"),
+            HealthFault.ODD: (b"server-load", self._rng.choice(ODD_LOADS)),
+            HealthFault.OTHER: (b"instance-id", b"another"),
+        }.get(fault)
+        if changed:
+            kept = [header for header in response.headers or () if header[0] != changed[0]]
+            response.headers = [*kept, changed]
+        return response
+
+    def _health_fault(self) -> HealthFault:
+        faults = self._options.health_faults
+        if not faults:
+            return HealthFault.NONE
+        period = int(time.monotonic() / HEALTH_FAULT_S)
+        return Random(f"{self.worker_id} {period}").choice(faults)
+
+    def _notices(self) -> list[tuple[bytes, bytes]]:
+        if self._options.reports_load:
+            running = self._running + self._streams
+            pace = PERCENT * self._options.speed * self._rng.uniform(*PACE_FACTORS)
+            self.load_report = f"{running},0,{self._options.capacity},{pace:.0f}"
+        return super()._notices()
+
     async def _run(self, request: HttpRequest) -> HttpResponse:
         if request.header("expect-instance") != self.worker_id:
             return await super()._run(request)
         rng = Random(request.header("attempt-id"))
-        self.answer_delay_s = rng.uniform(SHORTEST_RUN_S, LONGEST_RUN_S)
+        self.answer_delay_s = rng.uniform(SHORTEST_RUN_S, LONGEST_RUN_S) * self._options.speed
         is_low = rng.random() < self._escalating
         small = LOW_CONFIDENCE if is_low else HIGH_CONFIDENCE
         self.confidence_by_model = {"small": small, "large": HIGH_CONFIDENCE}
@@ -211,6 +286,7 @@
         how = "cut"
         pause_s = Random(request.header("attempt-id")).choice(EARLY_PAUSES_S)
         left = EARLY_EVENTS
+        self._streams += 1
         try:
             async for event in events:
                 yield event
@@ -218,6 +294,7 @@
                 await asyncio.sleep(pause_s if left >= 0 else 0.0)
             how = "complete"
         finally:
+            self._streams -= 1
             self._note("ended", request, how=how)
 
     def _note(self, event: str, request: HttpRequest, how: str = "") -> None:
--- a/tests/faulty_link.py
+++ b/tests/faulty_link.py
@@ -30,12 +30,14 @@
         target: Where connections are forwarded to.
         delay_s: Time by which each piece is late while there is a delay, in seconds.
         address: Where it listens, once started.
+        held: Pieces that a fault has held back on their way to the target, oldest first.
     """
 
     def __init__(self, target: Address, delay_s: float = 0.3) -> None:
         self.target = target
         self.delay_s = delay_s
         self.address = Address("", 0)
+        self.held: list[bytes] = []
         self._faults: list[LinkFault] = []
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
@@ -114,6 +116,8 @@
         while data := await reader.read(PIECE_BYTES):
             if LinkFault.DELAY in self._faults:
                 await asyncio.sleep(self.delay_s)
+            if held is HELD_REQUESTS and any(fault in held for fault in self._faults):
+                self.held.append(data)
             while any(fault in held for fault in self._faults):
                 await self._changed.wait()
             writer.write(data)
--- a/tests/fleet_plan.py
+++ b/tests/fleet_plan.py
@@ -26,6 +26,8 @@
             disturbances.
         zones: Zones over which daemons and endpoints are spread.
         has_links: Whether endpoints are reached by way of links that may fail.
+        speeds: Times that work takes at endpoints, as multiples of the usual time; endpoints report
+            their load and pace. Empty for endpoints that are alike and report nothing.
     """
 
     daemons: int = 2
@@ -38,3 +40,4 @@
     signals: bool = False
     zones: tuple[str, ...] = ("a",)
     has_links: bool = False
+    speeds: tuple[float, ...] = ()
--- a/tests/fleet_plays.py
+++ b/tests/fleet_plays.py
@@ -83,6 +83,36 @@
     await asyncio.gather(load, *tasks)
 
 
+async def play_each(fleet: Fleet, first_s: float) -> None:
+    """Send requests while processes are stopped, killed and restarted, each kind once.
+
+    Args:
+        fleet: The fleet.
+        first_s: Time until the first disturbance, in seconds.
+    """
+    rng = fleet.rng
+    ended = asyncio.Event()
+    load = asyncio.create_task(fleet.load_until(ended))
+    await asyncio.sleep(first_s)
+    silent, killed = rng.sample(list(SIZE_BY_SERVICE), 2)
+    for_s, daemons_for_s = (rng.uniform(SHORTEST_S, 2.0) for _ in range(2))
+    kinds = [
+        partial(fleet.silence, silent, 0.4, for_s),
+        partial(fleet.crash, killed, rng.uniform(0.0, 1.0)),
+        partial(fleet.silence_daemons, 0.3, daemons_for_s),
+        partial(fleet.restart_daemon, True, rng.uniform(0.0, 1.0)),
+        partial(fleet.restart_daemon, False, 0.0),
+    ]
+    tasks = []
+    for kind in rng.sample(kinds, len(kinds)):
+        tasks.append(asyncio.create_task(kind()))
+        await asyncio.sleep(rng.uniform(0.3, 1.5))
+    await asyncio.gather(*tasks)
+    await asyncio.sleep(TAIL_S)
+    ended.set()
+    await load
+
+
 async def _disturb(fleet: Fleet) -> None:
     """Disturb a part of the fleet that is drawn, for a time that is drawn."""
     rng = fleet.rng
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -8,6 +8,7 @@
 from time import monotonic
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from comfreyhatch.domain.instance import Address
 from tests.endpoint_processes import EndpointEvent, EndpointProcess
@@ -78,8 +79,11 @@
 
     async def _start_endpoint(self, endpoint: EndpointProcess) -> None:
         number = list(self.endpoint_by_id).index(endpoint.worker_id)
-        zone = self.plan.zones[number % len(self.plan.zones)]
-        row = await endpoint.start(self.plan.endpoints, zone)
+        options = self.plan.endpoints
+        if speeds := self.plan.speeds:
+            options = replace(options, reports_load=True, speed=speeds[number % len(speeds)])
+        zone = self._zone(endpoint.worker_id)
+        row = await endpoint.start(options, zone)
         if self.plan.has_links:
             row["address"] = str(await self._link_to(endpoint.worker_id, str(row["address"])))
         self._store.put("servers", endpoint.worker_id, row)
@@ -136,7 +140,7 @@
         limits = {**found["limits"], "idle_timeout_ms": changes.get("idle_timeout_ms", 15000)}
         self.configured.append(Configured(monotonic(), int(str(timeout_ms)) / MS_PER_S))
         self._store.put("op", "config", {**found, "limits": limits})
-        self._note(f"configuration {self._version} {changes}")
+        self.note(f"configuration {self._version} {changes}")
 
     def _chosen(self, service: str, share: float) -> list[EndpointProcess]:
         """Return a share of a service's endpoints, of those that run."""
@@ -147,27 +151,42 @@
     async def silence(self, service: str, share: float, for_s: float) -> None:
         """Stop a share of a service's endpoints for a time."""
         chosen = self._chosen(service, share)
-        self._note(f"stopped {_ids(chosen)} for {for_s:.2f} s")
+        self.note(f"stopped {_ids(chosen)} for {for_s:.2f} s")
         await asyncio.gather(*(endpoint.silence(for_s) for endpoint in chosen))
-        self._note(f"continued {_ids(chosen)}")
+        self.note(f"continued {_ids(chosen)}")
 
     async def refuse(self, service: str, share: float, for_s: float) -> None:
         """Let a share of a service's endpoints refuse all requests for a time."""
         chosen = self._chosen(service, share)
-        self._note(f"{_ids(chosen)} refuse for {for_s:.2f} s")
+        self.note(f"{_ids(chosen)} refuse for {for_s:.2f} s")
         await asyncio.gather(*(endpoint.refuse(for_s) for endpoint in chosen))
 
     async def break_links(self, service: str, share: float, fault: LinkFault, for_s: float) -> None:
         """Let the links to a share of a service's endpoints have a fault for a time."""
         chosen = self._chosen(service, share)
-        self._note(f"links to {_ids(chosen)} for {for_s:.2f} s: {fault.value}")
+        self.note(f"links to {_ids(chosen)} for {for_s:.2f} s: {fault.value}")
         links = [self.link_by_id[endpoint.worker_id] for endpoint in chosen]
         await asyncio.gather(*(link.fail(fault, for_s) for link in links))
-        self._note(f"links to {_ids(chosen)} pass all again")
+        self.note(f"links to {_ids(chosen)} pass all again")
+
+    def ids_in(self, zone: str) -> list[str]:
+        """Return the ids of the endpoints of a zone."""
+        return [worker_id for worker_id in self.endpoint_by_id if self._zone(worker_id) == zone]
+
+    def _zone(self, worker_id: str) -> str:
+        number = list(self.endpoint_by_id).index(worker_id)
+        return self.plan.zones[number % len(self.plan.zones)]
+
+    async def break_links_to_zone(self, zone: str, fault: LinkFault, for_s: float) -> None:
+        """Let the links to all endpoints of a zone have a fault for a time."""
+        self.note(f"links to zone {zone} for {for_s:.2f} s: {fault.value}")
+        links = [self.link_by_id[worker_id] for worker_id in self.ids_in(zone)]
+        await asyncio.gather(*(link.fail(fault, for_s) for link in links))
+        self.note(f"links to zone {zone} pass all again")
 
     async def silence_store(self, for_s: float) -> None:
         """Let the store answer nothing for a time."""
-        self._note(f"the store is silent for {for_s:.2f} s")
+        self.note(f"the store is silent for {for_s:.2f} s")
         self._store.silent = True
         await asyncio.sleep(for_s)
         self._store.silent = False
@@ -178,20 +197,20 @@
         if not chosen:
             return
         endpoint = chosen[0]
-        self._note(f"killed {endpoint.worker_id}, down for {down_s:.2f} s")
+        self.note(f"killed {endpoint.worker_id}, down for {down_s:.2f} s")
         await endpoint.kill()
         await asyncio.sleep(down_s)
         await self._start_endpoint(endpoint)
-        self._note(f"started {endpoint.worker_id}")
+        self.note(f"started {endpoint.worker_id}")
 
     async def silence_daemons(self, share: float, for_s: float) -> None:
         """Stop a share of the daemons for a time."""
         running = self.daemons.running
         count = max(1, round(share * self.plan.daemons))
         hosts = self.rng.sample(running, min(len(running), count))
-        self._note(f"stopped daemons {','.join(hosts)} for {for_s:.2f} s")
+        self.note(f"stopped daemons {','.join(hosts)} for {for_s:.2f} s")
         await self.daemons.silence(hosts, for_s)
-        self._note(f"continued daemons {','.join(hosts)}")
+        self.note(f"continued daemons {','.join(hosts)}")
 
     async def restart_daemon(self, kill: bool, down_s: float) -> None:
         """End a daemon, and start it again later.
@@ -228,9 +247,9 @@
                 await asyncio.sleep(gap_s)
 
     async def _restart(self, host: str, kill: bool, down_s: float) -> None:
-        self._note(f"{'killed' if kill else 'ends'} daemon {host}, down for {down_s:.2f} s")
+        self.note(f"{'killed' if kill else 'ends'} daemon {host}, down for {down_s:.2f} s")
         await self.daemons.restart(host, kill, down_s)
-        self._note(f"started daemon {host}")
+        self.note(f"started daemon {host}")
 
     async def reload_in_series(self, gap_s: float) -> None:
         """Change the settings of the daemons, and tell one after the other by SIGHUP.
@@ -241,13 +260,13 @@
         self._reloads += 1
         for host in self.daemons.hosts:
             if self.daemons.takes_signals(host):
-                self._note(f"settings {self._reloads} of daemon {host}")
+                self.note(f"settings {self._reloads} of daemon {host}")
                 self.daemons.reload(host, self._reloads)
             await asyncio.sleep(gap_s)
 
     def set_load(self, factor: float) -> None:
         """Send requests at a multiple of the rates of `RATES` from now on."""
-        self._note(f"load {factor:g}")
+        self.note(f"load {factor:g}")
         self._callers.factor = factor
 
     async def load(self, for_s: float) -> None:
@@ -258,7 +277,8 @@
         """Send requests until an event, and wait until all have ended."""
         await self._callers.load_until(ended.is_set)
 
-    def _note(self, text: str) -> None:
+    def note(self, text: str) -> None:
+        """Note what was done, or what came of it, with the time."""
         self.notes.append((monotonic(), text))
 
 
