--- a/comfreyhatch/adapters/client_memory.py
+++ b/comfreyhatch/adapters/client_memory.py
@@ -18,16 +18,24 @@
 RECHECK_S = 0.25
 # Told to a client that is refused for want of memory, in seconds.
 RETRY_AFTER_S = 1.0
-# Bytes that a stream that has carried as many may hold beside what is buffered for its client:
-# unread ones on its endpoint's connection, events of one read, and copies of both; 240 streams of
-# fast endpoints took 246 KB each. They take it also while their clients read.
+# Bytes that a stream may hold beside what is buffered for its client: unread ones on its endpoint's
+# connection, events of one read, and copies of both; 240 streams of fast endpoints took 246 KB
+# each. They take it also while their clients read.
 STREAM_BEHIND_BYTES = 262_144
+# Times what it has carried so far that a stream may hold at most: without it, many streams that
+# begin at once exceeded the account before they were counted.
+STREAM_BEHIND_FACTOR = 4
 # Less than this is not counted for a client that does not read.
 UNCOUNTED_BYTES = 16_384
 
 log = logging.getLogger("comfreyhatch.http")
 
 
+def stream_behind_bytes(carried_bytes: int) -> int:
+    """Return the bytes that a stream may hold beside what is buffered, by what it has carried."""
+    return min(STREAM_BEHIND_BYTES, STREAM_BEHIND_FACTOR * carried_bytes)
+
+
 class BodyMemory:
     """Memory for the body of a request: while it is read, and while the request is under way.
 
--- a/comfreyhatch/adapters/http_connection.py
+++ b/comfreyhatch/adapters/http_connection.py
@@ -10,7 +10,7 @@
 import h11
 from msgspec import Meta, Struct
 
-from comfreyhatch.adapters.client_memory import STREAM_BEHIND_BYTES, BodyMemory, UnreadMemory
+from comfreyhatch.adapters.client_memory import BodyMemory, UnreadMemory, stream_behind_bytes
 from comfreyhatch.adapters.http_message import (
     Headers,
     HttpHandler,
@@ -468,11 +468,11 @@
     async def _send_stream(self, stream: AsyncIterator[bytes]) -> None:
         # A stream that fails ends without its last chunk, so that the caller sees it broken.
         try:
-            behind_bytes = 0
+            carried_bytes = 0
             async for piece in stream:
                 self._send(h11.Data(data=piece))
-                behind_bytes = min(STREAM_BEHIND_BYTES, behind_bytes + len(piece))
-                await self._drain(behind_bytes)
+                carried_bytes += len(piece)
+                await self._drain(stream_behind_bytes(carried_bytes))
             self._send(h11.EndOfMessage())
             await self._drain()
         except ComfreyhatchError as error:
