--- a/comfreyhatch/adapters/http_connection.py
+++ b/comfreyhatch/adapters/http_connection.py
@@ -2,25 +2,24 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from contextlib import suppress
-from typing import Annotated
 from urllib.parse import parse_qsl, urlsplit
 
 import h11
-from msgspec import Meta, Struct
 
-from comfreyhatch.adapters.client_memory import BodyMemory, UnreadMemory, stream_behind_bytes
+from comfreyhatch.adapters.client_memory import BodyMemory
+from comfreyhatch.adapters.http_limits import HttpLimits, RequestWait
 from comfreyhatch.adapters.http_message import (
-    Headers,
     HttpHandler,
     HttpRequest,
     HttpResponse,
     error_response,
 )
+from comfreyhatch.adapters.http_response_writer import ResponseWriter
 from comfreyhatch.adapters.socket_times import since_last_byte_s
 from comfreyhatch.codes import ResultCode
-from comfreyhatch.decisions.memory_account import MemoryAccount, MemoryPart
+from comfreyhatch.decisions.memory_account import MemoryAccount
 from comfreyhatch.errors import BackendError, ComfreyhatchError, RefusedError, RequestError
 
 READ_SIZE_BYTES = 65536
@@ -32,64 +31,9 @@
 # closed with bytes unread is reset, and the reset destroys an answer that is still on its way.
 LINGER_S = 0.5
 
-Size = Annotated[int, Meta(ge=1)]
-Wait = Annotated[float, Meta(gt=0)]
-
 log = logging.getLogger("comfreyhatch.http")
 
 
-class HttpLimits(Struct, frozen=True):
-    """Limits of a listener.
-
-    Attributes:
-        header_bytes: Largest header section.
-        body_bytes: Largest body.
-        connections: Connections open at once, or fewer if the resources of the process allow only
-            these; for one more, an idle one is closed, or else itself.
-        source_connections: Connections open at once from one address; 0 for no limit.
-        header_timeout_s: Time for a caller to send a request, from its first byte.
-        idle_timeout_s: Time that a connection may stay idle between requests.
-        write_timeout_s: Time for a caller to take what is buffered for it.
-        buffer_bytes: Bytes buffered for a slow caller before the answer is held back.
-    """
-
-    header_bytes: Size = 32768
-    body_bytes: Size = 4_194_304
-    connections: Size = 4096
-    source_connections: Annotated[int, Meta(ge=0)] = 0
-    header_timeout_s: Wait = 10.0
-    idle_timeout_s: Wait = 75.0
-    write_timeout_s: Wait = 30.0
-    buffer_bytes: Size = 65536
-
-
-class _Wait:
-    """A wait for a caller to send; extended when its limit is raised meanwhile.
-
-    A limit that is lowered applies from the next wait on: the caller may count on the longer one.
-
-    Attributes:
-        over: Whether the time was over.
-    """
-
-    __slots__ = ("_began_at", "_limit_s", "_longest_s", "over")
-
-    def __init__(self, limit_s: Callable[[], float], now: float) -> None:
-        self._began_at = now
-        self._limit_s = limit_s
-        self._longest_s = limit_s()
-        self.over = False
-
-    def extend(self, more_s: float) -> None:
-        """Extend the wait by a time for which the caller was kept from sending."""
-        self._began_at += more_s
-
-    def until(self) -> float:
-        """Return the monotonic time in seconds at which the wait ends as things are."""
-        self._longest_s = max(self._longest_s, self._limit_s())
-        return self._began_at + self._longest_s
-
-
 class HttpConnection:
     """One caller's connection; serves one request at a time.
 
@@ -128,8 +72,6 @@
         self._refuse = refuse
         self.source = source_of(writer)
         self._body_memory: BodyMemory | None = None
-        self._unread = UnreadMemory(account, self.source, writer.transport) if account else None
-        self._written_bytes = 0
         self._timeout: asyncio.Timeout | None = None
         self.answered = False
         self.head_since: float | None = None
@@ -146,7 +88,7 @@
         self._reading = False
         self._left = False
         self._cut = False
-        writer.transport.set_write_buffer_limits(high=self._limits.buffer_bytes)
+        self._responses = ResponseWriter(writer, self._protocol, self._limits, account, self.source)
         self._set_read_size(IDLE_READ_SIZE_BYTES)
 
     def caller_left(self, task: asyncio.Task[None]) -> None:
@@ -203,8 +145,7 @@
                 await self._linger()
         finally:
             self._release_body()
-            if self._unread is not None:
-                self._unread.close()
+            self._responses.close()
 
     async def _serve_requests(self, is_closing: Callable[[], bool]) -> None:
         """Answer requests until no further one is to be read."""
@@ -246,11 +187,11 @@
         try:
             return await self._read_request()
         except RequestError as error:
-            await self._send_response(error_response(error), close=True)
+            await self._responses.send(error_response(error), close=True)
         except RefusedError as error:
             self._release_body()
             # What has come of the request is dropped: the connection cannot carry another one.
-            await self._send_response(self._refuse(error), close=True)
+            await self._responses.send(self._refuse(error), close=True)
         except h11.RemoteProtocolError as error:
             code = (
                 ResultCode.HEADERS_TOO_LARGE
@@ -259,7 +200,7 @@
             )
             if self._protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE):
                 refusal = error_response(RequestError(str(error), code))
-                await self._send_response(refusal, close=True)
+                await self._responses.send(refusal, close=True)
         return None
 
     async def _read_request(self) -> HttpRequest | None:
@@ -290,7 +231,7 @@
             waited_s = max(waited_s, self._body_memory.paused_s)
         return _request_of(first, body, waited_s)
 
-    async def _read_body(self, wait: _Wait, chunked: bool) -> bytes | None:
+    async def _read_body(self, wait: RequestWait, chunked: bool) -> bytes | None:
         """Return the body; None if it does not end.
 
         Args:
@@ -315,7 +256,7 @@
             # The traceback of an error keeps this frame, and the body, until it is collected.
             body.clear()
 
-    async def _reserve(self, size_bytes: int, wait: _Wait, chunked: bool = False) -> None:
+    async def _reserve(self, size_bytes: int, wait: RequestWait, chunked: bool = False) -> None:
         """Wait for memory for a body; the caller's time to send it does not run meanwhile.
 
         Raises:
@@ -363,15 +304,17 @@
         """Apply the limits in force to the request that begins."""
         before = self._limits
         self._limits = self._limits_in_force()
+        self._responses.limits = self._limits
         if self._limits.header_bytes != before.header_bytes:
             begun = self._protocol.trailing_data[0]
             self._protocol = _parser(self._limits.header_bytes)
             self._protocol.receive_data(begun)
+            self._responses.protocol = self._protocol
 
-    def _wait(self, limit_s: Callable[[], float]) -> _Wait:
-        return _Wait(limit_s, asyncio.get_running_loop().time())
+    def _wait(self, limit_s: Callable[[], float]) -> RequestWait:
+        return RequestWait(limit_s, asyncio.get_running_loop().time())
 
-    async def _read(self, wait: _Wait) -> bytes | None:
+    async def _read(self, wait: RequestWait) -> bytes | None:
         """Return bytes of the caller, none at their end; None if the time is over.
 
         Bytes that have come as the time ends are returned still.
@@ -416,7 +359,7 @@
             raise RequestError("the body is too large", ResultCode.BODY_TOO_LARGE)
         return None if b"transfer-encoding" in names else length
 
-    async def _next_event(self, wait: _Wait) -> object:
+    async def _next_event(self, wait: RequestWait) -> object:
         """Return the next event of the request.
 
         Raises:
@@ -427,7 +370,7 @@
             if event is not h11.NEED_DATA:
                 return event
             if self._protocol.they_are_waiting_for_100_continue:
-                self._send(h11.InformationalResponse(status_code=100, headers=[]))
+                self._responses.write(h11.InformationalResponse(status_code=100, headers=[]))
             data = await self._read(wait)
             if data is None:
                 raise RequestError("the request was not sent in time", ResultCode.REQUEST_TIMEOUT)
@@ -447,82 +390,7 @@
         except Exception:
             log.exception("event=handler_failed path=%s", request.path)
             response = error_response(ComfreyhatchError("internal error; see the log"))
-        await self._send_response(response, is_closing())
-
-    async def _send_response(self, response: HttpResponse, close: bool) -> None:
-        headers = _response_headers(response)
-        if response.stream is None:
-            headers.append((b"content-length", b"%d" % len(response.body)))
-        else:
-            headers.append((b"transfer-encoding", b"chunked"))
-        if close:
-            headers.append((b"connection", b"close"))
-        self._send(h11.Response(status_code=response.status, headers=headers))
-        if response.stream is None:
-            self._send(h11.Data(data=response.body))
-            self._send(h11.EndOfMessage())
-            await self._drain()
-            return
-        await self._send_stream(response.stream)
-
-    async def _send_stream(self, stream: AsyncIterator[bytes]) -> None:
-        # A stream that fails ends without its last chunk, so that the caller sees it broken.
-        try:
-            carried_bytes = 0
-            async for piece in stream:
-                self._send(h11.Data(data=piece))
-                carried_bytes += len(piece)
-                await self._drain(stream_behind_bytes(carried_bytes))
-            self._send(h11.EndOfMessage())
-            await self._drain()
-        except ComfreyhatchError as error:
-            log.info("event=stream_cut code=%d reason=%r", error.code, str(error))
-            self._writer.transport.abort()
-            raise ConnectionAbortedError("the stream ended early") from error
-        finally:
-            close = getattr(stream, "aclose", None)
-            if close:
-                await close()
-
-    def _send(self, event: h11.Event) -> None:
-        data = self._protocol.send(event)
-        if data:
-            self._written_bytes += len(data)
-            self._writer.write(data)
-
-    async def _drain(self, behind_bytes: int = 0) -> None:
-        """Wait until the caller has taken what is buffered for it, beyond the limit.
-
-        Args:
-            behind_bytes: Bytes that may wait elsewhere for the caller.
-        """
-        transport = self._writer.transport
-        if transport.is_closing():
-            raise ConnectionResetError("the caller closed the connection")
-        self._note_unread(behind_bytes)
-        if transport.get_write_buffer_size() <= self._limits.buffer_bytes:
-            return
-        try:
-            async with asyncio.timeout(self._limits.write_timeout_s):
-                await self._writer.drain()
-        except TimeoutError:
-            # A transport that is only closed keeps what is buffered until the caller takes it.
-            log.info(
-                "event=client_turned_away reason=write_timeout source=%s held_bytes=%d",
-                self.source,
-                transport.get_write_buffer_size(),
-            )
-            if self._account is not None:
-                self._account.note_turned_away(MemoryPart.UNREAD)
-            transport.abort()
-            raise
-        self._note_unread(behind_bytes)
-
-    def _note_unread(self, behind_bytes: int) -> None:
-        if self._unread is not None:
-            buffered_bytes = self._writer.transport.get_write_buffer_size()
-            self._unread.note_written(buffered_bytes, self._written_bytes, behind_bytes)
-            self._written_bytes = 0
+        await self._responses.send(response, is_closing())
 
 
 def _parser(header_bytes: int) -> h11.Connection:
@@ -535,13 +403,6 @@
     return str(peer[0]) if isinstance(peer, tuple) else ""
 
 
-def _response_headers(response: HttpResponse) -> Headers:
-    if response.headers is not None:
-        return list(response.headers)
-    headers = [(n.encode(), v.encode("latin-1")) for n, v in response.header_by_name.items()]
-    return [(b"content-type", response.content_type.encode()), *headers]
-
-
 def _request_of(first: h11.Request, body: bytes, waited_s: float) -> HttpRequest:
     target = urlsplit(first.target.decode("latin-1"))
     return HttpRequest(
--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -13,9 +13,9 @@
     READ_SIZE_BYTES,
     WAITING_LIMIT_BYTES,
     HttpConnection,
-    HttpLimits,
     source_of,
 )
+from comfreyhatch.adapters.http_limits import HttpLimits
 from comfreyhatch.adapters.http_message import (
     HttpHandler,
     HttpRequest,
--- a/comfreyhatch/adapters/settings.py
+++ b/comfreyhatch/adapters/settings.py
@@ -7,7 +7,7 @@
 from msgspec import Meta, Struct, field
 from msgspec.structs import fields
 
-from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_limits import HttpLimits
 from comfreyhatch.adapters.ini import example, read_section, read_sections, reference
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.domain.policy import PolicySettings
--- a/comfreyhatch/daemon/components.py
+++ b/comfreyhatch/daemon/components.py
@@ -10,7 +10,7 @@
 
 from comfreyhatch.adapters.engine_http import HttpEngine
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_limits import HttpLimits
 from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.adapters.metrics import (
     ClientMetrics,
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -11,7 +11,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_limits import HttpLimits
 from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
 from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.adapters.metrics import ClientMetrics, OddAnswerMetrics, add_gauge
--- a/comfreyhatch/standins/platform.py
+++ b/comfreyhatch/standins/platform.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct, field
 
-from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_limits import HttpLimits
 from comfreyhatch.adapters.http_message import (
     REQUEST_ID_HEADER,
     HttpRequest,
--- a/comfreyhatch/standins/switches.py
+++ b/comfreyhatch/standins/switches.py
@@ -6,7 +6,7 @@
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import decode as decode_json
 
-from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_limits import HttpLimits
 from comfreyhatch.adapters.http_message import (
     HttpHandler,
     HttpRequest,
--- a/tests/endpoint_process.py
+++ b/tests/endpoint_process.py
@@ -20,7 +20,7 @@
 from msgspec import Struct, field
 from msgspec.json import decode, encode
 
-from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_limits import HttpLimits
 from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
 from comfreyhatch.adapters.http_server import HttpServer, _CallerProtocol
 from comfreyhatch.domain.instance import Address
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -10,7 +10,7 @@
 from msgspec.json import decode, encode
 
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_limits import HttpLimits
 from comfreyhatch.adapters.http_message import HttpRequest
 from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.codes import ResultCode
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 from prometheus_client import CollectorRegistry, generate_latest
 
-from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_limits import HttpLimits
 from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
 from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.adapters.metrics import ClientMetrics
--- a/tests/test_configuration_limits.py
+++ b/tests/test_configuration_limits.py
@@ -9,7 +9,7 @@
 import pytest
 from msgspec.structs import replace
 
-from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_limits import HttpLimits
 from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
 from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.domain.instance import Address
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -7,7 +7,7 @@
 import pytest
 
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_limits import HttpLimits
 from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse
 from comfreyhatch.adapters.http_pool import IDLE_PER_ADDRESS
 from comfreyhatch.adapters.http_server import HttpServer
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from comfreyhatch.adapters.http_client import HttpClient
-from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_limits import HttpLimits
 from comfreyhatch.adapters.http_message import HttpRequest, HttpResponse, json_response
 from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.codes import Ran
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from comfreyhatch.adapters.http_connection import HttpLimits
+from comfreyhatch.adapters.http_limits import HttpLimits
 from comfreyhatch.adapters.settings import (
     FleetSettings,
     InstanceSettings,
