--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -31,7 +31,8 @@
 # Interval at which non-empty queues are served, also to refuse requests whose wait is over.
 SWEEP_INTERVAL_S = 0.1
 # The same for queues with requests that are admitted by cost: slots that other daemons give back
-# are only noticed then, and short requests hold one for less than the other interval.
+# are only noticed then, and short requests hold one for less than the other interval. While no slot
+# is free, only late requests are refused then, as a look at each request costs 50 us.
 COST_SWEEP_INTERVAL_S = 0.02
 
 log = logging.getLogger("comfreyhatch.pool")
@@ -85,6 +86,7 @@
         self.admission = QueueAdmission(policy, self._waits)
         self._next_number = count()
         self._sweep_timer: asyncio.TimerHandle | None = None
+        self._served_at = 0.0
 
     @property
     def queued(self) -> int:
@@ -395,7 +397,19 @@
 
     def _sweep_queues(self) -> None:
         self._sweep_timer = None
-        for service in list(self._queue_by_service):
-            self.serve_queue(service)
+        now = asyncio.get_running_loop().time()
+        # Timers may fire a little early.
+        is_due = now >= self._served_at + SWEEP_INTERVAL_S - COST_SWEEP_INTERVAL_S / 2
+        if is_due:
+            self._served_at = now
+        for service, queue in list(self._queue_by_service.items()):
+            if is_due or self._has_any_free_slot(service, now):
+                self.serve_queue(service)
+            else:
+                self.admission.refuse_late(service, queue, now)
         if self.queued:
             self._schedule_sweep()
+
+    def _has_any_free_slot(self, service: str, now: float) -> bool:
+        trackers = self._view.trackers_by_service.get(service, ())
+        return any(self._has_free_slot(tracker, now) for tracker in trackers)
