Pause sampling of a service's load after all drawn endpoints missed their probes

Cause: where endpoints report their pace in answers but their health path is silent, all drawn endpoints miss their probes, and the next request drew and asked them again. Each request waited 0.1 to 0.4 s for probes, as long as the budget of probes lasted, though the endpoints answered it.

After such a request the service is placed as without load views for 2 s. In fleets of more endpoints than a request draws, it doesn't do to pass over those that missed a probe: there are always others. The 2 s are chosen, not measured: a request in four waits at 2 requests a second.

--- a/comfreyhatch/decisions/load_sampling.py
+++ b/comfreyhatch/decisions/load_sampling.py
@@ -53,7 +53,7 @@
         rng: Random source.
         now: Monotonic time in seconds.
     """
-    answering = [t for t in eligible if now - t.probe_missed_at >= MISSED_PROBE_S] or list(eligible)
+    answering = [t for t in eligible if not missed_probe(t, now)] or list(eligible)
     drawn = [preferred] if preferred is not None and preferred in answering else []
     wanted = DRAWN_FOR_LONG if work_s >= LONG_WORK_S else DRAWN_FOR_SHORT
     if not drawn:
@@ -66,6 +66,11 @@
     return drawn + rng.sample(rest, min(wanted, len(rest)))
 
 
+def missed_probe(tracker: EndpointTracker, now: float) -> bool:
+    """Return whether an endpoint left a probe unanswered a short time ago."""
+    return now - tracker.probe_missed_at < MISSED_PROBE_S
+
+
 def is_fresh(tracker: EndpointTracker, now: float) -> bool:
     """Return whether an endpoint's last report is as good as a new one."""
     return now - tracker.reported_at <= FRESH_REPORT_S
--- a/comfreyhatch/exchange/load/load_view.py
+++ b/comfreyhatch/exchange/load/load_view.py
@@ -10,6 +10,7 @@
     draw_endpoints,
     is_fresh,
     mean_running,
+    missed_probe,
     service_load,
 )
 from comfreyhatch.decisions.placement import preferred_by_prefix, shared_fraction
@@ -22,6 +23,10 @@
 IDLE_DELAY_AIM_SHARE = 0.025
 # Draws for a request while none of the drawn endpoints answers.
 MAX_DRAWS = 2
+# Time for which a service is not sampled after all endpoints that were drawn for a request missed
+# their probes: where no health path answers, each request would wait for all its probes, 0.1 to
+# 0.4 s.
+UNANSWERED_PAUSE_S = 2.0
 
 
 class LoadView:
@@ -47,6 +52,7 @@
         self._probes = probes
         self._rng = rng
         self._delay_by_service: dict[str, QueueDelay] = {}
+        self._paused_until_by_service: dict[str, float] = {}
 
     def covers(self, service: str) -> bool:
         """Return whether the endpoints of a service are sampled."""
@@ -65,7 +71,8 @@
         """Return the endpoints among which to place a request: those whose load is known now.
 
         Endpoints in cold start are not asked, as a probe may count as one of the few requests that
-        they bear. Without an answer, and for services that are not sampled, all are returned.
+        they bear. Without an answer, for `UNANSWERED_PAUSE_S` after all drawn endpoints missed
+        their probes, and for services that are not sampled, all are returned.
 
         Args:
             job: The request.
@@ -74,18 +81,25 @@
             now: Monotonic time in seconds.
         """
         warm = [t for t in eligible if not t.is_cold(now)]
-        if len(warm) < 2 or not self.covers(job.service):
+        paused_until = self._paused_until_by_service.get(job.service, now)
+        if len(warm) < 2 or now < paused_until or not self.covers(job.service):
             return eligible
         saved_s = work_s * shared_fraction(job.exchange)
+        asked: list[EndpointTracker] = []
         for _ in range(MAX_DRAWS):
             preferred = preferred_by_prefix(job.exchange, warm) if saved_s > MIN_SAVED_S else None
             drawn = draw_endpoints(warm, preferred, work_s, self._deployment.zone, self._rng, now)
             known = await self._ask(job, drawn, work_s)
             if known:
                 return known
+            asked += drawn
             warm = [t for t in warm if t not in drawn]
             if not warm:
                 break
+        now = asyncio.get_running_loop().time()
+        # Those that were not asked, as the budget was used up, have missed nothing.
+        if all(missed_probe(t, now) for t in asked):
+            self._paused_until_by_service[job.service] = now + UNANSWERED_PAUSE_S
         return eligible
 
     async def _ask(
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -37,6 +37,7 @@
         transform: Changes an answer before it is sent.
         received: Requests received so far, without probes.
         probes: Number of probes received so far.
+        answers_probes: Whether it answers probes.
         received_at: Times of the event loop at which they came.
         leaving: Whether its answers say that it is leaving.
         brittle_per_s: Refusals a second beyond which it falls over, named in its answers; None if
@@ -73,6 +74,7 @@
         self.transform: Callable[[HttpResponse], HttpResponse] = lambda response: response
         self.received: list[HttpRequest] = []
         self.probes = 0
+        self.answers_probes = True
         self.received_at: list[float] = []
         self.leaving = False
         self.retry_after = ""
@@ -166,6 +168,8 @@
     async def _health(self) -> HttpResponse:
         """Answer a probe, once requests are answered."""
         self.probes += 1
+        if not self.answers_probes:
+            await asyncio.Event().wait()
         if self.hold and not self.load_report:
             await self.hold.wait()
         await self.awake.wait()
--- a/tests/test_load_view.py
+++ b/tests/test_load_view.py
@@ -12,6 +12,8 @@
 BUSY = "3,5,4,100"
 # Beyond the limit at which a stream leaves a silent endpoint (0.65 of the longest gap in time).
 PAUSE_S = 0.6
+# Endpoints that are added, so that there are more than the two draws of a request ask.
+FURTHER = 10
 
 
 @pytest.fixture
@@ -57,6 +59,40 @@
     silent.awake.set()
 
 
+async def test_requests_do_not_wait_for_probes_while_no_health_path_answers(
+    sampled: PlatformHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Each request waited for two draws of probes, 0.1 to 0.4 s, though the endpoints answered it.
+    monkeypatch.setattr("comfreyhatch.exchange.load.load_view.UNANSWERED_PAUSE_S", 60.0)
+    added = [f"engine-{number}" for number in range(3, 3 + FURTHER)]
+    found = engines(sampled) + [await sampled.add_worker(name, "engines") for name in added]
+    trackers = sampled.daemon.view.trackers_by_service
+    await sampled.wait_until(lambda: len(trackers["engines"]) == len(found))
+    for worker in found:
+        worker.answers_probes = False
+    assert (await sampled.send_draft()).status == 200
+    before = sum(worker.probes for worker in found)
+    # More endpoints than a request asks, so that some have missed none.
+    assert 0 < before < len(found)
+    replies = [await sampled.send_draft() for _ in range(6)]
+    assert [reply.status for reply in replies] == [200] * 6
+    assert sum(worker.probes for worker in found) == before
+
+
+async def test_service_is_sampled_again_after_its_health_paths_did_not_answer(
+    sampled: PlatformHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("comfreyhatch.exchange.load.load_view.UNANSWERED_PAUSE_S", 0.2)
+    for worker in engines(sampled):
+        worker.answers_probes = False
+    assert (await sampled.send_draft()).status == 200
+    for worker in engines(sampled):
+        worker.answers_probes = True
+        worker.probes = 0
+    while not any(worker.probes for worker in engines(sampled)):
+        assert (await sampled.send_draft()).status == 200
+
+
 async def test_stream_stays_at_a_busy_endpoint_that_answers_its_probe(
     sampled: PlatformHarness,
 ) -> None:
