Hold requests back while others wait at all engines that were asked

An engine whose memory is full reports waiting requests beside free slots. What waits there is served in the engine's order, and can be late without being refused; at the daemon it waits by what it costs callers.

--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -56,6 +56,7 @@
         pace: Moving time that work takes there, as a multiple of the usual time.
         reported_at: Time of its last load report.
         reported_running: Requests that ran and waited there by that report.
+        reported_waiting: Those of them that waited.
         probe_missed_at: Time at which it left a load probe unanswered.
     """
 
@@ -89,6 +90,7 @@
         "record",
         "reported_at",
         "reported_running",
+        "reported_waiting",
         "reports_pace",
     )
 
@@ -116,6 +118,7 @@
         self.pace = 1.0
         self.reported_at = -inf
         self.reported_running = 0
+        self.reported_waiting = 0
         self.probe_missed_at = -inf
         self._other_load = 0.0
         self._other_load_at = 0.0
@@ -174,7 +177,8 @@
             self.reports_pace = True
         if load.running is None or (self.reports_pace and not self.answers_probes):
             return
-        self.reported_running = load.running + (load.waiting or 0)
+        self.reported_waiting = load.waiting or 0
+        self.reported_running = load.running + self.reported_waiting
         self._other_load = max(0.0, self.reported_running - self.in_flight)
         self._other_load_at = now
         self.reported_at = now
@@ -315,3 +319,8 @@
         max_age_s = SAMPLED_REPORT_MAX_AGE_S if self.answers_probes else LOAD_REPORT_MAX_AGE_S
         fresh = now - self._other_load_at < max_age_s
         return self.in_flight + (self._other_load if fresh else 0.0)
+
+    def has_waiting(self, now: float) -> bool:
+        """Return whether requests waited there by a recent answer to a load probe."""
+        fresh = now - self.reported_at < SAMPLED_REPORT_MAX_AGE_S
+        return self.answers_probes and fresh and self.reported_waiting > 0
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -380,6 +380,9 @@
         self, job: Job, eligible: list[EndpointTracker], work_s: float, now: float
     ) -> SlotLease | None:
         candidates = [tracker for tracker in eligible if self._has_free_slot(tracker, now)]
+        if job.route.models:
+            # What waits at an engine is served in its order, not by what it costs callers.
+            candidates = [tracker for tracker in candidates if not tracker.has_waiting(now)]
         work_s = self._work_s(job, work_s)
         zone = self._deployment.zone
         delay_s = self._expected_delay(job, work_s, now)
--- a/tests/test_load_view.py
+++ b/tests/test_load_view.py
@@ -10,6 +10,8 @@
 
 IDLE = "0,0,4,100"
 BUSY = "3,5,4,100"
+# The memory of the endpoint is full, not its slots.
+WAITING = "2,1,4,100"
 # Beyond the limit at which a stream leaves a silent endpoint (0.65 of the longest gap in time).
 PAUSE_S = 0.6
 # Endpoints that are added, so that there are more than the two draws of a request ask.
@@ -49,6 +51,21 @@
     assert len(engines(sampled)[busy].received) == before
 
 
+async def test_request_waits_at_the_daemon_while_others_wait_at_all_endpoints(
+    sampled: PlatformHarness,
+) -> None:
+    # At an endpoint a request waits behind less urgent ones, and beyond its time.
+    for worker in engines(sampled):
+        worker.load_report = WAITING
+    before = sum(len(worker.received) for worker in engines(sampled))
+    request = asyncio.create_task(sampled.send_draft())
+    await sampled.wait_until(lambda: request.done() or sampled.daemon._scheduler.queued)
+    assert sum(len(worker.received) for worker in engines(sampled)) == before
+    for worker in engines(sampled):
+        worker.load_report = IDLE
+    assert (await request).status in (200, 503)
+
+
 async def test_endpoint_that_misses_its_probe_gets_no_request(sampled: PlatformHarness) -> None:
     silent, other = engines(sampled)
     silent.awake.clear()
