--- a/comfreyhatch/adapters/client_memory.py
+++ b/comfreyhatch/adapters/client_memory.py
@@ -18,12 +18,11 @@
 RECHECK_S = 0.25
 # Told to a client that is refused for want of memory, in seconds.
 RETRY_AFTER_S = 1.0
-# Bytes that a stream may hold beside what is buffered for its client: unread ones on its endpoint's
-# connection, events of one read, and copies of both. They take it also while their clients read.
-# Counted as 128 KiB, 600 streams of fast endpoints exceeded a daemon's memory of 150 MB.
+# Upper bound on what a stream holds outside its client's buffer: unread bytes on its endpoint's
+# connection, events of one read, and copies of both. It holds them also while its client reads.
 STREAM_BEHIND_BYTES = 262_144
-# Times what it has carried so far that a stream may hold at most: without it, many streams that
-# begin at once exceeded the account before they were counted.
+# The same bound while a stream has carried little, as a multiple of that: many streams may begin at
+# once, and are counted before they hold much.
 STREAM_BEHIND_FACTOR = 4
 # Less than this is not counted for a client that does not read.
 UNCOUNTED_BYTES = 16_384
--- a/comfreyhatch/adapters/http_limits.py
+++ b/comfreyhatch/adapters/http_limits.py
@@ -15,8 +15,9 @@
     Attributes:
         header_bytes: Largest header section.
         body_bytes: Largest body.
-        connections: Connections open at once, or fewer if the resources of the process allow only
-            these; for one more, an idle one is closed, or else itself.
+        connections: Most open connections; lowered if memory or file descriptors allow fewer. At
+            the limit the connection that has been idle longest is closed for a new one; if none is
+            idle, the new one is closed.
         source_connections: Connections open at once from one address; 0 for no limit.
         header_timeout_s: Time for a caller to send a request, from its first byte.
         idle_timeout_s: Time that a connection may stay idle between requests.
--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -97,7 +97,7 @@
             )
         except OSError as error:
             raise ListenError(f"cannot listen on {host}:{port}: {error}") from error
-        self._let_wait()
+        self._set_backlog()
         bound_host, bound_port = self._server.sockets[0].getsockname()[:2]
         return Address(bound_host, bound_port)
 
@@ -107,9 +107,9 @@
         self._server = await loop.create_server(
             self._protocol, sock=listener, backlog=ACCEPTS_PER_TURN
         )
-        self._let_wait()
+        self._set_backlog()
 
-    def _let_wait(self) -> None:
+    def _set_backlog(self) -> None:
         """Let `BACKLOG` connections wait; asyncio accepts as many in a turn as it lets wait."""
         assert self._server is not None
         for listener in self._server.sockets:
@@ -184,7 +184,7 @@
         return _CallerProtocol(reader, self._accept, loop=loop)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self._closing or not self._has_room(source_of(writer)):
+        if self._closing or not self._make_room(source_of(writer)):
             writer.close()
             return
         connection = HttpConnection(
@@ -221,7 +221,7 @@
                 if not self._count_by_source[connection.source]:
                     del self._count_by_source[connection.source]
 
-    def _has_room(self, source: str) -> bool:
+    def _make_room(self, source: str) -> bool:
         """Return whether a connection may be opened from an address; an idle one may be closed."""
         limits = self.limits
         if 0 < limits.source_connections <= self._count_by_source[source]:
@@ -229,15 +229,15 @@
             return False
         if len(self._task_by_connection) < limits.connections:
             return True
-        longest = self._idlest() if self._account is not None else None
-        if longest is None:
+        evicted = self._connection_to_evict() if self._account is not None else None
+        if evicted is None:
             self._note_turned_away("connections", source)
             return False
-        self._note_turned_away("idle", longest.source)
-        longest.make_way()
+        self._note_turned_away("idle", evicted.source)
+        evicted.make_way()
         return True
 
-    def _idlest(self) -> HttpConnection | None:
+    def _connection_to_evict(self) -> HttpConnection | None:
         """Return the connection to close for another one; None if requests run on all.
 
         Those that have carried no request come first, as none is lost with them, and those on which
--- a/comfreyhatch/decisions/cascade.py
+++ b/comfreyhatch/decisions/cascade.py
@@ -76,7 +76,7 @@
     if state.budget_left < MIN_BUDGET_LEFT:
         return 0.0
     expected_s = state.spent_s + state.delay_s + state.larger_s
-    # A target of 0 is never met, by the larger model neither.
+    # A target of 0 is never met, not by the larger model either.
     if state.aim_s <= 0 or expected_s > state.aim_s or state.load >= 1.0:
         return 0.0
     idle = URGENT_CONFIDENCE if state.rank <= MAX_URGENT_RANK else NORMAL_CONFIDENCE
--- a/comfreyhatch/decisions/catalog_check.py
+++ b/comfreyhatch/decisions/catalog_check.py
@@ -159,11 +159,6 @@
 def _caller_findings(catalog: Catalog) -> list[Finding]:
     """Return what is wrong with the API keys of the workspaces."""
     found: list[Finding] = []
-    # A request without a key is looked up by an empty one.
-    nobody = catalog.workspace_by_key.get("")
-    if nobody is not None:
-        message = "an empty API key admits requests without any"
-        found.append(Finding(FindingCode.CONTRADICTION, f"tenant {nobody.name}", message))
     if not catalog.workspace_by_key:
         found += [
             Finding(FindingCode.NO_KEY, _where(route), "it needs an API key, and no tenant has one")
--- a/comfreyhatch/decisions/endpoint_tracker.py
+++ b/comfreyhatch/decisions/endpoint_tracker.py
@@ -55,7 +55,7 @@
         reports_pace: Whether it tells how long work takes there.
         pace: Moving time that work takes there, as a multiple of the usual time.
         reported_at: Time of its last load report.
-        reported_running: Requests that ran and waited there by that report.
+        reported_load: Requests that ran or waited there by that report.
         reported_waiting: Those of them that waited.
         probe_missed_at: Time at which it left a load probe unanswered.
     """
@@ -89,7 +89,7 @@
         "rate",
         "record",
         "reported_at",
-        "reported_running",
+        "reported_load",
         "reported_waiting",
         "reports_pace",
     )
@@ -117,7 +117,7 @@
         self.reports_pace = False
         self.pace = 1.0
         self.reported_at = -inf
-        self.reported_running = 0
+        self.reported_load = 0
         self.reported_waiting = 0
         self.probe_missed_at = -inf
         self._other_load = 0.0
@@ -153,6 +153,7 @@
             self._delay_s = 0.0
             self.pace = 1.0
             self.reported_at = -inf
+            self.probe_missed_at = -inf
 
     def record_cold(self, cold_s: float, now: float) -> None:
         """Record the reported remaining time of the cold start, in seconds."""
@@ -178,8 +179,8 @@
         if load.running is None or (self.reports_pace and not self.answers_probes):
             return
         self.reported_waiting = load.waiting or 0
-        self.reported_running = load.running + self.reported_waiting
-        self._other_load = max(0.0, self.reported_running - self.in_flight)
+        self.reported_load = load.running + self.reported_waiting
+        self._other_load = max(0.0, self.reported_load - self.in_flight)
         self._other_load_at = now
         self.reported_at = now
 
--- a/comfreyhatch/decisions/load_sampling.py
+++ b/comfreyhatch/decisions/load_sampling.py
@@ -29,8 +29,8 @@
 # Running requests that the initial value weighs, and the weight that a sample loses by the next.
 INITIAL_WEIGHT = 10.0
 DELAY_DECAY = 0.97
-# Probes a second that a daemon sends, and the most that it sends at once: with 400 bytes each, the
-# mean stays near the 2 KB/s that a daemon may use for control.
+# Rate limit of a daemon's probes, and their burst. At 400 bytes each the limit is 4 KB/s; a loaded
+# daemon sends 3 to 5 a second in the mean (docs/CAPACITY.md).
 PROBES_PER_S = 10.0
 PROBE_BURST = 40.0
 
@@ -125,13 +125,17 @@
     Returns:
         The share; None if none did.
     """
-    recent = [t for t in trackers if now - t.reported_at <= SERVICE_REPORT_S]
+    recent = _recently_reported(trackers, now)
     if not recent:
         return None
-    return sum(t.reported_running / max(1, t.record.slots) for t in recent) / len(recent)
+    return sum(t.reported_load / max(1, t.record.slots) for t in recent) / len(recent)
 
 
 def mean_running(trackers: Sequence[EndpointTracker], now: float) -> float:
     """Return the mean number of requests at the endpoints that reported lately; 0 without any."""
-    recent = [t for t in trackers if now - t.reported_at <= SERVICE_REPORT_S]
-    return sum(t.reported_running for t in recent) / len(recent) if recent else 0.0
+    recent = _recently_reported(trackers, now)
+    return sum(t.reported_load for t in recent) / len(recent) if recent else 0.0
+
+
+def _recently_reported(trackers: Sequence[EndpointTracker], now: float) -> list[EndpointTracker]:
+    return [t for t in trackers if now - t.reported_at <= SERVICE_REPORT_S]
--- a/comfreyhatch/decisions/memory_account.py
+++ b/comfreyhatch/decisions/memory_account.py
@@ -151,10 +151,13 @@
     def take(self, holding: Holding, more_bytes: int, now: float) -> bool:
         """Return whether a client gets more memory; it may cost clients that are stalled theirs.
 
-        Large ones get none while others wait for it.
+        Large bodies get none while others wait for it.
         """
-        if self._is_large(holding, more_bytes) and any(
-            self._is_large(w.holding, w.more_bytes) for w in self._waiting
+        is_body = holding.part is MemoryPart.READING
+        if (
+            is_body
+            and self._is_large(holding, more_bytes)
+            and any(self._is_large(w.holding, w.more_bytes) for w in self._waiting)
         ):
             return False
         return self._take(holding, more_bytes, now)
--- a/comfreyhatch/domain/deployment.py
+++ b/comfreyhatch/domain/deployment.py
@@ -62,8 +62,8 @@
         bounds: Limits to guarantee.
         link_mbps: Bandwidth of the instance's link, in megabits a second; 0 if unknown.
         relay: Address of the listener for requests of other daemons; None if it takes none.
-        endpoints_bound_memory: Whether endpoints crash when the requests that they hold exceed
-            their memory; then their load is sampled before requests are placed.
+        endpoints_crash_out_of_memory: Whether endpoints crash when the requests that they hold
+            exceed their memory; then their load is sampled before requests are placed.
         source_connections: Callers' connections open at once from one address; 0 for no limit.
     """
 
@@ -82,5 +82,5 @@
     region: str = ""
     link_mbps: float = 0.0
     relay: Address | None = None
-    endpoints_bound_memory: bool = False
+    endpoints_crash_out_of_memory: bool = False
     source_connections: int = 0
--- a/comfreyhatch/exchange/admission/policy.py
+++ b/comfreyhatch/exchange/admission/policy.py
@@ -213,7 +213,7 @@
         return decide_admission(newcomer.work, works, slots, self._capacity, now)
 
     def clear(self, service: str, now: float) -> None:
-        """Note that no request of a service waits: no workspace is over its share."""
+        """Divide the capacity of a service again, as no request waits for it."""
         if service in self._state_by_service:
             self._state_by_service[service].shares.assign_lanes((), now)
 
--- a/comfreyhatch/exchange/admission/queue.py
+++ b/comfreyhatch/exchange/admission/queue.py
@@ -1,7 +1,7 @@
 """Queues of the scheduler: their entries, admission to them and refusal from them.
 
-A service whose endpoints report a pace has its requests admitted, ordered and refused by what that
-costs callers; others by rank, target time and arrival.
+A service with an endpoint that reports a pace or answers load probes has its requests admitted,
+ordered and refused by what that costs callers; others by rank, target time and arrival.
 """
 
 import asyncio
@@ -47,14 +47,14 @@
     """Admits requests to the queues of the scheduler, orders them, and refuses some of them.
 
     Attributes:
-        policy: Decides for services whose endpoints report a pace.
+        policy: Decides for services whose requests are admitted by cost.
     """
 
     def __init__(self, policy: LeastCostPolicy, waits: ExpectedWaits) -> None:
         """Create it.
 
         Args:
-            policy: Decides for services whose endpoints report a pace.
+            policy: Decides for services whose requests are admitted by cost.
             waits: Expected waits of the other requests, and refusals while no endpoint is in
                 service or all have bounded rates.
         """
--- a/comfreyhatch/exchange/load/load_view.py
+++ b/comfreyhatch/exchange/load/load_view.py
@@ -56,7 +56,7 @@
 
     def covers(self, service: str) -> bool:
         """Return whether the endpoints of a service are sampled."""
-        if self._deployment.endpoints_bound_memory and self._is_engine(service):
+        if self._deployment.endpoints_crash_out_of_memory and self._is_engine(service):
             return True
         return any(t.reports_pace for t in self._view.trackers_by_service.get(service, ()))
 
@@ -67,12 +67,12 @@
 
     async def sample(
         self, job: Job, eligible: list[EndpointTracker], work_s: float, now: float
-    ) -> list[EndpointTracker]:
+    ) -> list[EndpointTracker] | None:
         """Return the endpoints among which to place a request: those whose load is known now.
 
         Endpoints in cold start are not asked, as a probe may count as one of the few requests that
         they bear. Without an answer, for `UNANSWERED_PAUSE_S` after all drawn endpoints missed
-        their probes, and for services that are not sampled, all are returned.
+        their probes, and for services that are not sampled, there are none: returns None.
 
         Args:
             job: The request.
@@ -83,7 +83,7 @@
         warm = [t for t in eligible if not t.is_cold(now)]
         paused_until = self._paused_until_by_service.get(job.service, now)
         if len(warm) < 2 or now < paused_until or not self.covers(job.service):
-            return eligible
+            return None
         saved_s = work_s * shared_fraction(job.exchange)
         asked: list[EndpointTracker] = []
         for _ in range(MAX_DRAWS):
@@ -100,7 +100,7 @@
         # Those that were not asked, as the budget was used up, have missed nothing.
         if all(missed_probe(t, now) for t in asked):
             self._paused_until_by_service[job.service] = now + UNANSWERED_PAUSE_S
-        return eligible
+        return None
 
     async def _ask(
         self, job: Job, drawn: list[EndpointTracker], work_s: float
--- a/comfreyhatch/exchange/scheduler.py
+++ b/comfreyhatch/exchange/scheduler.py
@@ -132,11 +132,10 @@
         now = asyncio.get_running_loop().time()
         eligible = self.silence.preferred(job, excluded, max_silent_s, now)
         sampled = await self.load_view.sample(job, eligible, self._work_s(job, work_s), now)
-        if sampled is not eligible:
-            # The load was asked for meanwhile, and endpoints may have left.
-            now = asyncio.get_running_loop().time()
-            eligible = self.silence.preferred(job, excluded, max_silent_s, now)
-            sampled = [t for t in sampled if t in eligible]
+        # The load may have been asked for meanwhile, and endpoints may have left.
+        now = asyncio.get_running_loop().time()
+        eligible = self.silence.preferred(job, excluded, max_silent_s, now)
+        compared = eligible if sampled is None else [t for t in sampled if t in eligible]
         pending = self.admission.arrive(job, resumes, work_s, now)
         if pending is not None:
             # What is still free then, no request that waits can use.
@@ -146,8 +145,8 @@
         entry = QueuedRequest(waiter, job, excluded, max_silent_s, work_s, future, pending=pending)
         if self.admission.is_held_back(pending, self._queue_by_service[job.service], now):
             raise self._refusal(entry, now)
-        lease = self._start(entry, sampled, now)
-        if lease is None and sampled is not eligible:
+        lease = self._start(entry, compared, now)
+        if lease is None and compared is not eligible:
             lease = self._start(entry, eligible, now)
         if lease is not None:
             excluded.add(lease.endpoint.record.endpoint_id)
--- a/comfreyhatch/platform/documents.py
+++ b/comfreyhatch/platform/documents.py
@@ -250,9 +250,13 @@
     name_by_key: dict[str, str] = {}
     for tenant in tenants:
         where = f"tenant {tenant.name}"
-        if not tenant.api_keys:
-            found.append(Finding(FindingCode.NO_KEY, where, "api_keys is empty"))
-        for key, count in Counter(tenant.api_keys).items():
+        keys = [key for key in tenant.api_keys if key]
+        if not keys:
+            found.append(Finding(FindingCode.NO_KEY, where, "it has no API key"))
+        if len(keys) < len(tenant.api_keys):
+            message = "an empty API key is ignored: requests without a key would match it"
+            found.append(Finding(FindingCode.CONTRADICTION, where, message))
+        for key, count in Counter(keys).items():
             if count > 1:
                 message = f"{key_name(key)} is listed more than once"
                 found.append(Finding(FindingCode.COVERED, where, message))
--- a/comfreyhatch/platform/settings.py
+++ b/comfreyhatch/platform/settings.py
@@ -12,7 +12,7 @@
 DEFAULT_HEARTBEAT_MS = 1000.0
 DEFAULT_MEMORY_MB = 256.0
 DEFAULT_MAX_FDS = 1024
-# Part of the rules in force by which endpoints crash when what they hold exceeds their memory.
+# Item of `contracts` by which endpoints crash when their requests exceed their memory.
 PRESSURE_CONTRACT = "pressure"
 
 _KEY_AND_FACTOR_BY_FIELD = {
@@ -140,7 +140,7 @@
         bounds=_bounds(reader),
         link_mbps=reader.number("limits.link_mbps", 0.0),
         relay=reader.port_of_range("ip", "port_range"),
-        endpoints_bound_memory=PRESSURE_CONTRACT in value_by_key.get("contracts", "").split(","),
+        endpoints_crash_out_of_memory=PRESSURE_CONTRACT in _items(value_by_key, "contracts"),
         source_connections=int(reader.number("limits.source_connections", 0)),
     )
     if reader.errors:
@@ -148,6 +148,11 @@
     return deployment
 
 
+def _items(value_by_key: dict[str, str], key: str) -> list[str]:
+    """Return the items of a comma-separated value."""
+    return [item.strip() for item in value_by_key.get(key, "").split(",")]
+
+
 def _bounds(reader: _SettingsReader) -> Bounds:
     """Read the limits; those that the file does not set keep their defaults."""
     defaults = Bounds()
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -210,3 +210,14 @@
         account.stop_waiting(holding, now)
         account.close(holding)
     assert account.used_bytes == 0
+
+
+def test_whole_answer_gets_memory_while_a_large_body_waits() -> None:
+    # Answers beyond 64 KiB failed for as long as any body waited, though the part that bodies leave
+    # to answers was free.
+    clients = Clients()
+    clients.fill()
+    waiting = clients.account.open(MemoryPart.READING, 0.0)
+    clients.account.wait(waiting, LARGEST_BODY_BYTES, 0.0, lambda: None)
+    answer = clients.account.open(MemoryPart.ANSWERS, 0.0)
+    assert clients.account.take(answer, 2 * SMALL_HOLDING_BYTES, 0.0)
