--- a/comfreyhatch/adapters/client_memory.py
+++ b/comfreyhatch/adapters/client_memory.py
@@ -175,7 +175,7 @@
         else:
             self._holding.note_moved(self._last_bytes + written_bytes - buffered_bytes, now)
         if not buffered_bytes:
-            self._holding.note_on_pace(now)
+            self._holding.note_caught_up(now)
         self._last_bytes = buffered_bytes
         self._behind_bytes = behind_bytes
         self._account.set_size(self._holding, buffered_bytes + behind_bytes, now)
@@ -195,7 +195,7 @@
         if buffered_bytes < self._last_bytes:
             self._holding.note_moved(self._last_bytes - buffered_bytes, now)
             if not buffered_bytes:
-                self._holding.note_on_pace(now)
+                self._holding.note_caught_up(now)
             self._last_bytes = buffered_bytes
             self._account.trim(self._holding, buffered_bytes + self._behind_bytes)
 
--- a/comfreyhatch/adapters/http_server.py
+++ b/comfreyhatch/adapters/http_server.py
@@ -110,7 +110,10 @@
         self._set_backlog()
 
     def _set_backlog(self) -> None:
-        """Let `BACKLOG` connections wait; asyncio accepts as many in a turn as it lets wait."""
+        """Let `BACKLOG` connections wait.
+
+        asyncio accepts as many in one turn as its backlog, so the kernel has one of its own.
+        """
         assert self._server is not None
         for listener in self._server.sockets:
             with socket.socket(fileno=os.dup(listener.fileno())) as own:
@@ -222,7 +225,7 @@
                     del self._count_by_source[connection.source]
 
     def _make_room(self, source: str) -> bool:
-        """Return whether a connection may be opened from an address; an idle one may be closed."""
+        """Return whether a connection may be opened, for which an idle one may be closed."""
         limits = self.limits
         if 0 < limits.source_connections <= self._count_by_source[source]:
             self._note_turned_away("source_connections", source)
--- a/comfreyhatch/decisions/answer_memory.py
+++ b/comfreyhatch/decisions/answer_memory.py
@@ -3,9 +3,8 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from comfreyhatch.decisions.memory_account import MemoryAccount, MemoryPart
+from comfreyhatch.decisions.memory_account import BYTES_PER_MB, MemoryAccount, MemoryPart
 
-BYTES_PER_MB = 1_000_000
 # Share of the daemon's memory for one answer: its bytes exist up to three times for a moment, when
 # they are joined and written.
 ANSWER_SHARE = 1 / 16
--- a/comfreyhatch/decisions/hold_times.py
+++ b/comfreyhatch/decisions/hold_times.py
@@ -1,4 +1,4 @@
-"""Time for which requests hold a slot, from prompt, model, answer and earlier ones of the kind."""
+"""Estimates of how long requests hold a slot, learned for each kind of request."""
 
 # Weight of a new sample in the moving means.
 SMOOTHING = 0.05
--- a/comfreyhatch/decisions/memory_account.py
+++ b/comfreyhatch/decisions/memory_account.py
@@ -82,7 +82,7 @@
         """Note that the client has sent or read bytes."""
         self._on_pace_at = min(now, self._on_pace_at + moved_bytes / PACE_BYTES_PER_S)
 
-    def note_on_pace(self, now: float) -> None:
+    def note_caught_up(self, now: float) -> None:
         """Note that there is nothing that the client could have moved and has not."""
         self._on_pace_at = now
 
@@ -90,7 +90,7 @@
         """Note that from now on the daemon itself keeps the client from moving."""
         self._paused_at = now
 
-    def go_on(self, now: float) -> None:
+    def resume(self, now: float) -> None:
         """Note that the client may move again."""
         if self._paused_at is not None:
             self._on_pace_at += now - self._paused_at
@@ -167,7 +167,9 @@
             self._measure_all(holding, now)
         excess_bytes = self._excess_bytes(holding, more_bytes)
         if excess_bytes > 0:
-            stalled = [each for each in self._blamed(now, STALLED_S) if each is not holding]
+            stalled = [
+                each for each in self._eviction_candidates(now, STALLED_S) if each is not holding
+            ]
             if self._bodies_excess_bytes(holding, more_bytes) > 0:
                 stalled = [each for each in stalled if each.part is MemoryPart.READING]
             if sum(each.held_bytes for each in stalled) < excess_bytes:
@@ -194,7 +196,7 @@
         if fits:
             return
         self._measure_all(holding, now)
-        for each in [*self._blamed(now, 0.0), holding]:
+        for each in [*self._eviction_candidates(now, 0.0), holding]:
             if self._excess_bytes(holding, 0) <= 0 or not holding.is_open:
                 return
             self._turn_away(each, now)
@@ -241,7 +243,7 @@
 
     def stop_waiting(self, holding: Holding, now: float) -> None:
         """Let a client wait no longer."""
-        holding.go_on(now)
+        holding.resume(now)
         self._waiting = deque(w for w in self._waiting if w.holding is not holding)
         self._grant()
 
@@ -294,7 +296,7 @@
             if each.measure is not None and each is not holding:
                 each.measure(now)
 
-    def _blamed(self, now: float, behind_s: float) -> list[Holding]:
+    def _eviction_candidates(self, now: float, behind_s: float) -> list[Holding]:
         """Return clients that may be turned away, first the one that has held most for longest.
 
         Args:
--- a/comfreyhatch/decisions/return_bookings.py
+++ b/comfreyhatch/decisions/return_bookings.py
@@ -64,7 +64,7 @@
         request_id: str,
         kind: str,
         work_s: float,
-        first_s: float,
+        drain_s: float,
         slots: float,
         latest: float,
         now: float,
@@ -80,7 +80,7 @@
             request_id: Id of the request.
             kind: Kind of the request; each kind has an equal part of the bookable slots.
             work_s: Work of the request, in seconds.
-            first_s: Time until the waiting work is served, in seconds.
+            drain_s: Time until the waiting work is served, in seconds.
             slots: Slots that serve it.
             latest: Monotonic time until which coming back is of use, in seconds.
             now: Monotonic time in seconds.
@@ -88,10 +88,10 @@
         earlier = self._booking_by_key.get(key)
         if earlier is not None and earlier.at > now + EARLY_TOLERANCE_S:
             return earlier
-        at = max(now + max(MIN_RETRY_AFTER_S, first_s), self._booked_until_by_kind.get(kind, 0.0))
+        at = max(now + max(MIN_RETRY_AFTER_S, drain_s), self._booked_until_by_kind.get(kind, 0.0))
         if at > latest:
             # No room is taken, so that the next caller with more time left gets it.
-            at = now + retry_after_s(first_s, latest - now, self._rng)
+            at = now + retry_after_s(drain_s, latest - now, self._rng)
             booking = Booking(at, False, request_id)
         else:
             self._booked_until_by_kind[kind] = now
--- a/comfreyhatch/exchange/admission/policy.py
+++ b/comfreyhatch/exchange/admission/policy.py
@@ -30,7 +30,7 @@
 # a rank counts as asking after one of its requests.
 SHORT_S = 1.0
 ASKING_S = 2.0
-# Ranks beyond this one are noted as the same.
+# Bound on the ranks that are remembered; less urgent ones count as this one.
 MAX_RANK = 15
 # Lower bound on the slots of a forecast, for services whose endpoints have gone.
 MIN_SLOTS = 0.01
--- a/comfreyhatch/exchange/admission/returns.py
+++ b/comfreyhatch/exchange/admission/returns.py
@@ -42,16 +42,16 @@
         """
         job = pending.job
         message = f"the requests that wait for {job.service} leave no room in time"
-        first_s = waiting_s / slots
+        drain_s = waiting_s / slots
         if pending.work.resumes:
             # Its caller is not told to come back: the daemon itself tries again.
-            return RefusedError(message, retry_after_s=max(MIN_RETRY_AFTER_S, first_s))
+            return RefusedError(message, retry_after_s=max(MIN_RETRY_AFTER_S, drain_s))
         booking = self._bookings.book(
             (workspace_of(job), job.identity),
             job.exchange.request_id,
             job.route.name,
             pending.work.work_s,
-            first_s,
+            drain_s,
             slots,
             job.deadline - pending.work.work_s,
             now,
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -150,7 +150,7 @@
     unread = MemoryPart.UNREAD
     first = clients.open(LARGEST_BODY_BYTES, 0.0, unread)
     reading = clients.open(LARGEST_BODY_BYTES, 0.0, unread)
-    reading.note_on_pace(5.0)
+    reading.note_caught_up(5.0)
     while not clients.turned_away:
         clients.open(LARGEST_BODY_BYTES, 4.9, unread)
     assert clients.turned_away == [first]
--- a/tests/test_return_bookings.py
+++ b/tests/test_return_bookings.py
@@ -26,7 +26,7 @@
         "request_id": f"id-{name}",
         "kind": "route",
         "work_s": 0.1,
-        "first_s": 0.5,
+        "drain_s": 0.5,
         "slots": 1.0,
         "latest": NOW + 5,
         "now": NOW,
@@ -75,7 +75,7 @@
 
 def test_no_place_is_booked_beyond_the_deadline(bookings: ReturnBookings) -> None:
     """Guards against room that is kept for callers who will have given up."""
-    booking = book(bookings, "a", first_s=6.0)
+    booking = book(bookings, "a", drain_s=6.0)
     assert not booking.has_place and booking.at < NOW + 5
     assert book(bookings, "b").at == pytest.approx(NOW + 0.5)
 
