--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -185,9 +185,11 @@
 
     def end_delivery(self, began_at: float, now: float) -> None:
         """Note that the caller has taken the events that it was given at a time, in seconds."""
+        held_s = now - began_at
         self.awaits_caller = False
-        self.held_s = max(self.held_s, now - began_at)
-        self.idle_since = now
+        self.held_s = max(self.held_s, held_s)
+        # Only this time is left out: bytes that are no progress must not put off a stall.
+        self.idle_since += held_s
 
     def record_events(self, count: int, now: float) -> None:
         """Count events that were received together; they share the gap before them."""
--- a/tests/test_stream_state.py
+++ b/tests/test_stream_state.py
@@ -58,3 +58,15 @@
     assert stream.held_s == 4.0
     assert not stream.is_stalled(14.3)
     assert stream.is_stalled(14.6)
+
+
+def test_delivery_of_bytes_that_are_no_progress_does_not_put_off_a_stall() -> None:
+    # Comments that an endpoint sends now and then would keep a stalled stream there for ever.
+    stream = StreamState(job())
+    stream.lease = SlotLease(EndpointTracker(record("e1"), 0.0), job(), 0.0, 0.0)
+    stream.stall_limits = StallLimits(silent_s=0.5, alive_s=2.0)
+    stream.idle_since = 10.0
+    for at in (10.5, 11.0, 11.5, 12.0):
+        stream.begin_delivery()
+        stream.end_delivery(at, at + 0.001)
+    assert stream.is_stalled(12.1)
