--- a/comfreyhatch/adapters/http_link.py
+++ b/comfreyhatch/adapters/http_link.py
@@ -20,9 +20,8 @@
 )
 
 # Bytes of an answer that wait for its reader, beyond which nothing more is read from its connection
-# for the time being. With the read that exceeds it, a connection holds 80 KiB at most, so that 600
-# streams that begin at once fit a daemon of 150 MB.
-UNREAD_LIMIT_BYTES = 16384
+# for the time being. With the read that exceeds it, a connection holds 128 KiB at most.
+UNREAD_LIMIT_BYTES = 65536
 # Largest unfinished head, chunk header or trailer section of an answer.
 HEAD_LIMIT_BYTES = 32768
 HTTP_PREFIX = b"HTTP/1."
--- a/comfreyhatch/exchange/relay_listener.py
+++ b/comfreyhatch/exchange/relay_listener.py
@@ -39,7 +39,7 @@
 from comfreyhatch.exchange.header_codec import HeaderCodec
 from comfreyhatch.exchange.view import FleetView
 
-# Answers that are relayed at once; each may take 80 KiB of memory.
+# Answers that are relayed at once; each may take 128 KiB of memory.
 MAX_RELAYED = 64
 # Time after which a request that has come is not relayed any more, in seconds.
 MAX_WAITED_S = 0.25
