--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -1,6 +1,7 @@
 """Stand-in of a worker: registers itself, checks what the pages say it checks, records its runs."""
 
 import asyncio
+import json
 from itertools import count
 from time import monotonic, time
 
@@ -82,6 +83,23 @@
     def cold_left_s(self) -> float:
         return max(0.0, self.started_at + self.cold_s - monotonic())
 
+    def report(self) -> dict:
+        """Return what `GET /report` tells, the runs under way among it."""
+        runs = [run.request_id for run in self.runs if run.ended_at is None]
+        return {
+            "born": self._born,
+            "stage": "hybrid",
+            "models": [{"name": "daka510000", "version": 1, "adapters": []}],
+            "busy": False,
+            "sequence": 0,
+            "waiting": 0,
+            "running": len(runs),
+            "kv_used": 0,
+            "kv_total": 623351,
+            "handles": 0,
+            "runs": [[request_id, 0, 0, 5] for request_id in runs],
+        }
+
     def record(self) -> dict:
         return {
             "service": self.service,
@@ -112,6 +130,10 @@
             headers = {"instance-id": self.worker_id, "server-load": load, **cold}
             await connection.send(200, headers)
             return
+        if request.path == "/report":
+            body = json.dumps(self.report()).encode()
+            await connection.send(200, {"content-type": "application/json"}, body)
+            return
         expected = request.headers.get("expect-instance", self.worker_id)
         if expected != self.worker_id:
             self.refused.append((monotonic(), request_id, "421"))
