--- a/review/7/play.py
+++ b/review/7/play.py
@@ -119,7 +119,8 @@
         f" requests to it sent over {ROLLBACK_S:g} s after the {BAD_ANSWERS}th: {late};"
         f" {failed} requests without success"
     )
-    return not scene.trouble or (exposed <= allowed and not late)
+    # The rule is about bad versions: one none of whose responses failed may have any share.
+    return not bad_at or (exposed <= allowed and not late)
 
 
 main(__file__, play)
