--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -5,7 +5,6 @@
 from collections.abc import AsyncIterator, Callable
 
 from comfreyhatch.adapters.http_server import HttpResponse
-from comfreyhatch.decisions.cascade import CascadeState, escalates
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.decisions.engine_priority import engine_priority
 from comfreyhatch.decisions.engine_time import EngineTimes
@@ -28,6 +27,7 @@
 from comfreyhatch.exchange.event_relay import EventRelay, require_time
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.health import note_lost_answer
+from comfreyhatch.exchange.model_cascade import ModelCascade
 from comfreyhatch.exchange.scheduler import EndpointScheduler
 from comfreyhatch.exchange.sender import Sender
 from comfreyhatch.exchange.slot_lease import SlotLease
@@ -74,14 +74,15 @@
         """
         self._crashes = crashes
         self._bill = bill
-        self._count_cascade_answer = count_cascade_answer
         self._scheduler = scheduler
         self._sender = sender
-        self._budget = budget
         self._evidence = evidence
         self._first_event_latencies: dict[tuple[str, str], SampleWindow] = {}
         self._engine_times = EngineTimes()
         self._retries = StreamRetries(scheduler, sender, budget, crashes)
+        self._cascade = ModelCascade(
+            scheduler, budget, crashes, self._retries, self._engine_times, count_cascade_answer
+        )
         self._watchdog = StallWatchdog(self._retries.reserve_stalled, verify)
         self._events = EventRelay(evidence, self._watchdog, crashes)
 
@@ -108,7 +109,7 @@
         """Return an answer of the smallest model, or of the largest if the request escalates."""
         while True:
             answer = await self._open(stream)
-            if not answer.head.success or not self._take_escalation(stream, answer):
+            if not answer.head.success or not self._cascade.take_escalation(stream, answer):
                 return answer
             answer.endpoint.record_complete_answer()
             await self._close(stream, answer)
@@ -368,43 +369,6 @@
         if stream.attempt is not None:
             self._crashes.end_complete(stream.attempt, asyncio.get_running_loop().time())
 
-    def _take_escalation(self, stream: StreamState, answer: StreamedAnswer) -> bool:
-        """Return whether to ask the largest model instead, and reserve that in the budget."""
-        job = stream.job
-        now = asyncio.get_running_loop().time()
-        if stream.model_index >= len(job.route.models) - 1 or stream.last_event_id is not None:
-            return False
-        if stream.account.used_up or self._crashes.blocks(job, now):
-            return False
-        budget = self._budget(job.service)
-        tokens = job.exchange.prompt_tokens
-        state = CascadeState(
-            rank=job.route.rank,
-            load=self._scheduler.load(job.service, now),
-            delay_s=self._scheduler.delay_s(job.service, now),
-            larger_s=self._engine_times.first_event_s(job.route.models[-1], tokens),
-            aim_s=job.route.aim_s,
-            spent_s=now - job.arrived,
-            budget_left=budget.remaining_share(now),
-        )
-        wanted = escalates(answer.head.confidence, state)
-        log.info(
-            "event=model_judged id=%s model=%s confidence=%s load=%.2f delay_s=%.2f larger_s=%.2f"
-            " spent_s=%.2f budget=%.2f escalates=%s",
-            job.exchange.request_id,
-            stream.model,
-            answer.head.confidence,
-            state.load,
-            state.delay_s,
-            state.larger_s,
-            state.spent_s,
-            state.budget_left,
-            wanted,
-        )
-        dropped = wanted and self._retries.reserve(stream, now)
-        self._count_cascade_answer(dropped)
-        return dropped
-
     def _latency_window(self, stream: StreamState) -> SampleWindow:
         """Return the times to the first event for the stream's route and model."""
         key = (stream.job.route.name, stream.model)
