--- a/comfreyhatch/decisions/cascade.py
+++ b/comfreyhatch/decisions/cascade.py
@@ -57,10 +57,35 @@
 
 def engine_contention(state: CascadeState) -> float:
     """Return the share of the engine time that other requests would use, 0 to 1."""
-    if state.aim_s <= 0:
+    return contention_of(state.load, state.delay_s, state.aim_s)
+
+
+def contention_of(load: float, delay_s: float, aim_s: float) -> float:
+    """Return the share of the engine time that other requests would use, 0 to 1.
+
+    Args:
+        load: Running and waiting requests of the service as a share of its slots.
+        delay_s: Median queueing delay at the engines, in seconds.
+        aim_s: Target time to the first event, in seconds.
+    """
+    if aim_s <= 0:
         return 1.0
-    by_delay = state.delay_s / (FULL_CONTENTION_DELAY_SHARE * state.aim_s)
-    return min(1.0, max(by_delay, state.load / FULL_CONTENTION_LOAD))
+    by_delay = delay_s / (FULL_CONTENTION_DELAY_SHARE * aim_s)
+    return min(1.0, max(by_delay, load / FULL_CONTENTION_LOAD))
+
+
+def busyness(pressure: float, load: float) -> float:
+    """Return how busy the engines are, from 0 (idle) to 1 (they can take on nothing larger).
+
+    Args:
+        pressure: Engine time that others wait for, as a share of the route's target time.
+        load: Running and waiting requests of the service as a share of its slots.
+    """
+    busy = max(
+        (pressure - IDLE_PRESSURE) / (BUSY_PRESSURE - IDLE_PRESSURE),
+        (load - IDLE_LOAD) / (BUSY_LOAD - IDLE_LOAD),
+    )
+    return min(1.0, max(0.0, busy))
 
 
 def escalation_threshold(state: CascadeState, contention: float) -> float:
@@ -81,11 +106,7 @@
         return 0.0
     idle = URGENT_CONFIDENCE if state.rank <= MAX_URGENT_RANK else NORMAL_CONFIDENCE
     pressure = (state.delay_s + contention * state.larger_s) / state.aim_s
-    busy = max(
-        (pressure - IDLE_PRESSURE) / (BUSY_PRESSURE - IDLE_PRESSURE),
-        (state.load - IDLE_LOAD) / (BUSY_LOAD - IDLE_LOAD),
-    )
-    return idle + min(1.0, max(0.0, busy)) * (BUSY_CONFIDENCE - idle)
+    return idle + busyness(pressure, state.load) * (BUSY_CONFIDENCE - idle)
 
 
 def escalates(confidence: int | None, state: CascadeState) -> bool:
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -167,6 +167,7 @@
         """Send the request to one endpoint and return its answer once the head was read."""
         loop = asyncio.get_running_loop()
         job = stream.job
+        self._cascade.choose_single_run(stream, loop.time())
         work_s = self._engine_times.first_event_s(stream.model, job.exchange.prompt_tokens)
         lease = await self._place(stream, work_s)
         endpoint = lease.endpoint
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -139,6 +139,11 @@
         """Whether the head of the answer was returned to the caller."""
         return self.head is not None
 
+    @property
+    def may_run_again(self) -> bool:
+        """Whether another attempt may run though an earlier one has, whatever that ended with."""
+        return self.job.route.repeatable and self.resumable
+
     @property
     def waits_until_deadline(self) -> bool:
         """Whether the request waits for an endpoint until its deadline, rather than being refused.
@@ -215,7 +220,7 @@
         """
         if self.time_left_s(now) <= 0:
             return False
-        if not self.account.allows_another(self.job.route.repeatable and self.resumable):
+        if not self.account.allows_another(self.may_run_again):
             return False
         return self.waits_until_deadline or not self.account.failed_often
 
--- a/comfreyhatch/porcelain/log_story.py
+++ b/comfreyhatch/porcelain/log_story.py
@@ -18,6 +18,8 @@
     " after {retry_after_s} s",
     "placed": "sent to {endpoint} ({version}, zone {zone}), which is expected to take {delay_s} s"
     " for other work; {choices} endpoints could be chosen, the list was {list_age_s} s old",
+    "model_chosen": "it may run only once, and goes to model {model}: first event expected after"
+    " {delay_s} s of queueing and {first_event_s} s of work, target {aim_s} s, load {load}",
     "model_judged": "model {model} answered with confidence {confidence}; delay {delay_s} s, load"
     " {load}, budget left {budget}: asked again of the largest model: {escalates}",
     "attempt_failed": "the attempt failed with code {code}, ran: {ran}: {reason}",
