--- a/comfreyhatch/domain/catalog.py
+++ b/comfreyhatch/domain/catalog.py
@@ -156,3 +156,8 @@
             if path.startswith(route.prefix):
                 return route
         return None
+
+    def health_path(self, service: str) -> str:
+        """Return the path that a service's endpoints answer beside requests; empty for none."""
+        found = self.service_by_name.get(service)
+        return found.health_path if found else ""
--- a/comfreyhatch/exchange/silence_probes.py
+++ b/comfreyhatch/exchange/silence_probes.py
@@ -55,8 +55,7 @@
     def _health_path(self, service: str) -> str:
         """Return the path that a service's endpoints answer; empty if none is known."""
         catalog = self._catalog()
-        found = catalog.service_by_name.get(service) if catalog else None
-        return found.health_path if found else ""
+        return catalog.health_path(service) if catalog else ""
 
     async def _probe(self, endpoint: EndpointTracker, path: str) -> None:
         started = asyncio.get_running_loop().time()
