--- a/comfreyhatch/decisions/trial_evidence.py
+++ b/comfreyhatch/decisions/trial_evidence.py
@@ -1,6 +1,7 @@
 """Outcomes of the versions of a roll-out, summed over daemons and published by each."""
 
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Mapping
 
 from msgspec import Struct
 
@@ -23,11 +24,15 @@
         target_by_route: Outcomes of the target version by route.
         other_by_route: Outcomes of the replaced versions by route.
         target_by_endpoint: Outcomes of the target version by route, then by endpoint.
+        target_by_failure: Number of failures of the target version by how they failed.
+        other_by_failure: The same of the replaced versions.
     """
 
     target_by_route: dict[str, VersionOutcomes]
     other_by_route: dict[str, VersionOutcomes]
     target_by_endpoint: dict[str, dict[str, VersionOutcomes]]
+    target_by_failure: Counter[str]
+    other_by_failure: Counter[str]
 
 
 def pool_evidence(evidence: Iterable[Evidence]) -> PooledEvidence:
@@ -35,13 +40,17 @@
     target: dict[str, VersionOutcomes] = {}
     other: dict[str, VersionOutcomes] = {}
     by_endpoint: dict[str, dict[str, VersionOutcomes]] = {}
+    target_by_failure: Counter[str] = Counter()
+    other_by_failure: Counter[str] = Counter()
     for item in evidence:
+        target_by_failure.update(item.target_by_failure)
+        other_by_failure.update(item.other_by_failure)
         _add_all(target, item.target_by_route)
         _add_all(other, item.other_by_route)
         for route, outcomes in item.target_by_route.items():
             found = item.target_by_endpoint.get(route) or {UNKNOWN_ENDPOINT: outcomes}
             _add_all(by_endpoint.setdefault(route, {}), found)
-    return PooledEvidence(target, other, by_endpoint)
+    return PooledEvidence(target, other, by_endpoint, target_by_failure, other_by_failure)
 
 
 def add_outcomes(one: VersionOutcomes, two: VersionOutcomes) -> VersionOutcomes:
@@ -59,6 +68,12 @@
     return total
 
 
+def failures_text(by_failure: Mapping[str, int]) -> str:
+    """Return how answers failed, the most frequent first, such as "status 503: 5, timeout: 1"."""
+    ordered = sorted(by_failure.items(), key=lambda found: (-found[1], found[0]))
+    return ", ".join(f"{text}: {count}" for text, count in ordered) or "none"
+
+
 def answers_on(pooled: PooledEvidence, route: str) -> int:
     """Return the number of answers of all versions on a route."""
     none = VersionOutcomes()
--- a/comfreyhatch/decisions/version_comparison.py
+++ b/comfreyhatch/decisions/version_comparison.py
@@ -19,6 +19,7 @@
     PooledEvidence,
     add_outcomes,
     answers_on,
+    failures_text,
     total_outcomes,
 )
 from comfreyhatch.domain.operations import VersionOutcomes
@@ -136,7 +137,7 @@
         _add_missing(missing.wanted_by_route, subject, wanted)
     return Comparison(
         pooled=pooled,
-        fault=fault,
+        fault=with_failures(fault, pooled) if fault else "",
         is_not_worse=not unknown and not fault,
         is_slow_in_doubt=_slow_score(total) > TOTAL_DOUBT_SCORE,
         unknown="; ".join(unknown),
@@ -144,6 +145,11 @@
     )
 
 
+def with_failures(reason: str, pooled: PooledEvidence) -> str:
+    """Return a reason with how answers of the target version failed."""
+    return f"{reason} ({failures_text(pooled.target_by_failure)})"
+
+
 def find_fault(pooled: PooledEvidence) -> str:
     """Return why the target version is clearly bad, over all routes or on one; empty if it is not.
 
--- a/comfreyhatch/decisions/version_trial.py
+++ b/comfreyhatch/decisions/version_trial.py
@@ -24,6 +24,7 @@
     MIN_BAD_ANSWERS,
     Comparison,
     baseline_share,
+    with_failures,
 )
 from comfreyhatch.domain.operations import RolloutOrder, RolloutRecord, RolloutState
 
@@ -87,12 +88,13 @@
     in_doubt = _in_doubt(pooled) and not comparison.is_not_worse
     if not fault and in_doubt and trial.share >= LARGE_SHARE:
         # Too many sessions run on the version to wait for more evidence.
-        fault = "doubtful with a large share of the sessions"
+        fault = with_failures("doubtful with a large share of the sessions", pooled)
     if fault:
         return _rolled_back(trial, fault, store_ms)
     due = is_completion_due(order, trial, store_ms)
     if due and in_doubt and _is_worse(pooled):
-        return _rolled_back(trial, "doubtful when its completion was due", store_ms)
+        reason = with_failures("doubtful when its completion was due", pooled)
+        return _rolled_back(trial, reason, store_ms)
     if not ready.target:
         return None
     # Without endpoints of a replaced version there is nothing to compare with, and the sessions
--- a/comfreyhatch/domain/operations.py
+++ b/comfreyhatch/domain/operations.py
@@ -108,6 +108,9 @@
         target_by_route: Outcomes of the target version by route.
         other_by_route: Outcomes of the replaced versions by route.
         target_by_endpoint: Outcomes of the target version by route, then by endpoint.
+        target_by_failure: Number of failures of the target version by how they failed; not told by
+            daemons of the build before.
+        other_by_failure: The same of the replaced versions.
     """
 
     service: str
@@ -116,6 +119,8 @@
     target_by_route: dict[str, VersionOutcomes]
     other_by_route: dict[str, VersionOutcomes]
     target_by_endpoint: dict[str, dict[str, VersionOutcomes]] = {}
+    target_by_failure: dict[str, int] = {}
+    other_by_failure: dict[str, int] = {}
 
 
 class DaemonAddresses(Struct, frozen=True):
--- a/comfreyhatch/exchange/event_relay.py
+++ b/comfreyhatch/exchange/event_relay.py
@@ -86,7 +86,7 @@
         Running streams are recorded too: until a slow stream ends, its version would get further
         requests.
         """
-        if stream.slow:
+        if stream.observed is None or stream.observed.is_bad:
             return
         gap_s = stream.median_gap_s(
             MIN_GAPS_OF_ENDED_STREAM if ended else MIN_GAPS_OF_RUNNING_STREAM
@@ -94,12 +94,7 @@
         if gap_s is None:
             return
         now = asyncio.get_running_loop().time()
-        counted = stream.slow is not None
-        slow = self._evidence.record_event_gap(
-            stream.job, answer.endpoint, stream.model, gap_s, counted, ended, now
-        )
-        if slow is not None:
-            stream.slow = slow
+        self._evidence.record_event_gap(stream.observed, stream.model, gap_s, ended, now)
 
     def _note_events(
         self, stream: StreamState, answer: StreamedAnswer, count: int, now: float
--- a/comfreyhatch/exchange/evidence.py
+++ b/comfreyhatch/exchange/evidence.py
@@ -6,17 +6,22 @@
 from comfreyhatch.decisions.slowness import BaselineTimes
 from comfreyhatch.decisions.trial_evidence import add_outcomes
 from comfreyhatch.domain.exchange import Job
+from comfreyhatch.domain.failure import Failure
 from comfreyhatch.domain.operations import (
     Evidence,
     RolloutOrder,
     RolloutState,
     VersionOutcomes,
 )
+from comfreyhatch.exchange.observed_attempt import ObservedAttempt
 from comfreyhatch.exchange.view import FleetView
 
 # Time after which the counts of a completed version start anew: the sound answers of hours would
 # hide a fault that shows late.
 SERVICE_COUNT_S = 60.0
+# Different failures that are told apart in an evidence row; further ones are counted together.
+MAX_FAILURE_TEXTS = 12
+OTHER_FAILURES = "other"
 
 
 class EvidenceCollector:
@@ -68,68 +73,68 @@
         order = self._view.order(service)
         return found if found and order and found.order_revision == order.revision else None
 
-    def record_answer(
-        self, job: Job, endpoint: EndpointTracker, success: bool, latency: float, now: float
-    ) -> bool | None:
-        """Count an answer if it failed or can be compared with a baseline.
+    def begin(self, job: Job, endpoint: EndpointTracker, now: float) -> ObservedAttempt:
+        """Return an attempt that is sent to an endpoint now, to be told how it goes on."""
+        return ObservedAttempt(job, endpoint, now)
+
+    def record_success(self, attempt: ObservedAttempt, latency: float, now: float) -> None:
+        """Count a successful answer if it can be compared with a baseline.
 
         Args:
-            job: The request.
-            endpoint: Endpoint that answered.
-            success: Whether the answer was a success.
+            attempt: The attempt.
             latency: Time to the answer in seconds. For a stream, the `slowdown` of its first event
                 against the expected time: long prompts would raise the baseline so far that no
                 version counts as slow.
             now: Monotonic time in seconds.
-
-        Returns:
-            Whether it counts as slow; None if it is not counted.
         """
-        if self._view.final_state(job.service) is RolloutState.COMPLETED:
-            self._count_since_completion(job, endpoint, success, now)
-        if not success:
-            self._count(job, endpoint, VersionOutcomes(1, 1, 0))
-            return False
-        baseline = self._latency_by_route.setdefault(job.route.name, BaselineTimes())
-        slow = self._is_slow(baseline, endpoint, latency, now)
-        self._update_baseline(baseline, endpoint, latency, now)
+        baseline = self._latency_by_route.setdefault(attempt.job.route.name, BaselineTimes())
+        slow = self._is_slow(baseline, attempt.endpoint, latency, now)
+        self._update_baseline(baseline, attempt.endpoint, latency, now)
+        self._count_since_completion(attempt, None, now)
         if slow is not None:
-            self._count(job, endpoint, VersionOutcomes(1, 0, int(slow)))
-        return slow
+            self._count_speed(attempt, slow)
+
+    def record_failure(self, attempt: ObservedAttempt, failure: Failure, now: float) -> None:
+        """Count a failure that is the version's.
+
+        Args:
+            attempt: The attempt; one that counts as bad already is not counted again.
+            failure: How it failed.
+            now: Monotonic time in seconds.
+        """
+        if attempt.is_bad:
+            return
+        self._count_since_completion(attempt, failure, now)
+        self._count(attempt, VersionOutcomes(int(not attempt.is_counted), 1, 0), failure)
+        attempt.is_counted = attempt.is_bad = True
 
     def record_event_gap(
         self,
-        job: Job,
-        endpoint: EndpointTracker,
+        attempt: ObservedAttempt,
         model: str,
         median_gap_s: float,
-        counted: bool,
         ended: bool,
         now: float,
-    ) -> bool | None:
+    ) -> None:
         """Count a stream as slow if its event gaps are long, and as an answer if it was not yet.
 
         Args:
-            job: The request.
-            endpoint: Endpoint that sends the stream.
+            attempt: The attempt; one that counts as bad already is not counted again.
             model: Requested model; empty when the caller's choice is passed through.
             median_gap_s: Median gap between events, in seconds.
-            counted: Whether the stream already counts as an answer.
             ended: Whether the stream is complete; only complete streams update the baseline.
             now: Monotonic time in seconds.
-
-        Returns:
-            Whether it counts as slow; None if its gaps cannot be compared.
         """
+        if attempt.is_bad:
+            return
         baseline = self._event_gap_by_model.setdefault(
-            (job.service, model), BaselineTimes(load_dominated=True)
+            (attempt.job.service, model), BaselineTimes(load_dominated=True)
         )
-        slow = self._is_slow(baseline, endpoint, median_gap_s, now)
+        slow = self._is_slow(baseline, attempt.endpoint, median_gap_s, now)
         if ended:
-            self._update_baseline(baseline, endpoint, median_gap_s, now)
+            self._update_baseline(baseline, attempt.endpoint, median_gap_s, now)
         if slow is not None:
-            self._count(job, endpoint, VersionOutcomes(int(not counted), 0, int(slow)))
-        return slow
+            self._count_speed(attempt, slow)
 
     def _is_slow(
         self, baseline: BaselineTimes, endpoint: EndpointTracker, value: float, now: float
@@ -147,9 +152,18 @@
         if replaced and not self._view.cold(endpoint, now):
             baseline.add(value, endpoint.running(now), now)
 
+    def _count_speed(self, attempt: ObservedAttempt, slow: bool) -> None:
+        self._count(attempt, VersionOutcomes(int(not attempt.is_counted), 0, int(slow)))
+        attempt.is_counted = True
+        attempt.is_bad = slow
+
     def _count_since_completion(
-        self, job: Job, endpoint: EndpointTracker, success: bool, now: float
+        self, attempt: ObservedAttempt, failure: Failure | None, now: float
     ) -> None:
+        """Count a success, or a failure, of a version whose roll-out is completed."""
+        job, endpoint = attempt.job, attempt.endpoint
+        if self._view.final_state(job.service) is not RolloutState.COMPLETED:
+            return
         order = self._view.order(job.service)
         if order is None or endpoint.record.version != order.version:
             return
@@ -158,29 +172,53 @@
             self._counted_from_by_service[job.service] = now
             before = self.evidence(job.service)
             other = before.other_by_route if before else {}
-            found = Evidence(job.service, order.revision, self._daemon, {}, other)
+            found = Evidence(job.service, order.revision, self._daemon, {}, other, {}, {}, {})
             self._completed_by_service[job.service] = found
-        outcome = VersionOutcomes(1, int(not success), 0)
-        _add(found.target_by_route, job.route.name, outcome)
-        by_endpoint = found.target_by_endpoint.setdefault(job.route.name, {})
-        _add(by_endpoint, endpoint.record.endpoint_id, outcome)
+        answers = int(not attempt.is_counted_in_service)
+        attempt.is_counted_in_service = True
+        outcome = VersionOutcomes(answers, int(failure is not None), 0)
+        _add_to_target(found, attempt, outcome, failure)
 
-    def _count(self, job: Job, endpoint: EndpointTracker, outcome: VersionOutcomes) -> None:
+    def _count(
+        self, attempt: ObservedAttempt, outcome: VersionOutcomes, failure: Failure | None = None
+    ) -> None:
+        job = attempt.job
         order = self._view.order(job.service)
         if order is None or self._view.final_state(job.service) is not None:
             return
         evidence = self.evidence(job.service)
         if evidence is None:
-            evidence = Evidence(job.service, order.revision, self._daemon, {}, {})
+            evidence = Evidence(job.service, order.revision, self._daemon, {}, {}, {}, {}, {})
             self._evidence_by_service[job.service] = evidence
             self._order_by_service[job.service] = order
-        target = endpoint.record.version == order.version
-        by_route = evidence.target_by_route if target else evidence.other_by_route
-        _add(by_route, job.route.name, outcome)
-        if target:
-            by_endpoint = evidence.target_by_endpoint.setdefault(job.route.name, {})
-            _add(by_endpoint, endpoint.record.endpoint_id, outcome)
+        if attempt.endpoint.record.version == order.version:
+            _add_to_target(evidence, attempt, outcome, failure)
+        else:
+            _add(evidence.other_by_route, job.route.name, outcome)
+            _add_failure(evidence.other_by_failure, failure)
+
+
+def _add_to_target(
+    evidence: Evidence,
+    attempt: ObservedAttempt,
+    outcome: VersionOutcomes,
+    failure: Failure | None,
+) -> None:
+    route = attempt.job.route.name
+    _add(evidence.target_by_route, route, outcome)
+    by_endpoint = evidence.target_by_endpoint.setdefault(route, {})
+    _add(by_endpoint, attempt.endpoint.record.endpoint_id, outcome)
+    _add_failure(evidence.target_by_failure, failure)
 
 
 def _add(sums: dict[str, VersionOutcomes], key: str, outcome: VersionOutcomes) -> None:
     sums[key] = add_outcomes(sums.get(key, VersionOutcomes()), outcome)
+
+
+def _add_failure(count_by_failure: dict[str, int], failure: Failure | None) -> None:
+    if failure is None:
+        return
+    text = failure.text
+    if text not in count_by_failure and len(count_by_failure) >= MAX_FAILURE_TEXTS:
+        text = OTHER_FAILURES
+    count_by_failure[text] = count_by_failure.get(text, 0) + 1
--- a/comfreyhatch/exchange/rollouts.py
+++ b/comfreyhatch/exchange/rollouts.py
@@ -10,6 +10,7 @@
 from comfreyhatch.decisions.trial_evidence import (
     PooledEvidence,
     awaited_evidence_interval_s,
+    failures_text,
     pool_evidence,
     should_publish_evidence,
 )
@@ -335,7 +336,14 @@
 
 
 def _log_evidence(order: RolloutOrder, pooled: PooledEvidence) -> None:
-    """Log the outcomes by route on which a step was decided."""
+    """Log the outcomes by route on which a step was decided, and how answers failed."""
+    log.info(
+        "event=rollout_failures service=%s version=%s failures=%r other_failures=%r",
+        order.service,
+        order.version,
+        failures_text(pooled.target_by_failure),
+        failures_text(pooled.other_by_failure),
+    )
     for route in sorted(pooled.target_by_route | pooled.other_by_route):
         target = pooled.target_by_route.get(route, VersionOutcomes())
         other = pooled.other_by_route.get(route, VersionOutcomes())
@@ -361,4 +369,6 @@
         target_by_route=dict(evidence.target_by_route),
         other_by_route=dict(evidence.other_by_route),
         target_by_endpoint={r: dict(found) for r, found in evidence.target_by_endpoint.items()},
+        target_by_failure=dict(evidence.target_by_failure),
+        other_by_failure=dict(evidence.other_by_failure),
     )
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -13,6 +13,7 @@
 from comfreyhatch.decisions.slowness import slowdown
 from comfreyhatch.decisions.stall import first_event_limits
 from comfreyhatch.domain.exchange import Dispatch, Job
+from comfreyhatch.domain.failure import Failure, FailureKind
 from comfreyhatch.errors import (
     AnswerBrokenError,
     BackendError,
@@ -172,7 +173,8 @@
         lease = await self._place(stream, work_s)
         endpoint = lease.endpoint
         attempt = self._crashes.begin(job, endpoint, lease.started)
-        stream.start_attempt(lease, attempt)
+        observed = self._evidence.begin(job, endpoint, lease.started)
+        stream.start_attempt(lease, attempt, observed)
         self._scheduler.pin_session(job, endpoint.record.version, lease.started)
         try:
             answer = await self._open_watched(stream, lease)
@@ -185,12 +187,12 @@
         stream.note_answered()
         now = loop.time()
         took_s = now - lease.started
-        stream.slow = self._evidence.record_answer(
-            job, endpoint, answer.head.success, slowdown(took_s, work_s), now
-        )
         if not answer.head.success:
+            failure = Failure(FailureKind.STATUS, answer.head.status)
+            self._evidence.record_failure(observed, failure, now)
             self._crashes.end_complete(attempt, now)
         else:
+            self._evidence.record_success(observed, slowdown(took_s, work_s), now)
             self._crashes.note_head(attempt, now)
             self._latency_window(stream).add(took_s)
             self._engine_times.record(stream.model, job.exchange.prompt_tokens, took_s)
--- a/comfreyhatch/exchange/stream_state.py
+++ b/comfreyhatch/exchange/stream_state.py
@@ -20,6 +20,7 @@
 )
 from comfreyhatch.exchange.crash_guard import GuardedAttempt
 from comfreyhatch.exchange.events import event_id, has_content
+from comfreyhatch.exchange.observed_attempt import ObservedAttempt
 from comfreyhatch.exchange.slot_lease import SlotLease
 
 MAX_GAPS = 40
@@ -49,7 +50,7 @@
         gaps_s: Gaps between the events of the current attempt, in seconds.
         last_events_at: Monotonic time of the current attempt's last events; None before the first.
         endpoint_by_broken: Endpoints of broken attempts that have not been probed since.
-        slow: Whether the current attempt was counted as slow; None while it was not compared.
+        observed: The current attempt as evidence on its version; None before the first.
         endpoint_id: Endpoint of the current attempt.
         lease: Slot of the current attempt; None once its answer was closed.
         is_replacing: Whether an attempt that might have been answered was given up for the next
@@ -91,8 +92,8 @@
         "lease",
         "max_silent_s",
         "model_index",
+        "observed",
         "resumable",
-        "slow",
         "stall_limits",
     )
 
@@ -116,7 +117,7 @@
         self.attempt_events = 0
         self.gaps_s: list[float] = []
         self.last_events_at: float | None = None
-        self.slow: bool | None = None
+        self.observed: ObservedAttempt | None = None
         self.endpoint_id = ""
         self.lease: SlotLease | None = None
         self.is_replacing = False
@@ -158,9 +159,12 @@
             return True
         return (head.status, head.media_type) == (self.head.status, self.head.media_type)
 
-    def start_attempt(self, lease: SlotLease, attempt: GuardedAttempt) -> None:
+    def start_attempt(
+        self, lease: SlotLease, attempt: GuardedAttempt, observed: ObservedAttempt
+    ) -> None:
         """Count an attempt at the endpoint of a lease."""
         self.lease = lease
+        self.observed = observed
         self.attempt = attempt
         self.endpoint_id = lease.endpoint.record.endpoint_id
         self.account.note_placed()
--- a/comfreyhatch/exchange/unary_proxy.py
+++ b/comfreyhatch/exchange/unary_proxy.py
@@ -17,6 +17,7 @@
 from comfreyhatch.decisions.request_arrivals import AttemptArrival, RequestArrivals
 from comfreyhatch.decisions.retries import SampleWindow, hedge_delay_s
 from comfreyhatch.domain.exchange import Dispatch, Job
+from comfreyhatch.domain.failure import Failure, FailureKind
 from comfreyhatch.errors import (
     BackendError,
     BackendRefusedError,
@@ -140,6 +141,7 @@
         call.account.note_placed()
         call.lease_by_attempt[counted] = lease
         attempt = self._crashes.begin(job, endpoint, started)
+        observed = self._evidence.begin(job, endpoint, started)
         try:
             answer = await self._send_and_release(call, lease, arrival, started)
         except ComfreyhatchError as error:
@@ -155,7 +157,12 @@
             del call.lease_by_attempt[counted]
         now = loop.time()
         self._crashes.end_complete(attempt, now)
-        self._evidence.record_answer(job, endpoint, answer.head.success, now - started, now)
+        if answer.head.success:
+            self._evidence.record_success(observed, now - started, now)
+        else:
+            self._evidence.record_failure(
+                observed, Failure(FailureKind.STATUS, answer.head.status), now
+            )
         return answer
 
     async def _acquire(self, call: "_UnaryCall", now: float) -> SlotLease:
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -5,6 +5,7 @@
 from comfreyhatch.decisions.endpoint_tracker import EndpointTracker
 from comfreyhatch.domain.catalog import Catalog
 from comfreyhatch.domain.endpoint import EndpointList
+from comfreyhatch.domain.failure import Failure, FailureKind
 from comfreyhatch.domain.operations import (
     Operations,
     RolloutOrder,
@@ -13,7 +14,13 @@
     SharedRecords,
     VersionOutcomes,
 )
-from comfreyhatch.exchange.evidence import SERVICE_COUNT_S, EvidenceCollector
+from comfreyhatch.exchange.evidence import (
+    MAX_FAILURE_TEXTS,
+    OTHER_FAILURES,
+    SERVICE_COUNT_S,
+    EvidenceCollector,
+)
+from comfreyhatch.exchange.observed_attempt import ObservedAttempt
 from comfreyhatch.exchange.view import FleetView
 from tests.exchange_values import job, record
 
@@ -53,14 +60,30 @@
     return found.target_by_route.get(ROUTE, VersionOutcomes()) if found else VersionOutcomes()
 
 
+def succeed(
+    collector: EvidenceCollector, endpoint: EndpointTracker, latency: float, now: float
+) -> ObservedAttempt:
+    attempt = collector.begin(JOB, endpoint, now)
+    collector.record_success(attempt, latency, now)
+    return attempt
+
+
+def fail(
+    collector: EvidenceCollector, endpoint: EndpointTracker, now: float, status: int = 500
+) -> None:
+    failure = Failure(FailureKind.STATUS, status)
+    collector.record_failure(collector.begin(JOB, endpoint, now), failure, now)
+
+
 def add_latencies(collector: EvidenceCollector, old: EndpointTracker) -> None:
     for _ in range(30):
-        collector.record_answer(JOB, old, True, 1.0, 1.0)
+        succeed(collector, old, 1.0, 1.0)
 
 
 def add_gaps(collector: EvidenceCollector, old: EndpointTracker) -> None:
     for _ in range(30):
-        collector.record_event_gap(JOB, old, "m", USUAL_GAP_S, True, True, 1.0)
+        attempt = collector.begin(JOB, old, 1.0)
+        collector.record_event_gap(attempt, "m", USUAL_GAP_S, True, 1.0)
 
 
 def test_answer_that_cannot_be_compared_does_not_count_as_good(
@@ -68,14 +91,14 @@
 ) -> None:
     # Answers of a bad version counted as good while the daemon had no baseline, and the roll-out
     # was completed (deploy/days/hasty.toml, trackline-th, seed 501).
-    assert collector.record_answer(JOB, new, True, 9.0, 1.0) is None
+    assert not succeed(collector, new, 9.0, 1.0).is_counted
     assert of_target(collector) == VersionOutcomes()
 
 
 def test_failure_counts_without_a_baseline(
     collector: EvidenceCollector, new: EndpointTracker
 ) -> None:
-    collector.record_answer(JOB, new, False, 9.0, 1.0)
+    fail(collector, new, 1.0)
     assert of_target(collector) == VersionOutcomes(1, 1, 0)
 
 
@@ -84,28 +107,35 @@
 ) -> None:
     add_latencies(collector, old)
     add_gaps(collector, old)
-    assert collector.record_answer(JOB, new, True, 1.0, 1.0) is False
-    assert collector.record_event_gap(JOB, new, "m", USUAL_GAP_S, True, False, 1.0) is False
+    attempt = succeed(collector, new, 1.0, 1.0)
+    assert attempt.is_counted and not attempt.is_bad
+    collector.record_event_gap(attempt, "m", USUAL_GAP_S, False, 1.0)
     assert of_target(collector) == VersionOutcomes(1, 0, 0)
-    assert collector.record_event_gap(JOB, new, "m", SLOW_GAP_S, True, False, 1.0) is True
+    collector.record_event_gap(attempt, "m", SLOW_GAP_S, False, 1.0)
+    assert of_target(collector) == VersionOutcomes(1, 0, 1)
+    assert attempt.is_bad
+    collector.record_failure(attempt, Failure(FailureKind.CUT), 1.0)
     assert of_target(collector) == VersionOutcomes(1, 0, 1)
 
 
 def test_stream_counts_once_its_gaps_are_compared_though_its_first_event_was_not(
     collector: EvidenceCollector, old: EndpointTracker, new: EndpointTracker
 ) -> None:
-    assert collector.record_event_gap(JOB, new, "m", SLOW_GAP_S, False, False, 1.0) is None
+    attempt = collector.begin(JOB, new, 1.0)
+    collector.record_event_gap(attempt, "m", SLOW_GAP_S, False, 1.0)
+    assert not attempt.is_counted
     assert of_target(collector) == VersionOutcomes()
     add_gaps(collector, old)
-    assert collector.record_event_gap(JOB, new, "m", SLOW_GAP_S, False, False, 1.0) is True
+    collector.record_event_gap(attempt, "m", SLOW_GAP_S, False, 1.0)
+    assert attempt.is_bad
     assert of_target(collector) == VersionOutcomes(1, 0, 1)
 
 
 def test_outcomes_of_the_target_are_counted_by_endpoint(
     collector: EvidenceCollector, old: EndpointTracker, new: EndpointTracker
 ) -> None:
-    collector.record_answer(JOB, new, False, 9.0, 1.0)
-    collector.record_answer(JOB, old, False, 9.0, 1.0)
+    fail(collector, new, 1.0)
+    fail(collector, old, 1.0)
     found = collector.evidence("s")
     assert found and found.target_by_endpoint == {ROUTE: {"new": VersionOutcomes(1, 1, 0)}}
 
@@ -113,16 +143,48 @@
 def test_answers_of_a_completed_version_are_counted_for_a_time(
     view: FleetView, collector: EvidenceCollector, old: EndpointTracker, new: EndpointTracker
 ) -> None:
-    collector.record_answer(JOB, old, False, 9.0, 1.0)
+    fail(collector, old, 1.0)
     completed = RolloutRecord("s", "v2", 7, RolloutState.COMPLETED, 1.0, 0, 0, 8)
     view.apply_records(SharedRecords(8, 0, {"s": completed}, {}, {}), 1.0)
     assert collector.evidence_since_completion("s") is None
     for _ in range(3):
-        collector.record_answer(JOB, new, True, 1.0, 2.0)
-    collector.record_answer(JOB, new, False, 1.0, 3.0)
+        succeed(collector, new, 1.0, 2.0)
+    fail(collector, new, 3.0)
     found = collector.evidence_since_completion("s")
     assert found and found.target_by_route == {ROUTE: VersionOutcomes(4, 1)}
     assert found.other_by_route == {ROUTE: VersionOutcomes(1, 1)}
-    collector.record_answer(JOB, new, True, 1.0, 2.0 + SERVICE_COUNT_S)
+    succeed(collector, new, 1.0, 2.0 + SERVICE_COUNT_S)
     found = collector.evidence_since_completion("s")
     assert found and found.target_by_route == {ROUTE: VersionOutcomes(1)}
+
+
+def test_stream_that_counts_as_an_answer_counts_as_failed_once_it_is_cut(
+    collector: EvidenceCollector, old: EndpointTracker, new: EndpointTracker
+) -> None:
+    add_latencies(collector, old)
+    attempt = succeed(collector, new, 1.0, 1.0)
+    for _ in range(2):
+        collector.record_failure(attempt, Failure(FailureKind.CUT), 1.0)
+    assert of_target(collector) == VersionOutcomes(1, 1, 0)
+
+
+def test_failures_are_told_apart_by_how_answers_failed(
+    collector: EvidenceCollector, old: EndpointTracker, new: EndpointTracker
+) -> None:
+    for status in (503, 503, 500):
+        fail(collector, new, 1.0, status)
+    fail(collector, old, 1.0, 408)
+    found = collector.evidence("s")
+    assert found and found.target_by_failure == {"status 503": 2, "status 500": 1}
+    assert found.other_by_failure == {"status 408": 1}
+
+
+def test_number_of_failures_that_are_told_apart_is_bounded(
+    collector: EvidenceCollector, new: EndpointTracker
+) -> None:
+    for status in range(400, 599):
+        fail(collector, new, 1.0, status)
+    found = collector.evidence("s")
+    assert found and len(found.target_by_failure) <= MAX_FAILURE_TEXTS + 1
+    assert sum(found.target_by_failure.values()) == 199
+    assert found.target_by_failure[OTHER_FAILURES] == 199 - MAX_FAILURE_TEXTS
--- a/tests/test_trial_evidence.py
+++ b/tests/test_trial_evidence.py
@@ -1,13 +1,17 @@
 """Evidence on the versions of a roll-out: sums over daemons, and its publication."""
 
+from msgspec.structs import replace
+
 from comfreyhatch.decisions.trial_evidence import (
     UNKNOWN_ENDPOINT,
     awaited_evidence_interval_s,
+    failures_text,
     pool_evidence,
     should_publish_evidence,
 )
+from comfreyhatch.decisions.version_comparison import compare_versions
 from comfreyhatch.domain.operations import VersionOutcomes
-from tests.trial_values import evidence
+from tests.trial_values import SOUND_OTHER, evidence, on_endpoints
 
 
 def test_outcomes_are_summed_by_route_and_endpoint() -> None:
@@ -23,6 +27,19 @@
     assert pooled.other_by_route["a"].answers == 800
 
 
+def test_reason_of_a_roll_back_names_how_answers_failed() -> None:
+    failed = VersionOutcomes(8, 6)
+    one = replace(
+        evidence("d1", {"a": failed}, SOUND_OTHER, {"a": on_endpoints(failed, 4)}),
+        target_by_failure={"status 503": 2, "cut answer": 1},
+    )
+    two = replace(one, daemon="d2", target_by_failure={"status 503": 3})
+    pooled = pool_evidence([one, two])
+    assert failures_text(pooled.target_by_failure) == "status 503: 5, cut answer: 1"
+    assert "(status 503: 5, cut answer: 1)" in compare_versions(pooled).fault
+    assert failures_text({}) == "none"
+
+
 def test_outcomes_that_were_published_without_endpoints_are_kept_apart() -> None:
     pooled = pool_evidence([evidence("d1", {"a": VersionOutcomes(4, 1)})])
     assert pooled.target_by_endpoint == {"a": {UNKNOWN_ENDPOINT: VersionOutcomes(4, 1)}}
--- a/tests/test_trial_evidence_rows.py
+++ b/tests/test_trial_evidence_rows.py
@@ -16,6 +16,17 @@
     other_by_route: dict[str, VersionOutcomes]
 
 
+class EvidenceWithoutFailures(Struct, frozen=True):
+    """Evidence as the version before (6b80f31) reads and writes it."""
+
+    service: str
+    order_revision: int
+    daemon: str
+    target_by_route: dict[str, VersionOutcomes]
+    other_by_route: dict[str, VersionOutcomes]
+    target_by_endpoint: dict[str, dict[str, VersionOutcomes]] = {}
+
+
 FOUND = {"a": VersionOutcomes(4, 1, 2)}
 
 
@@ -27,3 +38,15 @@
 def test_evidence_of_the_version_before_is_read() -> None:
     row = encode(EvidenceBefore("s", 7, "d1", FOUND, FOUND))
     assert decode(row, type=Evidence) == Evidence("s", 7, "d1", FOUND, FOUND, {})
+
+
+def test_kinds_of_failures_are_passed_over_by_the_version_before() -> None:
+    by_endpoint = {"a": {"e1": VersionOutcomes(4, 1, 2)}}
+    row = encode(Evidence("s", 7, "d1", FOUND, FOUND, by_endpoint, {"status 503": 1}, {"stall": 2}))
+    before = EvidenceWithoutFailures("s", 7, "d1", FOUND, FOUND, by_endpoint)
+    assert decode(row, type=EvidenceWithoutFailures) == before
+
+
+def test_evidence_without_kinds_of_failures_is_read() -> None:
+    row = encode(EvidenceWithoutFailures("s", 7, "d1", FOUND, FOUND))
+    assert decode(row, type=Evidence) == Evidence("s", 7, "d1", FOUND, FOUND, {}, {}, {})
