--- a/comfreyhatch/exchange/billing.py
+++ b/comfreyhatch/exchange/billing.py
@@ -4,7 +4,9 @@
 import logging
 from collections import deque
 
-from comfreyhatch.domain.usage import UsageBatch, UsageKey, UsageLine, UsageTotals
+from comfreyhatch.domain.catalog import Catalog
+from comfreyhatch.domain.exchange import Job
+from comfreyhatch.domain.usage import UsageBatch, UsageKey, UsageLine, UsageTotals, model_usage
 from comfreyhatch.exchange.periodic import PeriodicTask
 from comfreyhatch.ports.directory import Directory
 
@@ -48,6 +50,26 @@
         """Add the usage of an answered request to the open batch."""
         self._usage_by_key[key] = self._usage_by_key.get(key, UsageTotals()).plus(usage)
 
+    def bill_request(self, job: Job) -> None:
+        """Add a request that was answered by a plain service."""
+        self.add_usage(UsageKey(job.workspace, job.service), UsageTotals(requests=1))
+
+    def bill_stream(self, job: Job, model: str, events: int, catalog: Catalog | None) -> None:
+        """Add a stream by its tokens.
+
+        Args:
+            job: The request.
+            model: Model that has answered.
+            events: Number of events of the answer.
+            catalog: Configuration, which names the prices of the service; None if it is unknown.
+        """
+        service = catalog.service_by_name.get(job.service) if catalog else None
+        engine = service.engine if service else None
+        tokens = events * (engine.tokens_per_event if engine else 1)
+        price = engine.price(model) if engine else 0.0
+        usage = model_usage(job.exchange.prompt_tokens, tokens, price)
+        self.add_usage(UsageKey(job.workspace, job.service, model), usage)
+
     def start(self) -> None:
         """Start to flush every `FLUSH_INTERVAL_S`."""
         self._task.start()
--- a/comfreyhatch/exchange/daemon.py
+++ b/comfreyhatch/exchange/daemon.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable
 from functools import partial
 from random import Random
 from time import monotonic
@@ -16,12 +15,7 @@
 from comfreyhatch.adapters.http_server import HttpServer
 from comfreyhatch.adapters.metrics import ClientMetrics, OddAnswerMetrics, add_gauge
 from comfreyhatch.decisions.answer_memory import AnswerMemory
-from comfreyhatch.decisions.connection_limits import (
-    MIN_PEER_CONNECTIONS,
-    PROBE_CONNECTIONS,
-    caller_connections,
-    listener_connections,
-)
+from comfreyhatch.decisions.connection_limits import PROBE_CONNECTIONS
 from comfreyhatch.decisions.former_attempts import FormerAttempts
 from comfreyhatch.decisions.isolation import should_report_unready
 from comfreyhatch.decisions.memory_account import MemoryAccount
@@ -32,7 +26,6 @@
 from comfreyhatch.domain.deployment import Deployment
 from comfreyhatch.domain.exchange import Job
 from comfreyhatch.domain.instance import Address
-from comfreyhatch.domain.usage import UsageKey, UsageTotals, model_usage
 from comfreyhatch.exchange.billing import Billing
 from comfreyhatch.exchange.crash_guard import CrashGuard
 from comfreyhatch.exchange.crash_probe import CrashProbe
@@ -44,7 +37,19 @@
 from comfreyhatch.exchange.endpoint_reads import EndpointReads
 from comfreyhatch.exchange.evidence import EvidenceCollector
 from comfreyhatch.exchange.extra_request_budgets import ExtraRequestBudgets
+from comfreyhatch.exchange.gauges import (
+    add_peer_gauges,
+    add_rollout_gauges,
+    add_scheduler_gauges,
+    add_view_gauges,
+    at_present,
+)
 from comfreyhatch.exchange.header_codec import HeaderCodec
+from comfreyhatch.exchange.listener_limits import (
+    caller_limits,
+    configured_limits,
+    relay_limits,
+)
 from comfreyhatch.exchange.liveness_probe import LivenessProbe
 from comfreyhatch.exchange.load.load_probes import LoadProbes
 from comfreyhatch.exchange.load.load_view import LoadView
@@ -79,17 +84,11 @@
 
 ENDPOINT_CONNECT_TIMEOUT_S = 0.3
 PEER_CONNECT_TIMEOUT_S = 0.2
-# Room for the headers of a request that another daemon wants sent.
-RELAY_MARGIN_BYTES = 65536
 # Time between the first failing readiness check and the close of the callers' listener, for the
 # balancer to stop sending connections.
 BALANCER_DRAIN_S = 2.4
 # Part of `Bounds.grace_s` reserved for closing after the last running requests were cut.
 CLOSE_MARGIN_S = 0.4
-# Parts of the file descriptors for the connections of callers and of other daemons; what is left is
-# for connections to endpoints.
-CALLERS_FDS_SHARE = 2 / 3
-RELAY_FDS_SHARE = 1 / 6
 # Longest wait at the start for orders and endpoints, and the interval at which their arrival is
 # checked. Callers that connect meanwhile wait instead of being refused for lack of a configuration.
 START_DIRECTORY_WAIT_S = 0.7
@@ -220,7 +219,7 @@
         )
         self._relay_server = HttpServer(
             self._relay_listener.handle,
-            _relay_limits(_limits(deployment), deployment),
+            relay_limits(caller_limits(deployment), deployment),
             True,
             account=self._account,
             refuse=busy_refusal,
@@ -256,7 +255,7 @@
                 sender,
                 self._budgets.of,
                 self._evidence,
-                self._bill_request,
+                self._billing.bill_request,
                 self._crashes,
             ),
             StreamProxy(
@@ -274,7 +273,7 @@
         )
         self._callers = HttpServer(
             self._router.handle,
-            _limits(deployment),
+            caller_limits(deployment),
             True,
             account=self._account,
             refuse=codec.refusal,
@@ -379,44 +378,25 @@
 
     def _add_gauges(self) -> None:
         """Register the gauges of this daemon's current state."""
-
-        def age_s(age_at: Callable[[float], float]) -> Callable[[], float]:
-            return lambda: age_at(asyncio.get_running_loop().time())
-
-        view, client = self.view, self._client
+        view, client, callers = self.view, self._client, self._callers
+        add_view_gauges(self.registry, view)
+        add_scheduler_gauges(self.registry, self._scheduler)
+        add_rollout_gauges(self.registry, self._rollouts)
         gauge = partial(add_gauge, self.registry)
-        gauge("waiting_requests", "Requests that wait.", lambda: self._scheduler.queued)
-        scheduler = self._scheduler
-        gauge("waiting_work_seconds", "Work of those that wait.", lambda: scheduler.queued_work_s)
-        policy = scheduler.admission.policy
-        gauge("requests_displaced", "Requests refused for others.", lambda: policy.displaced)
-        gauge("workspaces_over_share", "Workspaces over their share.", lambda: policy.over_share)
-        gauge("running_requests", "Requests under way.", lambda: self._callers.busy)
-        gauge("endpoints", "Endpoints known.", lambda: len(view.tracker_by_id))
-        gauge("orders_age_seconds", "Age of the operators' orders.", age_s(view.operations_age_s))
-        gauge("endpoints_age_seconds", "Age of the list.", age_s(view.endpoints_age_s))
+        gauge("running_requests", "Requests under way.", lambda: callers.busy)
         gauge("connections_opened", "Connections to endpoints.", lambda: client.connections_opened)
+        longest_lag_s = at_present(self._loop_lag.longest_s)
+        gauge("loop_lag_seconds", "Longest lag of the event loop.", longest_lag_s)
         OddAnswerMetrics(self.registry, lambda: (client,))
         servers = {
-            "callers": self._callers,
+            "callers": callers,
             "relay": self._relay_server,
             "readiness": self._readiness,
             "metrics": self._metrics,
         }
         ClientMetrics(self.registry, self._account, servers)
-        gauge("configuration", "Version of the configuration.", self._configuration_version)
-        rollouts = self._rollouts
-        gauge("rollouts_undecided", "Roll-outs not decided in time.", rollouts.undecided_count)
-        gauge("rollouts_failing", "Completed ones whose version fails.", rollouts.failing_count)
-        gauge("loop_lag_seconds", "Longest lag of the event loop.", age_s(self._loop_lag.longest_s))
         if self._peers:
-            peers = self._peers
-            gauge("peer_answers", "Queries of peers answered.", lambda: peers.answers)
-            gauge("peer_bytes_sent", "Bytes of these answers.", lambda: peers.bytes_sent)
-            gauge("peer_largest_bytes", "Largest of them.", lambda: peers.largest_bytes)
-
-    def _configuration_version(self) -> float:
-        return self.view.catalog.version if self.view.catalog else 0
+            add_peer_gauges(self.registry, self._peers)
 
     async def _wait_for_directory(self) -> None:
         """Wait up to START_DIRECTORY_WAIT_S for orders and endpoints."""
@@ -433,17 +413,8 @@
         address = self.view.control_by_daemon.get(daemon)
         return PeerPermitChannel(address) if address else None
 
-    def _bill_request(self, job: Job) -> None:
-        self._billing.add_usage(UsageKey(job.workspace, job.service), UsageTotals(requests=1))
-
     def _bill_stream(self, job: Job, model: str, events: int) -> None:
-        catalog = self.view.catalog
-        service = catalog.service_by_name.get(job.service) if catalog else None
-        engine = service.engine if service else None
-        tokens = events * (engine.tokens_per_event if engine else 1)
-        price = engine.price(model) if engine else 0.0
-        usage = model_usage(job.exchange.prompt_tokens, tokens, price)
-        self._billing.add_usage(UsageKey(job.workspace, job.service, model), usage)
+        self._billing.bill_stream(job, model, events, self.view.catalog)
 
     def _went_on_at(self) -> float:
         return self._loop_lag.went_on_at
@@ -460,16 +431,8 @@
         self._pins.note_orders(now)
         catalog = self.view.catalog
         if catalog and catalog.limits:
-            limits = self._callers.limits
-            self._callers.limits = HttpLimits(
-                header_bytes=max(1, catalog.limits.header_bytes),
-                body_bytes=max(1, catalog.limits.body_bytes),
-                connections=limits.connections,
-                source_connections=limits.source_connections,
-                header_timeout_s=max(0.1, catalog.limits.header_timeout_s),
-                idle_timeout_s=max(0.1, catalog.limits.idle_timeout_s),
-            )
-            self._relay_server.limits = _relay_limits(self._callers.limits, self._deployment)
+            self._callers.limits = configured_limits(self._callers.limits, catalog.limits)
+            self._relay_server.limits = relay_limits(self._callers.limits, self._deployment)
         for service in list(self.view.trackers_by_service):
             self._scheduler.serve_queue(service)
 
@@ -478,19 +441,3 @@
 
     async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
         return HttpResponse(200, generate_latest(self.registry), METRICS_TYPE)
-
-
-def _limits(deployment: Deployment) -> HttpLimits:
-    return HttpLimits(
-        connections=min(
-            listener_connections(deployment.max_fds, CALLERS_FDS_SHARE),
-            caller_connections(deployment.memory_mb),
-        ),
-        source_connections=deployment.source_connections,
-    )
-
-
-def _relay_limits(callers: HttpLimits, deployment: Deployment) -> HttpLimits:
-    """Return the limits for other daemons, whose requests carry those of callers as bodies."""
-    connections = listener_connections(deployment.max_fds, RELAY_FDS_SHARE, MIN_PEER_CONNECTIONS)
-    return HttpLimits(connections=connections, body_bytes=callers.body_bytes + RELAY_MARGIN_BYTES)
--- a/comfreyhatch/exchange/stream_proxy.py
+++ b/comfreyhatch/exchange/stream_proxy.py
@@ -225,7 +225,7 @@
         refusal = self._crashes.refusal(job, now)
         if refusal is not None:
             raise refusal
-        stream.excluded_ids = self._excluded(stream, now)
+        stream.excluded_ids = self._retries.excluded(stream, now)
         return await self._scheduler.acquire(
             job,
             stream.excluded_ids,
@@ -234,28 +234,6 @@
             max_silent_s=stream.max_silent_s,
         )
 
-    def _excluded(self, stream: StreamState, now: float) -> set[str]:
-        """Return the ids of the endpoints that the next attempt leaves out.
-
-        An endpoint that failed earlier may have recovered: if all are excluded, or the others are
-        silent, it is tried again.
-        """
-        tried = set(stream.excluded_ids)
-        last = {stream.endpoint_id}
-        if stream.max_silent_s is not None:
-            for excluded in (tried, last):
-                if self._scheduler.silence.has_responsive(
-                    stream.job, excluded, stream.max_silent_s, True, now
-                ):
-                    return excluded
-        for excluded in (tried, last, set()):
-            if self._scheduler.silence.has_unavoided(stream.job, excluded, now):
-                return excluded
-        for excluded in (tried, last):
-            if self._scheduler.has_candidates(stream.job, excluded, now):
-                return excluded
-        return set()
-
     async def _open_watched(self, stream: StreamState, lease: SlotLease) -> StreamedAnswer:
         """Return the answer once its head was read.
 
--- a/comfreyhatch/exchange/stream_retries.py
+++ b/comfreyhatch/exchange/stream_retries.py
@@ -60,6 +60,28 @@
                 return False
         return True
 
+    def excluded(self, stream: StreamState, now: float) -> set[str]:
+        """Return the ids of the endpoints that the next attempt leaves out.
+
+        An endpoint that failed earlier may have recovered: if all are excluded, or the others are
+        silent, it is tried again.
+        """
+        tried = set(stream.excluded_ids)
+        last = {stream.endpoint_id}
+        if stream.max_silent_s is not None:
+            for excluded in (tried, last):
+                if self._scheduler.silence.has_responsive(
+                    stream.job, excluded, stream.max_silent_s, True, now
+                ):
+                    return excluded
+        for excluded in (tried, last, set()):
+            if self._scheduler.silence.has_unavoided(stream.job, excluded, now):
+                return excluded
+        for excluded in (tried, last):
+            if self._scheduler.has_candidates(stream.job, excluded, now):
+                return excluded
+        return set()
+
     def _reserve_retry(self, stream: StreamState, now: float) -> bool:
         """Reserve a retry, unless only endpoints could get it that are avoided as silent."""
         repeats = stream.arrivals.any_possible
