--- a/comfreyhatch/exchange/evidence.py
+++ b/comfreyhatch/exchange/evidence.py
@@ -90,6 +90,10 @@
         order = self._view.order(service)
         return found if found and order and found.order_revision == order.revision else None
 
+    async def stop(self) -> None:
+        """Judge no more lost answers."""
+        await self._lost_answers.stop()
+
     def begin(
         self,
         job: Job,
@@ -185,10 +189,6 @@
         if outrun or self._has_taken_long(attempt, now):
             self._judge_late(attempt, ABANDONED, now)
 
-    async def stop(self) -> None:
-        """Judge no more lost answers."""
-        await self._lost_answers.stop()
-
     def record_failure(self, attempt: ObservedAttempt, failure: Failure, now: float) -> None:
         """Count a failure that is the version's.
 
@@ -356,7 +356,9 @@
 
 
 def _add(sums: dict[str, VersionOutcomes], key: str, outcome: VersionOutcomes) -> None:
-    sums[key] = add_outcomes(sums.get(key, VersionOutcomes()), outcome)
+    added = add_outcomes(sums.get(key, VersionOutcomes()), outcome)
+    # A slow answer that turns into a failed one may have been counted under the order before.
+    sums[key] = replace(added, slow=max(0, added.slow))
 
 
 def _add_failure(count_by_failure: dict[str, int], failure: Failure | None) -> None:
--- a/comfreyhatch/exchange/lost_answers.py
+++ b/comfreyhatch/exchange/lost_answers.py
@@ -125,6 +125,7 @@
             return
         waiting.append(_Waiting(lost, how, count))
         if len(waiting) == 1:
+            self._forget_looks(now)
             task = asyncio.create_task(self._resolve(endpoint, judge))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -146,6 +147,12 @@
             self._judge_by_service[service] = known
         return known
 
+    def _forget_looks(self, now: float) -> None:
+        """Forget the looks at endpoints that may be looked at again; many come and go for good."""
+        for endpoint_id, looked_at in list(self._looked_at_by_endpoint.items()):
+            if now - looked_at >= LOOK_INTERVAL_S:
+                del self._looked_at_by_endpoint[endpoint_id]
+
     async def _resolve(self, endpoint: EndpointTracker, judge: LossJudge) -> None:
         """Look at an endpoint and judge its losses, until none are left."""
         endpoint_id = endpoint.record.endpoint_id
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -309,3 +309,15 @@
     found = collector.evidence("s")
     assert found and found.target_sent == 2
     assert pool_evidence([found, replace(found, daemon="d2")]).target_sent == 4
+
+
+def test_slow_stream_that_fails_under_the_next_order_counts_as_failed_alone(
+    view: FleetView, collector: EvidenceCollector, old: EndpointTracker, new: EndpointTracker
+) -> None:
+    add_gaps(collector, old)
+    attempt = collector.begin(JOB, new, 1.0)
+    collector.record_event_gap(attempt, "m", SLOW_GAP_S, False, 1.0)
+    again = RolloutOrder("s", "v2", 15.0, 9)
+    view.apply_operations(Operations(2, Catalog(1, {}, {}, {}), {"s": again}, frozenset()), 1, 1)
+    collector.record_failure(attempt, Failure(FailureKind.CUT), 2.0)
+    assert of_target(collector) == VersionOutcomes(0, 1, 0)
