--- a/comfreyhatch/cli/contract.py
+++ b/comfreyhatch/cli/contract.py
@@ -10,16 +10,12 @@
 
 from comfreyhatch.adapters.contract_file import contract_example, load_contract
 from comfreyhatch.adapters.operator_http import OperatorClient
+from comfreyhatch.cli.change_command import change_command
 from comfreyhatch.cli.options import (
-    AuthorOption,
     ChangeOptions,
     ClientFileOption,
     DaemonOption,
-    DryRunOption,
     JsonOption,
-    TimeoutOption,
-    WaitOption,
-    YesOption,
     checked,
     make_change,
     run_command,
@@ -30,7 +26,7 @@
 from comfreyhatch.domain.contract import Contract
 from comfreyhatch.domain.fleet import FleetConfig
 from comfreyhatch.errors import RequestError
-from comfreyhatch.porcelain.changes import CONFIRM_TIMEOUT_S, diff_configs
+from comfreyhatch.porcelain.changes import diff_configs
 from comfreyhatch.porcelain.history import history_lines, is_of_customer
 
 app = Typer(help="Apply and read customers' contracts.", no_args_is_help=True)
@@ -48,45 +44,23 @@
     digest: str
 
 
-@app.command()
-def apply(
-    file: FileArgument,
-    daemon: DaemonOption = None,
-    client_settings: ClientFileOption = None,
-    dry_run: DryRunOption = False,
-    yes: YesOption = False,
-    wait: WaitOption = False,
-    timeout: TimeoutOption = CONFIRM_TIMEOUT_S,
-    author: AuthorOption = "",
-    json: JsonOption = False,
-) -> None:
+@change_command(app, "apply")
+def apply(file: FileArgument) -> SetContract:
     """Write a customer's contract, new or replaced.
 
     Example: comfreyhatch contract apply trackline.ini --daemon 10.0.0.1:9100 --wait
     """
     contract = checked(lambda: load_contract(file))
-    options = ChangeOptions(dry_run, yes, wait, timeout, author, json)
-    make_change(daemon, client_settings, SetContract(contract), options)
+    return SetContract(contract)
 
 
-@app.command()
-def remove(
-    customer: CustomerArgument,
-    daemon: DaemonOption = None,
-    client_settings: ClientFileOption = None,
-    dry_run: DryRunOption = False,
-    yes: YesOption = False,
-    wait: WaitOption = False,
-    timeout: TimeoutOption = CONFIRM_TIMEOUT_S,
-    author: AuthorOption = "",
-    json: JsonOption = False,
-) -> None:
+@change_command(app, "remove", dangerous=True)
+def remove(customer: CustomerArgument) -> RemoveContract:
     """End a customer's contract; its requests are refused from then on.
 
     Example: comfreyhatch contract remove trackline --daemon 10.0.0.1:9100
     """
-    options = ChangeOptions(dry_run, yes, wait, timeout, author, json)
-    make_change(daemon, client_settings, RemoveContract(customer), options, dangerous=True)
+    return RemoveContract(customer)
 
 
 @app.command("show")
--- a/comfreyhatch/cli/version.py
+++ b/comfreyhatch/cli/version.py
@@ -4,28 +4,16 @@
 
 from typer import Argument, BadParameter, Option, Typer
 
-from comfreyhatch.cli.options import (
-    AuthorOption,
-    ChangeOptions,
-    ClientFileOption,
-    DaemonOption,
-    DryRunOption,
-    JsonOption,
-    TimeoutOption,
-    WaitOption,
-    YesOption,
-    make_change,
-)
+from comfreyhatch.cli.change_command import change_command
 from comfreyhatch.domain.change import DrainVersion, SetShare, SetVersion, WithdrawVersion
 from comfreyhatch.domain.version import FULL_SHARE, Version
-from comfreyhatch.porcelain.changes import CONFIRM_TIMEOUT_S
 
 app = Typer(help="Declare versions, roll them out and withdraw them.", no_args_is_help=True)
 
 VersionArgument = Annotated[str, Argument(help="Version id, such as coach-large@3.")]
 
 
-@app.command()
+@change_command(app, "declare")
 def declare(
     version: VersionArgument,
     input_price: Annotated[int, Option(min=0, help="Micros for 1,000 prompt tokens.")],
@@ -40,15 +28,7 @@
     trial: Annotated[
         int, Option(min=0, help="Raise it to end a quarantine and begin the test anew.")
     ] = 0,
-    daemon: DaemonOption = None,
-    client_settings: ClientFileOption = None,
-    dry_run: DryRunOption = False,
-    yes: YesOption = False,
-    wait: WaitOption = False,
-    timeout: TimeoutOption = CONFIRM_TIMEOUT_S,
-    author: AuthorOption = "",
-    json: JsonOption = False,
-) -> None:
+) -> SetVersion:
     """Declare a version, new or replaced.
 
     Example: comfreyhatch version declare coach-large@3 --input-price 900 --output-price 3600
@@ -67,68 +47,36 @@
         prior_quality=prior_quality,
         trial=trial,
     )
-    options = ChangeOptions(dry_run, yes, wait, timeout, author, json)
-    make_change(daemon, client_settings, SetVersion(declared), options)
+    return SetVersion(declared)
 
 
-@app.command("roll-out")
+@change_command(app, "roll-out")
 def roll_out(
     version: VersionArgument,
     share: Annotated[
         int, Option(min=0, max=FULL_SHARE, help="Share of new sessions, in hundredths.")
     ] = FULL_SHARE,
-    daemon: DaemonOption = None,
-    client_settings: ClientFileOption = None,
-    dry_run: DryRunOption = False,
-    yes: YesOption = False,
-    wait: WaitOption = False,
-    timeout: TimeoutOption = CONFIRM_TIMEOUT_S,
-    author: AuthorOption = "",
-    json: JsonOption = False,
-) -> None:
+) -> SetShare:
     """Set a version's share of its model's new sessions.
 
     Example: comfreyhatch version roll-out coach-large@3 --share 10 --wait
     """
-    options = ChangeOptions(dry_run, yes, wait, timeout, author, json)
-    make_change(daemon, client_settings, SetShare(version, share), options)
+    return SetShare(version, share)
 
 
-@app.command()
-def drain(
-    version: VersionArgument,
-    daemon: DaemonOption = None,
-    client_settings: ClientFileOption = None,
-    dry_run: DryRunOption = False,
-    yes: YesOption = False,
-    wait: WaitOption = False,
-    timeout: TimeoutOption = CONFIRM_TIMEOUT_S,
-    author: AuthorOption = "",
-    json: JsonOption = False,
-) -> None:
+@change_command(app, "drain")
+def drain(version: VersionArgument) -> DrainVersion:
     """End new sessions on a version; running sessions stay.
 
     Example: comfreyhatch version drain coach-large@2 --wait
     """
-    options = ChangeOptions(dry_run, yes, wait, timeout, author, json)
-    make_change(daemon, client_settings, DrainVersion(version), options)
+    return DrainVersion(version)
 
 
-@app.command()
-def withdraw(
-    version: VersionArgument,
-    daemon: DaemonOption = None,
-    client_settings: ClientFileOption = None,
-    dry_run: DryRunOption = False,
-    yes: YesOption = False,
-    wait: WaitOption = False,
-    timeout: TimeoutOption = CONFIRM_TIMEOUT_S,
-    author: AuthorOption = "",
-    json: JsonOption = False,
-) -> None:
+@change_command(app, "withdraw", dangerous=True)
+def withdraw(version: VersionArgument) -> WithdrawVersion:
     """End all new work on a version; sessions on it are refused or moved.
 
     Example: comfreyhatch version withdraw coach-large@2 --yes --wait
     """
-    options = ChangeOptions(dry_run, yes, wait, timeout, author, json)
-    make_change(daemon, client_settings, WithdrawVersion(version), options, dangerous=True)
+    return WithdrawVersion(version)
