--- a/comfreyhatch/exchange/view.py
+++ b/comfreyhatch/exchange/view.py
@@ -357,6 +357,9 @@
             # Versions in the first list that this daemon reads have no hold-down.
             self._first_seen_at_by_version[version] = now - NEW_VERSION_HOLD_DOWN_S * first_list
         tracker = self.tracker_by_id.get(endpoint_id)
+        if tracker is not None and _is_of_other_service(record, tracker.record):
+            self._forget(tracker, now)
+            tracker = None
         if tracker is None:
             tracker = EndpointTracker(record, now)
             self.tracker_by_id[endpoint_id] = tracker
@@ -379,6 +382,16 @@
         elif tracker.removed_at is not None:
             tracker.removed_at = None
 
+    def _forget(self, tracker: EndpointTracker, now: float) -> None:
+        """Drop an endpoint whose id belongs to one of another service now; its requests may end."""
+        record = tracker.record
+        tracker.removed_at = now
+        # Not even while the records of endpoints are awaited that lapsed in an outage.
+        tracker.misdirected = True
+        del self.tracker_by_id[record.endpoint_id]
+        self.trackers_by_service[record.service].remove(tracker)
+        log.info("event=endpoint_gone endpoint=%s", record.endpoint_id)
+
     def _listed_trial(self, service: str) -> RolloutRecord | None:
         return self.records.trial_by_service.get(service) if self.records else None
 
@@ -419,3 +432,8 @@
                     order.version,
                     order.duration_s,
                 )
+
+
+def _is_of_other_service(record: EndpointRecord, known: EndpointRecord) -> bool:
+    """Return whether a newer record under an id that is known belongs to another endpoint."""
+    return record.service != known.service and record.position > known.position
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -8,7 +8,7 @@
 from comfreyhatch.domain.instance import Address
 from comfreyhatch.domain.operations import Operations, SharedRecords
 from comfreyhatch.domain.relay import RelayAddress
-from comfreyhatch.exchange.view import FleetView
+from comfreyhatch.exchange.view import LAPSE_GRACE_S, FleetView
 from tests.exchange_values import record
 
 HEARTBEAT_S = 1.0
@@ -138,3 +138,32 @@
         0.0,
     )
     assert view.relays_in("north") == {"d1": relay}
+
+
+def test_record_that_names_another_service_is_another_endpoint(view: FleetView) -> None:
+    # The endpoint stayed in the list of its former service, and got the requests of that service
+    # at its new address (review/8: 45 of 276 requests).
+    before = view.tracker_by_id["e1"]
+    moved = {**listed(1, "e2").record_by_id, "e1": record("e1", revision=2, service="t")}
+    view.apply_endpoints(EndpointList(2, moved), 1.0)
+    assert [t.record.endpoint_id for t in view.trackers_by_service["s"]] == ["e2"]
+    assert [t.record.endpoint_id for t in view.trackers_by_service["t"]] == ["e1"]
+    assert view.tracker_by_id["e1"] is not before
+    assert not view.available(before, 1.0)
+    assert before.record.service == "s"
+
+
+def test_endpoint_that_changed_its_service_can_be_removed(view: FleetView) -> None:
+    # It was looked for in the list of its new service, and the rest of the news was lost.
+    view.apply_endpoints(EndpointList(2, {"e1": record("e1", revision=2, service="t")}), 1.0)
+    view.apply_endpoints(EndpointList(3, {}), 2.0)
+    view.apply_endpoints(EndpointList(4, {}), 2.0 + LAPSE_GRACE_S)
+    assert not view.tracker_by_id
+    assert not any(view.trackers_by_service.values())
+
+
+def test_older_record_of_another_service_changes_nothing(view: FleetView) -> None:
+    view.apply_endpoints(listed(5, "e1", "e2"), 1.0)
+    old = {**listed(5, "e2").record_by_id, "e1": record("e1", revision=3, service="t")}
+    view.apply_endpoints(EndpointList(6, old), 2.0)
+    assert view.tracker_by_id["e1"].record.service == "s"
