--- a/comfreyhatch/exchange/session_pins.py
+++ b/comfreyhatch/exchange/session_pins.py
@@ -19,10 +19,21 @@
 log = logging.getLogger("comfreyhatch.sessions")
 
 
-class _Pin(Struct, frozen=True):
-    """A session's service and version, and the monotonic time of its last request."""
+class _SessionKey(Struct, frozen=True):
+    """A session as a service knows it.
+
+    Services have versions of their own, which may bear the same names, and workspaces have sessions
+    of their own.
+    """
 
     service: str
+    workspace: str
+    session: str
+
+
+class _Pin(Struct, frozen=True):
+    """Version of a session, and the monotonic time of its last request."""
+
     version: str
     at: float
 
@@ -51,7 +62,7 @@
         self._reports = reports
         self._canary = canary_share
         self._life_s = pin_life_s
-        self._pin_by_session: dict[str, _Pin] = {}
+        self._pin_by_session: dict[_SessionKey, _Pin] = {}
         self._held_back: dict[tuple[str, str, str], float] = {}
         self._told_order_by_service: dict[str, RolloutOrder] = {}
         reports.subscribe(SessionReport, self.learn)
@@ -61,8 +72,9 @@
         session = job.exchange.session
         if not session:
             return
-        self._pin_by_session.pop(session, None)
-        self._pin_by_session[session] = _Pin(job.service, version, now)
+        key = _session_key(job)
+        self._pin_by_session.pop(key, None)
+        self._pin_by_session[key] = _Pin(version, now)
         while len(self._pin_by_session) > MAX_PINS:
             self._pin_by_session.pop(next(iter(self._pin_by_session)))
         order = self._view.order(job.service)
@@ -74,14 +86,13 @@
 
         `REPLACED_VERSION` stands for one that only another daemon knows.
         """
-        session = job.exchange.session
-        pin = self._pin_by_session.get(session)
+        pin = self._pin_by_session.get(_session_key(job))
         if pin is not None and now - pin.at <= self._life_s:
             return pin.version
         order = self._view.order(job.service)
         if order is None:
             return None
-        held = (order.service, order.version, session) in self._held_back
+        held = (order.service, order.version, job.exchange.session) in self._held_back
         return REPLACED_VERSION if held else None
 
     def note_orders(self, now: float) -> None:
@@ -102,11 +113,11 @@
 
     def _sessions_to_hold_back(self, order: RolloutOrder, now: float) -> list[str]:
         return [
-            session
-            for session, pin in self._pin_by_session.items()
-            if pin.service == order.service
+            key.session
+            for key, pin in self._pin_by_session.items()
+            if key.service == order.service
             and now - pin.at <= self._life_s
-            and self._is_held_back(session, pin.service, pin.version, order)
+            and self._is_held_back(key.session, key.service, pin.version, order)
         ]
 
     def _is_held_back(self, session: str, service: str, version: str, order: RolloutOrder) -> bool:
@@ -134,3 +145,7 @@
         self._held_back[held] = now
         while len(self._held_back) > MAX_HELD_BACK:
             self._held_back.pop(next(iter(self._held_back)))
+
+
+def _session_key(job: Job) -> _SessionKey:
+    return _SessionKey(job.service, job.workspace, job.exchange.session)
