--- a/comfreyhatch/decisions/lost_answers.py
+++ b/comfreyhatch/decisions/lost_answers.py
@@ -7,11 +7,12 @@
 and those of a moment in which both versions lose answers, as when the path of a daemon is lost.
 
 An endpoint that is not alive has broken down, which is one event however many answers it takes.
-The first breakdown of each endpoint does not count; a version whose endpoints break down again and
-again is at fault.
+The first breakdown of each endpoint does not count. A version is at fault whose endpoints break
+down again and again, or all together while those of the other version do not.
 """
 
 from collections import deque
+from collections.abc import Mapping
 from enum import Enum
 from math import inf
 
@@ -21,6 +22,8 @@
 SAME_MOMENT_S = 0.05
 # What was received from an endpoint within this time after a loss may have been sent before it.
 BUFFERED_S = 0.05
+# Time after a breakdown of the other version in which the breakdown of all endpoints is no fault.
+COMMON_BREAKDOWN_S = 5.0
 # Losses that are remembered to find those of the same moment.
 MAX_RECENT = 256
 
@@ -58,51 +61,90 @@
 class LossJudge:
     """Judges the lost answers of one roll-out, as one daemon sees them."""
 
-    __slots__ = ("_breakdowns", "_broke_down_at", "_counted", "_counted_at", "_recent")
+    __slots__ = (
+        "_breakdowns",
+        "_broke_down_at",
+        "_counted",
+        "_counted_at",
+        "_other_broke_down_at",
+        "_recent",
+    )
 
     def __init__(self) -> None:
         self._recent: deque[LostAnswer] = deque(maxlen=MAX_RECENT)
         self._counted: deque[LostAnswer] = deque(maxlen=MAX_RECENT)
         self._counted_at: dict[str, float] = {}
         self._broke_down_at: dict[str, float] = {}
+        self._other_broke_down_at = -inf
         self._breakdowns = 0
 
     def note(self, lost: LostAnswer) -> None:
         """Note a lost answer at once; it is judged when more is known."""
         self._recent.append(lost)
 
-    def judge(self, lost: LostAnswer, is_alive: bool, endpoints: int) -> LossVerdict:
+    def judge(
+        self, lost: LostAnswer, is_alive: bool, heard_at_by_endpoint: Mapping[str, float]
+    ) -> LossVerdict:
         """Return what a lost answer is due to.
 
         Args:
             lost: The answer; those of one endpoint are judged in the order of their losses.
             is_alive: Whether its endpoint was alive after the loss.
-            endpoints: Number of endpoints of its version.
+            heard_at_by_endpoint: Times at which something last came from the endpoints of its
+                version, in seconds.
         """
+        if self._is_down(lost.endpoint_id, lost.heard_at):
+            # It may be alive again by now, but nothing has come from it since it broke down.
+            is_due = self._all_down(lost, heard_at_by_endpoint) and self._is_new(lost)
+            return self._count(lost) if is_due else LossVerdict.SAME_EVENT
         if not is_alive:
-            return self._judge_breakdown(lost, endpoints)
+            return self._judge_breakdown(lost, heard_at_by_endpoint)
         if any(_is_path_event(lost, other) for other in self._recent):
             return LossVerdict.PATH
-        since = self._counted_at.get(lost.endpoint_id, -inf)
-        is_new = lost.sent_at > since or lost.heard_at > since + BUFFERED_S
-        if lost.is_shared and not is_new:
+        if lost.is_shared and not self._is_new(lost):
             return LossVerdict.SAME_EVENT
         if any(_is_same_event(lost, other) for other in self._counted):
             return LossVerdict.SAME_EVENT
+        return self._count(lost)
+
+    def _is_new(self, lost: LostAnswer) -> bool:
+        """Return whether an answer was lost by another event than the last one that counts."""
+        since = self._counted_at.get(lost.endpoint_id, -inf)
+        return lost.sent_at > since or lost.heard_at > since + BUFFERED_S
+
+    def _count(self, lost: LostAnswer) -> LossVerdict:
         self._counted_at[lost.endpoint_id] = lost.lost_at
         self._counted.append(lost)
         return LossVerdict.VERSION
 
-    def _judge_breakdown(self, lost: LostAnswer, endpoints: int) -> LossVerdict:
-        """Judge a loss at an endpoint that is down until something comes from it again."""
-        before = self._broke_down_at.get(lost.endpoint_id)
-        if before is not None and lost.heard_at <= before:
-            return LossVerdict.SAME_EVENT
+    def _judge_breakdown(
+        self, lost: LostAnswer, heard_at_by_endpoint: Mapping[str, float]
+    ) -> LossVerdict:
+        """Judge the first loss of a breakdown."""
+        has_recurred = lost.endpoint_id in self._broke_down_at
         self._broke_down_at[lost.endpoint_id] = lost.lost_at
-        self._breakdowns += lost.is_target
-        # Endpoints that come back under new ids are others each time.
-        has_recurred = before is not None or lost.is_target and self._breakdowns > endpoints
-        return LossVerdict.VERSION if has_recurred else LossVerdict.BREAKDOWN
+        if lost.is_target:
+            self._breakdowns += 1
+            # Endpoints that come back under new ids are others each time.
+            has_recurred = has_recurred or self._breakdowns > len(heard_at_by_endpoint)
+        else:
+            self._other_broke_down_at = lost.lost_at
+        if has_recurred or self._all_down(lost, heard_at_by_endpoint):
+            return self._count(lost)
+        return LossVerdict.BREAKDOWN
+
+    def _all_down(self, lost: LostAnswer, heard_at_by_endpoint: Mapping[str, float]) -> bool:
+        """Return whether all endpoints of the target version are down, and none of the other."""
+        if not lost.is_target or len(heard_at_by_endpoint) < 2:
+            return False
+        if lost.lost_at - self._other_broke_down_at < COMMON_BREAKDOWN_S:
+            return False
+        return all(self._is_down(*found) for found in heard_at_by_endpoint.items())
+
+    def _is_down(self, endpoint_id: str, heard_at: float) -> bool:
+        """Return whether nothing has come from an endpoint since it broke down."""
+        broke_down_at = self._broke_down_at.get(endpoint_id)
+        return broke_down_at is not None and heard_at <= broke_down_at
 
 
 def _is_path_event(lost: LostAnswer, other: LostAnswer) -> bool:
--- a/comfreyhatch/exchange/lost_answers.py
+++ b/comfreyhatch/exchange/lost_answers.py
@@ -192,8 +192,12 @@
         if is_alive is None or found.how.look is Look.TRAFFIC:
             is_alive = found.lost.heard_at > found.lost.sent_at
         trackers = self._view.trackers_by_service.get(endpoint.record.service, ())
-        endpoints = sum(t.record.version == endpoint.record.version for t in trackers)
-        verdict = judge.judge(found.lost, is_alive, endpoints)
+        heard_at_by_endpoint = {
+            tracker.record.endpoint_id: tracker.last_received_at
+            for tracker in trackers
+            if tracker.record.version == endpoint.record.version
+        }
+        verdict = judge.judge(found.lost, is_alive, heard_at_by_endpoint)
         if verdict is LossVerdict.VERSION:
             found.count()
             return
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -28,6 +28,7 @@
     LossVerdict.PATH,
 )
 ENDPOINTS = 4
+HEARD = {f"e{number}": 0.0 for number in range(ENDPOINTS)}
 
 
 @pytest.fixture
@@ -49,7 +50,7 @@
 def verdicts(judge: LossJudge, found: list[LostAnswer], is_alive: bool = True) -> list[LossVerdict]:
     for item in found:
         judge.note(item)
-    return [judge.judge(item, is_alive, ENDPOINTS) for item in found]
+    return [judge.judge(item, is_alive, HEARD) for item in found]
 
 
 def test_each_request_that_a_live_endpoint_loses_counts(judge: LossJudge) -> None:
@@ -100,20 +101,45 @@
     assert verdicts(judge, late, is_alive=False) == [SAME, SAME]
 
 
+def test_request_that_an_endpoint_left_as_it_paused_does_not_count_once_it_goes_on(
+    judge: LossJudge,
+) -> None:
+    # The endpoint went on just before it was asked, and a pause of one endpoint delayed a sound
+    # version by a second and more.
+    assert verdicts(judge, [lost("e1", 1.0, 1.3)], is_alive=False) == [BREAKDOWN]
+    assert verdicts(judge, [lost("e1", 1.0, 2.0, is_shared=False)]) == [SAME]
+    assert verdicts(judge, [lost("e1", 3.0, 4.0, heard_at=2.5)]) == [VERSION]
+
+
 def test_endpoint_that_breaks_down_again_after_it_was_heard_counts(judge: LossJudge) -> None:
     assert verdicts(judge, [lost("e1", 1.0, 2.0)], is_alive=False) == [BREAKDOWN]
     assert verdicts(judge, [lost("e1", 4.0, 5.0, heard_at=3.5)], is_alive=False) == [VERSION]
 
 
 def test_breakdowns_of_each_endpoint_once_do_not_count(judge: LossJudge) -> None:
-    found = [lost(f"e{n}", 1.0, 2.0 + n) for n in range(ENDPOINTS)]
+    found = [lost(f"e{n}", 1.0, 2.0 + n) for n in range(ENDPOINTS - 1)]
+    assert verdicts(judge, found, is_alive=False) == [BREAKDOWN] * (ENDPOINTS - 1)
+
+
+def test_version_none_of_whose_endpoints_answers_is_at_fault(judge: LossJudge) -> None:
+    found = [lost(f"e{n % ENDPOINTS}", 1.0 + n, 2.0 + n) for n in range(2 * ENDPOINTS)]
+    expected = [BREAKDOWN] * (ENDPOINTS - 1) + [VERSION] * (ENDPOINTS + 1)
+    assert verdicts(judge, found, is_alive=False) == expected
+
+
+def test_all_endpoints_that_break_down_together_with_the_other_version_are_no_fault(
+    judge: LossJudge,
+) -> None:
+    # As at a daemon that is cut off.
+    assert verdicts(judge, [lost("old", 1.0, 2.0, is_target=False)], is_alive=False) == [BREAKDOWN]
+    found = [lost(f"e{n}", 1.0, 2.1 + n / 10) for n in range(ENDPOINTS)]
     assert verdicts(judge, found, is_alive=False) == [BREAKDOWN] * ENDPOINTS
 
 
 def test_version_whose_endpoints_break_down_and_come_back_under_new_ids_is_at_fault(
     judge: LossJudge,
 ) -> None:
-    found = [lost(f"e{n}", 1.0 + n, 2.0 + n) for n in range(ENDPOINTS + 2)]
+    found = [lost(f"x{n}", 1.0 + n, 2.0 + n) for n in range(ENDPOINTS + 2)]
     assert verdicts(judge, found, is_alive=False)[ENDPOINTS:] == [VERSION, VERSION]
 
 
